--- /dev/null
+++ b/alderreach/core/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data and pure operations over it."""
--- /dev/null
+++ b/alderreach/core/codec.py
@@ -0,0 +1,110 @@
+"""Encoding of the messages between processes.
+
+A packed message is the msgpack array ``[name, payload]``; an envelope adds what the
+receiver must know of the sender. Decoding is strict: bytes that are not a message of
+this protocol version and cell come back as an error text, never as an exception, so
+that a receiver can count them and go on.
+"""
+
+import functools
+import typing
+
+import msgspec
+from result import Err, Ok, Result
+
+from alderreach.core.generated import common, entry, keeper, placer
+
+PROTOCOL_VERSION = 1
+
+REGISTRY = {
+    message.__name__: message
+    for module in (common, entry, keeper, placer)
+    for message in module.MESSAGES
+}
+
+
+class Envelope(typing.NamedTuple):
+    """A message between processes with its sender.
+
+    ``reply_address`` is the sender's own peer address, ``host:port``.
+    """
+
+    protocol_version: int
+    cell: str
+    sender: str
+    sender_boot_id: str
+    reply_address: str
+    name: str
+    payload: msgspec.Raw
+
+
+class Received(typing.NamedTuple):
+    """A decoded message with what the receiver must know of its sender."""
+
+    sender: str
+    sender_boot_id: str
+    reply_address: str
+    message: typing.Any
+
+
+_encoder = msgspec.msgpack.Encoder()
+_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+@functools.cache
+def _decoder(name):
+    return msgspec.msgpack.Decoder(REGISTRY[name])
+
+
+def encode(value):
+    """Encode a bare value whose type the reader knows, such as an item's value."""
+    return _encoder.encode(value)
+
+
+def decode(data, kind):
+    """Decode what ``encode`` gave, as the NamedTuple type ``kind``.
+
+    Raises ``msgspec.ValidationError`` or ``DecodeError`` on bytes of another type.
+    """
+    return _decoder(kind.__name__).decode(data)
+
+
+def pack(message):
+    """Encode a message with its name, for a field that takes any command."""
+    return _encoder.encode((type(message).__name__, message))
+
+
+def unpack(data) -> Result:
+    """Decode what ``pack`` gave: ``Ok(message)``, or ``Err(text)`` for other bytes."""
+    try:
+        name, payload = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
+        return Ok(_decoder(name).decode(payload))
+    except (msgspec.MsgspecError, KeyError) as error:
+        return Err(f"not a packed message: {error}")
+
+
+def encode_envelope(cell, sender, boot_id, reply_address, message):
+    """Encode a message with its sender for the wire."""
+    payload = msgspec.Raw(_encoder.encode(message))
+    name = type(message).__name__
+    return _encoder.encode(
+        Envelope(PROTOCOL_VERSION, cell, sender, boot_id, reply_address, name, payload)
+    )
+
+
+def decode_envelope(cell, data) -> Result:
+    """Decode wire bytes: ``Ok(Received)`` or ``Err(text)`` that says what is wrong."""
+    try:
+        envelope = _envelope_decoder.decode(data)
+        if envelope.protocol_version != PROTOCOL_VERSION:
+            return Err(f"protocol version {envelope.protocol_version}")
+        if envelope.cell != cell:
+            return Err(f"cell {envelope.cell!r}")
+        message = _decoder(envelope.name).decode(envelope.payload)
+    except (msgspec.MsgspecError, KeyError) as error:
+        return Err(f"undecodable: {error}")
+    return Ok(
+        Received(
+            envelope.sender, envelope.sender_boot_id, envelope.reply_address, message
+        )
+    )
--- /dev/null
+++ b/alderreach/core/replica.py
@@ -0,0 +1,37 @@
+"""A follower's copy of the replicated map, fed by the keepers' pushes.
+
+The copy only moves forward: a push is applied if it starts at or before what the copy
+has and ends after it. A late or repeated push therefore changes nothing, and a gap is
+refused, after which the next ``Follow`` names the version to resume from.
+"""
+
+import typing
+
+
+class Replica(typing.NamedTuple):
+    """Items by key, and the version up to which they are complete."""
+
+    version: int
+    items: dict
+
+
+EMPTY = Replica(0, {})
+
+
+def apply(replica, push):
+    """Apply an ItemsPush; returns the new replica and the items that changed.
+
+    The items dictionary is copied only if something changed.
+    """
+    if push.from_version > replica.version or push.to_version <= replica.version:
+        return replica, []
+    changed = [item for item in push.items if item.version > replica.version]
+    if not changed:
+        return Replica(push.to_version, replica.items), []
+    items = dict(replica.items)
+    for item in changed:
+        if item.value is None:
+            items.pop(item.key, None)
+        else:
+            items[item.key] = item
+    return Replica(push.to_version, items), changed
--- /dev/null
+++ b/alderreach/core/replica_test.py
@@ -0,0 +1,24 @@
+"""A follower's copy only moves forward and never over a gap."""
+
+from alderreach.core import replica
+from alderreach.core.generated import common, keeper
+
+
+def push(first, last, *items):
+    return keeper.ItemsPush(first, last, last, list(items))
+
+
+def test_applies_in_order_and_deletes():
+    one = common.Item("team/a", 1, b"1")
+    copy, changed = replica.apply(replica.EMPTY, push(0, 1, one))
+    assert (copy.version, changed) == (1, [one])
+    gone = common.Item("team/a", 2, None)
+    copy, changed = replica.apply(copy, push(1, 2, gone))
+    assert (copy.version, copy.items, changed) == (2, {}, [gone])
+
+
+def test_late_and_gapped_pushes_change_nothing():
+    copy = replica.Replica(5, {})
+    old = common.Item("team/a", 4, b"old")
+    assert replica.apply(copy, push(0, 5, old)) == (copy, [])
+    assert replica.apply(copy, push(7, 9, old._replace(version=8))) == (copy, [])
--- /dev/null
+++ b/alderreach/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, testable without a network."""
--- /dev/null
+++ b/alderreach/ops/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks that make up the daemons."""
--- /dev/null
+++ b/alderreach/ops/daemon.py
@@ -0,0 +1,222 @@
+"""What the three daemons share: settings, logs, time line, peers, probes, shutdown.
+
+A role gives ``build(context)``, which returns an object with these methods:
+
+- ``deliver(received)``: put a peer's message into the role's mailbox.
+- ``status()``: a ``RoleStatus`` from published, immutable state; any thread may call.
+- ``drain()``: finish what is in flight and hand over; returns when done, at the latest
+  after ``timing.drain_ms``. Readiness is already off when it is called.
+
+Whatever the role opens it puts on ``context.stack``, which closes it in reverse order.
+"""
+
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+import threading
+import typing
+import uuid
+
+from absl import logging
+
+from alderreach.core import problems
+from alderreach.core.generated import common
+from alderreach.parser import settings as settings_parser
+from alderreach.utils import clocks, http_server, metrics, timeline, transport
+
+USAGE = "usage: alderreach-{role} SETTINGS.toml"
+EXIT_BAD_SETTINGS = 2
+EXIT_FAULT = 3
+PLATFORM_THREADS = 2
+
+
+class RoleStatus(typing.NamedTuple):
+    """A role's state for ``status`` and readiness."""
+
+    version_in_force: int
+    state: str
+    ready: bool
+    detail: dict
+
+
+class Context(typing.NamedTuple):
+    """What a role is given; ``draining`` is set when a graceful shutdown starts."""
+
+    role: str
+    settings: settings_parser.Settings
+    boot_id: str
+    clock: clocks.Clock
+    timeline: timeline.Timeline
+    metrics: metrics.Metrics
+    transport: transport.Transport
+    stack: contextlib.ExitStack
+    draining: threading.Event
+
+
+class _Dispatcher:
+    """Gives peers' messages to the role once it is built; answers queries itself."""
+
+    def __init__(self):
+        self.role = None
+        self.context = None
+
+    def deliver(self, received):
+        message = received.message
+        if self.role is None:
+            return
+        if isinstance(message, common.TimelineQuery):
+            events = self.context.timeline.newest(message.limit)
+            page = common.TimelinePage(message.request_id, events)
+            self.context.transport.send(received.reply_address, page)
+        elif isinstance(message, common.StatusQuery):
+            self.context.transport.send(
+                received.reply_address, self.reply(message.request_id)
+            )
+        else:
+            self.role.deliver(received)
+
+    def reply(self, request_id):
+        process = self.context.settings.process
+        status = self.role.status()
+        return common.StatusReply(
+            request_id,
+            process.name,
+            self.context.role,
+            process.failure_domain,
+            self.context.boot_id,
+            status.version_in_force,
+            "draining" if self.context.draining.is_set() else status.state,
+            status.detail,
+        )
+
+
+def main(role, build, arguments=None):
+    """Run a daemon from its settings file until SIGTERM; returns the exit code.
+
+    Exits 2 after printing every mistake of the settings, with file, line and key.
+    """
+    arguments = sys.argv[1:] if arguments is None else arguments
+    if len(arguments) != 1:
+        print(USAGE.format(role=role), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    settings, mistakes = settings_parser.load(arguments[0], role)
+    if mistakes:
+        for mistake in mistakes:
+            print(problems.show(mistake), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    return run(role, build, settings)
+
+
+def run(role, build, settings):
+    """Run a daemon with checked settings until SIGTERM; returns the exit code."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    stopping = threading.Event()
+    _install_signals(stopping)
+    with contextlib.ExitStack() as stack:
+        dispatcher = _Dispatcher()
+        context = _open(role, settings, stack, dispatcher)
+        dispatcher.context = context
+        dispatcher.role = build(context)
+        if settings.listen.platform:
+            _serve_platform(context, dispatcher.role)
+        context.timeline.record("process_started", detail=role)
+        logging.info("%s started, boot %s", settings.process.name, context.boot_id)
+        stopping.wait()
+        context.timeline.record("drain_started")
+        context.draining.set()
+        dispatcher.role.drain()
+        context.timeline.record("process_stopped")
+        logging.info("%s stopped", settings.process.name)
+    return 0
+
+
+def fault():
+    """End the process at once: one of its tasks failed with half-changed state."""
+    logging.error("a task failed; the process ends")
+    os._exit(EXIT_FAULT)
+
+
+def _open(role, settings, stack, dispatcher):
+    process, limits, timing = settings.process, settings.limits, settings.timing
+    boot_id = uuid.uuid4().hex[:12]
+    pathlib.Path(process.data_folder).mkdir(parents=True, exist_ok=True)
+    line = timeline.Timeline(
+        process.name,
+        boot_id,
+        clocks.SYSTEM,
+        process.data_folder,
+        limits.timeline_ring,
+        limits.timeline_file_bytes,
+        limits.timeline_files,
+    )
+    stack.callback(line.close)
+    link = transport.Transport(
+        (process.cell, process.name, boot_id),
+        settings.listen.peers,
+        {peer.name: peer.address for peer in settings.peers},
+        dispatcher.deliver,
+        clocks.SYSTEM,
+        timing.peer_silence_ms,
+        on_undecodable=lambda text: line.record("message_undecodable", detail=text),
+    )
+    stack.callback(link.close)
+    context = Context(
+        role,
+        settings,
+        boot_id,
+        clocks.SYSTEM,
+        line,
+        metrics.Metrics(),
+        link,
+        stack,
+        threading.Event(),
+    )
+    link.start()
+    return context
+
+
+def _install_signals(stopping):
+    def stop(_number, _frame):
+        if stopping.is_set():
+            os._exit(1)
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+
+
+def platform_answer(context, role, path):
+    """Answer /livez, /readyz or /metrics as (status line, body); None for others."""
+    if path == "/livez":
+        return "200 OK", b"live\n"
+    if path == "/readyz":
+        ready = role.status().ready and not context.draining.is_set()
+        return ("200 OK", b"ready\n") if ready else ("503 Not Ready", b"not ready\n")
+    if path == "/metrics":
+        return "200 OK", context.metrics.render()
+    return None
+
+
+def _serve_platform(context, role):
+    def application(environ, start_response):
+        answer = platform_answer(context, role, environ.get("PATH_INFO", ""))
+        status, body = answer or ("404 Not Found", b"not found\n")
+        headers = [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
+        start_response(status, headers)
+        return [body]
+
+    limits = context.settings.limits
+    server = http_server.HttpServer(
+        context.settings.listen.platform,
+        application,
+        http_server.HttpLimits(
+            PLATFORM_THREADS,
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.caller_idle_ms,
+        ),
+    )
+    context.stack.callback(server.close)
--- /dev/null
+++ b/alderreach/ops/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon."""
--- /dev/null
+++ b/alderreach/ops/keeper/__init__.py
@@ -0,0 +1,1 @@
+"""The keeper daemon."""
--- /dev/null
+++ b/alderreach/ops/keeper_client.py
@@ -0,0 +1,109 @@
+"""Requests of a task to the keepers: find the leader, resend, tell how it ended.
+
+Every command may be sent twice: writes carry an idempotency key, claims their request
+id, grants the epoch they expect. The client therefore resends freely until the
+deadline. What it reports at the end is exact: ``no_quorum`` only if each copy it sent
+was refused before being appended, else ``uncertain``.
+
+The client belongs to one task; it owns no socket and no thread. The task feeds it the
+keepers' replies and its own ticks.
+"""
+
+import typing
+import uuid
+
+from alderreach.core.generated import keeper
+
+RESEND_MS = 400
+REFUSAL_PAUSE_MS = 100
+
+
+class Outcome(typing.NamedTuple):
+    """How a request ended: status ok, no_quorum or uncertain; result if ok."""
+
+    status: str
+    result: bytes
+
+
+class _Pending:
+    """A request that has not ended."""
+
+    def __init__(self, command, done, deadline_ms):
+        self.command = command
+        self.done = done
+        self.deadline_ms = deadline_ms
+        self.next_send_ms = 0
+        self.unanswered = 0
+        self.uncertain = False
+
+
+class KeeperClient:
+    """Pending requests of one task and the keeper it believes to lead.
+
+    ``addresses`` maps each keeper's process name to its peer address; ``send`` is
+    called with an address and a message.
+    """
+
+    def __init__(self, addresses, send):
+        self._names = list(addresses)
+        self._addresses = dict(addresses)
+        self._send = send
+        self._leader = 0
+        self._pending = {}
+
+    def request(self, command, done, now_ms, timeout_ms):
+        """Send a packed command; ``done(Outcome)`` is called once, by the task."""
+        request_id = uuid.uuid4().hex
+        self._pending[request_id] = _Pending(command, done, now_ms + timeout_ms)
+        self._transmit(request_id, now_ms)
+
+    def handle(self, reply, now_ms):
+        """Take a KeeperReply."""
+        pending = self._pending.get(reply.request_id)
+        if pending is None:
+            return
+        if reply.status == "ok":
+            self._end(reply.request_id, Outcome("ok", reply.result))
+            return
+        pending.unanswered -= 1
+        pending.uncertain = pending.uncertain or reply.status == "uncertain"
+        known = (
+            reply.leader in self._addresses
+            and reply.leader != self._names[self._leader]
+        )
+        self._turn_to(reply.leader)
+        pause_ms = 0 if known else REFUSAL_PAUSE_MS
+        pending.next_send_ms = now_ms + pause_ms
+        if pause_ms == 0:
+            self._transmit(reply.request_id, now_ms)
+
+    def tick(self, now_ms):
+        """Resend what is due and end what is past its deadline."""
+        for request_id, pending in list(self._pending.items()):
+            if now_ms >= pending.deadline_ms:
+                self._end(request_id, Outcome(_refusal(pending), b""))
+            elif now_ms >= pending.next_send_ms:
+                if pending.unanswered > 0:
+                    self._turn_to("")
+                self._transmit(request_id, now_ms)
+
+    def _transmit(self, request_id, now_ms):
+        pending = self._pending[request_id]
+        pending.next_send_ms = now_ms + RESEND_MS
+        pending.unanswered += 1
+        message = keeper.KeeperRequest(request_id, pending.command)
+        self._send(self._addresses[self._names[self._leader]], message)
+
+    def _turn_to(self, name):
+        if name in self._addresses:
+            self._leader = self._names.index(name)
+        else:
+            self._leader = (self._leader + 1) % len(self._names)
+
+    def _end(self, request_id, outcome):
+        self._pending.pop(request_id).done(outcome)
+
+
+def _refusal(pending):
+    refused = pending.unanswered <= 0 and not pending.uncertain
+    return "no_quorum" if refused else "uncertain"
--- /dev/null
+++ b/alderreach/ops/keeper_client_test.py
@@ -0,0 +1,41 @@
+"""A client of the keepers finds the leader and tells exactly how a request ended."""
+
+from alderreach.core.generated import keeper
+from alderreach.ops import keeper_client
+
+
+def client():
+    sent, ended = [], []
+    made = keeper_client.KeeperClient(
+        {"k1": "a1", "k2": "a2"},
+        lambda address, message: sent.append((address, message)),
+    )
+    made.request(b"command", ended.append, now_ms=0, timeout_ms=1000)
+    return made, sent, ended
+
+
+def reply(sent, status, leader=""):
+    return keeper.KeeperReply(sent[-1][1].request_id, status, leader, b"result")
+
+
+def test_turns_to_the_leader_at_once():
+    made, sent, ended = client()
+    made.handle(reply(sent, "not_leader", "k2"), 1)
+    assert [address for address, _ in sent] == ["a1", "a2"]
+    made.handle(reply(sent, "ok"), 2)
+    assert ended == [keeper_client.Outcome("ok", b"result")]
+
+
+def test_all_copies_refused_is_no_quorum():
+    made, sent, ended = client()
+    made.handle(reply(sent, "no_quorum"), 950)
+    made.tick(1000)
+    assert ended[0].status == "no_quorum"
+
+
+def test_a_copy_without_an_answer_is_uncertain():
+    made, sent, ended = client()
+    made.tick(400)
+    made.handle(reply(sent, "no_quorum"), 950)
+    made.tick(1000)
+    assert ended[0].status == "uncertain"
--- /dev/null
+++ b/alderreach/ops/placer/__init__.py
@@ -0,0 +1,1 @@
+"""The placer daemon."""
--- /dev/null
+++ b/alderreach/parser/__init__.py
@@ -0,0 +1,1 @@
+"""Texts that people and programs send, checked whole."""
--- /dev/null
+++ b/alderreach/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Thin mains of the daemons and of the command-line client."""
--- /dev/null
+++ b/alderreach/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Clocks, sockets, files and the time line."""
--- /dev/null
+++ b/alderreach/utils/timeline.py
@@ -0,0 +1,106 @@
+"""The time line: typed events of one process, in a bounded ring and a rotated file.
+
+The ring answers ``TimelineQuery``; the files outlive the process. Files are written
+without syncing: the time line is for people, no guarantee rests on it.
+"""
+
+import collections
+import pathlib
+import threading
+
+import msgspec
+
+from alderreach.core.generated import common
+
+
+class Timeline:
+    """Events of one process; ``record`` may be called from any thread.
+
+    >>> line = Timeline("entry-1", "b1", clock, folder, ring=10)  # doctest: +SKIP
+    >>> line.record("request_answered", request_id="r7")  # doctest: +SKIP
+    """
+
+    def __init__(
+        self, process, boot_id, clock, folder, ring, file_bytes=1 << 24, files=4
+    ):
+        self._process = process
+        self._boot_id = boot_id
+        self._clock = clock
+        self._ring = collections.deque(maxlen=ring)
+        self._folder = pathlib.Path(folder)
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._file_bytes = file_bytes
+        self._files = files
+        self._lock = threading.Lock()
+        self._file = self._path(0).open("ab")
+
+    def record(
+        self,
+        kind,
+        epoch=0,
+        request_id="",
+        job_id="",
+        task_id="",
+        target_id="",
+        team="",
+        detail="",
+    ):
+        """Add one event; a full disk loses the file's copy, not the ring's."""
+        event = common.Event(
+            self._clock.wall_ms(),
+            self._clock.monotonic_ms(),
+            self._process,
+            self._boot_id,
+            kind,
+            epoch,
+            request_id,
+            job_id,
+            task_id,
+            target_id,
+            team,
+            detail,
+        )
+        with self._lock:
+            self._ring.append(event)
+            self._write(event)
+
+    def newest(self, limit):
+        """Return the newest ``limit`` events, oldest first."""
+        with self._lock:
+            events = list(self._ring)
+        return events[-limit:]
+
+    def close(self):
+        """Flush and close the file."""
+        with self._lock:
+            self._file.close()
+
+    def _path(self, number):
+        return self._folder / f"{self._process}.timeline.{number}.jsonl"
+
+    def _write(self, event):
+        try:
+            self._file.write(msgspec.json.encode(event._asdict()) + b"\n")
+            self._file.flush()
+            if self._file.tell() >= self._file_bytes:
+                self._rotate()
+        except (OSError, ValueError):
+            return
+
+    def _rotate(self):
+        self._file.close()
+        for number in range(self._files - 1, 0, -1):
+            older = self._path(number - 1)
+            if older.exists():
+                older.replace(self._path(number))
+        self._file = self._path(0).open("ab")
+
+
+def merge(pages):
+    """Merge events of several processes into one list by wall time.
+
+    ``pages`` is an iterable of lists of ``common.Event``; events of one process keep
+    their own order even where its wall clock stepped back.
+    """
+    events = [event for page in pages for event in page]
+    return sorted(events, key=lambda event: (event.wall_ms, event.process))
--- /dev/null
+++ b/alderreach/utils/transport.py
@@ -0,0 +1,163 @@
+"""Messages between the system's processes, over pynng's push and pull sockets.
+
+Each process listens on one pull socket and dials a push socket to each address it
+sends to. Delivery is at most once and unacknowledged, like a datagram: a message may
+be lost or late, and every protocol above copes with that.
+
+A silent network cut closes no connection, and after it heals the kernel may wait a
+minute before it sends again. A peer that has been silent for ``silence_ms`` is
+therefore dialled anew, which a healthy link never notices and a healed one gains from.
+"""
+
+import queue
+import threading
+
+import pynng
+from absl import logging
+from result import Err
+
+from alderreach.core import codec
+
+SEND_BUFFER_MESSAGES = 512
+RECEIVE_BUFFER_MESSAGES = 1024
+RECEIVE_POLL_MS = 200
+MESSAGE_BYTES_MAX = 64 * 1024 * 1024
+OUTBOX_MESSAGES_MAX = 20_000
+STOP = object()
+
+
+class Link:
+    """A push socket to one address and when it was dialled."""
+
+    def __init__(self, address, now_ms):
+        self.dialled_ms = now_ms
+        self.socket = pynng.Push0(
+            send_timeout=0,
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=50,
+            reconnect_time_max=500,
+        )
+        self.socket.dial(f"tcp://{address}", block=False)
+
+
+class Transport:
+    """Owns the sockets of one process.
+
+    ``deliver`` is called on the receiving thread with each ``codec.Received``; it
+    should only put it into a mailbox. ``on_undecodable`` gets the text of each error.
+    ``peers`` maps process names to addresses: a known sender is answered at the address
+    the settings give for it, whatever it says itself.
+    """
+
+    def __init__(
+        self,
+        identity,
+        address,
+        peers,
+        deliver,
+        clock,
+        silence_ms,
+        on_undecodable=None,
+    ):
+        self._cell, self.name, self.boot_id = identity
+        self.address = address
+        self._peers = dict(peers)
+        self._deliver = deliver
+        self._clock = clock
+        self._silence_ms = silence_ms
+        self._on_undecodable = on_undecodable or (lambda text: None)
+        self._outbox = queue.SimpleQueue()
+        self._links = {}
+        self._heard_ms = {}
+        self.dropped = 0
+        self.undecodable = 0
+        self._pull = pynng.Pull0(
+            recv_timeout=RECEIVE_POLL_MS,
+            recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
+            recv_max_size=MESSAGE_BYTES_MAX,
+        )
+        self._pull.listen(f"tcp://{address}")
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._receive, name="receive", daemon=True),
+            threading.Thread(target=self._send_all, name="send", daemon=True),
+        ]
+
+    def start(self):
+        """Start receiving and sending; return the transport."""
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def send(self, address, message):
+        """Queue a message for an address; never blocks, may lose it."""
+        if self._outbox.qsize() >= OUTBOX_MESSAGES_MAX:
+            self.dropped += 1
+            return
+        self._outbox.put((address, message))
+
+    def close(self):
+        """Send what is queued, then close all sockets."""
+        self._outbox.put(STOP)
+        self._stopping.set()
+        for thread in self._threads:
+            if thread.ident:
+                thread.join(timeout=2)
+        self._pull.close()
+
+    def _receive(self):
+        while not self._stopping.is_set():
+            try:
+                data = self._pull.recv()
+            except pynng.Timeout:
+                continue
+            except pynng.Closed:
+                return
+            self._receive_one(data)
+
+    def _receive_one(self, data):
+        received = codec.decode_envelope(self._cell, data)
+        if isinstance(received, Err):
+            self.undecodable += 1
+            self._on_undecodable(received.err_value)
+            return
+        envelope = received.ok_value
+        address = self._peers.get(envelope.sender, envelope.reply_address)
+        envelope = envelope._replace(reply_address=address)
+        self._heard_ms[envelope.reply_address] = self._clock.monotonic_ms()
+        self._deliver(envelope)
+
+    def _send_all(self):
+        while True:
+            entry = self._outbox.get()
+            if entry is STOP:
+                break
+            self._send_one(*entry)
+        for link in self._links.values():
+            link.socket.close()
+
+    def _send_one(self, address, message):
+        data = codec.encode_envelope(
+            self._cell, self.name, self.boot_id, self.address, message
+        )
+        try:
+            self._link(address).socket.send(data)
+        except pynng.NNGException as error:
+            self.dropped += 1
+            logging.log_every_n_seconds(
+                logging.INFO, "message to %s dropped: %s", 10, address, error
+            )
+
+    def _link(self, address):
+        now_ms = self._clock.monotonic_ms()
+        link = self._links.get(address)
+        if link is not None and self._is_silent(address, link, now_ms):
+            link.socket.close()
+            link = None
+        if link is None:
+            link = self._links[address] = Link(address, now_ms)
+        return link
+
+    def _is_silent(self, address, link, now_ms):
+        last_ms = max(self._heard_ms.get(address, 0), link.dialled_ms)
+        return now_ms - last_ms > self._silence_ms
--- /dev/null
+++ b/tests/transport_test.py
@@ -0,0 +1,46 @@
+"""Processes' messages cross real sockets, and a healed silent cut is noticed."""
+
+import queue
+import socket
+
+from alderreach.core.generated import common
+from alderreach.utils import clocks, transport
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def make(name, address, inbox, peers=()):
+    return transport.Transport(
+        ("cell", name, "boot"), address, dict(peers), inbox.put, clocks.SYSTEM, 3000
+    ).start()
+
+
+def test_message_and_reply():
+    inbox_a, inbox_b = queue.Queue(), queue.Queue()
+    address_a, address_b = free_address(), free_address()
+    one, two = make("a", address_a, inbox_a), make("b", address_b, inbox_b)
+    try:
+        one.send(address_b, common.StatusQuery("r1"))
+        received = inbox_b.get(timeout=10)
+        two.send(received.reply_address, common.TimelineQuery("r1", 5))
+        assert inbox_a.get(timeout=10).message == common.TimelineQuery("r1", 5)
+    finally:
+        one.close()
+        two.close()
+
+
+def test_a_message_for_a_process_not_yet_started_arrives_once_it_is():
+    inbox = queue.Queue()
+    address = free_address()
+    one = make("a", free_address(), queue.Queue())
+    one.send(address, common.StatusQuery("early"))
+    two = make("b", address, inbox)
+    try:
+        assert inbox.get(timeout=10).message == common.StatusQuery("early")
+    finally:
+        one.close()
+        two.close()
