--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -28,7 +28,6 @@
 
 USAGE = "usage: alderreach-{role} SETTINGS.toml"
 EXIT_BAD_SETTINGS = 2
-EXIT_FAULT = 3
 PLATFORM_THREADS = 2
 
 
@@ -133,12 +132,6 @@
     return 0
 
 
-def fault():
-    """End the process at once: one of its tasks failed with half-changed state."""
-    logging.error("a task failed; the process ends")
-    os._exit(EXIT_FAULT)
-
-
 def _open(role, settings, stack, dispatcher):
     process, limits, timing = settings.process, settings.limits, settings.timing
     boot_id = uuid.uuid4().hex[:12]
--- a/alderreach/utils/tasks.py
+++ b/alderreach/utils/tasks.py
@@ -5,6 +5,7 @@
 answer sends a ``Ticket`` along and waits on it.
 """
 
+import os
 import queue
 import threading
 
@@ -12,6 +13,14 @@
 
 TICK_MS = 20
 STOP = object()
+EXIT_FAULT = 3
+
+
+def end_process():
+    """End the process at once: one of its tasks failed with half-changed state."""
+    logging.error("a task failed; the process ends")
+    logging.flush()
+    os._exit(EXIT_FAULT)
 
 
 class Ticket:
@@ -42,7 +51,9 @@
     with half-changed state must not go on deciding.
     """
 
-    def __init__(self, name, handle, tick, clock, tick_ms=TICK_MS, on_fault=None):
+    def __init__(
+        self, name, handle, tick, clock, tick_ms=TICK_MS, on_fault=end_process
+    ):
         self._mailbox = queue.SimpleQueue()
         self._handle = handle
         self._tick = tick
@@ -71,8 +82,7 @@
             self._loop()
         except Exception:
             logging.exception("task %s failed", self._thread.name)
-            if self._on_fault is not None:
-                self._on_fault()
+            self._on_fault()
 
     def _loop(self):
         next_tick_ms = self._clock.monotonic_ms()
