--- a/alderreach/ops/gateway.py
+++ b/alderreach/ops/gateway.py
@@ -101,7 +101,7 @@
         return False
 
     def request(self, command, done, timeout_ms):
-        """Send a command (a message) to the keepers; ``done(Outcome)`` is called once."""
+        """Send a command message; ``done(Outcome)`` is called once, by the gateway."""
         self._task.put(_Request(codec.pack(command), done, timeout_ms))
 
     def ask_keepers(self, command, timeout_ms):
@@ -190,7 +190,7 @@
         return replica.Replica(version, {item.key: item for item in items})
 
     def _save(self):
-        """Keep the copy for a restart; without a disk the process goes on without it."""
+        """Keep the copy for a restart; without a disk the process goes on."""
         if self._copy.version == self._saved_version:
             return
         data = msgspec.msgpack.encode(
