--- /dev/null
+++ b/tools/standins/worker.py
@@ -0,0 +1,180 @@
+"""A stand-in worker: runs tasks under leases and fences commands by epoch.
+
+A task's payload may be JSON with ``run_ms`` (else it runs until stopped for services,
+``run_ms`` of the spec for others), ``fail: true``, and ``ignore_stop``. The worker
+obeys only the highest epoch seen, and stops ``move`` tasks itself once its lease,
+counted from sending the last answered announcement, has lapsed. It notes in its
+history each start and end, and any moment at which its tasks exceed its capacity.
+"""
+
+import json
+import threading
+import time
+import uuid
+
+from tools.standins import announcer, http
+
+RESOURCES = ("cpu_millis", "memory_mb", "accelerators")
+LEASE_CHECK_S = 0.02
+
+
+class Worker:
+    """One worker from its spec, a dictionary as in ``targets.py``."""
+
+    def __init__(self, spec, history):
+        self._spec = spec
+        self._history = history
+        self._boot_id = uuid.uuid4().hex[:12]
+        self._lock = threading.RLock()
+        self._tasks = {}
+        self._state = "ready"
+        self._epoch = 0
+        self._lease_until_s = 0.0
+        self._closing = threading.Event()
+        self._server = http.serve(spec["address"], self._handle)
+        self._announcer = announcer.Announcer(
+            spec["id"], spec["placers"], self._report, self._answered
+        ).start()
+        threading.Thread(target=self._watch_lease, daemon=True).start()
+
+    def stop(self):
+        self._closing.set()
+        with self._lock:
+            for task in self._tasks.values():
+                self._end(task, "stopped", "worker stops")
+        self._state = "gone"
+        self._announcer.stop()
+        self._server.shutdown()
+
+    def _report(self):
+        with self._lock:
+            tasks = [
+                {key: task[key] for key in ("task_id", "attempt", "state", "reason")}
+                for task in self._tasks.values()
+            ]
+            usage = self._sum()
+        fields = ("vm", "rack", "failure_domain", "address", "capacity")
+        return {name: self._spec[name] for name in fields} | {
+            "kind": "worker",
+            "boot_id": self._boot_id,
+            "state": self._state,
+            "owner_epoch_seen": self._epoch,
+            "usage": usage,
+            "tasks": tasks,
+        }
+
+    def _answered(self, answer, sent_s):
+        with self._lock:
+            if answer["owner_epoch"] < self._epoch:
+                return
+            self._epoch = answer["owner_epoch"]
+            self._lease_until_s = sent_s + answer["lease_ms"] / 1000
+            for task_id in answer["acknowledged"]:
+                if self._tasks.get(task_id, {}).get("state") != "running":
+                    self._tasks.pop(task_id, None)
+
+    def _watch_lease(self):
+        while not self._closing.wait(LEASE_CHECK_S):
+            with self._lock:
+                if time.monotonic() < self._lease_until_s:
+                    continue
+                for task in self._tasks.values():
+                    if task["when_cut_off"] == "move":
+                        self._end(task, "stopped", "lease lapsed")
+
+    def _handle(self, request):
+        order = json.loads(request.body)
+        if request.path == "/control":
+            self._state = order.get("state", self._state)
+            self._spec.update(order.get("spec", {}))
+            self._announcer.announce_now()
+            return _json(200, {})
+        with self._lock:
+            if order["epoch"] < self._epoch:
+                refusal = {"reason": "epoch", "highest_epoch": self._epoch}
+                self._history.add(
+                    "fenced", worker=self._spec["id"], epoch=order["epoch"]
+                )
+                return _json(409, refusal)
+            self._epoch = order["epoch"]
+            if order["boot_id"] != self._boot_id:
+                return _json(409, {"reason": "boot", "boot_id": self._boot_id})
+            results = [self._command(command) for command in order["commands"]]
+        return _json(200, {"boot_id": self._boot_id, "results": results})
+
+    def _command(self, command):
+        task = self._tasks.get(command["task_id"])
+        same = task is not None and task["attempt"] == command["attempt"]
+        reason = ""
+        if command["command"] == "run":
+            reason = "" if same else self._run(command, task)
+        elif not same:
+            reason = "no such task and attempt"
+        elif command["command"] == "stop":
+            self._end(task, "stopped", "asked to")
+        elif command["command"] == "checkpoint":
+            self._end(task, "checkpointed", "asked to")
+        result = {key: command[key] for key in ("task_id", "attempt")}
+        return result | {"accepted": not reason, "reason": reason}
+
+    def _run(self, command, known):
+        if known is not None and known["state"] == "running":
+            return "another attempt runs"
+        if self._state != "ready":
+            return f"worker is {self._state}"
+        if time.monotonic() >= self._lease_until_s:
+            return "no lease"
+        task = dict(command, state="running", reason="")
+        self._tasks[command["task_id"]] = task
+        total = self._sum()
+        if any(total[name] > self._spec["capacity"][name] for name in RESOURCES):
+            self._history.add("capacity_exceeded", worker=self._spec["id"], total=total)
+        self._note("task_started", task)
+        self._schedule_end(task)
+        return ""
+
+    def _schedule_end(self, task):
+        try:
+            plan = json.loads(task.get("payload") or "{}")
+        except ValueError:
+            plan = {}
+        fails = plan.get("fail") or self._spec.get("fail_all")
+        run_ms = plan.get("run_ms", self._spec.get("run_ms", 100))
+        if task.get("service") and "run_ms" not in plan and not fails:
+            return
+        state = "failed" if fails else "finished"
+
+        def end():
+            with self._lock:
+                self._end(task, state, "stand-in says so" if fails else "")
+
+        threading.Timer(run_ms / 1000, end).start()
+
+    def _end(self, task, state, reason):
+        if task["state"] != "running":
+            return
+        task["state"] = state
+        task["reason"] = reason
+        self._note("task_ended", task)
+        self._announcer.announce_now()
+
+    def _sum(self):
+        running = [task for task in self._tasks.values() if task["state"] == "running"]
+        return {name: sum(task["task"][name] for task in running) for name in RESOURCES}
+
+    def _note(self, event, task):
+        self._history.add(
+            event,
+            worker=self._spec["id"],
+            boot_id=self._boot_id,
+            task_id=task["task_id"],
+            attempt=task["attempt"],
+            job_id=task["job_id"],
+            state=task["state"],
+            epoch=self._epoch,
+        )
+
+
+def _json(status, content):
+    data = json.dumps(content).encode()
+    return status, {"Content-Type": "application/json"}, data, len(data)
