--- /dev/null
+++ b/alderreach/core/keeper_dump.py
@@ -0,0 +1,79 @@
+"""The keepers' state as a stream of bounded records, for snapshots, and back.
+
+The first record holds the counters; the others hold up to ``RECORD_ENTRIES`` entries of
+one kind each, so that neither writing nor reading holds everything encoded at once.
+"""
+
+import itertools
+import typing
+
+import msgspec
+
+from alderreach.core import keeper_state, key_state
+
+RECORD_ENTRIES = 1000
+
+
+class Counters(typing.NamedTuple):
+    """The state's scalars."""
+
+    index: int
+    version: int
+    clock_ms: int
+    lifetime_ms: int
+
+
+KINDS = {
+    "items": dict[str, keeper_state.StoredItem],
+    "claims": dict[str, key_state.Claim],
+    "writes": dict[str, key_state.KeptWrite],
+    "expired": dict[bytes, int],
+    "abandoned": dict[str, int],
+}
+
+
+def copy(state):
+    """A copy that further changes of the state leave alone; values are shared."""
+    other = keeper_state.State()
+    other.index, other.version = state.index, state.version
+    other.clock_ms = state.clock_ms
+    other.items = dict(state.items)
+    other.keys.lifetime_ms = state.keys.lifetime_ms
+    for kind in ("claims", "writes", "expired", "abandoned"):
+        setattr(other.keys, kind, dict(getattr(state.keys, kind)))
+    return other
+
+
+def dump(state):
+    """Yield the records of a state that does not change meanwhile."""
+    counters = Counters(
+        state.index, state.version, state.clock_ms, state.keys.lifetime_ms
+    )
+    yield msgspec.msgpack.encode(("counters", counters))
+    for kind in KINDS:
+        entries = iter(_holder(state, kind).items())
+        while batch := dict(itertools.islice(entries, RECORD_ENTRIES)):
+            yield msgspec.msgpack.encode((kind, batch))
+
+
+def load(records):
+    """Build the state from its records; raises ``msgspec.MsgspecError`` on others."""
+    state = keeper_state.State()
+    for data in records:
+        kind, payload = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
+        if kind == "counters":
+            counters = msgspec.msgpack.decode(payload, type=Counters)
+            state.index, state.version = counters.index, counters.version
+            state.clock_ms = counters.clock_ms
+            state.keys.lifetime_ms = counters.lifetime_ms
+        elif kind in KINDS:
+            batch = msgspec.msgpack.decode(payload, type=KINDS[kind])
+            _holder(state, kind).update(batch)
+        else:
+            raise msgspec.ValidationError(f"no such kind of record: {kind!r}")
+    state.history = sorted((stored.version, key) for key, stored in state.items.items())
+    return state
+
+
+def _holder(state, kind):
+    return state.items if kind == "items" else getattr(state.keys, kind)
--- /dev/null
+++ b/alderreach/core/keeper_state.py
@@ -0,0 +1,227 @@
+"""What the replicated log means: the versioned map, owners and idempotency keys.
+
+``apply`` depends on the log alone. Its only clock is the time the leaders stamped on
+the entries, so that every keeper expires the same keys at the same entry; its only
+settings are in the log too (``KeeperPolicy``).
+
+Each command that changes the map gives all its items the next version. Deleted items
+stay as tombstones, so that a follower that missed the deletion gets it as a change.
+
+>>> state = State()
+>>> write = keeper.ItemWrite("team/a", 0, b"...")
+>>> command = keeper.WriteItems("", "ana", [write], "", 0, 0)
+>>> apply(state, command, index=1, wall_ms=0).status, state.version
+('accepted', 1)
+"""
+
+import bisect
+import typing
+
+from alderreach.core import codec, key_state
+from alderreach.core.generated import common, keeper
+
+ANY_VERSION = -1
+HISTORY_SLACK = 1024
+
+
+class StoredItem(typing.NamedTuple):
+    """An item of the map; ``value`` is None for a tombstone."""
+
+    version: int
+    value: bytes | None
+    author: str
+
+
+class State:
+    """All that the log built up; changed by ``apply`` and ``keeper_dump.load`` only.
+
+    ``history`` lists (version, key) in order of version; entries that a later write
+    of the key made stale are skipped, and dropped once they are the greater part.
+    """
+
+    def __init__(self):
+        self.index = 0
+        self.version = 0
+        self.clock_ms = 0
+        self.items = {}
+        self.history = []
+        self.keys = key_state.Keys()
+
+
+def apply(state, command, index, wall_ms):
+    """Apply the command of one log entry; returns its result message."""
+    state.index = index
+    state.clock_ms = max(state.clock_ms, wall_ms)
+    key_state.expire(state.keys, state.clock_ms)
+    handler = HANDLERS.get(type(command))
+    return handler(state, command) if handler else None
+
+
+def changes_after(state, version, prefixes, most):
+    """Items changed after ``version`` under any prefix, as (to_version, items).
+
+    The result is complete up to ``to_version``; a version's items are never split, so
+    it may hold a few more than ``most``.
+    """
+    start = bisect.bisect_right(state.history, version, key=lambda entry: entry[0])
+    prefixes = tuple(prefixes)
+    items = []
+    reached = version
+    for place in range(start, len(state.history)):
+        changed_at, key = state.history[place]
+        if changed_at != reached and len(items) >= most:
+            return reached, items
+        reached = changed_at
+        stored = state.items[key]
+        if stored.version == changed_at and key.startswith(prefixes):
+            items.append(common.Item(key, changed_at, stored.value))
+    return state.version, items
+
+
+def items_under(state, prefix):
+    """All living items under a prefix, in order of key."""
+    return [
+        common.Item(key, stored.version, stored.value)
+        for key, stored in sorted(state.items.items())
+        if stored.value is not None and key.startswith(prefix)
+    ]
+
+
+def owner_of(state, failure_domain):
+    """The owner in force of a failure domain, or None."""
+    stored = state.items.get(f"owner/{failure_domain}")
+    if stored is None or stored.value is None:
+        return None
+    return codec.decode(stored.value, common.Owner)
+
+
+def put(state, writes, author):
+    """Write (key, value) pairs as the map's next version."""
+    state.version += 1
+    for key, value in writes:
+        state.items[key] = StoredItem(state.version, value, author)
+        state.history.append((state.version, key))
+    if len(state.history) > 2 * len(state.items) + HISTORY_SLACK:
+        state.history = [
+            entry
+            for entry in state.history
+            if state.items[entry[1]].version == entry[0]
+        ]
+
+
+def _write_items(state, command):
+    digest = key_state.digest_of(command.author, command.writes)
+    if command.idempotency_key:
+        kept = key_state.find_write(state.keys, command.idempotency_key)
+        if kept is not None and kept.digest != digest:
+            return keeper.WriteResult("key_reused", state.version, [])
+        if kept is not None:
+            return kept.result
+    result = _decide_write(state, command)
+    if command.idempotency_key:
+        key_state.keep_write(
+            state.keys, command.idempotency_key, digest, result, state.clock_ms
+        )
+    return result
+
+
+def _decide_write(state, command):
+    if command.guard_failure_domain:
+        owner = owner_of(state, command.guard_failure_domain)
+        if owner is None or owner.epoch != command.guard_epoch:
+            return keeper.WriteResult("stale_epoch", state.version, [])
+    conflicts = [
+        conflict
+        for write in command.writes
+        if (conflict := _conflict(state, write)) is not None
+    ]
+    if conflicts:
+        return keeper.WriteResult("conflict", state.version, conflicts)
+    if command.writes:
+        pairs = [(write.key, write.value) for write in command.writes]
+        put(state, pairs, command.author)
+    return keeper.WriteResult("accepted", state.version, [])
+
+
+def _conflict(state, write):
+    """Why a write's base is not in force, or None.
+
+    A base of 0 fits an item that never was or was deleted; a deleted item's own version
+    fits too, so that a writer who saw the deletion may write after it.
+    """
+    stored = state.items.get(write.key)
+    if write.base_version == ANY_VERSION or stored is None:
+        fits = stored is not None or write.base_version <= 0
+    else:
+        absent = stored.value is None and write.base_version == 0
+        fits = absent or write.base_version == stored.version
+    if fits:
+        return None
+    version, author = (stored.version, stored.author) if stored else (0, "")
+    return keeper.ItemConflict(write.key, version, author)
+
+
+def _grant(state, command):
+    """Make the asker the owner if nobody was since the epoch it saw.
+
+    A resend of a grant that went through finds its own boot in force and is granted
+    the same epoch again.
+    """
+    owner = owner_of(state, command.failure_domain)
+    epoch = owner.epoch if owner else 0
+    asked = command.expected_epoch + 1
+    if epoch == asked and _is_same_boot(owner, command):
+        return keeper.GrantResult("granted", owner)
+    if epoch != command.expected_epoch:
+        return keeper.GrantResult("raced", owner or no_owner(command.failure_domain))
+    granted = common.Owner(
+        command.failure_domain,
+        command.placer,
+        command.boot_id,
+        command.peer_address,
+        command.target_address,
+        asked,
+    )
+    put(
+        state,
+        [(f"owner/{command.failure_domain}", codec.encode(granted))],
+        command.placer,
+    )
+    return keeper.GrantResult("granted", granted)
+
+
+def no_owner(failure_domain):
+    """What stands for the owner of a domain that never had one."""
+    return common.Owner(failure_domain, "", "", "", "", 0)
+
+
+def _is_same_boot(owner, command):
+    return (owner.placer, owner.boot_id) == (command.placer, command.boot_id)
+
+
+def _record_intent(state, command):
+    return key_state.claim(state.keys, command, state.clock_ms)
+
+
+def _record_outcome(state, command):
+    return key_state.finish(state.keys, command, state.clock_ms)
+
+
+def _set_policy(state, command):
+    state.keys.lifetime_ms = command.key_lifetime_ms
+    return command
+
+
+HANDLERS = {
+    keeper.WriteItems: _write_items,
+    keeper.GrantOwnership: _grant,
+    keeper.RecordIntent: _record_intent,
+    keeper.RecordOutcome: _record_outcome,
+    keeper.KeeperPolicy: _set_policy,
+}
+LOGGED = (
+    keeper.WriteItems,
+    keeper.GrantOwnership,
+    keeper.RecordIntent,
+    keeper.RecordOutcome,
+)
--- /dev/null
+++ b/alderreach/core/raft_leader.py
@@ -0,0 +1,259 @@
+"""The leader's part of the protocol: replication, commit, confirmation of reads.
+
+Entries go out in batches, several on the way to a follower at once. When one is lost
+the follower refuses the next, and the leader probes with single messages until one
+matches. Snapshots go in chunks, each awaited.
+"""
+
+from alderreach.core import membership, raft_snapshot, raft_state
+from alderreach.core.generated import keeper
+
+
+def become_leader(node, now_ms):
+    """Lead the present term; the driver proposes the term's first entry at once."""
+    node.role = raft_state.LEADER
+    node.leader, node.leader_name = node.identity, node.name
+    node.elected_ms = now_ms
+    node.progress = {}
+    node.round_wanted = False
+    node.transfer = False
+    node.first_index_of_term = node.log.last_index + 1
+    node.next_beat_ms = now_ms
+    follow_members(node, now_ms)
+
+
+def follow_members(node, now_ms):
+    """Keep one progress for each other member; forget those who left."""
+    others = {m.identity for m in node.members} - {node.identity}
+    for identity in others - node.progress.keys():
+        node.progress[identity] = raft_state.Progress(node.log.last_index + 1, now_ms)
+    for identity in node.progress.keys() - others:
+        del node.progress[identity]
+
+
+def has_quorum(node, now_ms):
+    """Whether a majority of voters answered within the election timeout."""
+    heard_ms = membership.quorum_value(
+        node.members,
+        lambda identity: (
+            now_ms if identity == node.identity else _heard_ms(node, identity)
+        ),
+    )
+    return now_ms - heard_ms < node.rules.election_timeout_ms
+
+
+def confirm(node):
+    """Ask for a round; returns its number, to be compared with ``confirmed_round``.
+
+    Once a majority has answered that round, no newer leader had been elected when it
+    was asked for: the answers came from voters that had not moved to a newer term.
+    """
+    node.round_wanted = True
+    return node.round + 1
+
+
+def confirmed_round(node):
+    """The newest round that a majority of voters answered."""
+    return membership.quorum_value(
+        node.members,
+        lambda identity: (
+            node.round if identity == node.identity else _round(node, identity)
+        ),
+    )
+
+
+def beat(node, now_ms):
+    """Send a heartbeat to all if it is due, and a lost chunk again."""
+    if now_ms >= node.next_beat_ms:
+        node.next_beat_ms = now_ms + node.rules.beat_ms
+        for identity, progress in node.progress.items():
+            progress.probe_sent = False
+            if progress.snapshot is not None:
+                _send_chunk(node, identity, progress, now_ms)
+            else:
+                _send_append(node, identity, progress, now_ms, even_empty=True)
+
+
+def announce_commit(node, now_ms):
+    """Tell followers of a commit before the next heartbeat, so that they apply it."""
+    for identity, progress in node.progress.items():
+        if progress.snapshot is None:
+            _send_append(node, identity, progress, now_ms, even_empty=True)
+
+
+def prepare(node, now_ms):
+    """Put out what is new: entries, and a round if a read waits for one."""
+    if node.role != raft_state.LEADER:
+        return
+    even_empty = node.round_wanted
+    if node.round_wanted:
+        node.round_wanted = False
+        node.round += 1
+    for identity, progress in node.progress.items():
+        _replicate(node, identity, progress, now_ms, even_empty)
+
+
+def handle_append_reply(node, message, now_ms):
+    """Take a follower's answer."""
+    progress = node.progress.get(message.follower)
+    if progress is None or message.term != node.term:
+        return
+    progress.heard_ms = now_ms
+    progress.round = max(progress.round, message.round)
+    if message.accepted:
+        _accepted(node, progress, message)
+    elif message.previous_index == progress.next_index - 1 or not progress.probing:
+        if message.previous_index > progress.match_index:
+            progress.probing = True
+            progress.probe_sent = False
+            progress.next_index = max(progress.match_index, message.match_index) + 1
+
+
+def handle_snapshot_reply(node, message, now_ms):
+    """Go on with the next chunk, or with entries once the snapshot is installed."""
+    progress = node.progress.get(message.follower)
+    if progress is None or message.term != node.term:
+        return
+    progress.heard_ms = now_ms
+    snapshot = progress.snapshot
+    if snapshot is None or message.index != snapshot.index:
+        return
+    progress.offset = message.offset
+    if progress.offset >= snapshot.size:
+        progress.snapshot = None
+        progress.match_index = max(progress.match_index, snapshot.index)
+        progress.next_index = progress.match_index + 1
+        progress.probing, progress.probe_sent = True, False
+    else:
+        _send_chunk(node, message.follower, progress, now_ms)
+
+
+def advance_commit(node):
+    """Commit what a majority has synced, if it is of this term.
+
+    An older term's entry is committed only along with one of this term: a majority may
+    hold it and a newer leader still overwrite it.
+    """
+    index = membership.quorum_value(
+        node.members,
+        lambda identity: (
+            node.synced_index
+            if identity == node.identity
+            else _match_index(node, identity)
+        ),
+    )
+    if index > node.commit_index and node.log.term_at(index) == node.term:
+        node.commit_index = index
+
+
+def transfer(node, now_ms):
+    """Ask the most caught-up voter to take over; False if there is none."""
+    best = max(
+        (
+            (progress.match_index, identity)
+            for identity, progress in node.progress.items()
+            if identity in membership.voters(node.members)
+            and is_caught_up(node, identity, now_ms)
+        ),
+        default=None,
+    )
+    if best is None:
+        return False
+    request = keeper.TakeOver(best[1], node.identity, node.term)
+    node.outbox.append((best[1], request))
+    return True
+
+
+def is_caught_up(node, identity, now_ms):
+    """Whether a follower answered lately and lacks at most one batch of entries."""
+    progress = node.progress.get(identity)
+    return (
+        progress is not None
+        and progress.snapshot is None
+        and now_ms - progress.heard_ms < node.rules.election_timeout_ms
+        and progress.match_index + node.rules.batch_entries >= node.log.last_index
+        and progress.match_index >= node.first_index_of_term
+    )
+
+
+def _accepted(node, progress, message):
+    if message.match_index > progress.match_index:
+        progress.match_index = message.match_index
+        advance_commit(node)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    progress.probing = False
+
+
+def _replicate(node, identity, progress, now_ms, even_empty):
+    if progress.snapshot is not None:
+        if even_empty:
+            _send_append(node, identity, progress, now_ms, even_empty)
+        return
+    if progress.probing and progress.probe_sent and not even_empty:
+        return
+    while _send_append(node, identity, progress, now_ms, even_empty):
+        even_empty = False
+
+
+def _send_append(node, identity, progress, now_ms, even_empty):
+    """Send one batch; True if there is more that may be sent now."""
+    rules, log = node.rules, node.log
+    previous = progress.next_index - 1
+    previous_term = log.term_at(previous)
+    if previous_term is None and progress.snapshot is None:
+        _start_snapshot(node, identity, progress, now_ms)
+        return False
+    entries = []
+    if previous_term is None:
+        # While chunks are on their way a read still needs the follower's voice. Only
+        # the term counts for that; index 0 matches every log.
+        previous, previous_term = 0, 0
+    elif not progress.probing or not progress.probe_sent:
+        if previous - progress.match_index < rules.window_entries:
+            entries = log.after(previous, rules.batch_entries, rules.batch_bytes)
+    if not entries and not even_empty:
+        return False
+    message = keeper.AppendEntries(
+        identity,
+        node.identity,
+        node.name,
+        node.term,
+        previous,
+        previous_term,
+        entries,
+        node.commit_index,
+        node.round,
+    )
+    node.early.append((identity, message))
+    progress.sent_ms = now_ms
+    if progress.probing:
+        progress.probe_sent = True
+        return False
+    progress.next_index += len(entries)
+    return bool(entries) and progress.next_index <= log.last_index
+
+
+def _start_snapshot(node, identity, progress, now_ms):
+    progress.snapshot = node.snapshot
+    progress.offset = 0
+    _send_chunk(node, identity, progress, now_ms)
+
+
+def _send_chunk(node, identity, progress, now_ms):
+    node.early.append((identity, raft_snapshot.chunk(node, identity, progress)))
+    progress.sent_ms = now_ms
+
+
+def _heard_ms(node, identity):
+    progress = node.progress.get(identity)
+    return progress.heard_ms if progress else node.elected_ms
+
+
+def _round(node, identity):
+    progress = node.progress.get(identity)
+    return progress.round if progress else 0
+
+
+def _match_index(node, identity):
+    progress = node.progress.get(identity)
+    return progress.match_index if progress else 0
--- /dev/null
+++ b/alderreach/core/raft_snapshot.py
@@ -0,0 +1,76 @@
+"""Snapshots on their way from the leader to a follower that fell behind the log.
+
+Chunks are bounded, so that a large snapshot neither fills the mailbox nor keeps the
+leader's heartbeats from their turn.
+"""
+
+from alderreach.core import raft_state
+from alderreach.core.generated import keeper
+
+
+def chunk(node, identity, progress):
+    """The next chunk of the snapshot a follower is being sent."""
+    snapshot = progress.snapshot
+    data = snapshot.read(progress.offset, node.rules.chunk_bytes)
+    return keeper.SnapshotChunk(
+        identity,
+        node.identity,
+        node.name,
+        node.term,
+        snapshot.index,
+        snapshot.term,
+        progress.offset,
+        snapshot.size,
+        data,
+    )
+
+
+def receive(node, message):
+    """Take a chunk, install the snapshot after the last, and say what comes next.
+
+    A chunk that does not continue what is there is answered with where to go on.
+    """
+    if message.index <= node.commit_index:
+        _reply(node, message, message.size)
+        return
+    receiving = node.receiving
+    if receiving is None or receiving[:2] != (message.index, message.snapshot_term):
+        node.sink.begin(message.index, message.snapshot_term)
+        receiving = raft_state.Receiving(message.index, message.snapshot_term, 0)
+    if message.offset == receiving.offset:
+        node.sink.write(message.data)
+        receiving = receiving._replace(offset=receiving.offset + len(message.data))
+    node.receiving = receiving
+    if receiving.offset >= message.size:
+        _finish(node, message)
+    else:
+        _reply(node, message, receiving.offset)
+
+
+def _finish(node, message):
+    node.receiving = None
+    snapshot = node.sink.finish()
+    if snapshot is None:
+        _reply(node, message, 0)
+        return
+    _install(node, snapshot)
+    _reply(node, message, message.size)
+
+
+def _install(node, snapshot):
+    """Continue from the snapshot; the log stays only where it agrees with it."""
+    if node.log.term_at(snapshot.index) != snapshot.term:
+        node.log.reset(snapshot.index, snapshot.term)
+        node.configs = []
+    node.snapshot = snapshot
+    later = [config for config in node.configs if config[0] > snapshot.index]
+    node.configs = [(snapshot.index, snapshot.members), *later]
+    node.commit_index = snapshot.index
+    node.installed = snapshot
+
+
+def _reply(node, message, offset):
+    reply = keeper.SnapshotReply(
+        message.leader, node.identity, node.term, message.index, offset
+    )
+    node.outbox.append((message.leader, reply))
--- /dev/null
+++ b/alderreach/core/raft_state.py
@@ -0,0 +1,196 @@
+"""The state of one keeper in the quorum protocol, and small questions about it.
+
+``raft`` holds the rules. Nothing here reads a clock, draws lots or does input and
+output: the driver passes the time, sends ``early`` and ``outbox`` and writes to disk.
+"""
+
+import typing
+
+from alderreach.core import codec, membership, raft_log
+from alderreach.core.generated import keeper
+
+FOLLOWER = "follower"
+CANDIDATE = "candidate"
+LEADER = "leader"
+
+
+class Rules(typing.NamedTuple):
+    """Intervals and bounds; see the settings of the same names."""
+
+    election_timeout_ms: int
+    beat_ms: int
+    batch_entries: int = 512
+    batch_bytes: int = 1 << 20
+    window_entries: int = 4096
+    chunk_bytes: int = 1 << 18
+
+
+class Snapshot(typing.NamedTuple):
+    """A durable snapshot: what it covers and ``read(offset, count)`` of its bytes."""
+
+    index: int
+    term: int
+    members: list
+    size: int
+    read: typing.Callable
+
+
+class Write(typing.NamedTuple):
+    """What must be synced before ``outbox`` may be sent.
+
+    Entries replace whatever the log on disk holds from ``first_index`` on.
+    """
+
+    term: int
+    voted_for: str
+    first_index: int
+    entries: list
+
+
+class Progress:
+    """What a leader knows of one follower."""
+
+    def __init__(self, next_index, now_ms):
+        self.match_index = 0
+        self.next_index = next_index
+        self.probing = True
+        self.probe_sent = False
+        self.round = 0
+        self.heard_ms = now_ms
+        self.sent_ms = now_ms
+        self.snapshot = None
+        self.offset = 0
+
+
+class Receiving(typing.NamedTuple):
+    """A snapshot that is coming in."""
+
+    index: int
+    term: int
+    offset: int
+
+
+class Node:
+    """One keeper's part in the protocol.
+
+    ``random`` is a ``random.Random``; ``sink`` takes a snapshot that comes in, with
+    ``begin(index, term)``, ``write(data)`` and ``finish()``, which syncs it and returns
+    a ``Snapshot``, or None for bytes that are no whole snapshot.
+    """
+
+    def __init__(self, identity, name, rules, random, sink, now_ms=0):
+        self.identity = identity
+        self.name = name
+        self.rules = rules
+        self.random = random
+        self.sink = sink
+        self.term = 0
+        self.voted_for = ""
+        self.vote_changed = False
+        self.log = raft_log.Log()
+        self.snapshot = None
+        self.configs = []
+        self.commit_index = 0
+        self.synced_index = 0
+        self.role = FOLLOWER
+        self.leader = ""
+        self.leader_name = ""
+        self.heard_ms = None
+        self.election_due_ms = now_ms + rules.election_timeout_ms
+        self.trial = False
+        self.transfer = False
+        self.votes = set()
+        self.progress = {}
+        self.elected_ms = 0
+        self.first_index_of_term = 0
+        self.next_beat_ms = 0
+        self.round = 0
+        self.round_wanted = False
+        self.receiving = None
+        self.installed = None
+        self.early = []
+        self.outbox = []
+
+    @property
+    def members(self):
+        """The membership in force, which is the newest in the log."""
+        return self.configs[-1][1] if self.configs else []
+
+    @property
+    def members_index(self):
+        """Index of the entry that holds the membership in force."""
+        return self.configs[-1][0] if self.configs else 0
+
+    @property
+    def is_voter(self):
+        """Whether this identity votes."""
+        member = membership.find(self.members, self.identity)
+        return member is not None and member.voter
+
+    @property
+    def is_ready_leader(self):
+        """Whether it leads and has committed an entry of its own term.
+
+        Before that it may not know which older entries are committed.
+        """
+        return self.role == LEADER and self.commit_index >= self.first_index_of_term
+
+    def members_at(self, index):
+        """The membership as of ``index``."""
+        known = [members for at, members in self.configs if at <= index]
+        return known[-1] if known else []
+
+
+def restore(node, term, voted_for, log, snapshot):
+    """Set what a restarted keeper read back from its disk."""
+    node.term, node.voted_for = term, voted_for
+    node.log = log
+    node.snapshot = snapshot
+    if snapshot is not None:
+        node.commit_index = snapshot.index
+        node.configs = [(snapshot.index, snapshot.members)]
+    first = node.commit_index + 1
+    _note_members(node, first, log.entries[first - log.base_index - 1 :])
+
+
+def append(node, entries):
+    """Add entries to the log; a membership among them is in force at once."""
+    first = node.log.last_index + 1
+    node.log.append(entries)
+    _note_members(node, first, entries)
+
+
+def truncate_from(node, index):
+    """Drop entries that lost against a newer leader's."""
+    node.log.truncate_from(index)
+    node.configs = [config for config in node.configs if config[0] < index]
+
+
+def kept_from(log, index, most, most_bytes):
+    """Where a log may start after a snapshot at ``index``.
+
+    A tail before it is kept, so that a follower a little behind gets entries, not the
+    whole snapshot.
+    """
+    size = 0
+    while index > log.base_index and most > 0:
+        size += len(log.entry(index).data)
+        if size > most_bytes:
+            break
+        index, most = index - 1, most - 1
+    return index
+
+
+def compact(node, index):
+    """Drop entries up to ``index`` that the node's snapshot covers."""
+    node.log.compact(index)
+    older = [config for config in node.configs if config[0] <= index]
+    newer = [config for config in node.configs if config[0] > index]
+    node.configs = older[-1:] + newer
+
+
+def _note_members(node, first, entries):
+    for index, entry in enumerate(entries, first):
+        if entry.kind == "members":
+            members = codec.decode(entry.data, keeper.MemberList).members
+            node.configs.append((index, members))
--- /dev/null
+++ b/alderreach/ops/keeper/records.py
@@ -0,0 +1,80 @@
+"""Checksummed records in files, and how a torn end is told from corruption.
+
+A record is a mark, a length, a checksum over both length and payload, and the payload.
+Each synced write of the log is one record. So after a crash only the last record can be
+incomplete: it was never acknowledged, and is cut off. A record that does not check
+while a later one does was whole once and has been damaged since; what it promised may
+have been acknowledged, and no one may pretend otherwise.
+
+Damage to the very last record looks like a torn write and can't be told from it.
+"""
+
+import struct
+import typing
+
+import xxhash
+from result import Err, Ok, Result
+
+MARK = b"\xa1rch"
+HEAD = struct.Struct("<4sIQ")
+
+
+class Scan(typing.NamedTuple):
+    """What a file holds: payloads, where the whole ones end, and its size."""
+
+    payloads: list
+    end: int
+    size: int
+
+
+def frame(payload):
+    """The bytes of one record."""
+    return HEAD.pack(MARK, len(payload), _checksum(payload)) + payload
+
+
+def scan(path) -> Result:
+    """Read a file: ``Ok(Scan)``, or ``Err(text)`` naming file and offset of damage.
+
+    ``end`` is below ``size`` if the last record is torn.
+    """
+    payloads = []
+    with open(path, "rb") as file:
+        size = file.seek(0, 2)
+        file.seek(0)
+        end = 0
+        while (payload := _read(file, size - end)) is not None:
+            payloads.append(payload)
+            end = file.tell()
+        if end < size and _has_record_after(file, end):
+            return Err(f"{path}: the record at offset {end} is corrupt")
+    return Ok(Scan(payloads, end, size))
+
+
+def _read(file, left):
+    head = file.read(HEAD.size)
+    if len(head) < HEAD.size:
+        return None
+    mark, length, checksum = HEAD.unpack(head)
+    if mark != MARK or length > left - HEAD.size:
+        return None
+    payload = file.read(length)
+    return payload if _checksum(payload) == checksum else None
+
+
+def _has_record_after(file, offset):
+    file.seek(offset + 1)
+    rest = file.read()
+    place = rest.find(MARK)
+    while place >= 0:
+        head = rest[place : place + HEAD.size]
+        if len(head) == HEAD.size:
+            _mark, length, checksum = HEAD.unpack(head)
+            payload = rest[place + HEAD.size : place + HEAD.size + length]
+            if len(payload) == length and _checksum(payload) == checksum:
+                return True
+        place = rest.find(MARK, place + 1)
+    return False
+
+
+def _checksum(payload):
+    return xxhash.xxh3_64_intdigest(payload, seed=len(payload))
--- /dev/null
+++ b/alderreach/ops/keeper/requests.py
@@ -0,0 +1,255 @@
+"""Requests a keeper was sent: what is appended, what waits, and how each is answered.
+
+``not_leader`` and ``no_quorum`` are said only of what surely was not appended. Once an
+entry is in the log, its request is answered by its result, or by ``uncertain`` when the
+leader stops leading before it is committed: another leader may still commit it.
+"""
+
+import typing
+
+from result import Err
+
+from alderreach.core import (
+    codec,
+    keeper_state,
+    key_state,
+    membership,
+    owner_leases,
+    raft,
+    raft_leader,
+)
+from alderreach.core.generated import keeper
+
+
+class Asker(typing.NamedTuple):
+    """Who waits for a reply."""
+
+    address: str
+    request_id: str
+
+
+class _Read(typing.NamedTuple):
+    """A read that waits for its round and for the entries it must see."""
+
+    round: int
+    index: int
+    answer: typing.Callable
+    refuse: typing.Callable
+
+
+class Requests:
+    """Pending requests of one keeper; used by its task only.
+
+    ``node`` and ``state`` are read through functions, since a snapshot replaces the
+    state.
+    """
+
+    def __init__(self, node, state_of, send, clock, durations):
+        self._node = node
+        self._state_of = state_of
+        self._send = send
+        self._clock = clock
+        self._durations = durations
+        self._appended = {}
+        self._in_flight = set()
+        self._reads = []
+        self._leases = owner_leases.Leases(0)
+        self._term = 0
+
+    def handle(self, message, address):
+        """Take a KeeperRequest or a RenewOwnership."""
+        if isinstance(message, keeper.RenewOwnership):
+            self._renew(message, address)
+            return
+        asker = Asker(address, message.request_id)
+        if self._node.role != raft.LEADER:
+            self._refuse(asker)
+        elif message.request_id not in self._in_flight:
+            self._handle_as_leader(message, asker)
+
+    def lead(self):
+        """Begin a term of leadership, if one began since the last call."""
+        if self._node.role == raft.LEADER and self._term != self._node.term:
+            self._term = self._node.term
+            self._leases = owner_leases.Leases(self._node.elected_ms)
+
+    def applied(self, index, term, result):
+        """Answer who waits for the entry at ``index``."""
+        for domain, granting in list(self._leases.granting.items()):
+            if granting <= index:
+                del self._leases.granting[domain]
+        asker = self._appended.pop(index, None)
+        if asker is None:
+            return
+        self._in_flight.discard(asker.request_id)
+        if term != self._term or result is None:
+            self._reply(asker, "uncertain")
+        else:
+            self._reply(asker, "ok", codec.pack(result))
+
+    def settle(self, applied_index):
+        """Answer reads that are confirmed; give up all if leadership was lost."""
+        if self._node.role != raft.LEADER or self._term != self._node.term:
+            self._give_up()
+            return
+        if not self._reads or not self._node.is_ready_leader:
+            return
+        confirmed = raft_leader.confirmed_round(self._node)
+        waiting = []
+        for read in self._reads:
+            if read.round <= confirmed and read.index <= applied_index:
+                read.answer()
+            else:
+                waiting.append(read)
+        self._reads = waiting
+
+    def _handle_as_leader(self, message, asker):
+        unpacked = codec.unpack(message.command)
+        if isinstance(unpacked, Err):
+            self._reply(asker, "no_quorum")
+            return
+        command = unpacked.ok_value
+        if type(command) in READS:
+            self._read(asker, command)
+        elif isinstance(command, keeper.ChangeMembers):
+            self._change_members(asker, command)
+        elif isinstance(command, keeper.GrantOwnership):
+            self._grant(asker, command, message.command)
+        elif isinstance(command, keeper_state.LOGGED):
+            self._append(asker, message.command)
+        else:
+            self._reply(asker, "no_quorum")
+
+    def _append(self, asker, data):
+        clock = self._clock
+        index = raft.propose(
+            self._node, "command", data, clock.wall_ms(), clock.monotonic_ms()
+        )
+        self._await(asker, index)
+        return index
+
+    def _await(self, asker, index):
+        if index is None:
+            self._reply(asker, "no_quorum")
+            return
+        self._appended[index] = asker
+        self._in_flight.add(asker.request_id)
+
+    def _grant(self, asker, command, data):
+        """Log a grant, or refuse it while the present owner's lease can still run.
+
+        Before the first entry of its term is committed the leader does not know which
+        owner is in force.
+        """
+        if not self._node.is_ready_leader:
+            self._reply(asker, "no_quorum")
+            return
+        domain = command.failure_domain
+        owner = keeper_state.owner_of(self._state_of(), domain)
+        now_ms = self._clock.monotonic_ms()
+        if not owner_leases.may_grant(
+            self._leases, owner, command, self._durations, now_ms
+        ):
+            owner = owner or keeper_state.no_owner(domain)
+            self._reply(asker, "ok", codec.pack(keeper.GrantResult("owned", owner)))
+            return
+        index = self._append(asker, data)
+        if index is not None:
+            self._leases.granting[domain] = index
+
+    def _change_members(self, asker, command):
+        node = self._node
+        changed = membership.change(node.members, command)
+        reason = changed.err_value if isinstance(changed, Err) else ""
+        now_ms = self._clock.monotonic_ms()
+        lags = command.action == "promote" and not raft_leader.is_caught_up(
+            node, command.identity, now_ms
+        )
+        if lags and not reason:
+            reason = "the learner has not caught up yet"
+        if reason:
+            result = keeper.MembersResult("refused", reason, node.members)
+            self._reply(asker, "ok", codec.pack(result))
+            return
+        index = raft.propose_members(
+            node, changed.ok_value, self._clock.wall_ms(), now_ms
+        )
+        self._await(asker, index)
+
+    def _read(self, asker, command):
+        def answer():
+            result = READS[type(command)](self._node, self._state_of(), command)
+            self._reply(asker, "ok", codec.pack(result))
+
+        self._confirm(answer, lambda: self._reply(asker, "not_leader"))
+
+    def _confirm(self, answer, refuse):
+        node = self._node
+        index = max(node.commit_index, node.first_index_of_term)
+        self._reads.append(_Read(raft_leader.confirm(node), index, answer, refuse))
+
+    def _renew(self, message, address):
+        """Confirm an owner's lease by a round, and remember when it was asked for."""
+        state = self._state_of()
+        owner = keeper_state.owner_of(state, message.failure_domain)
+
+        def reply(granted, lease_ms=0):
+            self._send(
+                address,
+                keeper.OwnershipRenewed(
+                    message.request_id,
+                    granted,
+                    lease_ms,
+                    owner,
+                    self._node.leader_name,
+                ),
+            )
+
+        ready = self._node.is_ready_leader
+        if not ready or not owner_leases.may_renew(self._leases, owner, message):
+            reply(False)
+            return
+        if message.release:
+            owner_leases.release(self._leases, message)
+            reply(True)
+            return
+        owner_leases.renew(
+            self._leases, message.failure_domain, self._clock.monotonic_ms()
+        )
+        self._confirm(
+            lambda: reply(True, self._durations.owner_lease_ms), lambda: reply(False)
+        )
+
+    def _refuse(self, asker):
+        self._reply(asker, "not_leader" if self._node.leader_name else "no_quorum")
+
+    def _give_up(self):
+        reads, self._reads = self._reads, []
+        for read in reads:
+            read.refuse()
+        appended, self._appended = self._appended, {}
+        self._in_flight = set()
+        for asker in appended.values():
+            self._reply(asker, "uncertain")
+
+    def _reply(self, asker, status, result=b""):
+        reply = keeper.KeeperReply(
+            asker.request_id, status, self._node.leader_name, result
+        )
+        self._send(asker.address, reply)
+
+
+def members_result(node):
+    """The membership in force as a result."""
+    return keeper.MembersResult("accepted", "", node.members)
+
+
+READS = {
+    keeper.ReadKey: lambda _node, state, command: key_state.read(
+        state.keys, command.key
+    ),
+    keeper.ReadItems: lambda _node, state, command: keeper.ItemsPage(
+        state.version, keeper_state.items_under(state, command.prefix)
+    ),
+    keeper.ReadMembers: lambda node, _state, _command: members_result(node),
+}
--- /dev/null
+++ b/alderreach/ops/keeper/storage.py
@@ -0,0 +1,87 @@
+"""A keeper's data folder as a whole: identity, log and snapshot that fit together."""
+
+import fcntl
+import pathlib
+import typing
+import uuid
+
+from result import Err, Ok, Result
+
+from alderreach.core import keeper_state, raft_log, raft_state
+from alderreach.ops.keeper import log_file, snapshot_file
+
+LOCK_FILE = "lock"
+
+
+class Opened(typing.NamedTuple):
+    """What the folder held, checked."""
+
+    identity: str
+    term: int
+    voted_for: str
+    log: raft_log.Log
+    snapshot: raft_state.Snapshot | None
+    state: keeper_state.State
+    torn_bytes: int
+    is_new: bool
+
+
+def open_folder(folder, stack) -> Result:
+    """Read a data folder, or begin one: ``Ok(Opened)`` or ``Err(text)``.
+
+    A folder that lost only one of its files is refused: with the log gone the identity
+    is gone, and the snapshot belongs to a keeper that may have voted.
+    """
+    folder = pathlib.Path(folder)
+    locked = _lock(folder, stack)
+    if isinstance(locked, Err):
+        return locked
+    snapshot = snapshot_file.load(folder)
+    if isinstance(snapshot, Err):
+        return snapshot
+    is_new = not (folder / log_file.FILE).exists()
+    if is_new and snapshot.ok_value is not None:
+        return Err(f"{folder / log_file.FILE}: is missing but a snapshot is there")
+    if is_new:
+        log_file.create(folder, uuid.uuid4().hex)
+    loaded = log_file.load(folder)
+    if isinstance(loaded, Err):
+        return loaded
+    return _fit(folder, loaded.ok_value, snapshot.ok_value, is_new)
+
+
+def _lock(folder, stack):
+    """Two processes that wrote one log would each sync the other's torn records."""
+    file = stack.enter_context((folder / LOCK_FILE).open("w"))
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        return Err(f"{folder}: another process uses this data folder")
+    return Ok(None)
+
+
+def _fit(folder, loaded, kept, is_new):
+    log = loaded.log
+    snapshot = kept.snapshot if kept else None
+    covered = snapshot.index if snapshot else 0
+    if covered < log.base_index:
+        return Err(
+            f"{folder / snapshot_file.FILE}: covers {covered}, "
+            f"but the log starts after {log.base_index}"
+        )
+    if snapshot and log.term_at(covered) != snapshot.term:
+        # The process ended between installing a snapshot and starting its log anew.
+        log.reset(covered, snapshot.term)
+    state = kept.state if kept else keeper_state.State()
+    return Ok(
+        Opened(
+            loaded.identity,
+            loaded.term,
+            loaded.voted_for,
+            log,
+            snapshot,
+            state,
+            loaded.torn_bytes,
+            is_new,
+        )
+    )
--- /dev/null
+++ b/tests/keeper_support.py
@@ -0,0 +1,134 @@
+"""Helpers of the keepers' tests: a cell of keepers, and a client that asks them."""
+
+import contextlib
+import queue
+import uuid
+
+from alderreach.core import codec, replica
+from alderreach.core.generated import common, keeper
+from alderreach.ops import keeper_client
+from alderreach.utils import clocks, tasks, transport
+from tools import cell
+
+CLIENT_PORT = 7300
+ANSWER_MS = 20_000
+QUICK = {
+    "timing": {
+        "election_timeout_ms": 400,
+        "leader_beat_ms": 80,
+        "owner_lease_ms": 600,
+        "owner_beat_ms": 150,
+        "lease_margin_ms": 100,
+        "follow_interval_ms": 100,
+    }
+}
+
+
+class Client:
+    """A process that asks the keepers, follows them and keeps every answer."""
+
+    def __init__(self, running, name="client", number=0):
+        plans = running.of_role("keeper")
+        self.addresses = {plan.name: plan.peers for plan in plans}
+        self.pages = queue.Queue()
+        self.replica = replica.EMPTY
+        self.replies = {}
+        self._transport = transport.Transport(
+            ("cell", name, uuid.uuid4().hex),
+            f"127.{running.octet}.9.{number + 1}:{CLIENT_PORT}",
+            self.addresses,
+            lambda received: self._task.put(received),
+            clocks.SYSTEM,
+            1000,
+        )
+        self._client = keeper_client.KeeperClient(self.addresses, self._transport.send)
+        self._task = tasks.Task("client", self._handle, self._tick, clocks.SYSTEM)
+        self._transport.start()
+        self._task.start()
+
+    def start(self, command, timeout_ms=ANSWER_MS):
+        """Send a command; returns a ticket for its outcome."""
+        ticket = tasks.Ticket()
+        self._task.put((codec.pack(command), ticket, timeout_ms))
+        return ticket
+
+    def ask(self, command, timeout_ms=ANSWER_MS):
+        """Send a command; returns its result message, or the status if not ok."""
+        outcome = self.start(command, timeout_ms).wait(timeout_ms + 5000)
+        if outcome.status != "ok":
+            return outcome.status
+        return codec.unpack(outcome.result).unwrap()
+
+    def write(self, key, value, base=-1, idempotency_key="", author="test"):
+        """Write one item; returns the WriteResult."""
+        writes = [keeper.ItemWrite(key, base, value)]
+        return self.ask(
+            keeper.WriteItems(idempotency_key, author, writes, "", 0, 0), ANSWER_MS
+        )
+
+    def query(self, name, message, timeout_ms=1000):
+        """Send one keeper a message with a request id; returns its answer or None."""
+        request_id = uuid.uuid4().hex
+        ticket = self.replies[request_id] = tasks.Ticket()
+        self._transport.send(
+            self.addresses[name], message._replace(request_id=request_id)
+        )
+        return ticket.wait(timeout_ms)
+
+    def status(self, name):
+        """A keeper's StatusReply, or None if it does not answer."""
+        return self.query(name, common.StatusQuery(""))
+
+    def leader(self, among=None):
+        """Wait for a leader that is ready; returns its name."""
+
+        def ready_leader():
+            for name in among or self.addresses:
+                status = self.status(name)
+                if status and status.state == "leader":
+                    return name
+            return None
+
+        return cell.wait_until(ready_leader, "a leader")
+
+    def follow(self, name, prefixes=("team/",)):
+        """Send a Follow; pushes are applied to ``replica``."""
+        follow = keeper.Follow(self.replica.version, list(prefixes), "entry")
+        self._transport.send(self.addresses[name], follow)
+
+    def close(self):
+        self._task.close()
+        self._transport.close()
+
+    def _handle(self, mail):
+        if isinstance(mail, tuple) and not hasattr(mail, "message"):
+            command, ticket, timeout_ms = mail
+            now_ms = clocks.SYSTEM.monotonic_ms()
+            self._client.request(command, ticket.answer, now_ms, timeout_ms)
+            return
+        message = mail.message
+        if isinstance(message, keeper.KeeperReply):
+            self._client.handle(message, clocks.SYSTEM.monotonic_ms())
+        elif isinstance(message, keeper.ItemsPush):
+            self.replica, _changed = replica.apply(self.replica, message)
+            self.pages.put(message)
+        elif message.request_id in self.replies:
+            self.replies.pop(message.request_id).answer(message)
+
+    def _tick(self):
+        self._client.tick(clocks.SYSTEM.monotonic_ms())
+
+
+@contextlib.contextmanager
+def running_keepers(folder, voters=3, overrides=None, **options):
+    """A started cell of keepers and a client; all is ended on leaving."""
+    with contextlib.ExitStack() as stack:
+        running = stack.enter_context(
+            cell.Cell(folder, overrides or QUICK, voters=voters, **options)
+        )
+        names = [plan.name for plan in running.of_role("keeper")]
+        running.start(names)
+        client = Client(running)
+        stack.callback(client.close)
+        running.wait_ready(names)
+        yield running, client
