--- /dev/null
+++ b/alderreach/decisions/jobs.py
@@ -0,0 +1,201 @@
+"""Waiting and running jobs, kept as counts wherever a count will do.
+
+Load: batch runs of tens of thousands of identical tasks, and waves of as many
+cancellations. With an object per waiting task, both cost as much as the placements
+they replace.
+
+Tasks of the same team, priority, kind and demand are equivalent: they wait in one
+*line*, as jobs with a number of waiting tasks. If one of them can't be placed, none
+can, so a full cell costs one failed attempt per line. A cancelled job leaves its line
+in one step, however many tasks it has.
+"""
+
+import collections
+
+URGENT_PRIORITY = 7
+URGENT, NORMAL = 0, 1
+
+
+class Run:
+    """One attempt of a task on a worker."""
+
+    __slots__ = (
+        "attempt",
+        "job",
+        "number",
+        "rack",
+        "started_ms",
+        "stop",
+        "worker_id",
+    )
+
+    def __init__(self, job, number, attempt, worker_id, started_ms):
+        self.job = job
+        self.number = number
+        self.attempt = attempt
+        self.worker_id = worker_id
+        self.started_ms = started_ms
+        self.stop = ""
+        self.rack = ""
+
+    def task_id(self):
+        """Return the task's id, ``<job id>/<number>``."""
+        return f"{self.job.spec.job_id}/{self.number}"
+
+
+class JobState:
+    """What is known of one job."""
+
+    __slots__ = (
+        "attempts",
+        "cancelled",
+        "failed",
+        "failures",
+        "finished",
+        "impossible",
+        "line",
+        "next_number",
+        "not_before_ms",
+        "racks_used",
+        "reason",
+        "returned",
+        "runs",
+        "settled",
+        "spec",
+        "submitted_ms",
+        "waiting",
+        "workers_used",
+    )
+
+    def __init__(self, spec, now_ms):
+        self.spec = spec
+        self.submitted_ms = now_ms
+        self.not_before_ms = 0
+        self.waiting = spec.tasks
+        self.next_number = 0
+        self.returned = []
+        self.settled = set()
+        self.runs = {}
+        self.attempts = {}
+        self.failures = {}
+        self.finished = 0
+        self.failed = 0
+        self.cancelled = False
+        self.impossible = False
+        self.reason = ""
+        self.line = None
+        self.racks_used = {}
+        self.workers_used = {}
+
+    def is_gang(self):
+        """Whether its tasks must all start together."""
+        return self.spec.kind == "gang"
+
+    def is_service(self):
+        """Whether its tasks are kept running."""
+        return self.spec.kind == "service"
+
+    def next_task(self):
+        """Return the number of a waiting task and count it as no longer waiting."""
+        self.waiting -= 1
+        if self.returned:
+            return self.returned.pop()
+        while self.next_number in self.settled or self.next_number in self.runs:
+            self.settled.discard(self.next_number)
+            self.next_number += 1
+        self.next_number += 1
+        return self.next_number - 1
+
+    def return_task(self, number):
+        """Let a task wait again."""
+        self.waiting += 1
+        if number < self.next_number:
+            self.returned.append(number)
+
+    def claim(self, number):
+        """Count one certain task as no longer waiting."""
+        self.waiting -= 1
+        if number in self.returned:
+            self.returned.remove(number)
+
+    def settle(self, number):
+        """Count a task that waits no more as ended for good."""
+        if number >= self.next_number:
+            self.settled.add(number)
+        self.attempts.pop(number, None)
+        self.failures.pop(number, None)
+
+    def is_done(self):
+        """Whether nothing runs and nothing will."""
+        if self.runs:
+            return False
+        return self.cancelled or (not self.waiting and not self.is_service())
+
+
+class Line:
+    """Jobs whose tasks are equivalent, oldest first."""
+
+    __slots__ = ("demand", "jobs", "key", "priority", "shape", "team", "tried_tick")
+
+    def __init__(self, key, shape):
+        self.key = key
+        self.team, self.priority, _, self.demand = key
+        self.shape = shape
+        self.jobs = collections.OrderedDict()
+        self.tried_tick = -1
+
+    def head(self):
+        """Return the oldest job."""
+        return next(iter(self.jobs.values()))
+
+
+class Backlog:
+    """All lines, by band (urgent before normal) and team."""
+
+    def __init__(self, cell):
+        self._cell = cell
+        self._lines = {}
+        self.bands = ({}, {})
+
+    def add(self, job, first=False):
+        """Let a job wait in its line, at the front if it had started before."""
+        if job.line is not None or not job.waiting:
+            return
+        spec = job.spec
+        key = (spec.team, spec.priority, spec.kind, spec.task)
+        line = self._lines.get(key)
+        if line is None:
+            line = self._open(key)
+        line.jobs[spec.job_id] = job
+        if first:
+            line.jobs.move_to_end(spec.job_id, last=False)
+        job.line = line
+
+    def remove(self, job):
+        """Take a job out of its line."""
+        line = job.line
+        if line is None:
+            return
+        job.line = None
+        del line.jobs[job.spec.job_id]
+        if not line.jobs:
+            self._close(line)
+
+    def _open(self, key):
+        line = self._lines[key] = Line(key, self._cell.use_shape(key[3]))
+        lines = self.bands[_band(line)].setdefault(line.team, [])
+        lines.append(line)
+        lines.sort(key=lambda each: -each.priority)
+        return line
+
+    def _close(self, line):
+        del self._lines[line.key]
+        self._cell.leave_shape(line.shape)
+        lines = self.bands[_band(line)]
+        lines[line.team].remove(line)
+        if not lines[line.team]:
+            del lines[line.team]
+
+
+def _band(line):
+    return URGENT if line.priority >= URGENT_PRIORITY else NORMAL
--- /dev/null
+++ b/alderreach/decisions/scheduler_test.py
@@ -0,0 +1,123 @@
+"""Sessions with the whole scheduler: what goes in, and what it decides."""
+
+import random
+
+from alderreach.core.generated import common
+from alderreach.decisions import scheduler
+
+SMALL = common.Resources(1000, 1024, 0)
+WORKER = common.Resources(8000, 8192, 0)
+PLENTY = common.Resources(10**9, 10**9, 10**6)
+
+
+def job(job_id, tasks=1, kind="batch", team="a", task=SMALL, priority=3, **other):
+    fields = dict.fromkeys(common.Job._fields, "")
+    fields.update(job_id=job_id, tasks=tasks, kind=kind, team=team, task=task)
+    fields.update(priority=priority, when_cut_off="move", checkpoint=False)
+    fields.update(expected_run_ms=0, submitted_wall_ms=0)
+    return common.Job(**(fields | other))
+
+
+def cell(workers=4, capacity=WORKER, racks=2, teams=("a", "b")):
+    made = scheduler.Scheduler(random.Random(1))
+    for name in teams:
+        made.set_team(common.Team(name, PLENTY, 1, "packing"))
+    for number in range(workers):
+        made.add_worker(f"w{number}", f"vm{number}", f"r{number % racks}", capacity)
+    return made
+
+
+def starts(decisions):
+    return [each for each in decisions if isinstance(each, scheduler.Start)]
+
+
+def test_batch_fills_every_worker_and_no_more():
+    made = cell()
+    made.submit(job("j", tasks=40), 0)
+    placed = starts(made.tick(0, 1000))
+    assert len(placed) == 32
+    assert all(made.reserved(f"w{n}") == WORKER for n in range(4))
+    assert made.job_status("j").running == 32
+    made.task_ended(placed[0].task_id, 1, "finished", 1)
+    again = starts(made.tick(1, 1000))
+    assert [each.worker_id for each in again] == [placed[0].worker_id]
+
+
+def test_gang_waits_for_room_for_all():
+    made = cell(workers=1)
+    made.submit(job("first", tasks=1), 0)
+    (first,) = starts(made.tick(0, 100))
+    made.submit(job("gang", tasks=8, kind="gang"), 0)
+    assert made.tick(1, 100) == []
+    made.task_ended(first.task_id, 1, "finished", 2)
+    assert len(starts(made.tick(2_000, 100))) == 8
+
+
+def test_service_is_spread_and_kept_running():
+    made = cell()
+    made.submit(job("s", tasks=4, kind="service"), 0)
+    placed = starts(made.tick(0, 100))
+    assert sorted(each.worker_id for each in placed) == ["w0", "w1", "w2", "w3"]
+    made.task_ended("s/2", 1, "failed", 5)
+    (again,) = starts(made.tick(60_000, 100))
+    assert (again.task_id, again.attempt) == ("s/2", 2)
+
+
+def test_service_takes_a_new_number_of_tasks():
+    made = cell()
+    made.submit(job("s", tasks=4, kind="service"), 0)
+    made.tick(0, 100)
+    made.submit(job("s", tasks=2, kind="service"), 1)
+    stops = made.tick(1, 100)
+    assert sorted(each.task_id for each in stops) == ["s/2", "s/3"]
+    for each in stops:
+        made.task_ended(each.task_id, 1, "stopped", 2)
+    made.submit(job("s", tasks=3, kind="service"), 3)
+    assert [each.task_id for each in starts(made.tick(3, 100))] == ["s/2"]
+
+
+def test_restored_task_holds_its_room_before_its_job_is_known():
+    """A placer takes over while a worker is full.
+
+    The targets announce their tasks before the job arrives from the keepers. If the
+    worker took work meanwhile, its VM would hold more than it has.
+    """
+    made = cell(workers=1)
+    made.restore("old/5", 3, "old", "w0")
+    made.submit(job("new", tasks=8), 0)
+    assert made.tick(0, 100) == []
+    made.submit(job("old", tasks=6, task=common.Resources(8000, 8192, 0)), 1)
+    assert made.tick(1, 100) == []
+    assert made.reserved("w0") == WORKER
+    made.task_ended("old/5", 3, "lost", 2)
+    made.cancel("new", 2)
+    ids = [(each.task_id, each.attempt) for each in starts(made.tick(3, 100))]
+    assert ids == [("old/0", 1)]
+
+
+def test_cancelled_job_stops_what_runs_and_starts_no_more():
+    made = cell(workers=1)
+    made.submit(job("j", tasks=20), 0)
+    assert len(starts(made.tick(0, 100))) == 8
+    made.cancel("j", 1)
+    stops = made.tick(1, 100)
+    assert len(stops) == 8 and {each.how for each in stops} == {"stop"}
+    for each in stops:
+        made.task_ended(each.task_id, 1, "stopped", 2)
+    assert made.job_status("j").state == "cancelled"
+    assert made.tick(2, 100) == []
+
+
+def test_lost_worker_that_returns_still_holds_its_tasks():
+    """A worker is cut off, is taken off the list and comes back with its tasks running.
+
+    Nobody reported them lost, so they run on. If the returned worker counted as empty,
+    its VM would get twice what it has.
+    """
+    made = cell(workers=1)
+    made.submit(job("j", tasks=9), 0)
+    made.tick(0, 100)
+    made.remove_worker("w0")
+    made.add_worker("w0", "vm0", "r0", WORKER)
+    assert made.reserved("w0") == WORKER
+    assert made.tick(1, 100) == []
