--- /dev/null
+++ b/alderreach/core/idempotency.py
@@ -0,0 +1,83 @@
+"""What an entry may do with a request, from what the log says of its key.
+
+The log holds at most one claim of a key. Only the request that made the claim may be
+sent; everybody else gets the recorded answer, waits for it, or hears truthfully that
+nothing can be told.
+"""
+
+import enum
+import hashlib
+import typing
+
+from alderreach.core.generated import errors
+
+CLAIMED = "claimed"
+STARTED = "started"
+FINISHED = "finished"
+REUSED = "reused"
+EXPIRED = "expired"
+ABSENT = "absent"
+RAN = "ran"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+SEPARATOR = b"\0"
+
+
+class Step(enum.Enum):
+    """What comes next."""
+
+    SEND = "send"
+    ANSWER = "answer"
+    WAIT = "wait"
+    CLAIM = "claim"
+    REFUSE = "refuse"
+
+
+class Verdict(typing.NamedTuple):
+    """The next step, and the kind of error for ``Step.REFUSE``."""
+
+    step: Step
+    kind: errors.Kind | None = None
+
+
+def scoped_key(team, key):
+    """The key as the log knows it: two teams may use the same text."""
+    return f"{team}/{key}"
+
+
+def digest(service, content_type, body):
+    """What tells a resend from another request under the same key."""
+    text = SEPARATOR.join((service.encode(), content_type.encode(), body))
+    return hashlib.sha256(text).hexdigest()
+
+
+def judge(record, request_id, entry, entry_boot_id):
+    """What a request may do given a ``keeper.KeyRecord``.
+
+    A claim by an earlier boot of this very process can't end any more: its holder is
+    gone, and whether it sent the request nobody knows. A holder elsewhere may only be
+    slow, so it is waited for.
+    """
+    if record.state == CLAIMED and record.request_id == request_id:
+        return Verdict(Step.SEND)
+    if record.state == ABSENT:
+        return Verdict(Step.CLAIM)
+    if record.state == REUSED:
+        return Verdict(Step.REFUSE, errors.Kind.KEY_REUSED)
+    if record.state == EXPIRED:
+        return Verdict(Step.REFUSE, errors.Kind.KEY_EXPIRED)
+    if record.state == FINISHED:
+        return _judge_finished(record)
+    if record.entry == entry and record.entry_boot_id != entry_boot_id:
+        return Verdict(Step.REFUSE, errors.Kind.OUTCOME_UNKNOWN)
+    return Verdict(Step.WAIT)
+
+
+def _judge_finished(record):
+    if record.outcome == NOT_RUN:
+        return Verdict(Step.CLAIM)
+    if record.outcome != RAN:
+        return Verdict(Step.REFUSE, errors.Kind.OUTCOME_UNKNOWN)
+    if not record.body_kept:
+        return Verdict(Step.REFUSE, errors.Kind.ANSWER_NOT_KEPT)
+    return Verdict(Step.ANSWER)
--- /dev/null
+++ b/alderreach/core/resources.py
@@ -0,0 +1,17 @@
+"""Arithmetic on processors, memory and accelerators."""
+
+from alderreach.core.generated import common
+
+
+def times(resources, number):
+    """What ``number`` tasks ask for together."""
+    return common.Resources(*(number * amount for amount in resources))
+
+
+def fits(resources, room):
+    """Whether ``resources`` is at most ``room`` in each dimension.
+
+    >>> fits(common.Resources(1, 2, 0), common.Resources(1, 2, 0))
+    True
+    """
+    return all(asked <= free for asked, free in zip(resources, room, strict=True))
--- /dev/null
+++ b/alderreach/core/target_views.py
@@ -0,0 +1,61 @@
+"""An entry's copy of the runners of one failure domain, fed by its owner's views.
+
+Views may come late, twice, or from an owner that has been replaced without knowing.
+The copy therefore moves forward only: a lower epoch is dropped, a higher one replaces
+everything by its full view, and changes apply only to the sequence they start from.
+"""
+
+import typing
+
+from alderreach.core.generated import placer
+
+DEAD = "dead"
+
+
+class DomainView(typing.NamedTuple):
+    """Runners by id as the owner of ``epoch`` told them at ``sequence``."""
+
+    epoch: int
+    sequence: int
+    runners: dict[str, placer.RunnerView]
+
+
+EMPTY = DomainView(0, 0, {})
+
+
+class Applied(typing.NamedTuple):
+    """The copy after a view, and whether the owner must be asked for a full one."""
+
+    view: DomainView
+    has_gap: bool
+
+
+def apply(current, pushed):
+    """Apply a ``placer.TargetsView`` to the copy.
+
+    >>> apply(EMPTY, placer.TargetsView("urubici", 3, 5, 7, [])).has_gap
+    True
+    """
+    if pushed.epoch < current.epoch:
+        return Applied(current, False)
+    is_full = pushed.from_sequence == 0
+    if pushed.epoch > current.epoch and not is_full:
+        return Applied(current, True)
+    if pushed.epoch == current.epoch and pushed.sequence <= current.sequence:
+        return Applied(current, False)
+    if not is_full and pushed.from_sequence > current.sequence:
+        return Applied(current, True)
+    runners = {} if is_full else dict(current.runners)
+    for runner in pushed.runners:
+        if runner.state == DEAD:
+            runners.pop(runner.runner_id, None)
+        else:
+            runners[runner.runner_id] = runner
+    return Applied(DomainView(pushed.epoch, pushed.sequence, runners), False)
+
+
+def resume_from(view, has_gap):
+    """The ``WatchTargets`` to send for the copy at hand."""
+    if has_gap:
+        return placer.WatchTargets(0, 0)
+    return placer.WatchTargets(view.epoch, view.sequence)
--- /dev/null
+++ b/alderreach/ops/entry/callers.py
@@ -0,0 +1,102 @@
+"""The callers' HTTP: a plain WSGI callable, since a dispatcher costs three times more.
+
+Paths are few and fixed. Whatever goes wrong in here becomes a problem document; a
+fault of the entry itself is ``internal`` with outcome unknown, since nobody can tell
+then how far the request got.
+"""
+
+import re
+import threading
+
+from absl import logging
+
+from alderreach.core.generated import errors
+from alderreach.ops import daemon
+from alderreach.ops.entry import answers
+
+SERVICE_PATH = re.compile(r"/v1/services/([^/]+)/requests")
+JOB_PATH = re.compile(r"/v1/jobs/([^/]+)")
+JOBS_PATH = "/v1/jobs"
+
+
+class InFlight:
+    """Counts requests being answered, for a graceful shutdown."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._number = 0
+        self._last_ms = clock.monotonic_ms()
+
+    def __enter__(self):
+        with self._lock:
+            self._number += 1
+            self._last_ms = self._clock.monotonic_ms()
+        return self
+
+    def __exit__(self, *_details):
+        with self._lock:
+            self._number -= 1
+            self._last_ms = self._clock.monotonic_ms()
+
+    @property
+    def number(self):
+        """Requests being answered now."""
+        return self._number
+
+    def is_quiet(self, duration_ms):
+        """Whether nothing was answered for so long and nothing is now."""
+        now_ms = self._clock.monotonic_ms()
+        with self._lock:
+            return self._number == 0 and now_ms - self._last_ms >= duration_ms
+
+
+def build(context, role, requests, jobs, in_flight):
+    """The WSGI application of the callers' listener."""
+
+    def application(environ, start_response):
+        platform = daemon.platform_answer(context, role, environ.get("PATH_INFO", ""))
+        if platform is not None:
+            status, body = platform
+            headers = [("Content-Type", "text/plain")]
+            headers.append(("Content-Length", str(len(body))))
+            start_response(status, headers)
+            return [body]
+        with in_flight:
+            answer = _guarded(environ, requests, jobs)
+        if context.draining.is_set():
+            closing = (*answer.headers, ("Connection", "close"))
+            answer = answer._replace(headers=closing)
+        return answers.respond(answer, start_response)
+
+    return application
+
+
+def _guarded(environ, requests, jobs):
+    try:
+        return _route(environ, requests, jobs)
+    except Exception:
+        logging.exception("fault while answering %s", environ.get("PATH_INFO"))
+        return answers.problem(answers.Failure(errors.Kind.INTERNAL))
+
+
+def _route(environ, requests, jobs):
+    path, method = environ.get("PATH_INFO", ""), environ["REQUEST_METHOD"]
+    service = SERVICE_PATH.fullmatch(path)
+    if service:
+        return _only("POST", method) or requests.serve(environ, service[1])
+    if path == JOBS_PATH:
+        return _only("POST", method) or jobs.submit(environ)
+    job = JOB_PATH.fullmatch(path)
+    if job and method == "GET":
+        return jobs.show(job[1])
+    if job:
+        return _only("DELETE", method) or jobs.cancel(job[1])
+    return answers.problem(answers.Failure(errors.Kind.NOT_FOUND, path))
+
+
+def _only(allowed, method):
+    if method == allowed:
+        return None
+    failure = answers.Failure(errors.Kind.METHOD_NOT_ALLOWED, f"{method}: {allowed}")
+    return answers.problem(failure, "", (("Allow", allowed),))
--- /dev/null
+++ b/alderreach/ops/entry/dispatcher.py
@@ -0,0 +1,222 @@
+"""The task that owns admission, queues and routing of one entry.
+
+HTTP threads send it messages and wait on a ticket; they do the calls to runners
+themselves and report how those ended. The decisions are ``decisions.serving``; here
+are only the mailbox, the owners' views of their runners and the tickets.
+"""
+
+import random
+import typing
+
+from alderreach.core import catalog, target_views
+from alderreach.core.generated import entry, errors, placer
+from alderreach.decisions import serving
+from alderreach.utils import tasks
+
+ANSWER_MARGIN_MS = 1000
+
+
+class Submit(typing.NamedTuple):
+    """A request wants a runner; the ticket gets a Grant or a Refusal."""
+
+    service: str
+    ask: serving.Ask
+    excluded: tuple[str, ...]
+    ticket: tasks.Ticket
+
+
+class Report(typing.NamedTuple):
+    """An attempt has ended."""
+
+    service: str
+    ended: serving.Ended
+
+
+class Withdraw(typing.NamedTuple):
+    """The asker no longer waits; a grant that crossed this is handed back."""
+
+    service: str
+    request_id: str
+
+
+class Published(typing.NamedTuple):
+    """What other threads may read of the dispatcher's state."""
+
+    waiting: int
+    granted: int
+    runners: int
+    epochs: dict[str, int]
+    entries: int
+
+
+class Dispatcher:
+    """The task; ``on_gone(runner)`` is told of runners that are known no more."""
+
+    def __init__(self, context, on_gone=lambda runner: None):
+        self._context = context
+        self._clock = context.clock
+        self._on_gone = on_gone
+        self._random = random.Random(context.boot_id)
+        self._catalog = catalog.EMPTY
+        self._services = {}
+        self._views = {}
+        self._gaps = set()
+        self._tickets = {}
+        self._granted = {}
+        self._runners = {}
+        self._next_watch_ms = 0
+        self._placers = [p for p in context.settings.peers if p.role == "placer"]
+        self._entries = 1 + sum(p.role == "entry" for p in context.settings.peers)
+        self.published = Published(0, 0, 0, {}, 1)
+        self._handlers = {
+            Submit: self._submit,
+            Report: self._report,
+            Withdraw: self._withdraw,
+            catalog.Catalog: self._set_catalog,
+            placer.TargetsView: self._apply_view,
+            entry.EntryHello: lambda hello: None,
+        }
+        self._task = tasks.Task("dispatcher", self._handle, self._tick, context.clock)
+
+    def start(self):
+        """Start the task; return the dispatcher."""
+        self._task.start()
+        return self
+
+    def close(self):
+        """End the task."""
+        self._task.close()
+
+    def put(self, message):
+        """Give the task any of its messages; never blocks."""
+        self._task.put(message)
+
+    def ask(self, service, ask, excluded=()):
+        """Wait for a runner: a ``serving.Grant`` or a ``serving.Refusal``."""
+        ticket = tasks.Ticket()
+        self.put(Submit(service, ask, excluded, ticket))
+        left_ms = max(0, ask.deadline_ms - self._clock.monotonic_ms())
+        decision = ticket.wait(left_ms + ANSWER_MARGIN_MS)
+        if decision is None:
+            self.put(Withdraw(service, ask.request_id))
+            kind = errors.Kind.DEADLINE_PASSED
+            decision = serving.Refusal(ask.request_id, kind, ANSWER_MARGIN_MS)
+        return decision
+
+    def report(self, service, ended):
+        """Tell how an attempt that was granted has ended."""
+        self.put(Report(service, ended))
+
+    def _handle(self, message):
+        self._handlers[type(message)](message)
+
+    def _submit(self, mail):
+        now_ms = self._clock.monotonic_ms()
+        self._tickets[mail.ask.request_id] = mail.ticket
+        service = self._service(mail.service)
+        self._carry_out(service.arrive(mail.ask, now_ms, mail.excluded))
+
+    def _report(self, mail):
+        service = self._service(mail.service)
+        self._granted.pop(mail.ended.request_id, None)
+        self._carry_out(service.ended(mail.ended, self._clock.monotonic_ms()))
+
+    def _withdraw(self, mail):
+        """Forget a request, or free the runner it was granted unnoticed."""
+        self._tickets.pop(mail.request_id, None)
+        self._service(mail.service).withdraw(mail.request_id)
+        grant = self._granted.get(mail.request_id)
+        if grant is not None:
+            ended = serving.Ended(
+                mail.request_id, grant.runner.runner_id, serving.WITHDRAWN, 0, 0
+            )
+            self._report(Report(mail.service, ended))
+
+    def _carry_out(self, decisions):
+        for decision in decisions:
+            ticket = self._tickets.pop(decision.request_id, None)
+            if isinstance(decision, serving.Grant):
+                self._granted[decision.request_id] = decision
+            if ticket is not None:
+                ticket.answer(decision)
+
+    def _service(self, name):
+        service = self._services.get(name)
+        if service is None:
+            service = serving.Service(self._context.settings.limits.queue_length)
+            self._services[name] = service
+            service.set_runners(self._runners_of(name))
+        return service
+
+    def _runners_of(self, name):
+        return [runner for runner in self._runners.values() if runner.service == name]
+
+    def _set_catalog(self, made):
+        self._catalog = made
+
+    def _apply_view(self, pushed):
+        domain = pushed.failure_domain
+        before = self._views.get(domain, target_views.EMPTY)
+        applied = target_views.apply(before, pushed)
+        self._gaps.discard(domain)
+        if applied.has_gap:
+            self._gaps.add(domain)
+            self._watch(domain)
+        if applied.view is before:
+            return
+        self._views[domain] = applied.view
+        if applied.view.epoch != before.epoch:
+            self._context.timeline.record(
+                "targets_owner_seen", epoch=applied.view.epoch, detail=domain
+            )
+        self._set_runners()
+
+    def _set_runners(self):
+        before = self._runners
+        self._runners = {
+            runner.runner_id: runner
+            for view in self._views.values()
+            for runner in view.runners.values()
+        }
+        for runner in before.values():
+            after = self._runners.get(runner.runner_id)
+            if after is None or after.boot_id != runner.boot_id:
+                self._on_gone(runner)
+            if after is None or after.state != runner.state:
+                self._context.timeline.record(
+                    "target_state_seen",
+                    target_id=runner.runner_id,
+                    detail=after.state if after else target_views.DEAD,
+                )
+        now_ms = self._clock.monotonic_ms()
+        for name, service in self._services.items():
+            service.set_runners(self._runners_of(name))
+            self._carry_out(service.dispatch(now_ms))
+
+    def _tick(self):
+        now_ms = self._clock.monotonic_ms()
+        for service in self._services.values():
+            self._carry_out(service.dispatch(now_ms))
+        if now_ms >= self._next_watch_ms:
+            self._next_watch_ms = (
+                now_ms + self._context.settings.timing.watch_interval_ms
+            )
+            for domain in {peer.failure_domain for peer in self._placers}:
+                self._watch(domain)
+        self._publish()
+
+    def _watch(self, domain):
+        view = self._views.get(domain, target_views.EMPTY)
+        message = target_views.resume_from(view, domain in self._gaps)
+        for peer in self._placers:
+            if peer.failure_domain == domain:
+                self._context.transport.send(peer.address, message)
+
+    def _publish(self):
+        self.published = Published(
+            sum(service.waiting for service in self._services.values()),
+            len(self._granted),
+            len(self._runners),
+            {domain: view.epoch for domain, view in self._views.items()},
+            self._entries,
+        )
--- /dev/null
+++ b/alderreach/ops/entry/jobs.py
@@ -0,0 +1,272 @@
+"""Batch runs and gang jobs for callers: submit, show, cancel.
+
+A job is accepted once its item is in the keepers' log. Under an idempotency key the
+item ``submission/<team>/<hash of key>`` is written with it, all or none: a resend, at
+whichever entry and in whichever failure domain, loses the race for that item, reads it
+and is told the job that was accepted first.
+"""
+
+import hashlib
+import typing
+import uuid
+
+import msgspec
+from result import Err, Ok
+
+from alderreach.core import codec, resources
+from alderreach.core.generated import common, entry, errors, keeper, placer
+from alderreach.ops.entry import answers, intake
+
+KEEPERS_TIMEOUT_MS = 3000
+OWNER_TIMEOUT_MS = 1000
+MOST_TASKS = 100_000
+ID_HEX = 20
+GANG = "gang"
+KINDS = ("batch", GANG)
+UNSENT = ("no_quorum", "busy")
+
+
+class Order(typing.TypedDict):
+    """The JSON body of a submission."""
+
+    team: str
+    workload: str
+    tasks: typing.NotRequired[int]
+    payload: typing.NotRequired[str]
+    priority: typing.NotRequired[int]
+    failure_domain: typing.NotRequired[str]
+
+
+ORDER_KEYS = frozenset(Order.__annotations__)
+_decoder = msgspec.json.Decoder(dict)
+
+
+class Jobs:
+    """Serves the paths below /v1/jobs; any thread may call."""
+
+    def __init__(self, context, get_catalog, keepers, ask_peer):
+        self._context = context
+        self._clock = context.clock
+        self._get_catalog = get_catalog
+        self._keepers = keepers
+        self._ask_peer = ask_peer
+        process = context.settings.process
+        peers = context.settings.peers
+        self._domains = {peer.failure_domain for peer in peers}
+        self._domains.add(process.failure_domain)
+
+    def submit(self, environ):
+        """POST /v1/jobs."""
+        limits = self._context.settings.limits
+        body = intake.read_body(environ, limits, self._clock)
+        if isinstance(body, Err):
+            return answers.problem(body.err_value)
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        if key and not intake.is_key(key, limits):
+            return _malformed(intake.key_rule(limits))
+        order = read_order(body.ok_value)
+        if isinstance(order, Err):
+            return _malformed(order.err_value)
+        job = self._make_job(order.ok_value, key)
+        if isinstance(job, Err):
+            return answers.problem(job.err_value)
+        return self._accept(job.ok_value, key, order.ok_value)
+
+    def show(self, job_id):
+        """GET /v1/jobs/{id}: as its owner sees it, else as the log has it."""
+        domain = self._domain_of(job_id)
+        if domain is None:
+            return _not_found(job_id)
+        owner = self._get_catalog().owners.get(domain)
+        if owner is not None:
+            query = placer.JobQuery("", job_id)
+            reply = self._ask_peer(owner.peer_address, query, OWNER_TIMEOUT_MS)
+            if reply is not None and reply.owned and reply.statuses:
+                return _shown(domain, reply.statuses[0], reply.tasks, "owner")
+        return self._show_recorded(domain, job_id)
+
+    def cancel(self, job_id):
+        """DELETE /v1/jobs/{id}: accepted once it is in the log."""
+        domain = self._domain_of(job_id)
+        if domain is None:
+            return _not_found(job_id)
+        found = self._read(f"job/{domain}/{job_id}")
+        if isinstance(found, Err):
+            return answers.problem(_unwritten(found.err_value))
+        if found.ok_value is None:
+            return _not_found(job_id)
+        write = keeper.ItemWrite(f"cancel/{domain}/{job_id}", -1, b"")
+        result = self._write(uuid.uuid4().hex, [write])
+        if isinstance(result, Err):
+            return answers.problem(_unwritten(result.err_value))
+        self._context.timeline.record("job_cancel_accepted", job_id=job_id)
+        return answers.json_answer(202, {"job_id": job_id, "state": "cancelling"})
+
+    def _make_job(self, order, key):
+        """The job an order asks for, or why there can be none."""
+        known = self._get_catalog()
+        team = known.teams.get(order["team"])
+        if team is None:
+            return Err(answers.Failure(errors.Kind.UNKNOWN_TEAM, order["team"]))
+        load = known.workloads.get((order["team"], order["workload"]))
+        if load is None or load.kind not in KINDS:
+            detail = f"{order['workload']} is no batch run or gang job of the team"
+            return Err(answers.Failure(errors.Kind.UNKNOWN_WORKLOAD, detail))
+        domain = order.get("failure_domain") or load.home_failure_domain
+        domain = domain or self._context.settings.process.failure_domain
+        if domain not in self._domains:
+            detail = f"{domain} is no failure domain of the cell"
+            return Err(answers.Failure(errors.Kind.MALFORMED_REQUEST, detail))
+        tasks = order.get("tasks") or load.tasks
+        together = tasks if load.kind == GANG else 1
+        if not resources.fits(resources.times(load.task, together), team.quota):
+            detail = "The team's quota is too small for it"
+            return Err(answers.Failure(errors.Kind.IMPOSSIBLE_JOB, detail))
+        return Ok(
+            common.Job(
+                f"{domain}-{_job_hash(order['team'], key)}",
+                order["team"],
+                load.name,
+                load.kind,
+                domain,
+                load.task,
+                tasks,
+                order.get("priority", load.priority),
+                load.when_cut_off,
+                load.checkpoint,
+                load.expected_run_ms,
+                order.get("payload", ""),
+                self._clock.wall_ms(),
+                key,
+            )
+        )
+
+    def _accept(self, job, key, order):
+        item = f"job/{job.failure_domain}/{job.job_id}"
+        writes = [keeper.ItemWrite(item, 0, codec.encode(job))]
+        submission = entry.Submission(job.job_id, job.failure_domain, _digest(order))
+        place = f"submission/{job.team}/{_hash(key)}"
+        if key:
+            writes.append(keeper.ItemWrite(place, 0, codec.encode(submission)))
+        result = self._write(uuid.uuid4().hex, writes)
+        if isinstance(result, Err):
+            return answers.problem(_unwritten(result.err_value))
+        if result.ok_value.status == "accepted":
+            self._context.timeline.record(
+                "job_accepted", job_id=job.job_id, team=job.team
+            )
+            return _accepted(201, job.job_id, job.failure_domain)
+        if not key:
+            return answers.problem(answers.Failure(errors.Kind.CONFLICT))
+        return self._accepted_before(place, submission)
+
+    def _accepted_before(self, place, submission):
+        found = self._read(place)
+        if isinstance(found, Err):
+            return answers.problem(_unread(found.err_value))
+        if found.ok_value is None:
+            return answers.problem(answers.Failure(errors.Kind.CONFLICT))
+        first = codec.decode(found.ok_value.value, entry.Submission)
+        if first.digest != submission.digest:
+            return answers.problem(answers.Failure(errors.Kind.KEY_REUSED))
+        return _accepted(200, first.job_id, first.failure_domain)
+
+    def _show_recorded(self, domain, job_id):
+        status = self._read(f"status/{domain}/{job_id}")
+        if isinstance(status, Ok) and status.ok_value is not None:
+            decoded = codec.decode(status.ok_value.value, common.JobStatus)
+            return _shown(domain, decoded, [], "keepers")
+        job = self._read(f"job/{domain}/{job_id}")
+        if isinstance(status, Err) or isinstance(job, Err):
+            return answers.problem(answers.Failure(errors.Kind.NO_QUORUM))
+        if job.ok_value is None:
+            return _not_found(job_id)
+        waiting = common.JobStatus(job_id, "waiting", "not yet seen", 0, 0, 0, 0, 0)
+        return _shown(domain, waiting, [], "keepers")
+
+    def _read(self, key):
+        """``Ok(Item or None)`` as the quorum has it, or ``Err(status)``."""
+        page = self._keepers.ask(keeper.ReadItems(key), KEEPERS_TIMEOUT_MS)
+        return page.map(
+            lambda page: next(
+                (i for i in page.items if i.key == key and i.value is not None), None
+            )
+        )
+
+    def _write(self, idempotency_key, writes):
+        command = keeper.WriteItems(
+            idempotency_key,
+            self._context.settings.process.name,
+            writes,
+            "",
+            0,
+            self._clock.wall_ms(),
+        )
+        return self._keepers.ask(command, KEEPERS_TIMEOUT_MS)
+
+    def _domain_of(self, job_id):
+        domain, _, rest = job_id.rpartition("-")
+        is_known = domain in self._domains and rest.isalnum()
+        return domain if is_known else None
+
+
+def read_order(body):
+    """``Ok(Order)`` or ``Err(text)`` that names the first mistake."""
+    try:
+        raw = _decoder.decode(body)
+        unknown = sorted(set(raw) - ORDER_KEYS)
+        if unknown:
+            return Err(f"unknown field {unknown[0]}")
+        order = msgspec.convert(raw, Order)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(str(error))
+    if not 1 <= order.get("tasks", 1) <= MOST_TASKS:
+        return Err(f"tasks must be from 1 to {MOST_TASKS}")
+    if not 0 <= order.get("priority", 0) <= 9:
+        return Err("priority must be from 0 to 9")
+    return Ok(order)
+
+
+def _hash(text):
+    return hashlib.sha256(text.encode()).hexdigest()[:ID_HEX]
+
+
+def _job_hash(team, key):
+    return _hash(f"{team}/{key}") if key else uuid.uuid4().hex[:ID_HEX]
+
+
+def _digest(order):
+    return hashlib.sha256(msgspec.json.encode(order, order="sorted")).hexdigest()
+
+
+def _accepted(status, job_id, domain):
+    document = {"job_id": job_id, "failure_domain": domain}
+    return answers.json_answer(status, document, (("Location", f"/v1/jobs/{job_id}"),))
+
+
+def _shown(domain, status, tasks, source):
+    document = status._asdict() | {
+        "failure_domain": domain,
+        "tasks": [task._asdict() for task in tasks],
+        "source": source,
+    }
+    return answers.json_answer(200, document)
+
+
+def _malformed(detail):
+    return answers.problem(answers.Failure(errors.Kind.MALFORMED_REQUEST, detail))
+
+
+def _not_found(job_id):
+    return answers.problem(answers.Failure(errors.Kind.NOT_FOUND, f"job {job_id}"))
+
+
+def _unwritten(status):
+    """A write that ended without result: refused for sure, or nobody knows."""
+    sure = status in UNSENT
+    kind = errors.Kind.NO_QUORUM if sure else errors.Kind.WRITE_UNCONFIRMED
+    return answers.Failure(kind)
+
+
+def _unread(status):
+    return answers.Failure(errors.Kind.WRITE_UNCONFIRMED, f"reading: {status}")
--- /dev/null
+++ b/alderreach/ops/entry/keepers.py
@@ -0,0 +1,51 @@
+"""Questions of HTTP threads to the keepers, few enough to leave threads for others.
+
+While the quorum is out of reach each question lasts until it times out. Without a
+bound, callers with keys and jobs would then hold every thread of the entry, and
+requests that need no quorum would find none; that they go on is promised.
+"""
+
+import threading
+
+from result import Err, Ok, Result
+
+from alderreach.core import codec
+from alderreach.ops import keeper_client
+
+THREADS_PER_QUESTION = 3
+BUSY = "busy"
+
+
+class Keepers:
+    """Asks through the gateway; any thread may call."""
+
+    def __init__(self, gateway, http_threads):
+        self._gateway = gateway
+        self._permits = threading.BoundedSemaphore(
+            max(1, http_threads // THREADS_PER_QUESTION)
+        )
+
+    def ask(self, command, timeout_ms) -> Result:
+        """``Ok(message)``, or ``Err(status)``: no_quorum, uncertain or busy.
+
+        ``busy`` and ``no_quorum`` prove that the command is not in the log.
+        """
+        if not self._permits.acquire(blocking=False):
+            return Err(BUSY)
+        try:
+            return _unpack(self._gateway.ask_keepers(command, timeout_ms))
+        finally:
+            self._permits.release()
+
+    def request(self, command, done, timeout_ms):
+        """Ask without waiting; ``done(Result)`` is called on the gateway's thread."""
+        self._gateway.request(
+            command, lambda outcome: done(_unpack(outcome)), timeout_ms
+        )
+
+
+def _unpack(outcome: keeper_client.Outcome) -> Result:
+    if outcome.status != "ok":
+        return Err(outcome.status)
+    unpacked = codec.unpack(outcome.result)
+    return Ok(unpacked.ok_value) if unpacked.is_ok() else Err("uncertain")
--- /dev/null
+++ b/alderreach/ops/entry/requests.py
@@ -0,0 +1,250 @@
+"""One request to a service, from checked headers to the answer, in its HTTP thread.
+
+The thread asks the dispatcher for a runner, makes the call itself and reports how it
+ended. What the caller is told follows from all attempts together: once one of them may
+have run, nothing that comes later can make the outcome not-run again.
+"""
+
+import typing
+import uuid
+
+from result import Err, Ok
+
+from alderreach.core import idempotency
+from alderreach.core.generated import common, errors
+from alderreach.decisions import serving
+from alderreach.ops.entry import answers, intake, once, runner_wire
+
+ATTEMPTS_HEADER = "Alderreach-Attempts"
+FAILURES = {
+    runner_wire.REFUSED: errors.Kind.TARGET_REFUSED,
+    runner_wire.UNREACHABLE: errors.Kind.NO_TARGET,
+    runner_wire.TIMED_OUT: errors.Kind.TIMEOUT,
+    runner_wire.BROKEN: errors.Kind.TARGET_FAILED,
+}
+
+
+class Request(typing.NamedTuple):
+    """A whole, well-formed request to a service."""
+
+    request_id: str
+    service: common.Workload
+    headers: intake.RequestHeaders
+    body: bytes
+    arrived_ms: int
+    deadline_ms: int
+    is_idempotent: bool
+
+    @property
+    def may_repeat(self):
+        """Without a key, a non-idempotent request gets one attempt only."""
+        return self.is_idempotent or bool(self.headers.idempotency_key)
+
+
+class Ending(typing.NamedTuple):
+    """How the attempts ended together; ``failure`` is None if there is an answer."""
+
+    attempts: int
+    reply: runner_wire.Reply | None
+    failure: answers.Failure | None
+
+
+class Requests:
+    """Serves requests to services; any thread may call."""
+
+    def __init__(self, context, get_catalog, dispatcher, wire, claims):
+        self._context = context
+        self._clock = context.clock
+        self._get_catalog = get_catalog
+        self._dispatcher = dispatcher
+        self._wire = wire
+        self._claims = claims
+
+    def serve(self, environ, service_name):
+        """Answer one HTTP request."""
+        arrived_ms = self._clock.monotonic_ms()
+        request_id = uuid.uuid4().hex
+        checked = self._check(environ, service_name, request_id, arrived_ms)
+        if isinstance(checked, Err):
+            answer = answers.problem(checked.err_value, request_id, (_attempts(0),))
+            self._note(request_id, "", answer, arrived_ms, checked.err_value)
+            return answer
+        request = checked.ok_value
+        if not request.is_idempotent and request.headers.idempotency_key:
+            ending = self._serve_keyed(request)
+        else:
+            ending = self._attempt(request)
+        answer = _answer(request, ending)
+        team = request.headers.team
+        self._note(request_id, team, answer, arrived_ms, ending.failure)
+        return answer
+
+    def _check(self, environ, service_name, request_id, arrived_ms):
+        limits = self._context.settings.limits
+        body = intake.read_body(environ, limits, self._clock)
+        headers = intake.read_headers(environ, limits)
+        for found in (body, headers):
+            if isinstance(found, Err):
+                return found
+        headers = headers.ok_value
+        known = self._get_catalog()
+        service = known.services.get(service_name)
+        if headers.team not in known.teams:
+            return Err(answers.Failure(errors.Kind.UNKNOWN_TEAM, headers.team))
+        if service is None:
+            return Err(answers.Failure(errors.Kind.UNKNOWN_SERVICE, service_name))
+        deadline_ms = (
+            headers.deadline_ms or service.deadline_ms or limits.deadline_default_ms
+        )
+        return Ok(
+            Request(
+                request_id,
+                service,
+                headers,
+                body.ok_value,
+                arrived_ms,
+                arrived_ms + deadline_ms,
+                service.idempotent and not headers.non_idempotent,
+            )
+        )
+
+    def _serve_keyed(self, request):
+        keyed = once.Keyed(
+            idempotency.scoped_key(
+                request.headers.team, request.headers.idempotency_key
+            ),
+            request.service.name,
+            idempotency.digest(
+                request.service.name, request.headers.content_type, request.body
+            ),
+            request.request_id,
+            request.deadline_ms,
+        )
+        claimed = self._claims.claim(keyed)
+        if isinstance(claimed, Err):
+            return Ending(0, None, claimed.err_value)
+        recorded = claimed.ok_value
+        if recorded is not None:
+            reply = runner_wire.Reply(runner_wire.ANSWERED, "", *recorded)
+            return Ending(0, reply, None)
+        ending = self._attempt(request)
+        self._settle(keyed, ending)
+        return ending
+
+    def _settle(self, keyed, ending):
+        if ending.failure is None:
+            reply = ending.reply
+            self._claims.record_ran(keyed, reply.status, reply.content_type, reply.body)
+        elif errors.ANSWERS[ending.failure.kind].outcome == idempotency.NOT_RUN:
+            self._claims.release(keyed)
+        else:
+            self._claims.record_unknown(keyed)
+
+    def _attempt(self, request):
+        """Send to one runner after another until one answers or no more is allowed."""
+        excluded, attempts, worst = (), 0, None
+        while True:
+            ask = serving.Ask(
+                request.request_id,
+                request.headers.team,
+                _priority(request),
+                self._clock.monotonic_ms(),
+                request.deadline_ms,
+                attempts + 1,
+            )
+            decision = self._dispatcher.ask(request.service.name, ask, excluded)
+            if isinstance(decision, serving.Refusal):
+                failure = answers.Failure(decision.kind, "", decision.retry_after_ms)
+                return Ending(attempts, None, worst or failure)
+            attempts += 1
+            reply = self._call(request, decision.runner, attempts)
+            if reply.result == runner_wire.ANSWERED:
+                return Ending(attempts, reply, None)
+            worst = _worse(worst, reply)
+            if not self._may_retry(request, worst):
+                return Ending(attempts, None, worst)
+            excluded += (decision.runner.runner_id,)
+
+    def _may_retry(self, request, worst):
+        if not request.may_repeat or self._clock.monotonic_ms() >= request.deadline_ms:
+            return False
+        is_proved = errors.ANSWERS[worst.kind].outcome == idempotency.NOT_RUN
+        return is_proved or request.is_idempotent
+
+    def _call(self, request, runner, attempt):
+        """One attempt; the dispatcher hears of its end whatever happens."""
+        started_ms = self._clock.monotonic_ms()
+        call = runner_wire.Call(
+            request.request_id,
+            attempt,
+            request.headers.content_type,
+            request.body,
+            request.deadline_ms,
+        )
+        reply = runner_wire.Reply(runner_wire.BROKEN, "fault of the entry")
+        try:
+            reply = self._wire.send(runner, call)
+        finally:
+            run_ms = self._clock.monotonic_ms() - started_ms
+            self._dispatcher.report(
+                request.service.name,
+                serving.Ended(
+                    request.request_id,
+                    runner.runner_id,
+                    reply.result,
+                    reply.status,
+                    run_ms,
+                ),
+            )
+        self._context.timeline.record(
+            "request_attempted",
+            request_id=request.request_id,
+            target_id=runner.runner_id,
+            team=request.headers.team,
+            detail=f"attempt {attempt} {reply.result} {reply.detail}".rstrip(),
+        )
+        return reply
+
+    def _note(self, request_id, team, answer, arrived_ms, failure):
+        took_ms = self._clock.monotonic_ms() - arrived_ms
+        kind = failure.kind.value if failure else "answered"
+        self._context.metrics.count("requests", kind)
+        self._context.metrics.observe_ms("request", took_ms)
+        self._context.timeline.record(
+            "request_ended",
+            request_id=request_id,
+            team=team,
+            detail=f"{kind} {answer.status} after {took_ms} ms",
+        )
+
+
+def _priority(request):
+    given = request.headers.priority
+    return request.service.priority if given is None else given
+
+
+def _worse(worst, reply):
+    """The failure to tell of after one more attempt has failed."""
+    failure = answers.Failure(FAILURES[reply.result], reply.detail)
+    if worst is None or errors.ANSWERS[worst.kind].outcome == idempotency.NOT_RUN:
+        return failure
+    return worst
+
+
+def _attempts(number):
+    return (ATTEMPTS_HEADER, str(number))
+
+
+def _answer(request, ending):
+    if ending.failure is not None:
+        return answers.problem(
+            ending.failure, request.request_id, (_attempts(ending.attempts),)
+        )
+    reply = ending.reply
+    headers = (
+        ("Content-Type", reply.content_type or "application/octet-stream"),
+        ("Alderreach-Outcome", idempotency.RAN),
+        ("Alderreach-Request-Id", request.request_id),
+        _attempts(ending.attempts),
+    )
+    return answers.Answer(reply.status, headers, reply.body)
--- /dev/null
+++ b/alderreach/ops/entry/runner_wire.py
@@ -0,0 +1,246 @@
+"""The wire to runners: one HTTP request, one whole answer or the truth about it.
+
+A runner may die while it answers, answer late on a connection that was given up, or
+send less or more than it announced. An answer is taken only if it echoes this request,
+this attempt and this boot of the runner and has exactly the length it names.
+
+``refused`` and ``unreachable`` are proofs that nothing ran: the runner said so, or no
+connection came about. Once the first byte may have been written nothing is proved any
+more, also on a reused connection that the runner had closed, so those end as
+``broken``.
+"""
+
+import collections
+import socket
+import threading
+import typing
+
+import urllib3
+from urllib3 import connection, util
+
+from alderreach.core.generated import placer
+
+REQUESTS_PATH = "/v1/requests"
+CONNECT_TIMEOUT_MS = 1000
+IDLE_REUSE_MS = 3000
+READ_BYTES = 65536
+ANSWERED = "answered"
+REFUSED = "refused"
+UNREACHABLE = "unreachable"
+TIMED_OUT = "timed_out"
+BROKEN = "broken"
+NOT_RUN_RESULTS = (REFUSED, UNREACHABLE)
+
+
+class Call(typing.NamedTuple):
+    """One attempt of a request."""
+
+    request_id: str
+    attempt: int
+    content_type: str
+    body: bytes
+    deadline_ms: int
+
+
+class Reply(typing.NamedTuple):
+    """How an attempt ended: ``result`` is one of the constants above."""
+
+    result: str
+    detail: str = ""
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+class _Idle(typing.NamedTuple):
+    link: connection.HTTPConnection
+    since_ms: int
+
+
+class RunnerWire:
+    """Connections to runners, kept for reuse; any thread may call.
+
+    How many are open to one runner at once is bounded by the caller, which never has
+    more attempts under way there than its share of the runner's connections.
+    """
+
+    def __init__(self, clock, answer_bytes):
+        self._clock = clock
+        self._answer_bytes = answer_bytes
+        self._lock = threading.Lock()
+        self._idle = collections.defaultdict(list)
+
+    def send(self, runner: placer.RunnerView, call: Call) -> Reply:
+        """Send one attempt and wait until it has ended or its deadline is there."""
+        link = self._take(runner)
+        if link is None:
+            link = self._connect(runner, call)
+        if isinstance(link, Reply):
+            return link
+        try:
+            reply, is_reusable = self._exchange(link, runner, call)
+        except (TimeoutError, urllib3.exceptions.TimeoutError):
+            reply, is_reusable = Reply(TIMED_OUT), False
+        except (OSError, urllib3.exceptions.HTTPError, ValueError) as error:
+            reply, is_reusable = Reply(BROKEN, repr(error)), False
+        if is_reusable:
+            self._give_back(runner, link)
+        else:
+            link.close()
+        return reply
+
+    def forget(self, runner_key):
+        """Close what is idle towards a runner that is gone; see ``key_of``."""
+        with self._lock:
+            idle = self._idle.pop(runner_key, [])
+        for entry in idle:
+            entry.link.close()
+
+    def close(self):
+        """Close all idle connections."""
+        for key in list(self._idle):
+            self.forget(key)
+
+    def _take(self, runner):
+        """A connection used lately, which the runner has surely not timed out."""
+        now_ms = self._clock.monotonic_ms()
+        while True:
+            with self._lock:
+                idle = self._idle.get(key_of(runner))
+                entry = idle.pop() if idle else None
+            if entry is None:
+                return None
+            is_fresh = now_ms - entry.since_ms <= IDLE_REUSE_MS
+            if is_fresh and entry.link.is_connected:
+                return entry.link
+            entry.link.close()
+
+    def _give_back(self, runner, link):
+        with self._lock:
+            idle = self._idle[key_of(runner)]
+            idle.append(_Idle(link, self._clock.monotonic_ms()))
+            surplus = idle.pop(0) if len(idle) > runner.connections else None
+        if surplus is not None:
+            surplus.link.close()
+
+    def _connect(self, runner, call):
+        host, _, port = runner.address.rpartition(":")
+        left_ms = call.deadline_ms - self._clock.monotonic_ms()
+        if left_ms <= 0:
+            return Reply(UNREACHABLE, "no time left to connect")
+        timeout_s = min(left_ms, CONNECT_TIMEOUT_MS) / 1000
+        link = connection.HTTPConnection(host, int(port), timeout=timeout_s)
+        try:
+            link.connect()
+        except (OSError, urllib3.exceptions.HTTPError) as error:
+            link.close()
+            return Reply(UNREACHABLE, repr(error))
+        return link
+
+    def _exchange(self, link, runner, call):
+        left_ms = call.deadline_ms - self._clock.monotonic_ms()
+        if left_ms <= 0:
+            return Reply(UNREACHABLE, "no time left to send"), False
+        link.sock.settimeout(left_ms / 1000)
+        headers = {
+            "Content-Type": call.content_type,
+            "Alderreach-Request-Id": call.request_id,
+            "Alderreach-Attempt": str(call.attempt),
+            "Alderreach-Boot-Id": runner.boot_id,
+            "Alderreach-Deadline-Ms": str(left_ms),
+        }
+        link.request(
+            "POST",
+            REQUESTS_PATH,
+            body=call.body,
+            headers=headers,
+            preload_content=False,
+            decode_content=False,
+        )
+        response = link.getresponse()
+        mistake = self._check_head(response, runner, call)
+        if mistake:
+            return Reply(BROKEN, mistake), False
+        length = int(response.headers["Content-Length"])
+        body = self._read(link, response, length, call)
+        if body is None:
+            return Reply(BROKEN, "the answer's length is not the one it names"), False
+        is_reusable = response.headers.get("Connection", "").lower() != "close"
+        if _is_refusal(response):
+            return Reply(REFUSED, body.decode(errors="replace")[:200]), is_reusable
+        content_type = response.headers.get("Content-Type", "")
+        return (
+            Reply(ANSWERED, "", response.status, content_type, body),
+            is_reusable,
+        )
+
+    def _check_head(self, response, runner, call):
+        """What is wrong with an answer's headers, or an empty text."""
+        expected = {
+            "Alderreach-Request-Id": call.request_id,
+            "Alderreach-Attempt": str(call.attempt),
+            "Alderreach-Boot-Id": runner.boot_id,
+        }
+        if _is_refusal(response):
+            # A runner refuses a call for another boot by naming its own.
+            del expected["Alderreach-Boot-Id"]
+        for name, value in expected.items():
+            if response.headers.get(name) != value:
+                return f"{name} is {response.headers.get(name)!r}, not {value!r}"
+        if "Transfer-Encoding" in response.headers:
+            return "the answer names no length"
+        length = response.headers.get("Content-Length", "")
+        if not length.isascii() or not length.isdigit():
+            return f"Content-Length is {length!r}"
+        if int(length) > self._answer_bytes:
+            return f"the answer has {length} bytes"
+        return ""
+
+    def _read(self, link, response, length, call):
+        """The whole body, or None if fewer or more bytes came than were named.
+
+        A runner that sends more than it names would have the rest taken for the start
+        of the next answer. The surplus shows in the reader's buffer while one byte of
+        the body is still unread, or in the socket after it.
+        """
+        chunks, left = [], length
+        while left > 1:
+            self._allow(link, call)
+            chunk = response.read(min(READ_BYTES, left - 1))
+            if not chunk:
+                return None
+            chunks.append(chunk)
+            left -= len(chunk)
+        self._allow(link, call)
+        reader = response._fp.fp
+        has_surplus = reader is not None and len(reader.peek(1)) > left and left > 0
+        chunks.append(response.read(1))
+        body = b"".join(chunks)
+        if has_surplus or len(body) != length or _has_input(link.sock):
+            return None
+        return body
+
+    def _allow(self, link, call):
+        """Let the next read of the socket take the time that is left."""
+        left_ms = call.deadline_ms - self._clock.monotonic_ms()
+        if left_ms <= 0:
+            raise TimeoutError
+        if link.sock is not None:
+            link.sock.settimeout(left_ms / 1000)
+
+
+def key_of(runner):
+    """What connections are kept by: a restarted runner gets new ones."""
+    return (runner.runner_id, runner.boot_id, runner.address)
+
+
+def _is_refusal(response):
+    outcome = response.headers.get("Alderreach-Outcome", "")
+    return response.status == 503 and outcome == "not-run"
+
+
+def _has_input(sock):
+    """Whether bytes wait on a socket; its end alone is none."""
+    if sock is None or not util.wait_for_read(sock, timeout=0):
+        return False
+    return len(sock.recv(1, socket.MSG_PEEK)) > 0
--- /dev/null
+++ b/alderreach/ops/entry/service.py
@@ -0,0 +1,131 @@
+"""The entry daemon's parts, put together.
+
+HTTP threads run ``requests`` and ``jobs``; the dispatcher's task owns queues and
+routing; the gateway's task owns the copy of the configuration and the questions to the
+keepers. They share nothing but messages and immutable snapshots.
+"""
+
+import time
+
+from alderreach.core import catalog
+from alderreach.core.generated import entry, placer
+from alderreach.ops import daemon, gateway
+from alderreach.ops.entry import (
+    callers,
+    dispatcher,
+    jobs,
+    keepers,
+    once,
+    requests,
+    runner_wire,
+)
+from alderreach.utils import http_server
+
+PREFIXES = ("team/", "workload/", "maintenance/", "owner/")
+DRAIN_QUIET_MS = 1000
+DRAIN_POLL_MS = 20
+READY_GRACE_MS = 3000
+
+
+class Entry:
+    """The role: what the daemon's frame calls."""
+
+    def __init__(self, context):
+        self._context = context
+        self._started_ms = context.clock.monotonic_ms()
+        self._catalog = catalog.EMPTY
+        self._was_current = False
+        limits, process = context.settings.limits, context.settings.process
+        wire = runner_wire.RunnerWire(context.clock, limits.answer_bytes)
+        context.stack.callback(wire.close)
+        self._dispatcher = dispatcher.Dispatcher(
+            context, lambda runner: wire.forget(runner_wire.key_of(runner))
+        ).start()
+        context.stack.callback(self._dispatcher.close)
+        self._gateway = gateway.Gateway(context, PREFIXES, self._take_items).start()
+        context.stack.callback(self._gateway.close)
+        asked = keepers.Keepers(self._gateway, limits.http_threads)
+        self._claims = once.Once(
+            asked,
+            context.clock,
+            (process.name, context.boot_id),
+            limits.kept_answer_bytes,
+            lambda duration_ms: time.sleep(duration_ms / 1000),
+        )
+        self._in_flight = callers.InFlight(context.clock)
+        self._serve_callers(wire, asked)
+
+    def deliver(self, received):
+        """Take a peer's message."""
+        if self._gateway.deliver(received):
+            return
+        if isinstance(received.message, placer.TargetsView | entry.EntryHello):
+            self._dispatcher.put(received.message)
+
+    def status(self):
+        """The entry's state; ready once it has a configuration and its runners."""
+        published = self._dispatcher.published
+        detail = {
+            "in_flight": self._in_flight.number,
+            "waiting": published.waiting,
+            "granted": published.granted,
+            "runners": published.runners,
+            "unrecorded": self._claims.unrecorded,
+            "current": int(self._gateway.is_current),
+        }
+        for domain, epoch in published.epochs.items():
+            detail[f"epoch_{domain}"] = epoch
+        return daemon.RoleStatus(
+            self._gateway.items.version, "serving", self._is_ready(published), detail
+        )
+
+    def drain(self):
+        """Serve what comes until the balancer has gone elsewhere, then end.
+
+        Requests that arrive while the balancer has not yet noticed are served like any
+        other, on connections that are closed after the answer: refusing them would cut
+        requests in a planned stop.
+        """
+        clock = self._context.clock
+        give_up_ms = clock.monotonic_ms() + self._context.settings.timing.drain_ms
+        while clock.monotonic_ms() < give_up_ms:
+            if self._in_flight.is_quiet(DRAIN_QUIET_MS) and not self._claims.unrecorded:
+                return
+            time.sleep(DRAIN_POLL_MS / 1000)
+
+    def _is_ready(self, published):
+        has_copy = self._gateway.items.version > 0
+        self._was_current = self._was_current or has_copy or self._gateway.is_current
+        domain = self._context.settings.process.failure_domain
+        waited_ms = self._context.clock.monotonic_ms() - self._started_ms
+        knows_runners = domain in published.epochs or waited_ms > READY_GRACE_MS
+        return self._was_current and knows_runners
+
+    def _take_items(self, _changed, copy):
+        self._catalog = catalog.build(copy)
+        self._dispatcher.put(self._catalog)
+
+    def _serve_callers(self, wire, asked):
+        context, limits = self._context, self._context.settings.limits
+        get_catalog = lambda: self._catalog
+        served = requests.Requests(
+            context, get_catalog, self._dispatcher, wire, self._claims
+        )
+        job_paths = jobs.Jobs(context, get_catalog, asked, self._gateway.ask_peer)
+        application = callers.build(context, self, served, job_paths, self._in_flight)
+        server = http_server.HttpServer(
+            context.settings.listen.callers,
+            application,
+            http_server.HttpLimits(
+                limits.http_threads,
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.caller_idle_ms,
+            ),
+        )
+        context.stack.callback(server.close)
+
+
+def build(context):
+    """Make the entry and start serving; see ``ops.daemon``."""
+    return Entry(context)
