--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -19,7 +19,7 @@
 import typing
 import uuid
 
-from absl import logging
+from absl import flags, logging
 
 from alderreach.core import problems
 from alderreach.core.generated import common
@@ -110,6 +110,7 @@
 
 def run(role, build, settings):
     """Run a daemon with checked settings until SIGTERM; returns the exit code."""
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     stopping = threading.Event()
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,252 @@
+"""Start a whole deployment on loopback addresses, use it as its users would, stop it.
+
+Four failure domains with two entry VMs each, five keepers, 24 stand-in workers and 24
+stand-in runners. Every step checks its outcome; the first wrong one ends the demo with
+a non-zero code. Whatever was started is stopped, also when the demo is interrupted.
+"""
+
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import uuid
+
+import urllib3
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from tools import cell as cells  # noqa: E402
+from tools.standins import history, targets  # noqa: E402
+
+WORKER = {"cpu_millis": 64_000, "memory_mb": 131_072, "accelerators": 0}
+EXAMPLE = ROOT / "examples" / "serra-alta.toml"
+TEAM = "serra-alta"
+SERVICE = "route-closure"
+SERVICE_URL = f"/v1/services/{SERVICE}/requests"
+REQUESTS = 200
+RACK_DOMAIN = "cambara"
+WINDOW_LEAD_S = 8
+WINDOW_LENGTH_S = 600
+
+
+class DemoFailure(Exception):
+    """A step of the demo went wrong."""
+
+
+def check(condition, what):
+    if not condition:
+        raise DemoFailure(what)
+
+
+def say(text):
+    print(f"\n== {text}", flush=True)
+
+
+def client(cell, *arguments, show=False, code=0):
+    """Run the operators' command line against the cell; returns its output."""
+    entries = [plan.operators for plan in cell.of_role("entry")]
+    command = [sys.executable, "-m", "alderreach.scripts.client", *arguments]
+    for entry in entries[:2]:
+        command += ["--entry", entry]
+    command += ["--token-file", str(cell.folder / "operator.token")]
+    done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, timeout=60)
+    if show:
+        print(done.stdout, end="", flush=True)
+    check(done.returncode == code, f"{arguments}: {done.stdout}{done.stderr}")
+    return done.stdout
+
+
+def call(http, address, body, **headers):
+    """One caller's request to the service; returns the response."""
+    headers = {"Alderreach-Team": TEAM, "Alderreach-Deadline-Ms": "5000"} | headers
+    return http.request(
+        "POST", f"http://{address}{SERVICE_URL}", body=body, headers=headers
+    )
+
+
+def start_targets(cell):
+    """One process of stand-ins for each domain; returns their histories."""
+    paths = []
+    for domain in cells.DOMAINS:
+        specs = targets.make_specs(
+            cell,
+            domain,
+            workers=6,
+            runners=6,
+            capacity=WORKER,
+            service=SERVICE,
+            team=TEAM,
+            slots=8,
+            connections=64,
+            work_ms=5,
+        )
+        paths.append(targets.start(cell, f"targets-{domain}", specs))
+    return paths
+
+
+def serve_requests(cell, http):
+    """Requests through every entry: each gets the answer to its own."""
+    entries = [plan.callers for plan in cell.of_role("entry")]
+    for number in range(REQUESTS):
+        body = json.dumps({"route": number}).encode()
+        answer = call(http, entries[number % len(entries)], body)
+        check(answer.status == 200, f"request {number}: {answer.status} {answer.data}")
+        check(json.loads(answer.data)["echo"].encode() == body, "an answer was crossed")
+    print(f"{REQUESTS} requests over {len(entries)} entries, each with its own answer")
+
+
+def dispatch_once(cell, http, paths):
+    """A non-idempotent request sent three times over two entries runs once."""
+    key = uuid.uuid4().hex
+    body = json.dumps({"dispatch": key}).encode()
+    headers = {"Alderreach-Non-Idempotent": "true", "Idempotency-Key": key}
+    entries = cell.of_role("entry")
+    places = (entries[0], entries[0], entries[5])
+    answers = [call(http, plan.callers, body, **headers) for plan in places]
+    for answer in answers:
+        check(answer.status == 200, f"dispatch: {answer.status} {answer.data}")
+    check(len({answer.data for answer in answers}) == 1, "resends got another answer")
+    events = history.read(paths)
+    runs = [event for event in events if key in event.get("body", "")]
+    check(len(runs) == 1, f"the dispatch ran {len(runs)} times")
+    print("sent three times over two entries, ran once, one answer:")
+    print(answers[0].data.decode())
+
+
+def run_job(cell, http, workload, tasks, payload):
+    """Submit a job to an entry and wait until it has finished."""
+    entry = cell.of_role("entry")[0].callers
+    order = {"team": TEAM, "workload": workload, "tasks": tasks}
+    order["payload"] = json.dumps(payload)
+    headers = {"Content-Type": "application/json", "Idempotency-Key": uuid.uuid4().hex}
+    body = json.dumps(order).encode()
+    answer = http.request("POST", f"http://{entry}/v1/jobs", body=body, headers=headers)
+    check(answer.status in (200, 201, 202), f"{answer.status} {answer.data}")
+    job_id = json.loads(answer.data)["job_id"]
+
+    def ended():
+        shown = http.request("GET", f"http://{entry}/v1/jobs/{job_id}")
+        status = json.loads(shown.data)
+        return status if status.get("state") in ("finished", "failed") else None
+
+    status = cells.wait_until(ended, f"job {job_id} ends")
+    check(status["state"] == "finished", f"job {job_id}: {status}")
+    check(status["finished"] == tasks, f"job {job_id}: {status}")
+    print(f"{workload}: {job_id} finished, {tasks} tasks")
+
+
+def pass_maintenance(cell, http):
+    """A rack is stopped at its date while requests go on; none is cut."""
+    rack = f"{RACK_DOMAIN}-rack-1"
+    entries = [plan.callers for plan in cell.of_role("entry")]
+    stop, failures, served = threading.Event(), [], [0]
+
+    def keep_calling(place):
+        pool = urllib3.PoolManager(retries=False, timeout=10)
+        while not stop.is_set():
+            answer = call(pool, entries[place], b'{"work_ms": 20}')
+            served[0] += 1
+            if answer.status != 200:
+                failures.append((answer.status, answer.data))
+
+    threads = [
+        threading.Thread(target=keep_calling, args=(n,)) for n in range(len(entries))
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        start = int((time.time() + WINDOW_LEAD_S) * 1000)
+        end = start + WINDOW_LENGTH_S * 1000
+        add = ["maintenance", "add", "demo-window", "--failure-domain", RACK_DOMAIN]
+        add += ["--rack", rack, "--start", str(start), "--end", str(end)]
+        client(cell, *add, show=True)
+        cells.wait_until(
+            lambda: rack_is_ready(cell, rack), f"{rack} ready to be stopped"
+        )
+        landlord = cell.processes[f"targets-{RACK_DOMAIN}"]
+        landlord.terminate()
+        landlord.wait(20)
+        time.sleep(1)
+    finally:
+        stop.set()
+        for thread in threads:
+            thread.join()
+    check(not failures, f"{len(failures)} requests were cut, first {failures[:1]}")
+    print(f"{rack} stopped; {served[0]} requests meanwhile, none cut")
+
+
+def rack_is_ready(cell, rack):
+    rows = json.loads(client(cell, "target", "list", "--json"))
+    rows = rows["targets"] if isinstance(rows, dict) else rows
+    notes = [row["note"] for row in rows if row["rack"] == rack]
+    return bool(notes) and all(note.startswith("ready") for note in notes)
+
+
+def run(cell):
+    http = urllib3.PoolManager(retries=False, timeout=10)
+    (cell.folder / "operator.token").write_text(cells.TOKEN + "\n")
+    say("starting 21 daemons on 8 VMs in 4 failure domains")
+    cell.start()
+    cell.wait_ready()
+    paths = start_targets(cell)
+    say("applying the questionnaire of Serra Alta")
+    client(cell, "questionnaire", "apply", str(EXAMPLE), "--yes", show=True)
+    cells.wait_until(lambda: all_entries_route(cell, http), "every entry routes")
+    say("requests")
+    serve_requests(cell, http)
+    say("a crew dispatch, non-idempotent")
+    dispatch_once(cell, http, paths)
+    say("a batch run and a gang job")
+    run_job(cell, http, "closure-plan", 20, {"run_ms": 200})
+    run_job(cell, http, "anchor-survey", 6, {"run_ms": 300})
+    say("landlord maintenance of a rack")
+    pass_maintenance(cell, http)
+    say("status")
+    client(cell, "status", show=True)
+    say("time line (last 25 events)")
+    client(cell, "timeline", "--limit", "25", show=True)
+    events = history.read(paths)
+    check(
+        not [e for e in events if e["event"] == "capacity_exceeded"],
+        "a VM was overfull",
+    )
+
+
+def all_entries_route(cell, http):
+    for plan in cell.of_role("entry"):
+        if call(http, plan.callers, b"{}").status != 200:
+            return False
+    return True
+
+
+def main():
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    started = time.monotonic()
+    with contextlib.ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="alderreach-"))
+        cell = stack.enter_context(cells.Cell(folder))
+        try:
+            run(cell)
+        except (DemoFailure, TimeoutError, RuntimeError) as failure:
+            print(f"demo failed: {failure}", file=sys.stderr)
+            return 1
+        except KeyboardInterrupt:
+            print("interrupted; stopping everything", file=sys.stderr)
+            return 130
+    codes = {name: process.returncode for name, process in cell.processes.items()}
+    wrong = {name: code for name, code in codes.items() if code != 0}
+    if wrong:
+        print(f"demo failed: these did not stop in order: {wrong}", file=sys.stderr)
+        return 1
+    print(f"\ndemo passed in {time.monotonic() - started:.0f} s; all processes stopped")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
