--- /dev/null
+++ b/alderreach/core/records.py
@@ -0,0 +1,72 @@
+"""Schema records as plain objects for JSON, and back with every mistake named.
+
+``msgspec`` writes a ``NamedTuple`` as an array; people and other programs read objects
+with field names. Reading back is strict: a field that is missing, unknown or of the
+wrong type is named by its dotted path, and all of them are named at once.
+"""
+
+import types
+import typing
+
+
+def to_object(value):
+    """Turn a record, with the records and lists inside it, into plain dictionaries.
+
+    >>> to_object(common.Resources(1000, 512, 0))["cpu_millis"]  # doctest: +SKIP
+    1000
+    """
+    if hasattr(value, "_fields"):
+        return {name: to_object(getattr(value, name)) for name in value._fields}
+    if isinstance(value, list | tuple):
+        return [to_object(entry) for entry in value]
+    if isinstance(value, dict):
+        return {key: to_object(entry) for key, entry in value.items()}
+    return value
+
+
+def from_object(kind, value, path=""):
+    """Read a record of type ``kind``; returns ``(record, [(path, message), ...])``.
+
+    The record is None if anything is wrong with it.
+    """
+    if not isinstance(value, dict):
+        return None, [(path, "must be an object")]
+    prefix = f"{path}." if path else ""
+    hints = typing.get_type_hints(kind)
+    mistakes = [
+        (f"{prefix}{name}", "is no known field") for name in value if name not in hints
+    ]
+    fields = {}
+    for name, hint in hints.items():
+        fields[name] = _read(hint, value, name, f"{prefix}{name}", mistakes)
+    return (None, mistakes) if mistakes else (kind(**fields), [])
+
+
+def _read(hint, value, name, path, mistakes):
+    if name not in value:
+        mistakes.append((path, "is missing"))
+        return None
+    entry = value[name]
+    if hasattr(hint, "_fields"):
+        record, inner = from_object(hint, entry, path)
+        mistakes.extend(inner)
+        return record
+    if not _fits(hint, entry):
+        mistakes.append((path, f"must be {_words(hint)}"))
+    return entry
+
+
+def _fits(hint, value):
+    if isinstance(hint, types.UnionType):
+        return any(_fits(option, value) for option in typing.get_args(hint))
+    if typing.get_origin(hint) is list:
+        (inner,) = typing.get_args(hint)
+        return isinstance(value, list) and all(_fits(inner, entry) for entry in value)
+    return type(value) is hint
+
+
+def _words(hint):
+    names = {int: "a whole number", str: "a text", bool: "true or false"}
+    if typing.get_origin(hint) is list:
+        return "a list of texts"
+    return names.get(hint, str(hint))
--- /dev/null
+++ b/alderreach/core/records_test.py
@@ -0,0 +1,36 @@
+"""Records as objects and back, with every mistake named by its path."""
+
+from alderreach.core import records
+from alderreach.core.generated import common
+
+TEAM = common.Team("a", common.Resources(1, 2, 0), 1, "waiting")
+
+
+def test_there_and_back():
+    item = common.Item("team/a", 3, None)
+    window = common.MaintenanceWindow("w", "d", ["v1"], [], 1, 2)
+    for record in (TEAM, window):
+        value = records.to_object(record)
+        assert records.from_object(type(record), value) == (record, [])
+    assert records.to_object([item, {"team": TEAM}])[1]["team"]["quota"] == {
+        "cpu_millis": 1,
+        "memory_mb": 2,
+        "accelerators": 0,
+    }
+
+
+def test_every_mistake_is_named():
+    value = records.to_object(TEAM) | {"weight": True, "colour": 1}
+    value["quota"] = {"cpu_millis": "1", "memory_mb": 2}
+    record, mistakes = records.from_object(common.Team, value)
+    assert record is None
+    assert mistakes == [
+        ("colour", "is no known field"),
+        ("quota.cpu_millis", "must be a whole number"),
+        ("quota.accelerators", "is missing"),
+        ("weight", "must be a whole number"),
+    ]
+    window = {"window_id": "w", "vms": ["v", 3], "racks": "r"}
+    _, mistakes = records.from_object(common.MaintenanceWindow, window)
+    assert ("vms", "must be a list of texts") in mistakes
+    assert records.from_object(common.Team, 3) == (None, [("", "must be an object")])
--- /dev/null
+++ b/alderreach/ops/client/__init__.py
@@ -0,0 +1,1 @@
+"""The library behind the command line: calls to entries, plans of changes, tables."""
--- /dev/null
+++ b/alderreach/ops/client/api.py
@@ -0,0 +1,191 @@
+"""Calls to the operators' HTTP of one or several entries.
+
+An entry that can't be reached, that drains or that has no quorum is passed over for
+the next one, with the same idempotency key, so that a change is made once however often
+it is sent. What is told at the end is exact: if an attempt may have been taken and no
+later one told how it ended, the failure says so and names the key to ask again with.
+"""
+
+import json
+import time
+import typing
+import urllib.parse
+import uuid
+
+import urllib3
+from result import Err, Ok
+
+from alderreach.utils import clocks
+
+ROUNDS = 3
+ROUND_PAUSE_S = 0.5
+CONNECT_TIMEOUT_S = 2
+READ_TIMEOUT_S = 20
+WALL_MS_DIGITS = 15
+EXIT_REFUSED = 1
+EXIT_BAD_INPUT = 2
+EXIT_UNREACHABLE = 3
+# Another entry, or the same one a little later, may well answer these otherwise.
+ELSEWHERE = ("no_quorum", "draining", "write_unconfirmed", "overloaded", "internal")
+# Of these, the attempt may have been taken all the same.
+UNSURE = ("write_unconfirmed", "internal")
+BAD_INPUT = (
+    "malformed_request",
+    "invalid_configuration",
+    "impossible_job",
+    "not_found",
+    "unknown_team",
+    "unknown_workload",
+    "unknown_service",
+    "body_too_large",
+    "header_too_large",
+    "method_not_allowed",
+)
+
+
+class Failure(typing.NamedTuple):
+    """Why a command failed: exit code, text for people, problem document if any."""
+
+    exit_code: int
+    message: str
+    document: dict
+
+
+class Attempt(typing.NamedTuple):
+    """How one attempt at one entry went; ``maybe_taken`` if it may have had effect."""
+
+    status: int
+    document: dict
+    maybe_taken: bool
+
+
+def fail(exit_code, message):
+    """An ``Err`` without a problem document."""
+    return Err(Failure(exit_code, message, {"detail": message}))
+
+
+class Client:
+    """A caller of several entries; it stays with the one that answered last."""
+
+    def __init__(
+        self, entries, token, http=None, clock=clocks.SYSTEM, sleep=time.sleep
+    ):
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+        self._entries = list(entries)
+        self._token = token
+        self._http = http or urllib3.PoolManager(retries=False, timeout=timeout)
+        self._wall_ms = clock.wall_ms
+        self._sleep = sleep
+
+    def get(self, path, **query):
+        """Read: ``Ok(document)`` or ``Err(Failure)``; empty values are left out."""
+        fields = {name: str(value) for name, value in query.items() if value}
+        return self._call("GET", path, fields, None, "")
+
+    def change(self, method, path, body=None, key=""):
+        """Change something once: ``Ok(document)`` or ``Err(Failure)``."""
+        return self._call(method, path, {}, body, key or make_key(self._wall_ms()))
+
+    def _call(self, method, path, fields, body, key):
+        headers = {"Authorization": f"Bearer {self._token}"}
+        if key:
+            headers["Idempotency-Key"] = key
+            headers["Alderreach-Asked-Wall-Ms"] = str(asked_wall_ms(key))
+        maybe_taken, last = False, None
+        for entry in self._order():
+            last = self._attempt(entry, method, path, fields, headers, body)
+            if last.status and last.document.get("kind") not in ELSEWHERE:
+                self._stay_with(entry)
+                return _result(last)
+            maybe_taken = maybe_taken or last.maybe_taken
+        return _give_up(last, self._entries, key if maybe_taken else "")
+
+    def _order(self):
+        for number in range(ROUNDS):
+            if number:
+                self._sleep(ROUND_PAUSE_S)
+            yield from list(self._entries)
+
+    def _stay_with(self, entry):
+        self._entries.remove(entry)
+        self._entries.insert(0, entry)
+
+    def _attempt(self, entry, method, path, fields, headers, body):
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            answer = self._http.request(
+                method, url(entry, path, fields), body=data, headers=headers
+            )
+            document = json.loads(answer.data)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return Attempt(0, {"detail": f"{entry}: {error}"}, False)
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            return Attempt(0, {"detail": f"{entry}: {error}"}, True)
+        unsure = document.get("kind") in UNSURE
+        return Attempt(answer.status, document, unsure)
+
+
+def make_key(wall_ms):
+    """A fresh idempotency key that tells when it was made.
+
+    The time is part of the change, so a resend must carry the first attempt's.
+
+    >>> asked_wall_ms(make_key(1764700000000))
+    1764700000000
+    """
+    return f"{wall_ms}-{uuid.uuid4().hex}"
+
+
+def asked_wall_ms(key):
+    """When a key was made; 0 for a key from elsewhere."""
+    text = key.partition("-")[0]
+    return int(text) if text.isdecimal() and len(text) < WALL_MS_DIGITS else 0
+
+
+def url(entry, path, fields):
+    """The URL of a path at an entry."""
+    query = urllib.parse.urlencode(fields) if fields else ""
+    return f"http://{entry}{path}" + (f"?{query}" if query else "")
+
+
+def _result(attempt):
+    document = attempt.document
+    if attempt.status < 300:
+        return Ok(document)
+    return Err(Failure(_exit_code(document), describe(document), document))
+
+
+def _exit_code(document):
+    return EXIT_BAD_INPUT if document.get("kind") in BAD_INPUT else EXIT_REFUSED
+
+
+def describe(document):
+    """A problem document for people: its title, then each mistake or the detail."""
+    lines = [document.get("title", "The entry refused")]
+    if document.get("mistakes"):
+        for mistake in document["mistakes"]:
+            lines.append("  " + ": ".join(text for text in mistake.values() if text))
+    else:
+        lines.append("  " + document.get("detail", ""))
+    return "\n".join(lines)
+
+
+def _give_up(last, entries, key):
+    if last.status:
+        message = describe(last.document)
+    else:
+        message = (
+            f"No entry could be reached ({', '.join(entries)}): "
+            f"{last.document['detail']}\n"
+            "  Give others by --entry or ALDERREACH_ENTRY."
+        )
+    if key:
+        message += (
+            "\n  An attempt may have been accepted. Run it again with"
+            f" --idempotency-key {key} to learn it without doubling it."
+        )
+    document = last.document | ({"idempotency_key": key} if key else {})
+    return Err(Failure(EXIT_UNREACHABLE, message, document))
--- /dev/null
+++ b/alderreach/ops/client/views.py
@@ -0,0 +1,248 @@
+"""Documents of the operators' HTTP as lines for people."""
+
+import datetime
+
+EMPTY = "none"
+
+
+def table(headers, rows):
+    """Columns padded to their widest cell.
+
+    >>> table(("name", "tasks"), [("a", 3)])
+    ['name  tasks', 'a     3']
+    """
+    cells = [tuple(str(cell) for cell in row) for row in (headers, *rows)]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(headers))]
+    lines = []
+    for row in cells:
+        padded = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+        lines.append("  ".join(padded).rstrip())
+    return lines
+
+
+def rows_or_none(headers, rows):
+    """A table, or one word where there are no rows."""
+    return table(headers, rows) if rows else [EMPTY]
+
+
+def moment(wall_ms):
+    """A Unix time in milliseconds as UTC; a dash where it is unknown."""
+    if not wall_ms:
+        return "-"
+    moment_utc = datetime.datetime.fromtimestamp(wall_ms / 1000, datetime.UTC)
+    return moment_utc.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def teams(document):
+    """All teams, a line each."""
+    rows = []
+    for item in document["items"]:
+        team, quota = item["value"], item["value"]["quota"]
+        rows.append(
+            (
+                team["name"],
+                team["objective"],
+                team["weight"],
+                processors(quota),
+                gigabytes(quota),
+                quota["accelerators"],
+                item["version"],
+            )
+        )
+    headers = ("team", "objective", "weight", "processors", "memory GiB")
+    return rows_or_none((*headers, "accelerators", "version"), rows)
+
+
+def workloads(document):
+    """All workloads, a line each."""
+    rows = []
+    for item in document["items"]:
+        workload, task = item["value"], item["value"]["task"]
+        rows.append(
+            (
+                workload["team"],
+                workload["name"],
+                workload["kind"],
+                workload["tasks"],
+                processors(task),
+                gigabytes(task),
+                workload["priority"],
+                workload["when_cut_off"],
+                item["version"],
+            )
+        )
+    headers = ("team", "workload", "kind", "tasks", "processors", "memory GiB")
+    return rows_or_none((*headers, "priority", "cut off", "version"), rows)
+
+
+def processors(resources):
+    """Processors of resources, without trailing zeros."""
+    return f"{resources['cpu_millis'] / 1000:g}"
+
+
+def gigabytes(resources):
+    """Memory of resources in GiB, without trailing zeros."""
+    return f"{resources['memory_mb'] / 1024:g}"
+
+
+def items(document):
+    """Configuration items in full: key, version and each field."""
+    lines = [f"version {document['version']}"]
+    if not document["current"]:
+        lines.append(NOT_CURRENT)
+    for item in document["items"]:
+        lines.append(f"{item['key']} (version {item['version']})")
+        lines += [f"    {name}: {value}" for name, value in flat(item["value"])]
+    return lines
+
+
+NOT_CURRENT = "the quorum can't be reached; this is the entry's last copy"
+
+
+def flat(value, prefix=""):
+    """The fields of an object with dotted names for inner objects."""
+    for name, entry in value.items():
+        if isinstance(entry, dict):
+            yield from flat(entry, f"{prefix}{name}.")
+        else:
+            yield f"{prefix}{name}", entry
+
+
+def history(document):
+    """Accepted changes, the newest first."""
+    rows = [
+        (change["version"], moment(change["wall_ms"]), change["author"])
+        + (change["summary"],)
+        for change in document["changes"]
+    ]
+    return rows_or_none(("version", "asked at", "operator", "change"), rows)
+
+
+def windows(document):
+    """Maintenance windows, the earliest first."""
+    rows = [
+        (
+            window["window_id"],
+            window["failure_domain"],
+            moment(window["start_wall_ms"]),
+            moment(window["end_wall_ms"]),
+            " ".join([*window["vms"], *(f"rack:{r}" for r in window["racks"])]),
+        )
+        for window in document["windows"]
+    ]
+    return rows_or_none(("window", "failure domain", "start", "end", "what"), rows)
+
+
+def jobs(document):
+    """Jobs, the newest first."""
+    rows = [
+        (
+            job["job_id"],
+            job["team"],
+            job["workload"],
+            job["kind"],
+            job["state"],
+            f"{job['running']}/{job['finished']}/{job['failed']}/{job['tasks']}",
+            moment(job["submitted_wall_ms"]),
+            job["reason"],
+        )
+        for job in document["jobs"]
+    ]
+    headers = ("job", "team", "workload", "kind", "state")
+    headers += ("run/done/failed/all", "submitted", "reason")
+    return rows_or_none(headers, rows) + _silent(document, "failure domains")
+
+
+def job(document):
+    """One job in full."""
+    lines = [
+        f"{name}: {value}" for name, value in flat(document) if name != "task_views"
+    ]
+    views = document.get("task_views", [])
+    rows = [(v["task_id"], v["attempt"], v["state"], v["worker_id"]) for v in views]
+    if rows:
+        lines += table(("task", "attempt", "state", "worker"), rows)
+    return lines
+
+
+def targets(document):
+    """Targets, a line each."""
+    rows = []
+    for target in document["targets"]:
+        reserved, capacity = target["reserved"], target["capacity"]
+        worker = target["kind"] == "worker"
+        used = f"{processors(reserved)}/{processors(capacity)}" if worker else "-"
+        memory = f"{gigabytes(reserved)}/{gigabytes(capacity)}" if worker else "-"
+        rows.append(
+            (
+                target["target_id"],
+                target["kind"],
+                target["failure_domain"],
+                target["rack"],
+                target["vm"],
+                target["state"],
+                used,
+                memory,
+                target["tasks"],
+                target["note"],
+            )
+        )
+    headers = ("target", "kind", "failure domain", "rack", "vm", "state")
+    headers += ("processors", "memory GiB", "tasks", "note")
+    return rows_or_none(headers, rows) + _silent(document, "failure domains")
+
+
+def status(document):
+    """The cell and each of its processes."""
+    lines = [f"version {document['version']}"]
+    lines.append("quorum: " + ("yes" if document["quorum"] else "no leader answered"))
+    rows = []
+    for row in document["processes"]:
+        detail = " ".join(f"{key}={value}" for key, value in row["detail"].items())
+        lag = "lags" if row["lagging"] else ""
+        version = row["version_in_force"] if row["reachable"] else "-"
+        rows.append(
+            (
+                row["process"],
+                row["failure_domain"],
+                row["state"],
+                version,
+                lag,
+                detail,
+            )
+        )
+    headers = ("process", "failure domain", "state", "version", "", "detail")
+    return lines + table(headers, rows) + _silent(document, "processes")
+
+
+def timeline(document):
+    """Events, a line each, oldest first."""
+    lines = []
+    for event in document["events"]:
+        ids = " ".join(
+            f"{name}={event[field]}"
+            for name, field in EVENT_IDS
+            if event[field] not in ("", 0)
+        )
+        moment_utc = datetime.datetime.fromtimestamp(
+            event["wall_ms"] / 1000, datetime.UTC
+        )
+        text = moment_utc.strftime("%H:%M:%S.") + f"{event['wall_ms'] % 1000:03}"
+        parts = (text, event["process"], event["kind"], ids, event["detail"])
+        lines.append("  ".join(part for part in parts if part))
+    return (lines or [EMPTY]) + _silent(document, "processes")
+
+
+EVENT_IDS = (
+    ("epoch", "epoch"),
+    ("request", "request_id"),
+    ("job", "job_id"),
+    ("task", "task_id"),
+    ("target", "target_id"),
+    ("team", "team"),
+)
+
+
+def _silent(document, what):
+    names = document.get("unreachable", [])
+    return [f"no answer from {what}: {', '.join(names)}"] if names else []
--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -66,7 +66,7 @@
         if self.role is None:
             return
         if isinstance(message, common.TimelineQuery):
-            events = self.context.timeline.newest(message.limit)
+            events = self.context.timeline.matching(message)
             page = common.TimelinePage(message.request_id, events)
             self.context.transport.send(received.reply_address, page)
         elif isinstance(message, common.StatusQuery):
--- /dev/null
+++ b/alderreach/ops/entry/operator_changes.py
@@ -0,0 +1,143 @@
+"""Changes by operators: written once, recorded with their author, answered exactly.
+
+Each change carries a ``Change`` item in the same command, so that the history holds
+exactly the accepted changes. The history is bounded: now and then the entry that
+writes deletes the oldest records.
+"""
+
+import hashlib
+import itertools
+
+from absl import logging
+from result import Ok
+
+from alderreach.core import codec
+from alderreach.core.generated import common, errors, keeper
+from alderreach.ops.entry import operator_http
+
+KEEPER_TIMEOUT_MS = 5000
+READ_TIMEOUT_MS = 2000
+CHANGE_PREFIX = "change/"
+CHANGES_KEPT = 1000
+TRIM_EVERY = 100
+SUMMARY_CHARS = 400
+DIGEST_CHARS = 20
+
+_written = itertools.count(1)
+
+
+def change_id(operator, idempotency_key):
+    """The id of a change; a resend through any entry gives the same."""
+    text = f"{operator}\0{idempotency_key}".encode()
+    return hashlib.sha256(text).hexdigest()[:DIGEST_CHARS]
+
+
+def read(gateway, prefix):
+    """All items under a prefix by a current read; the entry's copy without a quorum.
+
+    Returns ``(version, items by key, whether the read was current)``.
+    """
+    outcome = gateway.ask_keepers(keeper.ReadItems(prefix), READ_TIMEOUT_MS)
+    page = codec.unpack(outcome.result) if outcome.status == "ok" else None
+    if page is not None and page.is_ok():
+        items = {item.key: item for item in page.ok_value.items}
+        return page.ok_value.version, items, True
+    copy = gateway.items
+    items = {key: item for key, item in copy.items.items() if key.startswith(prefix)}
+    return copy.version, items, False
+
+
+def commit(deps, request, writes, summary):
+    """Write items for an operator: ``Ok({"result": "accepted", ...})`` or a refusal.
+
+    ``writes`` are ``keeper.ItemWrite``; all of them are written or none. The command is
+    made from the request alone, so that a resend through any entry gives the same one
+    and gets the first result.
+    """
+    own_id = change_id(request.operator, request.idempotency_key)
+    change = common.Change(
+        own_id,
+        request.operator,
+        request.asked_wall_ms,
+        [write.key for write in writes],
+        summary[:SUMMARY_CHARS],
+    )
+    record = keeper.ItemWrite(f"{CHANGE_PREFIX}{own_id}", -1, codec.encode(change))
+    command = keeper.WriteItems(
+        f"operator/{own_id}",
+        request.operator,
+        [*writes, record],
+        "",
+        0,
+        request.asked_wall_ms,
+    )
+    outcome = deps.gateway.ask_keepers(command, KEEPER_TIMEOUT_MS)
+    result = _result(outcome, writes)
+    if result.is_ok():
+        deps.context.timeline.record(
+            "change_accepted",
+            request_id=own_id,
+            detail=f"{request.operator}: {summary[:SUMMARY_CHARS]}",
+        )
+        _trim_now_and_then(deps)
+    return result
+
+
+def no_quorum():
+    """The refusal of a change that surely was not appended by this attempt."""
+    detail = "nothing was changed; try an entry of another failure domain, or later"
+    return operator_http.refuse(errors.Kind.NO_QUORUM, detail)
+
+
+def _result(outcome, writes):
+    if outcome.status == "no_quorum":
+        return no_quorum()
+    if outcome.status != "ok":
+        detail = "resend with the same Idempotency-Key to learn whether it was accepted"
+        return operator_http.refuse(errors.Kind.WRITE_UNCONFIRMED, detail)
+    result = codec.unpack(outcome.result).unwrap()
+    if result.status == "accepted":
+        keys = [write.key for write in writes]
+        return Ok({"result": "accepted", "version": result.version, "keys": keys})
+    if result.status == "conflict":
+        return _conflict(result.conflicts)
+    if result.status == "key_reused":
+        detail = "this Idempotency-Key was used for another change; make a fresh one"
+        return operator_http.refuse(errors.Kind.KEY_REUSED, detail)
+    detail = f"the keepers answered {result.status}"
+    return operator_http.refuse(errors.Kind.INTERNAL, detail)
+
+
+def _conflict(conflicts):
+    told = [
+        f"{entry.key} was changed by {entry.author or 'the system'}"
+        f" in version {entry.version}"
+        for entry in conflicts
+    ]
+    detail = "; ".join(told) + ". Nothing was changed: read it again and decide anew."
+    more = [entry._asdict() for entry in conflicts]
+    return operator_http.refuse(errors.Kind.CONFLICT, detail, conflicts=more)
+
+
+def was_accepted(gateway, request):
+    """Whether this very change was accepted before, so that it is a resend."""
+    key = f"{CHANGE_PREFIX}{change_id(request.operator, request.idempotency_key)}"
+    _version, items, _current = read(gateway, key)
+    return key in items
+
+
+def _trim_now_and_then(deps):
+    if next(_written) % TRIM_EVERY:
+        return
+    _version, items, _current = read(deps.gateway, CHANGE_PREFIX)
+    oldest = sorted(items.values(), key=lambda item: item.version)[:-CHANGES_KEPT]
+    if not oldest:
+        return
+    writes = [keeper.ItemWrite(item.key, item.version, None) for item in oldest]
+    wall_ms = deps.context.clock.wall_ms()
+    command = keeper.WriteItems("", "history", writes, "", 0, wall_ms)
+    deps.gateway.request(command, _log_trim, KEEPER_TIMEOUT_MS)
+
+
+def _log_trim(outcome):
+    logging.info("oldest changes of the history deleted: %s", outcome.status)
--- /dev/null
+++ b/alderreach/ops/entry/operator_config.py
@@ -0,0 +1,224 @@
+"""Operators' view of the configuration: show it, change it, who changed it.
+
+``PUT /v1/config`` takes a list of writes, each with the version of the item it was made
+from, and optionally a ``summary`` of the change for the history. All writes are checked
+whole against the configuration in force and accepted together or not at all.
+"""
+
+import typing
+
+from result import Err, Ok
+
+from alderreach.core import codec, records
+from alderreach.core.generated import common, errors, keeper
+from alderreach.ops.entry import operator_changes, operator_http, operator_maintenance
+from alderreach.parser import configuration
+
+KINDS = {
+    "team": common.Team,
+    "workload": common.Workload,
+    "maintenance": common.MaintenanceWindow,
+}
+PREFIXES = tuple(f"{kind}/" for kind in KINDS)
+HISTORY_LIMIT = 50
+WRITES_MAX = 1000
+
+
+class Write(typing.NamedTuple):
+    """One write as asked for; ``record`` is None for a deletion."""
+
+    key: str
+    base_version: int
+    record: typing.Any
+
+
+def show(deps, request):
+    """GET /v1/config?prefix= : items with their versions."""
+    prefix = request.query.get("prefix", "")
+    wanted = [known for known in PREFIXES if _overlap(known, prefix)]
+    if not wanted:
+        detail = f"prefix must begin with one of {', '.join(PREFIXES)}"
+        return operator_http.refuse(errors.Kind.MALFORMED_REQUEST, detail)
+    version, items, current = read_config(deps.gateway, wanted)
+    shown = [
+        {"key": key, "version": item.version, "value": records.to_object(record)}
+        for key, (item, record) in sorted(items.items())
+        if key.startswith(prefix)
+    ]
+    return Ok({"version": version, "current": current, "items": shown})
+
+
+def _overlap(known, prefix):
+    return known.startswith(prefix) or prefix.startswith(known)
+
+
+def read_config(gateway, prefixes=PREFIXES):
+    """Items and their records under the prefixes, by a current read if possible.
+
+    Returns ``(version, {key: (Item, record)}, current)``.
+    """
+    found, version, all_current = {}, 0, True
+    for prefix in prefixes:
+        kind = KINDS[prefix.partition("/")[0]]
+        read_version, items, current = operator_changes.read(gateway, prefix)
+        version = max(version, read_version)
+        all_current = all_current and current
+        for key, item in items.items():
+            found[key] = (item, codec.decode(item.value, kind))
+    return version, found, all_current
+
+
+def history(deps, request):
+    """GET /v1/config/history?limit= : the newest accepted changes, newest first."""
+    limit = operator_http.read_count(
+        request, "limit", HISTORY_LIMIT, operator_changes.CHANGES_KEPT
+    )
+    if isinstance(limit, Err):
+        return limit
+    prefix = operator_changes.CHANGE_PREFIX
+    _version, items, current = operator_changes.read(deps.gateway, prefix)
+    newest = sorted(items.values(), key=lambda item: item.version, reverse=True)
+    changes = [
+        {"version": item.version} | codec.decode(item.value, common.Change)._asdict()
+        for item in newest[: limit.ok_value]
+    ]
+    return Ok({"current": current, "changes": changes})
+
+
+def write(deps, request):
+    """PUT /v1/config: check all writes whole, then accept them together."""
+    key = operator_http.check_key(request, deps.context.settings.limits.key_chars)
+    if isinstance(key, Err):
+        return key
+    body = operator_http.read_object(request)
+    if isinstance(body, Err):
+        return body
+    writes, mistakes = parse_writes(body.ok_value.get("writes"))
+    if mistakes:
+        return _invalid(mistakes)
+    _version, items, current = read_config(deps.gateway)
+    if not current:
+        return operator_changes.no_quorum()
+    if is_based_on(items, writes):
+        before = {key: record for key, (_item, record) in items.items()}
+        mistakes = check(deps, request, before, writes)
+        if mistakes:
+            return _invalid(mistakes)
+    encoded = [_item_write(entry) for entry in writes]
+    summary = str(body.ok_value.get("summary", ""))
+    return operator_changes.commit(deps, request, encoded, summary)
+
+
+def _item_write(entry):
+    value = None if entry.record is None else codec.encode(entry.record)
+    return keeper.ItemWrite(entry.key, entry.base_version, value)
+
+
+def _invalid(mistakes):
+    shown = [mistake._asdict() for mistake in mistakes]
+    detail = "; ".join(f"{m.key}: {m.field}: {m.message}" for m in mistakes)
+    kind = errors.Kind.INVALID_CONFIGURATION
+    return operator_http.refuse(kind, detail, mistakes=shown)
+
+
+def parse_writes(entries):
+    """Read the list of writes; returns ``(list[Write], list[Mistake])``."""
+    if not isinstance(entries, list) or not 1 <= len(entries) <= WRITES_MAX:
+        message = f"must be a list of 1 to {WRITES_MAX} writes"
+        return [], [configuration.Mistake("", "writes", message)]
+    writes, mistakes, keys = [], [], set()
+    for entry in entries:
+        one, found = _parse_write(entry)
+        mistakes += found
+        if one is None:
+            continue
+        if one.key in keys:
+            mistakes.append(configuration.Mistake(one.key, "key", "is written twice"))
+        keys.add(one.key)
+        writes.append(one)
+    return writes, mistakes
+
+
+def _parse_write(entry):
+    if not isinstance(entry, dict) or not isinstance(entry.get("key"), str):
+        message = "each write needs a key, a base_version and a value"
+        return None, [configuration.Mistake("", "writes", message)]
+    key, base_version = entry["key"], entry.get("base_version")
+    kind = KINDS.get(key.partition("/")[0])
+    if kind is None:
+        message = f"must begin with one of {', '.join(PREFIXES)}"
+        return None, [configuration.Mistake(key, "key", message)]
+    if type(base_version) is not int or base_version < 0:
+        message = "must be the version it was made from; 0 for a new item"
+        return None, [configuration.Mistake(key, "base_version", message)]
+    if entry.get("value") is None:
+        return Write(key, base_version, None), []
+    record, found = records.from_object(kind, entry["value"])
+    if record is None:
+        return None, [configuration.Mistake(key, field, text) for field, text in found]
+    if key != key_of(record):
+        message = f"must be {key_of(record)} after the value's own names"
+        return None, [configuration.Mistake(key, "key", message)]
+    return Write(key, base_version, record), []
+
+
+def key_of(record):
+    """The key under which a record is kept."""
+    if isinstance(record, common.Team):
+        return configuration.team_key(record.name)
+    if isinstance(record, common.Workload):
+        return configuration.workload_key(record.team, record.name)
+    return f"maintenance/{record.window_id}"
+
+
+def apply_writes(before, writes):
+    """The configuration as it would be after the writes."""
+    after = dict(before)
+    for entry in writes:
+        after.pop(entry.key, None)
+        if entry.record is not None:
+            after[entry.key] = entry.record
+    return after
+
+
+def is_based_on(items, writes):
+    """Whether all writes were made from the versions in force.
+
+    If not, the keepers decide: they know a resend, which gets its first result, from
+    a lost race, whose winner they name. Checking such writes against what is in force
+    by now would refuse a resend of an accepted change, or blame the loser of a race
+    for mistakes that came with the winner's change. The keepers can't accept it, since
+    versions only grow.
+    """
+    versions = {key: item.version for key, (item, _record) in items.items()}
+    return all(versions.get(one.key, 0) == one.base_version for one in writes)
+
+
+def check(deps, request, before, writes):
+    """Every mistake of the writes, alone and together with what is in force."""
+    mistakes, touched = [], set()
+    now_ms = request.asked_wall_ms or deps.context.clock.wall_ms()
+    for entry in writes:
+        record = entry.record
+        if not entry.key.startswith("maintenance/"):
+            touched.add(entry.key)
+        if record is None and entry.key not in before:
+            mistakes.append(configuration.Mistake(entry.key, "key", "does not exist"))
+        elif isinstance(record, common.Team):
+            mistakes += configuration.check_team(record)
+        elif isinstance(record, common.Workload):
+            mistakes += configuration.check_workload(record)
+            mistakes += _check_home(deps, entry.key, record)
+        elif record is not None:
+            mistakes += operator_maintenance.check(deps, record, now_ms)
+    if not mistakes:
+        mistakes += configuration.check_items(apply_writes(before, writes), touched)
+    return mistakes
+
+
+def _check_home(deps, key, workload):
+    known = operator_maintenance.failure_domains(deps.context.settings)
+    if workload.home_failure_domain and workload.home_failure_domain not in known:
+        message = f"must be one of {', '.join(known)}"
+        return [configuration.Mistake(key, "home_failure_domain", message)]
+    return []
--- /dev/null
+++ b/alderreach/ops/entry/operator_maintenance.py
@@ -0,0 +1,114 @@
+"""Maintenance windows: the landlord's dates for VMs and racks.
+
+A window that can't be met, say since a service's runners would not fit elsewhere, is
+accepted all the same, for the landlord's date stands; the answer says at once what
+can't be met, so that the operator can act before the date.
+"""
+
+from result import Err, Ok
+
+from alderreach.core import codec, records
+from alderreach.core.generated import common, errors, keeper
+from alderreach.ops.entry import operator_changes, operator_http
+from alderreach.parser import configuration
+
+PREFIX = "maintenance/"
+WINDOW_MS_MAX = configuration.MONTH_MS
+NAMES_MAX = 10_000
+ANY_VERSION = -1
+
+
+def failure_domains(settings):
+    """All failure domains of the cell, as the settings' peers name them."""
+    names = {peer.failure_domain for peer in settings.peers}
+    return sorted(names | {settings.process.failure_domain})
+
+
+def show(deps, _request):
+    """GET /v1/maintenance: all windows, the earliest first."""
+    _version, items, current = operator_changes.read(deps.gateway, PREFIX)
+    windows = []
+    for item in items.values():
+        window = codec.decode(item.value, common.MaintenanceWindow)
+        windows.append({"version": item.version} | records.to_object(window))
+    windows.sort(key=lambda window: (window["start_wall_ms"], window["window_id"]))
+    return Ok({"current": current, "windows": windows})
+
+
+def add(deps, request):
+    """POST /v1/maintenance: declare a window; the id is made if none is given."""
+    key = operator_http.check_key(request, deps.context.settings.limits.key_chars)
+    if isinstance(key, Err):
+        return key
+    body = operator_http.read_object(request)
+    if isinstance(body, Err):
+        return body
+    own_id = operator_changes.change_id(request.operator, request.idempotency_key)
+    value = {"window_id": f"w-{own_id[:8]}", "vms": [], "racks": []} | body.ok_value
+    window, found = records.from_object(common.MaintenanceWindow, value)
+    if window is None:
+        return _invalid(found)
+    now_ms = request.asked_wall_ms or deps.context.clock.wall_ms()
+    mistakes = check(deps, window, now_ms)
+    if mistakes:
+        return _invalid([(mistake.field, mistake.message) for mistake in mistakes])
+    write = keeper.ItemWrite(f"{PREFIX}{window.window_id}", 0, codec.encode(window))
+    summary = f"maintenance of {_names(window)} declared"
+    result = operator_changes.commit(deps, request, [write], summary)
+    if isinstance(result, Err):
+        return result
+    return Ok(result.ok_value | {"window": records.to_object(window)})
+
+
+def cancel(deps, request):
+    """DELETE /v1/maintenance/<id>: withdraw a window."""
+    key = operator_http.check_key(request, deps.context.settings.limits.key_chars)
+    if isinstance(key, Err):
+        return key
+    item_key = f"{PREFIX}{request.names['window_id']}"
+    _version, items, current = operator_changes.read(deps.gateway, item_key)
+    if not current:
+        return operator_changes.no_quorum()
+    known = item_key in items
+    if not known and not operator_changes.was_accepted(deps.gateway, request):
+        detail = f"no maintenance window {request.names['window_id']!r}"
+        return operator_http.refuse(errors.Kind.NOT_FOUND, detail)
+    write = keeper.ItemWrite(item_key, ANY_VERSION, None)
+    return operator_changes.commit(deps, request, [write], f"{item_key} cancelled")
+
+
+def check(deps, window, now_ms):
+    """Every mistake of a window that is declared at ``now_ms``."""
+    key = f"{PREFIX}{window.window_id}"
+    mistakes = []
+
+    def add_mistake(field, message):
+        mistakes.append(configuration.Mistake(key, field, message))
+
+    known = failure_domains(deps.context.settings)
+    if not configuration.NAME.match(window.window_id):
+        add_mistake("window_id", f"{window.window_id!r} {configuration.NAME_RULE}")
+    if window.failure_domain not in known:
+        add_mistake("failure_domain", f"must be one of {', '.join(known)}")
+    if not window.vms and not window.racks:
+        add_mistake("vms", "name at least one VM or rack")
+    if len(window.vms) + len(window.racks) > NAMES_MAX:
+        add_mistake("vms", f"name {NAMES_MAX} VMs and racks at most")
+    if window.end_wall_ms <= window.start_wall_ms:
+        add_mistake("end_wall_ms", "must be after the start")
+    if window.end_wall_ms - window.start_wall_ms > WINDOW_MS_MAX:
+        add_mistake("end_wall_ms", "must be within a month of the start")
+    if window.end_wall_ms <= now_ms:
+        add_mistake("end_wall_ms", "is past")
+    return mistakes
+
+
+def _invalid(found):
+    shown = [{"field": field, "message": message} for field, message in found]
+    detail = "; ".join(f"{field}: {message}" for field, message in found)
+    kind = errors.Kind.INVALID_CONFIGURATION
+    return operator_http.refuse(kind, detail, mistakes=shown)
+
+
+def _names(window):
+    return ", ".join([*window.vms, *(f"rack {rack}" for rack in window.racks)])
--- /dev/null
+++ b/alderreach/parser/questionnaire.py
@@ -0,0 +1,226 @@
+"""The questionnaire a team fills in: one TOML file, checked whole.
+
+Three plain stages, each a function of its input alone: ``parse`` gives the answers or
+every mistake with its line, ``generate`` turns answers into configuration items, and
+``difference`` in ``alderreach.parser.difference`` shows what they would change.
+
+>>> answers, mistakes = parse(text, "serra-alta.toml")  # doctest: +SKIP
+>>> items = generate(answers)  # doctest: +SKIP
+"""
+
+import tomllib
+import typing
+
+from alderreach.core import problems
+from alderreach.core.generated import common
+from alderreach.parser import configuration, questionnaire_keys, toml_lines
+
+MILLIS = 1000
+MB_PER_GB = 1024
+SECTIONS = ("service", "batch", "gang")
+# Where the value of an item's field came from, for mistakes found after generation.
+KEY_OF_FIELD = {
+    "task.cpu_millis": "processors",
+    "task.memory_mb": "memory_gb",
+    "task.accelerators": "accelerators",
+    "quota.cpu_millis": "quota_processors",
+    "quota.memory_mb": "quota_memory_gb",
+    "quota.accelerators": "quota_accelerators",
+}
+
+
+class TeamAnswers(typing.NamedTuple):
+    """The answers of ``[team]``."""
+
+    name: str
+    objective: str
+    weight: int
+    quota_processors: float
+    quota_memory_gb: float
+    quota_accelerators: int
+
+
+class WorkloadAnswers(typing.NamedTuple):
+    """The answers of one ``[[service]]``, ``[[batch]]`` or ``[[gang]]``."""
+
+    kind: str
+    path: str
+    name: str
+    processors: float
+    memory_gb: float
+    accelerators: int
+    tasks: int
+    priority: int
+    when_cut_off: str
+    checkpoint: bool
+    expected_run_ms: int
+    deadline_ms: int
+    idempotent: bool
+    slots: int
+    connections: int
+    home_failure_domain: str
+
+
+class Answers(typing.NamedTuple):
+    """A whole questionnaire."""
+
+    team: TeamAnswers
+    workloads: tuple
+
+
+def parse(text, file):
+    """Read a questionnaire: ``(Answers, [])`` or ``(None, [Problem, ...])``."""
+    try:
+        tables = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        line = toml_lines.line_of_error(error)
+        return None, [problems.Problem(file, line, "syntax", str(error))]
+    found = _Findings(file, toml_lines.locate(text))
+    for name in tables:
+        if name != "team" and name not in SECTIONS:
+            found.add(name, "is no known table; there are team, service, batch, gang")
+    team = _team(found, tables)
+    workloads = tuple(_workloads(found, tables))
+    _check_names(found, workloads)
+    _check_items(found, Answers(team, workloads))
+    if found.problems:
+        return None, sorted(found.problems, key=lambda problem: problem.line)
+    return Answers(team, workloads), []
+
+
+def generate(answers):
+    """The configuration items of a questionnaire, by key."""
+    items = {configuration.team_key(answers.team.name): _team_item(answers.team)}
+    for workload in answers.workloads:
+        key = configuration.workload_key(answers.team.name, workload.name)
+        items[key] = _workload_item(answers.team.name, workload)
+    return items
+
+
+def _team_item(team):
+    quota = _resources(
+        team.quota_processors, team.quota_memory_gb, team.quota_accelerators
+    )
+    return common.Team(team.name, quota, team.weight, team.objective)
+
+
+def _workload_item(team_name, answers):
+    return common.Workload(
+        team=team_name,
+        name=answers.name,
+        kind=answers.kind,
+        task=_resources(answers.processors, answers.memory_gb, answers.accelerators),
+        tasks=answers.tasks,
+        priority=answers.priority,
+        slots=answers.slots,
+        connections=answers.connections,
+        deadline_ms=answers.deadline_ms,
+        idempotent=answers.idempotent,
+        when_cut_off=answers.when_cut_off,
+        checkpoint=answers.checkpoint,
+        expected_run_ms=answers.expected_run_ms,
+        home_failure_domain=answers.home_failure_domain,
+    )
+
+
+def _resources(processors, memory_gb, accelerators):
+    cpu_millis = round(processors * MILLIS)
+    return common.Resources(cpu_millis, round(memory_gb * MB_PER_GB), accelerators)
+
+
+class _Findings:
+    """The mistakes of one file as they are found."""
+
+    def __init__(self, file, lines):
+        self.file = file
+        self.lines = lines
+        self.problems = []
+
+    def add(self, path, message):
+        """Note a mistake at a dotted path; a second one there adds nothing."""
+        if any(problem.key == path for problem in self.problems):
+            return
+        line = toml_lines.find(self.lines, path)
+        self.problems.append(problems.Problem(self.file, line, path, message))
+
+
+def _team(found, tables):
+    table = tables.get("team")
+    if table is None:
+        found.add("team", "a table [team] is required")
+        table = {}
+    return TeamAnswers(**_values(found, "team", table, questionnaire_keys.TEAM))
+
+
+def _workloads(found, tables):
+    for kind in SECTIONS:
+        entries = tables.get(kind, [])
+        if not isinstance(entries, list):
+            found.add(kind, f"must be written [[{kind}]], one for each")
+            continue
+        for number, table in enumerate(entries):
+            path = f"{kind}.{number}"
+            rules = questionnaire_keys.WORKLOADS[kind]
+            values = questionnaire_keys.UNASKED | _values(found, path, table, rules)
+            yield WorkloadAnswers(kind=kind, path=path, **values)
+
+
+def _values(found, path, table, rules):
+    if not isinstance(table, dict):
+        found.add(path, "must be a table")
+        table = {}
+    for key in table:
+        if key not in rules:
+            found.add(f"{path}.{key}", f"is no known key; known: {', '.join(rules)}")
+    return {
+        key: _value(found, f"{path}.{key}", rule, table.get(key, rule.default))
+        for key, rule in rules.items()
+    }
+
+
+def _value(found, path, rule, value):
+    """The value of a key; in place of a wrong one, any of the right type.
+
+    So the checks that follow find the mistakes of other keys too; a second mistake at
+    this path is not shown.
+    """
+    if value is None:
+        found.add(path, f"is required: {rule.doc}")
+    elif type(value) not in rule.kinds:
+        found.add(path, f"must be {questionnaire_keys.WORDS[rule.kinds]}")
+    elif rule.kinds is questionnaire_keys.NUMBER and not 0 <= value < 1e12:
+        found.add(path, "must be a number from 0 on")
+    else:
+        return value
+    return questionnaire_keys.STAND_INS[rule.kinds]
+
+
+def _check_names(found, workloads):
+    lines = {}
+    for workload in workloads:
+        path = f"{workload.path}.name"
+        if any(problem.key == path for problem in found.problems):
+            continue
+        if workload.name in lines:
+            message = f"{workload.name!r} stands on line {lines[workload.name]} too"
+            found.add(path, message)
+        lines.setdefault(workload.name, toml_lines.find(found.lines, path))
+
+
+def _check_items(found, answers):
+    """Check each item, and all of them together only if each is sound."""
+    paths = {configuration.team_key(answers.team.name): "team"}
+    mistakes = configuration.check_team(_team_item(answers.team))
+    workloads = []
+    for answer in answers.workloads:
+        item = _workload_item(answers.team.name, answer)
+        paths[configuration.workload_key(item.team, item.name)] = answer.path
+        workloads.append(item)
+        own = configuration.check_workload(item)
+        mistakes += [m for m in own if m.field != "team"]
+    if not mistakes and not found.problems:
+        team = _team_item(answers.team)
+        mistakes = configuration.check_team_whole(team, workloads)
+    for mistake in mistakes:
+        key = KEY_OF_FIELD.get(mistake.field, mistake.field)
+        found.add(f"{paths[mistake.key]}.{key}", mistake.message)
--- a/alderreach/parser/settings.py
+++ b/alderreach/parser/settings.py
@@ -56,7 +56,11 @@
     try:
         tables = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
-        return None, [problems.Problem(file, _line_of(error), "syntax", str(error))]
+        return None, [
+            problems.Problem(
+                file, toml_lines.line_of_error(error), "syntax", str(error)
+            )
+        ]
     found = _Findings(file, toml_lines.locate(text))
     for name in tables:
         if name not in SECTIONS and name != "peer":
@@ -89,13 +93,6 @@
         self.problems.append(problems.Problem(self.file, line, path, message))
 
 
-def _line_of(error):
-    words = str(error).replace(",", "").split()
-    if "line" not in words:
-        return 0
-    return int(words[words.index("line") + 1])
-
-
 def _section(found, name, kind, table, path):
     rules = schema.RULES[name]
     if not isinstance(table, dict):
--- a/alderreach/parser/toml_lines.py
+++ b/alderreach/parser/toml_lines.py
@@ -43,6 +43,14 @@
     return 1
 
 
+def line_of_error(error):
+    """The line a ``tomllib.TOMLDecodeError`` names in its text, 0 if none."""
+    words = str(error).replace(",", "").split()
+    if "line" not in words:
+        return 0
+    return int(words[words.index("line") + 1])
+
+
 def _table_path(brackets, name, counts):
     parts, path = name.replace('"', "").split("."), ""
     for position, part in enumerate(parts):
--- /dev/null
+++ b/alderreach/scripts/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of ``alderreach``, thin: options in, a call, lines out."""
--- /dev/null
+++ b/alderreach/scripts/commands/config.py
@@ -0,0 +1,65 @@
+"""``alderreach config show|diff|history``."""
+
+from cleo.helpers import option
+from result import Err, Ok
+
+from alderreach.ops.client import views
+from alderreach.scripts.commands import base, questionnaire
+
+
+class Show(base.ApiCommand):
+    """The configuration in force."""
+
+    name = "config show"
+    description = "Show the configuration items in force with their versions."
+    options = [
+        *base.API_OPTIONS,
+        option("prefix", None, "Only items whose key begins so.", flag=False),
+    ]
+
+    def call(self, client):
+        """Read the items."""
+        return client.get("/v1/config", prefix=self.option("prefix"))
+
+    def view(self, document):
+        """Each item in full."""
+        return views.items(document)
+
+
+class Diff(base.ApiCommand):
+    """What a questionnaire would change."""
+
+    name = "config diff"
+    description = "Show what a questionnaire would change, and change nothing."
+    arguments = [questionnaire.FILE_ARGUMENT]
+
+    def call(self, client):
+        """Plan against the configuration in force."""
+        planned = questionnaire.plan_of_file(client, self.argument("file"))
+        if isinstance(planned, Err):
+            return planned
+        plan = planned.ok_value
+        return Ok({"difference": plan.lines, "writes": plan.writes})
+
+    def view(self, document):
+        """The difference."""
+        return document["difference"] or ["no difference"]
+
+
+class History(base.ApiCommand):
+    """Who changed what."""
+
+    name = "config history"
+    description = "Show the accepted changes, the newest first."
+    options = [
+        *base.API_OPTIONS,
+        option("limit", None, "The newest so many; 50 if left out.", flag=False),
+    ]
+
+    def call(self, client):
+        """Read the changes."""
+        return client.get("/v1/config/history", limit=self.option("limit"))
+
+    def view(self, document):
+        """A line for each change."""
+        return views.history(document)
--- /dev/null
+++ b/alderreach/scripts/commands/team.py
@@ -0,0 +1,95 @@
+"""``alderreach team list|show`` and ``alderreach workload list|show``."""
+
+from cleo.helpers import argument, option
+from result import Err, Ok
+
+from alderreach.ops.client import api, views
+from alderreach.parser import configuration
+from alderreach.scripts.commands import base
+
+
+def only(result, key, what):
+    """The document with just the item ``key``, or a failure if it isn't there."""
+    if isinstance(result, Err):
+        return result
+    document = result.ok_value
+    items = [item for item in document["items"] if item["key"] == key]
+    if not items:
+        return api.fail(api.EXIT_BAD_INPUT, f"no {what}; 'list' shows those there are")
+    return Ok(document | {"items": items})
+
+
+class TeamList(base.ApiCommand):
+    """All teams."""
+
+    name = "team list"
+    description = "List the teams."
+
+    def call(self, client):
+        """Read the teams."""
+        return client.get("/v1/config", prefix="team/")
+
+    def view(self, document):
+        """A line for each team."""
+        return views.teams(document)
+
+
+class TeamShow(base.ApiCommand):
+    """One team."""
+
+    name = "team show"
+    description = "Show a team in full."
+    arguments = [argument("team", "The team's name.")]
+
+    def call(self, client):
+        """Read the team."""
+        name = self.argument("team")
+        key = configuration.team_key(name)
+        return only(client.get("/v1/config", prefix=key), key, f"team {name!r}")
+
+    def view(self, document):
+        """The item in full."""
+        return views.items(document)
+
+
+class WorkloadList(base.ApiCommand):
+    """All workloads."""
+
+    name = "workload list"
+    description = "List the workloads of all teams or of one."
+    options = [
+        *base.API_OPTIONS,
+        option("team", None, "Only of this team.", flag=False),
+    ]
+
+    def call(self, client):
+        """Read the workloads."""
+        team = self.option("team")
+        prefix = configuration.workload_key(team, "") if team else "workload/"
+        return client.get("/v1/config", prefix=prefix)
+
+    def view(self, document):
+        """A line for each workload."""
+        return views.workloads(document)
+
+
+class WorkloadShow(base.ApiCommand):
+    """One workload."""
+
+    name = "workload show"
+    description = "Show a workload in full."
+    arguments = [
+        argument("team", "The team's name."),
+        argument("workload", "The workload's name."),
+    ]
+
+    def call(self, client):
+        """Read the workload."""
+        team, name = self.argument("team"), self.argument("workload")
+        key = configuration.workload_key(team, name)
+        what = f"workload {name!r} of team {team!r}"
+        return only(client.get("/v1/config", prefix=key), key, what)
+
+    def view(self, document):
+        """The item in full."""
+        return views.items(document)
--- a/alderreach/utils/timeline.py
+++ b/alderreach/utils/timeline.py
@@ -70,6 +70,12 @@
             events = list(self._ring)
         return events[-limit:]
 
+    def matching(self, query):
+        """Return the newest events that a ``TimelineQuery`` asks for, oldest first."""
+        with self._lock:
+            events = list(self._ring)
+        return [event for event in events if matches(event, query)][-query.limit :]
+
     def close(self):
         """Flush and close the file."""
         with self._lock:
@@ -96,11 +102,29 @@
         self._file = self._path(0).open("ab")
 
 
+def matches(event, query):
+    """Whether an event passes every filter of a ``TimelineQuery`` that is not empty."""
+    wanted = (
+        (query.match_request_id, event.request_id),
+        (query.match_job_id, event.job_id),
+        (query.match_target_id, event.target_id),
+        (query.match_team, event.team),
+    )
+    return all(not asked or asked == value for asked, value in wanted)
+
+
 def merge(pages):
     """Merge events of several processes into one list by wall time.
 
     ``pages`` is an iterable of lists of ``common.Event``; events of one process keep
-    their own order even where its wall clock stepped back.
+    their own order even where its wall clock stepped back: such an event is placed as
+    if it had happened right after its predecessor.
     """
-    events = [event for page in pages for event in page]
-    return sorted(events, key=lambda event: (event.wall_ms, event.process))
+    placed = []
+    for page in pages:
+        latest_ms = 0
+        for number, event in enumerate(page):
+            latest_ms = max(latest_ms, event.wall_ms)
+            placed.append((latest_ms, event.process, event.boot_id, number, event))
+    placed.sort(key=lambda entry: entry[:4])
+    return [entry[4] for entry in placed]
