--- /dev/null
+++ b/alderreach/core/ownership.py
@@ -0,0 +1,200 @@
+"""Ownership of a failure domain: who may command its targets, and until when.
+
+A pure state machine: messages and the time go in, messages come out. The owner acts
+while the keepers' lease or the promises of all its standbys run; both count from the
+moment the owner *sent* what was answered. A standby that promised waits
+``owner_lease_ms + lease_margin_ms`` from *receiving* the beat, before it seeks
+ownership and, since a grant it asked for earlier may be appended late, also before it
+acts on one. Clock rates 1% apart change a lease of 2,000 ms by 20 ms; the margin of
+200 ms covers that and the reading of clocks.
+
+>>> state = Ownership(me, ["placer-b-2"], timing, now_ms=0)  # doctest: +SKIP
+>>> state.may_act(now_ms=10)  # doctest: +SKIP
+False
+"""
+
+import typing
+
+from alderreach.core.generated import keeper, placer
+
+GRANT_RETRY_DIVISOR = 4
+
+
+class Lease(typing.NamedTuple):
+    """What a sender of commands checks right before each send; immutable."""
+
+    epoch: int
+    until_ms: int
+
+    def covers(self, epoch, now_ms):
+        """Whether commands of ``epoch`` may leave now."""
+        return epoch == self.epoch and now_ms < self.until_ms
+
+
+NO_LEASE = Lease(0, 0)
+
+
+class Ownership:
+    """The ownership state of one placer; ``me`` is its Owner with epoch 0.
+
+    ``lease`` is replaced as a whole, so that other threads may read it.
+    """
+
+    def __init__(self, me, standbys, timing, now_ms):
+        self.me = me
+        self.owner = None
+        self.epoch = 0
+        self.is_owner = False
+        self.lease = NO_LEASE
+        self.released_epoch = 0
+        self._timing = timing
+        self._standbys = tuple(standbys)
+        self._wait_ms = timing.owner_lease_ms + timing.lease_margin_ms
+        self._keeper_until_ms = 0
+        self._promised_until_ms = dict.fromkeys(self._standbys, 0)
+        self._renewals = {}
+        self._next_grant_ms = 0
+        # A restarted standby has forgotten its promises. It counts as having promised
+        # at its start: otherwise a cut-off owner that still relies on a promise of the
+        # boot before would act beside it.
+        self._bound_until_ms = now_ms + self._wait_ms
+
+    def may_act(self, now_ms):
+        """Whether commands may leave and announcements be answered now."""
+        return self.is_owner and now_ms < self.lease.until_ms
+
+    def standbys_alive(self, now_ms):
+        """The standbys whose promise runs."""
+        promised = self._promised_until_ms
+        return [name for name in self._standbys if now_ms < promised[name]]
+
+    def observe(self, owner):
+        """Learn of an owner from an item, a renewal or a grant; True if deposed."""
+        if owner is None or owner.epoch <= self.epoch:
+            return False
+        self.owner, self.epoch = owner, owner.epoch
+        mine = self._is_me(owner)
+        deposed = self.is_owner
+        self.is_owner = mine and owner.epoch > self.released_epoch
+        self._forget_leases()
+        return deposed
+
+    def observe_epoch(self, epoch):
+        """A target has seen a higher epoch than ours: stop acting at once."""
+        if epoch > self.epoch and self.is_owner:
+            self.is_owner = False
+            self._forget_leases()
+            return True
+        return False
+
+    def renewal(self, request_id, now_ms):
+        """Return the renewal to send now to the keepers, or None if not the owner."""
+        if not self.is_owner:
+            return None
+        stale_ms = now_ms - self._timing.owner_lease_ms
+        self._renewals = {k: t for k, t in self._renewals.items() if t > stale_ms}
+        self._renewals[request_id] = now_ms
+        me = self.me
+        return keeper.RenewOwnership(
+            request_id, me.failure_domain, me.placer, me.boot_id, self.epoch, False
+        )
+
+    def renewed(self, reply, now_ms):
+        """Take an OwnershipRenewed; True if it shows that we are deposed."""
+        sent_ms = self._renewals.get(reply.request_id)
+        if self.observe(reply.owner):
+            return True
+        if reply.granted and sent_ms is not None and self.is_owner:
+            lease_ms = min(reply.lease_ms, self._timing.owner_lease_ms)
+            self._keeper_until_ms = max(self._keeper_until_ms, sent_ms + lease_ms)
+            self._publish(now_ms)
+        return False
+
+    def promised(self, standby, promise, now_ms):
+        """Take the StandbyPromise of ``standby``."""
+        mine = self.is_owner and promise.epoch == self.epoch
+        if not mine or standby not in self._promised_until_ms:
+            return
+        length_ms = min(promise.promise_ms, self._timing.owner_lease_ms)
+        until_ms = promise.sent_monotonic_ms + length_ms
+        before_ms = self._promised_until_ms[standby]
+        self._promised_until_ms[standby] = max(before_ms, until_ms)
+        self._publish(now_ms)
+
+    def beat_received(self, beat, record_sequence, now_ms):
+        """Take an owner's beat; returns the promise to send, or None.
+
+        A beat of an older epoch gets no promise: its sender is deposed already. A
+        handover frees us from the promise given to that epoch, for good.
+        """
+        if beat.epoch < self.epoch or beat.epoch <= self.released_epoch:
+            return None
+        if self.is_owner and not self.observe_epoch(beat.epoch):
+            return None
+        if beat.handover:
+            self.released_epoch = beat.epoch
+            self._bound_until_ms = now_ms
+            self._next_grant_ms = 0
+            return None
+        self._bound_until_ms = now_ms + self._wait_ms
+        return placer.StandbyPromise(
+            beat.failure_domain,
+            beat.epoch,
+            beat.sent_monotonic_ms,
+            record_sequence,
+            self._timing.owner_lease_ms,
+        )
+
+    def grant_wanted(self, now_ms):
+        """Return the GrantOwnership to send now, or None.
+
+        With no owner ever (epoch 0) nothing is waited for: the grant succeeds only if
+        there still is none, so nobody can be acting.
+        """
+        bound = self.epoch > 0 and now_ms < self._bound_until_ms
+        if self.is_owner or bound or now_ms < self._next_grant_ms:
+            return None
+        pause_ms = max(20, self._timing.owner_beat_ms // GRANT_RETRY_DIVISOR)
+        self._next_grant_ms = now_ms + pause_ms
+        me = self.me
+        return keeper.GrantOwnership(
+            me.failure_domain,
+            me.placer,
+            me.boot_id,
+            me.peer_address,
+            me.target_address,
+            self.epoch,
+            self.epoch > 0 and self.released_epoch == self.epoch,
+        )
+
+    def hand_over(self):
+        """Stop acting for good in this epoch; True if we were the owner."""
+        was_owner = self.is_owner
+        self.is_owner = False
+        self.released_epoch = self.epoch
+        self._forget_leases()
+        return was_owner
+
+    def release(self, request_id):
+        """Return the message that ends our lease at the keepers after ``hand_over``."""
+        me = self.me
+        return keeper.RenewOwnership(
+            request_id, me.failure_domain, me.placer, me.boot_id, self.epoch, True
+        )
+
+    def _is_me(self, owner):
+        return (owner.placer, owner.boot_id) == (self.me.placer, self.me.boot_id)
+
+    def _forget_leases(self):
+        self._keeper_until_ms = 0
+        self._promised_until_ms = dict.fromkeys(self._standbys, 0)
+        self._renewals = {}
+        self.lease = NO_LEASE
+
+    def _publish(self, now_ms):
+        """Publish the later of both leases, but none while our own promise binds us."""
+        if now_ms < self._bound_until_ms and self.epoch > 1:
+            return
+        promises = self._promised_until_ms.values()
+        until_ms = max(self._keeper_until_ms, min(promises, default=0))
+        self.lease = Lease(self.epoch, until_ms)
--- /dev/null
+++ b/alderreach/core/target_membership.py
@@ -0,0 +1,283 @@
+"""The targets of a failure domain, as their announcements show them.
+
+A pure state machine: announcements and the time go in. A target renews its lease with
+each announcement of a higher sequence. Silence makes it suspect, then dead once its
+lease has surely lapsed. Another boot id is another target: what ran under the old one
+is gone. A target that falls and returns again and again is damped: it stays suspect
+for a while, so that work does not follow it up and down.
+
+Changes of runners are numbered, so that an entry gets only what is new to it.
+"""
+
+import typing
+
+from alderreach.core.generated import common, placer
+
+FLAPS_MAX = 3
+FLAP_WINDOW_MS = 60_000
+DAMPED_MS = 20_000
+TOMBSTONES_MAX = 1000
+
+
+class ReportedTask(typing.NamedTuple):
+    """One task in a worker's announcement."""
+
+    task_id: str
+    attempt: int
+    state: str
+    reason: str
+
+
+class Announcement(typing.NamedTuple):
+    """What a target says of itself; the parts of the other kind are empty."""
+
+    target_id: str
+    kind: str
+    boot_id: str
+    sequence: int
+    state: str
+    vm: str
+    rack: str
+    failure_domain: str
+    address: str
+    owner_epoch_seen: int
+    capacity: common.Resources
+    usage: common.Resources
+    tasks: tuple
+    service: str
+    team: str
+    slots: int
+    connections: int
+    task_id: str
+
+
+class Target(typing.NamedTuple):
+    """A target with its lease; ``reported`` is False until this owner heard it."""
+
+    announced: Announcement
+    heard_ms: int
+    state: str
+    reported: bool
+    falls_ms: tuple
+
+
+class Membership:
+    """All targets of the domain by id.
+
+    ``announce`` returns what the announcement meant: ``new``, ``renewed``,
+    ``restarted`` (another boot), ``stale`` (an older sequence, ignored) or ``gone``.
+    """
+
+    def __init__(self, timing):
+        self._timing = timing
+        self._lease_ms = timing.target_lease_ms + timing.lease_margin_ms
+        self.targets = {}
+        self.sequence = 0
+        self._views = {}
+        self._changed = {}
+        self._leaving = frozenset()
+        self._floor = 0
+
+    def expect(self, announced, now_ms):
+        """Note a target known from a predecessor; its lease counts from now."""
+        self.targets[announced.target_id] = Target(
+            announced, now_ms, "ready", False, ()
+        )
+        self._refresh(announced.target_id)
+
+    def announce(self, announced, now_ms):
+        """Take an announcement; returns what it meant."""
+        known = self.targets.get(announced.target_id)
+        meaning = self._meaning(known, announced)
+        if meaning == "stale":
+            return meaning
+        falls_ms = known.falls_ms if known else ()
+        if meaning == "restarted" or (known and known.state == "dead"):
+            falls_ms = self._fallen(falls_ms, now_ms)
+        state = announced.state if announced.state != "gone" else "dead"
+        if state == "ready" and self._is_damped(falls_ms, now_ms):
+            state = "suspect"
+        self.targets[announced.target_id] = Target(
+            announced, now_ms, state, True, falls_ms
+        )
+        self._refresh(announced.target_id)
+        return meaning
+
+    def tick(self, now_ms):
+        """Let silent targets become suspect or dead; returns those that changed."""
+        changed = []
+        for target_id, target in self.targets.items():
+            state = self._aged(target, now_ms)
+            if state != target.state:
+                changed.append((target_id, target._replace(state=state)))
+        for target_id, target in changed:
+            if target.state == "suspect" and self.targets[target_id].state == "ready":
+                falls_ms = self._fallen(target.falls_ms, now_ms)
+                target = target._replace(falls_ms=falls_ms)
+            self.targets[target_id] = target
+            self._refresh(target_id)
+        return [target_id for target_id, _ in changed]
+
+    def forget(self, target_id):
+        """Drop a target; entries are told that it is dead."""
+        if self.targets.pop(target_id, None) is not None:
+            self._refresh(target_id)
+
+    def set_leaving(self, target_ids):
+        """Show these runners as leaving, whatever they say, as before maintenance."""
+        changed = self._leaving ^ frozenset(target_ids)
+        self._leaving = frozenset(target_ids)
+        for target_id in changed:
+            self._refresh(target_id)
+
+    def runners(self):
+        """Return the RunnerView of every runner that is not dead."""
+        return [view for view in self._views.values() if view.state != "dead"]
+
+    def since(self, sequence):
+        """Return ``(from_sequence, runners)``: the changes since, or 0 and all.
+
+        A sequence from before a forgotten tombstone gets everything.
+        """
+        if sequence < self._floor or not 0 < sequence <= self.sequence:
+            return 0, self.runners()
+        changed = []
+        for runner_id, at_sequence in reversed(self._changed.items()):
+            if at_sequence <= sequence:
+                break
+            changed.append(self._views[runner_id])
+        return sequence, changed[::-1]
+
+    def _meaning(self, known, announced):
+        if known is None:
+            return "gone" if announced.state == "gone" else "new"
+        if known.announced.boot_id != announced.boot_id:
+            return "restarted"
+        if known.reported and announced.sequence <= known.announced.sequence:
+            return "stale"
+        return "gone" if announced.state == "gone" else "renewed"
+
+    def _aged(self, target, now_ms):
+        if target.state == "dead":
+            return "dead"
+        silent_ms = now_ms - target.heard_ms
+        if silent_ms >= self._lease_ms:
+            return "dead"
+        if silent_ms >= self._timing.suspect_after_ms and target.state == "ready":
+            return "suspect"
+        return target.state
+
+    def _fallen(self, falls_ms, now_ms):
+        recent = [at for at in falls_ms if now_ms - at < FLAP_WINDOW_MS]
+        return (*recent, now_ms)[-FLAPS_MAX:]
+
+    def _is_damped(self, falls_ms, now_ms):
+        many = len(falls_ms) >= FLAPS_MAX and now_ms - falls_ms[0] < FLAP_WINDOW_MS
+        return many and now_ms - falls_ms[-1] < DAMPED_MS
+
+    def _refresh(self, target_id):
+        """Number the runner's view anew if it changed."""
+        target = self.targets.get(target_id)
+        before = self._views.get(target_id)
+        if target is None:
+            view = before and before._replace(state="dead")
+        elif target.announced.kind == "runner":
+            view = self._view(target)
+        else:
+            return
+        if view is None or view == before:
+            return
+        self.sequence += 1
+        self._views[target_id] = view
+        self._changed.pop(target_id, None)
+        self._changed[target_id] = self.sequence
+        self._trim()
+
+    def _view(self, target):
+        announced = target.announced
+        state = target.state
+        if state != "dead" and announced.target_id in self._leaving:
+            state = "leaving"
+        return placer.RunnerView(
+            announced.target_id,
+            announced.boot_id,
+            announced.service,
+            announced.address,
+            announced.vm,
+            announced.rack,
+            announced.failure_domain,
+            announced.slots,
+            announced.connections,
+            state,
+        )
+
+    def _trim(self):
+        dead = [key for key, view in self._views.items() if view.state == "dead"]
+        if len(dead) <= TOMBSTONES_MAX:
+            return
+        for runner_id in sorted(dead, key=self._changed.get)[: len(dead) // 2]:
+            self._floor = max(self._floor, self._changed.pop(runner_id))
+            del self._views[runner_id]
+            self.targets.pop(runner_id, None)
+
+
+def from_worker_record(record, failure_domain):
+    """Return the announcement that a predecessor's WorkerRecord stands for."""
+    return Announcement(
+        record.worker_id,
+        "worker",
+        record.boot_id,
+        0,
+        "ready",
+        record.vm,
+        record.rack,
+        failure_domain,
+        record.address,
+        0,
+        record.capacity,
+        common.Resources(0, 0, 0),
+        (),
+        "",
+        "",
+        0,
+        0,
+        "",
+    )
+
+
+def from_runner_view(view):
+    """Return the announcement that a predecessor's RunnerView stands for."""
+    nothing = common.Resources(0, 0, 0)
+    return Announcement(
+        view.runner_id,
+        "runner",
+        view.boot_id,
+        0,
+        "leaving" if view.state == "leaving" else "ready",
+        view.vm,
+        view.rack,
+        view.failure_domain,
+        view.address,
+        0,
+        nothing,
+        nothing,
+        (),
+        view.service,
+        "",
+        view.slots,
+        view.connections,
+        "",
+    )
+
+
+def worker_record(announced, gone=False):
+    """Return the WorkerRecord of a worker's announcement."""
+    return placer.WorkerRecord(
+        announced.target_id,
+        announced.boot_id,
+        announced.vm,
+        announced.rack,
+        announced.address,
+        announced.capacity,
+        gone,
+    )
--- /dev/null
+++ b/alderreach/decisions/first_fit.py
@@ -0,0 +1,208 @@
+"""The baseline scheduler of the benches: first job, first worker that has room.
+
+It keeps the same calls as the scheduler it is compared with and weighs nothing:
+neither waiting nor packing, no fairness, no preemption, no retry limit.
+"""
+
+import typing
+
+from alderreach.core.generated import common
+
+NOTHING = common.Resources(0, 0, 0)
+FINAL = ("finished", "failed")
+RETRIES_MAX = 3
+
+
+class Start(typing.NamedTuple):
+    """Run this attempt of a task on this worker."""
+
+    task_id: str
+    attempt: int
+    job_id: str
+    worker_id: str
+    task: common.Resources
+
+
+class Stop(typing.NamedTuple):
+    """End this attempt; ``how`` is stop or checkpoint."""
+
+    task_id: str
+    attempt: int
+    worker_id: str
+    how: str
+
+
+class Impossible(typing.NamedTuple):
+    """No worker could ever hold a task of the job."""
+
+    job_id: str
+    reason: str
+
+
+class _Task:
+    """One task of a job."""
+
+    def __init__(self, job_id):
+        self.job_id = job_id
+        self.attempt = 0
+        self.state = "waiting"
+        self.worker_id = ""
+        self.failures = 0
+
+
+class _Worker:
+    """One worker with what is left of it."""
+
+    def __init__(self, capacity):
+        self.capacity = capacity
+        self.free = capacity
+        self.open = True
+
+
+def minus(left, right):
+    """Subtract resources, each kind by itself."""
+    return common.Resources(*(a - b for a, b in zip(left, right, strict=True)))
+
+
+def fits(task, free):
+    """Whether ``free`` has room for ``task``."""
+    return all(a <= b for a, b in zip(task, free, strict=True))
+
+
+class Scheduler:
+    """Jobs in order of arrival, workers in order of id."""
+
+    def __init__(self, random):
+        self._random = random
+        self._workers = {}
+        self._jobs = {}
+        self._tasks = {}
+        self._cancelled = set()
+        self._stopped = set()
+
+    def set_team(self, team):
+        """Ignore quotas and weights: the baseline has none."""
+
+    def add_worker(self, worker_id, vm, rack, capacity):
+        """Add a worker, open for work, with the tasks restored on it counted."""
+        worker = self._workers[worker_id] = _Worker(capacity)
+        for task in self._tasks.values():
+            if task.worker_id == worker_id:
+                worker.free = minus(worker.free, self._jobs[task.job_id].task)
+
+    def remove_worker(self, worker_id):
+        """Forget a worker; its tasks are ended by ``task_ended``."""
+        self._workers.pop(worker_id, None)
+
+    def set_open(self, worker_id, is_open):
+        """Open or close a worker for new tasks."""
+        self._workers[worker_id].open = is_open
+
+    def submit(self, job, now_ms):
+        """Add a job with all its tasks waiting."""
+        self._jobs[job.job_id] = job
+        for number in range(job.tasks):
+            self._tasks.setdefault(f"{job.job_id}/{number}", _Task(job.job_id))
+
+    def cancel(self, job_id, now_ms):
+        """Start nothing more of a job and stop what runs."""
+        self._cancelled.add(job_id)
+
+    def restore(self, task_id, attempt, job_id, worker_id):
+        """Note a task that is known to run already."""
+        task = self._tasks[task_id]
+        task.attempt, task.state, task.worker_id = attempt, "running", worker_id
+        self._take(worker_id, self._jobs[job_id].task)
+
+    def task_started(self, task_id, now_ms):
+        """Note that a worker runs the task."""
+        self._tasks[task_id].state = "running"
+
+    def task_ended(self, task_id, attempt, outcome, now_ms):
+        """Note how an attempt ended; all but finished may be started again."""
+        task = self._tasks.get(task_id)
+        if task is None or task.attempt != attempt or not task.worker_id:
+            return
+        worker = self._workers.get(task.worker_id)
+        if worker is not None:
+            asked = self._jobs[task.job_id].task
+            worker.free = minus(worker.free, minus(NOTHING, asked))
+        task.worker_id = ""
+        task.failures += outcome == "failed"
+        given_up = task.failures >= RETRIES_MAX
+        task.state = "failed" if given_up else "waiting"
+        if outcome == "finished":
+            task.state = "finished"
+
+    def observe_usage(self, worker_id, usage):
+        """Ignore usage: the baseline trusts what jobs declare."""
+
+    def tick(self, now_ms, budget):
+        """Decide; returns at most ``budget`` of Start, Stop and Impossible."""
+        decided = []
+        for job in self._jobs.values():
+            if len(decided) >= budget:
+                break
+            if job.job_id in self._cancelled:
+                decided += self._stops(job)
+            else:
+                decided += self._starts(job, budget - len(decided))
+        return decided
+
+    def job_status(self, job_id):
+        """Return the job's JobStatus, with epoch and time left to the caller."""
+        job = self._jobs[job_id]
+        states = [self._tasks[f"{job_id}/{n}"].state for n in range(job.tasks)]
+        running = sum(state in ("starting", "running") for state in states)
+        finished, failed = states.count("finished"), states.count("failed")
+        state = "running" if running or finished else "waiting"
+        if finished + failed == job.tasks:
+            state = "failed" if failed else "finished"
+        elif job_id in self._cancelled and not running:
+            state = "cancelled"
+        return common.JobStatus(job_id, state, "", running, finished, failed, 0, 0)
+
+    def _stops(self, job):
+        for number in range(job.tasks):
+            task_id = f"{job.job_id}/{number}"
+            task = self._tasks[task_id]
+            key = (task_id, task.attempt)
+            if task.worker_id and key not in self._stopped:
+                self._stopped.add(key)
+                yield Stop(task_id, task.attempt, task.worker_id, "stop")
+
+    def _starts(self, job, budget):
+        waiting = [
+            f"{job.job_id}/{number}"
+            for number in range(job.tasks)
+            if self._tasks[f"{job.job_id}/{number}"].state == "waiting"
+        ]
+        chosen = []
+        for task_id in waiting[: max(budget, 0)]:
+            worker_id = self._room(job.task)
+            if worker_id is None:
+                break
+            self._take(worker_id, job.task)
+            chosen.append((task_id, worker_id))
+        if job.kind == "gang" and len(chosen) < len(waiting):
+            for _, worker_id in chosen:
+                self._take(worker_id, minus(NOTHING, job.task))
+            return []
+        return [self._start(job, *choice) for choice in chosen]
+
+    def _start(self, job, task_id, worker_id):
+        task = self._tasks[task_id]
+        task.attempt += 1
+        task.state, task.worker_id = "starting", worker_id
+        return Start(task_id, task.attempt, job.job_id, worker_id, job.task)
+
+    def _room(self, asked):
+        for worker_id, worker in sorted(self._workers.items()):
+            if worker.open and fits(asked, worker.free):
+                return worker_id
+        return None
+
+    def _take(self, worker_id, asked):
+        worker = self._workers.get(worker_id)
+        if worker is not None:
+            worker.free = minus(worker.free, asked)
--- a/alderreach/ops/placer/__init__.py
+++ b/alderreach/ops/placer/__init__.py
@@ -1,1 +1,1 @@
-"""The placer daemon."""
+"""The placer daemon: ownership of a failure domain, its targets and its tasks."""
--- /dev/null
+++ b/alderreach/ops/placer/commands.py
@@ -0,0 +1,140 @@
+"""When which command goes to which worker: one batch a worker under way, resent.
+
+A command that no answer came for is sent again: workers take a repeated run as known.
+Commands are made at the last moment, so that a task whose fate changed while its
+command waited gets the newer command, or none.
+"""
+
+import heapq
+
+from alderreach.ops import target_wire
+
+COMMANDS_PER_BATCH = 200
+RESEND_MS = 1000
+UNSENT_RETRY_MS = 300
+STOP_GRACE_MS = 5000
+
+
+class Commands:
+    """Commands of one owner; ``lapse_ms`` is how long an unanswered run may arrive."""
+
+    def __init__(self, epoch, placements, members, jobs, lapse_ms):
+        self._epoch = epoch
+        self._placements = placements
+        self._members = members
+        self._jobs = jobs
+        self._lapse_ms = lapse_ms
+        self._due = []
+        self._due_count = 0
+        self._outgoing = {}
+        self._strays = {}
+        self._in_flight = set()
+
+    def push_due(self, placement, due_ms):
+        """Look after this placement's commands at ``due_ms``."""
+        self._due_count += 1
+        heapq.heappush(self._due, (due_ms, self._due_count, placement))
+
+    def stop_stray(self, worker_id, task_id, attempt):
+        """Have an attempt stopped that no placement stands for."""
+        self._strays.setdefault(worker_id, set()).add((task_id, attempt))
+
+    def queue_due(self, now_ms):
+        """Queue what is due; returns placements whose refused run is now certain."""
+        refused = []
+        while self._due and self._due[0][0] <= now_ms:
+            placement = heapq.heappop(self._due)[2]
+            if not self._placements.is_current(placement):
+                continue
+            if placement.state == "starting" and placement.refused:
+                if now_ms < placement.loose_until_ms:
+                    self.push_due(placement, placement.loose_until_ms)
+                else:
+                    refused.append(placement)
+            elif placement.state in ("starting", "stopping"):
+                self._queue(placement, now_ms)
+        return refused
+
+    def _queue(self, placement, now_ms):
+        """Queue a command, unless its worker is out of reach."""
+        target = self._members.targets.get(placement.record.worker_id)
+        if target is None or not target.reported or target.state == "dead":
+            self.push_due(placement, now_ms + RESEND_MS)
+            return
+        queue = self._outgoing.setdefault(placement.record.worker_id, {})
+        queue[placement.record.task_id] = placement
+
+    def batches(self):
+        """Return the batches to send now: one a worker, none while one is under way."""
+        waiting = [
+            *self._outgoing,
+            *(w for w in self._strays if w not in self._outgoing),
+        ]
+        ready = [worker_id for worker_id in waiting if worker_id not in self._in_flight]
+        made = [self._batch(worker_id) for worker_id in ready]
+        return [batch for batch in made if batch is not None]
+
+    def _batch(self, worker_id):
+        target = self._members.targets.get(worker_id)
+        commands = self._take(worker_id)
+        if target is None or not commands:
+            return None
+        self._in_flight.add(worker_id)
+        told = target.announced
+        return target_wire.Batch(
+            worker_id,
+            told.address,
+            told.boot_id,
+            self._epoch,
+            told.sequence,
+            tuple(commands),
+        )
+
+    def _take(self, worker_id):
+        """Take the worker's commands off the queue, made as of now."""
+        commands = [
+            target_wire.end_command("stop", task_id, attempt, STOP_GRACE_MS)
+            for task_id, attempt in self._strays.pop(worker_id, ())
+        ]
+        queue = self._outgoing.get(worker_id, {})
+        for task_id in list(queue)[:COMMANDS_PER_BATCH]:
+            placement = queue.pop(task_id)
+            if self._placements.is_current(placement):
+                commands += self._command(placement)
+        if not queue:
+            self._outgoing.pop(worker_id, None)
+        return commands
+
+    def _command(self, placement):
+        record = placement.record
+        if placement.state == "starting" and not placement.refused:
+            state = self._jobs[record.job_id]
+            placement.sent = True
+            yield target_wire.run_command(
+                record, state.job, placement.task, state.service
+            )
+        elif placement.state == "stopping":
+            yield target_wire.end_command(
+                placement.end_command, record.task_id, record.attempt, STOP_GRACE_MS
+            )
+
+    def answered(self, result, now_ms):
+        """Take a BatchResult; yields (placement, command, CommandResult) of answers."""
+        batch = result.batch
+        self._in_flight.discard(batch.worker_id)
+        told = {(r.task_id, r.attempt): r for r in result.results}
+        for command in batch.commands:
+            placement = self._placements.by_task.get(command["task_id"])
+            if placement is None or placement.record.attempt != command["attempt"]:
+                continue
+            answer = told.get(placement.key)
+            if answer is None:
+                self._unanswered(placement, command, result.status, now_ms)
+            else:
+                yield placement, command["command"], answer
+
+    def _unanswered(self, placement, command, status, now_ms):
+        if status in ("uncertain", "answered") and command["command"] == "run":
+            placement.loose_until_ms = now_ms + self._lapse_ms
+        soon = status in ("unsent", "late")
+        self.push_due(placement, now_ms + (UNSENT_RETRY_MS if soon else RESEND_MS))
--- /dev/null
+++ b/alderreach/ops/placer/item_writer.py
@@ -0,0 +1,110 @@
+"""An owner's writes to the keepers: coalesced, one batch under way, guarded by epoch.
+
+Items change far more often than they need to be durable. Each key is written with its
+value at the time the batch is made, so that a slow quorum makes batches larger, not
+the queue longer. The guard lets a deposed owner's late write change nothing.
+
+A copy of a batch that was delayed in the network may reach the keepers after a newer
+batch. Every write therefore names the version it replaces: the late copy then loses,
+where an unconditional write would bring back an older state.
+"""
+
+import typing
+
+from alderreach.core import codec
+from alderreach.core.generated import keeper
+
+BATCH_ITEMS = 200
+PAUSE_MS = 50
+RETRY_MS = 300
+
+
+class _Written(typing.NamedTuple):
+    """One key of the batch under way."""
+
+    key: str
+    value: bytes | None
+    make: typing.Callable
+    durable: typing.Callable | None
+
+
+class ItemWriter:
+    """Keys to be written; ``mark`` may be called again and again for a key.
+
+    ``make()`` gives the value (None deletes) and a function to be called once that
+    value is durable, or None. ``versions`` are those in force, by key.
+    """
+
+    def __init__(self, failure_domain, author, epoch, versions):
+        self._failure_domain = failure_domain
+        self._author = author
+        self._epoch = epoch
+        self._versions = dict(versions)
+        self._makers = {}
+        self._written = None
+        self._next_ms = 0
+        self.failing = False
+
+    def mark(self, key, make):
+        """Have an item written with what ``make`` gives by then."""
+        self._makers.setdefault(key, make)
+
+    @property
+    def is_idle(self):
+        """Whether everything marked is written."""
+        return not self._makers and self._written is None
+
+    def next_batch(self, now_ms, wall_ms):
+        """Return the WriteItems to send now, or None."""
+        if not self._makers or self._written is not None or now_ms < self._next_ms:
+            return None
+        self._written = []
+        for key in list(self._makers)[:BATCH_ITEMS]:
+            make = self._makers.pop(key)
+            value, durable = make()
+            if value is not None or key in self._versions:
+                self._written.append(_Written(key, value, make, durable))
+        if not self._written:
+            self._written = None
+            return None
+        writes = [
+            keeper.ItemWrite(entry.key, self._versions.get(entry.key, 0), entry.value)
+            for entry in self._written
+        ]
+        return keeper.WriteItems(
+            "", self._author, writes, self._failure_domain, self._epoch, wall_ms
+        )
+
+    def ended(self, outcome, now_ms):
+        """Take the batch's ``keeper_client.Outcome``; returns the write's status.
+
+        What may not have been written is written again, with newer values.
+        """
+        written, self._written = self._written, None
+        result = None
+        if outcome.status == "ok":
+            result = codec.unpack(outcome.result).unwrap()
+        if result is None or result.status != "accepted":
+            self._again(written, result, now_ms)
+            return result.status if result else outcome.status
+        self.failing = False
+        self._next_ms = now_ms + PAUSE_MS
+        for entry in written:
+            self._note_version(entry.key, result.version if entry.value else 0)
+            if entry.durable is not None:
+                entry.durable()
+        return result.status
+
+    def _again(self, written, result, now_ms):
+        self.failing = result is None
+        self._next_ms = now_ms + (RETRY_MS if result is None else PAUSE_MS)
+        for conflict in result.conflicts if result else ():
+            self._note_version(conflict.key, conflict.version)
+        for entry in written:
+            self._makers.setdefault(entry.key, entry.make)
+
+    def _note_version(self, key, version):
+        if version:
+            self._versions[key] = version
+        else:
+            self._versions.pop(key, None)
--- /dev/null
+++ b/alderreach/ops/placer/items.py
@@ -0,0 +1,178 @@
+"""What the keepers' items mean for an owner: teams, services, jobs, cancellations.
+
+Items come twice: read as a whole when ownership was granted, and pushed as they
+change. Each is applied once, by its version, whichever way it comes first.
+"""
+
+from alderreach.core import codec
+from alderreach.core.generated import common, placer
+from alderreach.ops.placer import jobs
+
+RETENTION_MS = 3_600_000
+SHARED_PREFIXES = ("team/", "workload/", "maintenance/", "owner/", "target/")
+
+
+def followed_prefixes(failure_domain):
+    """Return the prefixes of the items a placer follows."""
+    return (*SHARED_PREFIXES, f"job/{failure_domain}/", f"cancel/{failure_domain}/")
+
+
+def read_prefixes(failure_domain):
+    """Return the prefixes a new owner reads as they are now, before it acts."""
+    kinds = ("job", "done", "status", "cancel", "placed")
+    return tuple(f"{kind}/{failure_domain}/" for kind in kinds)
+
+
+class Items:
+    """Applies items to the ``placing`` of one epoch."""
+
+    def __init__(self, placing, failure_domains):
+        self._placing = placing
+        self._failure_domains = failure_domains
+        self._versions = {}
+        self._services = {}
+        self.windows = {}
+        self.words = {}
+
+    def load(self, items, now_ms):
+        """Apply all items at takeover; returns the WorkerPlacements among them."""
+        by_kind = {}
+        for item in items:
+            by_kind.setdefault(item.key.partition("/")[0], []).append(item)
+        for kind in ("team", "maintenance", "target"):
+            for item in by_kind.get(kind, ()):
+                self.change(item, now_ms)
+        self._load_jobs(by_kind, now_ms)
+        for item in by_kind.get("workload", ()):
+            self.change(item, now_ms)
+        return [
+            codec.decode(item.value, placer.WorkerPlacements)
+            for item in by_kind.get("placed", ())
+        ]
+
+    def _load_jobs(self, by_kind, now_ms):
+        """Take jobs together with what is known of their ends and cancellations."""
+        states = {}
+        for item in by_kind.get("job", ()):
+            self._versions[item.key] = item.version
+            states[_name(item)] = jobs.JobState(codec.decode(item.value, common.Job))
+        for item in by_kind.get("status", ()):
+            if _name(item) in states:
+                state = states[_name(item)]
+                state.status = codec.decode(item.value, common.JobStatus)
+                state.final_durable = state.is_final
+        for item in by_kind.get("done", ()):
+            if _name(item) in states:
+                jobs.load_ended(states[_name(item)], item.value)
+        for item in by_kind.get("cancel", ()):
+            self._versions[item.key] = item.version
+            if _name(item) in states:
+                states[_name(item)].cancelled = True
+        for state in states.values():
+            self._placing.submit(state, now_ms)
+
+    def change(self, item, now_ms):
+        """Apply one item unless it, or a newer version, was applied before."""
+        if item.version <= self._versions.get(item.key, -1):
+            return
+        self._versions[item.key] = item.version
+        kind = item.key.partition("/")[0]
+        if kind == "team" and item.value is not None:
+            self._placing.scheduler.set_team(codec.decode(item.value, common.Team))
+        elif kind == "workload":
+            self._change_workload(item, now_ms)
+        elif kind == "maintenance":
+            self._change_window(item)
+        elif kind == "target":
+            self._change_word(item, now_ms)
+        elif kind == "job":
+            self._change_job(item, now_ms)
+        elif kind == "cancel" and item.value is not None:
+            self._placing.cancel(_name(item), now_ms)
+
+    def _change_workload(self, item, now_ms):
+        """Run this domain's share of a service; a changed one replaces the old."""
+        before = self._services.get(item.key)
+        workload = None
+        if item.value is not None:
+            workload = codec.decode(item.value, common.Workload)
+        job = workload and self._service_job(workload)
+        if job and before and before.job_id == job.job_id:
+            return
+        if before is not None:
+            self._placing.cancel(before.job_id, now_ms)
+            del self._services[item.key]
+        if job:
+            while job.job_id in self._placing.jobs:
+                job = job._replace(job_id=f"{job.job_id}-again")
+            self._services[item.key] = job
+            state = jobs.JobState(job, is_service=True, service=workload.name)
+            self._placing.submit(state, now_ms)
+
+    def _service_job(self, workload):
+        domain = self._placing.failure_domain
+        tasks = jobs.service_share(workload, domain, self._failure_domains)
+        if workload.kind != "service" or tasks < 1:
+            return None
+        return jobs.service_job(workload, domain, tasks)
+
+    def _change_window(self, item):
+        if item.value is None:
+            self.windows.pop(item.key, None)
+        else:
+            self.windows[item.key] = codec.decode(item.value, common.MaintenanceWindow)
+
+    def _change_word(self, item, now_ms):
+        """Note an operator's word that a target is dead, and when it was noted."""
+        if item.value is None:
+            self.words.pop(_name(item), None)
+        else:
+            self.words[_name(item)] = now_ms
+
+    def _change_job(self, item, now_ms):
+        job_id = _name(item)
+        if item.value is None:
+            if not self._placing.placements.of_job(job_id):
+                self._placing.jobs.pop(job_id, None)
+            return
+        if job_id not in self._placing.jobs:
+            state = jobs.JobState(codec.decode(item.value, common.Job))
+            domain = self._placing.failure_domain
+            state.cancelled = f"cancel/{domain}/{job_id}" in self._versions
+            self._placing.submit(state, now_ms)
+            self._placing.note("job_taken", job_id=job_id, team=state.job.team)
+
+    def apply_words(self, now_ms):
+        """Give up silent targets that an operator declared dead.
+
+        A word is about the silence at that time: it is deleted once it was followed,
+        or if the target is heard, so that it can't hit the target's next silence. A
+        target that is not silent for long enough yet keeps the word waiting.
+        """
+        for target_id, noted_ms in list(self.words.items()):
+            target = self._placing.members.targets.get(target_id)
+            if target is not None:
+                heard = target.reported and target.heard_ms > noted_ms
+                if not heard and target.state not in ("suspect", "dead"):
+                    continue
+                if not heard:
+                    self._placing.declare_dead(target_id, now_ms)
+            del self.words[target_id]
+            self._placing.mark_item(f"target/{target_id}", lambda: (None, None))
+
+    def drop_old_jobs(self, wall_ms):
+        """Delete the items of jobs that ended long ago."""
+        domain = self._placing.failure_domain
+        for job_id, state in list(self._placing.jobs.items()):
+            if not state.final_durable or state.is_service:
+                continue
+            if wall_ms - state.status.updated_wall_ms > RETENTION_MS:
+                for kind in ("job", "cancel", "done", "status"):
+                    key = f"{kind}/{domain}/{job_id}"
+                    self._placing.mark_item(key, lambda: (None, None))
+                del self._placing.jobs[job_id]
+
+
+def _name(item):
+    """Return the last part of an item's key."""
+    return item.key.rpartition("/")[2]
--- /dev/null
+++ b/alderreach/ops/placer/jobs.py
@@ -0,0 +1,132 @@
+"""The jobs an owner places: what their items say and what is yet to be written."""
+
+import xxhash
+
+from alderreach.core import codec
+from alderreach.core.generated import common, placer
+
+SERVICE_PREFIX = "service-"
+FINAL_STATES = ("finished", "failed", "cancelled", "impossible")
+
+
+class JobState:
+    """One job or service; ``finished`` and ``failed`` hold numbers of its tasks.
+
+    ``durable`` are the finished numbers the keepers hold: only those may a worker
+    forget. ``attempts`` maps numbers to the last attempt given out. ``final_durable``
+    tells that the keepers hold the final status.
+    """
+
+    def __init__(self, job, is_service=False, service=""):
+        self.job = job
+        self.is_service = is_service
+        self.service = service
+        self.finished = set()
+        self.failed = set()
+        self.durable = frozenset()
+        self.attempts = {}
+        self.cancelled = False
+        self.impossible = ""
+        self.status = None
+        self.final_durable = False
+
+    @property
+    def is_final(self):
+        """Whether the job has ended for good."""
+        return self.status is not None and self.status.state in FINAL_STATES
+
+
+def job_of(task_id):
+    """Return the job's id within a task id ``<job_id>/<number>``."""
+    return task_id.rpartition("/")[0]
+
+
+def number_of(task_id):
+    """Return the task's number, -1 if the id is not ours."""
+    number = task_id.rpartition("/")[2]
+    return int(number) if number.isdigit() else -1
+
+
+def to_ranges(numbers):
+    """Return sorted numbers as first, last, first, last.
+
+    >>> to_ranges({1, 2, 3, 7})
+    [1, 3, 7, 7]
+    """
+    ranges = []
+    for number in sorted(numbers):
+        if ranges and ranges[-1] == number - 1:
+            ranges[-1] = number
+        else:
+            ranges += [number, number]
+    return ranges
+
+
+def from_ranges(ranges):
+    """Return the set of numbers that ``to_ranges`` gave."""
+    numbers = set()
+    for first, last in zip(ranges[::2], ranges[1::2], strict=True):
+        numbers.update(range(first, last + 1))
+    return numbers
+
+
+def ended_item(state):
+    """Return the encoded EndedTasks of a job."""
+    return codec.encode(
+        placer.EndedTasks(
+            state.job.job_id, to_ranges(state.finished), to_ranges(state.failed)
+        )
+    )
+
+
+def load_ended(state, value):
+    """Take an EndedTasks item read from the keepers."""
+    told = codec.decode(value, placer.EndedTasks)
+    state.finished |= from_ranges(told.finished)
+    state.failed |= from_ranges(told.failed)
+    state.durable = frozenset(state.finished)
+
+
+def service_job(workload, failure_domain, tasks):
+    """Return the Job that stands for a service in a failure domain.
+
+    Its id tells the content, so that every owner gives the same id to the same
+    service, and a service whose tasks must be replaced is another job.
+    """
+    job = common.Job(
+        "",
+        workload.team,
+        workload.name,
+        "service",
+        failure_domain,
+        workload.task,
+        tasks,
+        0,
+        workload.when_cut_off,
+        workload.checkpoint,
+        0,
+        "",
+        0,
+        "",
+    )
+    digest = xxhash.xxh32_hexdigest(codec.encode(job))
+    name = f"{SERVICE_PREFIX}{failure_domain}-{workload.team}-{workload.name}-{digest}"
+    return job._replace(
+        job_id=name,
+        priority=workload.priority,
+        expected_run_ms=workload.expected_run_ms,
+    )
+
+
+def service_share(workload, failure_domain, failure_domains):
+    """Return how many of a service's tasks this failure domain runs.
+
+    A service without a home is spread evenly; the first domains by name take the
+    remainder.
+    """
+    home = workload.home_failure_domain
+    if home:
+        return workload.tasks if home == failure_domain else 0
+    order = sorted(failure_domains)
+    each, rest = divmod(workload.tasks, len(order))
+    return each + (order.index(failure_domain) < rest)
--- /dev/null
+++ b/alderreach/ops/placer/status.py
@@ -0,0 +1,145 @@
+"""What an owner says of its jobs and targets: statuses and answers to queries."""
+
+from alderreach.core import codec
+from alderreach.core.generated import common, placer
+from alderreach.decisions import maintenance
+
+NOTHING = common.Resources(0, 0, 0)
+NAMED_TASKS = 3
+
+
+def current(placing, state, wall_ms=0):
+    """Return a job's JobStatus as it stands."""
+    if state.is_final:
+        return state.status
+    job_id, tasks = state.job.job_id, state.job.tasks
+    placed = placing.placements.of_job(job_id)
+    running = sum(p.state != "starting" for p in placed)
+    told = placing.scheduler.job_status(job_id)
+    finished, failed = len(state.finished), told.failed
+    name, reason = "waiting", told.reason
+    if state.impossible and not placed:
+        name, reason = "impossible", state.impossible
+    elif finished >= tasks:
+        name, reason = "finished", ""
+    elif state.cancelled and not placed:
+        name, reason = "cancelled", ""
+    elif not placed and finished + failed >= tasks:
+        name = "failed"
+    elif placed or finished:
+        name = "running"
+    return common.JobStatus(
+        job_id, name, reason, running, finished, failed, placing.epoch, wall_ms
+    )
+
+
+def make_item(placing, state):
+    """Return the status item's value for ``item_writer.ItemWriter.mark``."""
+    state.status = current(placing, state, placing.wall_ms())
+
+    def durable():
+        state.final_durable = state.is_final
+
+    return codec.encode(state.status), durable
+
+
+def job_reply(placing, query):
+    """Answer a JobQuery."""
+    if query.job_id:
+        states = [placing.jobs[query.job_id]] if query.job_id in placing.jobs else []
+    else:
+        states = list(placing.jobs.values())
+    statuses = [current(placing, state, placing.wall_ms()) for state in states]
+    tasks = _tasks(placing, states[0]) if query.job_id and states else []
+    return placer.JobReply(query.request_id, True, statuses, tasks)
+
+
+def _tasks(placing, state):
+    views = []
+    for number in range(state.job.tasks):
+        task_id = f"{state.job.job_id}/{number}"
+        placement = placing.placements.by_task.get(task_id)
+        attempt = state.attempts.get(number, 0)
+        if placement is not None:
+            name = "running" if placement.state == "held" else placement.state
+            views.append(
+                placer.TaskView(task_id, attempt, name, placement.record.worker_id)
+            )
+            continue
+        name = "finished" if number in state.finished else "waiting"
+        if name == "waiting" and state.is_final:
+            name = "failed"
+        views.append(placer.TaskView(task_id, attempt, name, ""))
+    return views
+
+
+def target_reply(placing, request_id, windows, wall_ms):
+    """Answer a TargetQuery."""
+    rows = [
+        target_row(placing, target, windows, wall_ms)
+        for _, target in sorted(placing.members.targets.items())
+    ]
+    return placer.TargetReply(request_id, True, rows)
+
+
+def target_row(placing, target, windows, wall_ms):
+    """Return one target's row for people."""
+    told = target.announced
+    held = placing.placements.on_worker(told.target_id)
+    reserved = common.Resources(
+        *(sum(kind) for kind in zip(NOTHING, *(p.task for p in held), strict=True))
+    )
+    tasks = len(held) if told.kind == "worker" else told.slots
+    state = target.state
+    quarantined = _is_quarantined(placing, told.target_id)
+    if state == "ready" and quarantined:
+        state = "quarantined"
+    note = _note(placing, target, held, windows, wall_ms, quarantined)
+    return placer.TargetRow(
+        told.target_id,
+        told.kind,
+        told.vm,
+        told.rack,
+        told.failure_domain,
+        state,
+        told.capacity,
+        reserved,
+        tasks,
+        note,
+    )
+
+
+def _is_quarantined(placing, worker_id):
+    """Ask the scheduler, if it keeps workers in quarantine at all."""
+    ask = getattr(placing.scheduler, "is_quarantined", None)
+    return ask is not None and worker_id in placing.members.targets and ask(worker_id)
+
+
+def _note(placing, target, held, windows, wall_ms, quarantined):
+    told = target.announced
+    phase = maintenance.phase_of(windows, told.vm, told.rack, wall_ms)
+    if phase:
+        return f"maintenance {phase}: {_readiness(held)}"
+    if not target.reported:
+        return "known from the owner before, not reported yet"
+    if target.state == "suspect":
+        return "silent, or fell too often lately"
+    if quarantined:
+        return "most of what it started failed"
+    if target.state == "dead" and held:
+        return f"silent; held until its fate is known: {_named(held)}"
+    if told.kind == "worker" and not placing.is_confirmed(told.target_id):
+        return "has not confirmed this owner's epoch"
+    return ""
+
+
+def _readiness(held):
+    if not held:
+        return "ready, nothing runs"
+    return f"not ready, {len(held)} tasks run: {_named(held)}"
+
+
+def _named(held):
+    names = sorted(placement.record.task_id for placement in held)
+    more = ", ..." if len(names) > NAMED_TASKS else ""
+    return ", ".join(names[:NAMED_TASKS]) + more
--- /dev/null
+++ b/alderreach/ops/placer/takeover.py
@@ -0,0 +1,90 @@
+"""How a new owner takes over what its predecessor placed.
+
+It holds what the standby's copy of the records and the items at the keepers say runs,
+on workers it closes until each has reported to it. The records are complete if they
+are those of the epoch just before; else nothing is started until everything movable
+that the predecessor started has surely lapsed.
+"""
+
+import typing
+
+from absl import logging
+
+from alderreach.core import placements, target_membership
+from alderreach.ops.placer import jobs
+
+SETTLE_HEARTBEATS = 1.2
+
+
+class Held(typing.NamedTuple):
+    """A predecessor's record and the boot of the worker it was made for."""
+
+    record: typing.Any
+    boot_id: str
+
+
+def take_over(placing, copy, placed, now_ms):
+    """Hold what ``copy`` (a RecordCopy) and the WorkerPlacements ``placed`` tell.
+
+    Called once, after all items were applied.
+    """
+    placing.starts_from_ms = now_ms + _wait_ms(placing, copy)
+    workers = {item.worker.worker_id: item.worker for item in placed}
+    workers.update(copy.workers)
+    for worker in workers.values():
+        told = target_membership.from_worker_record(worker, placing.failure_domain)
+        placing.expect(told, now_ms)
+    for view in copy.runners.values():
+        placing.expect(target_membership.from_runner_view(view), now_ms)
+    for held in merge(copy, placed):
+        _hold(placing, held, now_ms)
+
+
+def _wait_ms(placing, copy):
+    if placing.epoch == 1:
+        return 0
+    if copy.epoch == placing.epoch - 1:
+        return int(SETTLE_HEARTBEATS * placing.timing.target_heartbeat_ms)
+    return placing.lapse_ms
+
+
+def merge(copy, placed):
+    """Return one Held per task, the highest attempt that either source tells of.
+
+    A higher attempt exists only where the lower one had surely ended.
+    """
+    told = [
+        Held(record, copy.workers[record.worker_id].boot_id)
+        for record in copy.placements.values()
+        if record.worker_id in copy.workers
+    ]
+    told += [
+        Held(record, item.worker.boot_id)
+        for item in placed
+        for record in item.placements
+    ]
+    merged = {}
+    for held in told:
+        before = merged.get(held.record.task_id)
+        if before is None or held.record.attempt > before.record.attempt:
+            merged[held.record.task_id] = held
+    return list(merged.values())
+
+
+def _hold(placing, held, now_ms):
+    record = held.record
+    state = placing.jobs.get(record.job_id)
+    number = jobs.number_of(record.task_id)
+    if state is None or state.is_final or number in state.finished:
+        return
+    if record.outcome:
+        if record.outcome == "finished":
+            placing.finish(state, number, now_ms)
+        return
+    if record.worker_id not in placing.members.targets:
+        logging.error("record of a task on an unknown worker: %s", record)
+        return
+    placement = placements.Placement(
+        record, record.attempt, held.boot_id, state.job.task, "held"
+    )
+    placing.restore(placement, state)
--- /dev/null
+++ b/alderreach/ops/placer/tenure.py
@@ -0,0 +1,248 @@
+"""One epoch of ownership: from the grant over reading the items to stepping down."""
+
+import random
+import typing
+
+from alderreach.core import codec, records
+from alderreach.core.generated import keeper, placer
+from alderreach.decisions import first_fit as scheduling
+from alderreach.ops.placer import (
+    item_writer,
+    items,
+    placing,
+    status,
+    takeover,
+    upkeep,
+    watchers,
+)
+
+READ_TIMEOUT_MS = 2000
+WRITE_TIMEOUT_MS = 3000
+UPKEEP_INTERVAL_MS = 200
+SWEEP_INTERVAL_MS = 10_000
+PUBLISH_HEARTBEATS = 2
+
+
+class ItemsRead(typing.NamedTuple):
+    """A prefix was read for an epoch; ``outcome`` is the keepers'."""
+
+    epoch: int
+    prefix: str
+    outcome: typing.Any
+
+
+class ItemsWritten(typing.NamedTuple):
+    """A batch of an epoch's writes ended."""
+
+    epoch: int
+    outcome: typing.Any
+
+
+class Tenure:
+    """The owner's state in one epoch; acts once all items are read.
+
+    ``context`` is the daemon's, ``gateway`` the keepers', ``put`` the task's mailbox,
+    ``copy`` the RecordCopy of the predecessor's records.
+    """
+
+    def __init__(self, context, gateway, epoch, copy, put):
+        self.epoch = epoch
+        self.placing = None
+        self.watchers = None
+        self._context = context
+        self._gateway = gateway
+        self._copy = copy
+        self._put = put
+        self._domain = context.settings.process.failure_domain
+        self._pages = {}
+        self._items = None
+        self._writer = None
+        self._acked = {}
+        self._beat_sequence = -1
+        self._leaving_since = {}
+        self._next_upkeep_ms = 0
+        self._next_sweep_ms = 0
+        self._publish_ms = 0
+        for prefix in items.read_prefixes(self._domain):
+            self._read(prefix)
+
+    # ---- starting
+
+    def _read(self, prefix):
+        epoch, put = self.epoch, self._put
+
+        def done(outcome):
+            put(ItemsRead(epoch, prefix, outcome))
+
+        self._gateway.request(keeper.ReadItems(prefix), done, READ_TIMEOUT_MS)
+
+    def read(self, mail, now_ms):
+        """Take a page; begin once all are there."""
+        if mail.outcome.status != "ok":
+            self._read(mail.prefix)
+            return
+        page = codec.unpack(mail.outcome.result).unwrap()
+        self._pages[mail.prefix] = page
+        if len(self._pages) == len(items.read_prefixes(self._domain)):
+            self._begin(now_ms)
+
+    def _begin(self, now_ms):
+        settings, timing = self._context.settings, self._context.settings.timing
+        own = [item for page in self._pages.values() for item in page.items]
+        versions = {item.key: item.version for item in own}
+        shared = [
+            item
+            for item in self._gateway.items.items.values()
+            if item.key not in versions and self._is_news(item)
+        ]
+        versions |= {item.key: item.version for item in shared}
+        self._writer = item_writer.ItemWriter(
+            self._domain, settings.process.name, self.epoch, versions
+        )
+        self.placing = placing.Placing(
+            self._domain,
+            self.epoch,
+            scheduling.Scheduler(random.Random(self.epoch)),
+            timing,
+            self._writer.mark,
+            self._context.timeline.record,
+            self._context.clock.wall_ms,
+        )
+        domains = {peer.failure_domain for peer in settings.peers} | {self._domain}
+        self._items = items.Items(self.placing, domains)
+        placed = self._items.load(own + shared, now_ms)
+        takeover.take_over(self.placing, self._copy, placed, now_ms)
+        self._copy = None
+        self.watchers = watchers.Watchers(
+            self._domain, self.epoch, self.placing.members, self._context.transport.send
+        )
+        if self.epoch > 1 and not self.placing.members.runners():
+            self._publish_ms = now_ms + PUBLISH_HEARTBEATS * timing.target_heartbeat_ms
+        self.placing.note("takeover_done", detail=f"{len(placed)} workers with items")
+
+    def _is_news(self, item):
+        """Whether an item of the gateway's copy counts beside the pages just read.
+
+        One that a page of its prefix does not list was deleted, unless it is newer
+        than the page.
+        """
+        prefix = item.key.rpartition("/")[0] + "/"
+        page = self._pages.get(prefix)
+        return page is None or item.version > page.version
+
+    @property
+    def begun(self):
+        """Whether the items are read and the placing runs."""
+        return self.placing is not None
+
+    def records(self):
+        """Return what the next owner must know, as a RecordCopy."""
+        if not self.begun:
+            return self._copy
+        return records.copy_of(self.placing.log, self.epoch)
+
+    # ---- messages
+
+    def announce(self, told, now_ms):
+        """Take an announcement; returns the acknowledged task ids."""
+        return self.placing.announce(told, now_ms)
+
+    def items_changed(self, changed, now_ms):
+        """Apply pushed items; before the beginning they are in the gateway's copy."""
+        if self.begun:
+            for item in changed:
+                self._items.change(item, now_ms)
+
+    def written(self, mail, now_ms):
+        """Take the end of a batch of writes; True if it shows that we are deposed."""
+        return self._writer.ended(mail.outcome, now_ms) == "stale_epoch"
+
+    def promised(self, standby, promise):
+        """Note up to which record a standby holds all."""
+        if promise.epoch == self.epoch:
+            self._acked[standby] = promise.record_sequence
+
+    def job_reply(self, query):
+        """Answer a JobQuery."""
+        return status.job_reply(self.placing, query)
+
+    def target_reply(self, query):
+        """Answer a TargetQuery."""
+        windows = list(self._items.windows.values())
+        wall_ms = self._context.clock.wall_ms()
+        return status.target_reply(self.placing, query.request_id, windows, wall_ms)
+
+    # ---- time
+
+    def tick(self, now_ms, standbys):
+        """Decide and publish; returns the batches to send to workers."""
+        if not self.begun:
+            return []
+        acked = min((self._acked.get(name, 0) for name in standbys), default=0)
+        self.placing.tick(now_ms, acked, bool(standbys), self._writer.failing)
+        self._publish(now_ms)
+        self._upkeep(now_ms)
+        self._write(now_ms)
+        return self.placing.commands.batches()
+
+    def _publish(self, now_ms):
+        if not self.watchers.published and now_ms >= self._publish_ms:
+            peers = self._context.settings.peers
+            entries = [peer.address for peer in peers if peer.role == "entry"]
+            self.watchers.introduce(entries, now_ms)
+        self.watchers.push(now_ms)
+
+    def _upkeep(self, now_ms):
+        if now_ms < self._next_upkeep_ms:
+            return
+        self._next_upkeep_ms = now_ms + UPKEEP_INTERVAL_MS
+        self._items.apply_words(now_ms)
+        windows = list(self._items.windows.values())
+        wall_ms = self._context.clock.wall_ms()
+        upkeep.apply_windows(
+            self.placing, windows, wall_ms, now_ms, self._leaving_since
+        )
+        if now_ms >= self._next_sweep_ms:
+            self._next_sweep_ms = now_ms + SWEEP_INTERVAL_MS
+            self._items.drop_old_jobs(wall_ms)
+            self.placing.forget_dead(now_ms)
+
+    def _write(self, now_ms):
+        batch = self._writer.next_batch(now_ms, self._context.clock.wall_ms())
+        if batch is None:
+            return
+        epoch, put = self.epoch, self._put
+
+        def done(outcome):
+            put(ItemsWritten(epoch, outcome))
+
+        self._gateway.request(batch, done, WRITE_TIMEOUT_MS)
+
+    # ---- beats
+
+    @property
+    def has_news(self):
+        """Whether there are records no beat has carried yet."""
+        return self.begun and self.placing.log.sequence > self._beat_sequence
+
+    def beat(self, standby, now_ms, handover=False):
+        """Return the OwnerBeat for a standby, with the records it lacks."""
+        if not self.begun:
+            # Records would seem complete while they are not: a standby with none at
+            # all waits, if it takes over now, until everything has lapsed.
+            return placer.OwnerBeat(
+                self._domain, self.epoch, now_ms, 1, 1, [], [], [], handover
+            )
+        changes = self.placing.log.since(self._acked.get(standby, 0))
+        self._beat_sequence = changes.sequence
+        return placer.OwnerBeat(
+            self._domain,
+            self.epoch,
+            now_ms,
+            changes.from_record,
+            changes.sequence,
+            changes.placements,
+            changes.workers,
+            changes.runners,
+            handover,
+        )
--- /dev/null
+++ b/alderreach/ops/placer/upkeep.py
@@ -0,0 +1,49 @@
+"""Clears VMs before the landlord stops them: nothing new, runners leave, tasks move."""
+
+from alderreach.decisions import maintenance
+
+RUNNER_LEAVE_MS = 3000
+
+
+def apply_windows(placing, windows, wall_ms, now_ms, leaving_since):
+    """Close, and clear where it is time, what the windows cover.
+
+    ``leaving_since`` maps VMs to when their runners began to leave; kept by the
+    caller from call to call. A service's task is stopped only ``RUNNER_LEAVE_MS``
+    after that: entries hear of a leaving runner at once, and those that missed it
+    with their next question.
+    """
+    closed, leaving, clearing = set(), set(), []
+    for target_id, target in placing.members.targets.items():
+        told = target.announced
+        phase = maintenance.phase_of(windows, told.vm, told.rack, wall_ms)
+        if phase not in ("closed", "clearing"):
+            leaving_since.pop(told.vm, None)
+        elif told.kind == "worker":
+            closed.add(target_id)
+            if phase == "clearing":
+                clearing.append(told)
+        elif phase == "clearing":
+            leaving.add(target_id)
+    placing.set_closed(closed)
+    placing.members.set_leaving(leaving)
+    for told in clearing:
+        since_ms = leaving_since.setdefault(told.vm, now_ms)
+        left_ms = maintenance.time_left_ms(windows, told.vm, told.rack, wall_ms)
+        may_stop_runner = now_ms - since_ms >= RUNNER_LEAVE_MS
+        for placement in placing.placements.on_worker(told.target_id):
+            _clear(placing, placement, left_ms, may_stop_runner, now_ms)
+
+
+def _clear(placing, placement, left_ms, may_stop_runner, now_ms):
+    """End one task so that it starts elsewhere, in the way that loses least."""
+    if placement.state not in ("running", "starting"):
+        return
+    state = placing.jobs[placement.job_id]
+    if state.is_service:
+        if may_stop_runner:
+            placing.stop(placement, "stop", "lost", now_ms)
+    elif state.job.checkpoint:
+        placing.stop(placement, "checkpoint", "checkpointed", now_ms)
+    elif left_ms <= maintenance.STOP_LEAD_MS:
+        placing.stop(placement, "stop", "lost", now_ms)
--- /dev/null
+++ b/alderreach/ops/placer/watchers.py
@@ -0,0 +1,71 @@
+"""The entries that watch an owner's runners, and what each was sent last.
+
+A change is pushed at once; what a push loses, the entry's next question brings.
+"""
+
+from alderreach.core.generated import placer
+
+WATCHER_SILENCE_MS = 10_000
+
+
+class _Watcher:
+    """One entry's peer address."""
+
+    def __init__(self):
+        self.sequence = 0
+        self.heard_ms = 0
+
+
+class Watchers:
+    """The watching entries of one epoch; ``send(address, message)`` sends."""
+
+    def __init__(self, failure_domain, epoch, members, send):
+        self._failure_domain = failure_domain
+        self._epoch = epoch
+        self._members = members
+        self._send = send
+        self._watchers = {}
+        self._pushed = 0
+        self.published = False
+
+    def asked(self, address, watch, now_ms):
+        """Answer a WatchTargets, and push changes to its sender from now on."""
+        if not self.published:
+            return
+        watcher = self._watchers.setdefault(address, _Watcher())
+        watcher.heard_ms = now_ms
+        watcher.sequence = watch.sequence if watch.epoch == self._epoch else 0
+        self._tell(address, watcher)
+
+    def push(self, now_ms):
+        """Send what changed to all who asked lately."""
+        if not self.published or self._pushed == self._members.sequence:
+            return
+        self._pushed = self._members.sequence
+        for address, watcher in list(self._watchers.items()):
+            if now_ms - watcher.heard_ms > WATCHER_SILENCE_MS:
+                del self._watchers[address]
+            else:
+                self._tell(address, watcher)
+
+    def introduce(self, addresses, now_ms):
+        """Send a new owner's view to entries that have not asked it yet."""
+        self.published = True
+        for address in addresses:
+            watcher = self._watchers.setdefault(address, _Watcher())
+            watcher.heard_ms = now_ms
+            self._tell(address, watcher)
+
+    def _tell(self, address, watcher):
+        from_sequence, runners = self._members.since(watcher.sequence)
+        watcher.sequence = self._members.sequence
+        self._send(
+            address,
+            placer.TargetsView(
+                self._failure_domain,
+                self._epoch,
+                from_sequence,
+                self._members.sequence,
+                runners,
+            ),
+        )
--- /dev/null
+++ b/alderreach/ops/target_wire.py
@@ -0,0 +1,277 @@
+"""The targets' wire of docs/INTERFACES.md, in both directions, and nothing else.
+
+Announcements are checked whole before anything is done with them; commands are encoded
+and their answers read here. Another wire is fitted by writing another such module.
+"""
+
+import typing
+
+import msgspec
+import urllib3
+from result import Err, Ok, Result
+
+from alderreach.core import target_membership
+from alderreach.core.generated import common
+
+TARGET_ID_CHARS_MAX = 200
+SEND_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.5
+CONNECTIONS_KEPT = 2000
+ANSWER_BYTES_MAX = 8 << 20
+TARGET_STATES = ("ready", "leaving", "gone")
+TASK_STATES = ("running", "finished", "failed", "stopped", "checkpointed")
+NOTHING = common.Resources(0, 0, 0)
+
+
+class _Resources(typing.TypedDict):
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+
+
+class _Task(typing.TypedDict):
+    task_id: str
+    attempt: int
+    state: typing.Literal[TASK_STATES]
+    reason: typing.NotRequired[str]
+
+
+class _Announcement(typing.TypedDict):
+    kind: typing.Literal["worker", "runner"]
+    boot_id: str
+    sequence: int
+    state: typing.Literal[TARGET_STATES]
+    vm: str
+    rack: str
+    failure_domain: str
+    address: str
+    owner_epoch_seen: typing.NotRequired[int]
+    capacity: typing.NotRequired[_Resources]
+    usage: typing.NotRequired[_Resources]
+    tasks: typing.NotRequired[list[_Task]]
+    service: typing.NotRequired[str]
+    team: typing.NotRequired[str]
+    slots: typing.NotRequired[int]
+    connections: typing.NotRequired[int]
+    task_id: typing.NotRequired[str]
+
+
+class _Result(typing.TypedDict):
+    task_id: str
+    attempt: int
+    accepted: bool
+    reason: typing.NotRequired[str]
+
+
+class _Answer(typing.TypedDict):
+    boot_id: typing.NotRequired[str]
+    results: typing.NotRequired[list[_Result]]
+    reason: typing.NotRequired[str]
+    highest_epoch: typing.NotRequired[int]
+
+
+_announcement_decoder = msgspec.json.Decoder(_Announcement)
+_answer_decoder = msgspec.json.Decoder(_Answer)
+
+
+class Batch(typing.NamedTuple):
+    """Commands for one worker; ``announced`` is the last sequence heard of it."""
+
+    worker_id: str
+    address: str
+    boot_id: str
+    epoch: int
+    announced: int
+    commands: tuple
+
+
+class CommandResult(typing.NamedTuple):
+    """A worker's word on one command."""
+
+    task_id: str
+    attempt: int
+    accepted: bool
+    reason: str
+
+
+class BatchResult(typing.NamedTuple):
+    """How a batch ended.
+
+    ``status`` is answered, unsent (surely nothing arrived), epoch or boot or late
+    (refused whole) or uncertain (it may have arrived, and may still arrive).
+    """
+
+    batch: Batch
+    status: str
+    results: tuple
+    highest_epoch: int
+
+
+def parse_announcement(target_id, body) -> Result:
+    """Check an announcement: ``Ok(Announcement)``, or ``Err(text)``."""
+    if not 0 < len(target_id) <= TARGET_ID_CHARS_MAX:
+        return Err("target id is empty or too long")
+    try:
+        told = _announcement_decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(str(error))
+    wrong = _find_mistake(told)
+    if wrong:
+        return Err(wrong)
+    return Ok(_announcement(target_id, told))
+
+
+def _find_mistake(told):
+    """Say what is wrong beyond the types, or return an empty text."""
+    host, _, port = told["address"].rpartition(":")
+    if not host or not port.isdigit():
+        return "address is not host:port"
+    if not told["boot_id"]:
+        return "boot_id is empty"
+    if told["kind"] == "runner":
+        if not told.get("service"):
+            return "a runner names its service"
+        if told.get("slots", 0) < 1 or told.get("connections", 0) < 1:
+            return "a runner has at least one slot and one connection"
+        return ""
+    if "capacity" not in told:
+        return "a worker names its capacity"
+    if min(told["capacity"].values()) < 0:
+        return "capacity is negative"
+    return ""
+
+
+def _announcement(target_id, told):
+    tasks = tuple(
+        target_membership.ReportedTask(
+            task["task_id"], task["attempt"], task["state"], task.get("reason", "")
+        )
+        for task in told.get("tasks", ())
+    )
+    return target_membership.Announcement(
+        target_id,
+        told["kind"],
+        told["boot_id"],
+        told["sequence"],
+        told["state"],
+        told["vm"],
+        told["rack"],
+        told["failure_domain"],
+        told["address"],
+        told.get("owner_epoch_seen", 0),
+        _resources(told.get("capacity")),
+        _resources(told.get("usage")),
+        tasks,
+        told.get("service", ""),
+        told.get("team", ""),
+        told.get("slots", 0),
+        told.get("connections", 0),
+        told.get("task_id", ""),
+    )
+
+
+def _resources(told):
+    if told is None:
+        return NOTHING
+    return common.Resources(told["cpu_millis"], told["memory_mb"], told["accelerators"])
+
+
+def lease_answer(epoch, lease_ms, heartbeat_ms, acknowledged):
+    """Return the body of a 200 answer to an announcement."""
+    return msgspec.json.encode(
+        {
+            "owner_epoch": epoch,
+            "lease_ms": lease_ms,
+            "heartbeat_ms": heartbeat_ms,
+            "acknowledged": acknowledged,
+        }
+    )
+
+
+def elsewhere_answer(owner_address):
+    """Return the body of a 421 answer."""
+    return msgspec.json.encode({"owner_address": owner_address})
+
+
+def run_command(record, job, task, service):
+    """Return the run command of a PlacementRecord."""
+    return {
+        "command": "run",
+        "task_id": record.task_id,
+        "attempt": record.attempt,
+        "job_id": record.job_id,
+        "team": job.team,
+        "task": task._asdict(),
+        "when_cut_off": record.when_cut_off,
+        "payload": job.payload,
+        "service": service,
+    }
+
+
+def end_command(command, task_id, attempt, grace_ms):
+    """Return a stop or checkpoint command."""
+    told = {"command": command, "task_id": task_id, "attempt": attempt}
+    return told | ({"grace_ms": grace_ms} if command == "stop" else {})
+
+
+class WorkerClient:
+    """Sends batches over kept connections; usable from several threads."""
+
+    def __init__(self):
+        self._pools = urllib3.PoolManager(
+            num_pools=CONNECTIONS_KEPT,
+            maxsize=1,
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=SEND_TIMEOUT_S),
+        )
+
+    def close(self):
+        """Close the kept connections."""
+        self._pools.clear()
+
+    def send(self, batch):
+        """Send a batch and read its answer; returns a BatchResult, raises nothing."""
+        body = msgspec.json.encode(
+            {
+                "epoch": batch.epoch,
+                "boot_id": batch.boot_id,
+                "announced": batch.announced,
+                "commands": batch.commands,
+            }
+        )
+        url = f"http://{batch.address}/v1/commands"
+        headers = {"Content-Type": "application/json"}
+        try:
+            answer = self._pools.request("POST", url, body=body, headers=headers)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.LocationValueError,
+        ):
+            return BatchResult(batch, "unsent", (), 0)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return BatchResult(batch, "uncertain", (), 0)
+        return read_answer(batch, answer.status, answer.data)
+
+
+def read_answer(batch, status, body):
+    """Read a worker's answer; what makes no sense counts as uncertain."""
+    uncertain = BatchResult(batch, "uncertain", (), 0)
+    try:
+        told = _answer_decoder.decode(body[:ANSWER_BYTES_MAX])
+    except msgspec.MsgspecError:
+        return uncertain
+    if status == 409 and told.get("reason") in ("epoch", "boot", "late"):
+        return BatchResult(batch, told["reason"], (), told.get("highest_epoch", 0))
+    if status != 200 or told.get("boot_id") != batch.boot_id:
+        return uncertain
+    results = tuple(
+        CommandResult(
+            result["task_id"],
+            result["attempt"],
+            result["accepted"],
+            result.get("reason", ""),
+        )
+        for result in told.get("results", ())
+    )
+    return BatchResult(batch, "answered", results, 0)
--- a/tools/standins/announcer.py
+++ b/tools/standins/announcer.py
@@ -8,6 +8,7 @@
 
 FIRST_HEARTBEAT_S = 0.2
 TIMEOUT_S = 1.0
+SENT_KEPT = 1000
 
 
 class Announcer:
@@ -26,6 +27,7 @@
         self._report = report
         self._on_answer = on_answer
         self._sequence = 0
+        self._sent_s = {}
         self._wake = threading.Event()
         self._stopping = False
         self._heartbeat_s = FIRST_HEARTBEAT_S
@@ -40,6 +42,10 @@
         """Announce at once: the state changed or a task ended."""
         self._wake.set()
 
+    def sent_s(self, sequence):
+        """When an announcement was sent; None if it is too old to be known."""
+        return self._sent_s.get(sequence)
+
     def stop(self):
         """Send one last announcement, then end."""
         self._stopping = True
@@ -60,6 +66,8 @@
         message = dict(self._report(), sequence=self._sequence)
         body = json.dumps(message).encode()
         sent_s = time.monotonic()
+        self._sent_s[self._sequence] = sent_s
+        self._sent_s.pop(self._sequence - SENT_KEPT, None)
         url = f"http://{self._address}/v1/targets/{self._target_id}/announce"
         headers = {"Content-Type": "application/json"}
         try:
--- a/tools/standins/worker.py
+++ b/tools/standins/worker.py
@@ -30,6 +30,7 @@
         self._state = "ready"
         self._epoch = 0
         self._lease_until_s = 0.0
+        self._lease_s = 0.0
         self._closing = threading.Event()
         self._server = http.serve(spec["address"], self._handle)
         self._announcer = announcer.Announcer(
@@ -68,7 +69,8 @@
             if answer["owner_epoch"] < self._epoch:
                 return
             self._epoch = answer["owner_epoch"]
-            self._lease_until_s = sent_s + answer["lease_ms"] / 1000
+            self._lease_s = answer["lease_ms"] / 1000
+            self._lease_until_s = sent_s + self._lease_s
             for task_id in answer["acknowledged"]:
                 if self._tasks.get(task_id, {}).get("state") != "running":
                     self._tasks.pop(task_id, None)
@@ -99,9 +101,17 @@
             self._epoch = order["epoch"]
             if order["boot_id"] != self._boot_id:
                 return _json(409, {"reason": "boot", "boot_id": self._boot_id})
+            if self._is_late(order):
+                self._history.add("late", worker=self._spec["id"])
+                return _json(409, {"reason": "late"})
             results = [self._command(command) for command in order["commands"]]
         return _json(200, {"boot_id": self._boot_id, "results": results})
 
+    def _is_late(self, order):
+        """Whether a batch names an announcement sent longer ago than the lease."""
+        sent_s = self._announcer.sent_s(order["announced"])
+        return sent_s is None or time.monotonic() - sent_s > self._lease_s
+
     def _command(self, command):
         task = self._tasks.get(command["task_id"])
         same = task is not None and task["attempt"] == command["attempt"]
