--- a/alderreach/core/records.py
+++ b/alderreach/core/records.py
@@ -1,72 +1,138 @@
-"""Schema records as plain objects for JSON, and back with every mistake named.
+"""What an owner tells its standby: placements, workers and runners, as records.
 
-``msgspec`` writes a ``NamedTuple`` as an array; people and other programs read objects
-with field names. Reading back is strict: a field that is missing, unknown or of the
-wrong type is named by its dotted path, and all of them are named at once.
+The log keeps the newest record of each key, numbered. A standby that lacks everything
+after ``acked`` gets that and no more; one that knows nothing, or lacks a record whose
+deletion was already forgotten, gets all. The copy applies only what continues it.
+
+>>> log = RecordLog()
+>>> log.put("runner", "r1", view)  # doctest: +SKIP
+1
 """
 
-import types
 import typing
 
+SETTLED = "settled"
+
+
+class Changes(typing.NamedTuple):
+    """The records after ``from_record``, or all if that is 0."""
+
+    from_record: int
+    sequence: int
+    placements: list
+    workers: list
+    runners: list
+
+
+def is_deletion(kind, record):
+    """Whether the record only says that its key is no more."""
+    if kind == "placement":
+        return record.outcome == SETTLED
+    return record.gone if kind == "worker" else record.state == "dead"
+
+
+class RecordLog:
+    """The owner's side."""
+
+    def __init__(self):
+        self.sequence = 0
+        self._entries = {}
+        self._floor = 0
+        self._deletions = 0
+
+    def put(self, kind, key, record):
+        """Add a record in place of the key's older one; returns its sequence."""
+        before = self._entries.pop((kind, key), None)
+        if before is not None and is_deletion(kind, before[1]):
+            self._deletions -= 1
+        self.sequence += 1
+        self._entries[(kind, key)] = (self.sequence, record)
+        self._deletions += is_deletion(kind, record)
+        return self.sequence
+
+    def since(self, acked):
+        """Return the Changes a standby lacks that has all up to ``acked``."""
+        from_record = acked if self._floor <= acked <= self.sequence else 0
+        parts = {"placement": [], "worker": [], "runner": []}
+        for (kind, _), (sequence, record) in reversed(self._entries.items()):
+            if sequence <= from_record:
+                break
+            parts[kind].append(record)
+        return Changes(
+            from_record,
+            self.sequence,
+            parts["placement"][::-1],
+            parts["worker"][::-1],
+            parts["runner"][::-1],
+        )
+
+    def trim(self, acked):
+        """Forget deletions that every standby holds, up to ``acked``."""
+        if not self._deletions:
+            return
+        done = [
+            (key, sequence)
+            for key, (sequence, record) in self._entries.items()
+            if sequence <= acked and is_deletion(key[0], record)
+        ]
+        for key, sequence in done:
+            del self._entries[key]
+            self._floor = max(self._floor, sequence)
+        self._deletions -= len(done)
+
+
+class RecordCopy:
+    """The standby's side: the records of the owner of ``epoch`` up to ``sequence``."""
+
+    def __init__(self):
+        self.epoch = 0
+        self.sequence = 0
+        self.placements = {}
+        self.workers = {}
+        self.runners = {}
+
+    def apply(self, beat):
+        """Take an OwnerBeat; returns the sequence up to which all is held."""
+        if beat.epoch < self.epoch:
+            return self.sequence
+        if beat.epoch > self.epoch:
+            if beat.from_record:
+                return 0
+            self._clear(beat.epoch)
+        if beat.from_record > self.sequence or beat.record_sequence < self.sequence:
+            return self.sequence
+        if beat.from_record == 0 and self.sequence:
+            self._clear(beat.epoch)
+        for record in beat.placements:
+            _store(self.placements, record.task_id, record, "placement")
+        for record in beat.workers:
+            _store(self.workers, record.worker_id, record, "worker")
+        for view in beat.runners:
+            _store(self.runners, view.runner_id, view, "runner")
+        self.sequence = beat.record_sequence
+        return self.sequence
+
+    def _clear(self, epoch):
+        self.epoch, self.sequence = epoch, 0
+        self.placements, self.workers, self.runners = {}, {}, {}
+
+
+def _store(records, key, record, kind):
+    if is_deletion(kind, record):
+        records.pop(key, None)
+    else:
+        records[key] = record
+
 
-def to_object(value):
-    """Turn a record, with the records and lists inside it, into plain dictionaries.
-
-    >>> to_object(common.Resources(1000, 512, 0))["cpu_millis"]  # doctest: +SKIP
-    1000
-    """
-    if hasattr(value, "_fields"):
-        return {name: to_object(getattr(value, name)) for name in value._fields}
-    if isinstance(value, list | tuple):
-        return [to_object(entry) for entry in value]
-    if isinstance(value, dict):
-        return {key: to_object(entry) for key, entry in value.items()}
-    return value
-
-
-def from_object(kind, value, path=""):
-    """Read a record of type ``kind``; returns ``(record, [(path, message), ...])``.
-
-    The record is None if anything is wrong with it.
-    """
-    if not isinstance(value, dict):
-        return None, [(path, "must be an object")]
-    prefix = f"{path}." if path else ""
-    hints = typing.get_type_hints(kind)
-    mistakes = [
-        (f"{prefix}{name}", "is no known field") for name in value if name not in hints
-    ]
-    fields = {}
-    for name, hint in hints.items():
-        fields[name] = _read(hint, value, name, f"{prefix}{name}", mistakes)
-    return (None, mistakes) if mistakes else (kind(**fields), [])
-
-
-def _read(hint, value, name, path, mistakes):
-    if name not in value:
-        mistakes.append((path, "is missing"))
-        return None
-    entry = value[name]
-    if hasattr(hint, "_fields"):
-        record, inner = from_object(hint, entry, path)
-        mistakes.extend(inner)
-        return record
-    if not _fits(hint, entry):
-        mistakes.append((path, f"must be {_words(hint)}"))
-    return entry
-
-
-def _fits(hint, value):
-    if isinstance(hint, types.UnionType):
-        return any(_fits(option, value) for option in typing.get_args(hint))
-    if typing.get_origin(hint) is list:
-        (inner,) = typing.get_args(hint)
-        return isinstance(value, list) and all(_fits(inner, entry) for entry in value)
-    return type(value) is hint
-
-
-def _words(hint):
-    names = {int: "a whole number", str: "a text", bool: "true or false"}
-    if typing.get_origin(hint) is list:
-        return "a list of texts"
-    return names.get(hint, str(hint))
+def copy_of(log, epoch):
+    """Return a copy that holds all of ``log``, as an owner keeps when it steps down."""
+    copy = RecordCopy()
+    changes = log.since(0)
+    copy.epoch, copy.sequence = epoch, changes.sequence
+    for record in changes.placements:
+        _store(copy.placements, record.task_id, record, "placement")
+    for record in changes.workers:
+        _store(copy.workers, record.worker_id, record, "worker")
+    for view in changes.runners:
+        _store(copy.runners, view.runner_id, view, "runner")
+    return copy
--- a/alderreach/ops/client/plans.py
+++ b/alderreach/ops/client/plans.py
@@ -6,7 +6,7 @@
 
 import typing
 
-from alderreach.core import records
+from alderreach.core import plain_objects
 from alderreach.core.generated import common
 from alderreach.parser import configuration, difference
 
@@ -36,7 +36,7 @@
         {
             "key": entry.key,
             "base_version": versions.get(entry.key, 0),
-            "value": records.to_object(new_items.get(entry.key)),
+            "value": plain_objects.to_object(new_items.get(entry.key)),
         }
         for entry in found
     ]
@@ -61,7 +61,7 @@
         if key != configuration.team_key(team_name) and not key.startswith(own_prefix):
             continue
         kind = KINDS[key.partition("/")[0]]
-        record, _mistakes = records.from_object(kind, item["value"])
+        record, _mistakes = plain_objects.from_object(kind, item["value"])
         versions[key] = item["version"]
         items[key] = record
     return versions, items
--- a/alderreach/ops/entry/operator_config.py
+++ b/alderreach/ops/entry/operator_config.py
@@ -9,7 +9,7 @@
 
 from result import Err, Ok
 
-from alderreach.core import codec, records
+from alderreach.core import codec, plain_objects
 from alderreach.core.generated import common, errors, keeper
 from alderreach.ops.entry import operator_changes, operator_http, operator_maintenance
 from alderreach.parser import configuration
@@ -41,7 +41,7 @@
         return operator_http.refuse(errors.Kind.MALFORMED_REQUEST, detail)
     version, items, current = read_config(deps.gateway, wanted)
     shown = [
-        {"key": key, "version": item.version, "value": records.to_object(record)}
+        {"key": key, "version": item.version, "value": plain_objects.to_object(record)}
         for key, (item, record) in sorted(items.items())
         if key.startswith(prefix)
     ]
@@ -153,7 +153,7 @@
         return None, [configuration.Mistake(key, "base_version", message)]
     if entry.get("value") is None:
         return Write(key, base_version, None), []
-    record, found = records.from_object(kind, entry["value"])
+    record, found = plain_objects.from_object(kind, entry["value"])
     if record is None:
         return None, [configuration.Mistake(key, field, text) for field, text in found]
     if key != key_of(record):
--- a/alderreach/ops/entry/operator_jobs.py
+++ b/alderreach/ops/entry/operator_jobs.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok
 
-from alderreach.core import codec, records
+from alderreach.core import codec, plain_objects
 from alderreach.core.generated import common, errors, placer
 from alderreach.ops.entry import (
     job_items,
@@ -32,7 +32,7 @@
     if isinstance(body, Err):
         return body
     value = DEFAULTS | body.ok_value | {"idempotency_key": key.ok_value}
-    submission, found = records.from_object(job_items.Submission, value)
+    submission, found = plain_objects.from_object(job_items.Submission, value)
     if submission is None:
         return _refuse_fields(errors.Kind.MALFORMED_REQUEST, found)
     workload = _workload(deps, submission)
@@ -55,7 +55,7 @@
         return accepted
     job = accepted.ok_value
     deps.context.timeline.record("job_accepted", job_id=job.job_id, team=job.team)
-    return Ok(records.to_object(job))
+    return Ok(plain_objects.to_object(job))
 
 
 def _refuse_fields(kind, found):
@@ -137,7 +137,7 @@
 
 
 def _row(job, status):
-    row = records.to_object(job)
+    row = plain_objects.to_object(job)
     if status is None:
         status = common.JobStatus(job.job_id, "waiting", "", 0, 0, 0, 0, 0)
     return row | {
@@ -171,7 +171,7 @@
     else:
         status, tasks = _durable_status(deps, own_id), []
     row = _row(job.ok_value, status)
-    shown = [records.to_object(task) for task in tasks]
+    shown = [plain_objects.to_object(task) for task in tasks]
     return Ok(row | {"task_views": shown, "owner_answered": reply is not None})
 
 
--- a/alderreach/ops/entry/operator_maintenance.py
+++ b/alderreach/ops/entry/operator_maintenance.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok
 
-from alderreach.core import codec, records
+from alderreach.core import codec, plain_objects
 from alderreach.core.generated import common, errors, keeper
 from alderreach.ops.entry import operator_changes, operator_http
 from alderreach.parser import configuration
@@ -30,7 +30,7 @@
     windows = []
     for item in items.values():
         window = codec.decode(item.value, common.MaintenanceWindow)
-        windows.append({"version": item.version} | records.to_object(window))
+        windows.append({"version": item.version} | plain_objects.to_object(window))
     windows.sort(key=lambda window: (window["start_wall_ms"], window["window_id"]))
     return Ok({"current": current, "windows": windows})
 
@@ -45,7 +45,7 @@
         return body
     own_id = operator_changes.change_id(request.operator, request.idempotency_key)
     value = {"window_id": f"w-{own_id[:8]}", "vms": [], "racks": []} | body.ok_value
-    window, found = records.from_object(common.MaintenanceWindow, value)
+    window, found = plain_objects.from_object(common.MaintenanceWindow, value)
     if window is None:
         return _invalid(found)
     now_ms = request.asked_wall_ms or deps.context.clock.wall_ms()
@@ -57,7 +57,7 @@
     result = operator_changes.commit(deps, request, [write], summary)
     if isinstance(result, Err):
         return result
-    return Ok(result.ok_value | {"window": records.to_object(window)})
+    return Ok(result.ok_value | {"window": plain_objects.to_object(window)})
 
 
 def cancel(deps, request):
--- a/alderreach/ops/entry/operator_targets.py
+++ b/alderreach/ops/entry/operator_targets.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok
 
-from alderreach.core import codec, records
+from alderreach.core import codec, plain_objects
 from alderreach.core.generated import common, errors, keeper, placer
 from alderreach.ops.entry import operator_changes, operator_http, operator_maintenance
 
@@ -24,7 +24,7 @@
     state = request.query.get("state", "")
     replies = ask_owners(deps, domains)
     rows = [
-        records.to_object(row)
+        plain_objects.to_object(row)
         for reply in replies.values()
         if reply is not None
         for row in reply.targets
--- a/alderreach/parser/difference.py
+++ b/alderreach/parser/difference.py
@@ -6,7 +6,7 @@
 
 import typing
 
-from alderreach.core import records
+from alderreach.core import plain_objects
 
 
 class Difference(typing.NamedTuple):
@@ -62,5 +62,5 @@
         if hasattr(value, "_fields"):
             flat |= _flat(value, f"{prefix}{name}.")
         else:
-            flat[f"{prefix}{name}"] = records.to_object(value)
+            flat[f"{prefix}{name}"] = plain_objects.to_object(value)
     return flat
