--- a/alderreach/ops/entry/service.py
+++ b/alderreach/ops/entry/service.py
@@ -16,6 +16,7 @@
     jobs,
     keepers,
     once,
+    operators,
     requests,
     runner_wire,
 )
@@ -25,6 +26,7 @@
 DRAIN_QUIET_MS = 1000
 DRAIN_POLL_MS = 20
 READY_GRACE_MS = 3000
+OPERATOR_THREADS = 4
 
 
 class Entry:
@@ -54,6 +56,7 @@
         )
         self._in_flight = callers.InFlight(context.clock)
         self._serve_callers(wire, asked)
+        self._serve_operators()
 
     def deliver(self, received):
         """Take a peer's message."""
@@ -113,17 +116,24 @@
         )
         job_paths = jobs.Jobs(context, get_catalog, asked, self._gateway.ask_peer)
         application = callers.build(context, self, served, job_paths, self._in_flight)
+        listen = context.settings.listen.callers
+        self._listen(listen, application, limits.http_threads)
+
+    def _serve_operators(self):
+        application = operators.build(self._context, self._gateway)
+        listen = self._context.settings.listen.operators
+        self._listen(listen, application, OPERATOR_THREADS)
+
+    def _listen(self, address, application, threads):
+        limits = self._context.settings.limits
         server = http_server.HttpServer(
-            context.settings.listen.callers,
+            address,
             application,
             http_server.HttpLimits(
-                limits.http_threads,
-                limits.header_bytes,
-                limits.body_bytes,
-                limits.caller_idle_ms,
+                threads, limits.header_bytes, limits.body_bytes, limits.caller_idle_ms
             ),
         )
-        context.stack.callback(server.close)
+        self._context.stack.callback(server.close)
 
 
 def build(context):
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import datetime
 import json
 import pathlib
 import signal
@@ -78,10 +79,8 @@
             cell,
             domain,
             workers=6,
-            runners=6,
+            runners=0,
             capacity=WORKER,
-            service=SERVICE,
-            team=TEAM,
             slots=8,
             connections=64,
             work_ms=5,
@@ -161,10 +160,11 @@
     for thread in threads:
         thread.start()
     try:
-        start = int((time.time() + WINDOW_LEAD_S) * 1000)
-        end = start + WINDOW_LENGTH_S * 1000
-        add = ["maintenance", "add", "demo-window", "--failure-domain", RACK_DOMAIN]
-        add += ["--rack", rack, "--start", str(start), "--end", str(end)]
+        start = moment(time.time() + WINDOW_LEAD_S)
+        end = moment(time.time() + WINDOW_LEAD_S + WINDOW_LENGTH_S)
+        add = ["maintenance", "add", "--id", "demo-window"]
+        add += ["--failure-domain", RACK_DOMAIN]
+        add += ["--rack", rack, "--start", start, "--end", end]
         client(cell, *add, show=True)
         cells.wait_until(
             lambda: rack_is_ready(cell, rack), f"{rack} ready to be stopped"
@@ -181,6 +181,11 @@
     print(f"{rack} stopped; {served[0]} requests meanwhile, none cut")
 
 
+def moment(unix_s):
+    """A wall time as the command line takes it."""
+    return datetime.datetime.fromtimestamp(unix_s, datetime.UTC).isoformat()
+
+
 def rack_is_ready(cell, rack):
     rows = json.loads(client(cell, "target", "list", "--json"))
     rows = rows["targets"] if isinstance(rows, dict) else rows
@@ -204,7 +209,7 @@
     dispatch_once(cell, http, paths)
     say("a batch run and a gang job")
     run_job(cell, http, "closure-plan", 20, {"run_ms": 200})
-    run_job(cell, http, "anchor-survey", 6, {"run_ms": 300})
+    run_job(cell, http, "inspection-rota", 4, {"run_ms": 300})
     say("landlord maintenance of a rack")
     pass_maintenance(cell, http)
     say("status")
