--- /dev/null
+++ b/alderreach/decisions/backfill.py
@@ -0,0 +1,85 @@
+"""Reserved room is used by others while the reservation's owner can't use it yet.
+
+Load: a large gang waits an hour for its workers to drain. Without backfill half of the
+cell stands empty for that hour; with backfill by anything that fits, the gang waits for
+the fillers in turn.
+
+A task that is declared to end before the room is needed, with a margin, may run there.
+Declared run times are up to ten times off, so the margin can't be trusted either: what
+still runs when the room is needed is stopped, by a checkpoint if it can, and since its
+declared time was short, little is lost. Urgent tasks may use reserved room as it is.
+"""
+
+from alderreach.decisions import resources
+
+# Of the time left; takes a run time that is twice the declared one.
+MARGIN = 2
+PER_TICK = 32
+SAMPLES = 8
+
+
+def fill(state, lines):
+    """Start short tasks of blocked lines on reserved workers."""
+    if not state.reservations:
+        return
+    left = PER_TICK
+    for line in lines:
+        if not line.is_gang and left > 0:
+            left -= _fill_from(state, line, left)
+
+
+def _fill_from(state, line, left):
+    account = state.ledger.account(line.team)
+    started = 0
+    while started < left and line.jobs and state.ledger.allows(account, line.demand):
+        reservation, worker = _short_term_worker(state, line.head())
+        if worker is None:
+            break
+        reservation.fillers.append(state.start(line.head(), worker))
+        started += 1
+    return started
+
+
+def _short_term_worker(state, job):
+    run_ms = job.spec.expected_run_ms * MARGIN
+    if not run_ms or job.is_service():
+        return None, None
+    for reservation in state.reservations:
+        if reservation.urgent or state.now_ms + run_ms > reservation.needed_at_ms:
+            continue
+        worker = _with_room(state, reservation, job.spec.task)
+        if worker is not None:
+            return reservation, worker
+    return None, None
+
+
+def use_reserved(state, lines):
+    """Start urgent tasks of blocked lines on workers reserved for normal work."""
+    for line in lines:
+        if line.is_gang:
+            continue
+        account = state.ledger.account(line.team)
+        while line.jobs and state.ledger.allows(account, line.demand):
+            worker = _normal_worker(state, line.demand)
+            if worker is None:
+                break
+            line.blocked_since_ms = None
+            state.start(line.head(), worker)
+
+
+def _normal_worker(state, demand):
+    for reservation in state.reservations:
+        if not reservation.urgent:
+            worker = _with_room(state, reservation, demand)
+            if worker is not None:
+                return worker
+    return None
+
+
+def _with_room(state, reservation, demand):
+    workers = list(reservation.workers)
+    for _ in range(min(SAMPLES, len(workers))):
+        worker = workers[int(state.random.random() * len(workers))]
+        if worker.is_usable() and resources.fits(demand, worker.free):
+            return worker
+    return None
--- /dev/null
+++ b/alderreach/decisions/draining.py
@@ -0,0 +1,133 @@
+"""Who gets a reservation, and which workers are drained for it.
+
+Load: a full cell with more waiting than it holds. Without reservations large work
+waits for ever; with one for everybody, half of the cell stands empty, waiting to drain.
+
+The gang or large task that has waited longest goes first, urgent ones before others,
+and only for teams that have no more than their fair share among those who wait. Of a
+random window of workers that could hold the demand, those with the least to end are
+taken. Up to ``RESERVATIONS`` drain at once; all but the oldest may together hold
+``RESERVED_SHARE`` of the cell, which bounds what stands empty.
+"""
+
+import itertools
+
+from alderreach.decisions import reservations, resources
+
+# Short enough against the minutes that batch tasks run; long enough for a gang that
+# only waits for another to end not to empty workers in vain.
+RESERVE_AFTER_MS = 5_000
+# A large single task waits for one worker; passing it over for a while costs nobody.
+RESERVE_ONE_AFTER_MS = 15_000
+REPLAN_MS = 1_000
+RESERVATIONS = 4
+RESERVED_SHARE = 0.5
+# Workers looked at: enough to find mostly empty ones, and for large gangs all.
+WINDOW = 256
+WINDOW_PER_TASK = 4
+# Rounding of shares must not exclude a team that is exactly at the average.
+ROUNDING = 1e-9
+
+
+def plan(state, lines):
+    """Give the gang or large task that has waited longest a reservation, if due."""
+    if state.now_ms < state.plan_at_ms:
+        return
+    state.plan_at_ms = state.now_ms + REPLAN_MS
+    held = [each for each in state.reservations if not each.urgent]
+    if len(held) >= RESERVATIONS:
+        return
+    due = [each for line in lines if (each := _due(state, line)) is not None]
+    if not due:
+        return
+    shares = [state.ledger.account(line.team).share for _, _, line, _ in due]
+    fair = sum(shares) / len(shares) + ROUNDING
+    ranked = sorted(zip(due, shares, strict=True), key=lambda pair: pair[0][:2])
+    for (_, _, line, job), share in ranked:
+        if share <= fair and _reserve(state, line, job, held):
+            return
+
+
+def _due(state, line):
+    """Return (not urgent, since, line, gang or None) if a line is due, else None."""
+    if line.reservation is not None:
+        return None
+    calm = not line.head().is_urgent()
+    if not line.is_gang:
+        if line.blocked_since_ms + RESERVE_ONE_AFTER_MS > state.now_ms:
+            return None
+        return calm, line.blocked_since_ms, line, None
+    reserved = {each.job for each in state.reservations}
+    for job in line.jobs.values():
+        if job in reserved or job.blocked_since_ms is None:
+            continue
+        if job.blocked_since_ms + RESERVE_AFTER_MS > state.now_ms:
+            return None
+        return calm, job.blocked_since_ms, line, job
+    return None
+
+
+def _reserve(state, line, job, held):
+    need = job.waiting if job else 1
+    account = state.ledger.account(line.team)
+    if not state.ledger.allows(account, resources.times(line.demand, need)):
+        return False
+    workers = _drainable(state, line.demand, need)
+    if workers is None or not _within_share(state, workers, held):
+        return False
+    reservation = reservations.reserve(state, line, job, workers)
+    reservation.needed_at_ms = _drained_at_ms(state, workers)
+    if job is None:
+        reservation.promised = dict.fromkeys(workers, 1)
+    return True
+
+
+def _drainable(state, demand, need):
+    """Return workers that suffice for ``need`` tasks when drained, None if none do."""
+    found = []
+    window = max(WINDOW, WINDOW_PER_TASK * need)
+    for worker in candidates(state, demand, window):
+        later = resources.copies(demand, worker.drained())
+        if worker.held_for is None and later:
+            now = resources.copies(demand, worker.free)
+            found.append((-now / later, worker.order, worker, max(now, later)))
+    found.sort()
+    chosen = []
+    for _, _, worker, later in found:
+        chosen.append(worker)
+        need -= later
+        if need <= 0:
+            return chosen
+    return None
+
+
+def candidates(state, demand, window):
+    """Yield usable workers of every size that holds ``demand``, ``window`` of each."""
+    for capacity, workers in state.cell.by_capacity.items():
+        if not resources.fits(demand, capacity):
+            continue
+        start = int(state.random.random() * len(workers))
+        around = itertools.chain(workers[start:], workers[:start])
+        for worker in itertools.islice(around, window):
+            if worker.is_usable():
+                yield worker
+
+
+def _within_share(state, workers, held):
+    if not held:
+        return True
+    taken = resources.NOTHING
+    for worker in itertools.chain(workers, *(each.workers for each in held[1:])):
+        taken = resources.plus(taken, worker.capacity)
+    return resources.share(taken, state.cell.total) <= RESERVED_SHARE
+
+
+def _drained_at_ms(state, workers):
+    """Return when, by the declared run times, the last task of the workers ends."""
+    ends = [
+        run.started_ms + run.job.spec.expected_run_ms
+        for worker in workers
+        for run in worker.tasks
+        if not run.job.pins()
+    ]
+    return max(ends, default=state.now_ms)
--- a/alderreach/decisions/jobs.py
+++ b/alderreach/decisions/jobs.py
@@ -42,50 +42,93 @@
         """Return the task's id, ``<job id>/<number>``."""
         return f"{self.job.spec.job_id}/{self.number}"
 
+    def gentlest_stop(self):
+        """Return checkpoint if the task can, else stop."""
+        return "checkpoint" if self.job.spec.checkpoint else "stop"
+
 
 class JobState:
-    """What is known of one job."""
+    """What is known of one job.
+
+    ``limit`` bounds its running tasks while it is suspected of harm (0 is no bound),
+    ``parked`` is why it may not run at all.
+    """
 
     __slots__ = (
         "attempts",
+        "avoid",
+        "blocked_since_ms",
         "cancelled",
+        "ends",
         "failed",
+        "failed_ends",
+        "failed_in_a_row",
+        "failed_on",
         "failures",
         "finished",
-        "impossible",
+        "given_up",
+        "incidents",
+        "judge_ms",
+        "limit",
         "line",
+        "losses",
+        "lost_on",
+        "name_ms",
+        "named",
         "next_number",
         "not_before_ms",
+        "parked",
+        "postponed",
+        "preempted",
         "racks_used",
-        "reason",
+        "restarts",
+        "retry_ms",
         "returned",
         "runs",
         "settled",
         "spec",
-        "submitted_ms",
         "waiting",
         "workers_used",
     )
 
-    def __init__(self, spec, now_ms):
+    def __init__(self, spec):
         self.spec = spec
-        self.submitted_ms = now_ms
-        self.not_before_ms = 0
         self.waiting = spec.tasks
         self.next_number = 0
         self.returned = []
+        self.postponed = []
         self.settled = set()
         self.runs = {}
         self.attempts = {}
         self.failures = {}
+        self.preempted = {}
         self.finished = 0
         self.failed = 0
         self.cancelled = False
-        self.impossible = False
-        self.reason = ""
         self.line = None
         self.racks_used = {}
         self.workers_used = {}
+        self._init_suspicion()
+
+    def _init_suspicion(self):
+        self.not_before_ms = 0
+        self.retry_ms = 0
+        self.blocked_since_ms = None
+        self.parked = ""
+        self.name_ms = 0
+        self.named = False
+        self.given_up = False
+        self.limit = 0
+        self.ends = 0
+        self.failed_ends = 0
+        self.failed_in_a_row = 0
+        self.failed_on = set()
+        self.avoid = ""
+        self.losses = {}
+        self.lost_on = []
+        self.judge_ms = None
+        self.incidents = 0
+        self.restarts = 0
 
     def is_gang(self):
         """Whether its tasks must all start together."""
@@ -95,28 +138,50 @@
         """Whether its tasks are kept running."""
         return self.spec.kind == "service"
 
+    def is_urgent(self):
+        """Whether it goes before all normal work and may displace it."""
+        return self.spec.priority >= URGENT_PRIORITY
+
+    def pins(self):
+        """Whether its tasks can't be counted on to end soon or to give way."""
+        return self.is_service() or self.is_urgent()
+
     def next_task(self):
-        """Return the number of a waiting task and count it as no longer waiting."""
+        """Return the number of a waiting task and count it as no longer waiting.
+
+        Failed tasks come last, when other work has shown whether it was the worker.
+        """
         self.waiting -= 1
         if self.returned:
             return self.returned.pop()
         while self.next_number in self.settled or self.next_number in self.runs:
             self.settled.discard(self.next_number)
             self.next_number += 1
+        if self.next_number >= self.spec.tasks and self.postponed:
+            return self.postponed.pop()
         self.next_number += 1
         return self.next_number - 1
 
-    def return_task(self, number):
+    def return_task(self, number, failed=False):
         """Let a task wait again."""
         self.waiting += 1
         if number < self.next_number:
-            self.returned.append(number)
+            (self.postponed if failed else self.returned).append(number)
 
     def claim(self, number):
         """Count one certain task as no longer waiting."""
         self.waiting -= 1
-        if number in self.returned:
-            self.returned.remove(number)
+        for numbers in (self.returned, self.postponed):
+            if number in numbers:
+                numbers.remove(number)
+
+    def resize(self, tasks):
+        """Take over a service's new number of tasks."""
+        self.spec = self.spec._replace(tasks=tasks)
+        self.next_number = 0
+        self.returned.clear()
+        self.postponed.clear()
+        self.waiting = sum(1 for number in range(tasks) if number not in self.runs)
 
     def settle(self, number):
         """Count a task that waits no more as ended for good."""
@@ -124,6 +189,8 @@
             self.settled.add(number)
         self.attempts.pop(number, None)
         self.failures.pop(number, None)
+        self.preempted.pop(number, None)
+        self.losses.pop(number, None)
 
     def is_done(self):
         """Whether nothing runs and nothing will."""
@@ -135,14 +202,28 @@
 class Line:
     """Jobs whose tasks are equivalent, oldest first."""
 
-    __slots__ = ("demand", "jobs", "key", "priority", "shape", "team", "tried_tick")
+    __slots__ = (
+        "blocked_since_ms",
+        "checked_ms",
+        "demand",
+        "is_gang",
+        "jobs",
+        "key",
+        "priority",
+        "reservation",
+        "shape",
+        "team",
+    )
 
     def __init__(self, key, shape):
         self.key = key
-        self.team, self.priority, _, self.demand = key
+        self.team, self.priority, kind, self.demand = key
+        self.is_gang = kind == "gang"
         self.shape = shape
         self.jobs = collections.OrderedDict()
-        self.tried_tick = -1
+        self.blocked_since_ms = None
+        self.checked_ms = 0
+        self.reservation = None
 
     def head(self):
         """Return the oldest job."""
@@ -171,6 +252,12 @@
             line.jobs.move_to_end(spec.job_id, last=False)
         job.line = line
 
+    def lines(self):
+        """Yield all lines, normal before urgent."""
+        for band in reversed(self.bands):
+            for lines in band.values():
+                yield from lines
+
     def remove(self, job):
         """Take a job out of its line."""
         line = job.line
@@ -182,7 +269,7 @@
             self._close(line)
 
     def _open(self, key):
-        line = self._lines[key] = Line(key, self._cell.use_shape(key[3]))
+        line = self._lines[key] = Line(key, self._cell.index.use_shape(key[3]))
         lines = self.bands[_band(line)].setdefault(line.team, [])
         lines.append(line)
         lines.sort(key=lambda each: -each.priority)
@@ -190,7 +277,7 @@
 
     def _close(self, line):
         del self._lines[line.key]
-        self._cell.leave_shape(line.shape)
+        self._cell.index.leave_shape(line.shape)
         lines = self.bands[_band(line)]
         lines[line.team].remove(line)
         if not lines[line.team]:
--- a/alderreach/decisions/placement.py
+++ b/alderreach/decisions/placement.py
@@ -13,7 +13,7 @@
 a task that declared too little disturbs the fewest.
 """
 
-from alderreach.decisions import pool
+from alderreach.decisions import resources
 
 RACKS = 8
 WORKERS_PER_RACK = 8
@@ -68,7 +68,7 @@
     start = int(random.random() * len(workers))
     for step in range(min(len(workers), WORKERS_PER_RACK)):
         worker = workers[(start + step) % len(workers)]
-        if worker.bucket is None or not pool.fits(demand, worker.free):
+        if worker.bucket is None or not resources.fits(demand, worker.free):
             continue
         rank = (workers_used.get(worker.worker_id, 0), -worker.free[0])
         if best is None or rank < best_rank:
--- /dev/null
+++ b/alderreach/decisions/preemption.py
@@ -0,0 +1,148 @@
+"""Urgent work takes the place of normal work when the cell is full.
+
+Load: a closure plan or a morning's kitchen run is handed in while the cell is full of
+batch work that runs for hours. Without preemption it waits for hours; with preemption
+that knows no measure, a stream of urgent work throws the same tasks out again and
+again, and none of them ever ends.
+
+Of a random window of workers, those are chosen where room costs least: tasks that can
+checkpoint before those that lose their work, low priority before high, recent before
+long-running, batch before services, and gangs last, since all of a gang stops with one
+of its tasks. The room is reserved for the urgent line until its victims have ended.
+
+Floors against thrash: a task gives way ``PREEMPTIONS_ALLOWED`` times, then it runs to
+its end; and normal work as a whole is never pushed below ``NORMAL_FLOOR`` of the cell.
+"""
+
+from alderreach.decisions import draining, reservations, resources
+
+PREEMPTIONS_ALLOWED = 3
+NORMAL_FLOOR = 0.1
+# Tasks of one line that room is made for in one tick, which bounds the tick.
+TASKS_PER_TICK = 128
+WINDOW = 64
+WINDOW_PER_TASK = 4
+# In units of one step of priority.
+COST_LOST_WORK = 10
+COST_SERVICE = 30
+COST_GANG_TASK = 10
+COST_AGAIN = 5
+MINUTES_COUNTED = 10
+MS_PER_MINUTE = 60_000
+
+
+def plan(state, lines):
+    """Make room for the urgent lines that found none."""
+    for line in lines:
+        if resources.share(state.normal_used, state.cell.total) <= NORMAL_FLOOR:
+            return
+        if line.reservation is None:
+            _plan_line(state, line)
+
+
+def _plan_line(state, line):
+    need = _need(state, line)
+    if need <= 0:
+        return
+    options = _options(state, line, need)
+    job = line.head() if line.is_gang else None
+    if job is not None and sum(copies for _, _, _, copies, _ in options) < need:
+        return
+    chosen = []
+    for option in options:
+        if need <= 0:
+            break
+        chosen.append(option)
+        need -= option[3]
+    if not chosen or (job is not None and _is_reserved(state, job)):
+        return
+    workers = [worker for _, _, worker, _, _ in chosen]
+    reservation = reservations.reserve(state, line, job, workers, urgent=True)
+    for _, _, worker, copies, victims in chosen:
+        reservation.promised[worker] = copies
+        for run in victims:
+            _displace(state, run)
+
+
+def _need(state, line):
+    """Return for how many tasks of a line room should be made now."""
+    account = state.ledger.account(line.team)
+    left = resources.minus(account.quota, account.used)
+    allowed = resources.copies(line.demand, left)
+    if line.is_gang:
+        wanted = line.head().waiting
+        return wanted if wanted <= allowed else 0
+    wanted = 0
+    for job in line.jobs.values():
+        wanted += job.waiting
+        if wanted >= TASKS_PER_TICK:
+            break
+    return min(wanted, allowed, TASKS_PER_TICK)
+
+
+def _is_reserved(state, job):
+    return any(each.job is job for each in state.reservations)
+
+
+def _options(state, line, need):
+    """Return (cost, order, worker, copies, victims) by the cost of a copy."""
+    window = max(WINDOW, WINDOW_PER_TASK * need)
+    workers = [
+        worker
+        for worker in draining.candidates(state, line.demand, window)
+        if worker.held_for is None or not worker.held_for.urgent
+    ]
+    if not workers:
+        return []
+    each = need if line.is_gang else -(-need // len(workers))
+    options = []
+    for worker in workers:
+        copies, cost, victims = _make_room(state, worker, line, each)
+        if copies:
+            options.append((cost / copies, worker.order, worker, copies, victims))
+    options.sort(key=lambda option: option[:2])
+    return options
+
+
+def _make_room(state, worker, line, wanted):
+    """Return how many copies fit, at what cost, and whom it displaces."""
+    runs = [run for run in worker.tasks if may_displace(run, line.priority)]
+    runs.sort(key=lambda run: (_cost(state, run), run.started_ms, run.number))
+    demand, free = line.demand, worker.free
+    copies, cost, victims, kept = resources.copies(demand, free), 0, [], 0
+    for run in runs:
+        if copies >= wanted:
+            break
+        free = resources.plus(free, run.job.spec.task)
+        cost += _cost(state, run)
+        victims.append(run)
+        if resources.copies(demand, free) > copies:
+            copies, kept = resources.copies(demand, free), len(victims)
+    return min(copies, wanted), cost, victims[:kept]
+
+
+def may_displace(run, priority):
+    """Whether a run may be stopped for work of an urgent priority."""
+    job = run.job
+    if run.stop or job.is_urgent() or job.spec.priority >= priority:
+        return False
+    return job.preempted.get(run.number, 0) < PREEMPTIONS_ALLOWED
+
+
+def _cost(state, run):
+    job = run.job
+    cost = job.spec.priority + 1 + COST_AGAIN * job.preempted.get(run.number, 0)
+    minutes = (state.now_ms - run.started_ms) / MS_PER_MINUTE
+    if not job.spec.checkpoint:
+        cost += COST_LOST_WORK + min(MINUTES_COUNTED, minutes)
+    if job.is_service():
+        cost += COST_SERVICE
+    if job.is_gang():
+        cost += COST_GANG_TASK * len(job.runs)
+    return cost
+
+
+def _displace(state, run):
+    job = run.job
+    job.preempted[run.number] = job.preempted.get(run.number, 0) + 1
+    state.stop(run, run.gentlest_stop(), first=True)
--- /dev/null
+++ b/alderreach/decisions/quarantine.py
@@ -0,0 +1,179 @@
+"""A worker that fails what it starts gets no more work until it is proved well.
+
+Load: a worker with a full disk fails each task within a second. Since it is always
+empty, it is the first choice for the next task; it fails hundreds of tasks a minute
+and uses up the retries of every job in the cell. Taken for bad by its count of failures
+alone, healthy workers that happen to run a broken job would be shut out one by one.
+
+Each failure is weighed by how unlikely it is for that job elsewhere: with a job that
+has ended ``n`` times on other workers, ``f`` of them in failure, it adds
+``-log((f + 1) / (n + 2))`` to the worker's suspicion; a success sets it to zero. A job
+that fails everywhere adds next to nothing, wherever it goes; a job that never fails but
+here counts much. At ``SUSPICION_LIMIT`` the worker is quarantined, and the failures it
+caused are taken off its jobs' records.
+
+After ``PROBE_AFTER_MS`` a quarantined worker is probed with one task at a time; success
+releases it, failure doubles the wait. No more than ``QUARANTINED_SHARE`` of the workers
+are shut out: if more seem bad, it is not the workers.
+"""
+
+import heapq
+import math
+
+# Odds of a thousand to one that a worker like its peers would have failed the same.
+SUSPICION_LIMIT = math.log(1000)
+# Failures further apart than this are not one fault.
+MEMORY_MS = 600_000
+PROBE_AFTER_MS = 30_000
+LONGEST_WAIT_MS = 600_000
+PROBES_PER_TICK = 4
+QUARANTINED_SHARE = 0.25
+# A refusal says nothing of its job, so it counts as even odds.
+REFUSAL = math.log(2)
+
+
+class Record:
+    """What speaks against one worker."""
+
+    __slots__ = ("last_ms", "probe", "strikes", "suspicion", "wait_ms")
+
+    def __init__(self):
+        self.suspicion = 0.0
+        self.last_ms = 0
+        self.strikes = {}
+        self.probe = None
+        self.wait_ms = PROBE_AFTER_MS
+
+
+class Judge:
+    """Tells bad workers from bad jobs."""
+
+    def __init__(self, state):
+        self._state = state
+        self._records = {}
+        self._quarantined = set()
+        self._probes = []
+
+    def finished(self, run):
+        """A task ended well: its worker is well."""
+        record = self._records.get(run.worker_id)
+        if record is None:
+            return
+        if run.worker_id not in self._quarantined:
+            del self._records[run.worker_id]
+        elif record.probe is run:
+            self._release(run.worker_id)
+
+    def failed(self, run, outcome):
+        """A task failed or was refused: weigh it against its worker."""
+        record = self._records.setdefault(run.worker_id, Record())
+        now_ms = self._state.now_ms
+        if record.probe is run:
+            record.wait_ms = min(2 * record.wait_ms, LONGEST_WAIT_MS)
+            self._probe_later(run.worker_id, record)
+            return
+        if run.worker_id in self._quarantined:
+            return
+        if now_ms - record.last_ms > MEMORY_MS:
+            record.suspicion = 0.0
+            record.strikes.clear()
+        record.last_ms = now_ms
+        record.suspicion += self._weight(record, run, outcome)
+        if record.suspicion >= SUSPICION_LIMIT and self._may_quarantine():
+            self._quarantine(run.worker_id, record)
+
+    def ended_otherwise(self, run):
+        """A task ended in a way that says nothing; a probe is tried again."""
+        record = self._records.get(run.worker_id)
+        if record is not None and record.probe is run:
+            self._probe_later(run.worker_id, record)
+
+    def worker_added(self, worker):
+        """A worker was taken up; it starts with a clean record."""
+        self._forget(worker.worker_id)
+
+    def worker_removed(self, worker_id):
+        """A worker is gone."""
+        self._forget(worker_id)
+
+    def probe(self, lines):
+        """Give quarantined workers whose wait is over one task each."""
+        left = PROBES_PER_TICK
+        while left and self._probes and self._probes[0][0] <= self._state.now_ms:
+            _, worker_id = heapq.heappop(self._probes)
+            left -= 1
+            record = self._records.get(worker_id)
+            if worker_id in self._quarantined and record.probe is None:
+                self._probe(worker_id, record, lines)
+
+    def _weight(self, record, run, outcome):
+        if outcome == "refused":
+            return REFUSAL
+        job = run.job
+        numbers = record.strikes.setdefault(job.spec.job_id, [])
+        numbers.append(run.number)
+        failed = job.failed_ends - len(numbers)
+        ended = job.ends - len(numbers)
+        return -math.log((max(0, failed) + 1) / (max(0, ended) + 2))
+
+    def _may_quarantine(self):
+        limit = max(1, int(QUARANTINED_SHARE * len(self._state.cell.workers)))
+        return len(self._quarantined) < limit
+
+    def _quarantine(self, worker_id, record):
+        worker = self._state.cell.workers.get(worker_id)
+        if worker is None:
+            return
+        self._quarantined.add(worker_id)
+        worker.quarantined = True
+        self._state.cell.reconsider(worker)
+        self._forgive(record)
+        self._probe_later(worker_id, record)
+
+    def _forgive(self, record):
+        """Take the failures that the worker caused off its jobs' records."""
+        for job_id, numbers in record.strikes.items():
+            job = self._state.jobs.get(job_id)
+            if job is None:
+                continue
+            job.ends -= len(numbers)
+            job.failed_ends -= len(numbers)
+            job.failed_in_a_row = max(0, job.failed_in_a_row - len(numbers))
+            for number in numbers:
+                if job.failures.get(number):
+                    job.failures[number] -= 1
+        record.strikes.clear()
+
+    def _probe_later(self, worker_id, record):
+        record.probe = None
+        heapq.heappush(self._probes, (self._state.now_ms + record.wait_ms, worker_id))
+
+    def _probe(self, worker_id, record, lines):
+        worker = self._state.cell.workers[worker_id]
+        for line in lines:
+            if self._may_probe(worker, record, line):
+                record.probe = self._state.start(line.head(), worker)
+                return
+        self._probe_later(worker_id, record)
+
+    def _may_probe(self, worker, record, line):
+        if line.is_gang or not worker.is_open or worker.uncertain:
+            return False
+        job = line.head()
+        account = self._state.ledger.account(line.team)
+        suspect = job.failed_in_a_row or job.spec.job_id in record.strikes
+        if suspect or not self._state.ledger.allows(account, line.demand):
+            return False
+        demand, free = line.demand, worker.free
+        return all(part <= left for part, left in zip(demand, free, strict=True))
+
+    def _release(self, worker_id):
+        self._forget(worker_id)
+        worker = self._state.cell.workers.get(worker_id)
+        if worker is not None:
+            worker.quarantined = False
+            self._state.cell.reconsider(worker)
+
+    def _forget(self, worker_id):
+        self._records.pop(worker_id, None)
+        self._quarantined.discard(worker_id)
--- a/alderreach/decisions/quotas.py
+++ b/alderreach/decisions/quotas.py
@@ -12,7 +12,7 @@
 hand in work. The quota is a limit: no placement takes a team above it.
 """
 
-from alderreach.decisions import pool
+from alderreach.decisions import resources
 
 
 class Account:
@@ -22,10 +22,10 @@
 
     def __init__(self):
         self.known = False
-        self.quota = pool.NOTHING
+        self.quota = resources.NOTHING
         self.weight = 1
         self.objective = "packing"
-        self.used = pool.NOTHING
+        self.used = resources.NOTHING
         self.share = 0.0
 
 
@@ -54,28 +54,25 @@
         """Let nothing more of a team start; what runs stays on its account."""
         account = self.account(name)
         account.known = False
-        account.quota = pool.NOTHING
+        account.quota = resources.NOTHING
 
     def allows(self, account, demand):
         """Whether the quota has room for ``demand``."""
-        return account.known and pool.fits(
-            pool.plus(account.used, demand), account.quota
+        return account.known and resources.fits(
+            resources.plus(account.used, demand), account.quota
         )
 
     def charge(self, account, demand, total):
         """Add to what a team holds; ``total`` is the cell's capacity."""
-        account.used = pool.plus(account.used, demand)
+        account.used = resources.plus(account.used, demand)
         account.share = dominant_share(account, total)
 
     def refund(self, account, demand, total):
         """Take away from what a team holds."""
-        account.used = pool.minus(account.used, demand)
+        account.used = resources.minus(account.used, demand)
         account.share = dominant_share(account, total)
 
 
 def dominant_share(account, total):
     """Return the largest share of any resource that a team holds, over its weight."""
-    shares = (
-        used / whole for used, whole in zip(account.used, total, strict=True) if whole
-    )
-    return max(shares, default=0.0) / account.weight
+    return resources.share(account.used, total) / account.weight
--- /dev/null
+++ b/alderreach/decisions/reservations.py
@@ -0,0 +1,190 @@
+"""Workers kept free for who would else never find room.
+
+Load: a gang, or a task as large as a worker, among a stream of small tasks that take
+each gap first; urgent work that has to wait for others to make way.
+
+A reservation takes all its workers in one step, and only if they suffice once what may
+still run there has ended. So no reservation waits to grow while it holds something, and
+two of them can't wait for each other; and since its workers take no other work, each is
+served in the end. One that no longer suffices (a worker died) is given up whole; its
+gang, by then the oldest, is the next to get one.
+"""
+
+from alderreach.decisions import gangs, resources
+
+# A stop that has not ended by then is the placer's to settle; the room goes back.
+URGENT_HOLD_MS = 30_000
+
+
+class Reservation:
+    """Workers kept for a gang, or for the waiting tasks of a line.
+
+    ``workers`` maps a worker to the copies it could take now and once it is drained;
+    ``ready`` and ``enough`` are their sums. ``promised`` counts the tasks to start on
+    each worker if the tasks needn't start together.
+    """
+
+    __slots__ = (
+        "changed",
+        "enough",
+        "fillers",
+        "job",
+        "line",
+        "needed_at_ms",
+        "promised",
+        "ready",
+        "retry_ms",
+        "since_ms",
+        "urgent",
+        "workers",
+    )
+
+    def __init__(self, line, job, now_ms, urgent):
+        self.line = line
+        self.job = job
+        self.since_ms = now_ms
+        self.urgent = urgent
+        self.workers = {}
+        self.promised = {}
+        self.ready = 0
+        self.enough = 0
+        self.changed = set()
+        self.fillers = []
+        self.needed_at_ms = now_ms
+        self.retry_ms = now_ms
+
+
+def reserve(state, line, job, workers, urgent=False):
+    """Keep workers for a gang or, if ``job`` is None, for tasks of a line."""
+    reservation = Reservation(line, job, state.now_ms, urgent)
+    state.reservations.append(reservation)
+    if job is None:
+        line.reservation = reservation
+    for worker in workers:
+        if worker.held_for is not None:
+            _drop(state, worker.held_for, worker)
+        worker.held_for = reservation
+        reservation.workers[worker] = (0, 0)
+        state.cell.reconsider(worker)
+    return reservation
+
+
+def release(state, reservation):
+    """Give up a reservation."""
+    state.reservations.remove(reservation)
+    if reservation.line.reservation is reservation:
+        reservation.line.reservation = None
+    for worker in list(reservation.workers):
+        _drop(state, reservation, worker)
+
+
+def _drop(state, reservation, worker):
+    ready, enough = reservation.workers.pop(worker)
+    reservation.promised.pop(worker, None)
+    reservation.ready -= ready
+    reservation.enough -= enough
+    reservation.changed.discard(worker)
+    worker.held_for = None
+    state.cell.reconsider(worker)
+
+
+def serve(state):
+    """Start what reserved room has become ready for; give up what can't be met."""
+    for reservation in list(state.reservations):
+        _update(state, reservation)
+        if reservation.job is None:
+            _serve_line(state, reservation)
+        else:
+            _serve_gang(state, reservation)
+
+
+def _update(state, reservation):
+    demand = reservation.line.demand
+    changed, reservation.changed = reservation.changed, set()
+    for worker in changed:
+        if worker.held_for is not reservation:
+            continue
+        if not worker.is_usable():
+            _drop(state, reservation, worker)
+            continue
+        ready, enough = reservation.workers[worker]
+        now = resources.copies(demand, worker.free)
+        later = max(now, resources.copies(demand, worker.drained()))
+        reservation.workers[worker] = (now, later)
+        reservation.ready += now - ready
+        reservation.enough += later - enough
+
+
+def _serve_gang(state, reservation):
+    job = reservation.job
+    account = state.ledger.account(job.spec.team)
+    whole = resources.times(job.spec.task, job.waiting)
+    if job.line is None or not state.ledger.allows(account, whole):
+        release(state, reservation)
+    elif reservation.ready >= job.waiting:
+        gangs.start_whole(state, job, _ready_workers(reservation, job.waiting))
+        release(state, reservation)
+    elif reservation.enough < job.waiting:
+        release(state, reservation)
+    else:
+        _serve_gang_from_all(state, reservation)
+        _end_backfill(state, reservation)
+
+
+def _serve_gang_from_all(state, reservation):
+    """Start a gang on what is reserved and what is free elsewhere together."""
+    if reservation.retry_ms > state.now_ms:
+        return
+    reservation.retry_ms = state.now_ms + gangs.RETRY_MS
+    job, shape = reservation.job, reservation.line.shape
+    workers = gangs.gather(state, shape, job.waiting - reservation.ready)
+    if workers is None:
+        return
+    workers += _ready_workers(reservation, reservation.ready)
+    release(state, reservation)
+    gangs.start_whole(state, job, workers)
+
+
+def _ready_workers(reservation, wanted):
+    found = []
+    for worker, (ready, _) in reservation.workers.items():
+        found.extend([worker] * min(ready, wanted - len(found)))
+        if len(found) == wanted:
+            break
+    return found
+
+
+def _serve_line(state, reservation):
+    line = reservation.line
+    account = state.ledger.account(line.team)
+    for worker in list(reservation.promised):
+        _serve_worker(state, reservation, worker, account)
+    overdue = state.now_ms - reservation.since_ms > URGENT_HOLD_MS
+    if not line.jobs or not reservation.workers or (reservation.urgent and overdue):
+        release(state, reservation)
+    else:
+        _end_backfill(state, reservation)
+
+
+def _serve_worker(state, reservation, worker, account):
+    line, promised = reservation.line, reservation.promised
+    while promised[worker] and line.jobs and resources.fits(line.demand, worker.free):
+        if not state.ledger.allows(account, line.demand):
+            break
+        line.blocked_since_ms = None
+        state.start(line.head(), worker)
+        promised[worker] -= 1
+    draining = reservation.workers[worker][1] > 0 and not reservation.urgent
+    stopping = any(run.stop for run in worker.tasks)
+    if not promised[worker] or not (draining or stopping):
+        _drop(state, reservation, worker)
+
+
+def _end_backfill(state, reservation):
+    """Once the room is needed, stop what still runs there on borrowed time."""
+    if state.now_ms < reservation.needed_at_ms:
+        return
+    for run in reservation.fillers:
+        if run.job.runs.get(run.number) is run:
+            state.stop(run, run.gentlest_stop(), first=True)
+    reservation.fillers.clear()
--- /dev/null
+++ b/alderreach/decisions/rounds.py
@@ -0,0 +1,125 @@
+"""One round of placements: whose task is next, and where it goes.
+
+Load: a burst of many teams' work with a few teams sending most of it. Placed in order
+of arrival, the first wave fills the cell.
+
+Urgent work of all teams goes before normal work of any. Within each of these bands the
+team with the lowest dominant share goes next, and within the team the line with the
+highest priority that can run. A line that finds no room is passed over, not waited
+for; who is passed over for long gets a reservation (``draining``).
+"""
+
+import heapq
+
+from alderreach.decisions import gangs, killers, placement
+
+# A gang at the head that doesn't fit lets this many behind it try.
+GANGS_LOOKED_AT = 4
+SUSPECT_RETRY_MS = 1_000
+
+
+def place_band(state, band, budget):
+    """Place until the budget or the runnable work is used; returns what is left."""
+    account_of = state.ledger.account
+    teams = [(account_of(name).share, name) for name in band]
+    heapq.heapify(teams)
+    while teams and budget > 0:
+        name = teams[0][1]
+        account = account_of(name)
+        line, job = _next(state, band.get(name, ()), account)
+        if line is None:
+            heapq.heappop(teams)
+            continue
+        if line.is_gang:
+            budget -= gangs.place(state, job, line, account)
+        else:
+            budget -= _place_one(state, job, line, account)
+        heapq.heapreplace(teams, (account.share, name))
+    return budget
+
+
+def blocked_lines(state, band):
+    """Return the lines of a band that wait for room, with the quota to use it."""
+    blocked = []
+    for name, lines in band.items():
+        account = state.ledger.account(name)
+        for line in lines:
+            if line.blocked_since_ms is None:
+                continue
+            if state.ledger.allows(account, line.demand):
+                blocked.append(line)
+    return blocked
+
+
+def _next(state, lines, account):
+    """Return the first line that can run and its job, else a pair of None."""
+    for line in lines:
+        if line.shape.blocked:
+            _note_blocked(state, line)
+        elif not state.ledger.allows(account, line.demand):
+            line.blocked_since_ms = None
+        elif not line.is_gang:
+            return line, line.head()
+        else:
+            job = _next_gang(state, line)
+            if job is not None:
+                return line, job
+    return None, None
+
+
+def _next_gang(state, line):
+    for place, job in enumerate(line.jobs.values()):
+        if place >= GANGS_LOOKED_AT:
+            return None
+        if job.retry_ms <= state.now_ms:
+            return job
+    return None
+
+
+def _note_blocked(state, line):
+    if line.blocked_since_ms is None:
+        line.blocked_since_ms = state.now_ms
+    if line.is_gang:
+        gangs.note_blocked(state, line.head())
+
+
+def _place_one(state, job, line, account):
+    if job.limit:
+        return _place_suspect(state, job, line)
+    worker = _choose(state, job, line.shape, account)
+    if worker is None:
+        if line.shape.blocked:
+            _note_blocked(state, line)
+        return 1
+    line.blocked_since_ms = None
+    state.start(job, worker)
+    return 1
+
+
+def _place_suspect(state, job, line):
+    """Place a job on probation where no other suspect runs, else let it pause."""
+    for worker in state.cell.index.search(line.shape, roomy=True):
+        if not killers.is_beside_suspect(worker):
+            state.start(job, worker)
+            return 1
+    job.not_before_ms = state.now_ms + SUSPECT_RETRY_MS
+    state.backlog.remove(job)
+    state.review_at(job.not_before_ms, job)
+    return 1
+
+
+def _choose(state, job, shape, account):
+    if job.is_service():
+        worker = placement.spread(
+            state.cell, state.random, shape.demand, job.racks_used, job.workers_used
+        )
+        if worker is not None and worker.worker_id != job.avoid:
+            return worker
+    roomy = account.objective == "waiting"
+    workers = state.cell.index.search(shape, roomy)
+    if job.avoid and len(workers) > 1:
+        workers = [w for w in workers if w.worker_id != job.avoid] or workers
+    if not workers:
+        return None
+    choose = placement.relax if roomy else placement.pack
+    return choose(workers, shape.demand)
--- /dev/null
+++ b/alderreach/decisions/search.py
@@ -0,0 +1,274 @@
+"""Finds workers with room for a task at a cost that doesn't grow with the cell.
+
+Load: thousands of placements a second while ten thousand workers fill and empty. A
+scan of all workers for each task costs milliseconds at that size, and the queue grows
+faster than it is served.
+
+Workers with about the same free capacity share a *bucket*. A search walks the buckets
+that can hold the demand, tightest first, and looks at ``SAMPLES_PER_BUCKET`` workers of
+each until it has ``CANDIDATES``. The number of buckets follows from the sizes that
+workers come in, not from how many there are. A search that samples in vain reads on
+through all workers, ``SCAN_LIMIT`` per call, so that a worker with room is found in
+the end. Once it has read them all the shape is *blocked* and costs nothing until a
+worker gains room for it. ``docs/measurements/placement.md`` has the sweeps.
+"""
+
+import bisect
+import collections
+import typing
+
+from alderreach.core.generated import common
+from alderreach.decisions import resources
+
+SAMPLES_PER_BUCKET = 4
+CANDIDATES = 8
+SCAN_LIMIT = 256
+# Workers with more free accelerators than this share a level.
+ACCELERATOR_LEVELS = 16
+# More than the 73 teams' workloads that are active together; about 5 KB each.
+IDLE_SHAPES = 512
+
+
+class Bucket(typing.NamedTuple):
+    """Workers with about the same free capacity, and its levels."""
+
+    accelerators: int
+    cpu: int
+    memory: int
+    workers: list
+
+
+class Shape:
+    """Search state of one demand; all tasks that ask for the same share it.
+
+    ``fresh`` are workers that gained room for it after a scan began, ``scanned`` is
+    how far that scan has come.
+    """
+
+    __slots__ = (
+        "blocked",
+        "buckets",
+        "demand",
+        "fresh",
+        "known",
+        "scanned",
+        "scanning",
+        "users",
+    )
+
+    def __init__(self, demand):
+        self.demand = demand
+        self.users = 0
+        self.buckets = []
+        self.known = 0
+        self.fresh = {}
+        self.restart()
+
+    def restart(self):
+        """Search all workers anew."""
+        self.scanned = 0
+        self.scanning = False
+        self.fresh.clear()
+        self.blocked = False
+
+
+class Index:
+    """The workers that take work, by what they have free."""
+
+    def __init__(self, random):
+        self._random = random
+        self._shapes = {}
+        self._idle_shapes = collections.OrderedDict()
+        self._order = []
+        self._buckets = {}
+        self._bucket_list = []
+        self._grown = {}
+
+    def add(self, worker):
+        """Take up a worker."""
+        worker.order = len(self._order)
+        self._order.append(worker)
+        self.grow(worker)
+
+    def remove(self, worker):
+        """Forget a worker, which takes no work any more."""
+        self.grow(worker)
+        last = self._order.pop()
+        if last is worker:
+            return
+        self._order[worker.order] = last
+        last.order = worker.order
+        # A scan that has passed this place would miss the worker moved here.
+        if last.bucket is not None:
+            self._grown[last] = None
+
+    def move(self, worker):
+        """Move a worker to the bucket of its free capacity, or out of the index."""
+        if not worker.takes_work():
+            self._unlink(worker)
+            return
+        bucket = self._bucket_for(worker.free)
+        if worker.bucket is bucket:
+            return
+        self._unlink(worker)
+        worker.bucket = bucket
+        worker.position = len(bucket.workers)
+        bucket.workers.append(worker)
+
+    def grow(self, worker):
+        """Move a worker that may have gained room, and remember that it has."""
+        self.move(worker)
+        if worker.bucket is None:
+            self._grown.pop(worker, None)
+        else:
+            self._grown[worker] = None
+
+    def undo(self, shape, worker):
+        """Move a worker whose room was tried for a shape and given back."""
+        self.move(worker)
+        if worker.bucket is not None:
+            shape.fresh[worker] = None
+            shape.blocked = False
+
+    def use_shape(self, demand):
+        """Return the search state of a demand, kept until ``leave_shape``."""
+        shape = self._shapes.get(demand)
+        if shape is None:
+            shape = self._idle_shapes.pop(demand, None) or Shape(demand)
+            shape.restart()
+            self._shapes[demand] = shape
+        shape.users += 1
+        return shape
+
+    def leave_shape(self, shape):
+        """Set the search state aside with its last user.
+
+        A stream of single tasks opens and closes its line with each of them; sorting
+        the buckets anew each time would cost more than the search.
+        """
+        shape.users -= 1
+        if shape.users:
+            return
+        del self._shapes[shape.demand]
+        self._idle_shapes[shape.demand] = shape
+        if len(self._idle_shapes) > IDLE_SHAPES:
+            self._idle_shapes.popitem(last=False)
+
+    def refresh(self):
+        """Tell each shape which workers have gained room for it since the last call."""
+        grown = self._grown
+        if not grown:
+            return
+        most = common.Resources(*map(max, zip(*(w.free for w in grown), strict=True)))
+        for shape in self._shapes.values():
+            if shape.scanning and resources.fits(shape.demand, most):
+                _refresh_shape(shape, grown)
+        self._grown = {}
+
+    def search(self, shape, roomy=False):
+        """Return workers with room for a shape, tightest or roomiest first.
+
+        An empty list says that there is none if ``shape.blocked`` is set; else that
+        none was found yet and the next call looks further.
+        """
+        if shape.blocked:
+            return []
+        found = self._sample(shape, roomy)
+        if not found:
+            found = _search_fresh(shape)
+        if not found:
+            found = self._scan(shape)
+        return found
+
+    def _sample(self, shape, roomy):
+        if shape.known < len(self._bucket_list):
+            self._learn_buckets(shape)
+        found = []
+        cpu_millis, memory_mb, accelerators = shape.demand
+        buckets = reversed(shape.buckets) if roomy else shape.buckets
+        for _, _, workers in buckets:
+            if not workers:
+                continue
+            start = int(self._random.random() * len(workers))
+            for worker in workers[start : start + SAMPLES_PER_BUCKET]:
+                cpu, memory, idle = worker.free
+                if cpu_millis <= cpu and memory_mb <= memory and accelerators <= idle:
+                    found.append(worker)
+            if len(found) >= CANDIDATES:
+                break
+        return found
+
+    def _learn_buckets(self, shape):
+        """Sort the buckets made since the last call in by how tight they are."""
+        cpu_millis, memory_mb, accelerators = shape.demand
+        cpu, memory = level(cpu_millis), level(memory_mb)
+        accelerators = min(accelerators, ACCELERATOR_LEVELS)
+        for number in range(shape.known, len(self._bucket_list)):
+            bucket = self._bucket_list[number]
+            if (
+                bucket.accelerators >= accelerators
+                and bucket.cpu >= cpu
+                and bucket.memory >= memory
+            ):
+                tightness = (bucket.accelerators, bucket.cpu + bucket.memory)
+                bisect.insort(shape.buckets, (tightness, number, bucket.workers))
+        shape.known = len(self._bucket_list)
+
+    def _scan(self, shape):
+        first = shape.scanned
+        demand = shape.demand
+        shape.scanning = True
+        for worker in self._order[first : first + SCAN_LIMIT]:
+            if worker.bucket is not None and resources.fits(demand, worker.free):
+                shape.scanned = worker.order
+                return [worker]
+        shape.scanned = first + SCAN_LIMIT
+        shape.blocked = shape.scanned >= len(self._order)
+        return []
+
+    def _bucket_for(self, free):
+        cpu_millis, memory_mb, accelerators = free
+        accelerators = max(0, min(accelerators, ACCELERATOR_LEVELS))
+        key = (accelerators, level(cpu_millis), level(memory_mb))
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = Bucket(*key, [])
+            self._bucket_list.append(bucket)
+        return bucket
+
+    def _unlink(self, worker):
+        if worker.bucket is None:
+            return
+        workers = worker.bucket.workers
+        last = workers.pop()
+        if last is not worker:
+            workers[worker.position] = last
+            last.position = worker.position
+        worker.bucket = None
+
+
+def level(amount):
+    """Return the half octave of an amount: 64 and 95 share a level, 96 has the next."""
+    if amount <= 1:
+        return 2 * amount if amount > 0 else 0
+    length = amount.bit_length()
+    return 2 * length + (amount >> (length - 2) & 1)
+
+
+def _refresh_shape(shape, grown):
+    if len(grown) + len(shape.fresh) > SCAN_LIMIT:
+        shape.restart()
+        return
+    for worker in grown:
+        if resources.fits(shape.demand, worker.free):
+            shape.fresh[worker] = None
+            shape.blocked = False
+
+
+def _search_fresh(shape):
+    while shape.fresh:
+        worker = next(reversed(shape.fresh))
+        if worker.bucket is not None and resources.fits(shape.demand, worker.free):
+            return [worker]
+        del shape.fresh[worker]
+    return []
