--- /dev/null
+++ b/alderreach/decisions/concurrency.py
@@ -0,0 +1,79 @@
+"""How many requests of a service an entry has under way at once.
+
+Load answered: runners that get slower the more they are given, because their slots
+share processors, a store or a lock that nobody declared.
+
+Without it: the entry fills every declared slot, each request takes as many times longer
+as there are too many, and all of them miss their deadlines together, while the same
+runners would have answered most of them in time.
+
+The limit follows the run time: while the run times of late are near the best lately
+seen, it grows by its square root each round, which finds new room within seconds; once
+they are longer than ``TOLERANCE`` times that, it shrinks in proportion. Twice the best
+is what mixed work shows without any queueing; a smaller factor took long requests among
+short ones for overload. ``BASE_WINDOWS`` forgets a best time after about a minute, so
+that a service which became slower for good is not throttled for ever.
+"""
+
+import collections
+import math
+
+TOLERANCE = 2.0
+SHRINK_LEAST = 0.7
+SMOOTHING = 0.3
+ROUND_MS = 200
+ROUND_SAMPLES = 10
+BASE_WINDOWS = 300
+
+
+class Limit:
+    """The adaptive limit; ``least`` and ``most`` follow the known runners."""
+
+    def __init__(self, least=1, most=1):
+        self._least = least
+        self._most = most
+        self._limit = float(most)
+        self._samples = []
+        self._bases = collections.deque(maxlen=BASE_WINDOWS)
+        self._round_ends_ms = None
+        self._was_full = False
+
+    @property
+    def value(self):
+        """How many may be under way now."""
+        return int(self._limit)
+
+    def set_bounds(self, least, most):
+        """The limit stays within these; more runners let it start higher at once."""
+        if most > self._most:
+            self._limit += most - self._most
+        self._least, self._most = least, most
+        self._clamp()
+
+    def observe(self, run_ms, in_flight, now_ms):
+        """A request was answered after ``run_ms`` while so many were under way."""
+        self._samples.append(run_ms)
+        self._was_full = self._was_full or in_flight >= self.value
+        if self._round_ends_ms is None:
+            self._round_ends_ms = now_ms + ROUND_MS
+        if now_ms >= self._round_ends_ms and len(self._samples) >= ROUND_SAMPLES:
+            self._adjust()
+            self._round_ends_ms = now_ms + ROUND_MS
+
+    def _adjust(self):
+        ordered = sorted(self._samples)
+        median_ms = max(ordered[len(ordered) // 2], 1)
+        self._bases.append(median_ms)
+        ratio = TOLERANCE * min(self._bases) / median_ms
+        wanted = self._limit
+        if ratio < 1:
+            wanted *= max(SHRINK_LEAST, ratio)
+        elif self._was_full:
+            wanted += math.sqrt(self._limit)
+        self._limit += SMOOTHING * (wanted - self._limit)
+        self._clamp()
+        self._samples = []
+        self._was_full = False
+
+    def _clamp(self):
+        self._limit = max(self._least, min(self._limit, self._most))
--- /dev/null
+++ b/alderreach/decisions/ordering.py
@@ -0,0 +1,247 @@
+"""Who goes next of the requests that wait.
+
+Load answered: urgent questions among routine ones, a few callers with most of the load,
+and long requests among short ones, all wanting the same slots.
+
+Without it: first in, first out lets one caller's burst make everybody wait for all of
+it; strict priority lets a flood of urgent requests stop all others for as long as it
+lasts; fairness by number of requests gives a team of long requests most of the slots.
+
+- Teams share by slot time, not by requests: each start costs a team the run time
+  learned for it, corrected once the true one is known (start-time fair queueing).
+- Urgent requests go first, but ``REST_SHARE`` of the slot time stays with the rest. A
+  fifth keeps routine work moving, while urgent work at up to four fifths of capacity
+  waits for at most one slot to come free.
+- Within a team the oldest goes first, which is fairest while deadlines are met. Once
+  the oldest has spent ``FLIP_SHARE`` of its time waiting, the newest goes first: under
+  overload the oldest would be answered just too late, one after the other, and all
+  slots would work for answers nobody takes. Half is late enough that no queue which
+  still drains flips, and leaves the newest its whole time.
+"""
+
+import collections
+import typing
+
+URGENT_PRIORITY = 7
+REST_SHARE = 0.2
+FLIP_SHARE = 0.5
+LEARN_SHARE = 0.1
+RUN_DEFAULT_MS = 10
+RUN_LEAST_MS = 0.5
+
+
+class RunTimes:
+    """Run times of one service, learned for each team; declared ones are far off.
+
+    The declared run time is believed only until the first request has ended.
+    """
+
+    def __init__(self, declared_ms=0):
+        self._declared_ms = declared_ms or RUN_DEFAULT_MS
+        self._teams = {}
+        self._overall_ms = None
+
+    def declare(self, declared_ms):
+        """Take what the configuration says now."""
+        self._declared_ms = declared_ms or RUN_DEFAULT_MS
+
+    def expected_ms(self, team):
+        """How long a request of a team holds a slot."""
+        learned_ms = self._teams.get(team, self._overall_ms)
+        return self._declared_ms if learned_ms is None else learned_ms
+
+    @property
+    def overall_ms(self):
+        """How long any request of the service holds a slot."""
+        return self._declared_ms if self._overall_ms is None else self._overall_ms
+
+    def observe(self, team, run_ms):
+        """A request of a team has held a slot for so long."""
+        run_ms = max(run_ms, RUN_LEAST_MS)
+        self._teams[team] = _learn(self._teams.get(team), run_ms)
+        self._overall_ms = _learn(self._overall_ms, run_ms)
+
+
+def _learn(known_ms, run_ms):
+    if known_ms is None:
+        return run_ms
+    return known_ms + LEARN_SHARE * (run_ms - known_ms)
+
+
+class Waiting(typing.NamedTuple):
+    """A request in the line; ``cost_ms`` is the slot time it is expected to take."""
+
+    ask: typing.Any
+    avoided: tuple[str, ...]
+    cost_ms: float
+
+
+class _Class:
+    """The waiting requests of one class of urgency, by team."""
+
+    def __init__(self):
+        self.queues = {}
+        self.number = 0
+        self.cost_ms = 0.0
+
+
+class WaitingLine:
+    """Requests that wait for a slot of one service."""
+
+    def __init__(self):
+        self._classes = {True: _Class(), False: _Class()}
+        self._weights = {}
+        self._finish = collections.defaultdict(float)
+        self._virtual_ms = 0.0
+        self._rest_credit_ms = 0.0
+
+    def __len__(self):
+        return sum(group.number for group in self._classes.values())
+
+    def set_weights(self, weights):
+        """Take the teams' fair shares, by name."""
+        self._weights = weights
+
+    def weight(self, team):
+        """A team's fair share against others; at least 1."""
+        return max(1, self._weights.get(team, 1))
+
+    def push(self, waiting, first=False):
+        """Add a request; ``first`` puts one that has waited before at its front."""
+        group = self._classes[is_urgent(waiting.ask)]
+        queue = group.queues.setdefault(waiting.ask.team, collections.deque())
+        if first:
+            queue.appendleft(waiting)
+        else:
+            queue.append(waiting)
+        group.number += 1
+        group.cost_ms += waiting.cost_ms
+
+    def head(self, now_ms, skipped=()):
+        """The request to go next, or None; ``take`` then takes it out.
+
+        ``skipped`` holds request ids of heads that can't go now.
+        """
+        for group in self._class_order():
+            for team in sorted(group.queues, key=self._start_tag):
+                queue = group.queues[team]
+                takes_newest = len(queue) > 1 and _is_flipped(queue[0].ask, now_ms)
+                waiting = queue[-1] if takes_newest else queue[0]
+                if waiting.ask.request_id not in skipped:
+                    return waiting
+        return None
+
+    def take(self, waiting):
+        """Take out what ``head`` gave: it goes now, and its team pays for it."""
+        team = waiting.ask.team
+        group = self._classes[is_urgent(waiting.ask)]
+        group.queues[team].remove(waiting)
+        self._taken(group, waiting)
+        self._virtual_ms = max(self._virtual_ms, self._start_tag(team))
+        self._charge_class(waiting)
+        self.charge(team, waiting.cost_ms)
+
+    def charge(self, team, cost_ms):
+        """Let slot time count against a team's share; negative gives it back."""
+        spent_ms = cost_ms / self.weight(team)
+        self._finish[team] = self._start_tag(team) + spent_ms
+
+    def correct(self, team, difference_ms):
+        """The true cost of a request that was charged differs by so much."""
+        self._finish[team] += difference_ms / self.weight(team)
+
+    def remove(self, condition):
+        """Take out and return all requests whose ``Waiting`` meets a condition."""
+        removed = []
+        for group in self._classes.values():
+            for team in list(group.queues):
+                gone = [each for each in group.queues[team] if condition(each)]
+                for waiting in gone:
+                    group.queues[team].remove(waiting)
+                    self._taken(group, waiting)
+                removed += gone
+        return removed
+
+    def backlog(self, team, urgent):
+        """What waits ahead of a newcomer: (its team's, all teams', weights) in ms."""
+        groups = [self._classes[True]]
+        if not urgent:
+            groups.append(self._classes[False])
+        own_ms, teams = 0.0, set()
+        for group in groups:
+            teams.update(group.queues)
+            own_ms += sum(each.cost_ms for each in group.queues.get(team, ()))
+        total_ms = sum(group.cost_ms for group in groups)
+        weights = sum(self.weight(name) for name in teams | {team})
+        return Backlog(own_ms, total_ms, weights)
+
+    def heaviest(self):
+        """The team with most waiting by its weight: (team, waiting per weight)."""
+        waiting = collections.Counter()
+        for group in self._classes.values():
+            for team, queue in group.queues.items():
+                waiting[team] += len(queue)
+        if not waiting:
+            return None, 0.0
+        team = max(waiting, key=lambda name: waiting[name] / self.weight(name))
+        return team, waiting[team] / self.weight(team)
+
+    def number_of(self, team):
+        """How many requests of a team wait."""
+        queues = (g.queues.get(team, ()) for g in self._classes.values())
+        return sum(len(queue) for queue in queues)
+
+    def drop_newest(self, team):
+        """Take out the request of a team that came last, routine ones first."""
+        for urgent in (False, True):
+            group = self._classes[urgent]
+            if team in group.queues:
+                waiting = group.queues[team].pop()
+                self._taken(group, waiting)
+                return waiting
+        return None
+
+    def _start_tag(self, team):
+        return max(self._virtual_ms, self._finish[team])
+
+    def _class_order(self):
+        urgent, rest = self._classes[True], self._classes[False]
+        if not urgent.number:
+            self._rest_credit_ms = 0.0
+        if self._rest_credit_ms > 0:
+            return (rest, urgent)
+        return (urgent, rest)
+
+    def _charge_class(self, waiting):
+        """Each ms for urgent work earns the rest its share; only while it waits."""
+        if is_urgent(waiting.ask):
+            if self._classes[False].number:
+                earned = REST_SHARE / (1 - REST_SHARE)
+                self._rest_credit_ms += waiting.cost_ms * earned
+        else:
+            self._rest_credit_ms -= waiting.cost_ms
+
+    def _taken(self, group, waiting):
+        team = waiting.ask.team
+        group.number -= 1
+        group.cost_ms -= waiting.cost_ms
+        if not group.queues[team]:
+            del group.queues[team]
+
+
+class Backlog(typing.NamedTuple):
+    """Slot time that waits ahead of a newcomer, and the weights that share."""
+
+    own_ms: float
+    total_ms: float
+    weights: int
+
+
+def is_urgent(ask):
+    """Whether a request belongs to the urgent class."""
+    return ask.priority >= URGENT_PRIORITY
+
+
+def _is_flipped(oldest, now_ms):
+    allowed_ms = oldest.deadline_ms - oldest.arrived_ms
+    return now_ms - oldest.arrived_ms > FLIP_SHARE * allowed_ms
--- /dev/null
+++ b/alderreach/decisions/outliers.py
@@ -0,0 +1,171 @@
+"""Targets that are slower or fail more than their peers, and how load leaves them.
+
+Load answered: one of many runners is slow, or answers errors at once, or is gone.
+
+Without it: a slow runner holds its slots ten times as long, and every request that is
+sent to it is late. A runner that fails at once is never busy, so that a rule which
+prefers idle runners sends it everything: one bad runner of 24 then fails most requests.
+
+- Slow is relative: compared with the median of the peers, since a service that is slow
+  everywhere has no better place to send to. Above ``SLOW_RATIO`` the share a runner
+  gets sinks to ``SLOW_RATIO`` over its ratio, by at most ``DOWN_STEP`` each
+  ``ADJUST_MS``, and comes back by ``UP_STEP``. Half as fast up as down keeps a runner
+  that is slow only under load from swinging between all and nothing.
+- A runner that fails more than ``ERROR_SHARE`` of its requests, while the median peer
+  fails less than half of that, is ejected for a time that doubles up to
+  ``EJECT_MOST_MS``, then probed with ``PROBE_WEIGHT``. No more than
+  ``EJECTED_FRACTION`` are ejected at once: when more fail, the fault is the service's,
+  and sending everything to the few that are left would fell them too.
+- A runner to which no connection comes about is left alone for ``DOWN_MS``, whatever
+  the fraction: it can't answer anything, and half of the targets may go at once.
+"""
+
+import statistics
+import typing
+
+ADJUST_MS = 500
+SLOW_RATIO = 2.0
+LEAST_WEIGHT = 0.05
+DOWN_STEP = 0.2
+UP_STEP = 0.1
+LEARN_SHARE = 0.15
+LEAST_SAMPLES = 5
+ERROR_SHARE = 0.5
+EJECTED_FRACTION = 0.34
+EJECT_FIRST_MS = 5000
+EJECT_MOST_MS = 60_000
+PROBE_WEIGHT = 0.05
+DOWN_MS = 1000
+DOWN_AFTER = 2
+
+
+class _Target:
+    """What is known of one runner."""
+
+    def __init__(self):
+        self.run_ms = None
+        self.error_share = 0.0
+        self.samples = 0
+        self.weight = 1.0
+        self.ejected_until_ms = None
+        self.eject_ms = EJECT_FIRST_MS
+        self.unreached = 0
+        self.down_until_ms = None
+
+
+class Change(typing.NamedTuple):
+    """An ejection or return, for the time line."""
+
+    target_id: str
+    what: str
+
+
+class Outliers:
+    """Weights from 0 to 1 of the runners of one service."""
+
+    def __init__(self):
+        self._targets = {}
+        self._next_adjust_ms = 0
+
+    def set_targets(self, target_ids):
+        """Know these runners and no others; a new one starts with full weight."""
+        self._targets = {
+            target_id: self._targets.get(target_id) or _Target()
+            for target_id in target_ids
+        }
+
+    def weight(self, target_id, now_ms):
+        """The share of its due that a runner may get; 0 while ejected or down."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return 0.0
+        if target.down_until_ms is not None and now_ms < target.down_until_ms:
+            return 0.0
+        return 0.0 if target.ejected_until_ms is not None else target.weight
+
+    def observe(self, target_id, run_ms, is_error):
+        """An attempt at a runner has ended with an answer or without."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return
+        target.samples += 1
+        target.unreached = 0
+        target.down_until_ms = None
+        target.error_share += LEARN_SHARE * (float(is_error) - target.error_share)
+        if is_error:
+            return
+        if target.run_ms is None:
+            target.run_ms = run_ms
+        target.run_ms += LEARN_SHARE * (run_ms - target.run_ms)
+
+    def unreachable(self, target_id, now_ms):
+        """No connection to a runner came about."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return
+        target.unreached += 1
+        if target.unreached >= DOWN_AFTER:
+            target.down_until_ms = now_ms + DOWN_MS
+
+    def tick(self, now_ms):
+        """Move weights on when it is time; returns what changed visibly."""
+        if now_ms < self._next_adjust_ms:
+            return []
+        self._next_adjust_ms = now_ms + ADJUST_MS
+        changes = self._return(now_ms) + self._eject(now_ms)
+        self._shift()
+        return changes
+
+    def _return(self, now_ms):
+        changes = []
+        for target_id, target in self._targets.items():
+            until_ms = target.ejected_until_ms
+            if until_ms is not None and now_ms >= until_ms:
+                target.ejected_until_ms = None
+                target.weight = PROBE_WEIGHT
+                target.error_share = 0.0
+                target.samples = 0
+                changes.append(Change(target_id, "probed"))
+        return changes
+
+    def _eject(self, now_ms):
+        shares = [target.error_share for target in self._targets.values()]
+        if len(shares) < 2 or statistics.median(shares) >= ERROR_SHARE / 2:
+            return []
+        most = int(EJECTED_FRACTION * len(shares))
+        changes = []
+        by_share = sorted(self._targets.items(), key=lambda e: -e[1].error_share)
+        for target_id, target in by_share:
+            ejected = sum(
+                each.ejected_until_ms is not None for each in self._targets.values()
+            )
+            is_bad = target.error_share > ERROR_SHARE
+            if not is_bad or target.samples < LEAST_SAMPLES or ejected >= most:
+                continue
+            if target.ejected_until_ms is not None:
+                continue
+            target.ejected_until_ms = now_ms + target.eject_ms
+            target.eject_ms = min(2 * target.eject_ms, EJECT_MOST_MS)
+            changes.append(Change(target_id, "ejected"))
+        return changes
+
+    def _shift(self):
+        known = [t.run_ms for t in self._targets.values() if t.run_ms is not None]
+        median_ms = statistics.median(known) if known else 0
+        for target in self._targets.values():
+            wanted = _wanted_weight(target, median_ms)
+            if wanted < target.weight:
+                target.weight = max(wanted, target.weight - DOWN_STEP)
+            else:
+                target.weight = min(wanted, target.weight + UP_STEP)
+            if target.weight >= 1.0:
+                target.eject_ms = EJECT_FIRST_MS
+
+
+def _wanted_weight(target, median_ms):
+    if target.error_share > ERROR_SHARE / 2 and target.samples >= LEAST_SAMPLES:
+        return max(LEAST_WEIGHT, 1 - target.error_share)
+    if target.run_ms is None or target.samples < LEAST_SAMPLES or median_ms <= 0:
+        return 1.0 if target.samples == 0 else target.weight
+    ratio = target.run_ms / median_ms
+    return 1.0 if ratio <= SLOW_RATIO else max(LEAST_WEIGHT, SLOW_RATIO / ratio)
--- /dev/null
+++ b/alderreach/decisions/routing.py
@@ -0,0 +1,158 @@
+"""Which runner a request goes to, by what this entry alone knows.
+
+Load answered: eight or nine entries share runners of a few slots each, with no central
+counter; each runner takes a bounded number of connections from all of them together.
+
+Without it: entries that fill what looks idle to them meet on the same runners. With
+random choice and no bound, at nine tenths of capacity every third request hits a full
+runner and pays for a second try (docs/measurements/entry.md).
+
+- Each entry has an allowance on each runner. On its own domain's it starts at the slots
+  divided by the entries of the domain: entries that keep to it never meet.
+- An allowance that is used in full without a refusal grows by about one slot for each
+  round of answers, so that slots of idle entries are used. A refusal costs it
+  ``REFUSED_KEEPS`` of itself, down to one slot: a full runner costs one message, so
+  there is no need to fall further at once.
+- Among runners with room the least used by allowance is taken, ties at random. With one
+  entry's own counts this waits no longer than power of two choices and hits fewer full
+  runners, because it spreads an entry's load evenly over runners other entries use too.
+- Other domains' runners get work only once the own ones have no room and the request
+  would wait longer than ``SPILL_WAIT_MS`` for them: about three round trips between
+  domains. A convex queueing cost for this choice was weighed and left out: it needs the
+  load of the other domain, which nobody here knows.
+- A runner that is slow or fails (``outliers``) is considered only as often as its
+  weight says, so that an idle bad runner can't attract the load.
+"""
+
+import collections
+
+READY = "ready"
+SUSPECT = "suspect"
+REFUSED_KEEPS = 0.7
+REMOTE_START = 1.0
+SPILL_WAIT_MS = 10.0
+
+
+class Router:
+    """Runners of one service, and what this entry has under way at each.
+
+    ``entries_in_domain`` and ``entries_in_cell`` count this entry too.
+    """
+
+    def __init__(self, outliers, random, domain, entries_in_domain, entries_in_cell):
+        self._outliers = outliers
+        self._random = random
+        self._domain = domain
+        self._entries_in_domain = entries_in_domain
+        self._entries_in_cell = entries_in_cell
+        self._runners = {}
+        self._outstanding = collections.Counter()
+        self._allowances = {}
+
+    def set_runners(self, runners):
+        """Know these runners and no others; a restarted one starts afresh."""
+        before, self._runners = self._runners, {r.runner_id: r for r in runners}
+        for runner_id, runner in self._runners.items():
+            old = before.get(runner_id)
+            if old is None or old.boot_id != runner.boot_id:
+                self._allowances[runner_id] = self._start(runner)
+        for runner_id in before.keys() - self._runners.keys():
+            self._allowances.pop(runner_id, None)
+        self._outliers.set_targets(self._runners)
+
+    @property
+    def usable(self):
+        """Ids of the runners that may get new work at all."""
+        return self._usable_ids()
+
+    def most(self):
+        """The most this entry may have under way at its own domain's runners."""
+        own, other = self._split()
+        return sum(self._cap(runner) for runner in own or other)
+
+    def room(self):
+        """Slots the allowances give this entry where it sends first."""
+        own, other = self._split()
+        return sum(max(1, int(self._allowances[r.runner_id])) for r in own or other)
+
+    def pick(self, now_ms, wait_ms, avoided=()):
+        """The runner to send to, or None while there is no room.
+
+        ``wait_ms`` is how long the request would wait for a slot of its own domain.
+        """
+        own, other = self._split()
+        chosen = self._least_used(own, now_ms, avoided)
+        may_spill = wait_ms > SPILL_WAIT_MS or not self._has_reachable(own, now_ms)
+        if chosen is None and may_spill:
+            chosen = self._least_used(other, now_ms, avoided)
+        return chosen
+
+    def started(self, runner_id):
+        """A request was granted a runner."""
+        self._outstanding[runner_id] += 1
+
+    def ended(self, runner_id, was_refused, was_answered):
+        """An attempt at a runner has ended."""
+        used = self._outstanding[runner_id]
+        if used <= 1:
+            del self._outstanding[runner_id]
+        else:
+            self._outstanding[runner_id] = used - 1
+        runner = self._runners.get(runner_id)
+        if runner is None:
+            return
+        allowance = self._allowances[runner_id]
+        if was_refused:
+            self._allowances[runner_id] = max(1.0, allowance * REFUSED_KEEPS)
+        elif was_answered and used >= int(allowance):
+            grown = allowance + 1 / allowance
+            self._allowances[runner_id] = min(grown, float(self._cap(runner)))
+
+    def _start(self, runner):
+        if runner.failure_domain != self._domain:
+            return REMOTE_START
+        share = runner.slots // self._entries_in_domain
+        return float(max(1, min(share, self._cap(runner))))
+
+    def _cap(self, runner):
+        """Slots, and at most this entry's share of the runner's connections."""
+        share = runner.connections // self._entries_in_cell
+        return max(1, min(runner.slots, share))
+
+    def _split(self):
+        own, other = [], []
+        usable = self._usable_ids()
+        for runner_id in usable:
+            runner = self._runners[runner_id]
+            place = own if runner.failure_domain == self._domain else other
+            place.append(runner)
+        return own, other
+
+    def _usable_ids(self):
+        """Ready runners; suspect ones only if no other is left.
+
+        All are suspect when the entry has lost their owner: then they may well be up,
+        and a domain that is cut off goes on serving.
+        """
+        ready = [i for i, r in self._runners.items() if r.state == READY]
+        suspect = [i for i, r in self._runners.items() if r.state == SUSPECT]
+        return ready or suspect
+
+    def _has_reachable(self, runners, now_ms):
+        return any(self._outliers.weight(r.runner_id, now_ms) > 0 for r in runners)
+
+    def _least_used(self, runners, now_ms, avoided):
+        best, least = None, None
+        for runner in runners:
+            runner_id = runner.runner_id
+            used = self._outstanding[runner_id]
+            allowance = self._allowances[runner_id]
+            if used >= int(allowance) or runner_id in avoided:
+                continue
+            weight = self._outliers.weight(runner_id, now_ms)
+            if weight < 1 and self._random.random() >= weight:
+                continue
+            score = (used + 1) / allowance + self._random.random() / 1000
+            if least is None or score < least:
+                best, least = runner, score
+        return best
--- a/alderreach/decisions/serving.py
+++ b/alderreach/decisions/serving.py
@@ -1,20 +1,34 @@
-"""One service as an entry sees it: what is let in, what waits, where it goes.
+"""One service as an entry sees it: the single policies put together.
 
-This is the frame around the single policies; it holds no thread and no socket, and its
-answers are lists of ``Grant`` and ``Refusal`` for the caller to carry out.
+It holds no thread and no socket; its answers are lists of ``Grant`` and ``Refusal`` for
+the caller to carry out, in order. ``docs/DESIGN.md`` says who does.
 """
 
-import collections
 import typing
 
 from alderreach.core.generated import errors, placer
+from alderreach.decisions import (
+    admission,
+    concurrency,
+    ordering,
+    outliers,
+    retries,
+    routing,
+)
 
-READY = "ready"
 WITHDRAWN = "withdrawn"
+ANSWERED = "answered"
+REFUSED = "refused"
+UNREACHABLE = "unreachable"
+NO_TARGET_RETRY_MS = 1000
+SERVER_ERROR = 500
 
 
 class Ask(typing.NamedTuple):
-    """A request that wants to be served; times are on the monotonic clock."""
+    """A request that wants to be served; times are on the monotonic clock.
+
+    ``attempt`` counts from 1; ``previous`` is how the attempt before it ended.
+    """
 
     request_id: str
     team: str
@@ -22,6 +36,7 @@
     arrived_ms: int
     deadline_ms: int
     attempt: int = 1
+    previous: str = ""
 
 
 class Grant(typing.NamedTuple):
@@ -49,72 +64,198 @@
     run_ms: int
 
 
+class Place(typing.NamedTuple):
+    """Where the entry stands: its domain, and how many entries share the runners."""
+
+    failure_domain: str
+    entries_in_domain: int
+    entries_in_cell: int
+
+
+class _Running(typing.NamedTuple):
+    team: str
+    runner_id: str
+    cost_ms: float
+
+
 class Service:
     """Waiting requests and runners of one service."""
 
-    def __init__(self, queue_length):
+    def __init__(self, place, queue_length, random):
         self._queue_length = queue_length
-        self._runners = {}
-        self._outstanding = collections.Counter()
-        self._waiting = collections.deque()
+        self._random = random
+        self._line = ordering.WaitingLine()
+        self._run_times = ordering.RunTimes()
+        self._outliers = outliers.Outliers()
+        self._router = routing.Router(self._outliers, random, *place)
+        self._limit = concurrency.Limit()
+        self._budget = retries.Budget()
+        self._running = {}
 
     def set_runners(self, runners):
         """Take the runners of the service as they are now known."""
-        self._runners = {runner.runner_id: runner for runner in runners}
-
-    def arrive(self, ask, now_ms, excluded=()):
-        """Take a request in."""
-        if not self._runners:
-            return [Refusal(ask.request_id, errors.Kind.NO_TARGET, 1000)]
-        if len(self._waiting) >= self._queue_length:
-            return [Refusal(ask.request_id, errors.Kind.OVERLOADED, 1000)]
-        self._waiting.append((ask, excluded))
-        return self.dispatch(now_ms)
+        self._router.set_runners(runners)
+        self._limit.set_bounds(
+            max(1, len(self._router.usable)), max(1, self._router.most())
+        )
+
+    def configure(self, weights, declared_run_ms):
+        """Take the teams' weights and the run time the configuration declares."""
+        self._line.set_weights(weights)
+        self._run_times.declare(declared_run_ms)
+
+    @property
+    def waiting(self):
+        """Requests in the queue."""
+        return len(self._line)
+
+    @property
+    def running(self):
+        """Requests under way."""
+        return len(self._running)
+
+    def arrive(self, ask, now_ms, avoided=(), room=None):
+        """Take a request in, or turn it away; others may be affected.
+
+        ``room`` is how many more may wait in the entry, whatever their service.
+        """
+        usable = set(self._router.usable)
+        if not usable or usable <= set(avoided):
+            kind = errors.Kind.NO_TARGET
+            return [Refusal(ask.request_id, kind, NO_TARGET_RETRY_MS)]
+        if ask.attempt > 1 and not self._may_retry(ask):
+            return [self._overloaded(ask)]
+        waiting = ordering.Waiting(
+            ask, tuple(avoided), self._run_times.expected_ms(ask.team)
+        )
+        # An idle service takes any request: else a run time learned from a slow spell
+        # would turn all requests away, and nothing would ever correct it.
+        if self._running and not self._estimate(ask, now_ms).is_in_time:
+            return [self._overloaded(ask)]
+        self._line.push(waiting, first=ask.attempt > 1)
+        if ask.attempt == 1:
+            self._budget.earn()
+        bound = self._queue_length
+        if room is not None:
+            bound = min(bound, len(self._line) - 1 + room)
+        decisions = self.dispatch(now_ms)
+        return decisions + self._shed(ask, bound)
 
     def ended(self, ended, now_ms):
         """An attempt has ended; others may go."""
-        self._outstanding[ended.runner_id] -= 1
+        running = self._running.pop(ended.request_id, None)
+        was_answered = ended.result == ANSWERED
+        self._router.ended(ended.runner_id, ended.result == REFUSED, was_answered)
+        if running is not None:
+            self._learn(ended, running, now_ms)
         return self.dispatch(now_ms)
 
     def dispatch(self, now_ms):
-        """Grant what can go now, refuse what is past its deadline."""
-        decisions = []
-        while self._waiting:
-            ask, excluded = self._waiting[0]
-            if ask.deadline_ms <= now_ms:
-                self._waiting.popleft()
-                kind = errors.Kind.DEADLINE_PASSED
-                decisions.append(Refusal(ask.request_id, kind, 1000))
-                continue
-            runner = self._pick(excluded)
-            if runner is None:
+        """Grant what can go now, turn away what can't be answered in time any more."""
+        decisions = self._drop_hopeless(now_ms)
+        skipped = set()
+        while len(self._running) < self._limit.value:
+            waiting = self._line.head(now_ms, skipped)
+            if waiting is None:
+                break
+            wait_ms = self._own_wait_ms(waiting, now_ms)
+            runner = self._router.pick(now_ms, wait_ms, waiting.avoided)
+            if runner is not None:
+                self._line.take(waiting)
+                decisions.append(self._grant(waiting, runner))
+            elif waiting.avoided:
+                skipped.add(waiting.ask.request_id)
+            else:
                 break
-            self._waiting.popleft()
-            self._outstanding[runner.runner_id] += 1
-            decisions.append(Grant(ask.request_id, runner))
         return decisions
 
+    def tick(self, now_ms):
+        """Let time pass: returns (decisions, changes of targets for the time line)."""
+        changes = self._outliers.tick(now_ms)
+        return self.dispatch(now_ms), changes
+
     def withdraw(self, request_id):
         """Forget a waiting request; False if it does not wait."""
-        for place, (ask, _) in enumerate(self._waiting):
-            if ask.request_id == request_id:
-                del self._waiting[place]
-                return True
-        return False
+        return bool(self._line.remove(lambda each: each.ask.request_id == request_id))
 
-    @property
-    def waiting(self):
-        """Requests in the queue."""
-        return len(self._waiting)
-
-    def _pick(self, excluded):
-        free = [
-            runner
-            for runner in self._runners.values()
-            if runner.state == READY
-            and runner.runner_id not in excluded
-            and self._outstanding[runner.runner_id] < runner.slots
-        ]
-        if not free:
-            return None
-        return min(free, key=lambda runner: self._outstanding[runner.runner_id])
+    def _slots(self):
+        return max(1, min(self._limit.value, self._router.room()))
+
+    def _estimate(self, ask, now_ms):
+        slots = self._slots()
+        return admission.estimate(
+            ask,
+            self._line.backlog(ask.team, ordering.is_urgent(ask)),
+            self._run_times.expected_ms(ask.team),
+            self._line.weight(ask.team),
+            slots,
+            slots - len(self._running),
+            now_ms,
+        )
+
+    def _own_wait_ms(self, waiting, now_ms):
+        """How long the head of the line has waited and will for an own runner."""
+        waited_ms = now_ms - waiting.ask.arrived_ms
+        return waited_ms + self._run_times.overall_ms / self._slots()
+
+    def _may_retry(self, ask):
+        was_refused = ask.previous in (REFUSED, UNREACHABLE)
+        return self._budget.allows(ask.attempt, was_refused, bool(len(self._line)))
+
+    def _overloaded(self, ask):
+        backlog = self._line.backlog(ask.team, urgent=False)
+        wait_ms = admission.retry_after_ms(
+            backlog.total_ms,
+            self._run_times.expected_ms(ask.team),
+            self._slots(),
+            self._random,
+        )
+        return Refusal(ask.request_id, errors.Kind.OVERLOADED, wait_ms)
+
+    def _shed(self, ask, bound):
+        """Keep the queue within its bound: at the cost of the team with most in it."""
+        decisions = []
+        while len(self._line) > bound:
+            team, share = self._line.heaviest()
+            newest = ask.team
+            others = self._line.number_of(ask.team) - 1
+            weight = self._line.weight(ask.team)
+            if admission.takes_place(others, weight, share):
+                newest = team
+            dropped = self._line.drop_newest(newest) or self._line.drop_newest(team)
+            decisions.append(self._overloaded(dropped.ask))
+        return decisions
+
+    def _grant(self, waiting, runner):
+        ask = waiting.ask
+        self._router.started(runner.runner_id)
+        self._running[ask.request_id] = _Running(
+            ask.team, runner.runner_id, waiting.cost_ms
+        )
+        return Grant(ask.request_id, runner)
+
+    def _learn(self, ended, running, now_ms):
+        self._line.correct(running.team, ended.run_ms - running.cost_ms)
+        if ended.result == UNREACHABLE:
+            self._outliers.unreachable(ended.runner_id, now_ms)
+        if ended.result in (UNREACHABLE, REFUSED, WITHDRAWN):
+            return
+        is_error = ended.result != ANSWERED or ended.status >= SERVER_ERROR
+        self._outliers.observe(ended.runner_id, ended.run_ms, is_error)
+        if not is_error:
+            self._run_times.observe(running.team, ended.run_ms)
+            in_flight = len(self._running) + 1
+            self._limit.observe(ended.run_ms, in_flight, now_ms)
+
+    def _drop_hopeless(self, now_ms):
+        run_ms = self._run_times.expected_ms
+        removed = self._line.remove(
+            lambda each: admission.is_hopeless(each.ask, run_ms(each.ask.team), now_ms)
+        )
+        return [self._late(waiting.ask, now_ms) for waiting in removed]
+
+    def _late(self, ask, now_ms):
+        refusal = self._overloaded(ask)
+        if ask.deadline_ms > now_ms:
+            return refusal
+        return refusal._replace(kind=errors.Kind.DEADLINE_PASSED)
--- a/alderreach/ops/entry/callers.py
+++ b/alderreach/ops/entry/callers.py
@@ -13,10 +13,18 @@
 from alderreach.core.generated import errors
 from alderreach.ops import daemon
 from alderreach.ops.entry import answers
+from alderreach.utils import http_connection
 
 SERVICE_PATH = re.compile(r"/v1/services/([^/]+)/requests")
 JOB_PATH = re.compile(r"/v1/jobs/([^/]+)")
 JOBS_PATH = "/v1/jobs"
+HEADERS_WORD = "headers"
+PROTOCOL_KINDS = {
+    408: errors.Kind.REQUEST_TIMEOUT,
+    413: errors.Kind.BODY_TOO_LARGE,
+    414: errors.Kind.HEADER_TOO_LARGE,
+    500: errors.Kind.INTERNAL,
+}
 
 
 class InFlight:
@@ -72,6 +80,16 @@
     return application
 
 
+def refuse(status, message):
+    """The answer to bytes that never became a request of the application."""
+    kind = PROTOCOL_KINDS.get(status, errors.Kind.MALFORMED_REQUEST)
+    if kind is errors.Kind.BODY_TOO_LARGE and HEADERS_WORD in message:
+        kind = errors.Kind.HEADER_TOO_LARGE
+    answer = answers.problem(answers.Failure(kind, message))
+    line = answers.status_line(answer.status)
+    return http_connection.Refusal(line, answer.headers, answer.body)
+
+
 def _guarded(environ, requests, jobs):
     try:
         return _route(environ, requests, jobs)
--- a/alderreach/ops/entry/dispatcher.py
+++ b/alderreach/ops/entry/dispatcher.py
@@ -14,6 +14,7 @@
 from alderreach.utils import tasks
 
 ANSWER_MARGIN_MS = 1000
+REFUSAL_THREADS = 8
 
 
 class Submit(typing.NamedTuple):
@@ -21,7 +22,7 @@
 
     service: str
     ask: serving.Ask
-    excluded: tuple[str, ...]
+    avoided: tuple[str, ...]
     ticket: tasks.Ticket
 
 
@@ -46,7 +47,6 @@
     granted: int
     runners: int
     epochs: dict[str, int]
-    entries: int
 
 
 class Dispatcher:
@@ -66,8 +66,8 @@
         self._runners = {}
         self._next_watch_ms = 0
         self._placers = [p for p in context.settings.peers if p.role == "placer"]
-        self._entries = 1 + sum(p.role == "entry" for p in context.settings.peers)
-        self.published = Published(0, 0, 0, {}, 1)
+        self._place = _place(context.settings)
+        self.published = Published(0, 0, 0, {})
         self._handlers = {
             Submit: self._submit,
             Report: self._report,
@@ -91,10 +91,10 @@
         """Give the task any of its messages; never blocks."""
         self._task.put(message)
 
-    def ask(self, service, ask, excluded=()):
+    def ask(self, service, ask, avoided=()):
         """Wait for a runner: a ``serving.Grant`` or a ``serving.Refusal``."""
         ticket = tasks.Ticket()
-        self.put(Submit(service, ask, excluded, ticket))
+        self.put(Submit(service, ask, avoided, ticket))
         left_ms = max(0, ask.deadline_ms - self._clock.monotonic_ms())
         decision = ticket.wait(left_ms + ANSWER_MARGIN_MS)
         if decision is None:
@@ -114,7 +114,9 @@
         now_ms = self._clock.monotonic_ms()
         self._tickets[mail.ask.request_id] = mail.ticket
         service = self._service(mail.service)
-        self._carry_out(service.arrive(mail.ask, now_ms, mail.excluded))
+        self._carry_out(
+            service.arrive(mail.ask, now_ms, mail.avoided, self._room_to_wait())
+        )
 
     def _report(self, mail):
         service = self._service(mail.service)
@@ -143,8 +145,10 @@
     def _service(self, name):
         service = self._services.get(name)
         if service is None:
-            service = serving.Service(self._context.settings.limits.queue_length)
+            limits = self._context.settings.limits
+            service = serving.Service(self._place, limits.queue_length, self._random)
             self._services[name] = service
+            self._configure(name, service)
             service.set_runners(self._runners_of(name))
         return service
 
@@ -153,6 +157,13 @@
 
     def _set_catalog(self, made):
         self._catalog = made
+        for name, service in self._services.items():
+            self._configure(name, service)
+
+    def _configure(self, name, service):
+        weights = {team.name: team.weight for team in self._catalog.teams.values()}
+        load = self._catalog.services.get(name)
+        service.configure(weights, load.expected_run_ms if load else 0)
 
     def _apply_view(self, pushed):
         domain = pushed.failure_domain
@@ -195,8 +206,13 @@
 
     def _tick(self):
         now_ms = self._clock.monotonic_ms()
-        for service in self._services.values():
-            self._carry_out(service.dispatch(now_ms))
+        for name, service in self._services.items():
+            decisions, changes = service.tick(now_ms)
+            self._carry_out(decisions)
+            for change in changes:
+                self._context.timeline.record(
+                    f"target_{change.what}", target_id=change.target_id, detail=name
+                )
         if now_ms >= self._next_watch_ms:
             self._next_watch_ms = (
                 now_ms + self._context.settings.timing.watch_interval_ms
@@ -218,5 +234,19 @@
             len(self._granted),
             len(self._runners),
             {domain: view.epoch for domain, view in self._views.items()},
-            self._entries,
         )
+
+    def _room_to_wait(self):
+        """How many more may wait: a few threads stay free to turn callers away."""
+        limits = self._context.settings.limits
+        waiting = sum(service.waiting for service in self._services.values())
+        free = limits.http_threads - REFUSAL_THREADS - len(self._granted)
+        return max(0, min(limits.queue_length, free) - waiting)
+
+
+def _place(settings):
+    """Where this entry stands among the entries of the cell."""
+    domain = settings.process.failure_domain
+    entries = [peer for peer in settings.peers if peer.role == "entry"]
+    near = sum(peer.failure_domain == domain for peer in entries)
+    return serving.Place(domain, near + 1, len(entries) + 1)
--- a/alderreach/ops/entry/intake.py
+++ b/alderreach/ops/entry/intake.py
@@ -13,7 +13,7 @@
 from alderreach.core.generated import errors
 from alderreach.ops.entry import answers
 
-BODY_CHUNK_BYTES = 65536
+CHUNK_BYTES = 65536
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 KEY_PATTERN = re.compile(r"[\x21-\x7e]+")
 NUMBER_PATTERN = re.compile(r"[0-9]{1,12}")
@@ -79,21 +79,24 @@
     return f"Idempotency-Key must be 1 to {limits.key_chars} visible ASCII characters"
 
 
-def read_body(environ, limits, clock) -> Result:
+def read_body(environ, limits) -> Result:
     """``Ok(bytes)`` or ``Err(Failure)`` for a body that is too large, cut or slow.
 
-    A caller that drips bytes keeps each single read alive, so the whole body has
-    ``caller_idle_ms``: else a few such callers would hold every thread of the entry.
+    How long it may take is up to the HTTP server, which ends a slow one by a timeout.
+    A body with two lengths is refused: a balancer that believed the other one would
+    take the rest for a second request.
     """
     length = environ.get("CONTENT_LENGTH", "")
     is_chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
-    if not is_chunked and length and not NUMBER_PATTERN.fullmatch(length):
+    if is_chunked and length:
+        detail = "Content-Length and Transfer-Encoding exclude each other"
+        return _refuse(errors.Kind.MALFORMED_REQUEST, detail)
+    if length and not NUMBER_PATTERN.fullmatch(length):
         return _refuse(errors.Kind.MALFORMED_REQUEST, "Content-Length is no number")
-    if not is_chunked and int(length or 0) > limits.body_bytes:
+    if int(length or 0) > limits.body_bytes:
         return _too_large(limits)
-    give_up_ms = clock.monotonic_ms() + limits.caller_idle_ms
     try:
-        return _read_chunks(environ, limits, clock, give_up_ms, is_chunked, length)
+        return _read(environ["wsgi.input"], limits, is_chunked, int(length or 0))
     except TimeoutError:
         return _refuse(errors.Kind.REQUEST_TIMEOUT, "The body came too slowly")
     except cheroot_errors.MaxSizeExceeded:
@@ -111,20 +114,16 @@
     return _refuse(errors.Kind.BODY_TOO_LARGE, detail)
 
 
-def _read_chunks(environ, limits, clock, give_up_ms, is_chunked, length):
+def _read(stream, limits, is_chunked, length):
+    if not is_chunked:
+        body = stream.read(length) if length else b""
+        if len(body) < length:
+            return _refuse(errors.Kind.MALFORMED_REQUEST, "The body was broken off")
+        return Ok(body)
     chunks, size = [], 0
-    expected = int(length or 0)
-    while is_chunked or size < expected:
-        wanted = min(BODY_CHUNK_BYTES, expected - size) if not is_chunked else None
-        chunk = environ["wsgi.input"].read(wanted or BODY_CHUNK_BYTES)
-        if not chunk:
-            break
+    while chunk := stream.read(CHUNK_BYTES):
         chunks.append(chunk)
         size += len(chunk)
         if size > limits.body_bytes:
             return _too_large(limits)
-        if clock.monotonic_ms() > give_up_ms:
-            return _refuse(errors.Kind.REQUEST_TIMEOUT, "The body came too slowly")
-    if not is_chunked and size < expected:
-        return _refuse(errors.Kind.MALFORMED_REQUEST, "The body was broken off")
     return Ok(b"".join(chunks))
--- a/alderreach/ops/entry/jobs.py
+++ b/alderreach/ops/entry/jobs.py
@@ -58,7 +58,7 @@
     def submit(self, environ):
         """POST /v1/jobs."""
         limits = self._context.settings.limits
-        body = intake.read_body(environ, limits, self._clock)
+        body = intake.read_body(environ, limits)
         if isinstance(body, Err):
             return answers.problem(body.err_value)
         key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
--- a/alderreach/ops/entry/requests.py
+++ b/alderreach/ops/entry/requests.py
@@ -81,7 +81,7 @@
 
     def _check(self, environ, service_name, request_id, arrived_ms):
         limits = self._context.settings.limits
-        body = intake.read_body(environ, limits, self._clock)
+        body = intake.read_body(environ, limits)
         headers = intake.read_headers(environ, limits)
         for found in (body, headers):
             if isinstance(found, Err):
@@ -142,20 +142,22 @@
 
     def _attempt(self, request):
         """Send to one runner after another until one answers or no more is allowed."""
-        excluded, attempts, worst = (), 0, None
+        avoided, attempts, worst, previous = (), 0, None, ""
         while True:
             ask = serving.Ask(
                 request.request_id,
                 request.headers.team,
                 _priority(request),
-                self._clock.monotonic_ms(),
+                request.arrived_ms,
                 request.deadline_ms,
                 attempts + 1,
+                previous,
             )
-            decision = self._dispatcher.ask(request.service.name, ask, excluded)
+            decision = self._dispatcher.ask(request.service.name, ask, avoided)
             if isinstance(decision, serving.Refusal):
-                failure = answers.Failure(decision.kind, "", decision.retry_after_ms)
-                return Ending(attempts, None, worst or failure)
+                failure = worst or answers.Failure(decision.kind)
+                wait_ms = decision.retry_after_ms
+                return Ending(attempts, None, failure._replace(retry_after_ms=wait_ms))
             attempts += 1
             reply = self._call(request, decision.runner, attempts)
             if reply.result == runner_wire.ANSWERED:
@@ -163,7 +165,8 @@
             worst = _worse(worst, reply)
             if not self._may_retry(request, worst):
                 return Ending(attempts, None, worst)
-            excluded += (decision.runner.runner_id,)
+            avoided += (decision.runner.runner_id,)
+            previous = reply.result
 
     def _may_retry(self, request, worst):
         if not request.may_repeat or self._clock.monotonic_ms() >= request.deadline_ms:
--- a/alderreach/ops/entry/service.py
+++ b/alderreach/ops/entry/service.py
@@ -122,6 +122,7 @@
                 limits.body_bytes,
                 limits.caller_idle_ms,
             ),
+            callers.refuse,
         )
         context.stack.callback(server.close)
 
--- /dev/null
+++ b/alderreach/utils/http_connection.py
@@ -0,0 +1,171 @@
+"""Connections of the HTTP server, with bounds on time that callers can't stretch.
+
+The server's own timeout holds for each single read and write, so a caller that drips
+one byte a second keeps a thread for hours; a hundred of them keep all threads. Here a
+whole request, head and body, has to arrive within one span, and a whole answer has to
+be taken within another.
+
+A refusal of a request whose body has not been read is followed by the end of the
+stream and a short wait for the caller's: closing at once would make the kernel reset
+the connection, and the caller would see that instead of the refusal.
+"""
+
+import io
+import socket
+import typing
+
+from cheroot import makefile, server
+
+LINGER_MS = 1000
+LINGER_READ_BYTES = 65536
+UNREAD_LINGER_BYTES = 16 * 1024 * 1024
+
+
+class Refusal(typing.NamedTuple):
+    """The answer to bytes that are no request the server can hand on."""
+
+    status: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class _TimedSocket(io.RawIOBase):
+    """A socket as a raw file whose reads end together at a time set before."""
+
+    def __init__(self, sock, clock):
+        self._socket = sock
+        self._clock = clock
+        self._give_up_ms = 0
+        self.may_read = True
+
+    def allow(self, duration_ms):
+        """Let all reads from now on take so long together."""
+        self._give_up_ms = self._clock.monotonic_ms() + duration_ms
+
+    def readable(self):
+        return True
+
+    def readinto(self, buffer):
+        """Read what is there; None tells the buffer above that nothing is."""
+        if not self.may_read:
+            return None
+        left_ms = self._give_up_ms - self._clock.monotonic_ms()
+        if left_ms <= 0:
+            raise TimeoutError("timed out")
+        self._socket.settimeout(left_ms / 1000)
+        return self._socket.recv_into(buffer)
+
+
+class _Reader(io.BufferedReader):
+    """The buffered reader with the two members the server asks for beyond a file's."""
+
+    bytes_read = 0
+
+    def has_data(self):
+        """Whether bytes of a next request were read already."""
+        self.raw.may_read = False
+        try:
+            return bool(self.peek(1))
+        finally:
+            self.raw.may_read = True
+
+
+class _Writer(makefile.StreamWriter):
+    """A writer that gives a caller one span for a whole answer."""
+
+    def __init__(self, sock, clock, span_ms):
+        super().__init__(sock, "wb")
+        self._socket = sock
+        self._clock = clock
+        self._span_ms = span_ms
+        self._give_up_ms = None
+
+    def start_answer(self):
+        """The span starts with the first byte of the next answer."""
+        self._give_up_ms = None
+
+    def _flush_unlocked(self):
+        now_ms = self._clock.monotonic_ms()
+        if self._give_up_ms is None:
+            self._give_up_ms = now_ms + self._span_ms
+        buffered, sent = bytes(self._write_buf), 0
+        self._write_buf.clear()
+        while sent < len(buffered):
+            left_ms = self._give_up_ms - self._clock.monotonic_ms()
+            if left_ms <= 0:
+                raise TimeoutError("timed out")
+            self._socket.settimeout(left_ms / 1000)
+            sent += self._socket.send(memoryview(buffered)[sent:])
+
+
+class Request(server.HTTPRequest):
+    """A request whose protocol mistakes get the application's kind of answer."""
+
+    def simple_response(self, status, msg=""):
+        """Answer for the server itself, before the application has seen a request."""
+        refuse = self.server.refuse
+        if refuse is None:
+            super().simple_response(status, msg)
+            return
+        refusal = refuse(int(str(status)[:3]), msg)
+        self.close_connection = True
+        lines = [f"HTTP/1.1 {refusal.status}"]
+        lines += [f"{name}: {value}" for name, value in refusal.headers]
+        lines += [f"Content-Length: {len(refusal.body)}", "Connection: close", "", ""]
+        self.conn.must_linger = True
+        self.conn.wfile.write("\r\n".join(lines).encode("latin-1") + refusal.body)
+
+    def send_headers(self):
+        """Answer a request whose body was not read whole, and end the connection."""
+        if self._has_unread_body():
+            self.close_connection = True
+            self.conn.must_linger = True
+        super().send_headers()
+
+    def _has_unread_body(self):
+        if self.chunked_read:
+            return not self.rfile.closed
+        return getattr(self.rfile, "remaining", 0) != 0
+
+
+class Connection(server.HTTPConnection):
+    """A caller's connection, read and written within bounded time."""
+
+    RequestHandlerClass = Request
+
+    def __init__(self, http_server, sock, _makefile=None):
+        super().__init__(http_server, sock)
+        clock, span_ms = http_server.clock, http_server.idle_ms
+        self._span_ms = span_ms
+        self._clock = clock
+        self._timed = _TimedSocket(sock, clock)
+        self.rfile = _Reader(self._timed)
+        self.wfile = _Writer(sock, clock, span_ms)
+        self.must_linger = False
+
+    def communicate(self):
+        """Serve one request; True if the connection stays open."""
+        self._timed.allow(self._span_ms)
+        self.wfile.start_answer()
+        stays_open = super().communicate()
+        if not stays_open and self.must_linger:
+            self._await_end()
+        return stays_open
+
+    def _await_end(self):
+        """Read away what the caller still sends, for a bounded time and amount."""
+        give_up_ms = self._clock.monotonic_ms() + LINGER_MS
+        left_bytes = UNREAD_LINGER_BYTES
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while left_bytes > 0:
+                left_ms = give_up_ms - self._clock.monotonic_ms()
+                if left_ms <= 0:
+                    return
+                self.socket.settimeout(left_ms / 1000)
+                data = self.socket.recv(LINGER_READ_BYTES)
+                if not data:
+                    return
+                left_bytes -= len(data)
+        except OSError:
+            return
--- a/alderreach/utils/http_server.py
+++ b/alderreach/utils/http_server.py
@@ -10,7 +10,13 @@
 
 from cheroot import wsgi
 
+from alderreach.utils import clocks, http_connection
+
 CLOSE_WAIT_S = 5
+ACCEPT_BACKLOG = 256
+# The server's own default of 10 would end all other connections after each answer, and
+# every request of theirs would pay for a new one.
+IDLE_CONNECTIONS_MAX = 1000
 
 
 class HttpLimits(typing.NamedTuple):
@@ -23,20 +29,29 @@
 
 
 class HttpServer:
-    """One listener, ``address`` as host:port; open from construction to ``close``."""
+    """One listener, ``address`` as host:port; open from construction to ``close``.
+
+    ``refuse(status, message)`` gives the ``http_connection.Refusal`` for bytes that
+    never become a request of the application; without it the answer is plain text.
+    """
 
-    def __init__(self, address, application, limits):
+    def __init__(self, address, application, limits, refuse=None, clock=clocks.SYSTEM):
         host, _, port = address.rpartition(":")
         self._server = wsgi.Server(
             (host, int(port)),
             application,
             numthreads=limits.threads,
-            request_queue_size=256,
+            request_queue_size=ACCEPT_BACKLOG,
             timeout=limits.idle_ms / 1000,
             shutdown_timeout=CLOSE_WAIT_S,
         )
         self._server.max_request_header_size = limits.header_bytes
         self._server.max_request_body_size = limits.body_bytes
+        self._server.keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
+        self._server.ConnectionClass = http_connection.Connection
+        self._server.refuse = refuse
+        self._server.clock = clock
+        self._server.idle_ms = limits.idle_ms
         self._server.prepare()
         self._thread = threading.Thread(
             target=self._server.serve, name=f"http {address}", daemon=True
--- /dev/null
+++ b/tests/entry_once_test.py
@@ -0,0 +1,228 @@
+"""A non-idempotent request under a key runs at most once, and what is said is true."""
+
+import threading
+
+import pytest
+
+from alderreach.core.generated import keeper
+from tests import entry_fakes
+
+KEY = "Idempotency-Key"
+
+
+@pytest.fixture
+def cell():
+    limits = "kept_answer_bytes = 100"
+    with entry_fakes.FakeCell(limits=limits, runners=2) as running:
+        yield running
+
+
+def order(cell, key="k1", body=b"charge", **headers):
+    return cell.post(
+        body=body, Alderreach_Non_Idempotent="true", Idempotency_Key=key, **headers
+    )
+
+
+def runs(cell):
+    return sum(len(runner.requests) for runner in cell.runners)
+
+
+def settled(cell):
+    return cell.entry.status().detail["unrecorded"] == 0
+
+
+def set_behaviour(cell, behave):
+    for runner in cell.runners:
+        runner.behave = behave
+
+
+def test_resend_gets_the_recorded_answer(cell):
+    first = order(cell)
+    second = order(cell)
+    assert (first.status, first.data) == (second.status, second.data)
+    assert second.headers["Alderreach-Outcome"] == "ran"
+    assert second.headers["Alderreach-Attempts"] == "0"
+    assert runs(cell) == 1
+
+
+def test_key_is_scoped_by_team_and_bound_to_its_request(cell):
+    order(cell)
+    assert order(cell, body=b"another").json()["kind"] == "key_reused"
+    assert order(cell, Alderreach_Team="desk").headers["Alderreach-Attempts"] == "1"
+    assert runs(cell) == 2
+
+
+def test_answer_too_large_to_keep_is_said_to_have_run(cell):
+    set_behaviour(cell, lambda request: entry_fakes.answer(request, b"x" * 101))
+    assert order(cell).status == 200
+    resent = order(cell)
+    assert resent.json()["kind"] == "answer_not_kept"
+    assert resent.headers["Alderreach-Outcome"] == "ran"
+    assert runs(cell) == 1
+
+
+def test_resend_waits_for_the_first_copy(cell):
+    """A caller sends twice without waiting, as after a lost connection.
+
+    The second copy arrives while the first still runs. It must neither run nor fail:
+    it waits and gets the first one's answer.
+    """
+    may_answer = threading.Event()
+
+    def slow(request):
+        may_answer.wait(10)
+        return entry_fakes.ran(request)
+
+    set_behaviour(cell, slow)
+    ended = []
+    callers = [
+        threading.Thread(target=lambda: ended.append(order(cell))) for _ in range(2)
+    ]
+    for caller in callers:
+        caller.start()
+    reads = lambda: [c for c in cell.keepers.commands if isinstance(c, keeper.ReadKey)]
+    entry_fakes.wait_until(reads)
+    may_answer.set()
+    for caller in callers:
+        caller.join(10)
+    assert [answer.status for answer in ended] == [200, 200]
+    assert runs(cell) == 1
+
+
+def test_resend_past_its_deadline_hears_in_progress(cell):
+    may_answer = threading.Event()
+
+    def slow(request):
+        may_answer.wait(10)
+        return entry_fakes.ran(request)
+
+    set_behaviour(cell, slow)
+    first = threading.Thread(target=order, args=(cell,))
+    first.start()
+    entry_fakes.wait_until(lambda: runs(cell))
+    resent = order(cell, Alderreach_Deadline_Ms="200")
+    may_answer.set()
+    first.join(10)
+    assert resent.json()["kind"] == "in_progress"
+    assert resent.headers["Alderreach-Outcome"] == "unknown"
+    assert runs(cell) == 1
+
+
+@pytest.mark.parametrize("mode", ["no_quorum", "deaf", "mute"])
+def test_nothing_is_sent_without_a_claim(cell, mode):
+    """The quorum is out of reach, or its replies are lost, when an order comes in.
+
+    The entry can't tell whether the key ran before through another entry, so it must
+    neither send the order nor say that it was not run.
+    """
+    cell.keepers.mode = mode
+    answer = order(cell, Alderreach_Deadline_Ms="700")
+    assert answer.json()["kind"] == "key_unchecked"
+    assert answer.headers["Alderreach-Outcome"] == "unknown"
+    assert runs(cell) == 0
+
+
+def test_resend_runs_after_an_uncertain_claim_was_given_up(cell):
+    """The claim reaches the log, but its confirmation is lost.
+
+    The entry answers unknown without sending. Were the claim left in the log, the
+    caller's resend would wait for a request that nobody sends.
+    """
+    cell.keepers.mode = "mute"
+    order(cell, Alderreach_Deadline_Ms="500")
+    cell.keepers.mode = "ok"
+    entry_fakes.wait_until(lambda: settled(cell))
+    assert order(cell).status == 200
+    assert runs(cell) == 1
+
+
+def test_requests_without_need_of_the_quorum_go_on_without_it(cell):
+    """Orders with keys wait for a lost quorum, many at once.
+
+    Each holds a thread until it times out. A closure question that needs no quorum
+    must still find one.
+    """
+    cell.keepers.mode = "deaf"
+    callers = [
+        threading.Thread(target=order, args=(cell, f"k{number}"))
+        for number in range(100)
+    ]
+    for caller in callers:
+        caller.start()
+    assert cell.post().status == 200
+    for caller in callers:
+        caller.join(20)
+    assert runs(cell) == 1
+
+
+def test_confirmed_refusal_frees_the_key(cell):
+    set_behaviour(cell, entry_fakes.refuse)
+    refused = order(cell)
+    assert refused.json()["kind"] == "target_refused"
+    assert refused.headers["Alderreach-Outcome"] == "not-run"
+    set_behaviour(cell, entry_fakes.ran)
+    assert order(cell).status == 200
+
+
+def test_refused_by_one_runner_is_run_by_another(cell):
+    cell.runners[0].behave = entry_fakes.refuse
+    for number in range(4):
+        answer = order(cell, f"k{number}")
+        assert answer.status == 200
+    assert len(cell.runners[1].requests) == 4
+
+
+def test_broken_attempt_is_unknown_and_never_sent_again(cell):
+    """The runner takes the order and dies before it answers.
+
+    It may have charged the family. Sending the order to another runner could charge
+    twice; saying not-run would make the office do so.
+    """
+    set_behaviour(cell, lambda request: None)
+    broken = order(cell)
+    assert broken.json()["kind"] == "target_failed"
+    assert broken.headers["Alderreach-Outcome"] == "unknown"
+    set_behaviour(cell, entry_fakes.ran)
+    entry_fakes.wait_until(lambda: settled(cell))
+    assert order(cell).json()["kind"] == "outcome_unknown"
+    assert runs(cell) == 1
+
+
+def test_turned_away_after_claim_is_not_run_and_free_again(cell):
+    """Every runner is gone when an order comes in: it is claimed, but can't be sent."""
+    views = [runner.view for runner in cell.runners]
+    gone = [view._replace(state="leaving") for view in views]
+    cell.push_view(epoch=2, runners=gone)
+    entry_fakes.wait_until(lambda: order(cell).status == 503)
+    assert order(cell).headers["Alderreach-Outcome"] == "not-run"
+    assert not cell.keepers.keys
+    cell.push_view(epoch=3)
+    entry_fakes.wait_until(lambda: order(cell).status == 200)
+
+
+def test_restarted_entry_does_not_run_what_its_earlier_boot_claimed(cell):
+    """The entry dies after the claim, while the runner works on the order.
+
+    The balancer sends the caller's resend to the same VM, whose entry is back. It
+    finds its own name on the claim, but not its own boot: it must not send.
+    """
+    cell.keepers.keys["guides/k1"] = {
+        "digest": "",
+        "request_id": "lost",
+        "entry": "entry-1",
+        "boot": "boot-0",
+        "outcome": None,
+    }
+    order(cell, "k2")
+    cell.keepers.keys["guides/k1"]["digest"] = cell.keepers.keys["guides/k2"]["digest"]
+    resent = order(cell)
+    assert resent.json()["kind"] == "outcome_unknown"
+    assert runs(cell) == 1
+
+
+def test_without_a_key_there_is_one_attempt(cell):
+    set_behaviour(cell, entry_fakes.refuse)
+    answer = cell.post(Alderreach_Non_Idempotent="true")
+    assert answer.headers["Alderreach-Attempts"] == "1"
+    assert answer.headers["Alderreach-Outcome"] == "not-run"
+    assert runs(cell) == 1
