--- a/alderreach/ops/entry/service.py
+++ b/alderreach/ops/entry/service.py
@@ -132,6 +132,7 @@
             http_server.HttpLimits(
                 threads, limits.header_bytes, limits.body_bytes, limits.caller_idle_ms
             ),
+            callers.refuse,
         )
         self._context.stack.callback(server.close)
 
