--- a/alderreach/decisions/first_fit.py
+++ b/alderreach/decisions/first_fit.py
@@ -83,6 +83,9 @@
     def set_team(self, team):
         """Ignore quotas and weights: the baseline has none."""
 
+    def remove_team(self, name):
+        """Ignore teams."""
+
     def add_worker(self, worker_id, vm, rack, capacity):
         """Add a worker, open for work, with the tasks restored on it counted."""
         worker = self._workers[worker_id] = _Worker(capacity)
@@ -96,7 +99,8 @@
 
     def set_open(self, worker_id, is_open):
         """Open or close a worker for new tasks."""
-        self._workers[worker_id].open = is_open
+        if worker_id in self._workers:
+            self._workers[worker_id].open = is_open
 
     def submit(self, job, now_ms):
         """Add a job with all its tasks waiting."""
@@ -121,7 +125,9 @@
     def task_ended(self, task_id, attempt, outcome, now_ms):
         """Note how an attempt ended; all but finished may be started again."""
         task = self._tasks.get(task_id)
-        if task is None or task.attempt != attempt or not task.worker_id:
+        if task is None or (task.worker_id and task.attempt != attempt):
+            return
+        if not task.worker_id and outcome != "finished":
             return
         worker = self._workers.get(task.worker_id)
         if worker is not None:
@@ -149,6 +155,11 @@
                 decided += self._starts(job, budget - len(decided))
         return decided
 
+    def worker_state(self, worker_id):
+        """Return open or closed; the baseline has no quarantine."""
+        worker = self._workers.get(worker_id)
+        return "open" if worker is not None and worker.open else "closed"
+
     def job_status(self, job_id):
         """Return the job's JobStatus, with epoch and time left to the caller."""
         job = self._jobs[job_id]
--- a/alderreach/ops/placer/items.py
+++ b/alderreach/ops/placer/items.py
@@ -77,8 +77,8 @@
             return
         self._versions[item.key] = item.version
         kind = item.key.partition("/")[0]
-        if kind == "team" and item.value is not None:
-            self._placing.scheduler.set_team(codec.decode(item.value, common.Team))
+        if kind == "team":
+            self._change_team(item)
         elif kind == "workload":
             self._change_workload(item, now_ms)
         elif kind == "maintenance":
@@ -90,6 +90,13 @@
         elif kind == "cancel" and item.value is not None:
             self._placing.cancel(_name(item), now_ms)
 
+    def _change_team(self, item):
+        scheduler = self._placing.scheduler
+        if item.value is None:
+            scheduler.remove_team(_name(item))
+        else:
+            scheduler.set_team(codec.decode(item.value, common.Team))
+
     def _change_workload(self, item, now_ms):
         """Run this domain's share of a service; a changed one replaces the old."""
         before = self._services.get(item.key)
@@ -98,6 +105,8 @@
             workload = codec.decode(item.value, common.Workload)
         job = workload and self._service_job(workload)
         if job and before and before.job_id == job.job_id:
+            self._services[item.key] = job
+            self._placing.resize(job, now_ms)
             return
         if before is not None:
             self._placing.cancel(before.job_id, now_ms)
@@ -137,10 +146,11 @@
             return
         if job_id not in self._placing.jobs:
             state = jobs.JobState(codec.decode(item.value, common.Job))
-            domain = self._placing.failure_domain
-            state.cancelled = f"cancel/{domain}/{job_id}" in self._versions
             self._placing.submit(state, now_ms)
             self._placing.note("job_taken", job_id=job_id, team=state.job.team)
+            domain = self._placing.failure_domain
+            if f"cancel/{domain}/{job_id}" in self._versions:
+                self._placing.cancel(job_id, now_ms)
 
     def apply_words(self, now_ms):
         """Give up silent targets that an operator declared dead.
--- a/alderreach/ops/placer/jobs.py
+++ b/alderreach/ops/placer/jobs.py
@@ -90,8 +90,8 @@
 def service_job(workload, failure_domain, tasks):
     """Return the Job that stands for a service in a failure domain.
 
-    Its id tells the content, so that every owner gives the same id to the same
-    service, and a service whose tasks must be replaced is another job.
+    Its id tells the content but for the number of tasks, so that every owner gives
+    the same id to the same service, and one whose tasks must be replaced is another.
     """
     job = common.Job(
         "",
@@ -100,7 +100,7 @@
         "service",
         failure_domain,
         workload.task,
-        tasks,
+        0,
         0,
         workload.when_cut_off,
         workload.checkpoint,
@@ -113,6 +113,7 @@
     name = f"{SERVICE_PREFIX}{failure_domain}-{workload.team}-{workload.name}-{digest}"
     return job._replace(
         job_id=name,
+        tasks=tasks,
         priority=workload.priority,
         expected_run_ms=workload.expected_run_ms,
     )
--- a/alderreach/ops/placer/placing.py
+++ b/alderreach/ops/placer/placing.py
@@ -15,14 +15,12 @@
 import collections
 
 from alderreach.core import codec, placements, records, target_membership
-from alderreach.core.generated import common, placer
+from alderreach.core.generated import placer
 from alderreach.ops.placer import commands, jobs, reports, status
 
 DECISIONS_PER_TICK = 500
 AGE_INTERVAL_MS = 100
 FORGET_DEAD_MS = 600_000
-NOWHERE = "-"
-NOTHING = common.Resources(0, 0, 0)
 
 
 class Placing:
@@ -62,8 +60,6 @@
         self._standby_alive = True
         self._runner_views = 0
         self._next_age_ms = 0
-        scheduler.add_worker(NOWHERE, NOWHERE, NOWHERE, NOTHING)
-        scheduler.set_open(NOWHERE, False)
 
     # ---- jobs
 
@@ -78,14 +74,17 @@
             self._replay(job, number, "finished", now_ms)
         for number in state.failed:
             self._replay(job, number, "failed", now_ms)
-        if state.cancelled:
-            self.scheduler.cancel(job.job_id, now_ms)
         self._mark_job(state)
 
+    def resize(self, job, now_ms):
+        """Take over a service's new number of tasks."""
+        self.jobs[job.job_id].job = job
+        self.scheduler.submit(job, now_ms)
+
     def cancel(self, job_id, now_ms):
         """Stop a job: what runs is stopped, what waits never starts."""
         state = self.jobs.get(job_id)
-        if state is None or state.cancelled or state.is_final:
+        if state is None or state.is_final:
             return
         state.cancelled = True
         self.scheduler.cancel(job_id, now_ms)
@@ -101,9 +100,7 @@
 
     def _replay(self, job, number, outcome, now_ms):
         """Tell the scheduler of an end from before this epoch."""
-        task_id = f"{job.job_id}/{number}"
-        self.scheduler.restore(task_id, 1, job.job_id, NOWHERE)
-        self.scheduler.task_ended(task_id, 1, outcome, now_ms)
+        self.scheduler.task_ended(f"{job.job_id}/{number}", 0, outcome, now_ms)
 
     # ---- targets
 
@@ -161,19 +158,11 @@
             self._add_worker(told)
 
     def _add_worker(self, told):
-        """Have the scheduler know a worker, with its capacity as last announced.
-
-        A capacity that changed under running tasks is taken over once it is empty.
-        """
+        """Have the scheduler know a worker, with its capacity as last announced."""
         worker_id = told.target_id
         self._log_worker(told)
-        known = self._scheduled.get(worker_id)
-        if known == told.capacity:
+        if self._scheduled.get(worker_id) == told.capacity:
             return
-        if known is not None:
-            if self.placements.on_worker(worker_id):
-                return
-            self.scheduler.remove_worker(worker_id)
         self.scheduler.add_worker(worker_id, told.vm, told.rack, told.capacity)
         self._scheduled[worker_id] = told.capacity
         self._open_worker(worker_id)
@@ -189,7 +178,6 @@
             and worker_id in self._confirmed
             and worker_id not in self._orphans
             and worker_id not in self.closed_workers
-            and self._scheduled[worker_id] == target.announced.capacity
         )
         self.scheduler.set_open(worker_id, is_open)
 
@@ -324,14 +312,12 @@
         return until_ms > now_ms
 
     def _after_end(self, worker_id):
-        """Drop a dead worker, or take over a capacity that changed, once empty."""
+        """Drop a dead worker once nothing is held on it."""
         target = self.members.targets.get(worker_id)
         if target is None or self.placements.on_worker(worker_id):
             return
         if target.state == "dead":
             self._unschedule(worker_id)
-        elif self._scheduled.get(worker_id) != target.announced.capacity:
-            self._add_worker(target.announced)
 
     def _unschedule(self, worker_id):
         if self._scheduled.pop(worker_id, None) is not None:
--- a/alderreach/ops/placer/service.py
+++ b/alderreach/ops/placer/service.py
@@ -38,6 +38,17 @@
     ticket: tasks.Ticket
 
 
+class Parts(typing.NamedTuple):
+    """How the service makes what runs beside it; tests put their own in place."""
+
+    task: typing.Callable
+    gateway: typing.Callable
+    sender: typing.Callable
+
+
+PARTS = Parts(tasks.Task, gateway.Gateway, sender.Sender)
+
+
 def build(context):
     """Build the role for ``daemon.main``."""
     return PlacerService(context).start()
@@ -46,7 +57,7 @@
 class PlacerService:
     """The placer's task and what it is made of."""
 
-    def __init__(self, context):
+    def __init__(self, context, parts=PARTS):
         self._context = context
         self._clock = context.clock
         settings = context.settings
@@ -78,23 +89,28 @@
         self._beat_heard_ms = None
         self._next_beat_ms = 0
         self._status = daemon.RoleStatus(0, "standby", False, {})
-        self._task = tasks.Task("placer", self._handle, self._tick, self._clock)
-        self._gateway = gateway.Gateway(
+        self._task = parts.task("placer", self._handle, self._tick, self._clock)
+        self._gateway = parts.gateway(
             context, items.followed_prefixes(self._domain), self._items_changed
         )
-        self._sender = sender.Sender(
+        self._sender = parts.sender(
             lambda: self._ownership.lease, self._clock, self._task.put
         )
 
     def start(self):
         """Open everything; return the role."""
-        stack, settings = self._context.stack, self._context.settings
+        stack = self._context.stack
         stack.callback(self._sender.close)
         self._sender.start()
         stack.callback(self._task.close)
         stack.callback(self._gateway.close)
         self._task.start()
         self._gateway.start()
+        stack.callback(self._open_listener().close)
+        return self
+
+    def _open_listener(self):
+        settings = self._context.settings
         application = announcing.make_application(
             self._domain, self._task.put, settings.limits.body_bytes
         )
@@ -104,9 +120,7 @@
             settings.limits.body_bytes,
             settings.limits.caller_idle_ms,
         )
-        server = http_server.HttpServer(settings.listen.targets, application, limits)
-        stack.callback(server.close)
-        return self
+        return http_server.HttpServer(settings.listen.targets, application, limits)
 
     # ---- the role, called from other threads
 
@@ -125,6 +139,11 @@
         self._task.put(_HandOver(ticket))
         ticket.wait(min(HANDOVER_WAIT_MS, self._timing.drain_ms))
 
+    @property
+    def may_act(self):
+        """Whether commands may leave now."""
+        return self._ownership.may_act(self._clock.monotonic_ms())
+
     def _items_changed(self, changed, _copy):
         self._task.put(_ItemsChanged(changed))
 
--- a/alderreach/ops/placer/status.py
+++ b/alderreach/ops/placer/status.py
@@ -16,8 +16,8 @@
     placed = placing.placements.of_job(job_id)
     running = sum(p.state != "starting" for p in placed)
     told = placing.scheduler.job_status(job_id)
-    finished, failed = len(state.finished), told.failed
-    name, reason = "waiting", told.reason
+    finished, failed = len(state.finished), told.failed if told else 0
+    name, reason = "waiting", told.reason if told else ""
     if state.impossible and not placed:
         name, reason = "impossible", state.impossible
     elif finished >= tasks:
@@ -91,7 +91,7 @@
     )
     tasks = len(held) if told.kind == "worker" else told.slots
     state = target.state
-    quarantined = _is_quarantined(placing, told.target_id)
+    quarantined = placing.scheduler.worker_state(told.target_id) == "quarantined"
     if state == "ready" and quarantined:
         state = "quarantined"
     note = _note(placing, target, held, windows, wall_ms, quarantined)
@@ -109,12 +109,6 @@
     )
 
 
-def _is_quarantined(placing, worker_id):
-    """Ask the scheduler, if it keeps workers in quarantine at all."""
-    ask = getattr(placing.scheduler, "is_quarantined", None)
-    return ask is not None and worker_id in placing.members.targets and ask(worker_id)
-
-
 def _note(placing, target, held, windows, wall_ms, quarantined):
     told = target.announced
     phase = maintenance.phase_of(windows, told.vm, told.rack, wall_ms)
--- a/alderreach/ops/placer/takeover.py
+++ b/alderreach/ops/placer/takeover.py
@@ -38,6 +38,10 @@
         placing.expect(target_membership.from_runner_view(view), now_ms)
     for held in merge(copy, placed):
         _hold(placing, held, now_ms)
+    # Only now: a cancellation ends a job for the scheduler once nothing of it runs.
+    for job_id, state in placing.jobs.items():
+        if state.cancelled:
+            placing.cancel(job_id, now_ms)
 
 
 def _wait_ms(placing, copy):
--- a/alderreach/ops/placer/tenure.py
+++ b/alderreach/ops/placer/tenure.py
@@ -5,7 +5,7 @@
 
 from alderreach.core import codec, records
 from alderreach.core.generated import keeper, placer
-from alderreach.decisions import first_fit as scheduling
+from alderreach.decisions import scheduler as scheduling
 from alderreach.ops.placer import (
     item_writer,
     items,
