--- a/alderreach/ops/placer/service.py
+++ b/alderreach/ops/placer/service.py
@@ -32,7 +32,7 @@
     outcome: typing.Any
 
 
-class _HandOver(typing.NamedTuple):
+class HandOver(typing.NamedTuple):
     """The process stops: give the domain away; the ticket is answered once it is."""
 
     ticket: tasks.Ticket
@@ -136,7 +136,7 @@
     def drain(self):
         """Hand the domain over to a standby, or at least give it up."""
         ticket = tasks.Ticket()
-        self._task.put(_HandOver(ticket))
+        self._task.put(HandOver(ticket))
         ticket.wait(min(HANDOVER_WAIT_MS, self._timing.drain_ms))
 
     @property
@@ -170,7 +170,7 @@
                 self._tenure.read(mail, now_ms)
         elif isinstance(mail, tenure.ItemsWritten):
             self._items_written(mail, now_ms)
-        elif isinstance(mail, _HandOver):
+        elif isinstance(mail, HandOver):
             self._hand_over(mail, now_ms)
 
     def _is_current(self, epoch):
--- /dev/null
+++ b/tests/placer_sim.py
@@ -0,0 +1,612 @@
+"""A failure domain in one thread: real placer services over paused clocks and links.
+
+Two placers run the code of ``ops/placer/service.py``; the keepers are the real
+``keeper_state`` and ``owner_leases`` behind one clock. Workers enforce only what
+docs/INTERFACES.md says of them. Every link has two directions, each of which passes,
+drops or holds what is sent; held messages arrive when it is healed. Clocks run at
+rates up to 1% apart. ``World.check`` looks at what must hold at every moment.
+"""
+
+import collections
+import contextlib
+import heapq
+import json
+import threading
+import types
+
+from alderreach.core import codec, keeper_state, owner_leases, replica
+from alderreach.core.generated import common, keeper, settings
+from alderreach.ops import daemon, keeper_client, target_wire
+from alderreach.ops.placer import announcing, service
+from alderreach.utils import clocks, metrics, tasks
+
+DOMAIN = "urubici"
+DELAY_MS = 1
+STEP_MS = 5
+WORKER_TIMEOUT_MS = 1000
+COMMAND_TIMEOUT_MS = 2000
+FIRST_HEARTBEAT_MS = 200
+TIMING = settings.Timing(*(rule.default for rule in settings.RULES["timing"].values()))
+
+
+class Network:
+    """Delivers calls later, drops them or holds them, by (sender, receiver)."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+        self._queue = []
+        self._count = 0
+        self._state = collections.defaultdict(lambda: "passes")
+        self._held = collections.defaultdict(list)
+
+    def send(self, sender, receiver, call):
+        state = self._state[sender, receiver]
+        if state == "holds":
+            self._held[sender, receiver].append(call)
+        elif state == "passes":
+            self.later(DELAY_MS, call)
+
+    def later(self, delay_ms, call):
+        self._count += 1
+        heapq.heappush(self._queue, (self.now_ms + delay_ms, self._count, call))
+
+    def set(self, sender, receiver, state):
+        self._state[sender, receiver] = state
+        if state == "passes":
+            for call in self._held.pop((sender, receiver), []):
+                self.later(DELAY_MS, call)
+
+    def advance(self, duration_ms):
+        until_ms = self.now_ms + duration_ms
+        while self._queue and self._queue[0][0] <= until_ms:
+            self.now_ms, _, call = heapq.heappop(self._queue)
+            call()
+        self.now_ms = until_ms
+
+
+def make_clock(network, rate, offset_ms=1_000_000):
+    def now_ms():
+        return int(offset_ms + network.now_ms * rate)
+
+    return clocks.Clock(now_ms, lambda: now_ms() + 1_700_000_000_000)
+
+
+class Keepers:
+    """All keepers as one: a quorum that any placer can reach or not."""
+
+    def __init__(self, network):
+        self.network = network
+        self.state = keeper_state.State()
+        self._clock = make_clock(network, 1.0)
+        self._leases = owner_leases.Leases(self._clock.monotonic_ms())
+        self._index = 0
+
+    def elect(self):
+        """Another leader: renewals are forgotten, as none is in the log."""
+        self._leases = owner_leases.Leases(self._clock.monotonic_ms())
+
+    def write(self, key, value):
+        command = keeper.WriteItems(
+            "", "t", [keeper.ItemWrite(key, -1, value)], "", 0, 0
+        )
+        assert self.ask(command).status == "accepted"
+
+    def ask(self, command):
+        if isinstance(command, keeper.ReadItems):
+            items = keeper_state.items_under(self.state, command.prefix)
+            return keeper.ItemsPage(self.state.version, items)
+        if isinstance(command, keeper.GrantOwnership):
+            owner = keeper_state.owner_of(self.state, command.failure_domain)
+            now_ms = self._clock.monotonic_ms()
+            if not owner_leases.may_grant(self._leases, owner, command, TIMING, now_ms):
+                return keeper.GrantResult("owned", owner)
+        self._index += 1
+        wall_ms = self._clock.wall_ms()
+        return keeper_state.apply(self.state, command, self._index, wall_ms)
+
+    def renew(self, message):
+        owner = keeper_state.owner_of(self.state, message.failure_domain)
+        granted = owner_leases.may_renew(self._leases, owner, message)
+        if granted and message.release:
+            owner_leases.release(self._leases, message)
+        elif granted:
+            now_ms = self._clock.monotonic_ms()
+            owner_leases.renew(self._leases, message.failure_domain, now_ms)
+        return keeper.OwnershipRenewed(
+            message.request_id, granted, TIMING.owner_lease_ms, owner, "keeper-1"
+        )
+
+
+class _Gateway:
+    """Stands in for the gateway: a copy that follows, and requests that may fail."""
+
+    def __init__(self, node, prefixes, on_items):
+        self.items = replica.EMPTY
+        self.is_current = False
+        self._node = node
+        self._prefixes = prefixes
+        self._on_items = on_items
+
+    def start(self):
+        return self
+
+    def close(self):
+        return
+
+    def deliver(self, _received):
+        return False
+
+    def request(self, command, done, timeout_ms):
+        """Send two copies, as resends do; the first answer counts."""
+        node, ended = self._node, []
+
+        def end(outcome):
+            if not ended:
+                ended.append(outcome)
+                node.call(lambda: done(outcome))
+
+        def arrive():
+            result = codec.pack(node.world.keepers.ask(command))
+            node.world.network.send("k", node.name, lambda: end(ok(result)))
+
+        def ok(result):
+            return keeper_client.Outcome("ok", result)
+
+        for delay_ms in (0, 400):
+            node.world.network.later(
+                delay_ms,
+                lambda: None if ended else node.send("k", arrive),
+            )
+        node.world.network.later(
+            timeout_ms, lambda: end(keeper_client.Outcome("uncertain", b""))
+        )
+
+    def follow(self):
+        """Ask for changes; they come back over the link."""
+        node, copy = self._node, self.items
+
+        def asked():
+            state = node.world.keepers.state
+            to_version, items = keeper_state.changes_after(
+                state, copy.version, self._prefixes, 10_000
+            )
+            push = keeper.ItemsPush(copy.version, to_version, to_version, items)
+            node.world.network.send("k", node.name, lambda: node.call(pushed(push)))
+
+        def pushed(push):
+            return lambda: self._apply(push)
+
+        node.send("k", asked)
+
+    def _apply(self, push):
+        self.is_current = True
+        self.items, changed = replica.apply(self.items, push)
+        if changed:
+            self._on_items(changed, self.items)
+
+
+class _Task:
+    """Stands in for the task: mail waits until the node is stepped."""
+
+    def __init__(self, _name, handle, tick, _clock):
+        self.handle = handle
+        self.tick = tick
+        self.mail = collections.deque()
+
+    def put(self, message):
+        self.mail.append(message)
+
+
+class Placer:
+    """One placer process: it can be frozen, killed and started anew."""
+
+    def __init__(self, world, name, peer, rate):
+        self.world = world
+        self.name = name
+        self.peer = peer
+        self.clock = make_clock(world.network, rate)
+        self.frozen = False
+        self.alive = False
+        self.draining = False
+        self.boots = 0
+        self.events = []
+        self.calls = collections.deque()
+
+    def start(self):
+        self.boots += 1
+        self.alive, self.frozen, self.draining = True, False, False
+        self.calls.clear()
+        process = settings.Process("cell", self.name, self.name, DOMAIN, "")
+        listen = types.SimpleNamespace(peers=self.name, targets=self.name)
+        peers = (settings.Peer(self.peer, "placer", DOMAIN, self.peer),)
+        peers += (settings.Peer("keeper-1", "keeper", DOMAIN, "k"),)
+        self.settings = types.SimpleNamespace(
+            process=process, listen=listen, timing=TIMING, peers=peers
+        )
+        boot = self.boots
+        context = daemon.Context(
+            "placer",
+            self.settings,
+            f"{self.name}-{boot}",
+            self.clock,
+            types.SimpleNamespace(record=self._record),
+            metrics.Metrics(),
+            types.SimpleNamespace(send=self._send),
+            contextlib.ExitStack(),
+            threading.Event(),
+        )
+        parts = service.Parts(self._make_task, self._make_gateway, self._make_sender)
+        self.service = service.PlacerService(context, parts)
+
+    def kill(self):
+        self.alive = False
+
+    def drain(self):
+        """What a graceful shutdown does first; the process lives on until killed."""
+        self.draining = True
+        self._task.put(service.HandOver(tasks.Ticket()))
+
+    def step(self):
+        """Run what a live process would: its mail, then its tick."""
+        if not self.alive or self.frozen:
+            return
+        self._gateway.follow()
+        while self.calls:
+            self.calls.popleft()()
+        while self._task.mail:
+            self._task.handle(self._task.mail.popleft())
+        self._task.tick()
+        while self._task.mail:
+            self._task.handle(self._task.mail.popleft())
+
+    def call(self, function):
+        """Have a callback run when the process runs, unless it was restarted."""
+        boot = self.boots
+
+        def run():
+            if self.boots == boot and self.alive:
+                function()
+
+        self.calls.append(run)
+
+    def send(self, receiver, call):
+        self.world.network.send(self.name, receiver, call)
+
+    def announced(self, announcement, answer):
+        """Take an announcement from the network; ``answer(status, content)``."""
+        if not self.alive:
+            return
+        self._task.put(announcing.Announced(announcement, _Reply(answer)))
+
+    def _record(self, kind, **details):
+        self.events.append((self.world.network.now_ms, kind, details))
+
+    def _make_task(self, *arguments):
+        self._task = _Task(*arguments)
+        return self._task
+
+    def _make_gateway(self, _context, prefixes, on_items):
+        self._gateway = _Gateway(self, prefixes, on_items)
+        return self._gateway
+
+    def _make_sender(self, lease, _clock, done):
+        def put(batch):
+            self.call(lambda: self._send_batch(batch, lease, done))
+
+        return types.SimpleNamespace(put=put)
+
+    def _send_batch(self, batch, lease, done):
+        """What the sender's thread does; the answer may be lost either way."""
+        ended = []
+
+        def end(status, results=(), epoch=0):
+            if not ended:
+                ended.append(status)
+                result = target_wire.BatchResult(batch, status, results, epoch)
+                self.call(lambda: done(result))
+
+        if not lease().covers(batch.epoch, self.clock.monotonic_ms()):
+            end("unsent")
+            return
+        worker = self.world.workers[batch.worker_id]
+        self.world.network.later(COMMAND_TIMEOUT_MS, lambda: end("uncertain"))
+
+        def arrive():
+            told = worker.command(json.loads(json.dumps(batch._asdict())))
+            self.world.network.send(worker.name, self.name, lambda: end(*told))
+
+        self.send(worker.name, arrive)
+
+    def _send(self, address, message):
+        if address == "k":
+            self.send("k", lambda: self._renew(message))
+            return
+        other = self.world.placers.get(address)
+        if other is not None:
+            received = codec.Received(self.name, "b", self.name, message)
+            self.send(address, lambda: other.receive(received))
+
+    def _renew(self, message):
+        reply = self.world.keepers.renew(message)
+        received = codec.Received("keeper-1", "b", "k", reply)
+        self.world.network.send("k", self.name, lambda: self.receive(received))
+
+    def receive(self, received):
+        if self.alive:
+            self.service.deliver(received)
+
+
+class _Reply:
+    """Stands in for a ticket: the answer goes back over the network."""
+
+    def __init__(self, answer):
+        self._answer = answer
+
+    def answer(self, told):
+        self._answer(told.status, json.loads(told.body))
+
+
+class Worker:
+    """A worker that does what docs/INTERFACES.md asks of one, and no more."""
+
+    def __init__(self, world, name, rate, capacity):
+        self.world = world
+        self.name = name
+        self.capacity = capacity
+        self.clock = make_clock(world.network, rate)
+        self.boots = 0
+        self.start()
+
+    def start(self):
+        """Begin a boot; whatever ran under the one before is gone."""
+        self.boots += 1
+        self.alive = True
+        self.epoch = 0
+        self.lease_until_ms = 0
+        self.lease_ms = 0
+        self.sequence = 0
+        self.sent_ms = {}
+        self.tasks = {}
+        self.owner = "a"
+        self.heartbeat_ms = FIRST_HEARTBEAT_MS
+        self.next_ms = 0
+
+    def kill(self):
+        self.alive = False
+        self.tasks = {}
+
+    def running(self):
+        return [task for task in self.tasks.values() if task["state"] == "running"]
+
+    def step(self):
+        if not self.alive:
+            return
+        now_ms = self.clock.monotonic_ms()
+        for task in self.running():
+            if task["when_cut_off"] == "move" and now_ms >= self.lease_until_ms:
+                task["state"] = "stopped"
+            elif task["ends_ms"] is not None and now_ms >= task["ends_ms"]:
+                task["state"] = task["end_state"]
+                self.next_ms = now_ms
+        if now_ms >= self.next_ms:
+            self._announce(now_ms)
+
+    def _announce(self, now_ms):
+        self.sequence += 1
+        self.sent_ms[self.sequence] = now_ms
+        self.next_ms = now_ms + self.heartbeat_ms
+        placer, boots = self.world.placers[self.owner], self.boots
+        told = target_wire.parse_announcement(self.name, self._body()).unwrap()
+        answered = []
+
+        def reply(status, content):
+            self.world.network.send(
+                placer.name, self.name, lambda: take(status, content)
+            )
+
+        def take(status, content):
+            if not answered and boots == self.boots and self.alive:
+                answered.append(status)
+                self._answered(status, content, now_ms)
+
+        def give_up():
+            if not answered and boots == self.boots:
+                answered.append(0)
+                self.owner = self.world.placers[self.owner].peer
+
+        self.world.network.send(
+            self.name, placer.name, lambda: placer.announced(told, reply)
+        )
+        self.world.network.later(WORKER_TIMEOUT_MS, give_up)
+
+    def _body(self):
+        tasks = [
+            {key: task[key] for key in ("task_id", "attempt", "state")}
+            for task in self.tasks.values()
+        ]
+        content = {
+            "kind": "worker",
+            "boot_id": f"{self.name}-{self.boots}",
+            "sequence": self.sequence,
+            "state": "ready",
+            "vm": self.name,
+            "rack": "r1",
+            "failure_domain": DOMAIN,
+            "address": "127.0.0.1:1",
+            "owner_epoch_seen": self.epoch,
+            "capacity": self.capacity._asdict(),
+            "usage": self.capacity._asdict(),
+            "tasks": tasks,
+        }
+        return json.dumps(content).encode()
+
+    def _answered(self, status, content, sent_ms):
+        if status != 200:
+            self.owner = content["owner_address"] or self.world.placers[self.owner].peer
+            self.next_ms = self.clock.monotonic_ms() + FIRST_HEARTBEAT_MS
+            return
+        if content["owner_epoch"] < self.epoch:
+            return
+        self.epoch = content["owner_epoch"]
+        self.lease_ms = content["lease_ms"]
+        self.lease_until_ms = max(self.lease_until_ms, sent_ms + self.lease_ms)
+        self.heartbeat_ms = content["heartbeat_ms"]
+        self.next_ms = min(self.next_ms, sent_ms + self.heartbeat_ms)
+        for task_id in content["acknowledged"]:
+            if self.tasks.get(task_id, {}).get("state") not in (None, "running"):
+                del self.tasks[task_id]
+
+    def command(self, batch):
+        """Take a batch; returns BatchResult's status, results and highest epoch."""
+        now_ms = self.clock.monotonic_ms()
+        if not self.alive:
+            return ("uncertain",)
+        if batch["epoch"] < self.epoch:
+            return "epoch", (), self.epoch
+        self.epoch = batch["epoch"]
+        if batch["boot_id"] != f"{self.name}-{self.boots}":
+            return ("boot",)
+        sent_ms = self.sent_ms.get(batch["announced"])
+        if sent_ms is None or now_ms - sent_ms > self.lease_ms:
+            return ("late",)
+        results = [self._obey(command, now_ms) for command in batch["commands"]]
+        return "answered", tuple(results)
+
+    def _obey(self, command, now_ms):
+        task = self.tasks.get(command["task_id"])
+        key = command["task_id"], command["attempt"]
+        same = task is not None and task["attempt"] == command["attempt"]
+        if command["command"] == "run" and not same:
+            if task is not None and task["state"] == "running":
+                return target_wire.CommandResult(*key, False, "another attempt runs")
+            plan = json.loads(command["payload"] or "{}")
+            run_ms = plan.get("run_ms")
+            ends_ms = None if run_ms is None else now_ms + run_ms
+            end_state = "failed" if plan.get("fail") else "finished"
+            self.tasks[command["task_id"]] = command | {
+                "state": "running",
+                "ends_ms": ends_ms,
+                "end_state": end_state,
+            }
+        elif command["command"] != "run":
+            if not same:
+                return target_wire.CommandResult(*key, False, "unknown")
+            if task["state"] == "running":
+                ended = {"stop": "stopped", "checkpoint": "checkpointed"}
+                task["state"] = ended[command["command"]]
+        return target_wire.CommandResult(*key, True, "")
+
+
+class World:
+    """Two placers, the keepers and workers; ``run`` lets time pass and checks."""
+
+    def __init__(self, workers=3, rates=(0.995, 1.005), capacity=4000):
+        self.network = Network()
+        self.keepers = Keepers(self.network)
+        self.placers = {
+            "a": Placer(self, "a", "b", rates[0]),
+            "b": Placer(self, "b", "a", rates[1]),
+        }
+        room = common.Resources(capacity, capacity, 0)
+        self.workers = {
+            f"w{n}": Worker(self, f"w{n}", rates[n % 2], room) for n in range(workers)
+        }
+        self.keepers.write(
+            "team/a",
+            codec.encode(
+                common.Team("a", common.Resources(10**9, 10**9, 0), 1, "packing")
+            ),
+        )
+        self.finished = collections.Counter()
+        for placer in self.placers.values():
+            placer.start()
+
+    def submit(
+        self, job_id, tasks=1, run_ms=500, when_cut_off="move", kind="batch", **plan
+    ):
+        payload = json.dumps({"run_ms": run_ms} | plan)
+        job = common.Job(
+            job_id,
+            "a",
+            "w",
+            kind,
+            DOMAIN,
+            common.Resources(1000, 1000, 0),
+            tasks,
+            5,
+            when_cut_off,
+            False,
+            0,
+            payload,
+            0,
+            "",
+        )
+        self.keepers.write(f"job/{DOMAIN}/{job_id}", codec.encode(job))
+
+    def cancel(self, job_id):
+        self.keepers.write(f"cancel/{DOMAIN}/{job_id}", b"")
+
+    def status(self, job_id):
+        stored = self.keepers.state.items.get(f"status/{DOMAIN}/{job_id}")
+        return stored and codec.decode(stored.value, common.JobStatus)
+
+    def owner(self):
+        """The placer that may act, or None."""
+        acting = [p for p in self.placers.values() if p.alive and p.service.may_act]
+        assert len(acting) <= 1, "two owners act at once"
+        return acting[0] if acting else None
+
+    def place(self, task_id):
+        """Names of the workers that run a task."""
+        return [
+            name
+            for name, worker in self.workers.items()
+            for task in worker.running()
+            if task["task_id"] == task_id
+        ]
+
+    def check(self):
+        """What must hold at every moment."""
+        self.owner()
+        places = collections.Counter()
+        for worker in self.workers.values():
+            running = worker.running()
+            places.update(task["task_id"] for task in running)
+            for kind in ("cpu_millis", "memory_mb"):
+                used = sum(task["task"][kind] for task in running)
+                assert used <= getattr(worker.capacity, kind), "capacity exceeded"
+        twice = [task_id for task_id, number in places.items() if number > 1]
+        assert not twice, f"in two places at once: {twice}"
+
+    def run(self, duration_ms):
+        end_ms = self.network.now_ms + duration_ms
+        while self.network.now_ms < end_ms:
+            self.step()
+
+    def run_until(self, condition, limit_ms=60_000):
+        """Let time pass until ``condition()``; returns how long it took."""
+        start_ms = self.network.now_ms
+        while not condition():
+            assert self.network.now_ms - start_ms < limit_ms, "not reached in time"
+            self.step()
+        return self.network.now_ms - start_ms
+
+    def step(self):
+        self.network.advance(STEP_MS)
+        for placer in self.placers.values():
+            placer.step()
+        for worker in self.workers.values():
+            worker.step()
+        self.check()
+
+    def link(self, one, other, state, both=True):
+        """Let the link pass, drop or hold, in one direction or both."""
+        self.network.set(one, other, state)
+        if both:
+            self.network.set(other, one, state)
+
+    def heal(self):
+        names = ["k", *self.placers, *self.workers]
+        for one in names:
+            for other in names:
+                self.network.set(one, other, "passes")
