--- a/tools/demo.py
+++ b/tools/demo.py
@@ -187,10 +187,10 @@
 
 
 def rack_is_ready(cell, rack):
-    rows = json.loads(client(cell, "target", "list", "--json"))
-    rows = rows["targets"] if isinstance(rows, dict) else rows
-    notes = [row["note"] for row in rows if row["rack"] == rack]
-    return bool(notes) and all(note.startswith("ready") for note in notes)
+    """Whether the system says of each worker of the rack that it may be stopped."""
+    rows = json.loads(client(cell, "target", "list", "--json"))["targets"]
+    workers = [row for row in rows if row["rack"] == rack and row["kind"] == "worker"]
+    return bool(workers) and all(": ready" in row["note"] for row in workers)
 
 
 def run(cell):
