--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -190,10 +190,17 @@
         ready = role.status().ready and not context.draining.is_set()
         return ("200 OK", b"ready\n") if ready else ("503 Not Ready", b"not ready\n")
     if path == "/metrics":
+        _gauge_transport(context)
         return "200 OK", context.metrics.render()
     return None
 
 
+def _gauge_transport(context):
+    link = context.transport
+    for name in ("bytes_sent", "bytes_received", "dropped", "undecodable"):
+        context.metrics.gauge(f"peer_messages_{name}", getattr(link, name))
+
+
 def _serve_platform(context, role):
     def application(environ, start_response):
         answer = platform_answer(context, role, environ.get("PATH_INFO", ""))
--- a/alderreach/utils/http_server.py
+++ b/alderreach/utils/http_server.py
@@ -8,6 +8,7 @@
 import threading
 import typing
 
+from absl import logging
 from cheroot import wsgi
 
 from alderreach.utils import clocks, http_connection
@@ -28,6 +29,13 @@
     idle_ms: int
 
 
+def _log_error(message="", level=20, traceback=False):
+    """Take what the server reports; a fault in a handler must not stay unseen."""
+    logging.log(logging.converter.standard_to_absl(level), "%s", message)
+    if traceback:
+        logging.exception("in an HTTP handler")
+
+
 class HttpServer:
     """One listener, ``address`` as host:port; open from construction to ``close``.
 
@@ -52,6 +60,7 @@
         self._server.refuse = refuse
         self._server.clock = clock
         self._server.idle_ms = limits.idle_ms
+        self._server.error_log = _log_error
         self._server.prepare()
         self._thread = threading.Thread(
             target=self._server.serve, name=f"http {address}", daemon=True
--- a/alderreach/utils/metrics.py
+++ b/alderreach/utils/metrics.py
@@ -8,6 +8,7 @@
 
 import prometheus_client
 from hdrh.histogram import HdrHistogram
+from prometheus_client import metrics_core as core
 
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
@@ -70,7 +71,6 @@
             yield from self._families()
 
     def _families(self):
-        core = prometheus_client.core
         counters = {}
         for (name, label), number in sorted(self._counts.items()):
             if name not in counters:
--- a/alderreach/utils/transport.py
+++ b/alderreach/utils/transport.py
@@ -71,6 +71,8 @@
         self._heard_ms = {}
         self.dropped = 0
         self.undecodable = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self._pull = pynng.Pull0(
             recv_timeout=RECEIVE_POLL_MS,
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
@@ -116,6 +118,7 @@
             self._receive_one(data)
 
     def _receive_one(self, data):
+        self.bytes_received += len(data)
         received = codec.decode_envelope(self._cell, data)
         if isinstance(received, Err):
             self.undecodable += 1
@@ -142,6 +145,7 @@
         )
         try:
             self._link(address).socket.send(data)
+            self.bytes_sent += len(data)
         except pynng.NNGException as error:
             self.dropped += 1
             logging.log_every_n_seconds(
