--- a/alderreach/decisions/backfill.py
+++ b/alderreach/decisions/backfill.py
@@ -31,7 +31,9 @@
 def _fill_from(state, line, left):
     account = state.ledger.account(line.team)
     started = 0
-    while started < left and line.jobs and state.ledger.allows(account, line.demand):
+    while (
+        started < left and line.jobs and state.ledger.allows(account, line.demand, line)
+    ):
         reservation, worker = _short_term_worker(state, line.head())
         if worker is None:
             break
@@ -59,7 +61,7 @@
         if line.is_gang:
             continue
         account = state.ledger.account(line.team)
-        while line.jobs and state.ledger.allows(account, line.demand):
+        while line.jobs and state.ledger.allows(account, line.demand, line):
             worker = _normal_worker(state, line.demand)
             if worker is None:
                 break
--- a/alderreach/decisions/draining.py
+++ b/alderreach/decisions/draining.py
@@ -52,7 +52,7 @@
     """Return (not urgent, since, line, gang or None) if a line is due, else None."""
     if line.reservation is not None:
         return None
-    calm = not line.head().is_urgent()
+    calm = not line.is_urgent
     if not line.is_gang:
         if line.blocked_since_ms + RESERVE_ONE_AFTER_MS > state.now_ms:
             return None
@@ -70,7 +70,7 @@
 def _reserve(state, line, job, held):
     need = job.waiting if job else 1
     account = state.ledger.account(line.team)
-    if not state.ledger.allows(account, resources.times(line.demand, need)):
+    if not state.ledger.allows(account, resources.times(line.demand, need), line):
         return False
     workers = _drainable(state, line.demand, need)
     if workers is None or not _within_share(state, workers, held):
--- a/alderreach/decisions/endings.py
+++ b/alderreach/decisions/endings.py
@@ -29,13 +29,13 @@
     """Take in how a run ended."""
     job = run.job
     state.release(run)
+    _count_end(job, run, outcome)
     if outcome == "finished":
         judge.finished(run)
     elif outcome in ("failed", "refused"):
         judge.failed(run, outcome)
     else:
         judge.ended_otherwise(run)
-    _count_end(job, run, outcome)
     if outcome == "lost":
         killers.lost(run)
     elif outcome in ("finished", "failed"):
--- a/alderreach/decisions/gangs.py
+++ b/alderreach/decisions/gangs.py
@@ -20,7 +20,9 @@
 def place(state, job, line, account):
     """Start a gang if there is room for all of it; returns what the try cost."""
     wanted = job.waiting
-    if not state.ledger.allows(account, resources.times(line.demand, wanted)):
+    whole = resources.times(line.demand, wanted)
+    if not state.ledger.allows(account, whole, line):
+        state.ledger.note_used_up(account, line, whole, state.now_ms)
         job.retry_ms = state.now_ms + RETRY_MS
         return 1
     workers = gather(state, line.shape, wanted)
@@ -63,5 +65,6 @@
     job.blocked_since_ms = None
     if job.line is not None:
         job.line.blocked_since_ms = None
+        state.ledger.stop_saving(job.line)
     for worker in workers:
         state.start(job, worker)
--- a/alderreach/decisions/impossible.py
+++ b/alderreach/decisions/impossible.py
@@ -63,11 +63,14 @@
         """A worker or a quota has come: look at what is parked again."""
         self._to_check = len(self._parked)
 
-    def check(self, lines):
-        """Look at parked jobs and at lines long blocked, and name what is due."""
+    def check_parked(self):
+        """Let jobs wait again that lacked what has come."""
         for _ in range(min(self._to_check, CHECKS_PER_TICK, len(self._parked))):
             self._to_check -= 1
             self._check_oldest()
+
+    def check_lines(self, lines):
+        """Park what can't run of lines long blocked, and name what is due."""
         for line in lines:
             self._check_line(line)
         self._name_due()
@@ -85,7 +88,10 @@
 
     def _check_line(self, line):
         now_ms = self._state.now_ms
-        if now_ms - max(line.blocked_since_ms, line.checked_ms) < SETTLE_MS:
+        since_ms = line.blocked_since_ms
+        if since_ms is None:
+            since_ms = line.quota_since_ms
+        if now_ms - max(since_ms, line.checked_ms) < SETTLE_MS:
             return
         line.checked_ms = now_ms
         for job in list(line.jobs.values())[:CHECKS_PER_TICK]:
--- a/alderreach/decisions/jobs.py
+++ b/alderreach/decisions/jobs.py
@@ -207,9 +207,11 @@
         "checked_ms",
         "demand",
         "is_gang",
+        "is_urgent",
         "jobs",
         "key",
         "priority",
+        "quota_since_ms",
         "reservation",
         "shape",
         "team",
@@ -219,6 +221,8 @@
         self.key = key
         self.team, self.priority, kind, self.demand = key
         self.is_gang = kind == "gang"
+        self.is_urgent = self.priority >= URGENT_PRIORITY
+        self.quota_since_ms = None
         self.shape = shape
         self.jobs = collections.OrderedDict()
         self.blocked_since_ms = None
@@ -229,12 +233,21 @@
         """Return the oldest job."""
         return next(iter(self.jobs.values()))
 
+    def is_stuck(self):
+        """Whether it waits for room or for quota."""
+        return self.blocked_since_ms is not None or self.quota_since_ms is not None
+
+    def band(self):
+        """Return URGENT or NORMAL."""
+        return URGENT if self.is_urgent else NORMAL
+
 
 class Backlog:
     """All lines, by band (urgent before normal) and team."""
 
-    def __init__(self, cell):
+    def __init__(self, cell, on_close):
         self._cell = cell
+        self._on_close = on_close
         self._lines = {}
         self.bands = ({}, {})
 
@@ -270,19 +283,16 @@
 
     def _open(self, key):
         line = self._lines[key] = Line(key, self._cell.index.use_shape(key[3]))
-        lines = self.bands[_band(line)].setdefault(line.team, [])
+        lines = self.bands[line.band()].setdefault(line.team, [])
         lines.append(line)
         lines.sort(key=lambda each: -each.priority)
         return line
 
     def _close(self, line):
         del self._lines[line.key]
+        self._on_close(line)
         self._cell.index.leave_shape(line.shape)
-        lines = self.bands[_band(line)]
+        lines = self.bands[line.band()]
         lines[line.team].remove(line)
         if not lines[line.team]:
             del lines[line.team]
-
-
-def _band(line):
-    return URGENT if line.priority >= URGENT_PRIORITY else NORMAL
--- a/alderreach/decisions/killers.py
+++ b/alderreach/decisions/killers.py
@@ -11,7 +11,7 @@
 window, nothing follows. Otherwise it is an *incident*, and the job is put on probation:
 one task at a time, on a worker where no other suspect runs. So the second loss tells
 the killer from the jobs that were near it. After ``INCIDENTS`` losses of that kind the
-job is condemned.
+job is condemned, which ends the probation of those whose losses it explains.
 """
 
 import collections
@@ -35,6 +35,7 @@
     def __init__(self, state, condemn):
         self._state = state
         self._condemn = condemn
+        self._suspects = {}
         self._lost = collections.deque(maxlen=LOSSES_KEPT)
 
     def worker_removed(self, worker_id):
@@ -51,9 +52,14 @@
             self._state.review_at(job.judge_ms, job)
         job.lost_on.append(run.worker_id)
 
+    def forget(self, job):
+        """A job is over."""
+        self._suspects.pop(job, None)
+
     def survived(self, job):
         """A task of a job has ended without harm."""
         job.incidents = 0
+        self._suspects.pop(job, None)
         if job.limit:
             job.limit = 0
             self._state.wait(job)
@@ -81,10 +87,18 @@
             return
         job.incidents += 1
         job.limit = 1
+        self._suspects.setdefault(job, set()).update(mine)
         if job.incidents >= INCIDENTS and not job.finished:
             self._condemn(
                 job, f"its tasks took down {job.incidents} workers, last {mine[-1]}"
             )
+            self._exonerate(self._suspects.pop(job))
+
+    def _exonerate(self, explained):
+        """End the probation of those who were only near what is now explained."""
+        for suspect, workers in list(self._suspects.items()):
+            if workers <= explained:
+                self.survived(suspect)
 
     def _has_survivor(self, job):
         # Runs are kept in the order of their starts, so the first is the oldest.
--- a/alderreach/decisions/quarantine.py
+++ b/alderreach/decisions/quarantine.py
@@ -5,11 +5,12 @@
 and uses up the retries of every job in the cell. Taken for bad by its count of failures
 alone, healthy workers that happen to run a broken job would be shut out one by one.
 
-Each failure is weighed by how unlikely it is for that job elsewhere: with a job that
-has ended ``n`` times on other workers, ``f`` of them in failure, it adds
-``-log((f + 1) / (n + 2))`` to the worker's suspicion; a success sets it to zero. A job
-that fails everywhere adds next to nothing, wherever it goes; a job that never fails but
-here counts much. At ``SUSPICION_LIMIT`` the worker is quarantined, and the failures it
+The failures on a worker since its last success are weighed by how unlikely they were:
+for each job, by its record on all other workers, through the rule of succession (the
+chance of failure is ``(f + PRIOR_FAILURES) / (n + 1)`` after ``f`` failures in ``n``
+ends). A job that fails everywhere adds next to nothing, wherever it goes; one that
+never fails but here counts much; of an unknown job, many failures count little more
+than the first. At ``SUSPICION_LIMIT`` the worker is quarantined, and the failures it
 caused are taken off its jobs' records.
 
 After ``PROBE_AFTER_MS`` a quarantined worker is probed with one task at a time; success
@@ -30,15 +31,18 @@
 QUARANTINED_SHARE = 0.25
 # A refusal says nothing of its job, so it counts as even odds.
 REFUSAL = math.log(2)
+# Of the jobs nothing is known of, this share is taken to be broken.
+PRIOR_FAILURES = 0.3
+JOBS_REMEMBERED = 32
 
 
 class Record:
     """What speaks against one worker."""
 
-    __slots__ = ("last_ms", "probe", "strikes", "suspicion", "wait_ms")
+    __slots__ = ("last_ms", "probe", "refused", "strikes", "wait_ms")
 
     def __init__(self):
-        self.suspicion = 0.0
+        self.refused = 0
         self.last_ms = 0
         self.strikes = {}
         self.probe = None
@@ -75,11 +79,11 @@
         if run.worker_id in self._quarantined:
             return
         if now_ms - record.last_ms > MEMORY_MS:
-            record.suspicion = 0.0
+            record.refused = 0
             record.strikes.clear()
         record.last_ms = now_ms
-        record.suspicion += self._weight(record, run, outcome)
-        if record.suspicion >= SUSPICION_LIMIT and self._may_quarantine():
+        _strike(record, run, outcome)
+        if suspicion(record) >= SUSPICION_LIMIT and self._may_quarantine():
             self._quarantine(run.worker_id, record)
 
     def ended_otherwise(self, run):
@@ -106,16 +110,6 @@
             if worker_id in self._quarantined and record.probe is None:
                 self._probe(worker_id, record, lines)
 
-    def _weight(self, record, run, outcome):
-        if outcome == "refused":
-            return REFUSAL
-        job = run.job
-        numbers = record.strikes.setdefault(job.spec.job_id, [])
-        numbers.append(run.number)
-        failed = job.failed_ends - len(numbers)
-        ended = job.ends - len(numbers)
-        return -math.log((max(0, failed) + 1) / (max(0, ended) + 2))
-
     def _may_quarantine(self):
         limit = max(1, int(QUARANTINED_SHARE * len(self._state.cell.workers)))
         return len(self._quarantined) < limit
@@ -132,10 +126,7 @@
 
     def _forgive(self, record):
         """Take the failures that the worker caused off its jobs' records."""
-        for job_id, numbers in record.strikes.items():
-            job = self._state.jobs.get(job_id)
-            if job is None:
-                continue
+        for job, numbers in record.strikes.items():
             job.ends -= len(numbers)
             job.failed_ends -= len(numbers)
             job.failed_in_a_row = max(0, job.failed_in_a_row - len(numbers))
@@ -161,7 +152,7 @@
             return False
         job = line.head()
         account = self._state.ledger.account(line.team)
-        suspect = job.failed_in_a_row or job.spec.job_id in record.strikes
+        suspect = job.failed_in_a_row or job in record.strikes
         if suspect or not self._state.ledger.allows(account, line.demand):
             return False
         demand, free = line.demand, worker.free
@@ -177,3 +168,24 @@
     def _forget(self, worker_id):
         self._records.pop(worker_id, None)
         self._quarantined.discard(worker_id)
+
+
+def suspicion(record):
+    """Return how unlikely the failures on a worker are if it is like its peers."""
+    total = record.refused * REFUSAL
+    for job, numbers in record.strikes.items():
+        here = len(numbers)
+        failed = job.failed_ends - here + PRIOR_FAILURES
+        ended = job.ends - here + 1
+        total -= math.lgamma(failed + here) - math.lgamma(failed)
+        total += math.lgamma(ended + here) - math.lgamma(ended)
+    return total
+
+
+def _strike(record, run, outcome):
+    if outcome == "refused":
+        record.refused += 1
+        return
+    record.strikes.setdefault(run.job, []).append(run.number)
+    if len(record.strikes) > JOBS_REMEMBERED:
+        del record.strikes[next(iter(record.strikes))]
--- a/alderreach/decisions/quotas.py
+++ b/alderreach/decisions/quotas.py
@@ -10,15 +10,31 @@
 compared by what hurts the others. A share is only an order, never a limit: what idle
 teams leave is used by the rest and comes back to them by the order as soon as they
 hand in work. The quota is a limit: no placement takes a team above it.
+
+A team's own small tasks can keep its quota used up, so that its gang never fits under
+it. A line that has waited for quota for ``SAVE_AFTER_MS`` is saved for: the team's
+other normal work starts only if the saved amount stays free.
 """
 
 from alderreach.decisions import resources
 
+# As long as a large task waits for room before a worker is drained for it.
+SAVE_AFTER_MS = 15_000
+
 
 class Account:
     """A team's quota, weight and what its tasks hold."""
 
-    __slots__ = ("known", "objective", "quota", "share", "used", "weight")
+    __slots__ = (
+        "known",
+        "objective",
+        "quota",
+        "saved",
+        "saver",
+        "share",
+        "used",
+        "weight",
+    )
 
     def __init__(self):
         self.known = False
@@ -26,6 +42,8 @@
         self.weight = 1
         self.objective = "packing"
         self.used = resources.NOTHING
+        self.saver = None
+        self.saved = resources.NOTHING
         self.share = 0.0
 
 
@@ -49,6 +67,8 @@
         account.quota = team.quota
         account.weight = max(1, team.weight)
         account.objective = team.objective
+        if not resources.fits(account.saved, account.quota):
+            account.saver = None
 
     def remove_team(self, name):
         """Let nothing more of a team start; what runs stays on its account."""
@@ -56,11 +76,32 @@
         account.known = False
         account.quota = resources.NOTHING
 
-    def allows(self, account, demand):
-        """Whether the quota has room for ``demand``."""
-        return account.known and resources.fits(
-            resources.plus(account.used, demand), account.quota
-        )
+    def allows(self, account, demand, line=None):
+        """Whether the quota has room for ``demand``, and for what is saved for others.
+
+        Without a line, or for an urgent one, only the quota itself counts.
+        """
+        wanted = resources.plus(account.used, demand)
+        others = account.saver is not None and account.saver is not line
+        if others and line is not None and not line.is_urgent:
+            wanted = resources.plus(wanted, account.saved)
+        return account.known and resources.fits(wanted, account.quota)
+
+    def note_used_up(self, account, line, demand, now_ms):
+        """Note that a line waits for quota; after a while it is saved for."""
+        if line.quota_since_ms is None:
+            line.quota_since_ms = now_ms
+        is_due = line.quota_since_ms + SAVE_AFTER_MS <= now_ms
+        if account.saver is None and is_due and resources.fits(demand, account.quota):
+            account.saver = line
+            account.saved = demand
+
+    def stop_saving(self, line):
+        """The line was served, or waits no more."""
+        line.quota_since_ms = None
+        account = self.account(line.team)
+        if account.saver is line:
+            account.saver = None
 
     def charge(self, account, demand, total):
         """Add to what a team holds; ``total`` is the cell's capacity."""
--- a/alderreach/decisions/reservations.py
+++ b/alderreach/decisions/reservations.py
@@ -119,7 +119,7 @@
     job = reservation.job
     account = state.ledger.account(job.spec.team)
     whole = resources.times(job.spec.task, job.waiting)
-    if job.line is None or not state.ledger.allows(account, whole):
+    if job.line is None or not state.ledger.allows(account, whole, reservation.line):
         release(state, reservation)
     elif reservation.ready >= job.waiting:
         gangs.start_whole(state, job, _ready_workers(reservation, job.waiting))
@@ -169,7 +169,7 @@
 def _serve_worker(state, reservation, worker, account):
     line, promised = reservation.line, reservation.promised
     while promised[worker] and line.jobs and resources.fits(line.demand, worker.free):
-        if not state.ledger.allows(account, line.demand):
+        if not state.ledger.allows(account, line.demand, line):
             break
         line.blocked_since_ms = None
         state.start(line.head(), worker)
--- a/alderreach/decisions/rounds.py
+++ b/alderreach/decisions/rounds.py
@@ -38,6 +38,11 @@
     return budget
 
 
+def stuck_lines(band):
+    """Return the lines of a band that wait for room or for quota."""
+    return [line for lines in band.values() for line in lines if line.is_stuck()]
+
+
 def blocked_lines(state, band):
     """Return the lines of a band that wait for room, with the quota to use it."""
     blocked = []
@@ -46,7 +51,7 @@
         for line in lines:
             if line.blocked_since_ms is None:
                 continue
-            if state.ledger.allows(account, line.demand):
+            if state.ledger.allows(account, line.demand, line):
                 blocked.append(line)
     return blocked
 
@@ -56,8 +61,9 @@
     for line in lines:
         if line.shape.blocked:
             _note_blocked(state, line)
-        elif not state.ledger.allows(account, line.demand):
+        elif not state.ledger.allows(account, line.demand, line):
             line.blocked_since_ms = None
+            state.ledger.note_used_up(account, line, line.demand, state.now_ms)
         elif not line.is_gang:
             return line, line.head()
         else:
@@ -92,6 +98,7 @@
             _note_blocked(state, line)
         return 1
     line.blocked_since_ms = None
+    state.ledger.stop_saving(line)
     state.start(job, worker)
     return 1
 
--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -165,6 +165,7 @@
         books.cell.index.refresh()
         self._emit_stops(budget // 2)
         self._review()
+        self._parking.check_parked()
         reservations.serve(books)
         urgent, normal = books.backlog.bands
         rounds.place_band(books, urgent, budget - len(decisions))
@@ -176,7 +177,8 @@
         blocked = rounds.blocked_lines(books, normal)
         backfill.fill(books, blocked)
         draining.plan(books, pressing + blocked)
-        self._parking.check(pressing + blocked)
+        self._parking.check_lines(rounds.stuck_lines(urgent))
+        self._parking.check_lines(rounds.stuck_lines(normal))
         self._emit_stops(budget - len(decisions))
         return decisions
 
@@ -247,6 +249,7 @@
             word = "cancelled"
         self._state.backlog.remove(job)
         self._parking.forget(job)
+        self._killers.forget(job)
         del self._state.jobs[job.spec.job_id]
         self._done[job.spec.job_id] = state.status(job, word, "")
         if len(self._done) > STATUSES_KEPT:
--- a/alderreach/decisions/state.py
+++ b/alderreach/decisions/state.py
@@ -25,7 +25,7 @@
         self.random = random
         self.cell = pool.Pool(random)
         self.ledger = quotas.Ledger()
-        self.backlog = jobs.Backlog(self.cell)
+        self.backlog = jobs.Backlog(self.cell, self.ledger.stop_saving)
         self.jobs = {}
         self.now_ms = 0
         self.tick = 0
