--- a/alderreach/ops/client/views.py
+++ b/alderreach/ops/client/views.py
@@ -155,10 +155,8 @@
 
 def job(document):
     """One job in full."""
-    lines = [
-        f"{name}: {value}" for name, value in flat(document) if name != "task_views"
-    ]
-    views = document.get("task_views", [])
+    lines = [f"{name}: {value}" for name, value in document.items() if name != "tasks"]
+    views = document["tasks"]
     rows = [(v["task_id"], v["attempt"], v["state"], v["worker_id"]) for v in views]
     if rows:
         lines += table(("task", "attempt", "state", "worker"), rows)
@@ -192,6 +190,17 @@
     return rows_or_none(headers, rows) + _silent(document, "failure domains")
 
 
+def members(document):
+    """The keepers' membership, a line each."""
+    rows = []
+    for member in document["members"]:
+        part = "voter" if member["voter"] else "learner"
+        if member["promote"]:
+            part = "learner, promoted once it has caught up"
+        rows.append((member["name"], member["identity"], member["address"], part))
+    return rows_or_none(("keeper", "identity", "address", "part"), rows)
+
+
 def status(document):
     """The cell and each of its processes."""
     lines = [f"version {document['version']}"]
--- a/alderreach/ops/entry/operator_changes.py
+++ b/alderreach/ops/entry/operator_changes.py
@@ -2,7 +2,7 @@
 
 Each change carries a ``Change`` item in the same command, so that the history holds
 exactly the accepted changes. The history is bounded: now and then the entry that
-writes deletes the oldest records.
+writes deletes the oldest objects.
 """
 
 import hashlib
@@ -42,9 +42,14 @@
     if page is not None and page.is_ok():
         items = {item.key: item for item in page.ok_value.items}
         return page.ok_value.version, items, True
+    return (*read_copy(gateway, prefix), False)
+
+
+def read_copy(gateway, prefix):
+    """The items under a prefix in the entry's copy, with the copy's version."""
     copy = gateway.items
     items = {key: item for key, item in copy.items.items() if key.startswith(prefix)}
-    return copy.version, items, False
+    return copy.version, items
 
 
 def commit(deps, request, writes, summary):
--- a/alderreach/ops/entry/operator_config.py
+++ b/alderreach/ops/entry/operator_config.py
@@ -11,7 +11,12 @@
 
 from alderreach.core import codec, plain_objects
 from alderreach.core.generated import common, errors, keeper
-from alderreach.ops.entry import operator_changes, operator_http, operator_maintenance
+from alderreach.ops.entry import (
+    operator_changes,
+    operator_http,
+    operator_maintenance,
+    operator_owners,
+)
 from alderreach.parser import configuration
 
 KINDS = {
@@ -57,15 +62,17 @@
 
     Returns ``(version, {key: (Item, record)}, current)``.
     """
-    found, version, all_current = {}, 0, True
+    found, newest, current = {}, 0, True
     for prefix in prefixes:
         kind = KINDS[prefix.partition("/")[0]]
-        read_version, items, current = operator_changes.read(gateway, prefix)
-        version = max(version, read_version)
-        all_current = all_current and current
+        if current:
+            version, items, current = operator_changes.read(gateway, prefix)
+        else:
+            version, items = operator_changes.read_copy(gateway, prefix)
+        newest = max(newest, version)
         for key, item in items.items():
             found[key] = (item, codec.decode(item.value, kind))
-    return version, found, all_current
+    return newest, found, current
 
 
 def history(deps, request):
@@ -87,7 +94,7 @@
 
 def write(deps, request):
     """PUT /v1/config: check all writes whole, then accept them together."""
-    key = operator_http.check_key(request, deps.context.settings.limits.key_chars)
+    key = operator_http.check_key(request, deps.context.settings.limits)
     if isinstance(key, Err):
         return key
     body = operator_http.read_object(request)
@@ -99,7 +106,7 @@
     _version, items, current = read_config(deps.gateway)
     if not current:
         return operator_changes.no_quorum()
-    if is_based_on(items, writes):
+    if must_check(deps, request, items, writes):
         before = {key: record for key, (_item, record) in items.items()}
         mistakes = check(deps, request, before, writes)
         if mistakes:
@@ -181,17 +188,23 @@
     return after
 
 
-def is_based_on(items, writes):
-    """Whether all writes were made from the versions in force.
+def must_check(deps, request, items, writes):
+    """Whether the writes could be accepted, so that they must be checked.
 
-    If not, the keepers decide: they know a resend, which gets its first result, from
-    a lost race, whose winner they name. Checking such writes against what is in force
-    by now would refuse a resend of an accepted change, or blame the loser of a race
-    for mistakes that came with the winner's change. The keepers can't accept it, since
-    versions only grow.
+    If an item has another version by now, the keepers surely refuse the writes, and
+    they know better: a resend gets its first result, and the loser of a race is told
+    who won. Checked against what is in force by now, a resend of an accepted change
+    would be refused, and the loser blamed for mistakes that came with the winner's.
     """
-    versions = {key: item.version for key, (item, _record) in items.items()}
-    return all(versions.get(one.key, 0) == one.base_version for one in writes)
+    stale = [
+        one
+        for one in writes
+        if one.base_version != (items[one.key][0].version if one.key in items else 0)
+    ]
+    if any(one.key in items for one in stale):
+        return False
+    # An item that is gone: the base may be the version of its deletion, which fits.
+    return not stale or not operator_changes.was_accepted(deps.gateway, request)
 
 
 def check(deps, request, before, writes):
@@ -217,7 +230,7 @@
 
 
 def _check_home(deps, key, workload):
-    known = operator_maintenance.failure_domains(deps.context.settings)
+    known = operator_owners.failure_domains(deps.context.settings)
     if workload.home_failure_domain and workload.home_failure_domain not in known:
         message = f"must be one of {', '.join(known)}"
         return [configuration.Mistake(key, "home_failure_domain", message)]
--- a/alderreach/ops/entry/operator_http.py
+++ b/alderreach/ops/entry/operator_http.py
@@ -1,21 +1,20 @@
 """What every operator's request shares: its parts, refusals and answers.
 
 Handlers are functions from a ``Request`` to ``Ok(object)`` or ``Err(Refusal)``. A
-refusal becomes a problem document (RFC 9457) with its ``kind`` from the closed list.
+refusal becomes a problem document with more members for programs. Bodies are read and
+problems written as for callers, by ``intake`` and ``answers``.
 """
 
 import json
 import typing
 import urllib.parse
 
+import msgspec
 from result import Err, Ok
 
 from alderreach.core.generated import errors
+from alderreach.ops.entry import answers, intake
 
-JSON = "application/json"
-PROBLEM = "application/problem+json"
-RETRY_AFTER_S = {"later": "1", "now": "0"}
-KEY_CHARS_MIN = 8
 WALL_MS_DIGITS = 15
 
 
@@ -49,6 +48,13 @@
     return Err(Refusal(kind, detail, more))
 
 
+def refuse_fields(kind, found):
+    """An ``Err`` for a list of (field, message)."""
+    shown = [{"field": field, "message": message} for field, message in found]
+    detail = "; ".join(f"{field}: {message}" for field, message in found)
+    return refuse(kind, detail, mistakes=shown)
+
+
 def read_object(request):
     """The body as a JSON object: ``Ok(dict)``, or a refusal that says what is wrong."""
     try:
@@ -72,44 +78,17 @@
     return Ok(int(text))
 
 
-def check_key(request, key_chars):
+def check_key(request, limits):
     """Refuse a change without a usable Idempotency-Key: ``Ok(key)`` or a refusal."""
     key = request.idempotency_key
-    if KEY_CHARS_MIN <= len(key) <= key_chars and key.isprintable():
+    if intake.is_key(key, limits):
         return Ok(key)
     detail = (
-        "a change needs the header Idempotency-Key, fresh for each change and the same"
-        f" on a resend, of {KEY_CHARS_MIN} to {key_chars} printable characters"
+        f"{intake.key_rule(limits)}: a fresh one for each change, the same on a resend"
     )
     return refuse(errors.Kind.MALFORMED_REQUEST, detail)
 
 
-def read_body(environ, limit_bytes):
-    """The body of a WSGI request: ``Ok(bytes)`` or a refusal."""
-    text = environ.get("CONTENT_LENGTH") or "0"
-    if not text.isdecimal():
-        detail = "Content-Length is not a number"
-        return refuse(errors.Kind.MALFORMED_REQUEST, detail)
-    length = int(text)
-    chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
-    if length > limit_bytes:
-        return _too_large(limit_bytes)
-    if chunked:
-        length = limit_bytes + 1
-    body = environ["wsgi.input"].read(length) if length else b""
-    if chunked and len(body) > limit_bytes:
-        return _too_large(limit_bytes)
-    if not chunked and len(body) < length:
-        detail = "the body ended before its Content-Length"
-        return refuse(errors.Kind.MALFORMED_REQUEST, detail)
-    return Ok(body)
-
-
-def _too_large(limit_bytes):
-    detail = f"the body may have {limit_bytes} bytes at most"
-    return refuse(errors.Kind.BODY_TOO_LARGE, detail)
-
-
 def read_asked_wall_ms(environ):
     """When the operator asked, from the header; 0 if it is missing or no number."""
     text = environ.get("HTTP_ALDERREACH_ASKED_WALL_MS", "")
@@ -122,42 +101,14 @@
     return dict(pairs)
 
 
-def answer(start_response, result, headers=()):
-    """Send a handler's result."""
+def answer(result, headers=()):
+    """The ``answers.Answer`` of a handler's result."""
     if result.is_ok():
-        return _send(start_response, "200 OK", JSON, result.ok_value, headers)
+        return answers.json_answer(200, result.ok_value, headers)
     refusal = result.err_value
-    entry = errors.ANSWERS[refusal.kind]
-    document = problem(refusal)
-    extra = list(headers)
-    if entry.retry in RETRY_AFTER_S:
-        extra.append(("Retry-After", RETRY_AFTER_S[entry.retry]))
-    status = f"{entry.status} {entry.title}"
-    return _send(start_response, status, PROBLEM, document, extra)
-
-
-def problem(refusal):
-    """The problem document of a refusal."""
-    entry = errors.ANSWERS[refusal.kind]
-    return {
-        "type": f"urn:alderreach:error:{refusal.kind.value}",
-        "title": entry.title,
-        "status": entry.status,
-        "detail": refusal.detail,
-        "kind": refusal.kind.value,
-        "outcome": entry.outcome,
-        **refusal.more,
-    }
-
-
-def _send(start_response, status, content_type, document, headers):
-    body = json.dumps(document).encode() + b"\n"
-    start_response(
-        status,
-        [
-            ("Content-Type", content_type),
-            ("Content-Length", str(len(body))),
-            *headers,
-        ],
-    )
-    return [body]
+    failure = answers.Failure(refusal.kind, refusal.detail)
+    plain = answers.problem(failure, extra=headers)
+    if not refusal.more:
+        return plain
+    document = msgspec.json.decode(plain.body) | refusal.more
+    return plain._replace(body=msgspec.json.encode(document))
--- a/alderreach/ops/entry/operator_maintenance.py
+++ b/alderreach/ops/entry/operator_maintenance.py
@@ -8,8 +8,9 @@
 from result import Err, Ok
 
 from alderreach.core import codec, plain_objects
-from alderreach.core.generated import common, errors, keeper
-from alderreach.ops.entry import operator_changes, operator_http
+from alderreach.core.generated import common, errors, keeper, placer
+from alderreach.decisions import maintenance
+from alderreach.ops.entry import operator_changes, operator_http, operator_owners
 from alderreach.parser import configuration
 
 PREFIX = "maintenance/"
@@ -18,12 +19,6 @@
 ANY_VERSION = -1
 
 
-def failure_domains(settings):
-    """All failure domains of the cell, as the settings' peers name them."""
-    names = {peer.failure_domain for peer in settings.peers}
-    return sorted(names | {settings.process.failure_domain})
-
-
 def show(deps, _request):
     """GET /v1/maintenance: all windows, the earliest first."""
     _version, items, current = operator_changes.read(deps.gateway, PREFIX)
@@ -37,7 +32,7 @@
 
 def add(deps, request):
     """POST /v1/maintenance: declare a window; the id is made if none is given."""
-    key = operator_http.check_key(request, deps.context.settings.limits.key_chars)
+    key = operator_http.check_key(request, deps.context.settings.limits)
     if isinstance(key, Err):
         return key
     body = operator_http.read_object(request)
@@ -47,22 +42,37 @@
     value = {"window_id": f"w-{own_id[:8]}", "vms": [], "racks": []} | body.ok_value
     window, found = plain_objects.from_object(common.MaintenanceWindow, value)
     if window is None:
-        return _invalid(found)
+        kind = errors.Kind.INVALID_CONFIGURATION
+        return operator_http.refuse_fields(kind, found)
     now_ms = request.asked_wall_ms or deps.context.clock.wall_ms()
     mistakes = check(deps, window, now_ms)
     if mistakes:
-        return _invalid([(mistake.field, mistake.message) for mistake in mistakes])
+        found = [(mistake.field, mistake.message) for mistake in mistakes]
+        kind = errors.Kind.INVALID_CONFIGURATION
+        return operator_http.refuse_fields(kind, found)
     write = keeper.ItemWrite(f"{PREFIX}{window.window_id}", 0, codec.encode(window))
     summary = f"maintenance of {_names(window)} declared"
     result = operator_changes.commit(deps, request, [write], summary)
     if isinstance(result, Err):
         return result
-    return Ok(result.ok_value | {"window": plain_objects.to_object(window)})
+    warnings = _warnings(deps, window, now_ms)
+    shown = {"window": plain_objects.to_object(window), "warnings": warnings}
+    return Ok(result.ok_value | shown)
+
+
+def _warnings(deps, window, now_ms):
+    """Why the window can't be met, as far as the domain's owner can tell."""
+    domain = window.failure_domain
+    reply = operator_owners.ask_owner(deps, domain, placer.TargetQuery(""))
+    if reply is None:
+        text = f"the owner of {domain} does not answer: can't tell whether work fits"
+        return [text]
+    return maintenance.check_window(window, reply.targets, now_wall_ms=now_ms)
 
 
 def cancel(deps, request):
     """DELETE /v1/maintenance/<id>: withdraw a window."""
-    key = operator_http.check_key(request, deps.context.settings.limits.key_chars)
+    key = operator_http.check_key(request, deps.context.settings.limits)
     if isinstance(key, Err):
         return key
     item_key = f"{PREFIX}{request.names['window_id']}"
@@ -85,7 +95,7 @@
     def add_mistake(field, message):
         mistakes.append(configuration.Mistake(key, field, message))
 
-    known = failure_domains(deps.context.settings)
+    known = operator_owners.failure_domains(deps.context.settings)
     if not configuration.NAME.match(window.window_id):
         add_mistake("window_id", f"{window.window_id!r} {configuration.NAME_RULE}")
     if window.failure_domain not in known:
@@ -103,12 +113,5 @@
     return mistakes
 
 
-def _invalid(found):
-    shown = [{"field": field, "message": message} for field, message in found]
-    detail = "; ".join(f"{field}: {message}" for field, message in found)
-    kind = errors.Kind.INVALID_CONFIGURATION
-    return operator_http.refuse(kind, detail, mistakes=shown)
-
-
 def _names(window):
     return ", ".join([*window.vms, *(f"rack {rack}" for rack in window.racks)])
--- a/alderreach/ops/entry/operators.py
+++ b/alderreach/ops/entry/operators.py
@@ -12,26 +12,33 @@
 from absl import logging
 from result import Err
 
+from alderreach.core import catalog
 from alderreach.core.generated import errors
 from alderreach.ops.entry import (
+    answers,
+    intake,
+    jobs,
+    keepers,
     operator_cell,
     operator_config,
     operator_http,
     operator_jobs,
+    operator_keepers,
     operator_maintenance,
     operator_targets,
     operator_tokens,
 )
 
 CHALLENGE = ("WWW-Authenticate", "Bearer")
+FIRST_ERROR_STATUS = 400
 
 
 class Dependencies(typing.NamedTuple):
-    """What handlers work with; ``targets`` is the entry's own view, if it has one."""
+    """What handlers work with."""
 
     context: typing.Any
     gateway: typing.Any
-    targets: typing.Any
+    jobs: jobs.Jobs
 
 
 ROUTES = (
@@ -42,46 +49,69 @@
     ("POST", "/v1/maintenance", operator_maintenance.add),
     ("DELETE", "/v1/maintenance/{window_id}", operator_maintenance.cancel),
     ("GET", "/v1/jobs", operator_jobs.show_all),
-    ("POST", "/v1/jobs", operator_jobs.submit),
-    ("GET", "/v1/jobs/{job_id}", operator_jobs.show),
-    ("DELETE", "/v1/jobs/{job_id}", operator_jobs.cancel),
     ("GET", "/v1/targets", operator_targets.show),
     ("POST", "/v1/targets/{target_id}/forget", operator_targets.forget),
+    ("GET", "/v1/keepers", operator_keepers.show),
+    ("POST", "/v1/keepers/{identity}/{action}", operator_keepers.change),
     ("GET", "/v1/status", operator_cell.status),
     ("GET", "/v1/timeline", operator_cell.timeline),
 )
+# Served by the code that serves callers, so that a job is the same whoever submits it.
+JOB_ROUTES = (
+    ("POST", "/v1/jobs", lambda served, environ, _names: served.submit(environ)),
+    (
+        "GET",
+        "/v1/jobs/{job_id}",
+        lambda served, _environ, names: served.show(names["job_id"]),
+    ),
+    (
+        "DELETE",
+        "/v1/jobs/{job_id}",
+        lambda served, _environ, names: served.cancel(names["job_id"]),
+    ),
+)
 
 
-def build(context, gateway, targets=None):
+def build(context, gateway):
     """The WSGI application for ``listen.operators``."""
+    limits = context.settings.limits
     tokens = operator_tokens.Tokens(context.settings.operators.token_file)
-    deps = Dependencies(context, gateway, targets)
+    served_jobs = jobs.Jobs(
+        context,
+        lambda: catalog.build(gateway.items),
+        keepers.Keepers(gateway, limits.http_threads),
+        gateway.ask_peer,
+    )
+    deps = Dependencies(context, gateway, served_jobs)
 
     def application(environ, start_response):
         operator = tokens.operator_of(environ.get("HTTP_AUTHORIZATION", ""))
         if operator is None:
             detail = "send the header 'Authorization: Bearer TOKEN' of an operator"
             refused = operator_http.refuse(errors.Kind.UNAUTHORIZED, detail)
-            return operator_http.answer(start_response, refused, [CHALLENGE])
-        result, headers = _dispatch(deps, operator, environ)
-        return operator_http.answer(start_response, result, headers)
+            answer = operator_http.answer(refused, (CHALLENGE,))
+        else:
+            answer = _dispatch(deps, operator, environ)
+        return answers.respond(answer, start_response)
 
     return application
 
 
 def _dispatch(deps, operator, environ):
     method, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
-    matching = list(_matching(path))
-    if not matching:
-        detail = f"nothing is served at {path}"
-        return operator_http.refuse(errors.Kind.NOT_FOUND, detail), []
-    for route_method, handler, names in matching:
+    allowed = []
+    for route_method, handle, names in _matching(path):
+        allowed.append(route_method)
         if route_method == method:
-            return _handle(deps, handler, operator, names, environ), []
-    allowed = ", ".join(sorted(entry[0] for entry in matching))
-    detail = f"{path} takes {allowed}"
+            return _guarded(deps, handle, operator, names, environ)
+    if not allowed:
+        detail = f"nothing is served at {path}"
+        refused = operator_http.refuse(errors.Kind.NOT_FOUND, detail)
+        return operator_http.answer(refused)
+    listed = ", ".join(sorted(allowed))
+    detail = f"{path} takes {listed}"
     refused = operator_http.refuse(errors.Kind.METHOD_NOT_ALLOWED, detail)
-    return refused, [("Allow", allowed)]
+    return operator_http.answer(refused, (("Allow", listed),))
 
 
 def _matching(path):
@@ -89,7 +119,11 @@
     for method, pattern, handler in ROUTES:
         names = match(_split(pattern), parts)
         if names is not None:
-            yield method, handler, names
+            yield method, functools.partial(_handle, handler), names
+    for method, pattern, handler in JOB_ROUTES:
+        names = match(_split(pattern), parts)
+        if names is not None:
+            yield method, functools.partial(_handle_job, handler), names
 
 
 @functools.cache
@@ -114,10 +148,19 @@
     return names
 
 
-def _handle(deps, handler, operator, names, environ):
-    body = operator_http.read_body(environ, deps.context.settings.limits.body_bytes)
+def _guarded(deps, handle, operator, names, environ):
+    try:
+        return handle(deps, operator, names, environ)
+    except Exception:
+        logging.exception("fault while answering %s", environ.get("PATH_INFO"))
+        return answers.problem(answers.Failure(errors.Kind.INTERNAL))
+
+
+def _handle(handler, deps, operator, names, environ):
+    limits = deps.context.settings.limits
+    body = intake.read_body(environ, limits)
     if isinstance(body, Err):
-        return body
+        return answers.problem(body.err_value)
     request = operator_http.Request(
         operator,
         environ["REQUEST_METHOD"],
@@ -128,9 +171,12 @@
         operator_http.read_asked_wall_ms(environ),
         body.ok_value,
     )
-    try:
-        return handler(deps, request)
-    except Exception:
-        logging.exception("%s %s failed", request.method, request.path)
-        detail = "a fault in the entry; its log has the details"
-        return operator_http.refuse(errors.Kind.INTERNAL, detail)
+    return operator_http.answer(handler(deps, request))
+
+
+def _handle_job(handler, deps, operator, names, environ):
+    answer = handler(deps.jobs, environ, names)
+    if environ["REQUEST_METHOD"] != "GET" and answer.status < FIRST_ERROR_STATUS:
+        detail = f"{operator}: {environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
+        deps.context.timeline.record("operator_job_change", detail=detail)
+    return answer
--- a/alderreach/scripts/client.py
+++ b/alderreach/scripts/client.py
@@ -15,6 +15,7 @@
     cell,
     config,
     job,
+    keeper,
     maintenance,
     questionnaire,
     target,
@@ -43,6 +44,10 @@
     job.Cancel,
     target.List,
     target.Forget,
+    keeper.List,
+    keeper.Add,
+    keeper.Promote,
+    keeper.Remove,
     cell.Status,
     cell.Timeline,
 )
--- a/alderreach/scripts/commands/job.py
+++ b/alderreach/scripts/commands/job.py
@@ -30,18 +30,17 @@
         tasks = self.option("tasks") or "0"
         if not tasks.isdecimal():
             return api.fail(api.EXIT_BAD_INPUT, "--tasks must be a whole number")
-        body = {
-            "team": self.argument("team"),
-            "workload": self.argument("workload"),
-            "tasks": int(tasks),
-            "payload": self.option("payload") or "",
-            "failure_domain": self.option("failure-domain") or "",
-        }
+        body = {"team": self.argument("team"), "workload": self.argument("workload")}
+        for name in ("payload", "failure-domain"):
+            if self.option(name):
+                body[name.replace("-", "_")] = self.option(name)
+        if self.option("tasks"):
+            body["tasks"] = int(tasks)
         return client.change("POST", "/v1/jobs", body, self.key())
 
     def view(self, document):
         """The job's id."""
-        return [f"{document['job_id']} accepted, {document['tasks']} tasks"]
+        return [f"{document['job_id']} accepted in {document['failure_domain']}"]
 
 
 class Show(base.ApiCommand):
@@ -103,4 +102,4 @@
 
     def view(self, document):
         """One line."""
-        return [f"{document['job_id']} cancelled"]
+        return [f"{document['job_id']} is being cancelled"]
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -32,6 +32,7 @@
         self.commands = []
         self.reachable = True
         self.lose_answers = 0
+        self.members = keeper.MembersResult("accepted", "", [])
         self._lock = threading.Lock()
 
     def ask(self, command):
@@ -40,7 +41,11 @@
                 return keeper_client.Outcome("no_quorum", b"")
             if isinstance(command, keeper.ReadItems):
                 return self._ok(self._page(command.prefix))
+            if isinstance(command, keeper.ReadMembers):
+                return self._ok(self.members)
             self.commands.append(command)
+            if isinstance(command, keeper.ChangeMembers):
+                return self._ok(self.members)
             result = self._write(command)
             if self.lose_answers:
                 self.lose_answers -= 1
