--- a/alderreach/ops/gateway.py
+++ b/alderreach/ops/gateway.py
@@ -159,6 +159,8 @@
         if now_ms >= self._next_save_ms:
             self._next_save_ms = now_ms + SAVE_INTERVAL_MS
             self._save()
+        due_ms = min(self._next_follow_ms, self._next_save_ms)
+        return min(due_ms, self._client.next_due_ms(due_ms)) - now_ms
 
     def _follow(self, now_ms):
         interval_ms = self._context.settings.timing.follow_interval_ms
--- a/alderreach/ops/keeper_client.py
+++ b/alderreach/ops/keeper_client.py
@@ -87,6 +87,14 @@
                     self._turn_to("")
                 self._transmit(request_id, now_ms)
 
+    def next_due_ms(self, default_ms):
+        """When ``tick`` next has something to do; ``default_ms`` if nothing pends."""
+        due = (
+            min(pending.deadline_ms, pending.next_send_ms)
+            for pending in self._pending.values()
+        )
+        return min(due, default=default_ms)
+
     def _transmit(self, request_id, now_ms):
         pending = self._pending[request_id]
         pending.next_send_ms = now_ms + RESEND_MS
--- a/alderreach/utils/tasks.py
+++ b/alderreach/utils/tasks.py
@@ -46,7 +46,11 @@
 class Task:
     """A thread that hands each message of its mailbox to ``handle``.
 
-    ``tick`` is called at least every ``tick_ms`` while there is no or much mail.
+    ``tick`` returns in how many milliseconds it wants to be called again, or None for
+    ``tick_ms``; a task that knows its next deadline sleeps until then, which is most of
+    what an idle process saves. Mail may bring a nearer deadline, so after mail the next
+    tick comes within ``tick_ms``. Much mail does not hold ticks back.
+
     An exception in either is logged and ends the process through ``on_fault``: a task
     with half-changed state must not go on deciding.
     """
@@ -89,9 +93,9 @@
         while True:
             wait_ms = next_tick_ms - self._clock.monotonic_ms()
             if wait_ms <= 0:
-                self._tick()
-                next_tick_ms = self._clock.monotonic_ms() + self._tick_ms
-                wait_ms = self._tick_ms
+                pause_ms = self._tick()
+                wait_ms = self._tick_ms if pause_ms is None else max(pause_ms, 1)
+                next_tick_ms = self._clock.monotonic_ms() + wait_ms
             try:
                 message = self._mailbox.get(timeout=wait_ms / 1000)
             except queue.Empty:
@@ -99,3 +103,5 @@
             if message is STOP:
                 return
             self._handle(message)
+            soon_ms = self._clock.monotonic_ms() + self._tick_ms
+            next_tick_ms = min(next_tick_ms, soon_ms)
