--- a/alderreach/decisions/ordering.py
+++ b/alderreach/decisions/ordering.py
@@ -131,12 +131,16 @@
                     return waiting
         return None
 
+    def drop(self, waiting):
+        """Take out a request that waits."""
+        group = self._classes[is_urgent(waiting.ask)]
+        group.queues[waiting.ask.team].remove(waiting)
+        self._taken(group, waiting)
+
     def take(self, waiting):
         """Take out what ``head`` gave: it goes now, and its team pays for it."""
         team = waiting.ask.team
-        group = self._classes[is_urgent(waiting.ask)]
-        group.queues[team].remove(waiting)
-        self._taken(group, waiting)
+        self.drop(waiting)
         self._virtual_ms = max(self._virtual_ms, self._start_tag(team))
         self._charge_class(waiting)
         self.charge(team, waiting.cost_ms)
@@ -157,8 +161,7 @@
             for team in list(group.queues):
                 gone = [each for each in group.queues[team] if condition(each)]
                 for waiting in gone:
-                    group.queues[team].remove(waiting)
-                    self._taken(group, waiting)
+                    self.drop(waiting)
                 removed += gone
         return removed
 
--- a/alderreach/decisions/routing.py
+++ b/alderreach/decisions/routing.py
@@ -28,6 +28,7 @@
 
 READY = "ready"
 SUSPECT = "suspect"
+GROWTH = 0.1
 REFUSED_KEEPS = 0.7
 REMOTE_START = 1.0
 SPILL_WAIT_MS = 10.0
@@ -48,6 +49,8 @@
         self._runners = {}
         self._outstanding = collections.Counter()
         self._allowances = {}
+        self._own, self._other = [], []
+        self._room = 0
 
     def set_runners(self, runners):
         """Know these runners and no others; a restarted one starts afresh."""
@@ -59,33 +62,33 @@
         for runner_id in before.keys() - self._runners.keys():
             self._allowances.pop(runner_id, None)
         self._outliers.set_targets(self._runners)
+        self._split()
+        self._count_room()
 
     @property
     def usable(self):
         """Ids of the runners that may get new work at all."""
-        return self._usable_ids()
+        return {runner.runner_id for runner in self._own + self._other}
 
     def most(self):
         """The most this entry may have under way at its own domain's runners."""
-        own, other = self._split()
-        return sum(self._cap(runner) for runner in own or other)
+        return sum(self._cap(runner) for runner in self._own or self._other)
 
     def room(self):
         """Slots the allowances give this entry where it sends first."""
-        own, other = self._split()
-        return sum(max(1, int(self._allowances[r.runner_id])) for r in own or other)
+        return self._room
 
     def pick(self, now_ms, wait_ms, avoided=()):
         """The runner to send to, or None while there is no room.
 
         ``wait_ms`` is how long the request would wait for a slot of its own domain.
         """
-        own, other = self._split()
-        chosen = self._least_used(own, now_ms, avoided)
-        may_spill = wait_ms > SPILL_WAIT_MS or not self._has_reachable(own, now_ms)
-        if chosen is None and may_spill:
-            chosen = self._least_used(other, now_ms, avoided)
-        return chosen
+        chosen = self._least_used(self._own, now_ms, avoided)
+        if chosen is not None or not self._other:
+            return chosen
+        if wait_ms > SPILL_WAIT_MS or not self._has_reachable(self._own, now_ms):
+            return self._least_used(self._other, now_ms, avoided)
+        return None
 
     def started(self, runner_id):
         """A request was granted a runner."""
@@ -104,9 +107,11 @@
         allowance = self._allowances[runner_id]
         if was_refused:
             self._allowances[runner_id] = max(1.0, allowance * REFUSED_KEEPS)
+            self._count_room()
         elif was_answered and used >= int(allowance):
-            grown = allowance + 1 / allowance
+            grown = allowance + GROWTH / allowance
             self._allowances[runner_id] = min(grown, float(self._cap(runner)))
+            self._count_room()
 
     def _start(self, runner):
         if runner.failure_domain != self._domain:
@@ -120,23 +125,20 @@
         return max(1, min(runner.slots, share))
 
     def _split(self):
-        own, other = [], []
-        usable = self._usable_ids()
-        for runner_id in usable:
-            runner = self._runners[runner_id]
-            place = own if runner.failure_domain == self._domain else other
-            place.append(runner)
-        return own, other
-
-    def _usable_ids(self):
-        """Ready runners; suspect ones only if no other is left.
+        """Usable runners by place: ready ones, or suspect ones if no other is left.
 
         All are suspect when the entry has lost their owner: then they may well be up,
         and a domain that is cut off goes on serving.
         """
-        ready = [i for i, r in self._runners.items() if r.state == READY]
-        suspect = [i for i, r in self._runners.items() if r.state == SUSPECT]
-        return ready or suspect
+        known = self._runners.values()
+        usable = [r for r in known if r.state == READY]
+        usable = usable or [r for r in known if r.state == SUSPECT]
+        self._own = [r for r in usable if r.failure_domain == self._domain]
+        self._other = [r for r in usable if r.failure_domain != self._domain]
+
+    def _count_room(self):
+        near = self._own or self._other
+        self._room = sum(int(self._allowances[r.runner_id]) for r in near)
 
     def _has_reachable(self, runners, now_ms):
         return any(self._outliers.weight(r.runner_id, now_ms) > 0 for r in runners)
--- a/alderreach/decisions/serving.py
+++ b/alderreach/decisions/serving.py
@@ -151,13 +151,16 @@
         return self.dispatch(now_ms)
 
     def dispatch(self, now_ms):
-        """Grant what can go now, turn away what can't be answered in time any more."""
-        decisions = self._drop_hopeless(now_ms)
-        skipped = set()
-        while len(self._running) < self._limit.value:
+        """Grant what can go now; the head is turned away if it can't be in time."""
+        decisions, skipped = [], set()
+        while len(self._line) and len(self._running) < self._limit.value:
             waiting = self._line.head(now_ms, skipped)
             if waiting is None:
                 break
+            if self._is_hopeless(waiting, now_ms):
+                self._line.drop(waiting)
+                decisions.append(self._late(waiting.ask, now_ms))
+                continue
             wait_ms = self._own_wait_ms(waiting, now_ms)
             runner = self._router.pick(now_ms, wait_ms, waiting.avoided)
             if runner is not None:
@@ -172,7 +175,9 @@
     def tick(self, now_ms):
         """Let time pass: returns (decisions, changes of targets for the time line)."""
         changes = self._outliers.tick(now_ms)
-        return self.dispatch(now_ms), changes
+        removed = self._line.remove(lambda each: self._is_hopeless(each, now_ms))
+        late = [self._late(waiting.ask, now_ms) for waiting in removed]
+        return late + self.dispatch(now_ms), changes
 
     def withdraw(self, request_id):
         """Forget a waiting request; False if it does not wait."""
@@ -247,12 +252,9 @@
             in_flight = len(self._running) + 1
             self._limit.observe(ended.run_ms, in_flight, now_ms)
 
-    def _drop_hopeless(self, now_ms):
-        run_ms = self._run_times.expected_ms
-        removed = self._line.remove(
-            lambda each: admission.is_hopeless(each.ask, run_ms(each.ask.team), now_ms)
-        )
-        return [self._late(waiting.ask, now_ms) for waiting in removed]
+    def _is_hopeless(self, waiting, now_ms):
+        run_ms = self._run_times.expected_ms(waiting.ask.team)
+        return admission.is_hopeless(waiting.ask, run_ms, now_ms)
 
     def _late(self, ask, now_ms):
         refusal = self._overloaded(ask)
--- /dev/null
+++ b/tools/benches/requests.py
@@ -0,0 +1,209 @@
+"""Decisions on requests in virtual time, each against first in, first out and random.
+
+One failure domain's share of the cell unless said otherwise: 2 entries, 6 runners of 8
+slots. Work takes 5 ms on average (exponential), deadlines are 250 ms, a fifth of the
+load is urgent. Capacity is slots over mean work and the hops between two requests.
+"""
+
+import collections
+
+from alderreach.core.generated import errors
+from alderreach.decisions import serving
+from tools import virtual_load
+
+WORK_MS = 5.0
+DEADLINE_MS = 250.0
+SPAN_MS = 2000
+WARM_MS = 500
+TEAMS = ("a", "b", "c", "d")
+BASELINE_ATTEMPTS = 4
+COMMAND = "python tools/bench.py requests"
+
+
+class FirstInFirstOut:
+    """The baseline: one line, a random runner, as many under way as there are slots.
+
+    It drops what is past its deadline when its turn comes, and retries a refusal.
+    """
+
+    def __init__(self, place, chance):
+        self._random = chance
+        self._entries = place.entries_in_cell
+        self._line = collections.deque()
+        self._under_way = 0
+        self._runners = []
+
+    def set_runners(self, runners):
+        self._runners = runners
+
+    def arrive(self, ask, now_ms, avoided=()):
+        if ask.attempt > BASELINE_ATTEMPTS:
+            return [serving.Refusal(ask.request_id, errors.Kind.TARGET_REFUSED, 1000)]
+        self._line.append(ask)
+        return self._dispatch(now_ms)
+
+    def ended(self, ended, now_ms):
+        self._under_way -= 1
+        return self._dispatch(now_ms)
+
+    def tick(self, now_ms):
+        return self._dispatch(now_ms), []
+
+    def _dispatch(self, now_ms):
+        decisions = []
+        most = sum(runner.slots for runner in self._runners) // self._entries
+        while self._line and self._under_way < most:
+            ask = self._line.popleft()
+            if ask.deadline_ms <= now_ms:
+                kind = errors.Kind.DEADLINE_PASSED
+                decisions.append(serving.Refusal(ask.request_id, kind, 1000))
+                continue
+            self._under_way += 1
+            runner = self._random.choice(self._runners)
+            decisions.append(serving.Grant(ask.request_id, runner))
+        return decisions
+
+
+POLICIES = {
+    "alderreach": virtual_load.make_service(),
+    "fifo+random": FirstInFirstOut,
+}
+
+
+def call(team="a", work_ms=WORK_MS, urgent_share=0.2):
+    """A maker of calls of one team, or of any if ``team`` is None."""
+
+    def make(chance):
+        name = team or chance.choice(TEAMS)
+        priority = 8 if chance.random() < urgent_share else 5
+        run_ms = chance.expovariate(1 / work_ms)
+        return virtual_load.Call(name, run_ms, DEADLINE_MS, priority)
+
+    return make
+
+
+def capacity_per_s(cell, work_ms=WORK_MS):
+    """A slot is idle while an answer goes back and the next request comes."""
+    return cell.slots / ((work_ms + 2 * virtual_load.HOP_MS) / 1000)
+
+
+def steady(make_decide, load, domains=1):
+    """A cell after a span of steady load, ``load`` times its capacity."""
+    cell = virtual_load.Cell(make_decide, domains=domains)
+    cell.arrivals(load * capacity_per_s(cell), call(None), 0, SPAN_MS)
+    return cell.run(SPAN_MS + 2 * DEADLINE_MS)
+
+
+def measured(cell):
+    return [got for got in cell.got if got.sent_ms >= WARM_MS]
+
+
+def figures(cell):
+    """Goodput as a share of capacity, waiting, refusals and full-runner hits."""
+    seen = measured(cell)
+    span_s = (SPAN_MS - WARM_MS) / 1000
+    good = [got for got in seen if got.is_good]
+    refused = [got for got in seen if got.outcome == "not-run"]
+    at_once = sum(got.took_ms <= 10 for got in refused)
+    sent = sum(runner.served + runner.full_hits for runner in cell.runners)
+    urgent = [got.took_ms for got in good if got.call.priority >= 7]
+    return {
+        "goodput": len(good) / span_s / capacity_per_s(cell),
+        "p50_ms": virtual_load.quantile([got.took_ms for got in good], 0.5),
+        "p99_ms": virtual_load.quantile([got.took_ms for got in good], 0.99),
+        "urgent_p99_ms": virtual_load.quantile(urgent, 0.99),
+        "refused": len(refused) / max(1, len(seen)),
+        "refused_in_10_ms": at_once / max(1, len(refused)),
+        "full_hits": sum(runner.full_hits for runner in cell.runners) / max(1, sent),
+    }
+
+
+def show(name, policy, values):
+    text = "  ".join(f"{key} {value:.3f}" for key, value in values.items())
+    print(f"{name:24} {policy:12} {text}")
+
+
+def loads():
+    for load in (0.3, 0.7, 0.9, 1.0, 2.0, 10.0):
+        for policy, make in POLICIES.items():
+            show(f"load {load}x", policy, figures(steady(make, load)))
+
+
+def whole_cell():
+    for load in (0.7, 2.0):
+        for policy, make in POLICIES.items():
+            cell = steady(make, load, domains=4)
+            show(f"4 domains {load}x", policy, figures(cell))
+
+
+def uneven_domains():
+    """All load comes to the entries of one domain of four: 0.5x of the cell."""
+    for policy, make in POLICIES.items():
+        cell = virtual_load.Cell(make, domains=4)
+        per_s = 0.5 * capacity_per_s(cell)
+        cell.arrivals(per_s, call(None), 0, SPAN_MS, cell.entries[:2])
+        cell.run(SPAN_MS + 2 * DEADLINE_MS)
+        show("one domain's callers", policy, figures(cell))
+
+
+def heavy_caller():
+    """Team a asks for 5x the capacity, b, c and d for a fifth of it each."""
+    for policy, make in POLICIES.items():
+        cell = virtual_load.Cell(make)
+        per_s = capacity_per_s(cell)
+        cell.arrivals(5 * per_s, call("a"), 0, SPAN_MS)
+        for team in "bcd":
+            cell.arrivals(0.2 * per_s, call(team), 0, SPAN_MS)
+        cell.run(SPAN_MS + 2 * DEADLINE_MS)
+        due = 0.2 * per_s * (SPAN_MS - WARM_MS) / 1000
+        good = collections.Counter(g.call.team for g in measured(cell) if g.is_good)
+        worst = min(good[team] for team in "bcd") / due
+        values = {"worst_share_of_due": worst} | figures(cell)
+        show("heavy caller", policy, values)
+
+
+def bad_runner():
+    for mode in ("slow", "error"):
+        for policy, make in POLICIES.items():
+            cell = virtual_load.Cell(make)
+            cell.runners[0].mode = mode
+            cell.arrivals(0.6 * capacity_per_s(cell), call(None), 0, SPAN_MS)
+            cell.run(SPAN_MS + 2 * DEADLINE_MS)
+            errors_seen = sum(g.status == 500 for g in measured(cell))
+            share = errors_seen / max(1, len(measured(cell)))
+            values = {"errors": share} | figures(cell)
+            show(f"one {mode} of 6", policy, values)
+
+
+def long_among_short():
+    """One team's requests take 100 ms, the others' 5 ms; at 1.5x together."""
+    for policy, make in POLICIES.items():
+        cell = virtual_load.Cell(make)
+        per_s = capacity_per_s(cell)
+        cell.arrivals(0.6 * per_s, call("a"), 0, SPAN_MS)
+        cell.arrivals(0.9 * per_s / 20, call("b", 100.0), 0, SPAN_MS)
+        cell.run(SPAN_MS + 2 * DEADLINE_MS)
+        seen = [g for g in measured(cell) if g.call.team == "a"]
+        good = [g.took_ms for g in seen if g.is_good]
+        values = {
+            "short_answered": len(good) / max(1, len(seen)),
+            "short_p99_ms": virtual_load.quantile(good, 0.99),
+        }
+        show("long among short", policy, values)
+
+
+def main():
+    print(COMMAND)
+    for bench in (
+        loads,
+        whole_cell,
+        uneven_domains,
+        heavy_caller,
+        bad_runner,
+        long_among_short,
+    ):
+        bench()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/virtual_load.py
@@ -0,0 +1,284 @@
+"""Load on the entries' decisions in virtual time: callers, entries and runners.
+
+Tests and benches say what callers do and what runners are like, let the time pass, and
+look at what each caller got. A decision object has ``arrive``, ``ended`` and ``tick``,
+as ``serving.Service`` has; a baseline with the same methods can be put in its place.
+"""
+
+import heapq
+import itertools
+import random
+import typing
+
+from alderreach.core.generated import placer
+from alderreach.decisions import serving
+
+HOP_MS = 0.2
+DOMAIN_HOP_MS = 1.5
+CALLER_HOP_MS = 1.0
+TICK_MS = 20
+ENTRY_ATTEMPTS = 6
+
+
+class Loop:
+    """Virtual time: functions called in the order of their moments."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+        self._events = []
+        self._order = itertools.count()
+
+    def at(self, moment_ms, act):
+        heapq.heappush(self._events, (moment_ms, next(self._order), act))
+
+    def after(self, delay_ms, act):
+        self.at(self.now_ms + delay_ms, act)
+
+    def run_until(self, end_ms):
+        while self._events and self._events[0][0] <= end_ms:
+            self.now_ms, _, act = heapq.heappop(self._events)
+            act()
+        self.now_ms = end_ms
+
+
+class Call(typing.NamedTuple):
+    """One request of a caller."""
+
+    team: str
+    work_ms: float
+    deadline_ms: float = 1000
+    priority: int = 5
+
+
+class Got(typing.NamedTuple):
+    """What a caller got, and when it was sent."""
+
+    call: Call
+    outcome: str
+    status: int
+    sent_ms: float
+    took_ms: float
+    retry_after_ms: int
+    attempts: int
+
+    @property
+    def is_good(self):
+        """Answered without error within its deadline."""
+        is_whole = self.outcome == "ran" and self.status < 500
+        return is_whole and self.took_ms <= self.call.deadline_ms
+
+
+class Runner:
+    """Slots, and a ``mode``: ok, slow, error or gone."""
+
+    def __init__(self, loop, view, slow_factor=10):
+        self.loop = loop
+        self.view = view
+        self.slow_factor = slow_factor
+        self.mode = "ok"
+        self.busy = 0
+        self.served = 0
+        self.full_hits = 0
+        self.busy_ms = 0.0
+
+    def take(self, call, done):
+        """Serve a call; ``done(result, status)`` when it has ended here."""
+        if self.mode == "gone":
+            done(serving.UNREACHABLE, 0)
+        elif self.mode == "error":
+            self.served += 1
+            self.loop.after(0.1, lambda: done(serving.ANSWERED, 500))
+        elif self.busy >= self.view.slots:
+            self.full_hits += 1
+            done(serving.REFUSED, 503)
+        else:
+            self._run(call, done)
+
+    def _run(self, call, done):
+        self.busy += 1
+        self.served += 1
+        run_ms = call.work_ms * (self.slow_factor if self.mode == "slow" else 1)
+        self.busy_ms += run_ms
+
+        def finish():
+            self.busy -= 1
+            done(serving.ANSWERED, 200)
+
+        self.loop.after(run_ms, finish)
+
+
+class Entry:
+    """Carries out the decisions of one service as the entry's threads do."""
+
+    def __init__(self, loop, decide, domain, runners, got):
+        self.loop = loop
+        self.decide = decide
+        self.domain = domain
+        self._runners = {runner.view.runner_id: runner for runner in runners}
+        self._got = got
+        self._open = {}
+        self._numbers = itertools.count()
+        loop.after(TICK_MS, self._tick)
+
+    def submit(self, call):
+        """A caller's request arrives."""
+        request_id = f"r{next(self._numbers)}"
+        now_ms = self.loop.now_ms
+        self._open[request_id] = [call, now_ms, 0, (), 0.0]
+        ask = serving.Ask(
+            request_id, call.team, call.priority, now_ms, now_ms + call.deadline_ms
+        )
+        self._carry_out(self.decide.arrive(ask, now_ms))
+
+    def _tick(self):
+        self.loop.after(TICK_MS, self._tick)
+        self._carry_out(self.decide.tick(self.loop.now_ms)[0])
+
+    def _carry_out(self, decisions):
+        for decision in decisions:
+            if isinstance(decision, serving.Grant):
+                self._send(decision)
+            else:
+                self._end(decision.request_id, "not-run", 503, decision.retry_after_ms)
+
+    def _send(self, grant):
+        state = self._open[grant.request_id]
+        state[2] += 1
+        sent_ms = self.loop.now_ms
+        runner = self._runners[grant.runner.runner_id]
+        hop_ms = HOP_MS
+        if grant.runner.failure_domain != self.domain:
+            hop_ms += DOMAIN_HOP_MS
+
+        def back(result, status):
+            self.loop.after(hop_ms, lambda: self._ended(grant, result, status, sent_ms))
+
+        self.loop.after(hop_ms, lambda: runner.take(state[0], back))
+
+    def _ended(self, grant, result, status, sent_ms):
+        now_ms = self.loop.now_ms
+        request_id, runner_id = grant.request_id, grant.runner.runner_id
+        run_ms = now_ms - sent_ms
+        ended = serving.Ended(request_id, runner_id, result, status, run_ms)
+        call, arrived_ms, attempts, avoided, _ = state = self._open[request_id]
+        if result == serving.ANSWERED:
+            self._end(request_id, "ran", status, 0)
+        self._carry_out(self.decide.ended(ended, now_ms))
+        if result == serving.ANSWERED:
+            return
+        state[3] = avoided = (*avoided, runner_id)
+        ask = serving.Ask(
+            request_id,
+            call.team,
+            call.priority,
+            arrived_ms,
+            arrived_ms + call.deadline_ms,
+            attempts + 1,
+            result,
+        )
+        self._carry_out(self.decide.arrive(ask, now_ms, avoided))
+
+    def _end(self, request_id, outcome, status, retry_after_ms):
+        call, arrived_ms, attempts, _, _ = self._open.pop(request_id)
+        took_ms = self.loop.now_ms - arrived_ms
+        got = Got(call, outcome, status, arrived_ms, took_ms, retry_after_ms, attempts)
+        self._got.append(got)
+
+
+class Cell:
+    """Entries and runners of one service over domains, and what callers got.
+
+    ``make_decide(place, random)`` makes the decision object of one entry.
+    """
+
+    def __init__(
+        self, make_decide, domains=1, entries=2, runners=6, slots=8, connections=64
+    ):
+        self.loop = Loop()
+        self.random = random.Random(7)
+        self.got = []
+        self.runners = [
+            Runner(self.loop, _view(domain, number, slots, connections))
+            for domain in range(domains)
+            for number in range(runners)
+        ]
+        self.entries = []
+        for domain in range(domains):
+            place = serving.Place(f"domain-{domain}", entries, domains * entries)
+            for _ in range(entries):
+                decide = make_decide(place, random.Random(len(self.entries)))
+                decide.set_runners([runner.view for runner in self.runners])
+                name = place.failure_domain
+                made = Entry(self.loop, decide, name, self.runners, self.got)
+                self.entries.append(made)
+
+    @property
+    def slots(self):
+        return sum(runner.view.slots for runner in self.runners)
+
+    def arrivals(self, per_s, make_call, start_ms, end_ms, entries=None):
+        """Callers send at random moments, so many a second, to entries at random."""
+        entries = entries or self.entries
+
+        def arrive():
+            self.random.choice(entries).submit(make_call(self.random))
+            schedule()
+
+        def schedule():
+            gap_ms = self.random.expovariate(per_s) * 1000
+            if self.loop.now_ms + gap_ms < end_ms:
+                self.loop.after(gap_ms, arrive)
+
+        self.loop.at(start_ms, schedule)
+
+    def burst(self, number, make_call, moment_ms, entry=None):
+        """So many requests at one moment, to one entry or spread evenly."""
+        for turn in range(number):
+            target = entry or self.entries[turn % len(self.entries)]
+            call = make_call(self.random)
+            self.loop.at(moment_ms, lambda e=target, c=call: e.submit(c))
+
+    def run(self, end_ms):
+        """Let time pass, and all that is open then end."""
+        self.loop.run_until(end_ms)
+        return self
+
+    def views_changed(self):
+        """Tell the entries of runners that left for good."""
+        views = [r.view for r in self.runners if r.mode != "gone"]
+        for entry in self.entries:
+            entry.decide.set_runners(views)
+
+
+def _view(domain, number, slots, connections):
+    return placer.RunnerView(
+        f"runner-{domain}-{number}",
+        "boot-1",
+        "closures",
+        "127.0.0.1:1",
+        f"vm-{domain}-{number}",
+        f"rack-{domain}",
+        f"domain-{domain}",
+        slots,
+        connections,
+        "ready",
+    )
+
+
+def make_service(queue_length=64, weights=None, declared_run_ms=0):
+    """A ``make_decide`` for ``Cell`` with the project's own decisions."""
+
+    def make(place, chance):
+        service = serving.Service(place, queue_length, chance)
+        service.configure(weights or {}, declared_run_ms)
+        return service
+
+    return make
+
+
+def quantile(values, share):
+    """The value below which ``share`` of the values lie; 0 if there are none."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
