--- a/alderreach/ops/placer/item_writer.py
+++ b/alderreach/ops/placer/item_writer.py
@@ -49,10 +49,9 @@
         """Have an item written with what ``make`` gives by then."""
         self._makers.setdefault(key, make)
 
-    @property
-    def is_idle(self):
-        """Whether everything marked is written."""
-        return not self._makers and self._written is None
+    def saw(self, item):
+        """Note the version of an item that another wrote, so that it can be deleted."""
+        self._note_version(item.key, item.version if item.value is not None else 0)
 
     def next_batch(self, now_ms, wall_ms):
         """Return the WriteItems to send now, or None."""
--- a/alderreach/ops/placer/tenure.py
+++ b/alderreach/ops/placer/tenure.py
@@ -151,6 +151,7 @@
         """Apply pushed items; before the beginning they are in the gateway's copy."""
         if self.begun:
             for item in changed:
+                self._writer.saw(item)
                 self._items.change(item, now_ms)
 
     def written(self, mail, now_ms):
--- /dev/null
+++ b/tests/placer_failures_test.py
@@ -0,0 +1,299 @@
+"""Named failures of a failure domain, played on the simulated domain of placer_sim."""
+
+import pytest
+
+from alderreach.core.generated import placer
+from tests import placer_sim
+
+LAPSE_MS = placer_sim.TIMING.target_lease_ms + placer_sim.TIMING.lease_margin_ms
+SERVICE_WITHIN_MS = 3000
+
+
+@pytest.fixture
+def world():
+    made = placer_sim.World()
+    made.run_until(lambda: made.owner() is not None)
+    made.run(3000)
+    return made
+
+
+def start_one(world, **details):
+    """Submit a one-task job that runs long; returns the worker that runs it."""
+    world.submit("j1", run_ms=details.pop("run_ms", 60_000), **details)
+    world.run_until(lambda: world.place("j1/0"))
+    return world.workers[world.place("j1/0")[0]]
+
+
+def worker_states(world, job_id="j1"):
+    return [
+        (name, task["attempt"])
+        for name, worker in world.workers.items()
+        for task in worker.tasks.values()
+        if task["job_id"] == job_id
+    ]
+
+
+def test_killed_owner_is_replaced_and_nothing_is_restarted(world):
+    """The owner's VM dies while a batch runs. Guides wait for new work meanwhile.
+
+    The standby may take over once its promise and the keepers' lease have lapsed. It
+    must know what runs: a task it did not know of would be run a second time.
+    """
+    world.submit("j1", tasks=6, run_ms=8000)
+    world.run_until(lambda: len(worker_states(world)) == 6)
+    before = sorted(worker_states(world))
+    old = world.owner()
+    old.kill()
+    took_ms = world.run_until(lambda: world.owner() is not None)
+    assert took_ms < SERVICE_WITHIN_MS
+    world.run(4000)
+    assert sorted(worker_states(world)) == before
+    world.run_until(lambda: world.status("j1").state == "finished")
+    assert len({attempt for _, attempt in before}) == 1
+
+
+def test_owner_cut_off_from_the_quorum_goes_on(world):
+    """A landslide cuts the domain's uplink; its owner and standby see each other.
+
+    The standby still promises, so the owner goes on placing and renewing leases, and
+    nobody is granted its place, though the keepers' lease has long lapsed.
+    """
+    world.submit("j1", tasks=1, run_ms=3000, fail=True)
+    world.run_until(lambda: world.place("j1/0"))
+    for name in world.placers:
+        world.link("k", name, "drops")
+    owner = world.owner()
+    world.run(10_000)
+    assert world.owner() is owner
+    assert [kind for _, kind, _ in owner.events].count("task_started") == 3
+    world.heal()
+    world.run_until(lambda: world.status("j1").state == "failed")
+
+
+def test_standby_that_reaches_the_keepers_does_not_take_a_served_domain(world):
+    """Only the owner's way to the keepers is cut. The standby could be granted the
+
+    domain after two seconds, while the owner, trusting the standby's promise, still
+    commands its workers: two owners at once.
+    """
+    owner = world.owner()
+    world.link("k", owner.name, "drops")
+    world.run(10_000)
+    assert world.owner() is owner
+
+
+def test_restarted_standby_keeps_the_promise_it_forgot(world):
+    """The standby promises, crashes and comes back while the owner is cut off alone.
+
+    With its promise forgotten it would seek ownership at once, and the keepers' lease
+    has lapsed already, while the owner still acts on the promise.
+    """
+    owner = world.owner()
+    standby = world.placers[owner.peer]
+    world.link("k", owner.name, "drops")
+    world.run(5000)
+    world.link(owner.name, standby.name, "drops")
+    standby.start()
+    world.run(1500)
+    assert world.owner() is owner
+    world.run_until(lambda: world.owner() is standby)
+
+
+def test_frozen_owner_wakes_and_does_not_act(world):
+    """The owner's VM is paused beyond all leases with commands already queued.
+
+    When it wakes it has not noticed; were it to send them on its old epoch, a worker
+    that has not heard the new owner yet would start a task twice.
+    """
+    world.submit("j1", tasks=1, run_ms=20_000)
+    old = world.owner()
+    world.run_until(lambda: any(kind == "task_placed" for _, kind, _ in old.events))
+    old.frozen = True
+    world.run_until(lambda: world.owner() not in (None, old))
+    old.frozen = False
+    old.step()
+    assert not old.service.may_act
+    world.run_until(lambda: world.place("j1/0"))
+    world.run(10_000)
+    assert len(world.place("j1/0")) == 1
+
+
+def test_delayed_run_does_not_start_a_task_placed_elsewhere(world):
+    """A run command hangs in a silent link; the worker is cut off past its lease.
+
+    The task starts elsewhere. Then the link heals and the old command arrives at a
+    worker whose lease has been renewed and whose epoch still fits.
+    """
+    owner = world.owner()
+    for name in world.workers:
+        world.link(owner.name, name, "holds", both=False)
+    world.submit("j1", tasks=1, run_ms=60_000)
+    placed = world.run_until(
+        lambda: any(kind == "task_placed" for _, kind, _ in owner.events)
+    )
+    assert placed < 5000
+    target = owner.last_event("task_placed")["target_id"]
+    world.link(target, owner.name, "drops", both=False)
+    for name in set(world.workers) - {target}:
+        world.link(owner.name, name, "passes")
+    world.run_until(lambda: world.place("j1/0"))
+    world.heal()
+    world.run(3000)
+    assert len(world.place("j1/0")) == 1
+    assert world.place("j1/0") != [target]
+
+
+def test_second_copy_of_a_run_does_not_repeat_a_finished_task(world):
+    """The first copy of a run hangs in the network; the second runs and finishes.
+
+    Had the owner acknowledged the end, the worker would have forgotten the attempt and
+    taken the first copy for a new one: two crews at the same anchor inspection.
+    """
+    owner = world.owner()
+    for name in world.workers:
+        world.link(owner.name, name, "holds", both=False)
+    world.submit("j1", tasks=1, run_ms=100)
+    world.run(2500)
+    held = [world.network.take_held(owner.name, name) for name in world.workers]
+    world.heal()
+    world.run_until(lambda: world.status("j1").state == "finished")
+    world.run(1000)
+    for call in [call for calls in held for call in calls]:
+        call()
+    assert not world.place("j1/0")
+
+
+def test_task_that_stays_is_held_until_its_worker_is_known(world):
+    """A worker with a task that stays is cut off for a long time. The task runs on.
+
+    No lapse of time may start it elsewhere; the worker's return must find it held, and
+    another boot of the worker frees it.
+    """
+    worker = start_one(world, when_cut_off="stay")
+    for name in world.placers:
+        world.link(name, worker.name, "drops")
+    world.run(4 * LAPSE_MS)
+    assert world.place("j1/0") == [worker.name]
+    world.heal()
+    world.run(3000)
+    assert world.place("j1/0") == [worker.name]
+    worker.start()
+    world.run_until(lambda: world.place("j1/0"))
+
+
+def test_task_that_stays_survives_the_loss_of_both_placers(world):
+    """Both placers' VMs are lost while the worker of a task that stays is cut off.
+
+    Only the keepers still know of the task: without their item the new owner would
+    start it a second time while it runs on.
+    """
+    worker = start_one(world, when_cut_off="stay")
+    world.run(1000)
+    for name in world.placers:
+        world.link(name, worker.name, "drops")
+        world.placers[name].start()
+    world.run(4 * LAPSE_MS)
+    assert world.place("j1/0") == [worker.name]
+    world.heal()
+    world.run(5000)
+    assert world.place("j1/0") == [worker.name]
+
+
+def test_operators_word_frees_a_task_that_stays(world):
+    """The VM of a task that stays burnt down; the operator says so.
+
+    Without the word the task would be held for ever, since time proves nothing.
+    """
+    worker = start_one(world, when_cut_off="stay")
+    worker.kill()
+    world.run(2 * LAPSE_MS)
+    assert not world.place("j1/0")
+    world.keepers.write(f"target/{worker.name}", b"dead")
+    world.run_until(lambda: world.place("j1/0"))
+    word = f"target/{worker.name}"
+    world.run_until(lambda: world.keepers.state.items[word].value is None, 1000)
+
+
+def test_lost_records_delay_starts_until_leases_lapse(world):
+    """The standby was repaired a moment ago and holds nothing yet; the owner dies.
+
+    Workers that can't reach the new owner run tasks nobody tells it of. It must not
+    start them again before they have stopped themselves.
+    """
+    worker = start_one(world)
+    owner = world.owner()
+    for name in world.placers:
+        world.link(name, worker.name, "drops")
+    owner.kill()
+    world.placers[owner.peer].start()
+    world.run(3 * LAPSE_MS)
+    assert len(world.place("j1/0")) == 1
+    assert world.place("j1/0") != [worker.name]
+
+
+def test_cancellations_during_a_takeover_stop_every_task(world):
+    """A wave of cancellations arrives while the owner is dead.
+
+    The new owner reads them with the jobs; a task restored as running must be stopped,
+    and one that waits must never start.
+    """
+    for number in range(6):
+        world.submit(f"j{number}", tasks=3, run_ms=60_000)
+    world.run_until(lambda: any(world.place(f"j{n}/0") for n in range(6)))
+    world.run(1000)
+    world.owner().kill()
+    for number in range(6):
+        world.cancel(f"j{number}")
+    states = {f"j{n}": "cancelled" for n in range(6)}
+    world.run_until(lambda: {j: world.status(j).state for j in states} == states)
+    assert not any(worker.running() for worker in world.workers.values())
+
+
+def test_handover_leaves_no_gap(world):
+    """The owner's VM is stopped for maintenance: entries must see an owner at once.
+
+    The standby is told by the last beat and need not wait for any lease.
+    """
+    worker = start_one(world)
+    old = world.owner()
+    old.drain()
+    took_ms = world.run_until(lambda: world.owner() not in (None, old))
+    assert took_ms < placer_sim.TIMING.owner_beat_ms
+    world.run(5000)
+    assert worker_states(world) == [(worker.name, worker.tasks["j1/0"]["attempt"])]
+
+
+def test_record_precedes_the_run_command(world):
+    """The standby does not hear the owner for a moment while a task is placed.
+
+    If the run left before its record was held elsewhere and the owner died then, the
+    task would be unknown to the next owner while it runs.
+    """
+    owner = world.owner()
+    world.link(owner.name, owner.peer, "drops", both=False)
+    world.submit("j1")
+    world.run_until(lambda: "task_placed" in [kind for _, kind, _ in owner.events])
+    world.link(owner.name, "k", "drops", both=False)
+    world.run(1000)
+    assert not world.place("j1/0")
+
+
+def test_leaving_runner_is_shown_at_once(world):
+    """A runner says that it leaves; an entry that still sends to it gets refusals."""
+    owner = world.owner()
+    views = []
+    world.entry = views.append
+    owner.tell("entry", placer.WatchTargets(0, 0))
+    for sequence, state in enumerate(("ready", "leaving"), 1):
+        world.announce_runner(owner, sequence, state)
+        world.run_until(lambda state=state: shown(views) == {"r1": state}, 1000)
+
+
+def shown(views):
+    """What an entry that applied the views would know."""
+    known = {}
+    for view in views:
+        if view.from_sequence == 0:
+            known = {}
+        known.update({runner.runner_id: runner.state for runner in view.runners})
+    return known
