--- a/alderreach/ops/placer/placing.py
+++ b/alderreach/ops/placer/placing.py
@@ -97,6 +97,7 @@
         state.failed.discard(number)
         self._replay(state.job, number, "finished", now_ms)
         self._mark_ended(state)
+        self._mark_job(state)
 
     def _replay(self, job, number, outcome, now_ms):
         """Tell the scheduler of an end from before this epoch."""
--- a/tests/placer_sim.py
+++ b/tests/placer_sim.py
@@ -374,6 +374,7 @@
         self.capacity = capacity
         self.clock = make_clock(world.network, rate)
         self.boots = 0
+        self.refuses = False
         self.start()
 
     def start(self):
@@ -502,6 +503,9 @@
             run_ms = plan.get("run_ms")
             ends_ms = None if run_ms is None else now_ms + run_ms
             end_state = "failed" if plan.get("fail") else "finished"
+            if self.refuses:
+                return target_wire.CommandResult(*key, False, "no room")
+            self.world.starts[command["task_id"]] += 1
             self.tasks[command["task_id"]] = command | {
                 "state": "running",
                 "ends_ms": ends_ms,
@@ -537,6 +541,7 @@
             ),
         )
         self.entry = lambda message: None
+        self.starts = collections.Counter()
         for placer in self.placers.values():
             placer.start()
 
