--- a/alderreach/ops/client/api.py
+++ b/alderreach/ops/client/api.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import re
 import time
 import typing
 import urllib.parse
@@ -17,6 +18,7 @@
 
 from alderreach.utils import clocks
 
+ENTRY = re.compile(r"([^\s/:]+|\[[0-9a-fA-F:]+\]):[0-9]{1,5}")
 ROUNDS = 3
 ROUND_PAUSE_S = 0.5
 CONNECT_TIMEOUT_S = 2
@@ -128,6 +130,15 @@
         return Attempt(answer.status, document, unsure)
 
 
+def path(*parts):
+    """The path of a resource, each part quoted whatever people typed.
+
+    >>> path("v1", "jobs", "a/b")
+    '/v1/jobs/a%2Fb'
+    """
+    return "".join(f"/{urllib.parse.quote(part, safe='')}" for part in parts)
+
+
 def make_key(wall_ms):
     """A fresh idempotency key that tells when it was made.
 
--- a/alderreach/scripts/commands/base.py
+++ b/alderreach/scripts/commands/base.py
@@ -82,6 +82,10 @@
         if not entries:
             text = f"no entry named; give --entry host:port or set {ENTRY_VARIABLE}"
             return api.fail(api.EXIT_BAD_INPUT, text)
+        for entry in entries:
+            if not api.ENTRY.fullmatch(entry):
+                text = f"the entry {entry!r} must be written host:port"
+                return api.fail(api.EXIT_BAD_INPUT, text)
         token = read_token(self.option("token-file") or os.environ.get(TOKEN_VARIABLE))
         if isinstance(token, Err):
             return token
--- a/alderreach/scripts/commands/job.py
+++ b/alderreach/scripts/commands/job.py
@@ -52,7 +52,7 @@
 
     def call(self, client):
         """Read the job."""
-        return client.get(f"/v1/jobs/{self.argument('job')}")
+        return client.get(api.path("v1", "jobs", self.argument("job")))
 
     def view(self, document):
         """The job in full."""
@@ -97,7 +97,7 @@
 
     def call(self, client):
         """Send the cancellation."""
-        path = f"/v1/jobs/{self.argument('job')}"
+        path = api.path("v1", "jobs", self.argument("job"))
         return client.change("DELETE", path, key=self.key())
 
     def view(self, document):
--- a/alderreach/scripts/commands/keeper.py
+++ b/alderreach/scripts/commands/keeper.py
@@ -39,7 +39,7 @@
         agreed = self.agreed(self.question.format(identity))
         if isinstance(agreed, Err):
             return agreed
-        path = f"/v1/keepers/{identity}/{self.action}"
+        path = api.path("v1", "keepers", identity, self.action)
         return client.change("POST", path, self.body())
 
     def body(self):
--- a/alderreach/scripts/commands/maintenance.py
+++ b/alderreach/scripts/commands/maintenance.py
@@ -77,7 +77,7 @@
 
     def call(self, client):
         """Send the withdrawal."""
-        path = f"/v1/maintenance/{self.argument('window')}"
+        path = api.path("v1", "maintenance", self.argument("window"))
         return client.change("DELETE", path, key=self.key())
 
     def view(self, document):
--- a/alderreach/scripts/commands/target.py
+++ b/alderreach/scripts/commands/target.py
@@ -3,7 +3,7 @@
 from cleo.helpers import argument, option
 from result import Err
 
-from alderreach.ops.client import views
+from alderreach.ops.client import api, views
 from alderreach.scripts.commands import base
 
 
@@ -46,7 +46,7 @@
         agreed = self.agreed(question)
         if isinstance(agreed, Err):
             return agreed
-        path = f"/v1/targets/{target}/forget"
+        path = api.path("v1", "targets", target, "forget")
         return client.change("POST", path, key=self.key())
 
     def view(self, document):
--- a/tests/operators_cli_test.py
+++ b/tests/operators_cli_test.py
@@ -114,6 +114,7 @@
         "job list --state finished",
         "job show urubici-unknown",
         "job cancel urubici-unknown",
+        "job cancel ../config?x",
         f"maintenance add {window} --start 2031-03-01T02:00Z --end 2031-03-01T04:00Z",
         f"maintenance add {window} --start 2031-03-01T02:00 --end 2031-03-01T04:00Z",
         f"maintenance add {window} --start tomorrow --end 2031-03-01T04:00Z",
@@ -175,6 +176,7 @@
         "job submit one",
         "status --colour",
         "status --token-file FOLDER/missing",
+        "status --entry 10.0.0.1",
     ):
         assert shell.run(command) == 2
     monkeypatch.setenv("ALDERREACH_ENTRY", "127.0.0.1:9")
