--- /dev/null
+++ b/alderreach/ops/placer/sender_test.py
@@ -0,0 +1,43 @@
+"""A sender's thread checks the lease right before each send."""
+
+import queue
+
+from alderreach.core import ownership
+from alderreach.ops import target_wire
+from alderreach.ops.placer import sender
+from alderreach.utils import clocks
+
+NOWHERE = "127.0.0.1:9"
+
+
+def outcome_of(epoch, now_ms):
+    fake = clocks.FakeClock(now_ms)
+    done = queue.Queue()
+    made = sender.Sender(
+        lambda: ownership.Lease(3, 100), fake.clock, done.put, threads=1
+    )
+    made.start()
+    made.put(target_wire.Batch("w1", NOWHERE, "b1", epoch, 1, ()))
+    result = done.get(timeout=5)
+    made.close()
+    return result
+
+
+def test_batch_of_a_lapsed_lease_or_an_older_epoch_does_not_leave(monkeypatch):
+    """A process wakes after a stop with a batch in its queue; another owns the domain.
+
+    The batch must end as unsent, without any connection being tried.
+    """
+    tried = []
+    monkeypatch.setattr(
+        target_wire.WorkerClient,
+        "send",
+        lambda self, batch: (
+            tried.append(batch) or target_wire.BatchResult(batch, "answered", (), 0)
+        ),
+    )
+    assert outcome_of(epoch=3, now_ms=99).status == "answered"
+    assert len(tried) == 1
+    assert outcome_of(epoch=3, now_ms=100).status == "unsent"
+    assert outcome_of(epoch=2, now_ms=50).status == "unsent"
+    assert len(tried) == 1
