--- a/alderreach/ops/client/api.py
+++ b/alderreach/ops/client/api.py
@@ -31,6 +31,8 @@
 ELSEWHERE = ("no_quorum", "draining", "write_unconfirmed", "overloaded", "internal")
 # Of these, the attempt may have been taken all the same.
 UNSURE = ("write_unconfirmed", "internal")
+# Not elsewhere either, but it may be reached later.
+UNREACHABLE = ("no_owner",)
 BAD_INPUT = (
     "malformed_request",
     "invalid_configuration",
@@ -170,7 +172,10 @@
 
 
 def _exit_code(document):
-    return EXIT_BAD_INPUT if document.get("kind") in BAD_INPUT else EXIT_REFUSED
+    kind = document.get("kind")
+    if kind in UNREACHABLE:
+        return EXIT_UNREACHABLE
+    return EXIT_BAD_INPUT if kind in BAD_INPUT else EXIT_REFUSED
 
 
 def describe(document):
@@ -179,8 +184,8 @@
     if document.get("mistakes"):
         for mistake in document["mistakes"]:
             lines.append("  " + ": ".join(text for text in mistake.values() if text))
-    else:
-        lines.append("  " + document.get("detail", ""))
+    elif document.get("detail"):
+        lines.append("  " + document["detail"])
     return "\n".join(lines)
 
 
--- a/alderreach/ops/client/views.py
+++ b/alderreach/ops/client/views.py
@@ -3,6 +3,8 @@
 import datetime
 
 EMPTY = "none"
+# A keeper tells the version of each follower; the followers' own rows show it already.
+FOLLOWER_VERSIONS = "version."
 
 
 def table(headers, rows):
@@ -207,7 +209,11 @@
     lines.append("quorum: " + ("yes" if document["quorum"] else "no leader answered"))
     rows = []
     for row in document["processes"]:
-        detail = " ".join(f"{key}={value}" for key, value in row["detail"].items())
+        detail = " ".join(
+            f"{key}={value}"
+            for key, value in row["detail"].items()
+            if not key.startswith(FOLLOWER_VERSIONS)
+        )
         lag = "lags" if row["lagging"] else ""
         version = row["version_in_force"] if row["reachable"] else "-"
         rows.append(
--- a/alderreach/ops/entry/operator_targets.py
+++ b/alderreach/ops/entry/operator_targets.py
@@ -41,7 +41,38 @@
     if isinstance(key, Err):
         return key
     target_id = request.names["target_id"]
+    if not operator_changes.was_accepted(deps.gateway, request):
+        checked = _check_silent(deps, target_id)
+        if isinstance(checked, Err):
+            return checked
     value = codec.encode(request.operator)
     write = keeper.ItemWrite(f"target/{target_id}", ANY_VERSION, value)
     summary = f"target {target_id} declared dead"
     return operator_changes.commit(deps, request, [write], summary)
+
+
+def _check_silent(deps, target_id):
+    """Refuse a name no owner knows, a runner, and a worker that still announces itself.
+
+    Declared dead, a live worker would be left with tasks that also start elsewhere; and
+    a misspelt name would wait, unseen, for a target that one day bears it.
+    """
+    domains = operator_owners.failure_domains(deps.context.settings)
+    replies = operator_owners.ask_owners(deps, domains, placer.TargetQuery(""))
+    rows = [row for reply in replies.values() if reply for row in reply.targets]
+    row = next((row for row in rows if row.target_id == target_id), None)
+    if row is None:
+        silent = [domain for domain, reply in replies.items() if reply is None]
+        detail = f"no owner knows a target {target_id!r}"
+        if silent:
+            asked = ", ".join(silent)
+            detail += f"; the owners of {asked} do not answer, ask again when they do"
+            return operator_http.refuse(errors.Kind.NO_OWNER, detail)
+        return operator_http.refuse(errors.Kind.NOT_FOUND, detail)
+    if row.kind != "worker":
+        detail = f"{target_id} is a runner: declare the worker on {row.vm} dead instead"
+        return operator_http.refuse(errors.Kind.MALFORMED_REQUEST, detail)
+    if row.state == "ready":
+        detail = f"{target_id} announces itself and is not dead; stop its VM first"
+        return operator_http.refuse(errors.Kind.MALFORMED_REQUEST, detail)
+    return Ok(row)
--- a/alderreach/ops/entry/operators.py
+++ b/alderreach/ops/entry/operators.py
@@ -142,7 +142,8 @@
     names = {}
     for wanted, part in zip(pattern, parts, strict=True):
         if wanted.startswith("{") and part:
-            names[wanted.strip("{}")] = part
+            # The HTTP server leaves a quoted slash as it is, so that it splits no path.
+            names[wanted.strip("{}")] = part.replace("%2F", "/").replace("%2f", "/")
         elif wanted != part:
             return None
     return names
--- a/alderreach/scripts/client.py
+++ b/alderreach/scripts/client.py
@@ -33,6 +33,7 @@
     config.History,
     team.TeamList,
     team.TeamShow,
+    team.TeamRemove,
     team.WorkloadList,
     team.WorkloadShow,
     maintenance.Add,
--- a/alderreach/scripts/commands/team.py
+++ b/alderreach/scripts/commands/team.py
@@ -3,7 +3,7 @@
 from cleo.helpers import argument, option
 from result import Err, Ok
 
-from alderreach.ops.client import api, views
+from alderreach.ops.client import api, plans, views
 from alderreach.parser import configuration
 from alderreach.scripts.commands import base
 
@@ -52,6 +52,37 @@
         return views.items(document)
 
 
+class TeamRemove(base.ApiCommand):
+    """Take a team out with all its workloads."""
+
+    name = "team remove"
+    description = "Remove a team and all its workloads; its services stop."
+    arguments = [argument("team", "The team's name.")]
+    options = [*base.API_OPTIONS, base.YES_OPTION, base.KEY_OPTION]
+
+    def call(self, client):
+        """Show what goes, ask, and commit it together."""
+        name = self.argument("team")
+        document = client.get("/v1/config")
+        if isinstance(document, Err):
+            return document
+        plan = plans.plan(document.ok_value, name, {})
+        if not plan.writes:
+            return api.fail(api.EXIT_BAD_INPUT, f"no team {name!r}")
+        if not self.option("json"):
+            for line in plan.lines:
+                base.write(self, line)
+        agreed = self.agreed(f"Remove these {len(plan.writes)} items?")
+        if isinstance(agreed, Err):
+            return agreed
+        body = {"writes": plan.writes, "summary": plan.summary}
+        return client.change("PUT", "/v1/config", body, self.key())
+
+    def view(self, document):
+        """One line."""
+        return [f"accepted as version {document['version']}"]
+
+
 class WorkloadList(base.ApiCommand):
     """All workloads."""
 
