--- a/alderreach/core/raft_test.py
+++ b/alderreach/core/raft_test.py
@@ -82,6 +82,8 @@
     Had it forgotten, both candidates could win the term.
     """
     node = make()
+    assert not ask(node, "d", 2, last=(0, 0)).granted
+    assert sync(node).voted_for == ""
     assert ask(node, "b", 2).granted
     write = sync(node)
     assert (write.term, write.voted_for) == (2, "b")
