--- a/alderreach/core/keeper_dump.py
+++ b/alderreach/core/keeper_dump.py
@@ -19,12 +19,14 @@
 
     index: int
     version: int
+    floor_version: int
     clock_ms: int
     lifetime_ms: int
 
 
 KINDS = {
     "items": dict[str, keeper_state.StoredItem],
+    "deleted": dict[str, int],
     "claims": dict[str, key_state.Claim],
     "writes": dict[str, key_state.KeptWrite],
     "expired": dict[bytes, int],
@@ -37,17 +39,21 @@
     other = keeper_state.State()
     other.index, other.version = state.index, state.version
     other.clock_ms = state.clock_ms
-    other.items = dict(state.items)
+    other.floor_version = state.floor_version
     other.keys.lifetime_ms = state.keys.lifetime_ms
-    for kind in ("claims", "writes", "expired", "abandoned"):
-        setattr(other.keys, kind, dict(getattr(state.keys, kind)))
+    for kind in KINDS:
+        _holder(other, kind).update(_holder(state, kind))
     return other
 
 
 def dump(state):
     """Yield the records of a state that does not change meanwhile."""
     counters = Counters(
-        state.index, state.version, state.clock_ms, state.keys.lifetime_ms
+        state.index,
+        state.version,
+        state.floor_version,
+        state.clock_ms,
+        state.keys.lifetime_ms,
     )
     yield msgspec.msgpack.encode(("counters", counters))
     for kind in KINDS:
@@ -64,6 +70,7 @@
         if kind == "counters":
             counters = msgspec.msgpack.decode(payload, type=Counters)
             state.index, state.version = counters.index, counters.version
+            state.floor_version = counters.floor_version
             state.clock_ms = counters.clock_ms
             state.keys.lifetime_ms = counters.lifetime_ms
         elif kind in KINDS:
@@ -71,9 +78,9 @@
             _holder(state, kind).update(batch)
         else:
             raise msgspec.ValidationError(f"no such kind of record: {kind!r}")
-    state.history = sorted((stored.version, key) for key, stored in state.items.items())
+    state.history = keeper_state.history_of(state)
     return state
 
 
 def _holder(state, kind):
-    return state.items if kind == "items" else getattr(state.keys, kind)
+    return getattr(state if kind in ("items", "deleted") else state.keys, kind)
--- a/alderreach/core/keeper_state.py
+++ b/alderreach/core/keeper_state.py
@@ -5,7 +5,10 @@
 settings are in the log too (``KeeperPolicy``).
 
 Each command that changes the map gives all its items the next version. Deleted items
-stay as tombstones, so that a follower that missed the deletion gets it as a change.
+stay as tombstones for ``lifetime_ms``, so that a follower that missed the deletion gets
+it as a change. Kept for ever, the tombstones of finished jobs would fill the memory. A
+follower below ``floor_version`` may have missed a dropped one and has to take the whole
+map anew.
 
 >>> state = State()
 >>> write = keeper.ItemWrite("team/a", 0, b"...")
@@ -37,13 +40,17 @@
 
     ``history`` lists (version, key) in order of version; entries that a later write
     of the key made stale are skipped, and dropped once they are the greater part.
+    ``deleted`` maps the keys of tombstones to when they were deleted, oldest first;
+    ``floor_version`` is the newest version of a tombstone that was dropped.
     """
 
     def __init__(self):
         self.index = 0
         self.version = 0
         self.clock_ms = 0
+        self.floor_version = 0
         self.items = {}
+        self.deleted = {}
         self.history = []
         self.keys = key_state.Keys()
 
@@ -53,6 +60,7 @@
     state.index = index
     state.clock_ms = max(state.clock_ms, wall_ms)
     key_state.expire(state.keys, state.clock_ms)
+    _drop_tombstones(state)
     handler = HANDLERS.get(type(command))
     return handler(state, command) if handler else None
 
@@ -72,8 +80,9 @@
         if changed_at != reached and len(items) >= most:
             return reached, items
         reached = changed_at
-        stored = state.items[key]
-        if stored.version == changed_at and key.startswith(prefixes):
+        stored = state.items.get(key)
+        is_newest = stored is not None and stored.version == changed_at
+        if is_newest and key.startswith(prefixes):
             items.append(common.Item(key, changed_at, stored.value))
     return state.version, items
 
@@ -101,12 +110,27 @@
     for key, value in writes:
         state.items[key] = StoredItem(state.version, value, author)
         state.history.append((state.version, key))
+        state.deleted.pop(key, None)
+        if value is None:
+            state.deleted[key] = state.clock_ms
     if len(state.history) > 2 * len(state.items) + HISTORY_SLACK:
-        state.history = [
-            entry
-            for entry in state.history
-            if state.items[entry[1]].version == entry[0]
-        ]
+        state.history = history_of(state)
+
+
+def history_of(state):
+    """The history without what later writes made stale."""
+    return sorted((stored.version, key) for key, stored in state.items.items())
+
+
+def _drop_tombstones(state):
+    before_ms = state.clock_ms - state.keys.lifetime_ms
+    while state.deleted:
+        key = next(iter(state.deleted))
+        if state.deleted[key] > before_ms:
+            return
+        del state.deleted[key]
+        version = state.items.pop(key).version
+        state.floor_version = max(state.floor_version, version)
 
 
 def _write_items(state, command):
--- a/alderreach/core/keeper_state_test.py
+++ b/alderreach/core/keeper_state_test.py
@@ -91,3 +91,23 @@
     loaded = keeper_dump.load(list(keeper_dump.dump(state)))
     assert list(keeper_dump.dump(loaded)) == list(keeper_dump.dump(state))
     assert loaded.history == [entry for entry in state.history if entry[0] == 2]
+
+
+def test_a_tombstone_is_dropped_after_the_lifetime_and_raises_the_floor():
+    state = keeper_state.State()
+    state.keys.lifetime_ms = 500
+    write(state, ("a/1", -1, b"1"))
+    write(state, ("a/1", -1, None))
+    write(state, ("a/2", -1, b"2"))
+    policy = keeper.KeeperPolicy(500)
+    keeper_state.apply(state, policy, state.index + 1, 1499)
+    assert state.floor_version == 0 and "a/1" in state.items
+    keeper_state.apply(state, policy, state.index + 1, 1500)
+    assert state.floor_version == 2 and "a/1" not in state.items
+    loaded = keeper_dump.load(list(keeper_dump.dump(keeper_dump.copy(state))))
+    assert loaded.floor_version == 2
+    assert [
+        item.key for item in keeper_state.changes_after(state, 0, ["a/"], 9)[1]
+    ] == ["a/2"]
+    assert write(state, ("a/1", 2, b"3")).status == "conflict"
+    assert write(state, ("a/1", 0, b"3")).status == "accepted"
--- a/alderreach/core/replica.py
+++ b/alderreach/core/replica.py
@@ -35,3 +35,17 @@
         else:
             items[item.key] = item
     return Replica(push.to_version, items), changed
+
+
+def replace(replica, message):
+    """Apply an ItemsReplaced; returns as ``apply``, with dropped items as deleted."""
+    if message.version <= replica.version:
+        return replica, []
+    items = {item.key: item for item in message.items}
+    gone = [
+        item._replace(version=message.version, value=None)
+        for key, item in replica.items.items()
+        if key not in items
+    ]
+    changed = [item for key, item in items.items() if replica.items.get(key) != item]
+    return Replica(message.version, items), gone + changed
--- a/alderreach/ops/gateway.py
+++ b/alderreach/ops/gateway.py
@@ -27,6 +27,9 @@
 COPY_FILE = "configuration.copy"
 
 
+OWN_MESSAGES = (keeper.KeeperReply, keeper.ItemsPush, keeper.ItemsReplaced)
+
+
 class _Request(typing.NamedTuple):
     """A command for the keepers."""
 
@@ -94,7 +97,7 @@
     def deliver(self, received):
         """Take a peer's message meant for the gateway; False if it is for another."""
         message = received.message
-        known = isinstance(message, keeper.KeeperReply | keeper.ItemsPush)
+        known = isinstance(message, OWN_MESSAGES)
         if known or getattr(message, "request_id", None) in self._queries:
             self._task.put(received)
             return True
@@ -133,22 +136,24 @@
         if isinstance(message, keeper.KeeperReply):
             self._client.handle(message, self._clock.monotonic_ms())
         elif isinstance(message, keeper.ItemsPush):
-            self._apply(message)
+            self._apply(replica.apply, message, message.latest_version)
+        elif isinstance(message, keeper.ItemsReplaced):
+            self._apply(replica.replace, message, message.version)
         else:
             ticket = self._queries.pop(message.request_id, None)
             if ticket is not None:
                 ticket.answer(message)
 
-    def _apply(self, push):
+    def _apply(self, apply, message, latest_version):
         self._heard_ms = self._clock.monotonic_ms()
-        self._latest_version = max(self._latest_version, push.latest_version)
-        self._copy, changed = replica.apply(self._copy, push)
+        self._latest_version = max(self._latest_version, latest_version)
+        self._copy, changed = apply(self._copy, message)
         if changed:
             self._context.timeline.record(
                 "configuration_applied", detail=f"version {self._copy.version}"
             )
             self._on_items(changed, self._copy)
-        if self._copy.version < push.latest_version:
+        if self._copy.version < latest_version:
             self._next_follow_ms = 0
 
     def _tick(self):
--- a/alderreach/ops/keeper/followers.py
+++ b/alderreach/ops/keeper/followers.py
@@ -3,6 +3,10 @@
 A follower that asked is sent what is new, in bounded chunks. Between its questions it
 is pushed each change as it commits; a push that gets lost leaves a gap, which the
 follower refuses and closes by its next question.
+
+A follower that was away for longer than tombstones are kept may hold items that were
+deleted meanwhile. It is sent its whole part of the map in one message, which replaces
+what it has; in chunks, a lost one would leave deleted items in force for ever.
 """
 
 from alderreach.core import keeper_state
@@ -12,15 +16,21 @@
 
 
 class Follower:
-    """One process that follows: what it wants and what it was sent."""
+    """One boot of a process that follows: what it wants and what it was sent.
+
+    ``began_empty`` is set where it followed this keeper from version 0 on and so holds
+    nothing that it could have missed the deletion of.
+    """
 
-    def __init__(self, name, address, prefixes):
+    def __init__(self, name, boot_id, address, prefixes):
         self.name = name
+        self.boot_id = boot_id
         self.address = address
         self.prefixes = tuple(prefixes)
         self.have_version = 0
         self.sent_version = 0
         self.heard_ms = 0
+        self.began_empty = False
 
 
 class Followers:
@@ -46,13 +56,18 @@
         """
         address, message = received.reply_address, received.message
         follower = self._by_address.get(address)
-        if follower is None or follower.prefixes != tuple(message.prefixes):
-            follower = Follower(received.sender, address, message.prefixes)
+        wanted = (received.sender_boot_id, tuple(message.prefixes))
+        if follower is None or (follower.boot_id, follower.prefixes) != wanted:
+            follower = Follower(received.sender, wanted[0], address, wanted[1])
             self._by_address[address] = follower
         follower.heard_ms = now_ms
         follower.have_version = follower.sent_version = message.have_version
         if may_be_stale and state.version <= message.have_version:
             return
+        follower.began_empty = follower.began_empty or message.have_version == 0
+        if message.have_version < state.floor_version and not follower.began_empty:
+            self._replace(state, follower)
+            return
         follower.sent_version = self._push(state, [follower], message.have_version)
 
     def push_changes(self, state):
@@ -84,3 +99,12 @@
         for follower in group:
             self._send(follower.address, push)
         return reached
+
+    def _replace(self, state, follower):
+        items = [
+            item
+            for prefix in follower.prefixes
+            for item in keeper_state.items_under(state, prefix)
+        ]
+        follower.sent_version = state.version
+        self._send(follower.address, keeper.ItemsReplaced(state.version, items))
--- a/tests/keeper_failures_test.py
+++ b/tests/keeper_failures_test.py
@@ -244,6 +244,34 @@
     assert [p[:3] for p in follow(4)] == [(4, 6, 6)]
 
 
+def test_a_follower_away_for_longer_than_tombstones_gets_the_whole_map(make):
+    """An entry is down for two days; a team was deleted and its tombstone dropped.
+
+    Sent as changes, the deletion would be missing and the team in force on that entry
+    for ever.
+    """
+    cell = make(3, key_lifetime_ms=60_000, items_per_push=1)
+    cell.write("team/a", b"1")
+    cell.write("team/b", b"2")
+    cell.write("team/a", None)
+    cell.run(61_000)
+    cell.write("team/c", b"3")
+    cell.run(100)
+
+    def follow(version):
+        cell.pushes.clear()
+        message = codec.pack(keeper.Follow(version, ["team/"], "entry"))
+        cell.network.append(memory_cell.Message(memory_cell.CLIENT, "k1", message))
+        cell.run(100)
+        return cell.pushes[0][1]
+
+    whole = follow(2)
+    assert [item.key for item in whole.items] == ["team/b", "team/c"]
+    assert isinstance(whole, keeper.ItemsReplaced)
+    assert isinstance(follow(0), keeper.ItemsPush)
+    assert isinstance(follow(2), keeper.ItemsPush)
+
+
 def test_a_removed_keeper_learns_that_it_is_no_member(make):
     """Operators remove a keeper that is down; it comes back months later."""
     cell = make(3)
--- a/tools/benches/keeper.py
+++ b/tools/benches/keeper.py
@@ -2,11 +2,15 @@
 
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
 import time
 
+import pynng
+
+from alderreach.core import codec
 from alderreach.core.generated import keeper
 from tests import keeper_support
 from tools import cell
@@ -18,6 +22,8 @@
 IDLE_S = 10
 TAKEOVERS = 5
 MISSED = 1000
+FOLLOWERS = (100, 300)
+SPREAD_WRITES = 20
 KEYS = 100_000
 MEMORY_POINTS = (50_000, 100_000, 200_000)
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -30,6 +36,9 @@
         with running(voters) as (cell_, client):
             commits(client, voters)
             idle(cell_, voters)
+    for count in FOLLOWERS:
+        with running(5) as (cell_, client):
+            spread(cell_, client, count)
     with running(5) as (cell_, client):
         takeover(cell_, client)
     with running(3) as (cell_, client):
@@ -119,6 +128,60 @@
         )
 
 
+class StandIns:
+    """Followers that share one socket; each has an address of its own."""
+
+    def __init__(self, octet, count):
+        self.pull = pynng.Pull0(recv_timeout=10_000, recv_buffer_size=8192)
+        self.pull.listen("tcp://0.0.0.0:0")
+        port = socket.ntohs(self.pull.listeners[0].local_address.port)
+        self.addresses = [
+            f"127.{octet}.{10 + number // 200}.{number % 200 + 1}:{port}"
+            for number in range(count)
+        ]
+
+    def follow(self, keepers_, version):
+        """Let each follow a keeper, in turn."""
+        links = []
+        for keeper_ in keepers_:
+            links.append(pynng.Push0(dial=f"tcp://{keeper_}", send_timeout=5000))
+        follow = keeper.Follow(version, ["team/"], "entry")
+        for number, address in enumerate(self.addresses):
+            data = codec.encode_envelope("cell", address, "boot", address, follow)
+            links[number % len(links)].send(data)
+        return links
+
+    def wait(self, version):
+        """Return once every one was pushed this version."""
+        pushed = 0
+        while pushed < len(self.addresses):
+            message = codec.decode_envelope("cell", self.pull.recv()).unwrap().message
+            pushed += message.to_version >= version
+
+
+def spread(cell_, client, count):
+    """From a write's acceptance until all followers were pushed it."""
+    stand_ins = StandIns(cell_.octet, count)
+    keepers_ = [plan.peers for plan in cell_.of_role("keeper")]
+    version = client.ask(write("team/first")).version
+    spent_ms = []
+    for number in range(SPREAD_WRITES):
+        links = stand_ins.follow(keepers_, version)
+        stand_ins.wait(version)
+        changed = client.ask(write(f"team/{number}"))
+        started = time.perf_counter()
+        version = changed.version
+        stand_ins.wait(version)
+        spent_ms.append((time.perf_counter() - started) * 1000)
+        for link in links:
+            link.close()
+    print(
+        f"accepted until pushed to {count} followers of 5 keepers: "
+        f"p50 {quantile(spent_ms, 0.5):.0f} ms, most {max(spent_ms):.0f} ms"
+    )
+    stand_ins.pull.close()
+
+
 def takeover(cell_, client):
     spent_s = []
     for _trial in range(TAKEOVERS):
