--- a/alderreach/decisions/backfill.py
+++ b/alderreach/decisions/backfill.py
@@ -6,14 +6,17 @@
 
 A task that is declared to end before the room is needed, with a margin, may run there.
 Declared run times are up to ten times off, so the margin can't be trusted either: what
-still runs when the room is needed is stopped, by a checkpoint if it can, and since its
-declared time was short, little is lost. Urgent tasks may use reserved room as it is.
+still runs when only its room is missing is stopped, by a checkpoint if it can, and its
+job is not trusted again. A task that can't checkpoint would lose its work, so its
+margin is as wide as declared times are wrong. Urgent tasks may use reserved room as it
+is.
 """
 
-from alderreach.decisions import resources
+from alderreach.decisions import reservations, resources
 
-# Of the time left; takes a run time that is twice the declared one.
+# How many times the declared run time must be left; for tasks that can't checkpoint.
 MARGIN = 2
+MARGIN_UNSAVED = 10
 PER_TICK = 32
 SAMPLES = 8
 
@@ -43,11 +46,14 @@
 
 
 def _short_term_worker(state, job):
-    run_ms = job.spec.expected_run_ms * MARGIN
-    if not run_ms or job.is_service():
+    margin = MARGIN if job.spec.checkpoint else MARGIN_UNSAVED
+    run_ms = job.spec.expected_run_ms * margin
+    if not run_ms or job.is_service() or job.overran:
         return None, None
     for reservation in state.reservations:
-        if reservation.urgent or state.now_ms + run_ms > reservation.needed_at_ms:
+        if reservation.urgent:
+            continue
+        if run_ms > reservations.needed_in_ms(state, reservation):
             continue
         worker = _with_room(state, reservation, job.spec.task)
         if worker is not None:
--- a/alderreach/decisions/impossible.py
+++ b/alderreach/decisions/impossible.py
@@ -70,10 +70,9 @@
             self._check_oldest()
 
     def check_lines(self, lines):
-        """Park what can't run of lines long blocked, and name what is due."""
+        """Park what can't run of lines long blocked."""
         for line in lines:
             self._check_line(line)
-        self._name_due()
 
     def _check_oldest(self):
         job_id, job = self._parked.popitem(last=False)
@@ -99,7 +98,8 @@
             if reason:
                 self.park(job, reason)
 
-    def _name_due(self):
+    def name_due(self):
+        """Name the jobs that have been parked for long enough."""
         state = self._state
         for _ in range(CHECKS_PER_TICK):
             if not self._unnamed or self._unnamed[0][0] > state.now_ms:
--- a/alderreach/decisions/jobs.py
+++ b/alderreach/decisions/jobs.py
@@ -77,6 +77,7 @@
         "named",
         "next_number",
         "not_before_ms",
+        "overran",
         "parked",
         "postponed",
         "preempted",
@@ -118,6 +119,7 @@
         self.name_ms = 0
         self.named = False
         self.given_up = False
+        self.overran = False
         self.limit = 0
         self.ends = 0
         self.failed_ends = 0
--- a/alderreach/decisions/reservations.py
+++ b/alderreach/decisions/reservations.py
@@ -8,12 +8,18 @@
 two of them can't wait for each other; and since its workers take no other work, each is
 served in the end. One that no longer suffices (a worker died) is given up whole; its
 gang, by then the oldest, is the next to get one.
+
+Waiting for the last task on a chosen worker to end takes as long as the longest task
+runs. So the oldest gang's reservation also keeps whatever room becomes free elsewhere,
+and the gang starts as soon as both together are enough.
 """
 
 from alderreach.decisions import gangs, resources
 
 # A stop that has not ended by then is the placer's to settle; the room goes back.
 URGENT_HOLD_MS = 30_000
+# Searches for free room to keep in one try; each finds up to eight workers.
+CAPTURES = 64
 
 
 class Reservation:
@@ -61,14 +67,18 @@
     if job is None:
         line.reservation = reservation
     for worker in workers:
-        if worker.held_for is not None:
-            _drop(state, worker.held_for, worker)
-        worker.held_for = reservation
-        reservation.workers[worker] = (0, 0)
-        state.cell.reconsider(worker)
+        _add(state, reservation, worker)
     return reservation
 
 
+def _add(state, reservation, worker):
+    if worker.held_for is not None:
+        _drop(state, worker.held_for, worker)
+    worker.held_for = reservation
+    reservation.workers[worker] = (0, 0)
+    state.cell.reconsider(worker)
+
+
 def release(state, reservation):
     """Give up a reservation."""
     state.reservations.remove(reservation)
@@ -128,21 +138,71 @@
         release(state, reservation)
     else:
         _serve_gang_from_all(state, reservation)
-        _end_backfill(state, reservation)
 
 
 def _serve_gang_from_all(state, reservation):
-    """Start a gang on what is reserved and what is free elsewhere together."""
+    """Start a gang on what is reserved and what is free elsewhere together.
+
+    If that isn't enough, the oldest reservation keeps what is free for itself, and
+    stops who still runs there on borrowed time if only their room is missing.
+    """
     if reservation.retry_ms > state.now_ms:
         return
     reservation.retry_ms = state.now_ms + gangs.RETRY_MS
     job, shape = reservation.job, reservation.line.shape
     workers = gangs.gather(state, shape, job.waiting - reservation.ready)
-    if workers is None:
-        return
-    workers += _ready_workers(reservation, reservation.ready)
-    release(state, reservation)
-    gangs.start_whole(state, job, workers)
+    if workers is not None:
+        workers += _ready_workers(reservation, reservation.ready)
+        release(state, reservation)
+        gangs.start_whole(state, job, workers)
+    elif is_oldest(state, reservation):
+        _capture(state, reservation)
+        if reservation.ready + _lent(state, reservation) >= job.waiting:
+            _end_backfill(state, reservation)
+
+
+def is_oldest(state, reservation):
+    """Whether no other gang has had a reservation for longer."""
+    return reservation is next(each for each in state.reservations if each.job)
+
+
+def _capture(state, reservation):
+    """Reserve the workers that have room for a task now, up to a number."""
+    shape = reservation.line.shape
+    for _ in range(CAPTURES):
+        if reservation.ready >= reservation.job.waiting or shape.blocked:
+            return
+        for worker in state.cell.index.search(shape):
+            _add(state, reservation, worker)
+        _update(state, reservation)
+
+
+def _lent(state, reservation):
+    """Return how many tasks more there were room for without those on borrowed time."""
+    demand = reservation.line.demand
+    reservation.fillers = [
+        run for run in reservation.fillers if run.job.runs.get(run.number) is run
+    ]
+    lent = {}
+    for run in reservation.fillers:
+        worker = state.cell.workers.get(run.worker_id)
+        if worker in reservation.workers:
+            so_far = lent.get(worker, worker.free)
+            lent[worker] = resources.plus(so_far, run.job.spec.task)
+    return sum(
+        resources.copies(demand, free) - reservation.workers[worker][0]
+        for worker, free in lent.items()
+    )
+
+
+def needed_in_ms(state, reservation):
+    """Estimate after how long a reservation's room is needed, from its progress."""
+    drained_ms = reservation.needed_at_ms - state.now_ms
+    if reservation.job is None or not reservation.ready:
+        return drained_ms
+    missing = reservation.job.waiting - reservation.ready
+    waited_ms = state.now_ms - reservation.since_ms
+    return min(drained_ms, waited_ms * missing / reservation.ready)
 
 
 def _ready_workers(reservation, wanted):
@@ -162,7 +222,7 @@
     overdue = state.now_ms - reservation.since_ms > URGENT_HOLD_MS
     if not line.jobs or not reservation.workers or (reservation.urgent and overdue):
         release(state, reservation)
-    else:
+    elif state.now_ms >= reservation.needed_at_ms:
         _end_backfill(state, reservation)
 
 
@@ -181,10 +241,9 @@
 
 
 def _end_backfill(state, reservation):
-    """Once the room is needed, stop what still runs there on borrowed time."""
-    if state.now_ms < reservation.needed_at_ms:
-        return
+    """Stop what still runs on borrowed time."""
     for run in reservation.fillers:
         if run.job.runs.get(run.number) is run:
+            run.job.overran = True
             state.stop(run, run.gentlest_stop(), first=True)
     reservation.fillers.clear()
--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -167,18 +167,10 @@
         self._review()
         self._parking.check_parked()
         reservations.serve(books)
-        urgent, normal = books.backlog.bands
-        rounds.place_band(books, urgent, budget - len(decisions))
-        pressing = rounds.blocked_lines(books, urgent)
-        backfill.use_reserved(books, pressing)
-        preemption.plan(books, pressing)
+        self._place_urgent(budget)
         self._judge.probe(books.backlog.lines())
-        rounds.place_band(books, normal, budget - len(decisions))
-        blocked = rounds.blocked_lines(books, normal)
-        backfill.fill(books, blocked)
-        draining.plan(books, pressing + blocked)
-        self._parking.check_lines(rounds.stuck_lines(urgent))
-        self._parking.check_lines(rounds.stuck_lines(normal))
+        self._place_normal(budget)
+        self._plan_ahead()
         self._emit_stops(budget - len(decisions))
         return decisions
 
@@ -216,6 +208,32 @@
             return "on probation after the loss of its worker"
         return "no room" if job.line is not None else "pausing after a failure"
 
+    def _place_urgent(self, budget):
+        books = self._state
+        band = books.backlog.bands[jobs.URGENT]
+        rounds.place_band(books, band, budget - len(books.decisions))
+        backfill.use_reserved(books, rounds.blocked_lines(books, band))
+        preemption.plan(books, rounds.blocked_lines(books, band))
+
+    def _place_normal(self, budget):
+        books = self._state
+        band = books.backlog.bands[jobs.NORMAL]
+        rounds.place_band(books, band, budget - len(books.decisions))
+        backfill.fill(books, rounds.blocked_lines(books, band))
+
+    def _plan_ahead(self):
+        """Reserve room for who is passed over; park who can't run at all."""
+        books = self._state
+        for band in books.backlog.bands:
+            self._parking.check_lines(rounds.stuck_lines(band))
+        self._parking.name_due()
+        blocked = [
+            line
+            for band in books.backlog.bands
+            for line in rounds.blocked_lines(books, band)
+        ]
+        draining.plan(books, blocked)
+
     def _review(self):
         for job in self._state.due_reviews(REVIEWS_PER_TICK):
             if self._state.jobs.get(job.spec.job_id) is job:
--- a/alderreach/decisions/sessions_test.py
+++ b/alderreach/decisions/sessions_test.py
@@ -83,6 +83,31 @@
     raise AssertionError(f"{awaited} never started")
 
 
+def test_backfill_that_runs_longer_than_declared_delays_no_gang():
+    """Tasks declared to run for a second run for hours, others are declared ten hours.
+
+    Both fill gaps while a gang waits for its workers; the first kind must make way.
+    """
+    session = placement_session.Session().add(4)
+    for number in range(4):
+        session.submit(f"long{number}", 8, expected_run_ms=36_000_000)
+        session.tick()
+    session.submit("gang", 24, kind="gang", team="b")
+    session.tick()
+    session.tick(draining.RESERVE_AFTER_MS)
+    session.submit("short", 40, expected_run_ms=1000, checkpoint=True)
+    for task_id in list(session.running)[:4]:
+        session.end(task_id)
+    session.tick(1000)
+    assert session.of("short")
+    for _ in range(4):
+        for task_id in [task for task in session.running if task[0] == "l"]:
+            session.end(task_id)
+        session.tick(1000)
+        session.end_stopped()
+    assert len(session.of("gang")) == 24
+
+
 def test_two_gangs_that_each_want_more_than_half_run_in_turn(snapshot):
     """Two gangs each need three of four workers while small tasks run.
 
