--- a/alderreach/decisions/search.py
+++ b/alderreach/decisions/search.py
@@ -7,10 +7,14 @@
 Workers with about the same free capacity share a *bucket*. A search walks the buckets
 that can hold the demand, tightest first, and looks at ``SAMPLES_PER_BUCKET`` workers of
 each until it has ``CANDIDATES``. The number of buckets follows from the sizes that
-workers come in, not from how many there are. A search that samples in vain reads on
-through all workers, ``SCAN_LIMIT`` per call, so that a worker with room is found in
-the end. Once it has read them all the shape is *blocked* and costs nothing until a
-worker gains room for it. ``docs/measurements/placement.md`` has the sweeps.
+workers come in, not from how many there are.
+
+A search that samples in vain must not miss a worker with room. It looks at all workers
+of its buckets if they are few, and else reads on through all workers, ``SCAN_LIMIT``
+per call. From then on it needs to look only at *fresh* workers, which have gained room
+since; with none of them left the shape is *blocked* and costs nothing. When more have
+become fresh than ``FRESH_LIMIT``, the cell is no longer full and it samples again.
+``docs/measurements/placement.md`` has the sweeps.
 """
 
 import bisect
@@ -23,6 +27,7 @@
 SAMPLES_PER_BUCKET = 4
 CANDIDATES = 8
 SCAN_LIMIT = 256
+FRESH_LIMIT = 256
 # Workers with more free accelerators than this share a level.
 ACCELERATOR_LEVELS = 16
 # More than the 73 teams' workloads that are active together; about 5 KB each.
@@ -42,7 +47,7 @@
     """Search state of one demand; all tasks that ask for the same share it.
 
     ``fresh`` are workers that gained room for it after a scan began, ``scanned`` is
-    how far that scan has come.
+    how far that scan has come; ``overflow`` says that there were more of them.
     """
 
     __slots__ = (
@@ -51,6 +56,7 @@
         "demand",
         "fresh",
         "known",
+        "overflow",
         "scanned",
         "scanning",
         "users",
@@ -68,6 +74,7 @@
         """Search all workers anew."""
         self.scanned = 0
         self.scanning = False
+        self.overflow = False
         self.fresh.clear()
         self.blocked = False
 
@@ -173,10 +180,14 @@
         """
         if shape.blocked:
             return []
-        found = self._sample(shape, roomy)
-        if not found:
-            found = _search_fresh(shape)
-        if not found:
+        if not shape.scanning:
+            found = self._sample(shape, roomy)
+            if found or shape.blocked:
+                return found
+        found = _search_fresh(shape)
+        if not found and shape.overflow:
+            shape.restart()
+        elif not found:
             found = self._scan(shape)
         return found
 
@@ -186,9 +197,11 @@
         found = []
         cpu_millis, memory_mb, accelerators = shape.demand
         buckets = reversed(shape.buckets) if roomy else shape.buckets
+        held = 0
         for _, _, workers in buckets:
             if not workers:
                 continue
+            held += len(workers)
             start = int(self._random.random() * len(workers))
             for worker in workers[start : start + SAMPLES_PER_BUCKET]:
                 cpu, memory, idle = worker.free
@@ -196,6 +209,22 @@
                     found.append(worker)
             if len(found) >= CANDIDATES:
                 break
+        if not found and held <= SCAN_LIMIT:
+            found = self._look_at_all(shape)
+        return found
+
+    def _look_at_all(self, shape):
+        """Look at every worker of the shape's buckets; if none has room, that's all."""
+        found = [
+            worker
+            for _, _, workers in shape.buckets
+            for worker in workers
+            if resources.fits(shape.demand, worker.free)
+        ]
+        if not found:
+            shape.scanning = True
+            shape.scanned = len(self._order)
+            shape.blocked = True
         return found
 
     def _learn_buckets(self, shape):
@@ -222,7 +251,7 @@
             if worker.bucket is not None and resources.fits(demand, worker.free):
                 shape.scanned = worker.order
                 return [worker]
-        shape.scanned = first + SCAN_LIMIT
+        shape.scanned = min(first + SCAN_LIMIT, len(self._order))
         shape.blocked = shape.scanned >= len(self._order)
         return []
 
@@ -255,20 +284,36 @@
     return 2 * length + (amount >> (length - 2) & 1)
 
 
+# The two loops below run for each blocked shape after each end of a task, so they
+# compare in place; a call to ``resources.fits`` for each worker doubles a tick.
+
+
 def _refresh_shape(shape, grown):
-    if len(grown) + len(shape.fresh) > SCAN_LIMIT:
+    if len(grown) > FRESH_LIMIT:
         shape.restart()
         return
+    cpu_millis, memory_mb, accelerators = shape.demand
+    fresh = shape.fresh
     for worker in grown:
-        if resources.fits(shape.demand, worker.free):
-            shape.fresh[worker] = None
-            shape.blocked = False
+        cpu, memory, idle = worker.free
+        if cpu_millis <= cpu and memory_mb <= memory and accelerators <= idle:
+            fresh[worker] = None
+    shape.blocked = shape.blocked and not fresh
+    while len(fresh) > FRESH_LIMIT:
+        fresh.popitem()
+        shape.overflow = True
 
 
 def _search_fresh(shape):
-    while shape.fresh:
-        worker = next(reversed(shape.fresh))
-        if worker.bucket is not None and resources.fits(shape.demand, worker.free):
-            return [worker]
-        del shape.fresh[worker]
-    return []
+    """Return fresh workers with room, and forget those without."""
+    cpu_millis, memory_mb, accelerators = shape.demand
+    fresh, found = shape.fresh, []
+    while fresh and len(found) < CANDIDATES:
+        worker, _ = fresh.popitem()
+        cpu, memory, idle = worker.free
+        fits = cpu_millis <= cpu and memory_mb <= memory and accelerators <= idle
+        if fits and worker.bucket is not None:
+            found.append(worker)
+    for worker in found:
+        fresh[worker] = None
+    return found
