--- a/alderreach/decisions/scheduler_machine_test.py
+++ b/alderreach/decisions/scheduler_machine_test.py
@@ -100,6 +100,10 @@
         names = sorted(self.session.workers)
         self.session.scheduler.set_open(names[choice % len(names)], is_open)
 
+    @hypothesis.stateful.rule(seed=pick)
+    def take_over(self, seed):
+        self.session.take_over(seed)
+
     @hypothesis.stateful.rule(
         team=strategies.sampled_from(TEAMS), quota=strategies.sampled_from(QUOTAS)
     )
--- a/tests/placement_session.py
+++ b/tests/placement_session.py
@@ -40,6 +40,8 @@
         self.running = {}
         self.stopping = {}
         self.attempts = {}
+        self.ended = {}
+        self.cancelled = set()
         self.finished = collections.Counter()
         self.first_start_ms = {}
         self.impossible = {}
@@ -87,12 +89,14 @@
 
     def cancel(self, job_id):
         """Cancel a job."""
+        self.cancelled.add(job_id)
         self.scheduler.cancel(job_id, self.now_ms)
 
     def end(self, task_id, outcome="finished"):
         """End a running task."""
         _, attempt = self.running.pop(task_id)
         self.stopping.pop(task_id, None)
+        self.ended[task_id] = (attempt, outcome)
         self.finished[job_of(task_id)] += outcome == "finished"
         self.scheduler.task_ended(task_id, attempt, outcome, self.now_ms)
 
@@ -119,6 +123,30 @@
         self._log_decisions(decisions)
         return decisions
 
+    def take_over(self, seed):
+        """Let a new scheduler learn from records and targets, in any order."""
+        rng = random.Random(seed)
+        self.say("takeover")
+        made = self.scheduler = scheduler.Scheduler(rng)
+        self.stopping.clear()
+        steps = [(made.submit, (job, self.now_ms)) for job in self.jobs.values()]
+        for task_id, (worker_id, attempt) in self.running.items():
+            steps.append((made.restore, (task_id, attempt, job_of(task_id), worker_id)))
+        rng.shuffle(steps)
+        for name, quota in self.quotas.items():
+            made.set_team(common.Team(name, quota, 1, "packing"))
+        # Workers come last: nothing is placed on one before its tasks are restored.
+        for worker_id, capacity in self.workers.items():
+            rack = self.racks[worker_id]
+            steps.append((made.add_worker, (worker_id, "vm", rack, capacity)))
+        for call, arguments in steps:
+            call(*arguments)
+        for task_id, (attempt, outcome) in self.ended.items():
+            if task_id not in self.running:
+                made.task_ended(task_id, attempt, outcome, self.now_ms)
+        for job_id in self.cancelled:
+            made.cancel(job_id, self.now_ms)
+
     def on(self, worker_id):
         """Return the ids of the tasks on a worker."""
         return [task for task, (where, _) in self.running.items() if where == worker_id]
