--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -22,6 +22,7 @@
 from alderreach.decisions import (
     actions,
     backfill,
+    backlog,
     draining,
     endings,
     impossible,
@@ -210,14 +211,14 @@
 
     def _place_urgent(self, budget):
         books = self._state
-        band = books.backlog.bands[jobs.URGENT]
+        band = books.backlog.bands[backlog.URGENT]
         rounds.place_band(books, band, budget - len(books.decisions))
         backfill.use_reserved(books, rounds.blocked_lines(books, band))
         preemption.plan(books, rounds.blocked_lines(books, band))
 
     def _place_normal(self, budget):
         books = self._state
-        band = books.backlog.bands[jobs.NORMAL]
+        band = books.backlog.bands[backlog.NORMAL]
         rounds.place_band(books, band, budget - len(books.decisions))
         backfill.fill(books, rounds.blocked_lines(books, band))
 
--- a/alderreach/decisions/search.py
+++ b/alderreach/decisions/search.py
@@ -6,14 +6,13 @@
 
 Workers with about the same free capacity share a *bucket*. A search walks the buckets
 that can hold the demand, tightest first, and looks at ``SAMPLES_PER_BUCKET`` workers of
-each until it has ``CANDIDATES``. The number of buckets follows from the sizes that
+each until it has a few candidates. The number of buckets follows from the sizes that
 workers come in, not from how many there are.
 
 A search that samples in vain must not miss a worker with room. It looks at all workers
 of its buckets if they are few, and else reads on through all workers, ``SCAN_LIMIT``
-per call. From then on it needs to look only at *fresh* workers, which have gained room
-since; with none of them left the shape is *blocked* and costs nothing. When more have
-become fresh than ``FRESH_LIMIT``, the cell is no longer full and it samples again.
+per call. From then on it looks only at workers that have gained room since, see
+``shapes``.
 ``docs/measurements/placement.md`` has the sweeps.
 """
 
@@ -22,12 +21,10 @@
 import typing
 
 from alderreach.core.generated import common
-from alderreach.decisions import resources
+from alderreach.decisions import resources, shapes
 
 SAMPLES_PER_BUCKET = 4
-CANDIDATES = 8
 SCAN_LIMIT = 256
-FRESH_LIMIT = 256
 # Workers with more free accelerators than this share a level.
 ACCELERATOR_LEVELS = 16
 # More than the 73 teams' workloads that are active together; about 5 KB each.
@@ -43,42 +40,6 @@
     workers: list
 
 
-class Shape:
-    """Search state of one demand; all tasks that ask for the same share it.
-
-    ``fresh`` are workers that gained room for it after a scan began, ``scanned`` is
-    how far that scan has come; ``overflow`` says that there were more of them.
-    """
-
-    __slots__ = (
-        "blocked",
-        "buckets",
-        "demand",
-        "fresh",
-        "known",
-        "overflow",
-        "scanned",
-        "scanning",
-        "users",
-    )
-
-    def __init__(self, demand):
-        self.demand = demand
-        self.users = 0
-        self.buckets = []
-        self.known = 0
-        self.fresh = {}
-        self.restart()
-
-    def restart(self):
-        """Search all workers anew."""
-        self.scanned = 0
-        self.scanning = False
-        self.overflow = False
-        self.fresh.clear()
-        self.blocked = False
-
-
 class Index:
     """The workers that take work, by what they have free."""
 
@@ -141,7 +102,7 @@
         """Return the search state of a demand, kept until ``leave_shape``."""
         shape = self._shapes.get(demand)
         if shape is None:
-            shape = self._idle_shapes.pop(demand, None) or Shape(demand)
+            shape = self._idle_shapes.pop(demand, None) or shapes.Shape(demand)
             shape.restart()
             self._shapes[demand] = shape
         shape.users += 1
@@ -169,7 +130,7 @@
         most = common.Resources(*map(max, zip(*(w.free for w in grown), strict=True)))
         for shape in self._shapes.values():
             if shape.scanning and resources.fits(shape.demand, most):
-                _refresh_shape(shape, grown)
+                shapes.refresh(shape, grown)
         self._grown = {}
 
     def search(self, shape, roomy=False):
@@ -184,7 +145,7 @@
             found = self._sample(shape, roomy)
             if found or shape.blocked:
                 return found
-        found = _search_fresh(shape)
+        found = shapes.search_fresh(shape)
         if not found and shape.overflow:
             shape.restart()
         elif not found:
@@ -207,7 +168,7 @@
                 cpu, memory, idle = worker.free
                 if cpu_millis <= cpu and memory_mb <= memory and accelerators <= idle:
                     found.append(worker)
-            if len(found) >= CANDIDATES:
+            if len(found) >= shapes.CANDIDATES:
                 break
         if not found and held <= SCAN_LIMIT:
             found = self._look_at_all(shape)
@@ -282,38 +243,3 @@
         return 2 * amount if amount > 0 else 0
     length = amount.bit_length()
     return 2 * length + (amount >> (length - 2) & 1)
-
-
-# The two loops below run for each blocked shape after each end of a task, so they
-# compare in place; a call to ``resources.fits`` for each worker doubles a tick.
-
-
-def _refresh_shape(shape, grown):
-    if len(grown) > FRESH_LIMIT:
-        shape.restart()
-        return
-    cpu_millis, memory_mb, accelerators = shape.demand
-    fresh = shape.fresh
-    for worker in grown:
-        cpu, memory, idle = worker.free
-        if cpu_millis <= cpu and memory_mb <= memory and accelerators <= idle:
-            fresh[worker] = None
-    shape.blocked = shape.blocked and not fresh
-    while len(fresh) > FRESH_LIMIT:
-        fresh.popitem()
-        shape.overflow = True
-
-
-def _search_fresh(shape):
-    """Return fresh workers with room, and forget those without."""
-    cpu_millis, memory_mb, accelerators = shape.demand
-    fresh, found = shape.fresh, []
-    while fresh and len(found) < CANDIDATES:
-        worker, _ = fresh.popitem()
-        cpu, memory, idle = worker.free
-        fits = cpu_millis <= cpu and memory_mb <= memory and accelerators <= idle
-        if fits and worker.bucket is not None:
-            found.append(worker)
-    for worker in found:
-        fresh[worker] = None
-    return found
--- a/alderreach/decisions/state.py
+++ b/alderreach/decisions/state.py
@@ -15,7 +15,7 @@
 import itertools
 
 from alderreach.core.generated import common
-from alderreach.decisions import actions, jobs, pool, quotas, resources
+from alderreach.decisions import actions, backlog, jobs, pool, quotas, resources
 
 
 class State:
@@ -25,7 +25,7 @@
         self.random = random
         self.cell = pool.Pool(random)
         self.ledger = quotas.Ledger()
-        self.backlog = jobs.Backlog(self.cell, self.ledger.stop_saving)
+        self.backlog = backlog.Backlog(self.cell, self.ledger.stop_saving)
         self.jobs = {}
         self.now_ms = 0
         self.tick = 0
