--- a/alderreach/decisions/jobs.py
+++ b/alderreach/decisions/jobs.py
@@ -47,7 +47,8 @@
     """What is known of one job.
 
     ``limit`` bounds its running tasks while it is suspected of harm (0 is no bound),
-    ``parked`` is why it may not run at all.
+    ``parked`` is why it may not run at all. ``declared`` is what its team declared for
+    a task, ``spec.task`` what a task is given.
     """
 
     __slots__ = (
@@ -55,6 +56,7 @@
         "avoid",
         "blocked_since_ms",
         "cancelled",
+        "declared",
         "ends",
         "failed",
         "failed_ends",
@@ -88,8 +90,9 @@
         "workers_used",
     )
 
-    def __init__(self, spec):
+    def __init__(self, spec, declared):
         self.spec = spec
+        self.declared = declared
         self.waiting = spec.tasks
         self.next_number = 0
         self.returned = []
--- a/alderreach/decisions/pool.py
+++ b/alderreach/decisions/pool.py
@@ -17,13 +17,15 @@
     """One worker: its capacity and who holds what of it.
 
     ``pinned`` is the part of what is given out that neither ends soon nor gives way,
-    ``held_for`` the reservation that the free rest is kept for, ``uncertain`` the
-    number of its tasks whose size is unknown.
+    ``excess`` what the tasks use beyond what they were given, ``held_for`` the
+    reservation that the free rest is kept for, ``uncertain`` the number of tasks whose
+    size is unknown.
     """
 
     __slots__ = (
         "bucket",
         "capacity",
+        "excess",
         "free",
         "held_for",
         "is_open",
@@ -46,6 +48,7 @@
         self.capacity = capacity
         self.free = capacity
         self.pinned = resources.NOTHING
+        self.excess = resources.NOTHING
         self.is_open = True
         self.quarantined = False
         self.uncertain = 0
@@ -66,7 +69,8 @@
 
     def drained(self):
         """Return what it will have free once all that isn't pinned has ended."""
-        return resources.minus(self.capacity, self.pinned)
+        kept = resources.plus(self.pinned, self.excess)
+        return resources.minus(self.capacity, kept)
 
 
 class Pool:
--- a/alderreach/decisions/preemption.py
+++ b/alderreach/decisions/preemption.py
@@ -61,7 +61,7 @@
     for _, _, worker, copies, victims in chosen:
         reservation.promised[worker] = copies
         for run in victims:
-            _displace(state, run)
+            displace(state, run)
 
 
 def _need(state, line):
@@ -107,7 +107,7 @@
 def _make_room(state, worker, line, wanted):
     """Return how many copies fit, at what cost, and whom it displaces."""
     runs = [run for run in worker.tasks if may_displace(run, line.priority)]
-    runs.sort(key=lambda run: (_cost(state, run), run.started_ms, run.number))
+    runs.sort(key=lambda run: (_cost(state, run), -run.started_ms, run.number))
     demand, free = line.demand, worker.free
     copies, cost, victims, kept = resources.copies(demand, free), 0, [], 0
     for run in runs:
@@ -129,6 +129,20 @@
     return job.preempted.get(run.number, 0) < PREEMPTIONS_ALLOWED
 
 
+def cheapest_checkpoint(state, worker, priority):
+    """Return the task that gives way at the least cost, None if none can checkpoint."""
+    runs = [
+        run
+        for run in worker.tasks
+        if run.job.spec.checkpoint and may_displace(run, priority)
+    ]
+    return min(
+        runs,
+        key=lambda run: (_cost(state, run), -run.started_ms, run.number),
+        default=None,
+    )
+
+
 def _cost(state, run):
     job = run.job
     cost = job.spec.priority + 1 + COST_AGAIN * job.preempted.get(run.number, 0)
@@ -142,7 +156,8 @@
     return cost
 
 
-def _displace(state, run):
+def displace(state, run):
+    """Let a run give way, by a checkpoint if it can."""
     job = run.job
     job.preempted[run.number] = job.preempted.get(run.number, 0) + 1
     state.stop(run, run.gentlest_stop(), first=True)
--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -34,6 +34,7 @@
     resources,
     rounds,
     state,
+    usage,
 )
 
 Start = actions.Start
@@ -53,6 +54,7 @@
         self._judge = quarantine.Judge(self._state)
         self._parking = impossible.Parking(self._state)
         self._killers = killers.Killers(self._state, self._parking.condemn)
+        self._observer = usage.Observer(self._state)
         self._done = collections.OrderedDict()
 
     def set_team(self, team):
@@ -78,6 +80,7 @@
         self._state.remove_worker(worker_id)
         self._judge.worker_removed(worker_id)
         self._killers.worker_removed(worker_id)
+        self._observer.forget(worker_id)
 
     def set_open(self, worker_id, is_open):
         """Let a worker take new work or not."""
@@ -95,7 +98,8 @@
             return
         if job.job_id in self._done:
             return
-        waiting = self._state.jobs[job.job_id] = jobs.JobState(job)
+        given = self._observer.given_to(job)
+        waiting = self._state.jobs[job.job_id] = jobs.JobState(given, job.task)
         self._state.adopt_orphans(waiting)
         if waiting.is_gang() and waiting.runs:
             due_ms = now_ms + endings.REGROUP_AFTER_MS
@@ -155,8 +159,11 @@
             endings.end(self._state, self._judge, self._killers, run, outcome)
         self._close_if_done(job)
 
-    def observe_usage(self, worker_id, usage):
-        """Take in what a worker reports that its tasks use."""
+    def observe_usage(self, worker_id, used):
+        """Take in what a worker reports, with a lag, that its tasks use."""
+        worker = self._state.cell.workers.get(worker_id)
+        if worker is not None:
+            self._observer.observe(worker, used)
 
     def tick(self, now_ms, budget):
         """Return the next decisions, about ``budget`` of them."""
@@ -192,7 +199,8 @@
         worker = self._state.cell.workers.get(worker_id)
         if worker is None:
             return resources.NOTHING
-        return resources.minus(worker.capacity, worker.free)
+        given = resources.minus(worker.capacity, worker.free)
+        return resources.minus(given, worker.excess)
 
     def worker_state(self, worker_id):
         """Return open, closed or quarantined."""
--- a/alderreach/decisions/scheduler_machine_test.py
+++ b/alderreach/decisions/scheduler_machine_test.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from alderreach.core.generated import common
+from alderreach.decisions import resources
 from tests import placement_session
 
 SOAK = bool(os.environ.get("ALDERREACH_SOAK"))
@@ -56,6 +57,7 @@
         team=strategies.sampled_from(TEAMS),
         priority=strategies.sampled_from((0, 3, 7, 9)),
         checkpoint=strategies.booleans(),
+        workload=strategies.sampled_from(("", "x", "y")),
         expected_run_ms=strategies.sampled_from((0, 100, 10_000)),
     )
     def submit(self, tasks, **fields):
@@ -100,6 +102,16 @@
         names = sorted(self.session.workers)
         self.session.scheduler.set_open(names[choice % len(names)], is_open)
 
+    @hypothesis.stateful.rule(
+        choice=pick, cpu=strategies.integers(0, 20_000), reports=pick
+    )
+    def observe_usage(self, choice, cpu, reports):
+        names = sorted(self.session.workers)
+        used = common.Resources(cpu, cpu, 0)
+        for _ in range(reports % 40):
+            name = names[choice % len(names)]
+            self.session.scheduler.observe_usage(name, used)
+
     @hypothesis.stateful.rule(seed=pick)
     def take_over(self, seed):
         self.session.take_over(seed)
@@ -130,6 +142,7 @@
     session.add(8, SIZES[1], prefix="big")
     for worker_id in session.workers:
         session.scheduler.set_open(worker_id, True)
+        session.scheduler.observe_usage(worker_id, resources.NOTHING)
     for team in TEAMS:
         session.team(team)
     for job in session.jobs.values():
--- /dev/null
+++ b/alderreach/decisions/usage.py
@@ -0,0 +1,124 @@
+"""What tasks really use, against what their teams declared.
+
+Load: declared sizes are up to ten times off, both ways. Taken as they are, a cell is
+full at a tenth of its capacity, or its VMs are overrun while they count as half empty.
+
+Admission is always by what a task was given, and what a worker has given out never
+exceeds its capacity. Two things are learned from usage, which workers report with a
+lag:
+
+- *Too little declared.* What a worker's tasks use above what they were given is kept
+  from new work as the worker's excess. Once its usage reaches ``RELIEF_AT`` of the VM,
+  the cheapest task that can checkpoint gives way, one in ``RELIEF_EVERY_MS``.
+- *Too much declared.* A workload's share of use is the highest seen on workers where
+  its tasks ran for longer than the lag, falling by ``DECAY`` with each lower report.
+  After ``ENOUGH_REPORTS`` its new jobs are given that share of the processors, and
+  ``MARGIN`` more, and never more than was declared. Memory is not reclaimed: a task
+  that is short of processors is slow, but one that is short of memory is killed.
+
+Usage is known by worker, not by task, so it is spread over a worker's tasks by what
+they were given; beside a greedy task a modest one looks greedier than it is, which errs
+on the safe side. A job's size is fixed when it is submitted, so its tasks stay alike.
+"""
+
+from alderreach.core.generated import common
+from alderreach.decisions import preemption, resources
+
+# Ten heartbeats: a report is later than the tasks that it is held against.
+LAG_MS = 10_000
+ENOUGH_REPORTS = 30
+MARGIN = 0.25
+# A peak is forgotten by half in about 70 reports.
+DECAY = 0.01
+# Declared sizes are up to ten times off.
+LEAST_SHARE = 0.1
+# Excess that changes by less is not worth indexing a worker anew.
+STEP = 0.02
+RELIEF_AT = 0.95
+RELIEF_EVERY_MS = 10_000
+# Above all priorities, so that any work that isn't urgent may give way.
+ANY_PRIORITY = 10
+
+
+class Record:
+    """The share of its declared processors that a workload uses."""
+
+    __slots__ = ("reports", "share")
+
+    def __init__(self):
+        self.reports = 0
+        self.share = 0.0
+
+
+class Observer:
+    """Learns from the usage that workers report."""
+
+    def __init__(self, state):
+        self._state = state
+        self._records = {}
+        self._relieved_ms = {}
+
+    def given_to(self, spec):
+        """Return a job with the size that its tasks are given."""
+        record = self._records.get((spec.team, spec.workload))
+        if record is None or record.reports < ENOUGH_REPORTS or not spec.workload:
+            return spec
+        share = max(LEAST_SHARE, record.share * (1 + MARGIN))
+        if share >= 1:
+            return spec
+        cpu_millis = max(1, int(spec.task.cpu_millis * share))
+        return spec._replace(task=spec.task._replace(cpu_millis=cpu_millis))
+
+    def observe(self, worker, usage):
+        """Take in the usage that a worker reports."""
+        given = resources.minus(worker.capacity, worker.free)
+        given = resources.minus(given, worker.excess)
+        self._keep_excess(worker, usage, given)
+        self._learn(worker, usage)
+        if resources.share(usage, worker.capacity) >= RELIEF_AT:
+            self._relieve(worker, usage, given)
+
+    def forget(self, worker_id):
+        """A worker is gone."""
+        self._relieved_ms.pop(worker_id, None)
+
+    def _keep_excess(self, worker, usage, given):
+        over = common.Resources(
+            max(0, usage.cpu_millis - given.cpu_millis),
+            max(0, usage.memory_mb - given.memory_mb),
+            0,
+        )
+        change = resources.minus(over, worker.excess)
+        if resources.share(map(abs, change), worker.capacity) < STEP:
+            return
+        worker.excess = over
+        self._state.cell.give_back(worker, resources.minus(resources.NOTHING, change))
+
+    def _learn(self, worker, usage):
+        old_ms = self._state.now_ms - LAG_MS
+        runs = [run for run in worker.tasks if run.started_ms <= old_ms]
+        given = sum(run.job.spec.task.cpu_millis for run in runs)
+        if not given:
+            return
+        share = usage.cpu_millis / given
+        for job in {run.job for run in runs}:
+            if job.spec.workload and job.declared.cpu_millis:
+                scale = job.spec.task.cpu_millis / job.declared.cpu_millis
+                self._note((job.spec.team, job.spec.workload), share * scale)
+
+    def _note(self, key, share):
+        record = self._records.setdefault(key, Record())
+        record.reports += 1
+        faded = record.share + (share - record.share) * DECAY
+        record.share = max(share, faded)
+
+    def _relieve(self, worker, usage, given):
+        if resources.fits(usage, given):
+            return
+        now_ms = self._state.now_ms
+        if now_ms < self._relieved_ms.get(worker.worker_id, 0):
+            return
+        run = preemption.cheapest_checkpoint(self._state, worker, ANY_PRIORITY)
+        if run is not None:
+            self._relieved_ms[worker.worker_id] = now_ms + RELIEF_EVERY_MS
+            preemption.displace(self._state, run)
