--- a/alderreach/decisions/endings.py
+++ b/alderreach/decisions/endings.py
@@ -40,6 +40,10 @@
         killers.lost(run)
     elif outcome in ("finished", "failed"):
         killers.survived(job)
+    if job.is_service():
+        # Also of a task that is no longer wanted: the service may grow again, and a
+        # worker takes a repeated attempt for one that it has started already.
+        job.attempts[run.number] = run.attempt
     if job.cancelled or run.number >= job.spec.tasks:
         return
     if job.is_service():
@@ -50,11 +54,9 @@
 
 def end_unseen(state, job, number, attempt, outcome):
     """Note an end that an earlier owner saw of a task that runs nowhere now."""
-    if job.is_service() or number >= job.spec.tasks or not job.waiting:
-        return
-    if outcome != "finished":
+    if job.is_service() or outcome != "finished":
         job.attempts[number] = max(attempt, job.attempts.get(number, 0))
-    elif number not in job.settled:
+    elif number < job.spec.tasks and job.waiting and number not in job.settled:
         job.claim(number)
         job.settle(number)
         job.finished += 1
@@ -88,7 +90,6 @@
 
 def _end_service(state, run, outcome):
     job = run.job
-    job.attempts[run.number] = run.attempt
     if outcome in ("finished", "failed"):
         _pause(state, run)
     job.return_task(run.number)
@@ -111,6 +112,8 @@
     if outcome == "finished":
         job.finished += 1
         job.settle(number)
+        # The rest of a gang may have been waiting for this one to end.
+        state.wait(job, first=True)
         return
     if job.given_up or _is_given_up(state, run, outcome):
         job.failed += 1
--- a/alderreach/decisions/pool.py
+++ b/alderreach/decisions/pool.py
@@ -53,7 +53,7 @@
         self.quarantined = False
         self.uncertain = 0
         self.held_for = None
-        self.tasks = set()
+        self.tasks = {}
         self.bucket = None
         self.position = 0
         self.order = 0
@@ -132,7 +132,7 @@
 
     def _tell_reservation(self, worker):
         if worker.held_for is not None:
-            worker.held_for.changed.add(worker)
+            worker.held_for.changed[worker] = None
 
     def _join(self, worker):
         if worker.rack not in self.racks:
--- a/alderreach/decisions/reservations.py
+++ b/alderreach/decisions/reservations.py
@@ -54,7 +54,7 @@
         self.promised = {}
         self.ready = 0
         self.enough = 0
-        self.changed = set()
+        self.changed = {}
         self.fillers = []
         self.needed_at_ms = now_ms
         self.retry_ms = now_ms
@@ -93,7 +93,7 @@
     reservation.promised.pop(worker, None)
     reservation.ready -= ready
     reservation.enough -= enough
-    reservation.changed.discard(worker)
+    reservation.changed.pop(worker, None)
     worker.held_for = None
     state.cell.reconsider(worker)
 
@@ -110,7 +110,7 @@
 
 def _update(state, reservation):
     demand = reservation.line.demand
-    changed, reservation.changed = reservation.changed, set()
+    changed, reservation.changed = reservation.changed, {}
     for worker in changed:
         if worker.held_for is not reservation:
             continue
--- a/alderreach/decisions/scheduler_machine_test.py
+++ b/alderreach/decisions/scheduler_machine_test.py
@@ -17,6 +17,7 @@
     deadline=None,
     derandomize=not SOAK,
     database=None,
+    phases=[hypothesis.Phase.generate],
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 TEAMS = ("a", "b", "c")
--- a/alderreach/decisions/state.py
+++ b/alderreach/decisions/state.py
@@ -100,7 +100,7 @@
         worker = self.cell.workers.get(worker_id)
         self._count(run, worker)
         if worker is None:
-            self._homeless.setdefault(worker_id, set()).add(run)
+            self._homeless.setdefault(worker_id, {})[run] = None
         else:
             self.cell.charge(worker, job.spec.task)
             self._settle_in(worker, run)
@@ -115,7 +115,7 @@
         del job.runs[run.number]
         worker = self.cell.workers.get(run.worker_id)
         if worker is not None and run in worker.tasks:
-            worker.tasks.discard(run)
+            del worker.tasks[run]
             if job.pins():
                 worker.pinned = resources.minus(worker.pinned, job.spec.task)
             self.cell.give_back(worker, job.spec.task)
@@ -187,7 +187,7 @@
 
     def _settle_in(self, worker, run):
         job = run.job
-        worker.tasks.add(run)
+        worker.tasks[run] = None
         if job.pins():
             worker.pinned = resources.plus(worker.pinned, job.spec.task)
         if job.is_service() and run.rack != worker.rack:
@@ -199,7 +199,7 @@
         runs = self._homeless.get(run.worker_id)
         if runs is None:
             return
-        runs.discard(run)
+        runs.pop(run, None)
         if not runs:
             del self._homeless[run.worker_id]
 
--- a/alderreach/decisions/usage.py
+++ b/alderreach/decisions/usage.py
@@ -101,7 +101,7 @@
         if not given:
             return
         share = usage.cpu_millis / given
-        for job in {run.job for run in runs}:
+        for job in dict.fromkeys(run.job for run in runs):
             if job.spec.workload and job.declared.cpu_millis:
                 scale = job.spec.task.cpu_millis / job.declared.cpu_millis
                 self._note((job.spec.team, job.spec.workload), share * scale)
