--- a/alderreach/decisions/gangs.py
+++ b/alderreach/decisions/gangs.py
@@ -12,7 +12,7 @@
 
 from alderreach.decisions import placement, resources
 
-RETRY_MS = 250
+RETRY_MS = 100
 # Budget of a vain try: one search finds room for about this many tasks.
 TASKS_PER_SEARCH = 8
 
