--- a/alderreach/decisions/placement.py
+++ b/alderreach/decisions/placement.py
@@ -19,7 +19,7 @@
 WORKERS_PER_RACK = 8
 # Weight of leaving a worker lopsided (processors but no memory) against leaving it
 # empty.
-IMBALANCE_WEIGHT = 1.0
+IMBALANCE_WEIGHT = 8.0
 
 
 def leftover(worker, demand):
