--- a/alderreach/decisions/endings.py
+++ b/alderreach/decisions/endings.py
@@ -21,8 +21,6 @@
 # A service that ran for this long has recovered.
 HEALTHY_MS = 60_000
 YOUNG_MS = 60_000
-# After a takeover the other tasks of a gang are announced within seconds.
-REGROUP_AFTER_MS = 10_000
 
 
 def end(state, judge, killers, run, outcome):
--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -101,9 +101,6 @@
         given = self._observer.given_to(job)
         waiting = self._state.jobs[job.job_id] = jobs.JobState(given, job.task)
         self._state.adopt_orphans(waiting)
-        if waiting.is_gang() and waiting.runs:
-            due_ms = now_ms + endings.REGROUP_AFTER_MS
-            self._state.review_at(due_ms, waiting)
         self._parking.admit(waiting)
 
     def cancel(self, job_id, now_ms):
--- a/alderreach/decisions/state.py
+++ b/alderreach/decisions/state.py
@@ -17,6 +17,10 @@
 from alderreach.core.generated import common
 from alderreach.decisions import actions, backlog, jobs, pool, quotas, resources
 
+# After a takeover the other tasks of a gang are announced within seconds; what is still
+# missing then is gone, and the gang has to start again as a whole.
+REGROUP_AFTER_MS = 10_000
+
 
 class State:
     """The books of one failure domain."""
@@ -106,6 +110,8 @@
             self._settle_in(worker, run)
         if job.cancelled or number >= job.spec.tasks:
             self.stop(run)
+        if job.is_gang() and job.waiting:
+            self.review_at(self.now_ms + REGROUP_AFTER_MS, job)
         if not job.waiting:
             self.backlog.remove(job)
 
