--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -22,6 +22,7 @@
 from alderreach.decisions import (
     actions,
     backfill,
+    backlog,
     draining,
     endings,
     impossible,
@@ -33,6 +34,7 @@
     resources,
     rounds,
     state,
+    usage,
 )
 
 Start = actions.Start
@@ -52,6 +54,7 @@
         self._judge = quarantine.Judge(self._state)
         self._parking = impossible.Parking(self._state)
         self._killers = killers.Killers(self._state, self._parking.condemn)
+        self._observer = usage.Observer(self._state)
         self._done = collections.OrderedDict()
 
     def set_team(self, team):
@@ -77,6 +80,7 @@
         self._state.remove_worker(worker_id)
         self._judge.worker_removed(worker_id)
         self._killers.worker_removed(worker_id)
+        self._observer.forget(worker_id)
 
     def set_open(self, worker_id, is_open):
         """Let a worker take new work or not."""
@@ -94,11 +98,9 @@
             return
         if job.job_id in self._done:
             return
-        waiting = self._state.jobs[job.job_id] = jobs.JobState(job)
+        given = self._observer.given_to(job)
+        waiting = self._state.jobs[job.job_id] = jobs.JobState(given, job.task)
         self._state.adopt_orphans(waiting)
-        if waiting.is_gang() and waiting.runs:
-            due_ms = now_ms + endings.REGROUP_AFTER_MS
-            self._state.review_at(due_ms, waiting)
         self._parking.admit(waiting)
 
     def cancel(self, job_id, now_ms):
@@ -154,8 +156,11 @@
             endings.end(self._state, self._judge, self._killers, run, outcome)
         self._close_if_done(job)
 
-    def observe_usage(self, worker_id, usage):
-        """Take in what a worker reports that its tasks use."""
+    def observe_usage(self, worker_id, used):
+        """Take in what a worker reports, with a lag, that its tasks use."""
+        worker = self._state.cell.workers.get(worker_id)
+        if worker is not None:
+            self._observer.observe(worker, used)
 
     def tick(self, now_ms, budget):
         """Return the next decisions, about ``budget`` of them."""
@@ -167,18 +172,10 @@
         self._review()
         self._parking.check_parked()
         reservations.serve(books)
-        urgent, normal = books.backlog.bands
-        rounds.place_band(books, urgent, budget - len(decisions))
-        pressing = rounds.blocked_lines(books, urgent)
-        backfill.use_reserved(books, pressing)
-        preemption.plan(books, pressing)
+        self._place_urgent(budget)
         self._judge.probe(books.backlog.lines())
-        rounds.place_band(books, normal, budget - len(decisions))
-        blocked = rounds.blocked_lines(books, normal)
-        backfill.fill(books, blocked)
-        draining.plan(books, pressing + blocked)
-        self._parking.check_lines(rounds.stuck_lines(urgent))
-        self._parking.check_lines(rounds.stuck_lines(normal))
+        self._place_normal(budget)
+        self._plan_ahead()
         self._emit_stops(budget - len(decisions))
         return decisions
 
@@ -199,7 +196,8 @@
         worker = self._state.cell.workers.get(worker_id)
         if worker is None:
             return resources.NOTHING
-        return resources.minus(worker.capacity, worker.free)
+        given = resources.minus(worker.capacity, worker.free)
+        return resources.minus(given, worker.excess)
 
     def worker_state(self, worker_id):
         """Return open, closed or quarantined."""
@@ -216,6 +214,32 @@
             return "on probation after the loss of its worker"
         return "no room" if job.line is not None else "pausing after a failure"
 
+    def _place_urgent(self, budget):
+        books = self._state
+        band = books.backlog.bands[backlog.URGENT]
+        rounds.place_band(books, band, budget - len(books.decisions))
+        backfill.use_reserved(books, rounds.blocked_lines(books, band))
+        preemption.plan(books, rounds.blocked_lines(books, band))
+
+    def _place_normal(self, budget):
+        books = self._state
+        band = books.backlog.bands[backlog.NORMAL]
+        rounds.place_band(books, band, budget - len(books.decisions))
+        backfill.fill(books, rounds.blocked_lines(books, band))
+
+    def _plan_ahead(self):
+        """Reserve room for who is passed over; park who can't run at all."""
+        books = self._state
+        for band in books.backlog.bands:
+            self._parking.check_lines(rounds.stuck_lines(band))
+        self._parking.name_due()
+        blocked = [
+            line
+            for band in books.backlog.bands
+            for line in rounds.blocked_lines(books, band)
+        ]
+        draining.plan(books, blocked)
+
     def _review(self):
         for job in self._state.due_reviews(REVIEWS_PER_TICK):
             if self._state.jobs.get(job.spec.job_id) is job:
--- a/alderreach/decisions/search.py
+++ b/alderreach/decisions/search.py
@@ -6,11 +6,14 @@
 
 Workers with about the same free capacity share a *bucket*. A search walks the buckets
 that can hold the demand, tightest first, and looks at ``SAMPLES_PER_BUCKET`` workers of
-each until it has ``CANDIDATES``. The number of buckets follows from the sizes that
-workers come in, not from how many there are. A search that samples in vain reads on
-through all workers, ``SCAN_LIMIT`` per call, so that a worker with room is found in
-the end. Once it has read them all the shape is *blocked* and costs nothing until a
-worker gains room for it. ``docs/measurements/placement.md`` has the sweeps.
+each until it has a few candidates. The number of buckets follows from the sizes that
+workers come in, not from how many there are.
+
+A search that samples in vain must not miss a worker with room. It looks at all workers
+of its buckets if they are few, and else reads on through all workers, ``SCAN_LIMIT``
+per call. From then on it looks only at workers that have gained room since, see
+``shapes``.
+``docs/measurements/placement.md`` has the sweeps.
 """
 
 import bisect
@@ -18,10 +21,9 @@
 import typing
 
 from alderreach.core.generated import common
-from alderreach.decisions import resources
+from alderreach.decisions import resources, shapes
 
 SAMPLES_PER_BUCKET = 4
-CANDIDATES = 8
 SCAN_LIMIT = 256
 # Workers with more free accelerators than this share a level.
 ACCELERATOR_LEVELS = 16
@@ -38,40 +40,6 @@
     workers: list
 
 
-class Shape:
-    """Search state of one demand; all tasks that ask for the same share it.
-
-    ``fresh`` are workers that gained room for it after a scan began, ``scanned`` is
-    how far that scan has come.
-    """
-
-    __slots__ = (
-        "blocked",
-        "buckets",
-        "demand",
-        "fresh",
-        "known",
-        "scanned",
-        "scanning",
-        "users",
-    )
-
-    def __init__(self, demand):
-        self.demand = demand
-        self.users = 0
-        self.buckets = []
-        self.known = 0
-        self.fresh = {}
-        self.restart()
-
-    def restart(self):
-        """Search all workers anew."""
-        self.scanned = 0
-        self.scanning = False
-        self.fresh.clear()
-        self.blocked = False
-
-
 class Index:
     """The workers that take work, by what they have free."""
 
@@ -134,7 +102,7 @@
         """Return the search state of a demand, kept until ``leave_shape``."""
         shape = self._shapes.get(demand)
         if shape is None:
-            shape = self._idle_shapes.pop(demand, None) or Shape(demand)
+            shape = self._idle_shapes.pop(demand, None) or shapes.Shape(demand)
             shape.restart()
             self._shapes[demand] = shape
         shape.users += 1
@@ -162,7 +130,7 @@
         most = common.Resources(*map(max, zip(*(w.free for w in grown), strict=True)))
         for shape in self._shapes.values():
             if shape.scanning and resources.fits(shape.demand, most):
-                _refresh_shape(shape, grown)
+                shapes.refresh(shape, grown)
         self._grown = {}
 
     def search(self, shape, roomy=False):
@@ -173,10 +141,14 @@
         """
         if shape.blocked:
             return []
-        found = self._sample(shape, roomy)
-        if not found:
-            found = _search_fresh(shape)
-        if not found:
+        if not shape.scanning:
+            found = self._sample(shape, roomy)
+            if found or shape.blocked:
+                return found
+        found = shapes.search_fresh(shape)
+        if not found and shape.overflow:
+            shape.restart()
+        elif not found:
             found = self._scan(shape)
         return found
 
@@ -186,16 +158,34 @@
         found = []
         cpu_millis, memory_mb, accelerators = shape.demand
         buckets = reversed(shape.buckets) if roomy else shape.buckets
+        held = 0
         for _, _, workers in buckets:
             if not workers:
                 continue
+            held += len(workers)
             start = int(self._random.random() * len(workers))
             for worker in workers[start : start + SAMPLES_PER_BUCKET]:
                 cpu, memory, idle = worker.free
                 if cpu_millis <= cpu and memory_mb <= memory and accelerators <= idle:
                     found.append(worker)
-            if len(found) >= CANDIDATES:
+            if len(found) >= shapes.CANDIDATES:
                 break
+        if not found and held <= SCAN_LIMIT:
+            found = self._look_at_all(shape)
+        return found
+
+    def _look_at_all(self, shape):
+        """Look at every worker of the shape's buckets; if none has room, that's all."""
+        found = [
+            worker
+            for _, _, workers in shape.buckets
+            for worker in workers
+            if resources.fits(shape.demand, worker.free)
+        ]
+        if not found:
+            shape.scanning = True
+            shape.scanned = len(self._order)
+            shape.blocked = True
         return found
 
     def _learn_buckets(self, shape):
@@ -222,7 +212,7 @@
             if worker.bucket is not None and resources.fits(demand, worker.free):
                 shape.scanned = worker.order
                 return [worker]
-        shape.scanned = first + SCAN_LIMIT
+        shape.scanned = min(first + SCAN_LIMIT, len(self._order))
         shape.blocked = shape.scanned >= len(self._order)
         return []
 
@@ -253,22 +243,3 @@
         return 2 * amount if amount > 0 else 0
     length = amount.bit_length()
     return 2 * length + (amount >> (length - 2) & 1)
-
-
-def _refresh_shape(shape, grown):
-    if len(grown) + len(shape.fresh) > SCAN_LIMIT:
-        shape.restart()
-        return
-    for worker in grown:
-        if resources.fits(shape.demand, worker.free):
-            shape.fresh[worker] = None
-            shape.blocked = False
-
-
-def _search_fresh(shape):
-    while shape.fresh:
-        worker = next(reversed(shape.fresh))
-        if worker.bucket is not None and resources.fits(shape.demand, worker.free):
-            return [worker]
-        del shape.fresh[worker]
-    return []
--- a/alderreach/decisions/state.py
+++ b/alderreach/decisions/state.py
@@ -15,7 +15,11 @@
 import itertools
 
 from alderreach.core.generated import common
-from alderreach.decisions import actions, jobs, pool, quotas, resources
+from alderreach.decisions import actions, backlog, jobs, pool, quotas, resources
+
+# After a takeover the other tasks of a gang are announced within seconds; what is still
+# missing then is gone, and the gang has to start again as a whole.
+REGROUP_AFTER_MS = 10_000
 
 
 class State:
@@ -25,7 +29,7 @@
         self.random = random
         self.cell = pool.Pool(random)
         self.ledger = quotas.Ledger()
-        self.backlog = jobs.Backlog(self.cell, self.ledger.stop_saving)
+        self.backlog = backlog.Backlog(self.cell, self.ledger.stop_saving)
         self.jobs = {}
         self.now_ms = 0
         self.tick = 0
@@ -100,12 +104,14 @@
         worker = self.cell.workers.get(worker_id)
         self._count(run, worker)
         if worker is None:
-            self._homeless.setdefault(worker_id, set()).add(run)
+            self._homeless.setdefault(worker_id, {})[run] = None
         else:
             self.cell.charge(worker, job.spec.task)
             self._settle_in(worker, run)
         if job.cancelled or number >= job.spec.tasks:
             self.stop(run)
+        if job.is_gang() and job.waiting:
+            self.review_at(self.now_ms + REGROUP_AFTER_MS, job)
         if not job.waiting:
             self.backlog.remove(job)
 
@@ -115,7 +121,7 @@
         del job.runs[run.number]
         worker = self.cell.workers.get(run.worker_id)
         if worker is not None and run in worker.tasks:
-            worker.tasks.discard(run)
+            del worker.tasks[run]
             if job.pins():
                 worker.pinned = resources.minus(worker.pinned, job.spec.task)
             self.cell.give_back(worker, job.spec.task)
@@ -187,7 +193,7 @@
 
     def _settle_in(self, worker, run):
         job = run.job
-        worker.tasks.add(run)
+        worker.tasks[run] = None
         if job.pins():
             worker.pinned = resources.plus(worker.pinned, job.spec.task)
         if job.is_service() and run.rack != worker.rack:
@@ -199,7 +205,7 @@
         runs = self._homeless.get(run.worker_id)
         if runs is None:
             return
-        runs.discard(run)
+        runs.pop(run, None)
         if not runs:
             del self._homeless[run.worker_id]
 
