--- a/alderreach/decisions/admission.py
+++ b/alderreach/decisions/admission.py
@@ -58,11 +58,17 @@
     return int(wait_ms * (1 + RETRY_SPREAD * random.random()))
 
 
-def takes_place(waiting, weight, heaviest_share):
-    """Whether a newcomer may displace the newest of the team with most waiting."""
-    return (waiting + 1) / weight < heaviest_share
+def takes_place(own_ms, heaviest_ms):
+    """Whether a newcomer may displace the newest of the team with most waiting.
+
+    Both are slot time that waits, by weight, the newcomer's own included. Places are
+    shared by slot time as slots are: by number, a team of short requests would keep
+    places for a few milliseconds of work, and turn away in each small burst.
+    """
+    return own_ms < heaviest_ms
 
 
 def is_hopeless(ask, run_ms, now_ms):
     """Whether a waiting request could not be answered in time if it went now."""
-    return ask.deadline_ms - now_ms < run_ms
+    left_ms = ask.deadline_ms - now_ms
+    return left_ms <= 0 or left_ms < run_ms
--- a/alderreach/decisions/ordering.py
+++ b/alderreach/decisions/ordering.py
@@ -12,6 +12,10 @@
 - Urgent requests go first, but ``REST_SHARE`` of the slot time stays with the rest. A
   fifth keeps routine work moving, while urgent work at up to four fifths of capacity
   waits for at most one slot to come free.
+- Urgent work goes first only up to ``URGENT_LEAD_MS`` of slot time beyond its team's
+  share: a team that calls all of its flood urgent would else hold four fifths of the
+  slots against everybody. A tenth of a second of slot time is a burst of twenty
+  requests of 5 ms, which a quiet team may send at once.
 - Within a team the oldest goes first, which is fairest while deadlines are met. Once
   the oldest has spent ``FLIP_SHARE`` of its time waiting, the newest goes first: under
   overload the oldest would be answered just too late, one after the other, and all
@@ -24,6 +28,7 @@
 
 URGENT_PRIORITY = 7
 REST_SHARE = 0.2
+URGENT_LEAD_MS = 100
 FLIP_SHARE = 0.5
 LEARN_SHARE = 0.1
 RUN_DEFAULT_MS = 10
@@ -90,6 +95,7 @@
 
     def __init__(self):
         self._classes = {True: _Class(), False: _Class()}
+        self._groups = tuple(self._classes.values())
         self._weights = {}
         self._finish = collections.defaultdict(float)
         self._virtual_ms = 0.0
@@ -122,13 +128,12 @@
 
         ``skipped`` holds request ids of heads that can't go now.
         """
-        for group in self._class_order():
-            for team in sorted(group.queues, key=self._start_tag):
-                queue = group.queues[team]
-                takes_newest = len(queue) > 1 and _is_flipped(queue[0].ask, now_ms)
-                waiting = queue[-1] if takes_newest else queue[0]
-                if waiting.ask.request_id not in skipped:
-                    return waiting
+        for group, team in self._order():
+            queue = group.queues[team]
+            takes_newest = len(queue) > 1 and _is_flipped(queue[0].ask, now_ms)
+            waiting = queue[-1] if takes_newest else queue[0]
+            if waiting.ask.request_id not in skipped:
+                return waiting
         return None
 
     def drop(self, waiting):
@@ -140,8 +145,11 @@
     def take(self, waiting):
         """Take out what ``head`` gave: it goes now, and its team pays for it."""
         team = waiting.ask.team
+        # Not the tag of who goes: urgent work runs ahead of its share, and a virtual
+        # time that followed it would wipe out what the others are behind.
+        tags = (self._start_tag(name) for g in self._groups for name in g.queues)
+        self._virtual_ms = min(tags)
         self.drop(waiting)
-        self._virtual_ms = max(self._virtual_ms, self._start_tag(team))
         self._charge_class(waiting)
         self.charge(team, waiting.cost_ms)
 
@@ -179,41 +187,60 @@
         return Backlog(own_ms, total_ms, weights)
 
     def heaviest(self):
-        """The team with most waiting by its weight: (team, waiting per weight)."""
-        waiting = collections.Counter()
-        for group in self._classes.values():
-            for team, queue in group.queues.items():
-                waiting[team] += len(queue)
-        if not waiting:
-            return None, 0.0
-        team = max(waiting, key=lambda name: waiting[name] / self.weight(name))
-        return team, waiting[team] / self.weight(team)
-
-    def number_of(self, team):
-        """How many requests of a team wait."""
-        queues = (g.queues.get(team, ()) for g in self._classes.values())
-        return sum(len(queue) for queue in queues)
+        """The team with most slot time waiting by its weight: (team, ms per weight)."""
+        shares = {
+            team: self.cost_of(team) / self.weight(team)
+            for group in self._classes.values()
+            for team in group.queues
+        }
+        team = max(shares, key=shares.get, default=None)
+        return team, shares.get(team, 0.0)
+
+    def cost_of(self, team):
+        """The slot time a team's waiting requests ask for."""
+        queues = (group.queues.get(team, ()) for group in self._classes.values())
+        return sum(each.cost_ms for queue in queues for each in queue)
 
     def drop_newest(self, team):
-        """Take out the request of a team that came last, routine ones first."""
-        for urgent in (False, True):
-            group = self._classes[urgent]
-            if team in group.queues:
-                waiting = group.queues[team].pop()
-                self._taken(group, waiting)
-                return waiting
-        return None
+        """Take out the request of a team that came last, of the class with too many.
+
+        The floor of the rest holds for places in the line too: a flood of urgent
+        requests would else push out all others before their turn could come.
+        """
+        urgent, rest = (self._classes[flag].queues.get(team, ()) for flag in (1, 0))
+        rest_has_too_many = len(rest) > REST_SHARE * (len(urgent) + len(rest))
+        waiting = (rest if rest_has_too_many else urgent or rest)[-1]
+        self.drop(waiting)
+        return waiting
 
     def _start_tag(self, team):
         return max(self._virtual_ms, self._finish[team])
 
-    def _class_order(self):
+    def _order(self):
+        """All (class, team) with something waiting, in the order they should go."""
         urgent, rest = self._classes[True], self._classes[False]
         if not urgent.number:
             self._rest_credit_ms = 0.0
+        tags = {team: self._start_tag(team) for team in (*urgent.queues, *rest.queues)}
+        teams = sorted(tags, key=tags.get)
+        if not teams:
+            return []
+        lead_ms = tags[teams[0]] + URGENT_LEAD_MS
+        first = [
+            (urgent, team)
+            for team in teams
+            if team in urgent.queues and tags[team] <= lead_ms
+        ]
+        by_share = [
+            (group, team)
+            for team in teams
+            for group in (urgent, rest)
+            if team in group.queues
+        ]
         if self._rest_credit_ms > 0:
-            return (rest, urgent)
-        return (urgent, rest)
+            owed = [(rest, team) for team in teams if team in rest.queues]
+            return owed + first + by_share
+        return first + by_share
 
     def _charge_class(self, waiting):
         """Each ms for urgent work earns the rest its share; only while it waits."""
--- a/alderreach/decisions/routing.py
+++ b/alderreach/decisions/routing.py
@@ -19,7 +19,9 @@
 - Other domains' runners get work only once the own ones have no room and the request
   would wait longer than ``SPILL_WAIT_MS`` for them: about three round trips between
   domains. A convex queueing cost for this choice was weighed and left out: it needs the
-  load of the other domain, which nobody here knows.
+  load of the other domain, which nobody here knows. A runner of another domain that
+  refuses is left alone for ``REMOTE_PAUSE_MS``: when all domains are saturated, each
+  would else spend its slots' time on asking the others.
 - A runner that is slow or fails (``outliers``) is considered only as often as its
   weight says, so that an idle bad runner can't attract the load.
 """
@@ -31,6 +33,7 @@
 GROWTH = 0.1
 REFUSED_KEEPS = 0.7
 REMOTE_START = 1.0
+REMOTE_PAUSE_MS = 200
 SPILL_WAIT_MS = 10.0
 
 
@@ -51,6 +54,7 @@
         self._allowances = {}
         self._own, self._other = [], []
         self._room = 0
+        self._paused_until_ms = {}
 
     def set_runners(self, runners):
         """Know these runners and no others; a restarted one starts afresh."""
@@ -61,6 +65,7 @@
                 self._allowances[runner_id] = self._start(runner)
         for runner_id in before.keys() - self._runners.keys():
             self._allowances.pop(runner_id, None)
+            self._paused_until_ms.pop(runner_id, None)
         self._outliers.set_targets(self._runners)
         self._split()
         self._count_room()
@@ -71,8 +76,8 @@
         return {runner.runner_id for runner in self._own + self._other}
 
     def most(self):
-        """The most this entry may have under way at its own domain's runners."""
-        return sum(self._cap(runner) for runner in self._own or self._other)
+        """The most this entry may have under way at all runners together."""
+        return sum(self._cap(runner) for runner in self._own + self._other)
 
     def room(self):
         """Slots the allowances give this entry where it sends first."""
@@ -87,14 +92,16 @@
         if chosen is not None or not self._other:
             return chosen
         if wait_ms > SPILL_WAIT_MS or not self._has_reachable(self._own, now_ms):
-            return self._least_used(self._other, now_ms, avoided)
+            paused = self._paused_until_ms
+            open_now = [r for r in self._other if paused.get(r.runner_id, 0) <= now_ms]
+            return self._least_used(open_now, now_ms, avoided)
         return None
 
     def started(self, runner_id):
         """A request was granted a runner."""
         self._outstanding[runner_id] += 1
 
-    def ended(self, runner_id, was_refused, was_answered):
+    def ended(self, runner_id, was_refused, was_answered, now_ms):
         """An attempt at a runner has ended."""
         used = self._outstanding[runner_id]
         if used <= 1:
@@ -106,7 +113,10 @@
             return
         allowance = self._allowances[runner_id]
         if was_refused:
-            self._allowances[runner_id] = max(1.0, allowance * REFUSED_KEEPS)
+            reduced = max(self._start(runner), allowance * REFUSED_KEEPS)
+            self._allowances[runner_id] = reduced
+            if runner.failure_domain != self._domain:
+                self._paused_until_ms[runner_id] = now_ms + REMOTE_PAUSE_MS
             self._count_room()
         elif was_answered and used >= int(allowance):
             grown = allowance + GROWTH / allowance
--- a/alderreach/decisions/serving.py
+++ b/alderreach/decisions/serving.py
@@ -139,13 +139,14 @@
         if room is not None:
             bound = min(bound, len(self._line) - 1 + room)
         decisions = self.dispatch(now_ms)
-        return decisions + self._shed(ask, bound)
+        return decisions + self._shed(waiting, bound)
 
     def ended(self, ended, now_ms):
         """An attempt has ended; others may go."""
         running = self._running.pop(ended.request_id, None)
         was_answered = ended.result == ANSWERED
-        self._router.ended(ended.runner_id, ended.result == REFUSED, was_answered)
+        was_refused = ended.result == REFUSED
+        self._router.ended(ended.runner_id, was_refused, was_answered, now_ms)
         if running is not None:
             self._learn(ended, running, now_ms)
         return self.dispatch(now_ms)
@@ -184,7 +185,9 @@
         return bool(self._line.remove(lambda each: each.ask.request_id == request_id))
 
     def _slots(self):
-        return max(1, min(self._limit.value, self._router.room()))
+        """Slots this entry can count on: its own domain's, or more if it has them."""
+        held = max(self._router.room(), len(self._running))
+        return max(1, min(self._limit.value, held))
 
     def _estimate(self, ask, now_ms):
         slots = self._slots()
@@ -217,17 +220,16 @@
         )
         return Refusal(ask.request_id, errors.Kind.OVERLOADED, wait_ms)
 
-    def _shed(self, ask, bound):
+    def _shed(self, newcomer, bound):
         """Keep the queue within its bound: at the cost of the team with most in it."""
         decisions = []
         while len(self._line) > bound:
-            team, share = self._line.heaviest()
-            newest = ask.team
-            others = self._line.number_of(ask.team) - 1
-            weight = self._line.weight(ask.team)
-            if admission.takes_place(others, weight, share):
-                newest = team
-            dropped = self._line.drop_newest(newest) or self._line.drop_newest(team)
+            team, share_ms = self._line.heaviest()
+            own = newcomer.ask.team
+            own_ms = self._line.cost_of(own) / self._line.weight(own)
+            if not admission.takes_place(own_ms, share_ms) and self._line.cost_of(own):
+                team = own
+            dropped = self._line.drop_newest(team)
             decisions.append(self._overloaded(dropped.ask))
         return decisions
 
@@ -253,7 +255,8 @@
             self._limit.observe(ended.run_ms, in_flight, now_ms)
 
     def _is_hopeless(self, waiting, now_ms):
-        run_ms = self._run_times.expected_ms(waiting.ask.team)
+        # As on arrival: an idle service tries what a slow spell would rule out.
+        run_ms = self._run_times.expected_ms(waiting.ask.team) if self._running else 0
         return admission.is_hopeless(waiting.ask, run_ms, now_ms)
 
     def _late(self, ask, now_ms):
