--- a/alderreach/decisions/serving.py
+++ b/alderreach/decisions/serving.py
@@ -40,10 +40,11 @@
 
 
 class Grant(typing.NamedTuple):
-    """A request may be sent to a runner now."""
+    """A request may be sent to a runner now; it is expected to take ``run_ms``."""
 
     request_id: str
     runner: placer.RunnerView
+    run_ms: float = 0
 
 
 class Refusal(typing.NamedTuple):
@@ -239,7 +240,7 @@
         self._running[ask.request_id] = _Running(
             ask.team, runner.runner_id, waiting.cost_ms
         )
-        return Grant(ask.request_id, runner)
+        return Grant(ask.request_id, runner, waiting.cost_ms)
 
     def _learn(self, ended, running, now_ms):
         self._line.correct(running.team, ended.run_ms - running.cost_ms)
--- a/alderreach/ops/entry/requests.py
+++ b/alderreach/ops/entry/requests.py
@@ -15,6 +15,8 @@
 from alderreach.decisions import serving
 from alderreach.ops.entry import answers, intake, once, runner_wire
 
+HUNG_FACTOR = 8
+FIRST_ATTEMPT_SHARE = 0.5
 ATTEMPTS_HEADER = "Alderreach-Attempts"
 FAILURES = {
     runner_wire.REFUSED: errors.Kind.TARGET_REFUSED,
@@ -159,7 +161,7 @@
                 wait_ms = decision.retry_after_ms
                 return Ending(attempts, None, failure._replace(retry_after_ms=wait_ms))
             attempts += 1
-            reply = self._call(request, decision.runner, attempts)
+            reply = self._call(request, decision, attempts)
             if reply.result == runner_wire.ANSWERED:
                 return Ending(attempts, reply, None)
             worst = _worse(worst, reply)
@@ -174,15 +176,30 @@
         is_proved = errors.ANSWERS[worst.kind].outcome == idempotency.NOT_RUN
         return is_proved or request.is_idempotent
 
-    def _call(self, request, runner, attempt):
+    def _attempt_deadline_ms(self, request, grant, attempt):
+        """Until when one attempt may take.
+
+        A runner that took a request and hangs would cost an idempotent one all its
+        time. Its first attempt is therefore given up while there is time for a second:
+        after half of it, and not before several times the expected run time.
+        """
+        if attempt > 1 or not request.is_idempotent:
+            return request.deadline_ms
+        now_ms = self._clock.monotonic_ms()
+        half_ms = (request.deadline_ms - now_ms) * FIRST_ATTEMPT_SHARE
+        patience_ms = int(max(half_ms, HUNG_FACTOR * grant.run_ms))
+        return min(request.deadline_ms, now_ms + patience_ms)
+
+    def _call(self, request, grant, attempt):
         """One attempt; the dispatcher hears of its end whatever happens."""
         started_ms = self._clock.monotonic_ms()
+        runner = grant.runner
         call = runner_wire.Call(
             request.request_id,
             attempt,
             request.headers.content_type,
             request.body,
-            request.deadline_ms,
+            self._attempt_deadline_ms(request, grant, attempt),
         )
         reply = runner_wire.Reply(runner_wire.BROKEN, "fault of the entry")
         try:
--- a/alderreach/ops/entry/runner_wire.py
+++ b/alderreach/ops/entry/runner_wire.py
@@ -14,6 +14,7 @@
 import socket
 import threading
 import typing
+from http import client
 
 import urllib3
 from urllib3 import connection, util
@@ -29,7 +30,12 @@
 UNREACHABLE = "unreachable"
 TIMED_OUT = "timed_out"
 BROKEN = "broken"
-NOT_RUN_RESULTS = (REFUSED, UNREACHABLE)
+FAULTS = (
+    OSError,
+    ValueError,
+    client.HTTPException,
+    urllib3.exceptions.HTTPError,
+)
 
 
 class Call(typing.NamedTuple):
@@ -81,7 +87,7 @@
             reply, is_reusable = self._exchange(link, runner, call)
         except (TimeoutError, urllib3.exceptions.TimeoutError):
             reply, is_reusable = Reply(TIMED_OUT), False
-        except (OSError, urllib3.exceptions.HTTPError, ValueError) as error:
+        except FAULTS as error:
             reply, is_reusable = Reply(BROKEN, repr(error)), False
         if is_reusable:
             self._give_back(runner, link)
@@ -213,7 +219,10 @@
             left -= len(chunk)
         self._allow(link, call)
         reader = response._fp.fp
-        has_surplus = reader is not None and len(reader.peek(1)) > left and left > 0
+        if left == 0 and link.sock is not None:
+            # With an empty body there is nothing to wait for.
+            link.sock.settimeout(0)
+        has_surplus = reader is not None and len(reader.peek(1)) > left
         chunks.append(response.read(1))
         body = b"".join(chunks)
         if has_surplus or len(body) != length or _has_input(link.sock):
--- /dev/null
+++ b/alderreach/ops/entry/runner_wire_test.py
@@ -0,0 +1,146 @@
+"""Only a runner's whole answer to this very attempt is taken; proofs are exact."""
+
+import contextlib
+import socket
+
+import pytest
+
+from alderreach.ops.entry import runner_wire
+from alderreach.utils import clocks
+from tests import entry_fakes
+
+ANSWER_BYTES = 10_000
+
+
+@pytest.fixture
+def stack():
+    with contextlib.ExitStack() as opened:
+        yield opened
+
+
+def make(stack, behave=None):
+    runner = entry_fakes.FakeRunner(stack, behave=behave)
+    wire = runner_wire.RunnerWire(clocks.SYSTEM, ANSWER_BYTES)
+    stack.callback(wire.close)
+    return runner, wire
+
+
+def send(wire, runner, attempt=2, allowed_ms=5000):
+    deadline_ms = clocks.SYSTEM.monotonic_ms() + allowed_ms
+    call = runner_wire.Call("r1", attempt, "text/plain", b"body", deadline_ms)
+    return wire.send(runner.view, call)
+
+
+@pytest.mark.parametrize("size", [0, 1, 2, 9000, ANSWER_BYTES])
+def test_whole_answer_is_taken_and_its_connection_reused(stack, size):
+    body = b"x" * size
+    runner, wire = make(stack, lambda request: entry_fakes.answer(request, body))
+    for _ in range(3):
+        reply = send(wire, runner)
+        assert (reply.result, reply.status, reply.body) == ("answered", 200, body)
+    assert runner.connections == 1
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Alderreach_Request_Id": "r2"},
+        {"Alderreach_Attempt": "1"},
+        {"Alderreach_Boot_Id": "boot-0"},
+        {"Content_Length": "many"},
+        {"Content_Length": str(ANSWER_BYTES + 1)},
+        {"Transfer_Encoding": "chunked"},
+    ],
+)
+def test_answer_to_something_else_is_not_taken(stack, changes):
+    """Crossed, of an earlier attempt, of another boot, without or beyond a length."""
+    runner, wire = make(
+        stack, lambda request: entry_fakes.answer(request, b"other", **changes)
+    )
+    assert send(wire, runner).result == runner_wire.BROKEN
+    assert send(wire, runner).result == runner_wire.BROKEN
+    assert runner.connections == 2
+
+
+@pytest.mark.parametrize("garbage", [b"HTTP/1.1 9000 no\r\n\r\n", b"\0\0\r\n\r\n"])
+def test_garbage_is_no_answer(stack, garbage):
+    runner, wire = make(stack, lambda request: garbage)
+    assert send(wire, runner).result == runner_wire.BROKEN
+
+
+def test_truncated_answer_is_not_taken(stack):
+    """The runner dies while it sends: fewer bytes than it named, then the end."""
+    runner, wire = make(
+        stack, lambda request: entry_fakes.answer(request, b"half", length=8)
+    )
+    runner.closes_after_answer = True
+    assert send(wire, runner).result == runner_wire.BROKEN
+
+
+@pytest.mark.parametrize("body", [b"", b"x", b"xyz", b"x" * 9000])
+def test_answer_longer_than_it_names_is_not_taken(stack, body):
+    """The surplus would be read as the start of the next request's answer."""
+    runner, wire = make(
+        stack,
+        lambda request: entry_fakes.answer(
+            request, body + b"HTTP/1.1 200", length=len(body)
+        ),
+    )
+    assert send(wire, runner).result == runner_wire.BROKEN
+
+
+def test_confirmed_refusal_also_by_another_boot(stack):
+    runner, wire = make(stack, entry_fakes.refuse)
+    assert send(wire, runner).result == runner_wire.REFUSED
+    runner.behave = lambda request: entry_fakes.answer(
+        request,
+        b"{}",
+        "503 Service Unavailable",
+        Alderreach_Outcome="not-run",
+        Alderreach_Boot_Id="boot-2",
+    )
+    assert send(wire, runner).result == runner_wire.REFUSED
+
+
+def test_plain_503_of_the_service_is_an_answer(stack):
+    runner, wire = make(
+        stack, lambda request: entry_fakes.answer(request, b"{}", "503 Unavailable")
+    )
+    assert send(wire, runner).result == runner_wire.ANSWERED
+
+
+def test_no_connection_is_a_proof(stack):
+    runner, wire = make(stack)
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{unused.getsockname()[1]}"
+        runner.view = runner.view._replace(address=address)
+        assert send(wire, runner).result == runner_wire.UNREACHABLE
+
+
+def test_kept_connection_that_breaks_proves_nothing(stack):
+    """The runner restarts between two requests, just as the second one is written.
+
+    The entry can't tell whether the runner read it before it fell, so this is no
+    proof, though the connection looks as if it had been idle all the time.
+    """
+    runner, wire = make(stack)
+    assert send(wire, runner).result == runner_wire.ANSWERED
+    runner.behave = lambda request: None
+    assert send(wire, runner).result == runner_wire.BROKEN
+    assert len(runner.requests) == 2
+
+
+def test_connection_closed_while_idle_is_not_used(stack):
+    """A runner that closes idle connections must not cost callers an unknown."""
+    runner, wire = make(stack)
+    runner.closes_after_answer = True
+    assert send(wire, runner).result == runner_wire.ANSWERED
+    entry_fakes.wait_until(lambda: runner.closed == 1)
+    assert send(wire, runner).result == runner_wire.ANSWERED
+
+
+def test_silent_runner_ends_at_the_deadline(stack):
+    runner, wire = make(stack, lambda request: entry_fakes.wait_until(lambda: False))
+    assert send(wire, runner, allowed_ms=100).result == runner_wire.TIMED_OUT
+    assert send(wire, runner, allowed_ms=0).result == runner_wire.UNREACHABLE
--- /dev/null
+++ b/tests/entry_cell_test.py
@@ -0,0 +1,228 @@
+"""The entry among real keepers, placers and stand-in runners, as separate processes."""
+
+import json
+import signal
+import threading
+
+import pytest
+import urllib3
+
+from alderreach.core import codec
+from alderreach.core.generated import common
+from tests import entry_fakes, keeper_support
+from tools import cell as cells
+from tools.standins import history, targets
+
+DOMAINS = ("urubici", "bom-jardim")
+RUNNERS = 2
+LEAVING_LIMIT_MS = 2000
+
+
+class Callers:
+    """Calls the entries of a running cell, and reads what its runners did."""
+
+    def __init__(self, running, paths):
+        self.running = running
+        self.paths = paths
+        self.entries = running.of_role("entry")
+
+    def post(self, plan, body, key="", **headers):
+        sent = {"Alderreach-Team": "desk"}
+        if key:
+            sent |= {"Idempotency-Key": key, "Alderreach-Non-Idempotent": "true"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        url = f"http://{plan.callers}/v1/services/closures/requests"
+        http = self.running.http
+        return http.request("POST", url, body=body, headers=sent, timeout=30)
+
+    def runs(self, body):
+        """The runs of a request with this body, as the runners recorded them."""
+        seen = history.read(self.paths)
+        runs = (event for event in seen if event["event"] == "request_run")
+        return [run for run in runs if run["body"] == body]
+
+    def is_routing(self, plan):
+        try:
+            return self.post(plan, b"{}").status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+
+@pytest.fixture(scope="module")
+def callers(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("cell")
+    with cells.Cell(folder, keeper_support.QUICK, DOMAINS, vms=1, voters=3) as running:
+        running.start()
+        paths = []
+        for domain in DOMAINS:
+            details = {"service": "closures", "team": "desk", "slots": 4}
+            specs = targets.make_specs(
+                running, domain, 0, RUNNERS, connections=64, work_ms=5, **details
+            )
+            paths.append(targets.start(running, f"targets-{domain}", specs))
+        running.wait_ready([plan.name for plan in running.plans])
+        client = keeper_support.Client(running)
+        quota = common.Resources(4000, 4096, 0)
+        team = common.Team("desk", quota, 1, "waiting")
+        client.write("team/desk", codec.encode(team))
+        load = entry_fakes.workload("closures", "service", deadline_ms=8000, tasks=0)
+        client.write("workload/desk/closures", codec.encode(load))
+        made = Callers(running, paths)
+        for plan in made.entries:
+            cells.wait_until(lambda p=plan: made.is_routing(p), f"{plan.name} routes")
+        yield made
+        client.close()
+
+
+def body_of(name, work_ms=5):
+    return json.dumps({"work_ms": work_ms, "name": name})
+
+
+def test_one_key_at_every_entry_at_once_runs_once(callers):
+    """A caller whose answer is late sends its order to every entry at once."""
+    body, answers = body_of("race", 200), []
+    threads = [
+        threading.Thread(target=lambda p=p: answers.append(callers.post(p, body, "k1")))
+        for p in callers.entries * 3
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(30)
+    assert {answer.status for answer in answers} == {200}
+    assert len({answer.data for answer in answers}) == 1
+    assert len(callers.runs(body)) == 1
+
+
+def test_entry_killed_while_the_order_runs(callers):
+    """The entry that sent an order is killed before the runner has answered.
+
+    The caller sends it again to another entry, and to the first one once it is back.
+    Neither knows how it ended; both must say so, and neither may send it.
+    """
+    first, second = callers.entries
+    body = body_of("killed", 1500)
+
+    def send():
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            callers.post(first, body, "k2")
+
+    lost = threading.Thread(target=send)
+    lost.start()
+    cells.wait_until(lambda: callers.runs(body), "the order runs")
+    callers.running.kill(first.name)
+    lost.join(30)
+    resent = callers.post(second, body, "k2", Alderreach_Deadline_Ms="500")
+    assert resent.json()["kind"] == "in_progress"
+    assert resent.headers["Alderreach-Outcome"] == "unknown"
+    callers.running.start([first.name])
+    cells.wait_until(lambda: callers.is_routing(first), "the entry routes again")
+    assert callers.post(first, body, "k2").json()["kind"] == "outcome_unknown"
+    assert len(callers.runs(body)) == 1
+
+
+def test_without_quorum_orders_wait_and_questions_are_answered(callers):
+    """Two of three keepers stop answering; their processes are only paused.
+
+    An order can't be claimed, so it is not sent, and nobody can say whether it ran
+    before. A closure question needs no quorum. After the pause the order goes through.
+    """
+    body = body_of("cut")
+    keepers = callers.running.of_role("keeper")[:2]
+    for plan in keepers:
+        callers.running.pause(plan.name)
+    try:
+        for plan in callers.entries:
+            order = callers.post(plan, body, "k3")
+            assert order.json()["kind"] == "key_unchecked"
+            assert callers.post(plan, b"{}").status == 200
+        assert not callers.runs(body)
+    finally:
+        for plan in keepers:
+            callers.running.resume(plan.name)
+    answer = cells.wait_until(lambda: _ran(callers, body, "k3"), "the order ran")
+    assert answer.headers["Alderreach-Outcome"] == "ran"
+    assert len(callers.runs(body)) == 1
+
+
+def _ran(callers, body, key):
+    answer = callers.post(callers.entries[0], body, key)
+    return answer if answer.status == 200 else None
+
+
+def test_planned_stop_of_an_entry_cuts_no_request(callers):
+    """An entry is told to stop while callers use it, as before a landlord's date.
+
+    The balancer learns of it from /readyz a moment later and sends callers to the other
+    entry; all they sent before and meanwhile is answered.
+    """
+    leaving, other = callers.entries
+    failed, stop = [], threading.Event()
+
+    def is_ready():
+        try:
+            url = f"http://{leaving.callers}/readyz"
+            return callers.running.http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def use(number):
+        while not stop.is_set():
+            plan = leaving if is_ready() else other
+            try:
+                answer = callers.post(plan, body_of(f"stop {number}", 50))
+                if answer.status != 200:
+                    failed.append(answer.data)
+            except urllib3.exceptions.HTTPError as error:
+                failed.append(repr(error))
+
+    threads = [threading.Thread(target=use, args=(number,)) for number in range(4)]
+    for thread in threads:
+        thread.start()
+    cells.wait_until(lambda: callers.runs(body_of("stop 0", 50)), "callers are busy")
+    process = callers.running.processes[leaving.name]
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(30) == 0
+    stop.set()
+    for thread in threads:
+        thread.join(30)
+    assert not failed
+    callers.running.start([leaving.name])
+    cells.wait_until(lambda: callers.is_routing(leaving), "the entry routes again")
+
+
+def test_leaving_runner_gets_no_new_work_after_two_seconds(callers):
+    """A runner says that it is leaving, while all entries send it requests."""
+    runner = f"runner-{DOMAINS[0]}-1"
+    address = f"127.{callers.running.octet}.101.1:9001"
+    stop = threading.Event()
+
+    def use(plan):
+        while not stop.is_set():
+            assert callers.post(plan, body_of("leaving")).status == 200
+
+    threads = [threading.Thread(target=use, args=(p,)) for p in callers.entries]
+    for thread in threads:
+        thread.start()
+    cells.wait_until(lambda: _last_run(callers, runner), "the runner is used")
+    order = json.dumps({"mode": "leaving"})
+    callers.running.http.request("POST", f"http://{address}/control", body=order)
+    told_ms = cells.time.monotonic() * 1000
+    cells.wait_until(
+        lambda: cells.time.monotonic() * 1000 > told_ms + 1.5 * LEAVING_LIMIT_MS,
+        "time to see what still comes",
+    )
+    stop.set()
+    for thread in threads:
+        thread.join(30)
+    assert _last_run(callers, runner) < told_ms + LEAVING_LIMIT_MS
+
+
+def _last_run(callers, runner):
+    events = history.read(callers.paths)
+    times = [
+        event["monotonic_ms"]
+        for event in events
+        if event["event"] in ("request_run", "refused") and event["runner"] == runner
+    ]
+    return max(times, default=0)
