--- a/alderreach/ops/entry/dispatcher.py
+++ b/alderreach/ops/entry/dispatcher.py
@@ -220,6 +220,9 @@
             for domain in {peer.failure_domain for peer in self._placers}:
                 self._watch(domain)
         self._publish()
+        # With nothing under way only the owners have to be asked; mail wakes the task.
+        is_idle = not self._granted and not self._tickets
+        return self._next_watch_ms - now_ms if is_idle else None
 
     def _watch(self, domain):
         view = self._views.get(domain, target_views.EMPTY)
--- a/alderreach/ops/entry/requests.py
+++ b/alderreach/ops/entry/requests.py
@@ -49,6 +49,7 @@
     attempts: int
     reply: runner_wire.Reply | None
     failure: answers.Failure | None
+    target_id: str = ""
 
 
 class Requests:
@@ -69,7 +70,8 @@
         checked = self._check(environ, service_name, request_id, arrived_ms)
         if isinstance(checked, Err):
             answer = answers.problem(checked.err_value, request_id, (_attempts(0),))
-            self._note(request_id, "", answer, arrived_ms, checked.err_value)
+            refused = Ending(0, None, checked.err_value)
+            self._note(request_id, "", answer, arrived_ms, refused)
             return answer
         request = checked.ok_value
         if not request.is_idempotent and request.headers.idempotency_key:
@@ -78,7 +80,7 @@
             ending = self._attempt(request)
         answer = _answer(request, ending)
         team = request.headers.team
-        self._note(request_id, team, answer, arrived_ms, ending.failure)
+        self._note(request_id, team, answer, arrived_ms, ending)
         return answer
 
     def _check(self, environ, service_name, request_id, arrived_ms):
@@ -163,7 +165,7 @@
             attempts += 1
             reply = self._call(request, decision, attempts)
             if reply.result == runner_wire.ANSWERED:
-                return Ending(attempts, reply, None)
+                return Ending(attempts, reply, None, decision.runner.runner_id)
             worst = _worse(worst, reply)
             if not self._may_retry(request, worst):
                 return Ending(attempts, None, worst)
@@ -216,23 +218,28 @@
                     run_ms,
                 ),
             )
+        if reply.result != runner_wire.ANSWERED:
+            self._note_failed(request, runner, attempt, reply)
+        return reply
+
+    def _note_failed(self, request, runner, attempt, reply):
         self._context.timeline.record(
-            "request_attempted",
+            "request_attempt_failed",
             request_id=request.request_id,
             target_id=runner.runner_id,
             team=request.headers.team,
             detail=f"attempt {attempt} {reply.result} {reply.detail}".rstrip(),
         )
-        return reply
 
-    def _note(self, request_id, team, answer, arrived_ms, failure):
+    def _note(self, request_id, team, answer, arrived_ms, ending):
         took_ms = self._clock.monotonic_ms() - arrived_ms
-        kind = failure.kind.value if failure else "answered"
+        kind = ending.failure.kind.value if ending.failure else "answered"
         self._context.metrics.count("requests", kind)
         self._context.metrics.observe_ms("request", took_ms)
         self._context.timeline.record(
             "request_ended",
             request_id=request_id,
+            target_id=ending.target_id,
             team=team,
             detail=f"{kind} {answer.status} after {took_ms} ms",
         )
--- a/alderreach/utils/http_connection.py
+++ b/alderreach/utils/http_connection.py
@@ -16,6 +16,7 @@
 
 from cheroot import makefile, server
 
+HELD_BYTES = 32_768
 LINGER_MS = 1000
 LINGER_READ_BYTES = 65536
 UNREAD_LINGER_BYTES = 16 * 1024 * 1024
@@ -79,12 +80,29 @@
         self._clock = clock
         self._span_ms = span_ms
         self._give_up_ms = None
+        self._holds = False
+
+    def hold(self):
+        """Collect a small answer, so that head and body go out in one call.
+
+        Each call of the kernel lets another thread take the interpreter lock.
+        """
+        self._holds = True
+
+    def release(self):
+        """Send what was held."""
+        self._holds = False
+        with self._write_lock:
+            self._flush_unlocked()
 
     def start_answer(self):
         """The span starts with the first byte of the next answer."""
         self._give_up_ms = None
+        self._holds = False
 
     def _flush_unlocked(self):
+        if not self._write_buf or (self._holds and len(self._write_buf) < HELD_BYTES):
+            return
         now_ms = self._clock.monotonic_ms()
         if self._give_up_ms is None:
             self._give_up_ms = now_ms + self._span_ms
@@ -115,6 +133,12 @@
         self.conn.must_linger = True
         self.conn.wfile.write("\r\n".join(lines).encode("latin-1") + refusal.body)
 
+    def respond(self):
+        """Let the application answer; a fault of it sends nothing of what was held."""
+        self.conn.wfile.hold()
+        super().respond()
+        self.conn.wfile.release()
+
     def send_headers(self):
         """Answer a request whose body was not read whole, and end the connection."""
         if self._has_unread_body():
