--- a/alderreach/ops/entry/requests.py
+++ b/alderreach/ops/entry/requests.py
@@ -15,6 +15,8 @@
 from alderreach.decisions import serving
 from alderreach.ops.entry import answers, intake, once, runner_wire
 
+HUNG_FACTOR = 8
+FIRST_ATTEMPT_SHARE = 0.5
 ATTEMPTS_HEADER = "Alderreach-Attempts"
 FAILURES = {
     runner_wire.REFUSED: errors.Kind.TARGET_REFUSED,
@@ -47,6 +49,7 @@
     attempts: int
     reply: runner_wire.Reply | None
     failure: answers.Failure | None
+    target_id: str = ""
 
 
 class Requests:
@@ -67,7 +70,8 @@
         checked = self._check(environ, service_name, request_id, arrived_ms)
         if isinstance(checked, Err):
             answer = answers.problem(checked.err_value, request_id, (_attempts(0),))
-            self._note(request_id, "", answer, arrived_ms, checked.err_value)
+            refused = Ending(0, None, checked.err_value)
+            self._note(request_id, "", answer, arrived_ms, refused)
             return answer
         request = checked.ok_value
         if not request.is_idempotent and request.headers.idempotency_key:
@@ -76,7 +80,7 @@
             ending = self._attempt(request)
         answer = _answer(request, ending)
         team = request.headers.team
-        self._note(request_id, team, answer, arrived_ms, ending.failure)
+        self._note(request_id, team, answer, arrived_ms, ending)
         return answer
 
     def _check(self, environ, service_name, request_id, arrived_ms):
@@ -159,9 +163,9 @@
                 wait_ms = decision.retry_after_ms
                 return Ending(attempts, None, failure._replace(retry_after_ms=wait_ms))
             attempts += 1
-            reply = self._call(request, decision.runner, attempts)
+            reply = self._call(request, decision, attempts)
             if reply.result == runner_wire.ANSWERED:
-                return Ending(attempts, reply, None)
+                return Ending(attempts, reply, None, decision.runner.runner_id)
             worst = _worse(worst, reply)
             if not self._may_retry(request, worst):
                 return Ending(attempts, None, worst)
@@ -174,15 +178,30 @@
         is_proved = errors.ANSWERS[worst.kind].outcome == idempotency.NOT_RUN
         return is_proved or request.is_idempotent
 
-    def _call(self, request, runner, attempt):
+    def _attempt_deadline_ms(self, request, grant, attempt):
+        """Until when one attempt may take.
+
+        A runner that took a request and hangs would cost an idempotent one all its
+        time. Its first attempt is therefore given up while there is time for a second:
+        after half of it, and not before several times the expected run time.
+        """
+        if attempt > 1 or not request.is_idempotent:
+            return request.deadline_ms
+        now_ms = self._clock.monotonic_ms()
+        half_ms = (request.deadline_ms - now_ms) * FIRST_ATTEMPT_SHARE
+        patience_ms = int(max(half_ms, HUNG_FACTOR * grant.run_ms))
+        return min(request.deadline_ms, now_ms + patience_ms)
+
+    def _call(self, request, grant, attempt):
         """One attempt; the dispatcher hears of its end whatever happens."""
         started_ms = self._clock.monotonic_ms()
+        runner = grant.runner
         call = runner_wire.Call(
             request.request_id,
             attempt,
             request.headers.content_type,
             request.body,
-            request.deadline_ms,
+            self._attempt_deadline_ms(request, grant, attempt),
         )
         reply = runner_wire.Reply(runner_wire.BROKEN, "fault of the entry")
         try:
@@ -199,23 +218,28 @@
                     run_ms,
                 ),
             )
+        if reply.result != runner_wire.ANSWERED:
+            self._note_failed(request, runner, attempt, reply)
+        return reply
+
+    def _note_failed(self, request, runner, attempt, reply):
         self._context.timeline.record(
-            "request_attempted",
+            "request_attempt_failed",
             request_id=request.request_id,
             target_id=runner.runner_id,
             team=request.headers.team,
             detail=f"attempt {attempt} {reply.result} {reply.detail}".rstrip(),
         )
-        return reply
 
-    def _note(self, request_id, team, answer, arrived_ms, failure):
+    def _note(self, request_id, team, answer, arrived_ms, ending):
         took_ms = self._clock.monotonic_ms() - arrived_ms
-        kind = failure.kind.value if failure else "answered"
+        kind = ending.failure.kind.value if ending.failure else "answered"
         self._context.metrics.count("requests", kind)
         self._context.metrics.observe_ms("request", took_ms)
         self._context.timeline.record(
             "request_ended",
             request_id=request_id,
+            target_id=ending.target_id,
             team=team,
             detail=f"{kind} {answer.status} after {took_ms} ms",
         )
