--- a/alderreach/ops/placer/jobs.py
+++ b/alderreach/ops/placer/jobs.py
@@ -6,7 +6,7 @@
 from alderreach.core.generated import common, placer
 
 SERVICE_PREFIX = "service-"
-FINAL_STATES = ("finished", "failed", "cancelled", "impossible")
+FINAL_STATES = ("finished", "failed", "cancelled")
 
 
 class JobState:
@@ -26,7 +26,6 @@
         self.durable = frozenset()
         self.attempts = {}
         self.cancelled = False
-        self.impossible = ""
         self.status = None
         self.final_durable = False
 
--- a/alderreach/ops/placer/placing.py
+++ b/alderreach/ops/placer/placing.py
@@ -402,9 +402,10 @@
             elif kind == "Stop":
                 self._stop(decision, now_ms)
             else:
-                state = self.jobs[decision.job_id]
-                state.impossible = decision.reason
-                self._mark_job(state)
+                self._mark_job(self.jobs[decision.job_id])
+                self.note(
+                    "job_impossible", job_id=decision.job_id, detail=decision.reason
+                )
 
     def _start(self, decision):
         state = self.jobs[decision.job_id]
--- a/alderreach/ops/placer/reports.py
+++ b/alderreach/ops/placer/reports.py
@@ -25,7 +25,7 @@
     ended = state.is_final or jobs.number_of(task.task_id) in state.finished
     unsent = placement is not None and placement.state == "starting"
     if unsent and not placement.sent and not ended:
-        placing.end(placement, "lost", now_ms)
+        placing.end(placement, "stopped", now_ms)
         placement = None
     if ended or placement is not None:
         placing.add_orphan(told.target_id, task.task_id)
@@ -66,9 +66,9 @@
 
 
 def _outcome(placement, reported_state):
-    """A stop nobody asked for, as at a lapsed lease, is a loss, not an end."""
+    """A stop nobody asked for, as at a lapsed lease, blames nobody."""
     if reported_state == "stopped":
-        return placement.outcome or "lost"
+        return placement.outcome or "stopped"
     return reported_state
 
 
@@ -77,12 +77,12 @@
     if now_ms < placement.loose_until_ms:
         return
     if placement.state == "held":
-        placing.end(placement, "lost", now_ms)
+        placing.end(placement, "stopped", now_ms)
     elif placement.state == "running":
         if placement.reported:
-            placing.end(placement, "lost", now_ms)
+            placing.end(placement, "stopped", now_ms)
         elif now_ms - placement.accepted_ms > placing.lapse_ms:
-            placing.stop(placement, "stop", "lost", now_ms)
+            placing.stop(placement, "stop", "stopped", now_ms)
     elif placement.state == "stopping":
         if placement.reported or not placement.sent:
             placing.end(placement, placement.outcome, now_ms)
--- a/alderreach/ops/placer/status.py
+++ b/alderreach/ops/placer/status.py
@@ -18,8 +18,8 @@
     told = placing.scheduler.job_status(job_id)
     finished, failed = len(state.finished), told.failed if told else 0
     name, reason = "waiting", told.reason if told else ""
-    if state.impossible and not placed:
-        name, reason = "impossible", state.impossible
+    if told and told.state == "impossible" and not placed and not state.cancelled:
+        name = "impossible"
     elif finished >= tasks:
         name, reason = "finished", ""
     elif state.cancelled and not placed:
--- a/alderreach/ops/placer/upkeep.py
+++ b/alderreach/ops/placer/upkeep.py
@@ -42,8 +42,8 @@
     state = placing.jobs[placement.job_id]
     if state.is_service:
         if may_stop_runner:
-            placing.stop(placement, "stop", "lost", now_ms)
+            placing.stop(placement, "stop", "stopped", now_ms)
     elif state.job.checkpoint:
         placing.stop(placement, "checkpoint", "checkpointed", now_ms)
     elif left_ms <= maintenance.STOP_LEAD_MS:
-        placing.stop(placement, "stop", "lost", now_ms)
+        placing.stop(placement, "stop", "stopped", now_ms)
