--- a/alderreach/ops/placer/service.py
+++ b/alderreach/ops/placer/service.py
@@ -15,7 +15,7 @@
 
 HTTP_THREADS = 16
 GRANT_TIMEOUT_MS = 1000
-HANDOVER_WAIT_MS = 5000
+HANDOVER_WAIT_MS = 1500
 DRAIN_POLL_MS = 20
 HURRIED_HEARTBEAT_MS = 50
 
@@ -348,7 +348,12 @@
 
     def _hand_over(self, mail, now_ms):
         """Stop acting for good, then let the standby take over at once."""
-        if self._draining is not None or not self._ownership.is_owner:
+        state = self._ownership
+        alone = state.is_owner and not state.standbys_alive(now_ms)
+        if alone:
+            state.hand_over()
+            self._release()
+        if self._draining is not None or not state.is_owner:
             self._draining = mail.ticket
             mail.ticket.answer(True)
             return
@@ -360,13 +365,16 @@
         self._ownership.hand_over()
         for address, beat in beats:
             self._context.transport.send(address, beat)
-        release = self._ownership.release(uuid.uuid4().hex)
-        for address in self._keepers.values():
-            self._context.transport.send(address, release)
+        self._release()
         self._context.timeline.record(
             "ownership_handed_over", epoch=self._ownership.epoch
         )
 
+    def _release(self):
+        release = self._ownership.release(uuid.uuid4().hex)
+        for address in self._keepers.values():
+            self._context.transport.send(address, release)
+
     def _end_drain(self):
         """The process may end once a standby owns the domain."""
         state = self._ownership
