--- a/tests/placer_failures_test.py
+++ b/tests/placer_failures_test.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from alderreach.core.generated import placer
+from alderreach.core import codec
+from alderreach.core.generated import common, placer
 from tests import placer_sim
 
 LAPSE_MS = placer_sim.TIMING.target_lease_ms + placer_sim.TIMING.lease_margin_ms
@@ -293,6 +294,41 @@
         world.run_until(lambda state=state: shown(views) == {"r1": state}, 1000)
 
 
+def test_window_is_cleared_before_it_starts(world):
+    """The landlord stops a VM in 40 s. A crew's dispatch must not be cut with it.
+
+    The VM gets nothing new from the declaration on, since the start is near; its task
+    is stopped half a minute before the start and runs elsewhere, and the row says when
+    the VM is ready.
+    """
+    worker = start_one(world, run_ms=300_000)
+    owner = world.owner()
+    start_ms = owner.clock.wall_ms() + 40_000
+    window = common.MaintenanceWindow(
+        "m1", placer_sim.DOMAIN, [worker.name], [], start_ms, start_ms + 60_000
+    )
+    world.keepers.write("maintenance/m1", codec.encode(window))
+    world.run(1000)
+    assert note_of(world, worker.name).startswith("maintenance clearing: not ready")
+    world.submit("j2", tasks=4, run_ms=100_000)
+    world.run_until(lambda: world.place("j2/3"))
+    assert len(worker.running()) == 1
+    world.run_until(lambda: world.place("j1/0") not in ([], [worker.name]))
+    assert owner.clock.wall_ms() < start_ms - 20_000
+    world.run(1000)
+    assert note_of(world, worker.name) == "maintenance clearing: ready, nothing runs"
+
+
+def note_of(world, target_id):
+    """The note of a target's row, as operators are shown it."""
+    replies = []
+    world.entry = replies.append
+    world.owner().tell("entry", placer.TargetQuery("q"))
+    world.run_until(lambda: replies)
+    rows = {row.target_id: row for row in replies[0].targets}
+    return rows[target_id].note
+
+
 def shown(views):
     """What an entry that applied the views would know."""
     known = {}
