--- a/alderreach/ops/placer/announcing.py
+++ b/alderreach/ops/placer/announcing.py
@@ -7,10 +7,11 @@
 
 from alderreach.core import target_membership
 from alderreach.ops import target_wire
-from alderreach.utils import tasks
+from alderreach.utils import http_server, tasks
 
 PREFIX = "/v1/targets/"
 SUFFIX = "/announce"
+HTTP_THREADS = 16
 ANSWER_WAIT_MS = 1000
 REASONS = {
     200: "200 OK",
@@ -82,3 +83,17 @@
         return [told.body]
 
     return application
+
+
+def open_listener(settings, put):
+    """Serve announcements on the targets' address; returns the HttpServer."""
+    application = make_application(
+        settings.process.failure_domain, put, settings.limits.body_bytes
+    )
+    limits = http_server.HttpLimits(
+        HTTP_THREADS,
+        settings.limits.header_bytes,
+        settings.limits.body_bytes,
+        settings.limits.caller_idle_ms,
+    )
+    return http_server.HttpServer(settings.listen.targets, application, limits)
--- a/alderreach/ops/placer/items.py
+++ b/alderreach/ops/placer/items.py
@@ -168,7 +168,7 @@
                 if not heard:
                     self._placing.declare_dead(target_id, now_ms)
             del self.words[target_id]
-            self._placing.mark_item(f"target/{target_id}", lambda: (None, None))
+            self._placing.ledger.delete(f"target/{target_id}")
 
     def drop_old_jobs(self, wall_ms):
         """Delete the items of jobs that ended long ago."""
@@ -178,8 +178,7 @@
                 continue
             if wall_ms - state.status.updated_wall_ms > RETENTION_MS:
                 for kind in ("job", "cancel", "done", "status"):
-                    key = f"{kind}/{domain}/{job_id}"
-                    self._placing.mark_item(key, lambda: (None, None))
+                    self._placing.ledger.delete(f"{kind}/{domain}/{job_id}")
                 del self._placing.jobs[job_id]
 
 
--- /dev/null
+++ b/alderreach/ops/placer/ledger.py
@@ -0,0 +1,134 @@
+"""What of an owner's state must outlive its process, and where it is held.
+
+Records go to the standby with the beats. Items go to the keepers: job statuses, which
+tasks finished, and the placements that no standby holds or that no lapse of time ends.
+"""
+
+from alderreach.core import codec, placements, records, target_membership
+from alderreach.core.generated import placer
+from alderreach.ops.placer import jobs
+
+
+class Ledger:
+    """The records and the marks of items to be written, of one epoch.
+
+    ``mark_item(key, make)`` is ``item_writer.ItemWriter.mark``; ``make_status(state)``
+    gives a status item's value as ``make`` does.
+    """
+
+    def __init__(self, failure_domain, placed, members, mark_item, make_status):
+        self.log = records.RecordLog()
+        self._failure_domain = failure_domain
+        self._placed = placed
+        self._members = members
+        self._mark_item = mark_item
+        self._make_status = make_status
+        self._held_at_keepers = {}
+        self._standby_alive = True
+        self._runner_views = 0
+
+    # ---- records
+
+    def note_placement(self, placement):
+        """Record a new placement."""
+        record = placement.record
+        placement.record_sequence = self.log.put("placement", record.task_id, record)
+        self._mark_worker(record)
+
+    def note_end(self, record):
+        """Record how an attempt ended; a finish until the keepers hold it too."""
+        if record.outcome != "finished":
+            record = record._replace(outcome=records.SETTLED)
+        self.log.put("placement", record.task_id, record)
+        self._mark_worker(record)
+
+    def note_worker(self, told, gone=False):
+        """Record a worker as it announced itself, or that it is forgotten."""
+        record = target_membership.worker_record(told, gone)
+        self.log.put("worker", told.target_id, record)
+
+    def note_runners(self):
+        """Record what entries are told of runners."""
+        if self._runner_views == self._members.sequence:
+            return
+        _, views = self._members.since(self._runner_views)
+        self._runner_views = self._members.sequence
+        for view in views:
+            self.log.put("runner", view.runner_id, view)
+
+    def set_standby(self, alive, acked):
+        """Take in whether a standby lives and what it holds.
+
+        Without one the keepers must hold what only it held.
+        """
+        if self._standby_alive and not alive:
+            for worker_id in self._placed.workers():
+                self._mark_item_of(worker_id)
+        self._standby_alive = alive
+        self.log.trim(acked if alive else self.log.sequence)
+
+    def is_safe(self, placement, acked, keepers_failing):
+        """Whether the loss of this process would not lose the placement."""
+        sequence = placement.record_sequence
+        if sequence <= self._held_at_keepers.get(placement.record.worker_id, 0):
+            return True
+        if not self._standby_alive or sequence > acked:
+            return False
+        return placement.record.when_cut_off == "move" or keepers_failing
+
+    # ---- items
+
+    def mark_job(self, state):
+        """Have a job's status written; services have none."""
+        if not state.is_service:
+            key = f"status/{self._failure_domain}/{state.job.job_id}"
+            self._mark_item(key, lambda: self._make_status(state))
+
+    def mark_ended(self, state):
+        """Have the keepers hold which tasks finished; then workers may forget them."""
+
+        def make():
+            finished = frozenset(state.finished)
+
+            def durable():
+                self._settle(state, finished)
+
+            return jobs.ended_item(state), durable
+
+        self._mark_item(f"done/{self._failure_domain}/{state.job.job_id}", make)
+
+    def delete(self, key):
+        """Have an item deleted."""
+        self._mark_item(key, lambda: (None, None))
+
+    def _settle(self, state, finished):
+        for number in finished - state.durable:
+            task_id = f"{state.job.job_id}/{number}"
+            record = placer.PlacementRecord(
+                task_id, 0, state.job.job_id, "", "", records.SETTLED
+            )
+            self.log.put("placement", task_id, record)
+        state.durable = finished
+
+    def _mark_worker(self, record):
+        if record.when_cut_off == "stay" or not self._standby_alive:
+            self._mark_item_of(record.worker_id)
+
+    def _mark_item_of(self, worker_id):
+        def make():
+            sequence = self.log.sequence
+
+            def durable():
+                self._held_at_keepers[worker_id] = sequence
+
+            return self._worker_item(worker_id), durable
+
+        self._mark_item(f"placed/{self._failure_domain}/{worker_id}", make)
+
+    def _worker_item(self, worker_id):
+        held = self._placed.on_worker(worker_id)
+        target = self._members.targets.get(worker_id)
+        if not held or target is None:
+            return None
+        record = target_membership.worker_record(target.announced)
+        return codec.encode(placements.worker_item(record, held))
--- a/alderreach/ops/placer/placing.py
+++ b/alderreach/ops/placer/placing.py
@@ -14,9 +14,9 @@
 
 import collections
 
-from alderreach.core import codec, placements, records, target_membership
+from alderreach.core import placements, target_membership
 from alderreach.core.generated import placer
-from alderreach.ops.placer import commands, jobs, reports, status
+from alderreach.ops.placer import commands, jobs, ledger, reports, status, workers
 
 DECISIONS_PER_TICK = 500
 AGE_INTERVAL_MS = 100
@@ -41,24 +41,23 @@
         self.members = target_membership.Membership(timing)
         self.jobs = {}
         self.placements = placements.Placements()
-        self.log = records.RecordLog()
+        self.workers = workers.Workers(scheduler, self.members)
+        self.ledger = ledger.Ledger(
+            failure_domain,
+            self.placements,
+            self.members,
+            mark_item,
+            lambda state: status.make_item(self, state),
+        )
         self.commands = commands.Commands(
             epoch, self.placements, self.members, self.jobs, self.lapse_ms
         )
-        self.closed_workers = frozenset()
         self.knows_all_jobs = True
         self.starts_from_ms = 0
-        self.mark_item = mark_item
         self.wall_ms = wall_ms
         self._record = record
-        self._scheduled = {}
-        self._confirmed = set()
-        self._orphans = {}
         self._awaiting = collections.deque()
-        self._held_at_keepers = {}
         self._loose = {}
-        self._standby_alive = True
-        self._runner_views = 0
         self._next_age_ms = 0
 
     # ---- jobs
@@ -74,7 +73,7 @@
             self._replay(job, number, "finished", now_ms)
         for number in state.failed:
             self._replay(job, number, "failed", now_ms)
-        self._mark_job(state)
+        self.ledger.mark_job(state)
 
     def resize(self, job, now_ms):
         """Take over a service's new number of tasks."""
@@ -88,7 +87,7 @@
             return
         state.cancelled = True
         self.scheduler.cancel(job_id, now_ms)
-        self._mark_job(state)
+        self.ledger.mark_job(state)
         self.note("job_cancelled", job_id=job_id)
 
     def finish(self, state, number, now_ms):
@@ -96,8 +95,8 @@
         state.finished.add(number)
         state.failed.discard(number)
         self._replay(state.job, number, "finished", now_ms)
-        self._mark_ended(state)
-        self._mark_job(state)
+        self.ledger.mark_ended(state)
+        self.ledger.mark_job(state)
 
     def _replay(self, job, number, outcome, now_ms):
         """Tell the scheduler of an end from before this epoch."""
@@ -109,8 +108,9 @@
         """Note a target that a predecessor knew; it must report before it is used."""
         self.members.expect(told, now_ms)
         if told.kind == "worker":
-            self._add_worker(told)
-        self._log_runners()
+            self.ledger.note_worker(told)
+            self.workers.add(told)
+        self.ledger.note_runners()
 
     def announce(self, told, now_ms):
         """Take an announcement; returns the ids of ended tasks it may forget."""
@@ -120,20 +120,16 @@
             return []
         self._note_announcement(told, before, meaning)
         if told.kind == "runner":
-            self._log_runners()
+            self.ledger.note_runners()
             return []
         self._take_worker(told, before, meaning, now_ms)
         acknowledged = self._take_tasks(told, now_ms)
         if told.state == "gone":
             self._worker_died(told.target_id, now_ms)
-        self._open_worker(told.target_id)
+        self.workers.open(told.target_id)
         self.scheduler.observe_usage(told.target_id, told.usage)
         return acknowledged
 
-    def is_confirmed(self, target_id):
-        """Whether a worker has told that it knows this epoch."""
-        return target_id in self._confirmed
-
     def _note_announcement(self, told, before, meaning):
         changed = before is None or before.announced.state != told.state
         if meaning != "renewed" or changed or not before.reported:
@@ -146,48 +142,16 @@
     def _take_worker(self, told, before, meaning, now_ms):
         worker_id = told.target_id
         if meaning == "restarted":
-            self._confirmed.discard(worker_id)
-            self._orphans.pop(worker_id, None)
+            self.workers.restarted(worker_id)
             for placement in self.placements.on_worker(worker_id):
                 if placement.boot_id != told.boot_id:
                     self.end(placement, "lost", now_ms)
         if told.owner_epoch_seen >= self.epoch:
-            self._confirmed.add(worker_id)
+            self.workers.confirm(worker_id)
         record = target_membership.worker_record(told)
-        same = before and target_membership.worker_record(before.announced) == record
-        if not same or worker_id not in self._scheduled:
-            self._add_worker(told)
-
-    def _add_worker(self, told):
-        """Have the scheduler know a worker, with its capacity as last announced."""
-        worker_id = told.target_id
-        self._log_worker(told)
-        if self._scheduled.get(worker_id) == told.capacity:
-            return
-        self.scheduler.add_worker(worker_id, told.vm, told.rack, told.capacity)
-        self._scheduled[worker_id] = told.capacity
-        self._open_worker(worker_id)
-
-    def _open_worker(self, worker_id):
-        """Open a worker for new tasks, or close it, as its state says."""
-        if worker_id not in self._scheduled:
-            return
-        target = self.members.targets.get(worker_id)
-        is_open = (
-            target is not None
-            and target.state == "ready"
-            and worker_id in self._confirmed
-            and worker_id not in self._orphans
-            and worker_id not in self.closed_workers
-        )
-        self.scheduler.set_open(worker_id, is_open)
-
-    def set_closed(self, worker_ids):
-        """Close these workers for new tasks, and reopen those closed before."""
-        changed = self.closed_workers ^ frozenset(worker_ids)
-        self.closed_workers = frozenset(worker_ids)
-        for worker_id in changed:
-            self._open_worker(worker_id)
+        if not before or target_membership.worker_record(before.announced) != record:
+            self.ledger.note_worker(told)
+        self.workers.add(told)
 
     def declare_dead(self, target_id, now_ms):
         """Take an operator's word that a silent target's VM is gone for good."""
@@ -206,10 +170,8 @@
                 reports.take_running(self, told, task, now_ms)
             elif reports.take_ended(self, told, task, now_ms):
                 acknowledged.append(task.task_id)
-        orphans = self._orphans.pop(told.target_id, set()) & running
-        if orphans:
-            self._orphans[told.target_id] = orphans
-        if told.target_id in self._confirmed:
+        self.workers.keep_orphans(told.target_id, running)
+        if self.workers.is_confirmed(told.target_id):
             for placement in self.placements.on_worker(told.target_id):
                 if placement.key not in listed:
                     reports.take_missing(self, placement, now_ms)
@@ -217,9 +179,7 @@
 
     def add_orphan(self, worker_id, task_id):
         """Note a running task that is not placed: its worker stays closed meanwhile."""
-        orphans = self._orphans.setdefault(worker_id, set())
-        if task_id not in orphans:
-            orphans.add(task_id)
+        if self.workers.add_orphan(worker_id, task_id):
             self.note("task_astray", task_id=task_id, target_id=worker_id)
 
     # ---- tasks
@@ -233,19 +193,12 @@
         self.scheduler.restore(
             record.task_id, record.attempt, record.job_id, record.worker_id
         )
-        self._log_placement(placement)
-        self._mark_job(state)
+        self.ledger.note_placement(placement)
+        self.ledger.mark_job(state)
 
     def adopt(self, told, task, state, now_ms):
         """Hold a running task that no record told of."""
-        record = placer.PlacementRecord(
-            task.task_id,
-            task.attempt,
-            state.job.job_id,
-            told.target_id,
-            state.job.when_cut_off,
-            "",
-        )
+        record = _record(state, task.task_id, task.attempt, told.target_id)
         placement = placements.Placement(
             record, task.attempt, told.boot_id, state.job.task, "running"
         )
@@ -264,7 +217,7 @@
         if placement.state in ("held", "starting"):
             placement.state = "running"
             self.scheduler.task_started(placement.record.task_id, now_ms)
-            self._mark_job(self.jobs[placement.job_id])
+            self.ledger.mark_job(self.jobs[placement.job_id])
 
     def end(self, placement, outcome, now_ms):
         """An attempt has surely ended and will not start again."""
@@ -274,20 +227,17 @@
         self.placements.remove(placement)
         if placement.loose_until_ms > now_ms:
             self._loose[placement.key] = placement.loose_until_ms
-        if outcome == "finished":
+        if outcome == "finished" and not state.is_service:
             state.finished.add(number)
             state.failed.discard(number)
-            self._mark_ended(state)
+            self.ledger.mark_ended(state)
         elif outcome == "failed":
             state.failed.add(number)
         self.scheduler.task_ended(
             record.task_id, placement.scheduler_attempt, outcome, now_ms
         )
-        if outcome != "finished":
-            record = record._replace(outcome=records.SETTLED)
-        self.log.put("placement", record.task_id, record)
-        self._mark_worker(record.worker_id, record.when_cut_off)
-        self._mark_job(state)
+        self.ledger.note_end(record)
+        self.ledger.mark_job(state)
         self.note_task("task_ended", record, outcome)
         self._after_end(record.worker_id)
 
@@ -301,10 +251,6 @@
         placement.outcome = outcome
         self.commands.push_due(placement, now_ms)
 
-    def note_refusal(self, placement, reason):
-        """Record that a worker refused a run."""
-        self.note_task("task_refused", placement.record, reason)
-
     def is_loose(self, key, now_ms):
         """Whether a copy of an ended attempt's run may still arrive."""
         until_ms = self._loose.get(key, 0)
@@ -318,20 +264,15 @@
         if target is None or self.placements.on_worker(worker_id):
             return
         if target.state == "dead":
-            self._unschedule(worker_id)
-
-    def _unschedule(self, worker_id):
-        if self._scheduled.pop(worker_id, None) is not None:
-            self.scheduler.remove_worker(worker_id)
-        self._confirmed.discard(worker_id)
+            self.workers.remove(worker_id)
 
     def _drop_target(self, target_id):
         target = self.members.targets[target_id]
         if target.announced.kind == "worker":
-            self._unschedule(target_id)
-            self._log_worker(target.announced, gone=True)
+            self.workers.remove(target_id)
+            self.ledger.note_worker(target.announced, gone=True)
         self.members.forget(target_id)
-        self._log_runners()
+        self.ledger.note_runners()
 
     # ---- time
 
@@ -341,13 +282,12 @@
         ``acked`` is the record up to which every living standby holds all.
         """
         self._age(now_ms)
-        self._set_standby(standby_alive)
+        self.ledger.set_standby(standby_alive, acked)
         if now_ms >= self.starts_from_ms:
             self._decide(now_ms)
-        self._release(acked, standby_alive, keepers_failing, now_ms)
+        self._release(acked, keepers_failing, now_ms)
         for placement in self.commands.queue_due(now_ms):
             self.end(placement, "refused", now_ms)
-        self.log.trim(acked if standby_alive else self.log.sequence)
 
     def forget_dead(self, now_ms):
         """Drop targets that have been dead for long and hold nothing."""
@@ -371,10 +311,10 @@
             target = self.members.targets[target_id]
             self.note(f"target_{target.state}", target_id=target_id)
             if target.announced.kind == "worker":
-                self._open_worker(target_id)
+                self.workers.open(target_id)
                 if target.state == "dead":
                     self._worker_died(target_id, now_ms)
-        self._log_runners()
+        self.ledger.note_runners()
 
     def _worker_died(self, worker_id, now_ms):
         """Its lease has surely lapsed: movable tasks have stopped themselves.
@@ -387,13 +327,6 @@
                 self.end(placement, "lost", now_ms)
         self._after_end(worker_id)
 
-    def _set_standby(self, alive):
-        """Without a standby the keepers must hold what only it held."""
-        if self._standby_alive and not alive:
-            for worker_id in self.placements.workers():
-                self._mark_item_of(worker_id)
-        self._standby_alive = alive
-
     def _decide(self, now_ms):
         for decision in self.scheduler.tick(now_ms, DECISIONS_PER_TICK):
             kind = type(decision).__name__
@@ -402,7 +335,7 @@
             elif kind == "Stop":
                 self._stop(decision, now_ms)
             else:
-                self._mark_job(self.jobs[decision.job_id])
+                self.ledger.mark_job(self.jobs[decision.job_id])
                 self.note(
                     "job_impossible", job_id=decision.job_id, detail=decision.reason
                 )
@@ -412,22 +345,15 @@
         number = jobs.number_of(decision.task_id)
         attempt = placements.next_attempt(self.epoch, state.attempts.get(number, 0))
         state.attempts[number] = attempt
-        record = placer.PlacementRecord(
-            decision.task_id,
-            attempt,
-            decision.job_id,
-            decision.worker_id,
-            state.job.when_cut_off,
-            "",
-        )
+        record = _record(state, decision.task_id, attempt, decision.worker_id)
         boot_id = self.members.targets[decision.worker_id].announced.boot_id
         placement = placements.Placement(
             record, decision.attempt, boot_id, decision.task, "starting"
         )
         self.placements.add(placement)
-        self._log_placement(placement)
+        self.ledger.note_placement(placement)
         self._awaiting.append(placement)
-        self._mark_job(state)
+        self.ledger.mark_job(state)
         self.note_task("task_placed", record)
 
     def _stop(self, decision, now_ms):
@@ -436,27 +362,19 @@
             return
         self.stop(placement, decision.how, "stopped", now_ms)
 
-    def _release(self, acked, standby_alive, keepers_failing, now_ms):
+    def _release(self, acked, keepers_failing, now_ms):
         """Have the runs sent whose records would outlive this process."""
         waiting = collections.deque()
         for placement in self._awaiting:
             if not self.placements.is_current(placement):
                 continue
-            if self._is_safe(placement, acked, standby_alive, keepers_failing):
+            if self.ledger.is_safe(placement, acked, keepers_failing):
                 self.commands.push_due(placement, now_ms)
             else:
                 waiting.append(placement)
         self._awaiting = waiting
 
-    def _is_safe(self, placement, acked, standby_alive, keepers_failing):
-        sequence = placement.record_sequence
-        if sequence <= self._held_at_keepers.get(placement.record.worker_id, 0):
-            return True
-        if not standby_alive or sequence > acked:
-            return False
-        return placement.record.when_cut_off == "move" or keepers_failing
-
-    # ---- records, items and the time line
+    # ---- the time line
 
     def note(self, kind, **details):
         """Record an event of this epoch in the time line."""
@@ -472,70 +390,10 @@
             detail=detail,
         )
 
-    def _log_placement(self, placement):
-        record = placement.record
-        placement.record_sequence = self.log.put("placement", record.task_id, record)
-        self._mark_worker(record.worker_id, record.when_cut_off)
-
-    def _log_worker(self, told, gone=False):
-        record = target_membership.worker_record(told, gone)
-        self.log.put("worker", told.target_id, record)
-
-    def _log_runners(self):
-        """Give the standby what entries are told of runners."""
-        if self._runner_views == self.members.sequence:
-            return
-        _, views = self.members.since(self._runner_views)
-        self._runner_views = self.members.sequence
-        for view in views:
-            self.log.put("runner", view.runner_id, view)
-
-    def _mark_worker(self, worker_id, when_cut_off):
-        if when_cut_off == "stay" or not self._standby_alive:
-            self._mark_item_of(worker_id)
-
-    def _mark_item_of(self, worker_id):
-        def make():
-            sequence = self.log.sequence
 
-            def durable():
-                self._held_at_keepers[worker_id] = sequence
-
-            return self._worker_item(worker_id), durable
-
-        self.mark_item(f"placed/{self.failure_domain}/{worker_id}", make)
-
-    def _worker_item(self, worker_id):
-        held = self.placements.on_worker(worker_id)
-        target = self.members.targets.get(worker_id)
-        if not held or target is None:
-            return None
-        record = target_membership.worker_record(target.announced)
-        return codec.encode(placements.worker_item(record, held))
-
-    def _mark_job(self, state):
-        if not state.is_service:
-            key = f"status/{self.failure_domain}/{state.job.job_id}"
-            self.mark_item(key, lambda: status.make_item(self, state))
-
-    def _mark_ended(self, state):
-        """Have the keepers hold which tasks finished; then workers may forget them."""
-
-        def make():
-            finished = frozenset(state.finished)
-
-            def durable():
-                self._settle(state, finished)
-
-            return jobs.ended_item(state), durable
-
-        self.mark_item(f"done/{self.failure_domain}/{state.job.job_id}", make)
-
-    def _settle(self, state, finished):
-        for number in finished - state.durable:
-            task_id = f"{state.job.job_id}/{number}"
-            record = placer.PlacementRecord(
-                task_id, 0, state.job.job_id, "", "", records.SETTLED
-            )
-            self.log.put("placement", task_id, record)
-        state.durable = finished
+def _record(state, task_id, attempt, worker_id):
+    """Return the record of an attempt that may run from now on."""
+    job = state.job
+    return placer.PlacementRecord(
+        task_id, attempt, job.job_id, worker_id, job.when_cut_off, ""
+    )
--- a/alderreach/ops/placer/reports.py
+++ b/alderreach/ops/placer/reports.py
@@ -55,7 +55,7 @@
     state = placing.jobs.get(jobs.job_of(task.task_id))
     if state is None:
         return placing.knows_all_jobs
-    if state.final_durable or task.state != "finished":
+    if state.final_durable or state.is_service or task.state != "finished":
         return True
     number = jobs.number_of(task.task_id)
     if number not in state.finished:
@@ -108,5 +108,5 @@
     if placement.state != "starting":
         return
     placement.refused = True
-    placing.note_refusal(placement, answer.reason)
+    placing.note_task("task_refused", placement.record, answer.reason)
     placing.commands.push_due(placement, max(now_ms, placement.loose_until_ms))
--- a/alderreach/ops/placer/service.py
+++ b/alderreach/ops/placer/service.py
@@ -11,9 +11,8 @@
 from alderreach.core.generated import common, keeper, placer
 from alderreach.ops import daemon, gateway, target_wire
 from alderreach.ops.placer import announcing, items, sender, tenure
-from alderreach.utils import http_server, tasks
+from alderreach.utils import tasks
 
-HTTP_THREADS = 16
 GRANT_TIMEOUT_MS = 1000
 HANDOVER_WAIT_MS = 1500
 DRAIN_POLL_MS = 20
@@ -106,21 +105,10 @@
         stack.callback(self._gateway.close)
         self._task.start()
         self._gateway.start()
-        stack.callback(self._open_listener().close)
-        return self
-
-    def _open_listener(self):
-        settings = self._context.settings
-        application = announcing.make_application(
-            self._domain, self._task.put, settings.limits.body_bytes
+        stack.callback(
+            announcing.open_listener(self._context.settings, self._task.put).close
         )
-        limits = http_server.HttpLimits(
-            HTTP_THREADS,
-            settings.limits.header_bytes,
-            settings.limits.body_bytes,
-            settings.limits.caller_idle_ms,
-        )
-        return http_server.HttpServer(settings.listen.targets, application, limits)
+        return self
 
     # ---- the role, called from other threads
 
--- a/alderreach/ops/placer/status.py
+++ b/alderreach/ops/placer/status.py
@@ -122,7 +122,7 @@
         return "most of what it started failed"
     if target.state == "dead" and held:
         return f"silent; held until its fate is known: {_named(held)}"
-    if told.kind == "worker" and not placing.is_confirmed(told.target_id):
+    if told.kind == "worker" and not placing.workers.is_confirmed(told.target_id):
         return "has not confirmed this owner's epoch"
     return ""
 
--- a/alderreach/ops/placer/tenure.py
+++ b/alderreach/ops/placer/tenure.py
@@ -139,7 +139,7 @@
         """Return what the next owner must know, as a RecordCopy."""
         if not self.begun:
             return self._copy
-        return records.copy_of(self.placing.log, self.epoch)
+        return records.copy_of(self.placing.ledger.log, self.epoch)
 
     # ---- messages
 
@@ -224,7 +224,7 @@
     @property
     def has_news(self):
         """Whether there are records no beat has carried yet."""
-        return self.begun and self.placing.log.sequence > self._beat_sequence
+        return self.begun and self.placing.ledger.log.sequence > self._beat_sequence
 
     def beat(self, standby, now_ms, handover=False):
         """Return the OwnerBeat for a standby, with the records it lacks."""
@@ -234,7 +234,7 @@
             return placer.OwnerBeat(
                 self._domain, self.epoch, now_ms, 1, 1, [], [], [], handover
             )
-        changes = self.placing.log.since(self._acked.get(standby, 0))
+        changes = self.placing.ledger.log.since(self._acked.get(standby, 0))
         self._beat_sequence = changes.sequence
         return placer.OwnerBeat(
             self._domain,
--- a/alderreach/ops/placer/upkeep.py
+++ b/alderreach/ops/placer/upkeep.py
@@ -25,7 +25,7 @@
                 clearing.append(told)
         elif phase == "clearing":
             leaving.add(target_id)
-    placing.set_closed(closed)
+    placing.workers.set_closed(closed)
     placing.members.set_leaving(leaving)
     for told in clearing:
         since_ms = leaving_since.setdefault(told.vm, now_ms)
--- /dev/null
+++ b/alderreach/ops/placer/workers.py
@@ -0,0 +1,79 @@
+"""Which workers the scheduler knows, and which of them may get new work."""
+
+
+class Workers:
+    """Keeps the scheduler's workers in step with what they announce.
+
+    A worker is open once it has confirmed this owner's epoch, is ready, runs nothing
+    that is astray, and is not closed for maintenance.
+    """
+
+    def __init__(self, scheduler, members):
+        self._scheduler = scheduler
+        self._members = members
+        self._capacities = {}
+        self._confirmed = set()
+        self._closed = frozenset()
+        self._orphans = {}
+
+    def add(self, told):
+        """Have the scheduler know a worker, with its capacity as last announced."""
+        worker_id = told.target_id
+        if self._capacities.get(worker_id) == told.capacity:
+            return
+        self._scheduler.add_worker(worker_id, told.vm, told.rack, told.capacity)
+        self._capacities[worker_id] = told.capacity
+        self.open(worker_id)
+
+    def remove(self, worker_id):
+        """Have the scheduler forget a worker."""
+        if self._capacities.pop(worker_id, None) is not None:
+            self._scheduler.remove_worker(worker_id)
+        self._confirmed.discard(worker_id)
+
+    def open(self, worker_id):
+        """Open a worker for new tasks, or close it, as its state says."""
+        if worker_id not in self._capacities:
+            return
+        target = self._members.targets.get(worker_id)
+        is_open = (
+            target is not None
+            and target.state == "ready"
+            and worker_id in self._confirmed
+            and worker_id not in self._orphans
+            and worker_id not in self._closed
+        )
+        self._scheduler.set_open(worker_id, is_open)
+
+    def set_closed(self, worker_ids):
+        """Close these workers for new tasks, and reopen those closed before."""
+        changed = self._closed ^ frozenset(worker_ids)
+        self._closed = frozenset(worker_ids)
+        for worker_id in changed:
+            self.open(worker_id)
+
+    def confirm(self, worker_id):
+        """Note that a worker has told that it knows this epoch."""
+        self._confirmed.add(worker_id)
+
+    def is_confirmed(self, worker_id):
+        """Whether a worker has told that it knows this epoch."""
+        return worker_id in self._confirmed
+
+    def restarted(self, worker_id):
+        """Another boot: it must confirm anew, and what was astray is gone."""
+        self._confirmed.discard(worker_id)
+        self._orphans.pop(worker_id, None)
+
+    def add_orphan(self, worker_id, task_id):
+        """Note a running task that is not placed; False if it was noted before."""
+        orphans = self._orphans.setdefault(worker_id, set())
+        known = task_id in orphans
+        orphans.add(task_id)
+        return not known
+
+    def keep_orphans(self, worker_id, running):
+        """Forget the worker's orphans that it does not report as running."""
+        orphans = self._orphans.pop(worker_id, set()) & running
+        if orphans:
+            self._orphans[worker_id] = orphans
