--- a/alderreach/ops/entry/operator_changes.py
+++ b/alderreach/ops/entry/operator_changes.py
@@ -55,15 +55,16 @@
 def commit(deps, request, writes, summary):
     """Write items for an operator: ``Ok({"result": "accepted", ...})`` or a refusal.
 
-    ``writes`` are ``keeper.ItemWrite``; all of them are written or none. The command is
-    made from the request alone, so that a resend through any entry gives the same one
-    and gets the first result.
+    ``writes`` are ``keeper.ItemWrite``; all of them are written or none. The keepers
+    know a resend that overtakes the first attempt by its key; call ``earlier`` first
+    for one that comes after it.
     """
     own_id = change_id(request.operator, request.idempotency_key)
     change = common.Change(
         own_id,
         request.operator,
         request.asked_wall_ms,
+        digest(request),
         [write.key for write in writes],
         summary[:SUMMARY_CHARS],
     )
@@ -102,13 +103,11 @@
         return operator_http.refuse(errors.Kind.WRITE_UNCONFIRMED, detail)
     result = codec.unpack(outcome.result).unwrap()
     if result.status == "accepted":
-        keys = [write.key for write in writes]
-        return Ok({"result": "accepted", "version": result.version, "keys": keys})
+        return _accepted(result.version, [write.key for write in writes])
     if result.status == "conflict":
         return _conflict(result.conflicts)
     if result.status == "key_reused":
-        detail = "this Idempotency-Key was used for another change; make a fresh one"
-        return operator_http.refuse(errors.Kind.KEY_REUSED, detail)
+        return _key_reused()
     detail = f"the keepers answered {result.status}"
     return operator_http.refuse(errors.Kind.INTERNAL, detail)
 
@@ -124,11 +123,36 @@
     return operator_http.refuse(errors.Kind.CONFLICT, detail, conflicts=more)
 
 
-def was_accepted(gateway, request):
-    """Whether this very change was accepted before, so that it is a resend."""
+def _accepted(version, keys):
+    return Ok({"result": "accepted", "version": version, "keys": keys})
+
+
+def _key_reused():
+    detail = "this Idempotency-Key was used for another change; make a fresh one"
+    return operator_http.refuse(errors.Kind.KEY_REUSED, detail)
+
+
+def earlier(deps, request):
+    """The result of this very change if it was accepted before, else None.
+
+    The answer to an accepted change can be lost. Its resend must get the same answer,
+    whatever others changed since: checked anew it might be refused, for a mistake that
+    came later, or as a lost race against itself.
+    """
     key = f"{CHANGE_PREFIX}{change_id(request.operator, request.idempotency_key)}"
-    _version, items, _current = read(gateway, key)
-    return key in items
+    _version, items, _current = read(deps.gateway, key)
+    if key not in items:
+        return None
+    change = codec.decode(items[key].value, common.Change)
+    if change.digest != digest(request):
+        return _key_reused()
+    return _accepted(items[key].version, change.keys)
+
+
+def digest(request):
+    """A hash of what a request asks for."""
+    asked = f"{request.method} {request.path}\0".encode() + request.body
+    return hashlib.sha256(asked).hexdigest()[:DIGEST_CHARS]
 
 
 def _trim_now_and_then(deps):
--- a/alderreach/ops/entry/operator_config.py
+++ b/alderreach/ops/entry/operator_config.py
@@ -27,6 +27,7 @@
 PREFIXES = tuple(f"{kind}/" for kind in KINDS)
 HISTORY_LIMIT = 50
 WRITES_MAX = 1000
+ANY_VERSION = -1
 
 
 class Write(typing.NamedTuple):
@@ -106,16 +107,45 @@
     _version, items, current = read_config(deps.gateway)
     if not current:
         return operator_changes.no_quorum()
-    if must_check(deps, request, items, writes):
-        before = {key: record for key, (_item, record) in items.items()}
+    # After the reading, so that a change which it saw already is found here.
+    earlier = operator_changes.earlier(deps, request)
+    if earlier is not None:
+        return earlier
+    before = {key: record for key, (_item, record) in items.items()}
+    if not is_lost(items, writes):
         mistakes = check(deps, request, before, writes)
         if mistakes:
             return _invalid(mistakes)
-    encoded = [_item_write(entry) for entry in writes]
+    encoded = [_item_write(entry) for entry in writes] + name_claims(before, writes)
     summary = str(body.ok_value.get("summary", ""))
     return operator_changes.commit(deps, request, encoded, summary)
 
 
+def name_claims(before, writes):
+    """Writes that claim and release the names of services, unique in the cell.
+
+    Two operators may declare a service of one name for two teams at once. Each check
+    would pass, since neither is in force yet, and callers of one would reach the other;
+    the claims are one item, which only one of the two can create.
+    """
+    claims = []
+    for entry in writes:
+        if not entry.key.startswith("workload/"):
+            continue
+        old, new = before.get(entry.key), entry.record
+        was, is_now = _is_service(old), _is_service(new)
+        if was and not is_now:
+            claims.append(keeper.ItemWrite(f"service/{old.name}", ANY_VERSION, None))
+        if is_now and not was:
+            value = codec.encode(entry.key)
+            claims.append(keeper.ItemWrite(f"service/{new.name}", 0, value))
+    return claims
+
+
+def _is_service(record):
+    return record is not None and record.kind == "service"
+
+
 def _item_write(entry):
     value = None if entry.record is None else codec.encode(entry.record)
     return keeper.ItemWrite(entry.key, entry.base_version, value)
@@ -188,23 +218,17 @@
     return after
 
 
-def must_check(deps, request, items, writes):
-    """Whether the writes could be accepted, so that they must be checked.
+def is_lost(items, writes):
+    """Whether an item has another version by now than a write was made from.
 
-    If an item has another version by now, the keepers surely refuse the writes, and
-    they know better: a resend gets its first result, and the loser of a race is told
-    who won. Checked against what is in force by now, a resend of an accepted change
-    would be refused, and the loser blamed for mistakes that came with the winner's.
+    Then the keepers surely refuse the writes and tell who won. Checked against what is
+    in force by now, the loser would be blamed for mistakes that came with the winner's
+    change instead.
     """
-    stale = [
-        one
+    return any(
+        one.key in items and items[one.key][0].version != one.base_version
         for one in writes
-        if one.base_version != (items[one.key][0].version if one.key in items else 0)
-    ]
-    if any(one.key in items for one in stale):
-        return False
-    # An item that is gone: the base may be the version of its deletion, which fits.
-    return not stale or not operator_changes.was_accepted(deps.gateway, request)
+    )
 
 
 def check(deps, request, before, writes):
--- a/alderreach/ops/entry/operator_maintenance.py
+++ b/alderreach/ops/entry/operator_maintenance.py
@@ -52,7 +52,9 @@
         return operator_http.refuse_fields(kind, found)
     write = keeper.ItemWrite(f"{PREFIX}{window.window_id}", 0, codec.encode(window))
     summary = f"maintenance of {_names(window)} declared"
-    result = operator_changes.commit(deps, request, [write], summary)
+    result = operator_changes.earlier(deps, request)
+    if result is None:
+        result = operator_changes.commit(deps, request, [write], summary)
     if isinstance(result, Err):
         return result
     warnings = _warnings(deps, window, now_ms)
@@ -79,8 +81,10 @@
     _version, items, current = operator_changes.read(deps.gateway, item_key)
     if not current:
         return operator_changes.no_quorum()
-    known = item_key in items
-    if not known and not operator_changes.was_accepted(deps.gateway, request):
+    earlier = operator_changes.earlier(deps, request)
+    if earlier is not None:
+        return earlier
+    if item_key not in items:
         detail = f"no maintenance window {request.names['window_id']!r}"
         return operator_http.refuse(errors.Kind.NOT_FOUND, detail)
     write = keeper.ItemWrite(item_key, ANY_VERSION, None)
--- a/alderreach/ops/entry/operator_targets.py
+++ b/alderreach/ops/entry/operator_targets.py
@@ -41,10 +41,12 @@
     if isinstance(key, Err):
         return key
     target_id = request.names["target_id"]
-    if not operator_changes.was_accepted(deps.gateway, request):
-        checked = _check_silent(deps, target_id)
-        if isinstance(checked, Err):
-            return checked
+    earlier = operator_changes.earlier(deps, request)
+    if earlier is not None:
+        return earlier
+    checked = _check_silent(deps, target_id)
+    if isinstance(checked, Err):
+        return checked
     value = codec.encode(request.operator)
     write = keeper.ItemWrite(f"target/{target_id}", ANY_VERSION, value)
     summary = f"target {target_id} declared dead"
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -32,10 +32,15 @@
         self.commands = []
         self.reachable = True
         self.lose_answers = 0
+        self.before_write = None
         self.members = keeper.MembersResult("accepted", "", [])
         self._lock = threading.Lock()
 
     def ask(self, command):
+        hook, is_write = self.before_write, isinstance(command, keeper.WriteItems)
+        if hook is not None and is_write:
+            self.before_write = None
+            hook()
         with self._lock:
             if not self.reachable:
                 return keeper_client.Outcome("no_quorum", b"")
--- a/tests/operators_http_test.py
+++ b/tests/operators_http_test.py
@@ -79,6 +79,19 @@
     assert entry.keepers.version == 2
 
 
+def test_a_resend_that_overtakes_the_first_attempt_changes_once(entry):
+    """A change is slow on its way to the keepers and the client resends it meanwhile.
+
+    Both attempts were checked before either was accepted, so only the keepers can tell
+    that they are one.
+    """
+    inner = []
+    entry.keepers.before_write = lambda: inner.append(put_team(entry, "key-slow-1"))
+    outer = put_team(entry, "key-slow-1")
+    assert inner == [outer]
+    assert outer[0] == 200 and entry.keepers.version == 1
+
+
 def test_a_key_used_for_another_change_is_refused(entry):
     put_team(entry, "key-12345")
     status, _headers, document = put_team(entry, "key-12345", 2, base_version=1)
@@ -128,6 +141,35 @@
     assert "taken by workload/one/s" in document["detail"]
 
 
+def test_of_two_teams_that_name_a_service_alike_at_once_one_is_refused(entry):
+    """Two operators declare a service of the same name for two teams at once.
+
+    Each is checked before the other's is in force. Were both accepted, callers of one
+    team's service would get answers of the other's.
+    """
+
+    def declare(name, key, token):
+        writes = [
+            write(fakes.team(name), f"team/{name}"),
+            write(fakes.workload("s", "service", 1, name), f"workload/{name}/s"),
+        ]
+        return entry.call("PUT", "/v1/config", {"writes": writes}, key, token)
+
+    inner = []
+    entry.keepers.before_write = lambda: inner.append(
+        declare("two", "key-bruno", fakes.SECOND_TOKEN)
+    )
+    status, _headers, document = declare("one", "key-ana-1", fakes.TOKEN)
+    assert inner[0][0] == 200
+    assert (status, document["kind"]) == (409, "conflict")
+    assert document["conflicts"] == [
+        {"key": "service/s", "version": 1, "author": "bruno"}
+    ]
+    gone = [{"key": "workload/two/s", "base_version": 1, "value": None}]
+    assert entry.call("PUT", "/v1/config", {"writes": gone}, "key-23456")[0] == 200
+    assert declare("one", "key-ana-2", fakes.TOKEN)[0] == 200
+
+
 @pytest.mark.parametrize(
     ("method", "path", "body", "status", "kind"),
     [
