--- a/alderreach/ops/keeper/requests.py
+++ b/alderreach/ops/keeper/requests.py
@@ -40,8 +40,8 @@
 class Requests:
     """Pending requests of one keeper; used by its task only.
 
-    ``node`` and ``state`` are read through functions, since a snapshot replaces the
-    state.
+    ``state_of`` returns the state, which a snapshot replaces. While
+    ``is_handing_over`` is set nothing new is taken.
     """
 
     def __init__(self, node, state_of, send, clock, durations):
@@ -55,6 +55,7 @@
         self._reads = []
         self._leases = owner_leases.Leases(0)
         self._term = 0
+        self.is_handing_over = False
 
     def handle(self, message, address):
         """Take a KeeperRequest or a RenewOwnership."""
@@ -62,7 +63,7 @@
             self._renew(message, address)
             return
         asker = Asker(address, message.request_id)
-        if self._node.role != raft.LEADER:
+        if self._node.role != raft.LEADER or self.is_handing_over:
             self._refuse(asker)
         elif message.request_id not in self._in_flight:
             self._handle_as_leader(message, asker)
--- a/alderreach/ops/keeper/service.py
+++ b/alderreach/ops/keeper/service.py
@@ -100,6 +100,7 @@
         )
         self._next_housekeeping_ms = 0
         self._is_flush_queued = False
+        self._has_handed_over = False
         self._recorded_role = ("", 0)
         self._announced_commit = 0
         self._status = daemon.RoleStatus(0, raft.FOLLOWER, False, {})
@@ -163,7 +164,7 @@
             self._flush()
             return
         if mail is TRANSFER:
-            self._transfer()
+            self._requests.is_handing_over = True
         elif isinstance(mail, disk.SnapshotWritten):
             self._disk.compact(self._node, mail.snapshot)
         else:
@@ -208,6 +209,7 @@
             if self._node.role == raft.LEADER:
                 raft_leader.announce_commit(self._node, now_ms)
         self._joining.tick(now_ms)
+        self._hand_over(now_ms)
         if now_ms >= self._next_housekeeping_ms:
             self._next_housekeeping_ms = now_ms + HOUSEKEEPING_MS
             self._followers.forget_silent(now_ms)
@@ -281,9 +283,16 @@
         raft.propose(node, "command", data, self._clock.wall_ms(), now_ms)
         self._requests.lead()
 
-    def _transfer(self):
-        if self._node.role == raft.LEADER:
-            raft_leader.transfer(self._node, self._clock.monotonic_ms())
+    def _hand_over(self, now_ms):
+        """Ask another to lead once all that was taken is committed.
+
+        Asked earlier, requests under way would be answered ``uncertain``. The second
+        call would make the successor seek a second election; so there is only one.
+        """
+        node, wanted = self._node, self._requests.is_handing_over
+        is_leader = node.role == raft.LEADER and not self._has_handed_over
+        if wanted and is_leader and node.commit_index == node.log.last_index:
+            self._has_handed_over = raft_leader.transfer(node, now_ms)
 
     def _is_current(self, now_ms):
         """Whether a leader was heard lately, or this is one with a quorum."""
--- a/tests/keeper_failures_test.py
+++ b/tests/keeper_failures_test.py
@@ -4,6 +4,7 @@
 
 from alderreach.core import codec
 from alderreach.core.generated import keeper
+from alderreach.ops.keeper import service
 from tests import memory_cell
 
 
@@ -215,6 +216,23 @@
     assert cell.ask(grant("p1", 0), leader) == "no_quorum"
 
 
+def test_a_leader_that_stops_as_planned_answers_what_it_took(make):
+    """The leader's VM is stopped for maintenance with a write on its way to the others.
+
+    Given up at once, the write would be ``uncertain`` although nothing failed.
+    """
+    cell = make(3)
+    leader = cell.elect()
+    under_way = cell.send(leader, grant("p1", 0))
+    cell.deliver_one()
+    cell._mail(leader, service.TRANSFER)
+    late = cell.send(leader, grant("p2", 1))
+    cell.run(500)
+    assert cell.answers[under_way].status == "granted"
+    assert cell.answers[late] == "not_leader"
+    assert cell.elect() != leader
+
+
 def test_a_follower_gets_chunks_and_a_cut_off_keeper_keeps_silent(make):
     """An entry follows a keeper that was cut off, and is told of nothing newer.
 
