--- a/alderreach/core/raft.py
+++ b/alderreach/core/raft.py
@@ -1,4 +1,4 @@
-"""Quorum agreement among the keepers: elections, and what a follower accepts.
+"""Quorum agreement among the keepers: its calls, and what a follower accepts.
 
 The protocol is Raft's: one leader a term, elected by a majority of voters, whose log
 wins. Everything is a function of the node's state, a message and the time; nothing is
@@ -28,7 +28,7 @@
 ('leader', 2)
 """
 
-from alderreach.core import codec, membership, raft_leader, raft_snapshot, raft_state
+from alderreach.core import codec, raft_election, raft_leader, raft_snapshot, raft_state
 from alderreach.core.generated import keeper
 
 FOLLOWER, CANDIDATE, LEADER = (
@@ -41,7 +41,7 @@
 
 def found(node, members, term, wall_ms):
     """Write a fresh cell's first entry, its membership, in a term yet unheard of."""
-    _adopt_term(node, term)
+    raft_election.adopt_term(node, term)
     node.voted_for = node.identity
     data = codec.encode(keeper.MemberList(members))
     raft_state.append(node, [keeper.LogEntry(term, wall_ms, "members", data)])
@@ -52,13 +52,13 @@
     if node.role == LEADER:
         removed = not node.is_voter and node.members_index <= node.commit_index
         if removed or not raft_leader.has_quorum(node, now_ms):
-            become_follower(node, now_ms)
+            raft_election.become_follower(node, now_ms)
         else:
             raft_leader.beat(node, now_ms)
     elif now_ms >= node.election_due_ms:
-        _set_election_due(node, now_ms)
+        raft_election.set_election_due(node, now_ms)
         if node.is_voter:
-            _campaign(node, now_ms, trial=True)
+            raft_election.campaign(node, now_ms, trial=True)
 
 
 def propose(node, kind, data, wall_ms, now_ms):
@@ -98,11 +98,11 @@
     if message.to != node.identity:
         return
     if isinstance(message, keeper.RequestVote):
-        _handle_vote_request(node, message, now_ms)
+        raft_election.handle_vote_request(node, message, now_ms)
         return
     if message.term > node.term and not getattr(message, "trial", False):
-        _adopt_term(node, message.term)
-        become_follower(node, now_ms)
+        raft_election.adopt_term(node, message.term)
+        raft_election.become_follower(node, now_ms)
     HANDLERS[type(message)](node, message, now_ms)
 
 
@@ -126,118 +126,15 @@
         raft_leader.advance_commit(node)
 
 
-def become_follower(node, now_ms):
-    """Give up a candidacy or leadership in the present term."""
-    node.role = FOLLOWER
-    node.leader = node.leader_name = ""
-    node.votes = set()
-    node.progress = {}
-    node.transfer = False
-    _set_election_due(node, now_ms)
-
-
-def _adopt_term(node, term):
-    if term > node.term:
-        node.term, node.voted_for = term, ""
-    node.vote_changed = True
-
-
-def _set_election_due(node, now_ms):
-    timeout_ms = node.rules.election_timeout_ms
-    node.election_due_ms = now_ms + timeout_ms + node.random.randrange(timeout_ms)
-
-
-def _campaign(node, now_ms, trial):
-    node.role = CANDIDATE
-    node.trial = trial
-    node.leader = node.leader_name = ""
-    node.votes = {node.identity}
-    if not trial:
-        _adopt_term(node, node.term + 1)
-        node.voted_for = node.identity
-    term = node.term + 1 if trial else node.term
-    last_index, last_term = node.log.last_index, node.log.last_term
-    for voter in membership.voters(node.members):
-        if voter != node.identity:
-            request = keeper.RequestVote(
-                voter,
-                node.identity,
-                term,
-                last_index,
-                last_term,
-                trial,
-                node.transfer,
-            )
-            node.outbox.append((voter, request))
-    _count_votes(node, now_ms)
-
-
-def _count_votes(node, now_ms):
-    votes = node.votes.intersection(membership.voters(node.members))
-    if len(votes) < membership.quorum(node.members):
-        return
-    if node.trial:
-        _campaign(node, now_ms, trial=False)
-    else:
-        raft_leader.become_leader(node, now_ms)
-
-
-def _hears_leader(node, now_ms):
-    if node.role == LEADER:
-        return True
-    timeout_ms = node.rules.election_timeout_ms
-    return node.heard_ms is not None and now_ms - node.heard_ms < timeout_ms
-
-
-def _handle_vote_request(node, message, now_ms):
-    refused = _hears_leader(node, now_ms) and not message.transfer
-    if not refused and not message.trial and message.term > node.term:
-        _adopt_term(node, message.term)
-        become_follower(node, now_ms)
-    log = node.log
-    newer = (message.last_term, message.last_index) >= (log.last_term, log.last_index)
-    granted = not refused and newer and _is_free(node, message)
-    if granted and not message.trial:
-        node.voted_for = message.candidate
-        node.vote_changed = True
-        _set_election_due(node, now_ms)
-    reply = keeper.VoteReply(
-        message.candidate,
-        node.identity,
-        message.term if granted else node.term,
-        granted,
-        message.trial,
-    )
-    node.outbox.append((message.candidate, reply))
-
-
-def _is_free(node, message):
-    if message.trial:
-        return message.term > node.term
-    return message.term == node.term and node.voted_for in ("", message.candidate)
-
-
-def _handle_vote_reply(node, message, now_ms):
-    if not message.granted and message.term > node.term:
-        _adopt_term(node, message.term)
-        become_follower(node, now_ms)
-        return
-    term = node.term + 1 if node.trial else node.term
-    wanted = node.role == CANDIDATE and message.trial == node.trial
-    if wanted and message.granted and message.term == term:
-        node.votes.add(message.voter)
-        _count_votes(node, now_ms)
-
-
 def _follow(node, message, now_ms):
     """Accept the sender as leader of this term; False for one of an older term."""
     if message.term < node.term:
         return False
     if node.role == CANDIDATE:
-        become_follower(node, now_ms)
+        raft_election.become_follower(node, now_ms)
     node.leader, node.leader_name = message.leader, message.leader_name
     node.heard_ms = now_ms
-    _set_election_due(node, now_ms)
+    raft_election.set_election_due(node, now_ms)
     return True
 
 
@@ -291,7 +188,7 @@
 def _handle_take_over(node, message, now_ms):
     if message.term == node.term and message.leader == node.leader and node.is_voter:
         node.transfer = True
-        _campaign(node, now_ms, trial=False)
+        raft_election.campaign(node, now_ms, trial=False)
 
 
 def _handle_chunk(node, message, now_ms):
@@ -300,7 +197,7 @@
 
 
 HANDLERS = {
-    keeper.VoteReply: _handle_vote_reply,
+    keeper.VoteReply: raft_election.handle_vote_reply,
     keeper.AppendEntries: _handle_append,
     keeper.AppendReply: raft_leader.handle_append_reply,
     keeper.SnapshotChunk: _handle_chunk,
--- /dev/null
+++ b/alderreach/core/raft_election.py
@@ -0,0 +1,120 @@
+"""Elections: who asks for votes, who gives one, and who leads then.
+
+A candidate asks on trial first (pre-vote). A voter that heard from a leader within the
+election timeout refuses, unless that leader itself sent the candidate. So a voter that
+comes back from a long cut can't depose a leader that serves well.
+"""
+
+from alderreach.core import membership, raft_leader, raft_state
+from alderreach.core.generated import keeper
+
+
+def become_follower(node, now_ms):
+    """Give up a candidacy or leadership in the present term."""
+    node.role = raft_state.FOLLOWER
+    node.leader = node.leader_name = ""
+    node.votes = set()
+    node.progress = {}
+    node.transfer = False
+    set_election_due(node, now_ms)
+
+
+def adopt_term(node, term):
+    """Move to a newer term, in which no vote is given yet; it has to be written."""
+    if term > node.term:
+        node.term, node.voted_for = term, ""
+    node.vote_changed = True
+
+
+def set_election_due(node, now_ms):
+    """Wait for one to two election timeouts, drawn anew each time.
+
+    Equal waits would let candidates split the votes again and again.
+    """
+    timeout_ms = node.rules.election_timeout_ms
+    node.election_due_ms = now_ms + timeout_ms + node.random.randrange(timeout_ms)
+
+
+def campaign(node, now_ms, trial):
+    """Ask all voters for their votes, or on trial whether they would give them."""
+    node.role = raft_state.CANDIDATE
+    node.trial = trial
+    node.leader = node.leader_name = ""
+    node.votes = {node.identity}
+    if not trial:
+        adopt_term(node, node.term + 1)
+        node.voted_for = node.identity
+    term = node.term + 1 if trial else node.term
+    last_index, last_term = node.log.last_index, node.log.last_term
+    for voter in membership.voters(node.members):
+        if voter != node.identity:
+            request = keeper.RequestVote(
+                voter,
+                node.identity,
+                term,
+                last_index,
+                last_term,
+                trial,
+                node.transfer,
+            )
+            node.outbox.append((voter, request))
+    _count_votes(node, now_ms)
+
+
+def _count_votes(node, now_ms):
+    votes = node.votes.intersection(membership.voters(node.members))
+    if len(votes) < membership.quorum(node.members):
+        return
+    if node.trial:
+        campaign(node, now_ms, trial=False)
+    else:
+        raft_leader.become_leader(node, now_ms)
+
+
+def _hears_leader(node, now_ms):
+    if node.role == raft_state.LEADER:
+        return True
+    timeout_ms = node.rules.election_timeout_ms
+    return node.heard_ms is not None and now_ms - node.heard_ms < timeout_ms
+
+
+def handle_vote_request(node, message, now_ms):
+    """Answer a candidate; one whose log lacks entries of this one's gets no vote."""
+    refused = _hears_leader(node, now_ms) and not message.transfer
+    if not refused and not message.trial and message.term > node.term:
+        adopt_term(node, message.term)
+        become_follower(node, now_ms)
+    log = node.log
+    newer = (message.last_term, message.last_index) >= (log.last_term, log.last_index)
+    granted = not refused and newer and _is_free(node, message)
+    if granted and not message.trial:
+        node.voted_for = message.candidate
+        node.vote_changed = True
+        set_election_due(node, now_ms)
+    reply = keeper.VoteReply(
+        message.candidate,
+        node.identity,
+        message.term if granted else node.term,
+        granted,
+        message.trial,
+    )
+    node.outbox.append((message.candidate, reply))
+
+
+def _is_free(node, message):
+    if message.trial:
+        return message.term > node.term
+    return message.term == node.term and node.voted_for in ("", message.candidate)
+
+
+def handle_vote_reply(node, message, now_ms):
+    """Count a vote, or learn that the term is over."""
+    if not message.granted and message.term > node.term:
+        adopt_term(node, message.term)
+        become_follower(node, now_ms)
+        return
+    term = node.term + 1 if node.trial else node.term
+    wanted = node.role == raft_state.CANDIDATE and message.trial == node.trial
+    if wanted and message.granted and message.term == term:
+        node.votes.add(message.voter)
+        _count_votes(node, now_ms)
--- a/alderreach/ops/keeper/service.py
+++ b/alderreach/ops/keeper/service.py
@@ -26,7 +26,14 @@
 )
 from alderreach.core.generated import keeper
 from alderreach.ops import daemon
-from alderreach.ops.keeper import disk, followers, joining, requests, storage
+from alderreach.ops.keeper import (
+    disk,
+    followers,
+    joining,
+    reporting,
+    requests,
+    storage,
+)
 from alderreach.utils import tasks
 
 HOUSEKEEPING_MS = 1000
@@ -104,7 +111,7 @@
         self._recorded_role = ("", 0)
         self._announced_commit = 0
         self._status = daemon.RoleStatus(0, raft.FOLLOWER, False, {})
-        self._record_opening(opened)
+        reporting.record_opening(self._timeline, opened)
 
     def start(self):
         """Start the task; the context's stack closes it."""
@@ -150,15 +157,6 @@
         )
         return node
 
-    def _record_opening(self, opened):
-        if opened.torn_bytes:
-            detail = f"a torn last record of {opened.torn_bytes} bytes was cut off"
-            self._timeline.record("log_tail_cut", detail=detail)
-            logging.warning("%s", detail)
-        kind = "identity_made" if opened.is_new else "log_read"
-        detail = f"{opened.identity}, log to {opened.log.last_index}"
-        self._timeline.record(kind, epoch=opened.term, detail=detail)
-
     def _handle(self, mail):
         if mail is FLUSH:
             self._flush()
@@ -303,32 +301,16 @@
         return bool(node.leader) and now_ms - node.heard_ms < timeout_ms
 
     def _publish(self, now_ms):
-        node, state = self._node, self._state
         self._record_role()
-        voters = len(membership.voters(node.members))
-        detail = {
-            "term": node.term,
-            "commit_index": node.commit_index,
-            "applied_index": state.index,
-            "log_entries": len(node.log.entries),
-            "snapshot_index": node.snapshot.index if node.snapshot else 0,
-            "voters": voters,
-            "learners": len(node.members) - voters,
-            "keys": len(state.keys.claims),
-            "items": len(state.items),
-        }
-        for name in ("term", "commit_index", "log_entries", "keys", "items"):
-            self._context.metrics.gauge(f"keeper_{name}", detail[name])
-        for name, version in self._followers.versions().items():
-            detail[f"version.{name}"] = version
-        ready = state.index >= node.commit_index and self._is_current(now_ms)
-        word = self._state_word()
-        self._status = daemon.RoleStatus(state.version, word, ready, detail)
-
-    def _state_word(self):
-        if self._joining.is_removed:
-            return "removed"
-        return self._node.role if self._node.is_voter else "learner"
+        ready = self._state.index >= self._node.commit_index
+        self._status = reporting.status_of(
+            self._node,
+            self._state,
+            self._followers.versions(),
+            ready and self._is_current(now_ms),
+            self._joining.is_removed,
+        )
+        reporting.set_gauges(self._context.metrics, self._status)
 
     def _record_role(self):
         node = self._node
