--- a/alderreach/ops/keeper/service.py
+++ b/alderreach/ops/keeper/service.py
@@ -26,7 +26,14 @@
 )
 from alderreach.core.generated import keeper
 from alderreach.ops import daemon
-from alderreach.ops.keeper import disk, followers, joining, requests, storage
+from alderreach.ops.keeper import (
+    disk,
+    followers,
+    joining,
+    reporting,
+    requests,
+    storage,
+)
 from alderreach.utils import tasks
 
 HOUSEKEEPING_MS = 1000
@@ -100,10 +107,11 @@
         )
         self._next_housekeeping_ms = 0
         self._is_flush_queued = False
+        self._has_handed_over = False
         self._recorded_role = ("", 0)
         self._announced_commit = 0
         self._status = daemon.RoleStatus(0, raft.FOLLOWER, False, {})
-        self._record_opening(opened)
+        reporting.record_opening(self._timeline, opened)
 
     def start(self):
         """Start the task; the context's stack closes it."""
@@ -149,21 +157,12 @@
         )
         return node
 
-    def _record_opening(self, opened):
-        if opened.torn_bytes:
-            detail = f"a torn last record of {opened.torn_bytes} bytes was cut off"
-            self._timeline.record("log_tail_cut", detail=detail)
-            logging.warning("%s", detail)
-        kind = "identity_made" if opened.is_new else "log_read"
-        detail = f"{opened.identity}, log to {opened.log.last_index}"
-        self._timeline.record(kind, epoch=opened.term, detail=detail)
-
     def _handle(self, mail):
         if mail is FLUSH:
             self._flush()
             return
         if mail is TRANSFER:
-            self._transfer()
+            self._requests.is_handing_over = True
         elif isinstance(mail, disk.SnapshotWritten):
             self._disk.compact(self._node, mail.snapshot)
         else:
@@ -208,6 +207,7 @@
             if self._node.role == raft.LEADER:
                 raft_leader.announce_commit(self._node, now_ms)
         self._joining.tick(now_ms)
+        self._hand_over(now_ms)
         if now_ms >= self._next_housekeeping_ms:
             self._next_housekeeping_ms = now_ms + HOUSEKEEPING_MS
             self._followers.forget_silent(now_ms)
@@ -281,9 +281,16 @@
         raft.propose(node, "command", data, self._clock.wall_ms(), now_ms)
         self._requests.lead()
 
-    def _transfer(self):
-        if self._node.role == raft.LEADER:
-            raft_leader.transfer(self._node, self._clock.monotonic_ms())
+    def _hand_over(self, now_ms):
+        """Ask another to lead once all that was taken is committed.
+
+        Asked earlier, requests under way would be answered ``uncertain``. The second
+        call would make the successor seek a second election; so there is only one.
+        """
+        node, wanted = self._node, self._requests.is_handing_over
+        is_leader = node.role == raft.LEADER and not self._has_handed_over
+        if wanted and is_leader and node.commit_index == node.log.last_index:
+            self._has_handed_over = raft_leader.transfer(node, now_ms)
 
     def _is_current(self, now_ms):
         """Whether a leader was heard lately, or this is one with a quorum."""
@@ -294,32 +301,16 @@
         return bool(node.leader) and now_ms - node.heard_ms < timeout_ms
 
     def _publish(self, now_ms):
-        node, state = self._node, self._state
         self._record_role()
-        voters = len(membership.voters(node.members))
-        detail = {
-            "term": node.term,
-            "commit_index": node.commit_index,
-            "applied_index": state.index,
-            "log_entries": len(node.log.entries),
-            "snapshot_index": node.snapshot.index if node.snapshot else 0,
-            "voters": voters,
-            "learners": len(node.members) - voters,
-            "keys": len(state.keys.claims),
-            "items": len(state.items),
-        }
-        for name in ("term", "commit_index", "log_entries", "keys", "items"):
-            self._context.metrics.gauge(f"keeper_{name}", detail[name])
-        for name, version in self._followers.versions().items():
-            detail[f"version.{name}"] = version
-        ready = state.index >= node.commit_index and self._is_current(now_ms)
-        word = self._state_word()
-        self._status = daemon.RoleStatus(state.version, word, ready, detail)
-
-    def _state_word(self):
-        if self._joining.is_removed:
-            return "removed"
-        return self._node.role if self._node.is_voter else "learner"
+        ready = self._state.index >= self._node.commit_index
+        self._status = reporting.status_of(
+            self._node,
+            self._state,
+            self._followers.versions(),
+            ready and self._is_current(now_ms),
+            self._joining.is_removed,
+        )
+        reporting.set_gauges(self._context.metrics, self._status)
 
     def _record_role(self):
         node = self._node
