--- a/alderreach/decisions/usage.py
+++ b/alderreach/decisions/usage.py
@@ -19,6 +19,10 @@
 Usage is known by worker, not by task, so it is spread over a worker's tasks by what
 they were given; beside a greedy task a modest one looks greedier than it is, which errs
 on the safe side. A job's size is fixed when it is submitted, so its tasks stay alike.
+
+A worker is believed only after it has once reported no more than was given out. One
+that reports a full VM while nothing runs there (a monitor that counts the VM's own use,
+or its capacity) would otherwise never get any work.
 """
 
 from alderreach.core.generated import common
@@ -57,6 +61,7 @@
         self._state = state
         self._records = {}
         self._relieved_ms = {}
+        self._believed = set()
 
     def given_to(self, spec):
         """Return a job with the size that its tasks are given."""
@@ -73,6 +78,8 @@
         """Take in the usage that a worker reports."""
         given = resources.minus(worker.capacity, worker.free)
         given = resources.minus(given, worker.excess)
+        if not self._is_believed(worker, usage, given):
+            return
         self._keep_excess(worker, usage, given)
         self._learn(worker, usage)
         if resources.share(usage, worker.capacity) >= RELIEF_AT:
@@ -81,6 +88,13 @@
     def forget(self, worker_id):
         """A worker is gone."""
         self._relieved_ms.pop(worker_id, None)
+        self._believed.discard(worker_id)
+
+    def _is_believed(self, worker, usage, given):
+        over = resources.share(resources.minus(usage, given), worker.capacity)
+        if over <= STEP:
+            self._believed.add(worker.worker_id)
+        return worker.worker_id in self._believed
 
     def _keep_excess(self, worker, usage, given):
         over = common.Resources(
--- a/alderreach/decisions/usage_test.py
+++ b/alderreach/decisions/usage_test.py
@@ -41,6 +41,7 @@
     By what was given out their workers are half empty; more work would overrun them.
     """
     session = placement_session.Session().add(2)
+    report(session, common.Resources(0, 0, 0), 1)
     session.submit("greedy", 8, checkpoint=True)
     session.tick()
     (full,) = {where for where, _ in session.running.values()}
@@ -59,6 +60,18 @@
     assert len(session.on(full)) == 8
 
 
+def test_worker_that_reports_a_full_vm_while_nothing_runs_gets_work():
+    """A monitor reports the VM's capacity as its usage.
+
+    Believed, it would keep its worker empty for ever, and checkpoint what runs there.
+    """
+    session = placement_session.Session().add(1)
+    report(session, placement_session.WORKER, 3)
+    session.submit("j", 8, checkpoint=True)
+    report(session, placement_session.WORKER, 3)
+    assert len(session.of("j")) == 8 and not session.stopping
+
+
 def test_sizes_are_taken_as_declared_until_enough_is_known():
     session = placement_session.Session().add(1)
     session.submit("first", 2, task=HALF, workload="big")
