--- a/alderreach/core/ownership.py
+++ b/alderreach/core/ownership.py
@@ -18,6 +18,7 @@
 from alderreach.core.generated import keeper, placer
 
 GRANT_RETRY_DIVISOR = 4
+GRANT_PAUSE_MIN_MS = 20
 
 
 class Lease(typing.NamedTuple):
@@ -154,7 +155,9 @@
         bound = self.epoch > 0 and now_ms < self._bound_until_ms
         if self.is_owner or bound or now_ms < self._next_grant_ms:
             return None
-        pause_ms = max(20, self._timing.owner_beat_ms // GRANT_RETRY_DIVISOR)
+        pause_ms = max(
+            GRANT_PAUSE_MIN_MS, self._timing.owner_beat_ms // GRANT_RETRY_DIVISOR
+        )
         self._next_grant_ms = now_ms + pause_ms
         me = self.me
         return keeper.GrantOwnership(
@@ -167,6 +170,11 @@
             self.epoch > 0 and self.released_epoch == self.epoch,
         )
 
+    def seek_pause_ms(self, now_ms, longest_ms):
+        """Return how long a standby need not look, at most ``longest_ms``."""
+        next_ms = max(self._bound_until_ms, self._next_grant_ms)
+        return min(max(next_ms - now_ms, GRANT_PAUSE_MIN_MS), longest_ms)
+
     def hand_over(self):
         """Stop acting for good in this epoch; True if we were the owner."""
         was_owner = self.is_owner
--- a/alderreach/core/placements.py
+++ b/alderreach/core/placements.py
@@ -103,6 +103,13 @@
         return self.by_task.get(placement.record.task_id) is placement
 
 
+def make_record(job, task_id, attempt, worker_id):
+    """Return the record of an attempt that may run from now on."""
+    return placer.PlacementRecord(
+        task_id, attempt, job.job_id, worker_id, job.when_cut_off, ""
+    )
+
+
 def next_attempt(epoch, last):
     """Return an attempt number above all that any owner gave: epochs only grow."""
     return max(epoch * ATTEMPTS_PER_EPOCH, last) + 1
@@ -113,21 +120,6 @@
     return record._replace(outcome=outcome)
 
 
-def merge(copied, placed):
-    """Return one record per task of a predecessor's, the highest attempt of each.
-
-    ``copied`` are the standby's, ``placed`` the WorkerPlacements read at the keepers.
-    A higher attempt exists only where the lower one had surely ended.
-    """
-    merged = {}
-    for record in [*copied, *(r for item in placed for r in item.placements)]:
-        before = merged.get(record.task_id)
-        newer = before is None or record.attempt > before.attempt
-        if newer or (record.attempt == before.attempt and record.outcome):
-            merged[record.task_id] = record
-    return merged
-
-
 def worker_item(worker, placements):
     """Return the WorkerPlacements of these placements."""
     return placer.WorkerPlacements(worker, [p.record for p in placements])
--- a/alderreach/ops/placer/commands.py
+++ b/alderreach/ops/placer/commands.py
@@ -35,6 +35,11 @@
         self._due_count += 1
         heapq.heappush(self._due, (due_ms, self._due_count, placement))
 
+    def has_work(self, until_ms):
+        """Whether anything waits to be sent, or is due by then."""
+        due = bool(self._due) and self._due[0][0] <= until_ms
+        return due or bool(self._outgoing) or bool(self._strays)
+
     def stop_stray(self, worker_id, task_id, attempt):
         """Have an attempt stopped that no placement stands for."""
         self._strays.setdefault(worker_id, set()).add((task_id, attempt))
--- a/alderreach/ops/placer/item_writer.py
+++ b/alderreach/ops/placer/item_writer.py
@@ -53,6 +53,11 @@
         """Note the version of an item that another wrote, so that it can be deleted."""
         self._note_version(item.key, item.version if item.value is not None else 0)
 
+    @property
+    def has_work(self):
+        """Whether a batch waits to be sent."""
+        return bool(self._makers) and self._written is None
+
     def next_batch(self, now_ms, wall_ms):
         """Return the WriteItems to send now, or None."""
         if not self._makers or self._written is not None or now_ms < self._next_ms:
--- a/alderreach/ops/placer/placing.py
+++ b/alderreach/ops/placer/placing.py
@@ -15,7 +15,6 @@
 import collections
 
 from alderreach.core import placements, target_membership
-from alderreach.core.generated import placer
 from alderreach.ops.placer import commands, jobs, ledger, reports, status, workers
 
 DECISIONS_PER_TICK = 500
@@ -198,7 +197,9 @@
 
     def adopt(self, told, task, state, now_ms):
         """Hold a running task that no record told of."""
-        record = _record(state, task.task_id, task.attempt, told.target_id)
+        record = placements.make_record(
+            state.job, task.task_id, task.attempt, told.target_id
+        )
         placement = placements.Placement(
             record, task.attempt, told.boot_id, state.job.task, "running"
         )
@@ -289,6 +290,10 @@
         for placement in self.commands.queue_due(now_ms):
             self.end(placement, "refused", now_ms)
 
+    def has_work(self, until_ms):
+        """Whether a tick before then would have something to send or release."""
+        return bool(self._awaiting) or self.commands.has_work(until_ms)
+
     def forget_dead(self, now_ms):
         """Drop targets that have been dead for long and hold nothing."""
         for target_id, target in list(self.members.targets.items()):
@@ -345,7 +350,9 @@
         number = jobs.number_of(decision.task_id)
         attempt = placements.next_attempt(self.epoch, state.attempts.get(number, 0))
         state.attempts[number] = attempt
-        record = _record(state, decision.task_id, attempt, decision.worker_id)
+        record = placements.make_record(
+            state.job, decision.task_id, attempt, decision.worker_id
+        )
         boot_id = self.members.targets[decision.worker_id].announced.boot_id
         placement = placements.Placement(
             record, decision.attempt, boot_id, decision.task, "starting"
@@ -389,11 +396,3 @@
             target_id=record.worker_id,
             detail=detail,
         )
-
-
-def _record(state, task_id, attempt, worker_id):
-    """Return the record of an attempt that may run from now on."""
-    job = state.job
-    return placer.PlacementRecord(
-        task_id, attempt, job.job_id, worker_id, job.when_cut_off, ""
-    )
--- a/alderreach/ops/placer/service.py
+++ b/alderreach/ops/placer/service.py
@@ -10,12 +10,12 @@
 from alderreach.core import codec, ownership, records
 from alderreach.core.generated import common, keeper, placer
 from alderreach.ops import daemon, gateway, target_wire
-from alderreach.ops.placer import announcing, items, sender, tenure
+from alderreach.ops.placer import announcing, items, sender, status, tenure
 from alderreach.utils import tasks
 
 GRANT_TIMEOUT_MS = 1000
 HANDOVER_WAIT_MS = 1500
-DRAIN_POLL_MS = 20
+QUIET_TICK_MS = 100
 HURRIED_HEARTBEAT_MS = 50
 
 
@@ -162,7 +162,7 @@
             self._hand_over(mail, now_ms)
 
     def _is_current(self, epoch):
-        return self._tenure is not None and self._tenure.epoch == epoch
+        return self._tenure and self._tenure.epoch == epoch
 
     def _announced(self, told, now_ms):
         """Answer an announcement, or name the owner."""
@@ -290,6 +290,18 @@
             if now_ms >= self._next_beat_ms or self._tenure.has_news:
                 self._beat(now_ms)
         self._publish(now_ms)
+        return self._pause_ms(now_ms)
+
+    def _pause_ms(self, now_ms):
+        """How long the task may sleep if no mail comes; None for its shortest tick."""
+        quiet_ms = now_ms + QUIET_TICK_MS
+        if self._draining is not None:
+            return None
+        if self._tenure is not None:
+            if self._tenure.has_work(quiet_ms):
+                return None
+            return min(QUIET_TICK_MS, self._next_beat_ms - now_ms)
+        return self._ownership.seek_pause_ms(now_ms, QUIET_TICK_MS)
 
     def _tenure_tick(self, now_ms):
         if not self._acts(now_ms):
@@ -354,9 +366,7 @@
         for address, beat in beats:
             self._context.transport.send(address, beat)
         self._release()
-        self._context.timeline.record(
-            "ownership_handed_over", epoch=self._ownership.epoch
-        )
+        self._context.timeline.record("ownership_handed_over", epoch=state.epoch)
 
     def _release(self):
         release = self._ownership.release(uuid.uuid4().hex)
@@ -378,10 +388,7 @@
         heard = heard_ms is not None and now_ms - heard_ms < recent_ms
         detail = {"epoch": self._ownership.epoch}
         if acts:
-            placing = self._tenure.placing
-            detail["targets"] = len(placing.members.targets)
-            detail["placements"] = len(placing.placements.by_task)
-            detail["jobs"] = len(placing.jobs)
+            detail |= status.counts(self._tenure.placing)
         else:
             detail["records"] = len(self._copy.placements)
         self._status = daemon.RoleStatus(
--- a/alderreach/ops/placer/status.py
+++ b/alderreach/ops/placer/status.py
@@ -43,6 +43,15 @@
     return codec.encode(state.status), durable
 
 
+def counts(placing):
+    """Return the owner's gauges for the process's status."""
+    return {
+        "targets": len(placing.members.targets),
+        "placements": len(placing.placements.by_task),
+        "jobs": len(placing.jobs),
+    }
+
+
 def job_reply(placing, query):
     """Answer a JobQuery."""
     if query.job_id:
--- a/alderreach/ops/placer/tenure.py
+++ b/alderreach/ops/placer/tenure.py
@@ -219,6 +219,12 @@
 
         self._gateway.request(batch, done, WRITE_TIMEOUT_MS)
 
+    def has_work(self, until_ms):
+        """Whether a tick before then would have something to do."""
+        if not self.begun:
+            return False
+        return self._writer.has_work or self.placing.has_work(until_ms)
+
     # ---- beats
 
     @property
