--- a/alderreach/ops/placer/upkeep.py
+++ b/alderreach/ops/placer/upkeep.py
@@ -17,6 +17,8 @@
     for target_id, target in placing.members.targets.items():
         told = target.announced
         phase = maintenance.phase_of(windows, told.vm, told.rack, wall_ms)
+        if _is_being_stopped(placing, told):
+            leaving.add(target_id)
         if phase not in ("closed", "clearing"):
             leaving_since.pop(told.vm, None)
         elif told.kind == "worker":
@@ -35,6 +37,16 @@
             _clear(placing, placement, left_ms, may_stop_runner, now_ms)
 
 
+def _is_being_stopped(placing, told):
+    """Whether a runner's own task is being stopped, as when a service shrinks.
+
+    Shown as leaving before its worker's grace is over, it gets no request that the
+    stop would cut.
+    """
+    placement = placing.placements.by_task.get(told.task_id)
+    return placement is not None and placement.state == "stopping"
+
+
 def _clear(placing, placement, left_ms, may_stop_runner, now_ms):
     """End one task so that it starts elsewhere, in the way that loses least."""
     if placement.state not in ("running", "starting"):
