--- a/alderreach/ops/entry/operator_keepers.py
+++ b/alderreach/ops/entry/operator_keepers.py
@@ -60,5 +60,5 @@
         return operator_http.refuse(errors.Kind.WRITE_UNCONFIRMED, detail)
     result = codec.unpack(outcome.result).unwrap()
     if result.status != "accepted":
-        return operator_http.refuse(errors.Kind.CONFLICT, result.reason)
+        return operator_http.refuse(errors.Kind.INVALID_CONFIGURATION, result.reason)
     return Ok({"members": [member._asdict() for member in result.members]})
--- a/tests/operators_cell_test.py
+++ b/tests/operators_cell_test.py
@@ -222,6 +222,25 @@
     assert len(after["changes"]) == len(before["changes"]) + 1
 
 
+def test_a_keeper_is_taken_out_and_brought_in_again(operators):
+    _code, document = operators.run("keeper", "list")
+    before = {member["name"]: member for member in document["members"]}
+    last = before["keeper-3"]
+    code, document = operators.run("keeper", "remove", last["identity"], "--yes")
+    assert (code, len(document["members"])) == (0, 2)
+    assert operators.run("keeper", "promote", last["identity"], "--yes")[0] == 2
+    place = ["--name", "keeper-3", "--address", last["address"]]
+    code, document = operators.run("keeper", "add", last["identity"], *place, "--yes")
+    assert code == 0 and document["members"][-1]["voter"] is False
+
+    def promoted():
+        return operators.run("keeper", "promote", last["identity"], "--yes")[0] == 0
+
+    cell.wait_until(promoted, "the learner has caught up and is promoted")
+    _code, document = operators.run("keeper", "list")
+    assert {member["name"]: member for member in document["members"]} == before
+
+
 def test_without_a_quorum_a_change_is_refused_and_reads_go_on(operators, tmp_path):
     """Two of three keepers are killed.
 
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -33,6 +33,7 @@
         self.reachable = True
         self.lose_answers = 0
         self.before_write = None
+        self.answers_reads = True
         self.members = keeper.MembersResult("accepted", "", [])
         self._lock = threading.Lock()
 
@@ -44,6 +45,8 @@
         with self._lock:
             if not self.reachable:
                 return keeper_client.Outcome("no_quorum", b"")
+            if isinstance(command, keeper.ReadItems) and not self.answers_reads:
+                return keeper_client.Outcome("uncertain", b"")
             if isinstance(command, keeper.ReadItems):
                 return self._ok(self._page(command.prefix))
             if isinstance(command, keeper.ReadMembers):
