--- a/alderreach/core/keeper_dump.py
+++ b/alderreach/core/keeper_dump.py
@@ -27,12 +27,15 @@
 KINDS = {
     "items": dict[str, keeper_state.StoredItem],
     "deleted": dict[str, int],
+    "expiring": dict[str, int],
     "claims": dict[str, key_state.Claim],
     "writes": dict[str, key_state.KeptWrite],
     "expired": dict[bytes, int],
     "abandoned": dict[str, int],
 }
 
+ITEM_KINDS = ("items", "deleted", "expiring")
+
 
 def copy(state):
     """A copy that further changes of the state leave alone; values are shared."""
@@ -83,4 +86,4 @@
 
 
 def _holder(state, kind):
-    return getattr(state if kind in ("items", "deleted") else state.keys, kind)
+    return getattr(state if kind in ITEM_KINDS else state.keys, kind)
--- a/alderreach/core/keeper_state.py
+++ b/alderreach/core/keeper_state.py
@@ -10,6 +10,11 @@
 follower below ``floor_version`` may have missed a dropped one and has to take the whole
 map anew.
 
+Items under ``EXPIRING_PREFIX`` stand for idempotency keys of jobs and live as long as
+other keys do. Kept for ever they would be the largest part of the state. No process
+follows them, so they go without a version; writing one again is refused as long as an
+expired key is remembered, since a job that ran long ago must not run anew.
+
 >>> state = State()
 >>> write = keeper.ItemWrite("team/a", 0, b"...")
 >>> command = keeper.WriteItems("", "ana", [write], "", 0, 0)
@@ -24,6 +29,8 @@
 from alderreach.core.generated import common, keeper
 
 ANY_VERSION = -1
+EXPIRING_PREFIX = "submission/"
+EXPIRED_AUTHOR = "expired"
 HISTORY_SLACK = 1024
 
 
@@ -40,6 +47,7 @@
 
     ``history`` lists (version, key) in order of version; entries that a later write
     of the key made stale are skipped, and dropped once they are the greater part.
+    ``expiring`` maps the keys of items that expire to when they were written, and
     ``deleted`` maps the keys of tombstones to when they were deleted, oldest first;
     ``floor_version`` is the newest version of a tombstone that was dropped.
     """
@@ -51,6 +59,7 @@
         self.floor_version = 0
         self.items = {}
         self.deleted = {}
+        self.expiring = {}
         self.history = []
         self.keys = key_state.Keys()
 
@@ -61,6 +70,7 @@
     state.clock_ms = max(state.clock_ms, wall_ms)
     key_state.expire(state.keys, state.clock_ms)
     _drop_tombstones(state)
+    _expire_items(state)
     handler = HANDLERS.get(type(command))
     return handler(state, command) if handler else None
 
@@ -111,8 +121,11 @@
         state.items[key] = StoredItem(state.version, value, author)
         state.history.append((state.version, key))
         state.deleted.pop(key, None)
+        state.expiring.pop(key, None)
         if value is None:
             state.deleted[key] = state.clock_ms
+        elif key.startswith(EXPIRING_PREFIX):
+            state.expiring[key] = state.clock_ms
     if len(state.history) > 2 * len(state.items) + HISTORY_SLACK:
         state.history = history_of(state)
 
@@ -133,6 +146,22 @@
         state.floor_version = max(state.floor_version, version)
 
 
+def _expire_items(state):
+    before_ms = state.clock_ms - state.keys.lifetime_ms
+    while state.expiring:
+        key = next(iter(state.expiring))
+        if state.expiring[key] > before_ms:
+            return
+        del state.expiring[key]
+        del state.items[key]
+        state.keys.expired[_expired_digest(key)] = state.clock_ms
+
+
+def _expired_digest(key):
+    """Told apart from the digests of claimed keys, which share the same memory."""
+    return key_state.digest_of("item", key)
+
+
 def _write_items(state, command):
     digest = key_state.digest_of(command.author, command.writes)
     if command.idempotency_key:
@@ -173,6 +202,8 @@
     A base of 0 fits an item that never was or was deleted; a deleted item's own version
     fits too, so that a writer who saw the deletion may write after it.
     """
+    if _expired_digest(write.key) in state.keys.expired:
+        return keeper.ItemConflict(write.key, state.version, EXPIRED_AUTHOR)
     stored = state.items.get(write.key)
     if write.base_version == ANY_VERSION or stored is None:
         fits = stored is not None or write.base_version <= 0
--- a/alderreach/core/keeper_state_test.py
+++ b/alderreach/core/keeper_state_test.py
@@ -111,3 +111,24 @@
     ] == ["a/2"]
     assert write(state, ("a/1", 2, b"3")).status == "conflict"
     assert write(state, ("a/1", 0, b"3")).status == "accepted"
+
+
+def test_a_job_sent_again_under_an_expired_key_is_not_accepted_anew():
+    """A crew's job of last week must not run again when its submission is resent.
+
+    The item that stands for the job's idempotency key is dropped after the lifetime,
+    so that the state stays bounded; the key is still refused, and so it is after a
+    restart from a snapshot.
+    """
+    state = keeper_state.State()
+    state.keys.lifetime_ms = 500
+    write(state, ("submission/a/k", 0, b"job-1"))
+    policy = keeper.KeeperPolicy(500)
+    keeper_state.apply(state, policy, state.index + 1, 1499)
+    assert "submission/a/k" in state.items
+    keeper_state.apply(state, policy, state.index + 1, 1500)
+    assert "submission/a/k" not in state.items and not state.expiring
+    loaded = keeper_dump.load(list(keeper_dump.dump(keeper_dump.copy(state))))
+    for kept in (state, loaded):
+        refused = write(kept, ("job/d/2", 0, b""), ("submission/a/k", 0, b"job-2"))
+        assert refused.status == "conflict" and "job/d/2" not in kept.items
--- a/alderreach/ops/entry/jobs.py
+++ b/alderreach/ops/entry/jobs.py
@@ -165,7 +165,7 @@
         if isinstance(found, Err):
             return answers.problem(_unread(found.err_value))
         if found.ok_value is None:
-            return answers.problem(answers.Failure(errors.Kind.CONFLICT))
+            return answers.problem(answers.Failure(errors.Kind.KEY_EXPIRED))
         first = codec.decode(found.ok_value.value, entry.Submission)
         if first.digest != submission.digest:
             return answers.problem(answers.Failure(errors.Kind.KEY_REUSED))
