--- a/tests/system_failures_test.py
+++ b/tests/system_failures_test.py
@@ -187,3 +187,50 @@
             return self._deployment.http.request("GET", url).status == 200
         except Exception:
             return False
+
+
+def test_leaving_runner_gets_no_new_work(tmp_path):
+    """A guide's request is sent to a runner that is about to be stopped, and is lost.
+
+    A runner says that it leaves while callers send through every entry. Once each entry
+    has seen it, no request starts there any more, and those it has are answered.
+    """
+    with system_support.running(tmp_path) as deployment:
+        with system_support.Load(deployment) as load:
+            load.wait_for(50, "requests before it leaves")
+            runner = a_runner(deployment)
+            control = f"http://{runner['address']}/control"
+            deployment.http.request("POST", control, body=b'{"mode": "leaving"}')
+            entries = {plan.name for plan in deployment.cell.of_role("entry")}
+            cells.wait_until(
+                lambda: seen_leaving(deployment, runner["id"]) >= entries,
+                "every entry has seen it",
+            )
+            load.wait_for(20, "requests that were on their way")
+            ran = runs_on(deployment, runner["id"])
+            load.wait_for(200, "requests after every entry has seen it")
+            assert runs_on(deployment, runner["id"]) == ran
+        failed = [told for told in load.told if told.outcomes[-1] != "200"]
+        assert not failed, failed[:3]
+        system_support.check_history(deployment, load.told)
+
+
+def a_runner(deployment):
+    """The id and address of a runner that has served a request."""
+    served = [e for e in deployment.events() if e["event"] == "request_run"]
+    return {"id": served[-1]["runner"], "address": served[-1]["address"]}
+
+
+def seen_leaving(deployment, runner_id):
+    """Names of the processes whose time line says that the runner leaves."""
+    shown = deployment.client("timeline", "--target", runner_id, "--limit", "1000")
+    return {
+        event["process"]
+        for event in shown["events"]
+        if event["kind"] == "target_state_seen" and event["detail"] == "leaving"
+    }
+
+
+def runs_on(deployment, runner_id):
+    events = deployment.events()
+    return sum(e["event"] == "request_run" and e["runner"] == runner_id for e in events)
--- a/tools/standins/runner.py
+++ b/tools/standins/runner.py
@@ -112,6 +112,7 @@
             "request_run",
             runner=self._spec["id"],
             request_id=request_id,
+            address=self._spec["address"],
             attempt=headers["Alderreach-Attempt"],
             body=request.body.decode(errors="replace"),
         )
