--- a/tests/system_failures_test.py
+++ b/tests/system_failures_test.py
@@ -234,3 +234,34 @@
 def runs_on(deployment, runner_id):
     events = deployment.events()
     return sum(e["event"] == "request_run" and e["runner"] == runner_id for e in events)
+
+
+def test_failure_domain_lost_whole_and_back(tmp_path):
+    """A failure domain burns down at once, and the others go on; later it is back.
+
+    Every process and target of urubici, where the keepers' leader or a voter was, is
+    killed with requests and a batch under way. Callers elsewhere are answered. When the
+    domain's VMs are back, its batch runs to its end, and nothing ran twice.
+    """
+    with system_support.running(tmp_path) as deployment:
+        cell = deployment.cell
+        outside = cell.of_role("entry", "cambara") + cell.of_role("entry", "bom-jardim")
+        inside = [p.name for p in cell.plans if p.failure_domain == "urubici"]
+        entry = cell.of_role("entry", "urubici")[0]
+        job_id = deployment.submit(entry, 6, {"run_ms": 1000}, uuid.uuid4().hex)
+        with system_support.Load(deployment, entries=outside) as load:
+            load.wait_for(30, "requests before the loss")
+            for name in [*inside, "targets-urubici"]:
+                cell.kill(name)
+            load.wait_for(100, "requests without the domain")
+            cell.start(inside)
+            cell.wait_ready(inside)
+            deployment.start_targets("urubici")
+            cells.wait_until(
+                lambda: deployment.job(outside[0], job_id).get("state") == "finished",
+                "the batch of the lost domain",
+                timeout_s=60,
+            )
+            load.wait_for(30, "requests afterwards")
+        assert all(told.outcomes[-1] == "200" for told in load.told if not told.keyed)
+        system_support.check_history(deployment, load.told)
--- a/tools/standins/worker.py
+++ b/tools/standins/worker.py
@@ -36,6 +36,8 @@
         self._runners = {}
         self._runners_made = 0
         self._closing = threading.Event()
+        # Whatever an earlier process with this id ran has died with it.
+        history.add("worker_started", worker=spec["id"], boot_id=self._boot_id)
         self._server = http.serve(spec["address"], self._handle)
         self._announcer = announcer.Announcer(
             spec["id"], spec["placers"], self._report, self._answered
