--- a/alderreach/decisions/first_fit.py
+++ b/alderreach/decisions/first_fit.py
@@ -4,41 +4,14 @@
 neither waiting nor packing, no fairness, no preemption, no retry limit.
 """
 
-import typing
-
 from alderreach.core.generated import common
+from alderreach.decisions import actions
 
 NOTHING = common.Resources(0, 0, 0)
 FINAL = ("finished", "failed")
 RETRIES_MAX = 3
 
 
-class Start(typing.NamedTuple):
-    """Run this attempt of a task on this worker."""
-
-    task_id: str
-    attempt: int
-    job_id: str
-    worker_id: str
-    task: common.Resources
-
-
-class Stop(typing.NamedTuple):
-    """End this attempt; ``how`` is stop or checkpoint."""
-
-    task_id: str
-    attempt: int
-    worker_id: str
-    how: str
-
-
-class Impossible(typing.NamedTuple):
-    """No worker could ever hold a task of the job."""
-
-    job_id: str
-    reason: str
-
-
 class _Task:
     """One task of a job."""
 
@@ -180,7 +153,7 @@
             key = (task_id, task.attempt)
             if task.worker_id and key not in self._stopped:
                 self._stopped.add(key)
-                yield Stop(task_id, task.attempt, task.worker_id, "stop")
+                yield actions.Stop(task_id, task.attempt, task.worker_id, "stop")
 
     def _starts(self, job, budget):
         waiting = [
@@ -205,7 +178,7 @@
         task = self._tasks[task_id]
         task.attempt += 1
         task.state, task.worker_id = "starting", worker_id
-        return Start(task_id, task.attempt, job.job_id, worker_id, job.task)
+        return actions.Start(task_id, task.attempt, job.job_id, worker_id, job.task)
 
     def _room(self, asked):
         for worker_id, worker in sorted(self._workers.items()):
--- a/alderreach/decisions/maintenance.py
+++ b/alderreach/decisions/maintenance.py
@@ -1,7 +1,7 @@
 """When a maintenance window closes and clears its VMs, and whether it can be met.
 
-The landlord stops VMs at a fixed date. Without a lead, new work would land on them
-until the last moment and be cut. So a window goes through phases: ``declared``;
+The VMs of a window are stopped at a fixed date. Without a lead, new work would land on
+them until the last moment and be cut. So a window goes through phases: ``declared``;
 ``closed`` (no new work, what runs may finish); ``clearing`` (runners leave, tasks are
 checkpointed or stopped and start elsewhere); ``over``.
 
--- a/alderreach/ops/entry/operator_maintenance.py
+++ b/alderreach/ops/entry/operator_maintenance.py
@@ -1,7 +1,7 @@
-"""Maintenance windows: the landlord's dates for VMs and racks.
+"""Maintenance windows: declared dates at which VMs and racks are stopped.
 
 A window that can't be met, say since a service's runners would not fit elsewhere, is
-accepted all the same, for the landlord's date stands; the answer says at once what
+accepted all the same, since the date is not ours to move; the answer says at once what
 can't be met, so that the operator can act before the date.
 """
 
--- a/alderreach/ops/placer/placing.py
+++ b/alderreach/ops/placer/placing.py
@@ -15,6 +15,7 @@
 import collections
 
 from alderreach.core import placements, target_membership
+from alderreach.decisions import actions
 from alderreach.ops.placer import commands, jobs, ledger, reports, status, workers
 
 DECISIONS_PER_TICK = 500
@@ -334,10 +335,9 @@
 
     def _decide(self, now_ms):
         for decision in self.scheduler.tick(now_ms, DECISIONS_PER_TICK):
-            kind = type(decision).__name__
-            if kind == "Start":
+            if isinstance(decision, actions.Start):
                 self._start(decision)
-            elif kind == "Stop":
+            elif isinstance(decision, actions.Stop):
                 self._stop(decision, now_ms)
             else:
                 self.ledger.mark_job(self.jobs[decision.job_id])
--- a/alderreach/ops/placer/upkeep.py
+++ b/alderreach/ops/placer/upkeep.py
@@ -1,4 +1,4 @@
-"""Clears VMs before the landlord stops them: nothing new, runners leave, tasks move."""
+"""Clears VMs before a window stops them: nothing new, runners leave, tasks move."""
 
 from alderreach.decisions import maintenance
 
--- a/alderreach/scripts/commands/maintenance.py
+++ b/alderreach/scripts/commands/maintenance.py
@@ -11,7 +11,7 @@
     """Declare a maintenance window."""
 
     name = "maintenance add"
-    description = "Declare the landlord's dates for VMs or racks."
+    description = "Declare when VMs or racks will be stopped."
     options = [
         *base.API_OPTIONS,
         option("failure-domain", None, "Where the VMs are.", flag=False),
