--- a/alderreach/ops/entry/dispatcher.py
+++ b/alderreach/ops/entry/dispatcher.py
@@ -9,7 +9,7 @@
 import typing
 
 from alderreach.core import catalog, target_views
-from alderreach.core.generated import entry, errors, placer
+from alderreach.core.generated import errors, placer
 from alderreach.decisions import serving
 from alderreach.ops.entry import thread_shares
 from alderreach.utils import tasks
@@ -75,7 +75,6 @@
             Withdraw: self._withdraw,
             catalog.Catalog: self._set_catalog,
             placer.TargetsView: self._apply_view,
-            entry.EntryHello: lambda hello: None,
         }
         self._task = tasks.Task("dispatcher", self._handle, self._tick, context.clock)
 
--- a/alderreach/ops/entry/operator_config.py
+++ b/alderreach/ops/entry/operator_config.py
@@ -95,10 +95,8 @@
 
 def write(deps, request):
     """PUT /v1/config: check all writes whole, then accept them together."""
-    key = operator_http.check_key(request, deps.context.settings.limits)
-    if isinstance(key, Err):
-        return key
-    body = operator_http.read_object(request)
+    limits = deps.context.settings.limits
+    body = operator_http.read_keyed_object(request, limits)
     if isinstance(body, Err):
         return body
     writes, mistakes = parse_writes(body.ok_value.get("writes"))
--- a/alderreach/ops/entry/operator_http.py
+++ b/alderreach/ops/entry/operator_http.py
@@ -67,6 +67,11 @@
     return Ok(value)
 
 
+def read_keyed_object(request, limits):
+    """The body of a change: ``Ok(dict)``; a refusal if its key or body is unusable."""
+    return check_key(request, limits).and_then(lambda _key: read_object(request))
+
+
 def read_count(request, name, default, maximum):
     """A whole number from the query: ``Ok(int)`` or a refusal."""
     text = request.query.get(name, "")
--- a/alderreach/ops/entry/operator_maintenance.py
+++ b/alderreach/ops/entry/operator_maintenance.py
@@ -32,10 +32,8 @@
 
 def add(deps, request):
     """POST /v1/maintenance: declare a window; the id is made if none is given."""
-    key = operator_http.check_key(request, deps.context.settings.limits)
-    if isinstance(key, Err):
-        return key
-    body = operator_http.read_object(request)
+    limits = deps.context.settings.limits
+    body = operator_http.read_keyed_object(request, limits)
     if isinstance(body, Err):
         return body
     own_id = operator_changes.change_id(request.operator, request.idempotency_key)
--- a/alderreach/ops/entry/service.py
+++ b/alderreach/ops/entry/service.py
@@ -8,7 +8,7 @@
 import time
 
 from alderreach.core import catalog
-from alderreach.core.generated import entry, placer
+from alderreach.core.generated import placer
 from alderreach.ops import daemon, gateway
 from alderreach.ops.entry import (
     callers,
@@ -66,7 +66,7 @@
         """Take a peer's message."""
         if self._gateway.deliver(received):
             return
-        if isinstance(received.message, placer.TargetsView | entry.EntryHello):
+        if isinstance(received.message, placer.TargetsView):
             self._dispatcher.put(received.message)
 
     def status(self):
