--- /dev/null
+++ b/alderreach/core/cell_state.py
@@ -0,0 +1,352 @@
+"""What a cell's controllers agree on: configuration, workers, jobs and their runs.
+
+``apply`` is a function of the state and one ``cell.CellChange``; every controller
+applies the same changes in the same order, so that a new leader knows every run that
+its predecessor may have started. A run is recorded before the worker hears of it, and
+its end before the worker may forget it. What is *not* recorded is anything that can be
+asked again: leases, tickets, how far a task has come.
+
+>>> state = CellState()
+>>> step = cell.Step(2, common.Resources(500, 64, 0), 900, [], *NO_STEP_OPTIONS)
+>>> queue = cell.QueueConfig("q", "h", "/q/", "pool", 0, 2, 1.5, 250, 3000, None)
+>>> job = cell.CellJob("5c0e", queue, "pool", "true", [step], 0, 0, 0)
+>>> accept = empty_change()._replace(accepted=[cell.JobAccepted(job, 1_000)])
+>>> apply(state, accept, wall_ms=1_000)
+>>> state.jobs["5c0e"].state, state.jobs["5c0e"].unfinished
+('active', 2)
+"""
+
+import typing
+
+import msgspec
+
+from alderreach.core.generated import cell
+
+ACTIVE = "active"
+COMPLETED = "completed"
+FAILED = "failed"
+CANCELLED = "cancelled"
+
+WAITING = "waiting"
+PLACED = "placed"
+DONE = "done"
+
+# How long an ended job can be asked for. A repeated submission of an older one would
+# run again, so this is far longer than any caller retries.
+KEPT_AFTER_END_MS = 600_000
+
+# The fields of a Step after ``after`` with their empty values, for examples and tests.
+NO_STEP_OPTIONS = (False, False, False, "", "", 0, False, False, "", 0, False, 0)
+
+
+class TaskKey(typing.NamedTuple):
+    """Which task: of a job, an occurrence of it, a step, a number within the step."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self):
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
+
+
+class GroupKey(typing.NamedTuple):
+    """The tasks of one step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
+class Task:
+    """One task: its newest run and what earlier runs left."""
+
+    __slots__ = (
+        "born_ms",
+        "checkpoint",
+        "failed_run",
+        "failures",
+        "run",
+        "state",
+        "target_id",
+    )
+
+    def __init__(self):
+        self.state = WAITING
+        self.run = 0
+        self.target_id = ""
+        self.born_ms = 0
+        self.failures = 0
+        self.failed_run = 0
+        self.checkpoint = ""
+
+
+class Job:
+    """A job with all its tasks; ``groups`` maps (occurrence, step) to its tasks."""
+
+    __slots__ = (
+        "accepted_ms",
+        "ended_ms",
+        "groups",
+        "has_started",
+        "record",
+        "state",
+        "undone",
+        "unfinished",
+    )
+
+    def __init__(self, record, accepted_ms):
+        self.record = record
+        self.accepted_ms = accepted_ms
+        self.state = ACTIVE
+        self.ended_ms = 0
+        self.has_started = False
+        self.groups = {
+            (occurrence, number): [Task() for _ in range(step.tasks)]
+            for occurrence in range(max(1, record.repeat_count))
+            for number, step in enumerate(record.steps)
+        }
+        self.undone = {key: len(tasks) for key, tasks in self.groups.items()}
+        self.unfinished = sum(self.undone.values())
+
+
+class CellState:
+    """All that the controllers agree on; changed by ``apply`` and ``load`` only."""
+
+    def __init__(self):
+        self.config = None
+        self.targets = {}
+        self.jobs = {}
+        self.ended = {}
+
+
+def empty_change():
+    """A change of nothing."""
+    return cell.CellChange([], [], [], [], [], [], [])
+
+
+def is_empty(change):
+    """Whether a change changes nothing."""
+    return not any(change)
+
+
+def apply(state, change, wall_ms):
+    """Apply one change; ``wall_ms`` is the time that the log gives it."""
+    _forget_old(state, wall_ms)
+    for config in change.configs:
+        if state.config is None or config.version > state.config.version:
+            state.config = config
+    for record in change.targets:
+        state.targets[record.target_id] = record
+    for target_id in change.gone:
+        state.targets.pop(target_id, None)
+    for accepted in change.accepted:
+        if accepted.job.job_id not in state.jobs:
+            job = Job(accepted.job, accepted.accepted_ms)
+            state.jobs[accepted.job.job_id] = job
+    for ended in change.ended:
+        _end(state, ended, wall_ms)
+    for placed in change.placed:
+        _place(state, placed)
+    for job_id in change.cancelled:
+        job = state.jobs.get(job_id)
+        if job is not None and job.state == ACTIVE:
+            _finish(state, job, CANCELLED, wall_ms)
+
+
+def apply_batch(state, batch):
+    """Apply all changes of a ``cell.CellBatch``."""
+    for change in batch.changes:
+        apply(state, change, batch.wall_ms)
+
+
+def task_of(state, key):
+    """The task a key names, or None."""
+    job = state.jobs.get(key.job_id)
+    if job is None:
+        return None
+    tasks = job.groups.get((key.occurrence, key.step), ())
+    return tasks[key.index] if 0 <= key.index < len(tasks) else None
+
+
+def is_open(job, occurrence, number):
+    """Whether all steps that a step waits for are done."""
+    after = job.record.steps[number].after
+    return all(job.undone[(occurrence, earlier)] == 0 for earlier in after)
+
+
+def shown_state(job):
+    """The state callers are shown: queued and running are told apart by a first run."""
+    if job.state != ACTIVE:
+        return job.state
+    return "running" if job.has_started else "queued"
+
+
+def _place(state, placed):
+    key = TaskKey(placed.job_id, placed.occurrence, placed.step, placed.index)
+    task = task_of(state, key)
+    if task is None or task.state == DONE or placed.run <= task.run:
+        return
+    task.state = PLACED
+    task.run, task.target_id, task.born_ms = (
+        placed.run,
+        placed.target_id,
+        placed.born_ms,
+    )
+    state.jobs[placed.job_id].has_started = True
+
+
+def _end(state, ended, wall_ms):
+    key = TaskKey(ended.job_id, ended.occurrence, ended.step, ended.index)
+    task = task_of(state, key)
+    if task is None or task.state != PLACED or task.run != ended.run:
+        return
+    job = state.jobs[ended.job_id]
+    task.checkpoint = ended.checkpoint or task.checkpoint
+    if ended.how == "done" and not job.record.steps[ended.step].long_running:
+        task.state = DONE
+        job.undone[(ended.occurrence, ended.step)] -= 1
+        job.unfinished -= 1
+        if job.unfinished == 0 and job.state == ACTIVE:
+            _finish(state, job, COMPLETED, wall_ms)
+        return
+    task.state = WAITING
+    if ended.how == "failed":
+        _count_failure(job, ended, task)
+    if ended.is_final and job.state == ACTIVE:
+        _finish(state, job, FAILED, wall_ms)
+
+
+def _count_failure(job, ended, task):
+    """Count a failed run once, also where several members of a gang report it."""
+    tasks = job.groups[(ended.occurrence, ended.step)]
+    is_gang = job.record.steps[ended.step].gang
+    if not is_gang or all(other.failed_run != ended.run for other in tasks):
+        task.failures += 1
+    task.failed_run = ended.run
+
+
+def failures_of(job, occurrence, step, index):
+    """How many runs of a task, or of the gang it belongs to, have failed."""
+    tasks = job.groups[(occurrence, step)]
+    if job.record.steps[step].gang:
+        return sum(task.failures for task in tasks)
+    return tasks[index].failures
+
+
+def _finish(state, job, how, wall_ms):
+    job.state = how
+    job.ended_ms = wall_ms
+    state.ended[job.record.job_id] = wall_ms
+
+
+def _forget_old(state, wall_ms):
+    """Drop jobs that ended long ago, but never one of which something may still run."""
+    for job_id, ended_ms in list(state.ended.items()):
+        if wall_ms - ended_ms < KEPT_AFTER_END_MS:
+            return
+        job = state.jobs[job_id]
+        placed = any(
+            task.state == PLACED for tasks in job.groups.values() for task in tasks
+        )
+        if not placed:
+            del state.ended[job_id]
+            del state.jobs[job_id]
+
+
+class TaskImage(typing.NamedTuple):
+    """A task as stored in a snapshot."""
+
+    state: str
+    run: int
+    target_id: str
+    born_ms: int
+    failures: int
+    failed_run: int
+    checkpoint: str
+
+
+class JobImage(typing.NamedTuple):
+    """A job as stored in a snapshot; ``groups`` in the order of the job's own."""
+
+    record: cell.CellJob
+    accepted_ms: int
+    state: str
+    ended_ms: int
+    has_started: bool
+    groups: list[list[TaskImage]]
+
+
+class StateImage(typing.NamedTuple):
+    """All but the jobs, as stored in a snapshot."""
+
+    config: cell.CellConfig | None
+    targets: list[cell.TargetRecord]
+    ended: list[str]
+
+
+def dump(state):
+    """Yield (kind, encoded value) for each part of a state."""
+    image = StateImage(state.config, list(state.targets.values()), list(state.ended))
+    yield "cell", msgspec.msgpack.encode(image)
+    for job in state.jobs.values():
+        yield "cell_job", msgspec.msgpack.encode(_image(job))
+
+
+def load_part(state, kind, data):
+    """Add what ``dump`` yielded; raises ``msgspec.MsgspecError`` for other bytes."""
+    if kind == "cell":
+        image = msgspec.msgpack.decode(data, type=StateImage)
+        state.config = image.config
+        state.targets = {record.target_id: record for record in image.targets}
+        state.ended = dict.fromkeys(image.ended, 0)
+    else:
+        job = _restored(msgspec.msgpack.decode(data, type=JobImage))
+        state.jobs[job.record.job_id] = job
+        if job.record.job_id in state.ended:
+            state.ended[job.record.job_id] = job.ended_ms
+
+
+def copy(state):
+    """An independent copy; records, which never change, are shared."""
+    other = CellState()
+    other.config = state.config
+    other.targets = dict(state.targets)
+    other.ended = dict(state.ended)
+    other.jobs = {job_id: _restored(_image(job)) for job_id, job in state.jobs.items()}
+    return other
+
+
+def _image(job):
+    groups = [
+        [
+            TaskImage(
+                task.state,
+                task.run,
+                task.target_id,
+                task.born_ms,
+                task.failures,
+                task.failed_run,
+                task.checkpoint,
+            )
+            for task in tasks
+        ]
+        for tasks in job.groups.values()
+    ]
+    return JobImage(
+        job.record, job.accepted_ms, job.state, job.ended_ms, job.has_started, groups
+    )
+
+
+def _restored(image):
+    job = Job(image.record, image.accepted_ms)
+    job.state, job.ended_ms = image.state, image.ended_ms
+    job.has_started = image.has_started
+    for (key, tasks), stored in zip(job.groups.items(), image.groups, strict=True):
+        for task, part in zip(tasks, stored, strict=True):
+            for name, value in zip(TaskImage._fields, part, strict=True):
+                setattr(task, name, value)
+        job.undone[key] = sum(task.state != DONE for task in tasks)
+    job.unfinished = sum(job.undone.values())
+    return job
--- a/alderreach/core/codec.py
+++ b/alderreach/core/codec.py
@@ -12,13 +12,13 @@
 import msgspec
 from result import Err, Ok, Result
 
-from alderreach.core.generated import common, entry, keeper, placer
+from alderreach.core.generated import cell, common, entry, keeper, placer
 
 PROTOCOL_VERSION = 1
 
 REGISTRY = {
     message.__name__: message
-    for module in (common, entry, keeper, placer)
+    for module in (cell, common, entry, keeper, placer)
     for message in module.MESSAGES
 }
 
--- a/alderreach/core/keeper_dump.py
+++ b/alderreach/core/keeper_dump.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from alderreach.core import keeper_state, key_state
+from alderreach.core import cell_state, keeper_state, key_state
 
 RECORD_ENTRIES = 1000
 
@@ -34,6 +34,7 @@
     "abandoned": dict[str, int],
 }
 
+CELL_KINDS = ("cell", "cell_job")
 ITEM_KINDS = ("items", "deleted", "expiring")
 
 
@@ -46,6 +47,7 @@
     other.keys.lifetime_ms = state.keys.lifetime_ms
     for kind in KINDS:
         _holder(other, kind).update(_holder(state, kind))
+    other.cell = cell_state.copy(state.cell)
     return other
 
 
@@ -63,6 +65,8 @@
         entries = iter(_holder(state, kind).items())
         while batch := dict(itertools.islice(entries, RECORD_ENTRIES)):
             yield msgspec.msgpack.encode((kind, batch))
+    for kind, data in cell_state.dump(state.cell):
+        yield msgspec.msgpack.encode((kind, msgspec.Raw(data)))
 
 
 def load(records):
@@ -79,6 +83,8 @@
         elif kind in KINDS:
             batch = msgspec.msgpack.decode(payload, type=KINDS[kind])
             _holder(state, kind).update(batch)
+        elif kind in CELL_KINDS:
+            cell_state.load_part(state.cell, kind, payload)
         else:
             raise msgspec.ValidationError(f"no such kind of record: {kind!r}")
     state.history = keeper_state.history_of(state)
--- a/alderreach/core/keeper_state.py
+++ b/alderreach/core/keeper_state.py
@@ -25,8 +25,8 @@
 import bisect
 import typing
 
-from alderreach.core import codec, key_state
-from alderreach.core.generated import common, keeper
+from alderreach.core import cell_state, codec, key_state
+from alderreach.core.generated import cell, common, keeper
 
 ANY_VERSION = -1
 EXPIRING_PREFIX = "submission/"
@@ -62,6 +62,7 @@
         self.expiring = {}
         self.history = []
         self.keys = key_state.Keys()
+        self.cell = cell_state.CellState()
 
 
 def apply(state, command, index, wall_ms):
@@ -267,7 +268,13 @@
     return command
 
 
+def _change_cell(state, command):
+    cell_state.apply_batch(state.cell, command)
+    return command
+
+
 HANDLERS = {
+    cell.CellBatch: _change_cell,
     keeper.WriteItems: _write_items,
     keeper.GrantOwnership: _grant,
     keeper.RecordIntent: _record_intent,
--- /dev/null
+++ b/alderreach/decisions/cell/choice.py
@@ -0,0 +1,120 @@
+"""On which worker a task starts.
+
+Load answered: wide steps, gangs and single large tasks on a few dozen workers of
+unequal size, some of which are slow to answer, leaving, or far from the data.
+
+Without it: spread evenly, small tasks leave no hole large enough for a task of half a
+worker; put anywhere, best-effort tasks land beside serving tasks and slow them.
+
+A task goes where the least is left over afterwards (best fit by the scarcer resource),
+but first to the rack of its data, and gangs that want one rack into the rack that holds
+all of them with least to spare. Best-effort tasks go where the most processor time is
+idle and, if there is a choice, not beside tasks that serve.
+"""
+
+import collections
+
+# Costs are shares of a worker, below 1; these are above every such cost, so that the
+# data's rack, and a worker without serving tasks, go before any better fit.
+FAR_FROM_DATA = 10.0
+BESIDE_SERVING = 100.0
+
+
+def candidates(workers, step, group, now_ms):
+    """Workers on which one more task of a step could start now."""
+    return [worker for worker in workers if may_run(worker, step, group, now_ms)]
+
+
+def may_run(worker, step, group, now_ms):
+    """Whether one more task of a step could start on a worker."""
+    return (
+        worker.is_usable(now_ms)
+        and is_suitable(worker, step)
+        and worker.has_room(step)
+        and (not step.max_per_target or worker.count_of(group) < step.max_per_target)
+    )
+
+
+def is_suitable(worker, step):
+    """Whether a worker could ever run a step, empty and in good health."""
+    capacity, demand = worker.record.capacity, step.demand
+    labelled = not step.required_label or step.required_label in worker.record.labels
+    return labelled and all(
+        need <= have for need, have in zip(demand, capacity, strict=True)
+    )
+
+
+def best(workers, step):
+    """The best of some candidates for one task; None if there are none."""
+    if not workers:
+        return None
+    return min(workers, key=lambda worker: _cost(worker, step))
+
+
+def gather(workers, step, group, wanted, now_ms):
+    """One worker for each of ``wanted`` tasks of a gang; None if they don't all fit.
+
+    Where the gang wants one rack, the fullest rack that can hold it is taken, and the
+    whole cell only if none can.
+    """
+    usable = candidates(workers, step, group, now_ms)
+    if step.same_rack:
+        racks = collections.defaultdict(list)
+        for worker in usable:
+            racks[worker.rack].append(worker)
+        plans = [_pack(members, step, group, wanted) for members in racks.values()]
+        plans = [plan for plan in plans if plan is not None]
+        if plans:
+            return min(plans, key=lambda plan: sum(_left(w, step) for w in plan))
+    return _pack(usable, step, group, wanted)
+
+
+def _pack(workers, step, group, wanted):
+    plan = []
+    for worker in sorted(workers, key=lambda worker: _cost(worker, step)):
+        fits = min(_copies(worker, step, group), wanted - len(plan))
+        plan += [worker] * fits
+        if len(plan) == wanted:
+            return plan
+    return None
+
+
+def _copies(worker, step, group):
+    """How many tasks of a step fit on a worker."""
+    free, demand = worker.free(), step.demand
+    limits = []
+    if demand.cpu_millis and not step.best_effort:
+        limits.append(free.cpu_millis // demand.cpu_millis)
+    if demand.memory_mb:
+        limits.append(free.memory_mb // demand.memory_mb)
+    if demand.accelerators:
+        limits.append(free.accelerators // demand.accelerators)
+    if step.max_per_target:
+        limits.append(step.max_per_target - worker.count_of(group))
+    return max(0, min(limits, default=1))
+
+
+def _cost(worker, step):
+    if step.best_effort:
+        return _best_effort_cost(worker)
+    far = step.data_rack and worker.rack != step.data_rack
+    return (FAR_FROM_DATA if far else 0.0) + _left(worker, step)
+
+
+def _left(worker, step):
+    """The share of a worker that stays free, of the resource that is scarcer."""
+    capacity, used, demand = worker.record.capacity, worker.used, step.demand
+    cpu = capacity.cpu_millis - used[0] - demand.cpu_millis
+    memory = capacity.memory_mb - used[1] - demand.memory_mb
+    return min(cpu / max(1, capacity.cpu_millis), memory / max(1, capacity.memory_mb))
+
+
+def _best_effort_cost(worker):
+    idle = worker.record.capacity.cpu_millis - worker.used[0]
+    serving = 0
+    for run in worker.runs.values():
+        serving += run.tail_target_ms > 0
+        if run.best_effort:
+            idle -= run.demand.cpu_millis
+    idle_share = idle / max(1, worker.record.capacity.cpu_millis)
+    return (BESIDE_SERVING if serving else 0.0) - idle_share
--- /dev/null
+++ b/alderreach/decisions/cell/pacing.py
@@ -0,0 +1,55 @@
+"""Best-effort tasks step back before they make serving tasks miss their target.
+
+Load answered: best-effort tasks disturb serving tasks on the same worker, by amounts
+that differ by image and change within seconds.
+
+Without it: a serving task beside them stays over its tail target for as long as they
+run, and its own users wait.
+
+The tail that a worker reports for half a second is rough, so the share of the
+best-effort tasks is halved as soon as a serving task is over ``HIGH`` of its target and
+taken to nothing when it is over the target itself; below ``LOW`` it grows by ``STEP``.
+Two reports at least lie between two changes, so that each shows its effect first.
+"""
+
+HIGH = 0.85
+LOW = 0.6
+STEP = 25
+FULL = 100
+# A share below this is worth less than the disturbance it may bring.
+LEAST = 13
+
+
+def next_share(share, ratio):
+    """The next share in percent, for the worst ratio of a tail to its target.
+
+    >>> next_share(100, 0.9), next_share(100, 1.2), next_share(0, 0.3)
+    (50, 0, 25)
+    """
+    if ratio > 1.0:
+        return 0
+    if ratio > HIGH:
+        return share // 2 if share // 2 >= LEAST else 0
+    if ratio < LOW:
+        return min(FULL, share + STEP)
+    return share
+
+
+def worst_ratio(runs):
+    """The worst tail of the serving tasks against its target; None without any."""
+    ratios = [run.load / run.tail_target_ms for run in runs if run.tail_target_ms > 0]
+    return max(ratios, default=None)
+
+
+def changes(runs):
+    """(run, share) for each best-effort run whose share should change now."""
+    ratio = worst_ratio(runs)
+    if ratio is None:
+        ratio = 0.0
+    wanted = []
+    for run in runs:
+        if run.best_effort and not run.tail_target_ms:
+            share = next_share(run.pace, ratio)
+            if share != run.pace:
+                wanted.append((run, share))
+    return wanted
--- /dev/null
+++ b/alderreach/decisions/cell/permissions.py
@@ -0,0 +1,172 @@
+"""Which workers an outside service lets a step run on, asked for ahead of need.
+
+Load answered: a dozen steps a second, each of which needs a decision that takes up to
+a second, from a service that serves each calling VM one question at a time.
+
+Without it: asked by the leader alone and only when a step is ready, the questions queue
+up behind each other for longer than the tasks run.
+
+Questions are spread over all processes of the cell, one at a time each. A verdict never
+changes, so a worker that was turned down is not asked about again, and a renewal names
+only workers known to be good. A ticket ages: it is used only while ``SAFETY_MS`` of its
+life are left, and renewed that much and a decision's time ahead if the step still
+waits.
+"""
+
+import math
+import typing
+
+# A start needs a synced log entry and a call: about 15 ms calm, some 100 ms when busy.
+SAFETY_MS = 200
+# The longest list of workers in one question. Longer ones take longer to decide, and
+# a third or more of the workers are usually let run a step.
+ASKED_AT_MOST = 30
+# A renewal names this many workers for each task that still waits, so that two of
+# three may be full.
+RENEWED_PER_TASK = 3
+# Workers in one renewal at the least; room moves while the question is decided.
+RENEWED_AT_LEAST = 4
+# A question without an answer is asked elsewhere after this and twice its due time.
+ANSWER_SLACK_MS = 400
+
+
+class Question(typing.NamedTuple):
+    """One question on its way."""
+
+    query_id: str
+    group: tuple
+    target_ids: list
+    helper: str
+    due_ms: int
+
+
+class _Verdicts:
+    """What is known of one group: tickets by worker, and who was turned down."""
+
+    __slots__ = ("asking", "denied", "tickets")
+
+    def __init__(self):
+        self.tickets = {}
+        self.denied = set()
+        self.asking = None
+
+
+class Permissions:
+    """All verdicts of a leader, and which helpers are busy."""
+
+    def __init__(self):
+        self._groups = {}
+        self._questions = {}
+        self._busy = {}
+        self._serial = 0
+
+    def ticket(self, group, target_id, now_ms):
+        """A ticket that is good for a start now, or None."""
+        verdicts = self._groups.get(group)
+        if verdicts is None:
+            return None
+        ticket, until_ms = verdicts.tickets.get(target_id, ("", 0))
+        return ticket if until_ms - now_ms >= SAFETY_MS else None
+
+    def is_asking(self, group):
+        """Whether a question for this group is on its way."""
+        verdicts = self._groups.get(group)
+        return verdicts is not None and verdicts.asking is not None
+
+    def wanted(self, group, suitable, tasks, ahead_ms, now_ms):
+        """Workers to ask about now, best first; empty if nothing has to be asked.
+
+        ``suitable`` are ids of workers in the order in which they are wanted, and
+        ``tasks`` is how many still wait. Tickets that last longer than ``ahead_ms``
+        need no renewal.
+        """
+        verdicts = self._groups.setdefault(group, _Verdicts())
+        if verdicts.asking is not None:
+            return []
+        good = [t for t in suitable if t in verdicts.tickets]
+        fresh = [t for t in good if verdicts.tickets[t][1] - now_ms > ahead_ms]
+        unknown = [
+            t
+            for t in suitable
+            if t not in verdicts.tickets and t not in verdicts.denied
+        ]
+        enough = max(RENEWED_AT_LEAST, min(len(good), RENEWED_PER_TASK * tasks))
+        if len(fresh) >= min(enough, len(good)) and good:
+            return []
+        if good:
+            stale = [t for t in good if t not in fresh]
+            return stale[: max(RENEWED_AT_LEAST, RENEWED_PER_TASK * tasks)]
+        return unknown[:ASKED_AT_MOST]
+
+    def more(self, group, suitable):
+        """Workers nobody asked about yet, for a step that found no room."""
+        verdicts = self._groups.setdefault(group, _Verdicts())
+        if verdicts.asking is not None:
+            return []
+        known = verdicts.tickets.keys() | verdicts.denied
+        return [t for t in suitable if t not in known][:ASKED_AT_MOST]
+
+    def ask(self, group, target_ids, rule, helpers, now_ms):
+        """Give a question to an idle helper; None if all are busy."""
+        helper = next((h for h in helpers if h not in self._busy), None)
+        if helper is None:
+            return None
+        self._serial += 1
+        due_ms = now_ms + 2 * _decision_ms(rule, target_ids) + ANSWER_SLACK_MS
+        question = Question(str(self._serial), group, target_ids, helper, due_ms)
+        self._questions[question.query_id] = question
+        self._busy[helper] = question
+        self._groups.setdefault(group, _Verdicts()).asking = question
+        return question
+
+    def find(self, query_id):
+        """The question with this id, or None if it was given up."""
+        return self._questions.get(query_id)
+
+    def answered(self, query_id, is_decided, granted, rule, now_ms):
+        """Note an answer; returns its question, or None for one given up on."""
+        question = self._questions.get(query_id)
+        if question is None:
+            return None
+        self._end(question)
+        verdicts = self._groups.get(question.group)
+        if verdicts is None or not is_decided:
+            return question
+        until_ms = now_ms + rule.valid_ms
+        for ticket in granted:
+            verdicts.tickets[ticket.target_id] = (ticket.ticket, until_ms)
+        verdicts.denied.update(set(question.target_ids) - verdicts.tickets.keys())
+        return question
+
+    def refuse(self, group, target_id):
+        """A worker did not take a ticket: it is too old, or from another life."""
+        verdicts = self._groups.get(group)
+        if verdicts is not None and target_id in verdicts.tickets:
+            verdicts.tickets[target_id] = ("", 0)
+
+    def forget(self, group):
+        """Nothing of this group will be started any more."""
+        self._groups.pop(group, None)
+
+    def give_up_overdue(self, now_ms):
+        """Free what waits for helpers that don't answer; returns their names."""
+        overdue = [q for q in self._questions.values() if now_ms >= q.due_ms]
+        for question in overdue:
+            self._end(question)
+        return [question.helper for question in overdue]
+
+    def _end(self, question):
+        del self._questions[question.query_id]
+        self._busy.pop(question.helper, None)
+        verdicts = self._groups.get(question.group)
+        if verdicts is not None and verdicts.asking is question:
+            verdicts.asking = None
+
+
+def lead_ms(rule, asked):
+    """How long ahead a question about so many workers has to be asked."""
+    return math.ceil(rule.decision_ms + rule.per_target_ms * asked) + SAFETY_MS
+
+
+def _decision_ms(rule, target_ids):
+    return math.ceil(rule.decision_ms + rule.per_target_ms * len(target_ids))
--- /dev/null
+++ b/alderreach/decisions/cell/workers.py
@@ -0,0 +1,200 @@
+"""What each worker has, what it runs, and until when it may go on without its leader.
+
+Load answered: several hundred starts and ends a second on workers that answer late, are
+cut off, or start again under the same id.
+
+Without it: a start whose answer is lost is counted nowhere, and the next one brings the
+worker over its capacity; or a run on a silent worker is started again while the first
+one still works.
+
+Room is taken when a start is decided and given back only when the run's end is known:
+listed by the worker, or proved by a lease that has lapsed. A run is in one of these
+states:
+
+- ``ORDERED``: recorded; the worker has not confirmed it yet.
+- ``RUNNING``: the worker said so.
+- ``CLOSING``: a stop is under way, or wanted.
+- ``CLOSED``: the worker confirmed the stop; a look sent after that tells how it ended.
+"""
+
+import typing
+
+from alderreach.core.generated import common
+
+ORDERED = "ordered"
+RUNNING = "running"
+CLOSING = "closing"
+CLOSED = "closed"
+
+# A worker's clock may run 2 % slow, so a lease lasts that much longer for the leader.
+SLOW_CLOCK = 1.03
+# Covers rounding, and the time between reading the clock and the call's leaving.
+LEASE_MARGIN_MS = 400
+# Two missed heartbeats of 1.5 s: a worker that is silent for longer gets nothing new.
+SILENT_AFTER_MS = 4000
+# An order or look without an answer makes a worker doubtful until the next answer.
+DOUBTFUL_FAILURES = 1
+
+
+class Run:
+    """One run of a task as its leader sees it."""
+
+    __slots__ = (
+        "answered_ms",
+        "best_effort",
+        "checkpoint",
+        "demand",
+        "is_long",
+        "key",
+        "load",
+        "moved_ms",
+        "next_send_ms",
+        "order",
+        "pace",
+        "percent",
+        "placed_ms",
+        "run",
+        "sends",
+        "state",
+        "tail_target_ms",
+        "ticket",
+    )
+
+    def __init__(self, key, run, step, now_ms, ticket=""):
+        self.key = key
+        self.run = run
+        self.demand = step.demand
+        self.best_effort = step.best_effort
+        self.tail_target_ms = step.tail_target_ms
+        self.is_long = step.long_running
+        self.ticket = ticket
+        self.state = ORDERED
+        self.sends = 0
+        self.next_send_ms = now_ms
+        self.answered_ms = now_ms
+        self.percent = 0
+        self.moved_ms = now_ms
+        self.placed_ms = now_ms
+        self.load = 0.0
+        self.pace = 100
+        self.order = None
+        self.checkpoint = ""
+
+
+class Worker:
+    """One life of a worker; ``shown`` says whether it saw the leader's epoch."""
+
+    def __init__(self, record, now_ms, lapses_ms):
+        self.record = record
+        self.rack = rack_of(record.labels)
+        self.runs = {}
+        self.used = [0, 0, 0]
+        self.shown = False
+        self.is_settling = False
+        self.is_leaving = False
+        self.announced_ms = now_ms
+        self.sequence = -1
+        self.heard_ms = now_ms
+        self.failures = 0
+        self.lapses_ms = lapses_ms
+        self.offset_ms = None
+        self.offset_at_ms = now_ms
+        self.cursor = 0
+        self.look = None
+        self.looked_ms = now_ms
+        self.paced_ms = now_ms
+        self.held_back_until_ms = 0
+
+    @property
+    def target_id(self):
+        """Its id."""
+        return self.record.target_id
+
+    def note_clock(self, clock_ms, now_ms):
+        """Learn how far the worker's clock is ahead of ours; never too far ahead.
+
+        An answer is older than its arrival, so a sample is at most too low. An earlier,
+        higher sample is kept while its clock can't have fallen behind it.
+        """
+        sample = clock_ms - now_ms
+        if self.offset_ms is not None:
+            aged = self.offset_ms - (SLOW_CLOCK - 1) * (now_ms - self.offset_at_ms)
+            sample = max(sample, int(aged))
+        self.offset_ms, self.offset_at_ms = sample, now_ms
+
+    def lease_until_ms(self, lease_ms, now_ms):
+        """Grant a lease from now on; returns its end on the worker's clock."""
+        lapses_ms = now_ms + int(lease_ms * SLOW_CLOCK) + LEASE_MARGIN_MS
+        self.lapses_ms = max(self.lapses_ms, lapses_ms)
+        return now_ms + self.offset_ms + lease_ms
+
+    def is_usable(self, now_ms):
+        """Whether new runs may be placed here."""
+        return (
+            self.shown
+            and not self.is_leaving
+            and self.record.state == "ready"
+            and self.failures < DOUBTFUL_FAILURES
+            and now_ms >= self.held_back_until_ms
+            and now_ms - max(self.announced_ms, self.heard_ms) < SILENT_AFTER_MS
+        )
+
+    def has_room(self, step):
+        """Whether a task of a step fits beside what is here."""
+        capacity, used, demand = self.record.capacity, self.used, step.demand
+        cpu_fits = (
+            step.best_effort or used[0] + demand.cpu_millis <= capacity.cpu_millis
+        )
+        return (
+            cpu_fits
+            and used[1] + demand.memory_mb <= capacity.memory_mb
+            and used[2] + demand.accelerators <= capacity.accelerators
+        )
+
+    def free(self):
+        """What is not taken, as Resources."""
+        return common.Resources(
+            *(
+                have - used
+                for have, used in zip(self.record.capacity, self.used, strict=True)
+            )
+        )
+
+    def add(self, run):
+        """Take room for a run."""
+        self.runs[run.key] = run
+        self._count(run, 1)
+
+    def remove(self, run):
+        """Give a run's room back."""
+        del self.runs[run.key]
+        self._count(run, -1)
+
+    def count_of(self, group):
+        """How many tasks of a step's occurrence are here."""
+        return sum(key[:3] == group for key in self.runs)
+
+    def _count(self, run, sign):
+        if not run.best_effort:
+            self.used[0] += sign * run.demand.cpu_millis
+        self.used[1] += sign * run.demand.memory_mb
+        self.used[2] += sign * run.demand.accelerators
+
+
+def rack_of(labels):
+    """The rack among a worker's labels: the last one, after its kind.
+
+    >>> rack_of(["a", "r1-3"])
+    'r1-3'
+    """
+    return labels[-1] if len(labels) > 1 else ""
+
+
+class Fleet(typing.NamedTuple):
+    """All workers, by id."""
+
+    by_id: dict
+
+    def of_service(self, service):
+        """The workers of one pool."""
+        return [w for w in self.by_id.values() if w.record.service == service]
--- /dev/null
+++ b/alderreach/ops/controller/books.py
@@ -0,0 +1,137 @@
+"""What a leader knows and has decided in one term, and how a decision becomes durable.
+
+A leader works on its own copy of the cell's state, which runs ahead of the log by what
+it has decided and not yet committed. ``decide`` changes that copy at once and keeps the
+change for the next batch; the ``effect`` that goes with it (an answer, an order to a
+worker) happens only once the batch is committed. Nothing outside ever sees a decision
+that a new leader could not know.
+
+Failure answered: the leader dies between telling a worker to start a task and writing
+that down. The next leader would start the task a second time beside the first.
+"""
+
+import typing
+
+from absl import logging
+
+from alderreach.core import cell_state
+from alderreach.core.generated import cell
+from alderreach.decisions.cell import permissions, workers
+
+
+class Environment(typing.NamedTuple):
+    """What a leader uses of its process; ``post`` sends a peer a message.
+
+    ``committed()`` returns the cell's state as the log has it, ``cell_offset_ms()``
+    what added to the steady clock gives the cell's time, ``helpers()`` the peers that
+    may put questions to the permission service, and ``ask(question)`` gives one of
+    them a ``permissions.Question``.
+    """
+
+    settings: typing.Any
+    clock: typing.Any
+    metrics: typing.Any
+    record: typing.Callable
+    post: typing.Callable
+    confirm: typing.Callable
+    committed: typing.Callable
+    cell_offset_ms: typing.Callable
+    helpers: typing.Callable
+    ask: typing.Callable
+    open_link: typing.Callable
+    contact: str
+
+
+class Books:
+    """One term of leadership. Used by the controller's task only."""
+
+    def __init__(self, epoch, environment):
+        self.epoch = epoch
+        self.environment = environment
+        self.state = cell_state.copy(environment.committed())
+        self.workers = {}
+        self.links = {}
+        self.permissions = permissions.Permissions()
+        self.is_stale = True
+        self.on_run_ended = lambda job_id, occurrence, step: None
+        self._changes = []
+        self._effects = []
+
+    def now_ms(self):
+        """The steady clock."""
+        return self.environment.clock.monotonic_ms()
+
+    def cell_ms(self):
+        """The cell's time, which no single wrong clock moves."""
+        return self.now_ms() + self.environment.cell_offset_ms()
+
+    def decide(self, effect=None, **parts):
+        """Make a change of the fields of a ``cell.CellChange`` given by name.
+
+        ``effect`` is called without arguments once the change is committed.
+        """
+        change = cell_state.empty_change()._replace(**parts)
+        cell_state.apply(self.state, change, self.cell_ms())
+        self._changes.append(change)
+        if effect is not None:
+            self._effects.append(effect)
+        self.is_stale = True
+
+    def after_commit(self, effect):
+        """Call ``effect`` once all that was decided so far is committed."""
+        if self._changes:
+            self._effects.append(effect)
+        else:
+            self.environment.confirm(effect, lambda: None)
+
+    def take_batch(self):
+        """What has to be logged now, with its effects; (None, []) if nothing has."""
+        if not self._changes:
+            return None, []
+        batch = cell.CellBatch(self.cell_ms(), self._changes)
+        effects = self._effects
+        self._changes, self._effects = [], []
+        return batch, effects
+
+    def put_back(self, batch, effects):
+        """A batch could not be logged yet; it goes first in the next one."""
+        self._changes = batch.changes + self._changes
+        self._effects = effects + self._effects
+
+    def add_worker(self, record):
+        """Take up a worker, with the runs that the state has on it.
+
+        Until the worker was heard, a former leader's lease may still hold there; it was
+        granted before this leader was elected, and by a leader that had heard from a
+        quorum an election timeout earlier at most.
+        """
+        settings = self.environment.settings
+        now_ms = self.now_ms()
+        longest_ms = int(settings.cell.worker_lease_ms * workers.SLOW_CLOCK)
+        lapses_ms = now_ms + longest_ms + settings.timing.election_timeout_ms
+        lapses_ms += workers.LEASE_MARGIN_MS
+        worker = workers.Worker(record, now_ms, lapses_ms)
+        self.workers[record.target_id] = worker
+        self.links[record.target_id] = self.environment.open_link(record, self.epoch)
+        return worker
+
+    def drop_worker(self, target_id):
+        """Forget a worker on which nothing runs."""
+        del self.workers[target_id]
+        self.links.pop(target_id).close()
+
+    def queue_of(self, job):
+        """The queue of a job as configured now, or as it was when it took the job."""
+        name = job.record.queue.name
+        config = self.state.config
+        for queue in config.queues if config else ():
+            if queue.name == name:
+                return queue
+        return job.record.queue
+
+    def close(self):
+        """The term is over: nothing is sent any more."""
+        for link in self.links.values():
+            link.close()
+        if self._changes:
+            logging.info("leadership over with %d changes dropped", len(self._changes))
--- /dev/null
+++ b/alderreach/ops/controller/director.py
@@ -0,0 +1,276 @@
+"""The part of a controller that owns the cell while its keeper leads the quorum.
+
+It runs on the keeper's task (``ops/keeper/extension.py``). While another controller
+leads, requests are answered with that one's address. A term of leadership begins once
+the keeper has applied every entry that earlier leaders may have committed, with a fresh
+copy of the agreed state, and ends with the term: nothing of it is carried over.
+"""
+
+from alderreach.core import codec, raft, raft_leader
+from alderreach.core.generated import cell
+from alderreach.ops import leader_calls, settings_watch
+from alderreach.ops.controller import (
+    books,
+    discovery,
+    placing,
+    requests,
+    running,
+    target_link,
+)
+
+
+class Leading:
+    """One term: the books, the planner, and how requests reach the quorum."""
+
+    def __init__(self, epoch, environment):
+        self.books = books.Books(epoch, environment)
+        self.planner = placing.Planner(self.books)
+        self.books.on_run_ended = self.planner.changed
+        self.record = environment.record
+        self.committed = environment.committed
+        self._environment = environment
+        self.batches = {}
+        running.take_over(self.books)
+
+    def confirm(self, act):
+        """Call ``act`` once the leadership is confirmed; a lost one answers nobody."""
+        self._environment.confirm(act, lambda: None)
+
+    def contact(self):
+        """Where workers reach this leader."""
+        return self._environment.contact
+
+
+class Director:
+    """See ``extension.py`` for when its methods are called."""
+
+    def __init__(self, context, port, calls, permission_calls, record):
+        self._context = context
+        self._clock = context.clock
+        self._post = context.transport.send
+        self._port = port
+        self._calls = calls
+        self._permission_calls = permission_calls
+        self._record = record
+        self._greeters = discovery.Greeters()
+        self._leading = None
+        self._contact = context.settings.cell.control
+        self._own_address = context.settings.listen.peers
+        self._next_housekeeping_ms = 0
+        self._watch = settings_watch.SettingsWatch(context.settings_path, "controller")
+        self.seeker = discovery.Seeker(
+            self._own_address,
+            discovery.peer_addresses(
+                context.settings.discovery.seeds, context.settings.discovery.peer_port
+            ),
+            "controller",
+            context.clock,
+            self._post,
+        )
+
+        self.leader_calls = leader_calls.LeaderCalls(
+            self._own_address, self._addresses, self._post, context.clock
+        )
+
+    def _addresses(self):
+        """Where to bring a request of this process itself, any thread may ask."""
+        return [
+            self._port.leader_address(),
+            *self.seeker.controllers(),
+            self._own_address,
+        ]
+
+    def handle(self, mail):
+        """Take what a worker's link reports."""
+        leading = self._leading
+        if leading is None or mail.epoch != leading.books.epoch:
+            return
+        if isinstance(mail, target_link.OrderAnswered):
+            running.order_answered(leading.books, mail)
+        elif isinstance(mail, target_link.LookAnswered):
+            running.look_answered(leading.books, mail)
+
+    def deliver(self, received):
+        """Take a message of another process."""
+        message, address = received.message, received.reply_address
+        if isinstance(message, cell.CellRequest):
+            self._relayed(message, address)
+        elif isinstance(message, cell.Greeting):
+            self._greeted(message, address)
+        elif isinstance(message, cell.GreetingReply):
+            self.seeker.heard(message, address, self._clock.monotonic_ms())
+        elif isinstance(message, cell.PermissionAnswer):
+            self._permission_answered(message)
+        elif isinstance(message, cell.PermissionQuery):
+            self._permission_calls.put(message, address)
+        elif isinstance(message, cell.CellReply):
+            self.leader_calls.deliver(message)
+
+    def tick(self, now_ms):
+        """Let time pass."""
+        self.seeker.tick(now_ms)
+        if now_ms >= self._next_housekeeping_ms:
+            self._next_housekeeping_ms = now_ms + discovery.GREETING_INTERVAL_MS
+            self._greeters.forget_silent(now_ms)
+            self._reload_if_changed(now_ms)
+        if self._leading is not None and self._may_act(now_ms):
+            for helper in self._leading.books.permissions.give_up_overdue(now_ms):
+                self._record("permission_overdue", helper=helper)
+            running.tick(self._leading.books, now_ms)
+
+    def before_write(self, now_ms):
+        """Begin or end a term; plan, and propose what was decided."""
+        self._follow_leadership()
+        leading = self._leading
+        if leading is None or not self._may_act(now_ms):
+            return
+        leading.planner.plan(now_ms)
+        batch, effects = leading.books.take_batch()
+        if batch is None:
+            return
+        index = self._port.propose(codec.pack(batch))
+        if index is None:
+            leading.books.put_back(batch, effects)
+        else:
+            leading.batches[index] = effects
+
+    def applied(self, index, term):
+        """An entry is committed: what waited for it happens now."""
+        leading = self._leading
+        if leading is None or term != leading.books.epoch:
+            return
+        for effect in leading.batches.pop(index, ()):
+            effect()
+
+    def _reload_if_changed(self, now_ms):
+        changed = self._watch.poll(now_ms)
+        if changed is not None:
+            found = changed.discovery
+            self.seeker.set_seeds(
+                discovery.peer_addresses(found.seeds, found.peer_port)
+            )
+            self._record("settings_reloaded", seeds=found.seeds)
+
+    def _may_act(self, now_ms):
+        node = self._port.node
+        return node.is_ready_leader and raft_leader.has_quorum(node, now_ms)
+
+    def _follow_leadership(self):
+        node = self._port.node
+        epoch = node.term if self._is_in_charge() else None
+        if self._leading is not None and self._leading.books.epoch != epoch:
+            self._record("leadership_lost", epoch=self._leading.books.epoch)
+            self._leading.books.close()
+            self._leading = None
+        if epoch is not None and self._leading is None:
+            self._record("leadership_gained", epoch=epoch)
+            self._leading = Leading(epoch, self._environment())
+
+    def _is_in_charge(self):
+        """Whether it leads and has applied all that earlier leaders committed."""
+        node, state = self._port.node, self._port.state_of()
+        return (
+            node.role == raft.LEADER
+            and node.is_ready_leader
+            and state.index >= node.first_index_of_term
+        )
+
+    def _environment(self):
+        return books.Environment(
+            settings=self._context.settings,
+            clock=self._clock,
+            metrics=self._context.metrics,
+            record=self._record,
+            post=self._post,
+            confirm=self._port.confirm,
+            committed=lambda: self._port.state_of().cell,
+            cell_offset_ms=self._cell_offset_ms,
+            helpers=self._helpers,
+            ask=self._ask,
+            open_link=self._open_link,
+            contact=self._contact,
+        )
+
+    def _open_link(self, record, epoch):
+        return target_link.TargetLink(record, epoch, self._calls, self._port.put)
+
+    def _cell_offset_ms(self):
+        now_ms = self._clock.monotonic_ms()
+        return self._greeters.cell_offset_ms(self._clock.wall_ms(), now_ms)
+
+    def _helpers(self):
+        """Who may ask the permission service: everyone heard lately, and this process.
+
+        Frontends come first; controllers have more to do.
+        """
+        now_ms = self._clock.monotonic_ms()
+        frontends = self._greeters.present(now_ms, "frontend")
+        return [
+            *frontends,
+            *self._greeters.present(now_ms, "controller"),
+            self._own_address,
+        ]
+
+    def _ask(self, question):
+        step = ".".join(str(part) for part in question.group)
+        query = cell.PermissionQuery(question.query_id, step, question.target_ids)
+        self._post(question.helper, query)
+
+    def _permission_answered(self, message):
+        leading = self._leading
+        if leading is None:
+            return
+        books_ = leading.books
+        now_ms = self._clock.monotonic_ms()
+        question = books_.permissions.find(message.query_id)
+        job = books_.state.jobs.get(question.group[0]) if question else None
+        rule = books_.queue_of(job).permission if job else None
+        books_.permissions.answered(
+            message.query_id,
+            message.is_decided and rule is not None,
+            message.granted,
+            rule,
+            now_ms,
+        )
+        books_.is_stale = True
+
+    def _greeted(self, message, address):
+        now_ms = self._clock.monotonic_ms()
+        if address != self._own_address:
+            self._greeters.note(address, message, now_ms)
+        self._post(address, self._greeting_reply())
+
+    def _greeting_reply(self):
+        controllers = [m.address for m in self._port.node.members if m.address]
+        if self._leading is not None:
+            return cell.GreetingReply(
+                self._own_address, self._leading.books.epoch, self._contact, controllers
+            )
+        known = self.seeker.leadership
+        return cell.GreetingReply(
+            known.address, known.epoch, known.contact, controllers
+        )
+
+    def _relayed(self, message, address):
+        def reply(status, payload=b""):
+            epoch = self._leading.books.epoch if self._leading else 0
+            self._post(
+                address,
+                cell.CellReply(
+                    message.request_id,
+                    status,
+                    self._port.leader_address(),
+                    epoch,
+                    payload,
+                ),
+            )
+
+        unpacked = codec.unpack(message.payload).ok()
+        if self._leading is None or unpacked is None:
+            reply("not_leader")
+            return
+        requests.handle(
+            self._leading,
+            unpacked,
+            lambda answer: reply("answered", codec.pack(answer)),
+        )
--- /dev/null
+++ b/alderreach/ops/controller/discovery.py
@@ -0,0 +1,136 @@
+"""How processes of a cell find its controllers from a few seed addresses.
+
+A process knows only some controllers' addresses, perhaps old ones. It greets those, and
+every controller it hears of, and learns who leads. Greetings go to the leader alone
+once it is known and answers, so their number grows with the processes, not with their
+pairs. A controller remembers who greeted it; these are the processes that the leader
+may ask to put questions to the permission service, and whose clocks it compares.
+
+Failure answered: all seeds are replaced, and then the process loses its leader. It goes
+on with the controllers that earlier replies named.
+"""
+
+import statistics
+import typing
+
+from alderreach.core.generated import cell
+
+GREETING_INTERVAL_MS = 500
+# Three greetings missed: the process is taken to be gone, or the leader to be lost.
+SILENT_AFTER_MS = 1700
+
+
+def peer_addresses(seeds, port):
+    """Peer addresses of the controllers that seeds name; only their hosts count.
+
+    >>> peer_addresses("10.0.0.1:80,10.0.0.2:80", 7400)
+    ['10.0.0.1:7400', '10.0.0.2:7400']
+    """
+    hosts = [
+        seed.strip().rpartition(":")[0] for seed in seeds.split(",") if seed.strip()
+    ]
+    return [f"{host}:{port}" for host in hosts]
+
+
+class Leadership(typing.NamedTuple):
+    """Who leads, as last heard: address, epoch, where workers reach it."""
+
+    address: str
+    epoch: int
+    contact: str
+    heard_ms: int
+
+
+NOBODY = Leadership("", 0, "", 0)
+
+
+class Seeker:
+    """A process's view of its controllers; used by one task or under its lock."""
+
+    def __init__(self, own_address, seeds, role, clock, send):
+        self._own = own_address
+        self._seeds = list(seeds)
+        self._known = {}
+        self._role = role
+        self._clock = clock
+        self._send = send
+        self._next_ms = 0
+        self.leadership = NOBODY
+
+    def set_seeds(self, seeds):
+        """Take the seeds of a changed settings file."""
+        self._seeds = list(seeds)
+
+    def tick(self, now_ms):
+        """Greet whoever has to be greeted now."""
+        if now_ms < self._next_ms:
+            return
+        self._next_ms = now_ms + GREETING_INTERVAL_MS
+        greeting = cell.Greeting(self._role, self._clock.wall_ms())
+        for address in self._to_greet(now_ms):
+            self._send(address, greeting)
+
+    def heard(self, reply, sender, now_ms):
+        """Take a GreetingReply that came from ``sender``."""
+        for address in (sender, *reply.controllers):
+            self._known[address] = now_ms
+        if reply.leader and reply.epoch >= self.leadership.epoch:
+            self.leadership = Leadership(
+                reply.leader, reply.epoch, reply.leader_contact, now_ms
+            )
+
+    def controllers(self):
+        """All addresses worth trying, the leader's first."""
+        known = [self.leadership.address, *self._seeds, *self._known]
+        return list(dict.fromkeys(a for a in known if a and a != self._own))
+
+    def has_leader(self, now_ms):
+        """Whether a leader was heard of lately."""
+        leadership = self.leadership
+        return bool(leadership.address) and (
+            now_ms - leadership.heard_ms < SILENT_AFTER_MS
+        )
+
+    def _to_greet(self, now_ms):
+        if self.has_leader(now_ms) and self.leadership.address != self._own:
+            return [self.leadership.address]
+        return self.controllers()
+
+
+class Greeters:
+    """Who greeted a controller lately, and how their clocks differ from its own."""
+
+    def __init__(self):
+        self._seen = {}
+
+    def note(self, address, greeting, mono_ms):
+        """Take a greeting that arrived at ``mono_ms`` of the own steady clock."""
+        self._seen[address] = (mono_ms, greeting.wall_ms - mono_ms, greeting.role)
+
+    def present(self, now_ms, role=None):
+        """Addresses of those heard lately, of one role or of all."""
+        return [
+            address
+            for address, (heard_ms, _offset, its_role) in self._seen.items()
+            if now_ms - heard_ms < SILENT_AFTER_MS and role in (None, its_role)
+        ]
+
+    def forget_silent(self, now_ms):
+        """Drop whom nobody heard of for long."""
+        for address, (heard_ms, _offset, _role) in list(self._seen.items()):
+            if now_ms - heard_ms > 10 * SILENT_AFTER_MS:
+                del self._seen[address]
+
+    def cell_offset_ms(self, own_wall_ms, now_ms):
+        """What added to the steady clock gives the cell's time: the median of all.
+
+        Wall clocks of single VMs jump by seconds and back; the median stays right
+        while fewer than half of the processes are wrong.
+        """
+        offsets = [own_wall_ms - now_ms]
+        offsets += [
+            offset
+            for heard_ms, offset, _role in self._seen.values()
+            if now_ms - heard_ms < SILENT_AFTER_MS
+        ]
+        return int(statistics.median_low(offsets))
--- /dev/null
+++ b/alderreach/ops/controller/permission_calls.py
@@ -0,0 +1,53 @@
+"""Questions to the permission service, asked on the leader's behalf.
+
+Every controller and frontend runs one thread for this, since the service serves each
+calling VM one question at a time. The leader decides who asks what; see
+``decisions/cell/permissions.py``.
+"""
+
+import queue
+import threading
+
+from absl import logging
+
+from alderreach.core.generated import cell
+
+STOP = object()
+
+
+class PermissionCalls:
+    """The thread; ``ask(step, targets)`` returns a list of ``cell.Ticket`` or None."""
+
+    def __init__(self, ask, send):
+        self._ask = ask
+        self._send = send
+        self._queue = queue.SimpleQueue()
+        self._thread = threading.Thread(
+            target=self._run, name="permissions", daemon=True
+        )
+
+    def start(self):
+        """Start the thread and return the object."""
+        self._thread.start()
+        return self
+
+    def put(self, query, reply_address):
+        """Take a ``cell.PermissionQuery`` of the leader at ``reply_address``."""
+        self._queue.put((query, reply_address))
+
+    def close(self):
+        """End the thread after the question it is at."""
+        self._queue.put(STOP)
+
+    def _run(self):
+        while (item := self._queue.get()) is not STOP:
+            query, address = item
+            granted = self._ask(query.step, query.targets)
+            if granted is None:
+                logging.log_every_n_seconds(
+                    logging.INFO, "permission service gave no answer", 10
+                )
+            answer = cell.PermissionAnswer(
+                query.query_id, granted is not None, granted or []
+            )
+            self._send(address, answer)
--- /dev/null
+++ b/alderreach/ops/controller/service.py
@@ -0,0 +1,52 @@
+"""The controller daemon: a keeper of the cell's log with the director on its task."""
+
+import typing
+
+from alderreach.ops.controller import director, discovery, permission_calls
+from alderreach.ops.keeper import service as keeper_service
+
+
+class Outside(typing.NamedTuple):
+    """How the world around the cell is spoken to; given by the thin main.
+
+    ``calls`` is a ``target_link.Calls``. ``ask_permission(step, targets)`` returns a
+    list of ``cell.Ticket``, or None if the service gave no answer. ``serve_control``
+    opens the listener of workers and operators, given the context and the
+    ``leader_calls.LeaderCalls`` of this process.
+    """
+
+    calls: typing.Any
+    ask_permission: typing.Callable
+    serve_control: typing.Callable
+
+
+def build(context, outside):
+    """Open the data folder, join or found the cell, and serve; see ``ops.daemon``."""
+    found = context.settings.discovery
+    own = context.settings.listen.peers
+    seeds = discovery.peer_addresses(found.seeds, found.peer_port)
+    others = {address: address for address in seeds if address != own}
+    asking = permission_calls.PermissionCalls(
+        outside.ask_permission, context.transport.send
+    ).start()
+    context.stack.callback(asking.close)
+    made = []
+
+    def extend(port):
+        made.append(
+            director.Director(
+                context, port, outside.calls, asking, context.timeline.record
+            )
+        )
+        return made[0]
+
+    controller = keeper_service.Keeper(
+        context,
+        keeper_service.open_folder(context),
+        keeper_service.system_hooks(),
+        extend,
+        open_cell=others,
+        may_found=found.found == "yes" and own in seeds,
+    ).start()
+    outside.serve_control(context, made[0].leader_calls)
+    return controller
--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -11,11 +11,13 @@
 """
 
 import contextlib
+import logging as std_logging
 import os
 import pathlib
 import signal
 import sys
 import threading
+import traceback
 import typing
 import uuid
 
@@ -24,11 +26,20 @@
 from alderreach.core import problems
 from alderreach.core.generated import common
 from alderreach.parser import settings as settings_parser
-from alderreach.utils import clocks, http_server, metrics, timeline, transport
+from alderreach.utils import (
+    clocks,
+    event_log,
+    http_server,
+    metrics,
+    timeline,
+    transport,
+)
 
 USAGE = "usage: alderreach-{role} SETTINGS.toml"
 EXIT_BAD_SETTINGS = 2
 PLATFORM_THREADS = 2
+# Their events go to standard output, not into files of their own.
+STDOUT_ROLES = ("controller", "frontend")
 
 
 class RoleStatus(typing.NamedTuple):
@@ -52,6 +63,22 @@
     transport: transport.Transport
     stack: contextlib.ExitStack
     draining: threading.Event
+    settings_path: str = ""
+
+
+class _LogHandler(std_logging.Handler):
+    """Puts plain log messages among the structured events."""
+
+    def __init__(self, events):
+        super().__init__()
+        self._events = events
+
+    def emit(self, entry):
+        """Record one message, with the traceback if there is one."""
+        text = entry.getMessage()
+        if entry.exc_info:
+            text += "\n" + "".join(traceback.format_exception(*entry.exc_info))
+        self._events.record("log", level=entry.levelname.lower(), text=text)
 
 
 class _Dispatcher:
@@ -66,6 +93,8 @@
         if self.role is None:
             return
         if isinstance(message, common.TimelineQuery):
+            if self.context.role in STDOUT_ROLES:
+                return
             events = self.context.timeline.matching(message)
             page = common.TimelinePage(message.request_id, events)
             self.context.transport.send(received.reply_address, page)
@@ -105,10 +134,10 @@
         for mistake in mistakes:
             print(problems.show(mistake), file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    return run(role, build, settings)
+    return run(role, build, settings, arguments[0])
 
 
-def run(role, build, settings):
+def run(role, build, settings, path=""):
     """Run a daemon with checked settings until SIGTERM; returns the exit code."""
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
@@ -117,7 +146,7 @@
     _install_signals(stopping)
     with contextlib.ExitStack() as stack:
         dispatcher = _Dispatcher()
-        context = _open(role, settings, stack, dispatcher)
+        context = _open(role, settings, stack, dispatcher, path)
         dispatcher.context = context
         dispatcher.role = build(context)
         if settings.listen.platform:
@@ -133,10 +162,17 @@
     return 0
 
 
-def _open(role, settings, stack, dispatcher):
-    process, limits, timing = settings.process, settings.limits, settings.timing
-    boot_id = uuid.uuid4().hex[:12]
-    pathlib.Path(process.data_folder).mkdir(parents=True, exist_ok=True)
+def _open_events(role, settings, boot_id, stack):
+    """Where a daemon's events go: standard output, or a time line in files."""
+    process, limits = settings.process, settings.limits
+    if role in STDOUT_ROLES:
+        events = event_log.EventLog(process.name, boot_id, role, clocks.SYSTEM)
+        handler = _LogHandler(events)
+        root = std_logging.getLogger()
+        root.handlers[:] = [handler]
+        logging.get_absl_logger().handlers[:] = []
+        stack.callback(events.close)
+        return events
     line = timeline.Timeline(
         process.name,
         boot_id,
@@ -147,6 +183,14 @@
         limits.timeline_files,
     )
     stack.callback(line.close)
+    return line
+
+
+def _open(role, settings, stack, dispatcher, path):
+    process, timing = settings.process, settings.timing
+    boot_id = uuid.uuid4().hex[:12]
+    pathlib.Path(process.data_folder).mkdir(parents=True, exist_ok=True)
+    line = _open_events(role, settings, boot_id, stack)
     link = transport.Transport(
         (process.cell, process.name, boot_id),
         settings.listen.peers,
@@ -167,6 +211,7 @@
         link,
         stack,
         threading.Event(),
+        path,
     )
     link.start()
     return context
@@ -178,6 +223,9 @@
             os._exit(1)
         stopping.set()
 
+    # A hangup says that the settings file changed, which its watch sees by itself;
+    # left to its default it would end the process.
+    signal.signal(signal.SIGHUP, lambda _number, _frame: None)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
 
--- /dev/null
+++ b/alderreach/ops/frontend/service.py
@@ -0,0 +1,132 @@
+"""The frontend daemon: callers' requests go to the leader, its answers to the callers.
+
+It holds no state that matters and decides nothing about jobs, so it can be lost, added
+or replaced at any moment. It is ready while it lately heard of a leader.
+"""
+
+import time
+import typing
+
+from alderreach.core.generated import cell
+from alderreach.ops import daemon, leader_calls, settings_watch
+from alderreach.ops.controller import discovery, permission_calls
+from alderreach.ops.entry import callers
+from alderreach.utils import tasks
+
+# The balancer asks once a second and takes two misses; callers still come until then.
+DRAIN_LEAST_MS = 2300
+DRAIN_QUIET_MS = 300
+DRAIN_POLL_S = 0.02
+
+
+class Outside(typing.NamedTuple):
+    """How the world around the cell is spoken to; given by the thin main.
+
+    ``serve_callers(context, leader_calls, in_flight, is_ready)`` opens the listeners of
+    callers and of the balancer's checks; ``ask_permission`` is as in
+    ``controller.service.Outside``.
+    """
+
+    ask_permission: typing.Callable
+    serve_callers: typing.Callable
+
+
+class Frontend:
+    """The role object; see ``ops.daemon``."""
+
+    def __init__(self, context, outside):
+        self._context = context
+        self._clock = context.clock
+        settings = context.settings
+        self._seeker = discovery.Seeker(
+            settings.listen.peers,
+            discovery.peer_addresses(
+                settings.discovery.seeds, settings.discovery.peer_port
+            ),
+            "frontend",
+            context.clock,
+            context.transport.send,
+        )
+        self._calls = leader_calls.LeaderCalls(
+            settings.process.name,
+            self._seeker.controllers,
+            context.transport.send,
+            context.clock,
+        )
+        self._asking = permission_calls.PermissionCalls(
+            outside.ask_permission, context.transport.send
+        ).start()
+        context.stack.callback(self._asking.close)
+        self._in_flight = callers.InFlight(context.clock)
+        self._watch = settings_watch.SettingsWatch(context.settings_path, "frontend")
+        self._task = tasks.Task(
+            "frontend", self._handle, self._tick, context.clock, tick_ms=100
+        ).start()
+        context.stack.callback(self._task.close)
+        outside.serve_callers(context, self._calls, self._in_flight, self.is_ready)
+
+    def deliver(self, received):
+        """Take a peer's message; replies go straight to the thread that waits."""
+        message = received.message
+        if isinstance(message, cell.CellReply):
+            self._calls.deliver(message)
+        elif isinstance(message, cell.PermissionQuery):
+            self._asking.put(message, received.reply_address)
+        else:
+            self._task.put(received)
+
+    def is_ready(self):
+        """Whether callers should come here."""
+        now_ms = self._clock.monotonic_ms()
+        return self._seeker.has_leader(now_ms) and not self._context.draining.is_set()
+
+    def status(self):
+        """What operators are shown."""
+        leadership = self._seeker.leadership
+        detail = {"leader": leadership.address, "epoch": leadership.epoch}
+        detail["in_flight"] = self._in_flight.number
+        return daemon.RoleStatus(0, "serving", self.is_ready(), detail)
+
+    def drain(self):
+        """Serve what still comes until the balancer has noticed, then end.
+
+        Refusing at once would cut requests in a planned stop: the balancer goes on
+        sending until it has missed two checks. Connections are closed after each answer
+        meanwhile, so that callers open their next one elsewhere.
+        """
+        started_ms = self._clock.monotonic_ms()
+        drain_ms = self._context.settings.timing.drain_ms
+        while True:
+            waited_ms = self._clock.monotonic_ms() - started_ms
+            is_quiet = self._in_flight.is_quiet(DRAIN_QUIET_MS)
+            if waited_ms >= drain_ms or (waited_ms >= DRAIN_LEAST_MS and is_quiet):
+                return
+            time.sleep(DRAIN_POLL_S)
+
+    def _handle(self, received):
+        if isinstance(received.message, cell.GreetingReply):
+            had_leader = self._seeker.leadership
+            self._seeker.heard(
+                received.message, received.reply_address, self._clock.monotonic_ms()
+            )
+            leadership = self._seeker.leadership
+            if leadership.epoch != had_leader.epoch:
+                self._context.timeline.record(
+                    "leader_heard", leader=leadership.address, epoch=leadership.epoch
+                )
+
+    def _tick(self):
+        now_ms = self._clock.monotonic_ms()
+        self._seeker.tick(now_ms)
+        changed = self._watch.poll(now_ms)
+        if changed is not None:
+            found = changed.discovery
+            self._seeker.set_seeds(
+                discovery.peer_addresses(found.seeds, found.peer_port)
+            )
+            self._context.timeline.record("settings_reloaded", seeds=found.seeds)
+
+
+def build(context, outside):
+    """Make the frontend and start serving; see ``ops.daemon``."""
+    return Frontend(context, outside)
--- a/alderreach/ops/keeper/joining.py
+++ b/alderreach/ops/keeper/joining.py
@@ -14,13 +14,17 @@
 class Joining:
     """Hellos sent and heard, and the leader's repairs; used by the keeper's task.
 
-    ``addresses`` maps the names of the other keepers of the settings to addresses.
+    ``addresses`` maps the names of the other keepers of the settings to addresses. In
+    an open cell they are only the seeds: whoever asks is taken in, and a keeper is
+    named by its address. ``may_found`` is False for a keeper that came later.
     ``is_removed`` is set once a leader said that this identity is no member any more.
     """
 
-    def __init__(self, context, node, addresses):
+    def __init__(self, context, node, addresses, is_open=False, may_found=True):
         self._node = node
         self._addresses = addresses
+        self._is_open = is_open
+        self._may_found = may_found
         self._clock = context.clock
         self._timeline = context.timeline
         self._send = context.transport.send
@@ -79,7 +83,7 @@
 
     def _found(self, now_ms):
         node = self._node
-        if node.members:
+        if node.members or not self._may_found:
             return False
         me = keeper.Member(node.identity, node.name, self._listen, True, False)
         members = founding.members_to_found(me, self._addresses, self._heard, now_ms)
@@ -101,7 +105,7 @@
     def _take_in(self, message):
         node = self._node
         expected = {member.name for member in node.members} | set(self._addresses)
-        if message.name not in expected:
+        if message.name not in expected and not self._is_open:
             return
         members = membership.add_learner(node.members, message)
         if self._propose(members):
--- a/alderreach/ops/keeper/requests.py
+++ b/alderreach/ops/keeper/requests.py
@@ -183,9 +183,13 @@
             result = READS[type(command)](self._node, self._state_of(), command)
             self._reply(asker, "ok", codec.pack(result))
 
-        self._confirm(answer, lambda: self._reply(asker, "not_leader"))
+        self.confirm(answer, lambda: self._reply(asker, "not_leader"))
 
-    def _confirm(self, answer, refuse):
+    def confirm(self, answer, refuse):
+        """Call ``answer`` once a round of voters has confirmed this leadership.
+
+        ``refuse`` is called instead if the leadership is lost before that.
+        """
         node = self._node
         index = max(node.commit_index, node.first_index_of_term)
         self._reads.append(_Read(raft_leader.confirm(node), index, answer, refuse))
@@ -222,7 +226,7 @@
             self._leases, message.failure_domain, self._clock.monotonic_ms()
         )
         lease_ms = self._durations.owner_lease_ms
-        self._confirm(
+        self.confirm(
             lambda: reply(True, lease_ms) if may_renew() else reply(False),
             lambda: reply(False),
         )
--- a/alderreach/ops/keeper/service.py
+++ b/alderreach/ops/keeper/service.py
@@ -28,6 +28,7 @@
 from alderreach.ops import daemon
 from alderreach.ops.keeper import (
     disk,
+    extension,
     followers,
     joining,
     reporting,
@@ -61,27 +62,41 @@
 
 def build(context):
     """Open the data folder and start the keeper; exits if the folder is damaged."""
+    return Keeper(context, open_folder(context), system_hooks()).start()
+
+
+def open_folder(context):
+    """Read the data folder; exits if it is damaged."""
     opened = storage.open_folder(context.settings.process.data_folder, context.stack)
     if isinstance(opened, Err):
         context.timeline.record("storage_refused", detail=opened.err_value)
         logging.error("keeper does not start: %s", opened.err_value)
         sys.exit(disk.EXIT_STORAGE)
-    return Keeper(context, opened.ok_value, system_hooks()).start()
+    return opened.ok_value
 
 
 class Keeper:
-    """The role object; all but ``deliver``, ``status`` and ``drain`` is its task's."""
+    """The role object; all but ``deliver``, ``status`` and ``drain`` is its task's.
 
-    def __init__(self, context, opened, hooks):
+    ``extend`` makes the part that decides by this keeper's log from an
+    ``extension.Port``; ``open_cell`` says that keepers unknown to the settings may
+    join, and ``may_found`` that this one may found the cell.
+    """
+
+    def __init__(
+        self, context, opened, hooks, extend=None, open_cell=None, may_found=True
+    ):
         self._context = context
         self._clock = context.clock
         self._timeline = context.timeline
         self._send = context.transport.send
-        self._addresses = {
-            peer.name: peer.address
-            for peer in context.settings.peers
-            if peer.role == "keeper"
-        }
+        self._addresses = open_cell
+        if open_cell is None:
+            self._addresses = {
+                peer.name: peer.address
+                for peer in context.settings.peers
+                if peer.role == "keeper"
+            }
         self._reply_addresses = {}
         self._task = tasks.Task("keeper", self._handle, self._tick, self._clock)
         self._disk = disk.Disk(
@@ -93,7 +108,9 @@
         )
         self._state = opened.state
         self._node = self._make_node(opened, hooks.random)
-        self._joining = joining.Joining(context, self._node, self._addresses)
+        self._joining = joining.Joining(
+            context, self._node, self._addresses, open_cell is not None, may_found
+        )
         timing, limits = context.settings.timing, context.settings.limits
         self._requests = requests.Requests(
             self._node,
@@ -111,6 +128,7 @@
         self._recorded_role = ("", 0)
         self._announced_commit = 0
         self._status = daemon.RoleStatus(0, raft.FOLLOWER, False, {})
+        self._extension = extend(self._port()) if extend else None
         reporting.record_opening(self._timeline, opened)
 
     def start(self):
@@ -142,6 +160,30 @@
                 return
             time.sleep(DRAIN_POLL_S)
 
+    def _port(self):
+        return extension.Port(
+            self._node,
+            lambda: self._state,
+            self._propose,
+            self._requests.confirm,
+            self._leader_address,
+            self._task.put,
+        )
+
+    def _propose(self, data):
+        if self._requests.is_handing_over:
+            return None
+        clock = self._clock
+        return raft.propose(
+            self._node, "command", data, clock.wall_ms(), clock.monotonic_ms()
+        )
+
+    def _leader_address(self):
+        node = self._node
+        if node.role == raft.LEADER:
+            return self._context.settings.listen.peers
+        return self._address_of(node.leader) or "" if node.leader else ""
+
     def _make_node(self, opened, lots):
         timing = self._context.settings.timing
         node = raft_state.Node(
@@ -165,8 +207,10 @@
             self._requests.is_handing_over = True
         elif isinstance(mail, disk.SnapshotWritten):
             self._disk.compact(self._node, mail.snapshot)
-        else:
+        elif isinstance(mail, codec.Received):
             self._handle_message(mail)
+        else:
+            self._extension.handle(mail)
         if not self._is_flush_queued:
             self._is_flush_queued = True
             self._task.put(FLUSH)
@@ -186,6 +230,8 @@
         elif isinstance(message, keeper.KeeperRequest | keeper.RenewOwnership):
             self._lead_if_elected()
             self._requests.handle(message, address)
+        elif self._extension:
+            self._extension.deliver(received)
 
     def _step(self, message, address, now_ms):
         """A blank voter answers candidates that its own log does not name yet."""
@@ -208,6 +254,8 @@
                 raft_leader.announce_commit(self._node, now_ms)
         self._joining.tick(now_ms)
         self._hand_over(now_ms)
+        if self._extension:
+            self._extension.tick(now_ms)
         if now_ms >= self._next_housekeeping_ms:
             self._next_housekeeping_ms = now_ms + HOUSEKEEPING_MS
             self._followers.forget_silent(now_ms)
@@ -224,6 +272,8 @@
         self._is_flush_queued = False
         node = self._node
         self._lead_if_elected()
+        if self._extension:
+            self._extension.before_write(self._clock.monotonic_ms())
         raft_leader.prepare(node, self._clock.monotonic_ms())
         if not node.vote_changed:
             self._send_all(node.early)
@@ -256,6 +306,8 @@
             entry = node.log.entry(index)
             result = self._apply_entry(entry, index)
             self._requests.applied(index, entry.term, result)
+            if self._extension:
+                self._extension.applied(index, entry.term)
 
     def _apply_entry(self, entry, index):
         if entry.kind == "members":
--- /dev/null
+++ b/alderreach/ops/leader_calls.py
@@ -0,0 +1,119 @@
+"""Requests to the cell's leader, retried until there is an answer or a deadline.
+
+All requests are idempotent: a job and a configuration bear ids of their callers'
+choosing. So an attempt without an answer is repeated, at the same controller or at
+another, and only the last word depends on what happened: if every attempt was surely
+not taken, the caller may be told so; if one may have been, nothing is claimed.
+
+Failures answered: a leader is deposed, frozen and woken, and answers late from an older
+state. Answers carry the epoch of the leadership, and one that is older than another
+already heard here is thrown away. A leader is lost with a request: no answer comes, and
+after ``ATTEMPT_MS`` the next controller is asked, which knows the new one or says that
+there is none.
+"""
+
+import itertools
+import threading
+import time
+import typing
+import uuid
+
+from alderreach.core import codec
+from alderreach.core.generated import cell
+from alderreach.utils import tasks
+
+# Several times a commit on a busy quorum; a tenth of a caller's usual patience.
+ATTEMPT_MS = 400
+# Between two rounds through all controllers while none of them leads.
+ROUND_PAUSE_MS = 60
+# Without any leader a request that surely was not taken is turned away after this, so
+# that its caller can come back when there is one.
+LEADERLESS_MS = 700
+
+
+class Outcome(typing.NamedTuple):
+    """The leader's ``cell.CellAnswer``, or None with whether it may have acted."""
+
+    answer: typing.Any
+    may_have_acted: bool
+
+
+class LeaderCalls:
+    """Used by HTTP threads; ``deliver`` takes replies on any thread.
+
+    ``addresses()`` lists the controllers to try, the leader's first.
+    """
+
+    def __init__(self, name, addresses, send, clock):
+        self._prefix = f"{name}/{uuid.uuid4().hex[:8]}"
+        self._numbers = itertools.count()
+        self._addresses = addresses
+        self._send = send
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._waiting = {}
+        self._newest_epoch = 0
+        self._hint = ""
+
+    def deliver(self, reply):
+        """Give a ``cell.CellReply`` to who waits for it."""
+        with self._lock:
+            ticket = self._waiting.pop(reply.request_id, None)
+        if ticket is not None:
+            ticket.answer(reply)
+
+    def call(self, request, give_up_ms):
+        """Ask until there is an answer, at the longest until ``give_up_ms``."""
+        payload = codec.pack(request)
+        started_ms = self._clock.monotonic_ms()
+        may_have_acted = False
+        tried = set()
+        while (left_ms := give_up_ms - self._clock.monotonic_ms()) > 0:
+            address = self._next_address(tried)
+            if address is None:
+                waited_ms = self._clock.monotonic_ms() - started_ms
+                if waited_ms >= LEADERLESS_MS and not may_have_acted:
+                    break
+                tried.clear()
+                time.sleep(min(ROUND_PAUSE_MS, left_ms) / 1000)
+                continue
+            tried.add(address)
+            reply = self._attempt(address, payload, min(ATTEMPT_MS, left_ms))
+            if reply is None:
+                may_have_acted = True
+                self._hint = ""
+            elif reply.status == "answered" and self._is_newest(reply.epoch):
+                return Outcome(codec.unpack(reply.payload).unwrap(), True)
+            elif reply.status == "answered":
+                may_have_acted = True
+            else:
+                self._follow_hint(reply.leader, address, tried)
+        return Outcome(None, may_have_acted)
+
+    def _next_address(self, tried):
+        for address in (self._hint, *self._addresses()):
+            if address and address not in tried:
+                return address
+        return None
+
+    def _follow_hint(self, leader, asked, tried):
+        """Go where a controller says the leader is, unless that one just denied it."""
+        self._hint = leader if leader != asked and leader not in tried else ""
+
+    def _attempt(self, address, payload, wait_ms):
+        request_id = f"{self._prefix}/{next(self._numbers)}"
+        ticket = tasks.Ticket()
+        with self._lock:
+            self._waiting[request_id] = ticket
+        self._send(address, cell.CellRequest(request_id, payload))
+        reply = ticket.wait(wait_ms)
+        with self._lock:
+            self._waiting.pop(request_id, None)
+        return reply
+
+    def _is_newest(self, epoch):
+        with self._lock:
+            if epoch < self._newest_epoch:
+                return False
+            self._newest_epoch = epoch
+            return True
--- /dev/null
+++ b/alderreach/ops/settings_watch.py
@@ -0,0 +1,48 @@
+"""Notices that a daemon's settings file changed, with or without a signal.
+
+Failure answered: the seeds are exchanged in the file and no signal tells of it; a
+process that read it once would look for its cell at addresses that are gone.
+"""
+
+import os
+
+from absl import logging
+
+from alderreach.core import problems
+from alderreach.parser import settings as settings_parser
+
+# The file is looked at this often; one stat a second costs nothing.
+POLL_INTERVAL_MS = 1000
+
+
+class SettingsWatch:
+    """Polled by one task."""
+
+    def __init__(self, path, role):
+        self._path = path
+        self._role = role
+        self._next_ms = 0
+        self._seen = _stamp(path)
+
+    def poll(self, now_ms):
+        """The new settings if the file has changed and is sound, else None."""
+        if now_ms < self._next_ms:
+            return None
+        self._next_ms = now_ms + POLL_INTERVAL_MS
+        stamp = _stamp(self._path)
+        if stamp == self._seen or stamp is None:
+            return None
+        self._seen = stamp
+        settings, mistakes = settings_parser.load(self._path, self._role)
+        for mistake in mistakes:
+            logging.error("changed settings not taken: %s", problems.show(mistake))
+        return settings
+
+
+def _stamp(path):
+    try:
+        status = os.stat(path)
+    except OSError as error:
+        logging.log_every_n_seconds(logging.WARNING, "settings file: %s", 10, error)
+        return None
+    return (status.st_mtime_ns, status.st_size, status.st_ino)
--- a/alderreach/parser/settings.py
+++ b/alderreach/parser/settings.py
@@ -13,15 +13,19 @@
 from alderreach.core.generated import settings as schema
 from alderreach.parser import toml_lines
 
-ROLES = ("entry", "placer", "keeper")
+ROLES = ("entry", "placer", "keeper", "controller", "frontend")
 LISTENERS = {
     "entry": ("callers", "operators"),
     "placer": ("targets",),
     "keeper": (),
+    "controller": (),
+    "frontend": ("callers",),
 }
 SECTIONS = {
     "process": schema.Process,
     "listen": schema.Listen,
+    "discovery": schema.Discovery,
+    "cell": schema.Cell,
     "timing": schema.Timing,
     "limits": schema.Limits,
     "operators": schema.Operators,
@@ -33,6 +37,8 @@
 
     process: schema.Process
     listen: schema.Listen
+    discovery: schema.Discovery
+    cell: schema.Cell
     timing: schema.Timing
     limits: schema.Limits
     operators: schema.Operators
@@ -142,7 +148,7 @@
 
 def _check_together(found, sections, role):
     listen = sections["listen"]
-    for key in ("peers", "callers", "operators", "targets", "platform"):
+    for key in ("peers", "callers", "operators", "targets", "balancer", "platform"):
         address = getattr(listen, key)
         if address:
             _check_address(found, f"listen.{key}", address)
--- /dev/null
+++ b/alderreach/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and nothing that decides."""
--- /dev/null
+++ b/alderreach/platform/answers.py
@@ -0,0 +1,79 @@
+"""From the leader's answers to the platform's status codes and bodies."""
+
+import math
+import typing
+
+from alderreach.ops.controller import requests
+from alderreach.platform import wire
+
+JSON = ("Content-Type", "application/json")
+LINES = {
+    200: "200 OK",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    405: "405 Method Not Allowed",
+    408: "408 Request Timeout",
+    410: "410 Gone",
+    413: "413 Content Too Large",
+    431: "431 Request Header Fields Too Large",
+    500: "500 Internal Server Error",
+    503: "503 Service Unavailable",
+    504: "504 Gateway Timeout",
+}
+STATUSES = {
+    requests.ACCEPTED: 200,
+    requests.STATE: 200,
+    requests.PENDING: 200,
+    requests.CONFIG: 200,
+    requests.NO_QUEUE: 404,
+    requests.NO_JOB: 410,
+    requests.INVALID: 400,
+    requests.NOT_READY: 503,
+}
+
+
+class Reply(typing.NamedTuple):
+    """An HTTP answer."""
+
+    status: int
+    body: bytes = b"{}"
+    retry_after_ms: int = 0
+
+
+def of_answer(answer):
+    """The reply for a ``cell.CellAnswer``."""
+    body = b"{}"
+    if answer.kind == requests.STATE:
+        body = wire.encode({"state": answer.text})
+    elif answer.kind == requests.PENDING:
+        body = wire.encode({"pending": answer.number})
+    elif answer.kind == requests.CONFIG:
+        body = answer.body
+    elif answer.kind == requests.INVALID:
+        body = wire.encode({"error": answer.text})
+    return Reply(STATUSES[answer.kind], body, answer.retry_after_ms)
+
+
+def of_outcome(outcome, changes):
+    """The reply for a ``leader_calls.Outcome``.
+
+    Without an answer a change that may have been made is a 504, whose sender asks again
+    under the same id; all else surely was not done, and is a 503.
+    """
+    if outcome.answer is not None:
+        return of_answer(outcome.answer)
+    if changes and outcome.may_have_acted:
+        return Reply(504)
+    return Reply(503, retry_after_ms=requests.RETRY_AFTER_MS)
+
+
+def respond(reply, start_response, closes=False):
+    """Send a reply through WSGI."""
+    headers = [JSON, ("Content-Length", str(len(reply.body)))]
+    if reply.retry_after_ms:
+        seconds = math.ceil(reply.retry_after_ms / 1000)
+        headers.append(("Retry-After", str(seconds)))
+    if closes:
+        headers.append(("Connection", "close"))
+    start_response(LINES[reply.status], headers)
+    return [reply.body]
--- /dev/null
+++ b/alderreach/platform/callers.py
@@ -0,0 +1,103 @@
+"""The callers' listener and the balancer's check, in the platform's protocol."""
+
+from absl import logging
+
+from alderreach.core.generated import cell
+from alderreach.platform import answers, wire
+from alderreach.utils import http_connection, http_server
+
+READY_PATH = "/-/readiness"
+DEADLINE_HEADER = "HTTP_DEADLINE_MS"
+# Callers that name no deadline wait about this long.
+DEADLINE_DEFAULT_MS = 2800
+DEADLINE_MOST_MS = 30_000
+# The answer's way back to the caller.
+DEADLINE_MARGIN_MS = 80
+BALANCER_THREADS = 1
+
+
+def serve(context, leader_calls, in_flight, is_ready):
+    """Open both listeners; the context's stack closes them."""
+    limits, listen = context.settings.limits, context.settings.listen
+    application = _application(context, leader_calls, in_flight)
+    _listen(context, listen.callers, application, limits.http_threads)
+    if listen.balancer:
+        _listen(context, listen.balancer, _readiness(is_ready), BALANCER_THREADS)
+
+
+def _listen(context, address, application, threads):
+    limits = context.settings.limits
+    server = http_server.HttpServer(
+        address,
+        application,
+        http_server.HttpLimits(
+            threads, limits.header_bytes, limits.body_bytes, limits.caller_idle_ms
+        ),
+        refuse,
+    )
+    context.stack.callback(server.close)
+
+
+def refuse(status, _message):
+    """The answer to bytes that never became a request."""
+    line = answers.LINES.get(status, answers.LINES[400])
+    return http_connection.Refusal(line, (answers.JSON,), b"{}")
+
+
+def _readiness(is_ready):
+    def application(environ, start_response):
+        is_known = environ.get("PATH_INFO") == READY_PATH
+        status = (200 if is_ready() else 503) if is_known else 404
+        return answers.respond(answers.Reply(status), start_response)
+
+    return application
+
+
+def _application(context, leader_calls, in_flight):
+    clock = context.clock
+
+    def application(environ, start_response):
+        with in_flight:
+            reply = _answer(environ, leader_calls, clock)
+        closes = context.draining.is_set()
+        return answers.respond(reply, start_response, closes)
+
+    return application
+
+
+def _answer(environ, leader_calls, clock):
+    give_up_ms = clock.monotonic_ms() + deadline_ms(environ) - DEADLINE_MARGIN_MS
+    method = environ["REQUEST_METHOD"]
+    host = environ.get("HTTP_HOST", "").partition(":")[0]
+    path = environ.get("PATH_INFO", "")
+    try:
+        if method == "POST":
+            request = wire.submission(host, path, read_body(environ))
+        elif method == "GET":
+            request = cell.ReadJob(host, path)
+        elif method == "DELETE":
+            request = cell.CancelJob(host, path)
+        else:
+            return answers.Reply(405)
+    except wire.Malformed as error:
+        return answers.Reply(400, wire.encode({"error": str(error)}))
+    try:
+        outcome = leader_calls.call(request, give_up_ms)
+    except Exception:
+        logging.exception("fault while answering %s %s", method, path)
+        return answers.Reply(500)
+    return answers.of_outcome(outcome, changes=method != "GET")
+
+
+def read_body(environ):
+    """The whole body of a request."""
+    return environ["wsgi.input"].read()
+
+
+def deadline_ms(environ):
+    """How long the caller waits, as it says or as is usual."""
+    try:
+        said = int(float(environ.get(DEADLINE_HEADER, "")))
+    except ValueError:
+        return DEADLINE_DEFAULT_MS
+    return max(DEADLINE_MARGIN_MS, min(said, DEADLINE_MOST_MS))
--- /dev/null
+++ b/alderreach/platform/targets.py
@@ -0,0 +1,116 @@
+"""Calls to workers and to the permission service, over HTTP.
+
+Every call has a time limit of its own, since a connection may go silent without being
+reset. What is known of a call that failed is told apart: before the request was sent
+nothing can have happened, afterwards anything may have.
+"""
+
+import urllib3
+
+from alderreach.core import orders
+from alderreach.ops.controller import target_link
+from alderreach.platform import wire
+
+START_PATH = "/-/run-start"
+STOP_PATH = "/-/run-stop"
+LOOK_PATH = "/-/hold"
+PACE_PATH = "/-/pace"
+ADVISE_PATH = "/-/advise"
+LIFE_HEADER = "Expect-Instance"
+
+# A worker answers an order within milliseconds; one that takes longer than this is
+# asked again, which is harmless.
+ORDER_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.5
+# On top of the time a look may wait for an end.
+LOOK_SLACK_S = 0.6
+# A decision with the longest list takes about a second; calls before it are waited for.
+ADVISE_TIMEOUT_S = 3.0
+MIME = "application/json"
+
+
+def open_session(address):
+    """One kept connection to a worker, for one thread."""
+    host, _, port = address.rpartition(":")
+    return urllib3.HTTPConnectionPool(host, int(port), maxsize=1, retries=False)
+
+
+def _post(session, path, body, timeout_s, life=""):
+    """Send one request; returns (status, body)."""
+    headers = {"Content-Type": MIME}
+    if life:
+        headers[LIFE_HEADER] = life
+    response = session.urlopen(
+        "POST",
+        path,
+        body=body,
+        headers=headers,
+        retries=False,
+        timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+    )
+    return response.status, response.data
+
+
+UNSENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+ORDERS = {
+    orders.Start: (START_PATH, wire.start_body),
+    orders.Stop: (STOP_PATH, wire.stop_body),
+    orders.Pace: (PACE_PATH, wire.pace_body),
+}
+
+
+def send_order(session, record, order):
+    """Carry out one order; returns an ``orders.OrderResult``."""
+    path, encode = ORDERS[type(order)]
+    try:
+        status, body = _post(
+            session, path, encode(order), ORDER_TIMEOUT_S, record.target_id
+        )
+        return wire.order_result(status, body)
+    except UNSENT as error:
+        return orders.OrderResult(orders.UNREACHABLE, detail=str(error))
+    except (urllib3.exceptions.HTTPError, OSError, wire.Malformed) as error:
+        return orders.OrderResult(orders.UNKNOWN, detail=str(error))
+
+
+def send_look(session, record, look):
+    """Look at a worker; returns an ``orders.LookResult``."""
+    timeout_s = look.wait_ms / 1000 + LOOK_SLACK_S
+    try:
+        status, body = _post(
+            session, LOOK_PATH, wire.look_body(look), timeout_s, record.target_id
+        )
+        return wire.look_result(status, body)
+    except UNSENT as error:
+        return orders.LookResult(orders.UNREACHABLE, detail=str(error))
+    except (urllib3.exceptions.HTTPError, OSError, wire.Malformed) as error:
+        return orders.LookResult(orders.UNKNOWN, detail=str(error))
+
+
+def calls():
+    """The calls to workers that a controller's links make."""
+    return target_link.Calls(open_session, send_order, send_look)
+
+
+def permission_asker(address):
+    """A function that asks the permission service at ``address``.
+
+    ``ask(step, targets)`` returns a list of ``cell.Ticket``, or None if there was no
+    answer.
+    """
+    session = open_session(address) if address else None
+
+    def ask(step, targets):
+        if session is None:
+            return None
+        try:
+            body = wire.advise_body(step, targets)
+            status, answer = _post(session, ADVISE_PATH, body, ADVISE_TIMEOUT_S)
+            return wire.tickets(answer) if status == 200 else None
+        except (urllib3.exceptions.HTTPError, OSError, wire.Malformed):
+            return None
+
+    return ask
--- /dev/null
+++ b/alderreach/platform/wire.py
@@ -0,0 +1,333 @@
+"""Bodies of the platform's protocol, decoded once into the types of this project.
+
+The structures below bear the platform's field names; nothing outside this folder sees
+them. Where such a name misleads, a comment says what the field holds. Absent fields are
+empty, as the platform leaves out what is 0, false or empty; unknown ones are ignored.
+"""
+
+import msgspec
+
+from alderreach.core import orders
+from alderreach.core.generated import cell, common
+
+
+class _Step(msgspec.Struct):
+    count: int = 0
+    cpu: float = 0  # thousandths of a core
+    mem_mb: float = 0
+    gpu: float = 0
+    estimated_ms: float = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requirements: str = ""  # one label, not several
+    data_rack: str = ""
+    anti_affinity: int = 0  # the most tasks of the step on one worker
+    allow_duplicates: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0  # serving tasks: the tail latency to stay below
+    fills: bool = False  # best effort: its processor time is not set aside
+    max_unavailable: int = 0
+
+
+class _Job(msgspec.Struct):
+    spec: str
+    steps: list[_Step]
+    repeat_count: int = 0
+    start_at_ms: float = 0  # Unix time of the first occurrence
+    interval_ms: float = 0
+
+
+class _Capacity(msgspec.Struct):
+    cpu: float = 0
+    mem_mb: float = 0
+    gpu: float = 0
+
+
+class _Announcement(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str]
+    sequence: int
+    clock_ms: float = -1
+    born: int = 0  # Unix time of the start of this life
+    machine: str = ""
+
+
+class _Advice(msgspec.Struct):
+    decision_ms: float = 0
+    per_worker_ms: float = 0
+    validity_ms: float = 0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    enforces_capacity: bool = False
+    standby: bool = False
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+
+
+class _Answer(msgspec.Struct):
+    clock_ms: float | None = None
+    reason: str = ""
+    born: int = 0
+    running: list[list] = []
+    ended: list[list] = []
+
+
+class _Advised(msgspec.Struct):
+    good: list[tuple[str, str]] = []
+
+
+STATES = ("ready", "draining")
+_decode_job = msgspec.json.Decoder(_Job).decode
+_decode_announcement = msgspec.json.Decoder(_Announcement).decode
+_decode_config = msgspec.json.Decoder(_Config).decode
+_decode_answer = msgspec.json.Decoder(_Answer).decode
+_decode_advised = msgspec.json.Decoder(_Advised).decode
+encode = msgspec.json.Encoder().encode
+
+
+class Malformed(ValueError):
+    """A body that is not what the protocol says; the text tells why."""
+
+
+def _decoded(decode, body):
+    try:
+        return decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise Malformed(str(error)) from error
+
+
+def submission(host, path, body):
+    """A job's body as a ``cell.SubmitJob``; raises ``Malformed``."""
+    job = _decoded(_decode_job, body)
+    steps = [
+        cell.Step(
+            step.count,
+            common.Resources(int(step.cpu), int(step.mem_mb), int(step.gpu)),
+            int(step.estimated_ms),
+            step.after,
+            step.checkpointing,
+            step.gang,
+            step.same_rack,
+            step.requirements,
+            step.data_rack,
+            step.anti_affinity,
+            step.allow_duplicates,
+            step.long_running,
+            step.image,
+            int(step.target_ms),
+            step.fills,
+            step.max_unavailable,
+        )
+        for step in job.steps
+    ]
+    return cell.SubmitJob(
+        host,
+        path,
+        job.spec,
+        steps,
+        job.repeat_count,
+        int(job.start_at_ms),
+        int(job.interval_ms),
+    )
+
+
+def announcement(target_id, body):
+    """A worker's heartbeat as a ``cell.AnnounceTarget``; raises ``Malformed``."""
+    said = _decoded(_decode_announcement, body)
+    if said.state not in STATES:
+        raise Malformed(f"no such state: {said.state}")
+    record = cell.TargetRecord(
+        target_id,
+        said.born,
+        said.service,
+        said.address,
+        said.zone,
+        common.Resources(
+            int(said.capacity.cpu), int(said.capacity.mem_mb), int(said.capacity.gpu)
+        ),
+        said.labels,
+        said.state,
+        said.machine,
+    )
+    return cell.AnnounceTarget(record, said.sequence, int(said.clock_ms))
+
+
+def configuration(body):
+    """A configuration's body as a ``cell.CellConfig``; raises ``Malformed``.
+
+    Invalid beyond its form is a route to an unknown service, two routes at one place,
+    and a timeout of nothing.
+    """
+    said = _decoded(_decode_config, body)
+    names = {service.name for service in said.services}
+    places = set()
+    for route in said.routes:
+        if route.service not in names:
+            raise Malformed(f"route {route.name} names unknown service {route.service}")
+        if route.timeout_ms <= 0:
+            raise Malformed(f"route {route.name} has no timeout")
+        place = (route.host, route.path_prefix)
+        if place in places:
+            raise Malformed(f"two routes at {route.host}{route.path_prefix}")
+        places.add(place)
+    queues = [_queue(route) for route in said.routes]
+    services = [
+        cell.ServiceConfig(service.name, service.enforces_capacity, service.standby)
+        for service in said.services
+    ]
+    return cell.CellConfig(said.version, queues, services, body)
+
+
+def _queue(route):
+    rule = None
+    if route.advice is not None:
+        rule = cell.PermissionRule(
+            int(route.advice.decision_ms),
+            route.advice.per_worker_ms,
+            int(route.advice.validity_ms),
+        )
+    return cell.QueueConfig(
+        route.name,
+        route.host,
+        route.path_prefix,
+        route.service,
+        route.priority,
+        route.max_attempts,
+        route.stretch,
+        int(route.target_latency_ms),
+        int(route.timeout_ms),
+        rule,
+    )
+
+
+def start_body(order):
+    """The body of an order to start a run."""
+    body = {
+        "task": order.task,
+        "run": order.run,
+        "spec": order.spec,
+        "until_ms": order.lease_until_ms,
+        "fencing_token": order.epoch,
+    }
+    if order.checkpoint:
+        body["checkpoint"] = order.checkpoint
+    if order.ticket:
+        body["ticket"] = order.ticket
+    return encode(body)
+
+
+def stop_body(order):
+    """The body of an order to stop a run."""
+    return encode({"task": order.task, "run": order.run, "fencing_token": order.epoch})
+
+
+def pace_body(order):
+    """The body of an order to pace a run."""
+    return encode(
+        {
+            "task": order.task,
+            "run": order.run,
+            "percent": order.percent,
+            "fencing_token": order.epoch,
+        }
+    )
+
+
+def look_body(look):
+    """The body of a look."""
+    body = {
+        "fencing_token": look.epoch,
+        "ack_cursor": look.cursor,
+        "wait_ms": look.wait_ms,
+    }
+    if look.lease_until_ms is not None:
+        body["until_ms"] = look.lease_until_ms
+    return encode(body)
+
+
+def advise_body(step, targets):
+    """The body of a question to the permission service."""
+    return encode({"step": step, "workers": targets})
+
+
+def tickets(body):
+    """The permission service's answer as a list of ``cell.Ticket``."""
+    return [cell.Ticket(*row) for row in _decoded(_decode_advised, body).good]
+
+
+# What a worker's refusal means here.
+REASONS = {
+    "fence": orders.FENCED,
+    "old": orders.STALE_RUN,
+    "late": orders.LEASE_OVER,
+    "room": orders.NO_ROOM,
+    "ticket": orders.NO_TICKET,
+}
+STATUSES = {
+    200: orders.OK,
+    400: orders.REFUSED,
+    421: orders.OTHER_LIFE,
+    429: orders.REFUSED,
+    503: orders.REFUSED,
+}
+
+
+def order_result(status, body):
+    """A worker's answer to an order."""
+    said = _decoded(_decode_answer, body) if body else _Answer()
+    outcome = STATUSES.get(status, orders.UNKNOWN)
+    if status == 409:
+        outcome = REASONS.get(said.reason, orders.UNKNOWN)
+    return orders.OrderResult(outcome, _clock(said), f"{status} {said.reason}")
+
+
+def look_result(status, body):
+    """A worker's answer to a look."""
+    if status != 200:
+        result = order_result(status, body)
+        return orders.LookResult(result.outcome, result.clock_ms, detail=result.detail)
+    said = _decoded(_decode_answer, body)
+    try:
+        running = [_listed_run(row) for row in said.running]
+        ended = [
+            orders.ListedEnd(int(row[0]), row[1], int(row[2]), row[3], row[4] or "")
+            for row in said.ended
+        ]
+    except (IndexError, TypeError, ValueError) as error:
+        raise Malformed(f"a row of a worker's lists: {error}") from error
+    return orders.LookResult(orders.OK, _clock(said), said.born, running, ended)
+
+
+def _listed_run(row):
+    load = row[4] if len(row) > 4 and row[4] is not None else 0.0
+    return orders.ListedRun(row[0], int(row[1]), row[2] or "", int(row[3]), float(load))
+
+
+def _clock(said):
+    return None if said.clock_ms is None else int(said.clock_ms)
--- /dev/null
+++ b/alderreach/scripts/frontend.py
@@ -0,0 +1,23 @@
+"""alderreach-frontend SETTINGS.toml: thin main of the frontend on the platform."""
+
+import sys
+
+from alderreach.ops import daemon
+from alderreach.ops.frontend import service
+from alderreach.platform import callers, targets
+
+
+def _build(context):
+    outside = service.Outside(
+        targets.permission_asker(context.settings.cell.permission), callers.serve
+    )
+    return service.build(context, outside)
+
+
+def main():
+    """Run the daemon and exit with its code."""
+    sys.exit(daemon.main("frontend", _build))
+
+
+if __name__ == "__main__":
+    main()
--- a/alderreach/utils/clocks.py
+++ b/alderreach/utils/clocks.py
@@ -1,8 +1,12 @@
 """The clock of the runtime, as a value that is passed in.
 
 Every task takes a ``Clock`` and never reads ``time`` itself, so that tests pause and
-advance time. Durations are measured on the monotonic clock only; the wall clock is
-for people and for the lifetime of idempotency keys.
+advance time. Durations are measured on the steady clock only; the wall clock is for
+people, for the lifetime of idempotency keys and for jobs that are due at a time.
+
+The steady clock is the kernel's boot clock, which goes on while a VM is suspended. The
+plain monotonic clock stands still then: a leader that wakes would find its lease as
+fresh as when it fell asleep, and act beside its successor.
 """
 
 import time
@@ -17,7 +21,7 @@
 
 
 SYSTEM = Clock(
-    monotonic_ms=lambda: time.monotonic_ns() // 1_000_000,
+    monotonic_ms=lambda: time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000,
     wall_ms=lambda: time.time_ns() // 1_000_000,
 )
 
--- /dev/null
+++ b/alderreach/utils/event_log.py
@@ -0,0 +1,98 @@
+"""Structured events of one process, one JSON object a line on standard output.
+
+Every event has the same first fields: wall and steady time, process, boot, role, kind.
+Whoever records an event never waits: events go through a bounded queue to one writing
+thread. When the reader of the output stalls, or a kind exceeds its lines a second,
+events are dropped and counted, and the count is written as an event itself.
+"""
+
+import collections
+import queue
+import sys
+import threading
+
+import msgspec
+
+QUEUE_EVENTS = 4000
+# Lines a second of one kind: several times what the heaviest kind needs at the size of
+# today's cells; without a bound, a storm of failures would take the processor.
+KIND_EVENTS_PER_S = 400
+STOP = object()
+
+_encode = msgspec.json.Encoder().encode
+
+
+class EventLog:
+    """Events of one process; ``record`` may be called from any thread."""
+
+    def __init__(self, process, boot_id, role, clock, output=None):
+        self._fixed = {"process": process, "boot": boot_id, "role": role}
+        self._clock = clock
+        self._output = output or sys.stdout.buffer
+        self._queue = queue.SimpleQueue()
+        self._second = 0
+        self._counts = collections.Counter()
+        self._dropped = collections.Counter()
+        self._lock = threading.Lock()
+        self._thread = threading.Thread(target=self._run, name="log", daemon=True)
+        self._thread.start()
+
+    def record(self, kind, **fields):
+        """Add an event; fields are plain values, times end in their unit."""
+        now_ms = self._clock.monotonic_ms()
+        event = {
+            "wall_ms": self._clock.wall_ms(),
+            "mono_ms": now_ms,
+            **self._fixed,
+            "event": kind,
+            **fields,
+        }
+        with self._lock:
+            if not self._has_budget(kind, now_ms):
+                self._dropped[kind] += 1
+                return
+        self._queue.put(event)
+
+    def close(self):
+        """Write what is queued, unless the reader has stalled."""
+        self._queue.put(STOP)
+        self._thread.join(timeout=1)
+
+    def _has_budget(self, kind, now_ms):
+        second = now_ms // 1000
+        if second != self._second:
+            self._second = second
+            self._counts.clear()
+            self._report_dropped()
+        self._counts[kind] += 1
+        return (
+            self._counts[kind] <= KIND_EVENTS_PER_S
+            and self._queue.qsize() < QUEUE_EVENTS
+        )
+
+    def _report_dropped(self):
+        if self._dropped:
+            dropped = dict(self._dropped)
+            self._dropped.clear()
+            self._queue.put(
+                {**self._fixed, "event": "events_dropped", "kinds": dropped}
+            )
+
+    def _run(self):
+        while (event := self._queue.get()) is not STOP:
+            lines = [_encode(event)]
+            while not self._queue.empty() and len(lines) < 200:
+                event = self._queue.get()
+                if event is STOP:
+                    self._write(lines)
+                    return
+                lines.append(_encode(event))
+            self._write(lines)
+
+    def _write(self, lines):
+        try:
+            self._output.write(b"\n".join(lines) + b"\n")
+            self._output.flush()
+        except (OSError, ValueError):
+            with self._lock:
+                self._dropped["unwritable"] += len(lines)
