--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -42,15 +42,20 @@
 
 
 class Director:
-    """See ``extension.py`` for when its methods are called."""
+    """See ``extension.py`` for when its methods are called.
 
-    def __init__(self, context, port, calls, permission_calls, record):
+    ``open_link(record, epoch, put)`` makes a ``target_link.TargetLink``, and
+    ``ask_here(query, address)`` has this process put a question to the permission
+    service. ``record`` takes events for the log.
+    """
+
+    def __init__(self, context, port, open_link, ask_here, record):
         self._context = context
         self._clock = context.clock
         self._post = context.transport.send
         self._port = port
-        self._calls = calls
-        self._permission_calls = permission_calls
+        self._make_link = open_link
+        self._ask_here = ask_here
         self._record = record
         self._greeters = discovery.Greeters()
         self._leading = None
@@ -102,7 +107,7 @@
         elif isinstance(message, cell.PermissionAnswer):
             self._permission_answered(message)
         elif isinstance(message, cell.PermissionQuery):
-            self._permission_calls.put(message, address)
+            self._ask_here(message, address)
         elif isinstance(message, cell.CellReply):
             self.leader_calls.deliver(message)
 
@@ -192,7 +197,7 @@
         )
 
     def _open_link(self, record, epoch):
-        return target_link.TargetLink(record, epoch, self._calls, self._port.put)
+        return self._make_link(record, epoch, self._port.put)
 
     def _cell_offset_ms(self):
         now_ms = self._clock.monotonic_ms()
--- a/alderreach/ops/controller/service.py
+++ b/alderreach/ops/controller/service.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from alderreach.ops.controller import director, discovery, permission_calls
+from alderreach.ops.controller import director, discovery, permission_calls, target_link
 from alderreach.ops.keeper import service as keeper_service
 
 
@@ -32,10 +32,13 @@
     context.stack.callback(asking.close)
     made = []
 
+    def open_link(record, epoch, put):
+        return target_link.TargetLink(record, epoch, outside.calls, put)
+
     def extend(port):
         made.append(
             director.Director(
-                context, port, outside.calls, asking, context.timeline.record
+                context, port, open_link, asking.put, context.timeline.record
             )
         )
         return made[0]
--- /dev/null
+++ b/tests/cell_failures_test.py
@@ -0,0 +1,148 @@
+"""Failures of controllers and workers, and what callers and workers see of them."""
+
+from alderreach.core import orders
+from alderreach.core.generated import cell
+from tests import cell_sim, cell_worker
+
+
+def test_steps_in_order_and_shown_once_all_is_done(tmp_path):
+    with cell_sim.running_cell(tmp_path) as sim:
+        cell_sim.hand_in(sim, "j1", cell_sim.step(6), cell_sim.step(4, after=[0]))
+        sim.run_until_shown("j1", "completed")
+        assert len(sim.noted) == 10
+
+
+def test_a_repeated_submission_joins_the_job(tmp_path):
+    with cell_sim.running_cell(tmp_path) as sim:
+        cell_sim.hand_in(sim, "j1", cell_sim.step(2))
+        sim.run_until_shown("j1", "completed")
+        cell_sim.hand_in(sim, "j1", cell_sim.step(2))
+        sim.run(3000)
+        assert sim.state("j1").text == "completed"
+
+
+def test_a_leader_lost_while_tasks_run(tmp_path):
+    """The leader dies while tasks run and others wait. A new one is elected before the
+    leases lapse, takes up what runs from the log and the workers' lists, and starts
+    nothing twice.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=2500)
+        cell_sim.hand_in(sim, "j1", cell_sim.step(20))
+        sim.run(400)
+        sim.crash(sim.leader())
+        sim.run_until_shown("j1", "completed")
+        assert len(sim.noted) == 20
+
+
+def test_all_controllers_lose_power(tmp_path):
+    """All controllers stop at once right after a job was accepted. They come back with
+    their disks after the leases have lapsed; the job is known and is run.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        cell_sim.hand_in(sim, "j1", cell_sim.step(5))
+        for name in list(sim.keepers):
+            sim.crash(name)
+        sim.run(8000)
+        for name in sim.names:
+            sim.start(name)
+        sim.run_until_shown("j1", "completed")
+
+
+def test_orders_carried_out_late(tmp_path):
+    """A fifth of the orders get no answer and are carried out seconds later, after the
+    same run was sent again, has ended, or was given to another worker.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        sim.late_ms = lambda call: (
+            0
+            if isinstance(call.order, orders.Look) or sim.lots.random() > 0.2
+            else sim.lots.randrange(2000, 12_000)
+        )
+        cell_sim.hand_in(sim, "j1", cell_sim.step(20), cell_sim.step(10, after=[0]))
+        sim.run_until_shown("j1", "completed")
+        sim.run(15_000)
+
+
+def test_a_worker_that_hears_but_is_not_heard(tmp_path):
+    """A worker's answers are lost while orders reach it. If they went on extending its
+    lease, its tasks would run for ever where nobody sees them end. Its lease is left
+    to lapse, and the tasks are run elsewhere, never twice at once.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=1500)
+        cell_sim.hand_in(sim, "j1", cell_sim.step(9))
+        sim.run(200)
+        assert sim.workers["w1"].running
+        sim.lost_answers = lambda call: call.target_id == "w1"
+        sim.run_until_shown("j1", "completed")
+
+
+def test_a_worker_born_again_under_its_id(tmp_path):
+    """A worker crashes and starts again under its id before its lease lapses. Its runs
+    are over; they are started anew as soon as its new life is heard of.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=2000)
+        cell_sim.hand_in(sim, "j1", cell_sim.step(9))
+        sim.run(200)
+        sim.workers["w1"].crash()
+        sim.run(500)
+        sim.workers["w1"].restart()
+        sim.run_until_shown("j1", "completed", duration_ms=8000)
+
+
+def test_a_cancelled_job_leaves_nothing(tmp_path):
+    """A job is cancelled while some of its starts are on their way, late. Once that is
+    acknowledged nothing of it starts, and what runs is stopped.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=60_000)
+        sim.late_ms = lambda call: (
+            3000 if isinstance(call.order, orders.Start) and call.epoch % 2 else 0
+        )
+        cell_sim.hand_in(sim, "j1", cell_sim.step(30))
+        sim.run(300)
+        path = cell_sim.PREFIX + "j1"
+        done = sim.answer(sim.request(cell.CancelJob(cell_sim.HOST, path)))
+        assert done.kind == "accepted"
+        sim.run(4000)
+        assert not any(worker.running for worker in sim.workers.values())
+        assert sim.state("j1").text == "cancelled"
+
+
+def test_failed_runs_are_counted_over_a_takeover(tmp_path):
+    """Every run fails. After three of them the job is shown as failed, also if leaders
+    change in between; a count kept in memory would start anew with each leader.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        sim.workers["w1"].script = cell_worker.Script(work_ms=1200, how="failed")
+        cell_sim.hand_in(sim, "j1", cell_sim.step(1))
+        sim.run(1600)
+        lost = sim.leader()
+        sim.crash(lost)
+        sim.start(lost)
+        sim.run_until_shown("j1", "failed")
+        (tasks,) = sim.agreed().jobs["j1"].groups.values()
+        assert tasks[0].failures == 3
+
+
+def test_a_deposed_leader_tells_nobody_of_missing_jobs(tmp_path):
+    """A leader is cut off from the other controllers; callers still reach it. A job
+    that its successor accepts is unknown to it, and it must not say so.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        old = sim.leader()
+        others = [name for name in sim.names if name != old]
+        sim.cut = {(old, name) for name in others} | {(n, old) for n in others}
+        asked = sim.request(cell.ReadJob(cell_sim.HOST, cell_sim.PREFIX + "j1"), old)
+        sim.run(5000)
+        assert sim.replies.get(asked) in (None, "not_leader")
+        cell_sim.hand_in(sim, "j1", cell_sim.step(1))
+        again = sim.request(cell.ReadJob(cell_sim.HOST, cell_sim.PREFIX + "j1"), old)
+        sim.run(500)
+        assert sim.replies.get(again) in (None, "not_leader")
--- /dev/null
+++ b/tests/cell_sim.py
@@ -0,0 +1,271 @@
+"""Controllers and workers without sockets and threads, on a clock that tests advance.
+
+The controllers run their own code over real files (``memory_cell``); calls to workers
+wait in a list until they are delivered, are lost, or are carried out late. The workers
+check on every start that no task runs twice, that nothing starts after its end was
+acknowledged, that steps wait for each other and that no worker is over its capacity.
+"""
+
+import contextlib
+import typing
+
+from alderreach.core import cell_state, codec, orders
+from alderreach.core.generated import cell, common
+from alderreach.ops.controller import director, target_link
+from alderreach.ops.keeper import service, storage
+from tests import cell_worker, memory_cell
+
+HEARTBEAT_MS = 1500
+HOST, PREFIX = "a.example", "/q/"
+
+
+class Call(typing.NamedTuple):
+    """A call on its way to a worker."""
+
+    controller: str
+    target_id: str
+    epoch: int
+    order: typing.Any
+    due_ms: int
+    is_answered: bool
+
+
+class Link:
+    """Stands for ``target_link.TargetLink``."""
+
+    def __init__(self, sim, controller, record, epoch):
+        self._sim = sim
+        self._place = (controller, record.target_id, epoch)
+
+    def order(self, order):
+        self._sim.call(*self._place, order)
+
+    look = order
+
+    def close(self):
+        pass
+
+
+class Cell(memory_cell.MemoryCell):
+    """Controllers ``k1``, ``k2``, ... and workers ``w1``, ``w2``, ..."""
+
+    def __init__(self, folder, controllers=3, workers=3, cpu_millis=4000, **limits):
+        self.calls = []
+        self.workers = {}
+        self.noted = set()
+        self.steps = {}
+        self.lost_answers = lambda call: False
+        self.late_ms = lambda call: 0
+        self.replies = {}
+        self._next_heartbeat_ms = 0
+        super().__init__(folder, controllers, **limits)
+        capacity = common.Resources(cpu_millis, 64_000, 0)
+        for number in range(1, workers + 1):
+            name = f"w{number}"
+            self.workers[name] = cell_worker.Worker(self, name, capacity)
+
+    def start(self, name):
+        folder = self.folder / name
+        folder.mkdir(parents=True, exist_ok=True)
+        stack = contextlib.ExitStack()
+        opened = storage.open_folder(folder, stack).unwrap()
+        hooks = service.Hooks(self.lots, lambda work: work(), memory_cell._crash)
+        context = self._context(name, folder, stack)
+
+        def extend(port):
+            return director.Director(
+                context,
+                port,
+                lambda record, epoch, _put: Link(self, name, record, epoch),
+                lambda query, address: None,
+                lambda kind, **fields: None,
+            )
+
+        made = service.Keeper(context, opened, hooks, extend)
+        stack.callback(made._disk.close)
+        self.keepers[name], self.stacks[name] = made, stack
+
+    def call(self, controller, target_id, epoch, order):
+        """A controller calls a worker."""
+        call = Call(controller, target_id, epoch, order, self.time.now_ms, True)
+        late_ms = self.late_ms(call)
+        call = call._replace(
+            due_ms=call.due_ms + late_ms,
+            is_answered=not late_ms and not self.lost_answers(call),
+        )
+        self.calls.append(call)
+        if late_ms:
+            self._fail(call)
+
+    def run(self, duration_ms, until=lambda: False):
+        """As ``MemoryCell.run``, with workers."""
+        for _step in range(duration_ms // memory_cell.STEP_MS):
+            if super().run(memory_cell.STEP_MS):
+                return True
+            self._workers_step()
+            while self.network:
+                self.deliver_one()
+            if until():
+                return True
+        return until()
+
+    def submit(self, job_id, *steps, name=None):
+        """Hand in a job at a controller; returns the request's id."""
+        request = cell.SubmitJob(HOST, PREFIX + job_id, "run", list(steps), 0, 0, 0)
+        return self.request(request, name)
+
+    def request(self, message, name=None):
+        """Send a request to a controller, the leader if none is named."""
+        self._request += 1
+        request_id = f"c{self._request}"
+        packed = codec.pack(cell.CellRequest(request_id, codec.pack(message)))
+        sender = memory_cell.CLIENT
+        self.network.append(memory_cell.Message(sender, name or self.elect(), packed))
+        return request_id
+
+    def answer(self, request_id):
+        """Run until a request is answered; returns the CellAnswer, or the status."""
+        assert self.run(10_000, lambda: request_id in self.replies), self.describe()
+        return self.replies[request_id]
+
+    def configure(self, version=1, **changes):
+        """Put a configuration with one queue in force."""
+        queue = cell.QueueConfig(
+            "q", HOST, PREFIX, "pool", 0, 3, 2.0, 500, 3000, None
+        )._replace(**changes)
+        pool = cell.ServiceConfig("pool", False, False)
+        config = cell.CellConfig(version, [queue], [pool], b"{}")
+        return self.answer(self.request(cell.PutConfig(config)))
+
+    def state(self, job_id):
+        """What a caller is shown of a job, by a leader that serves."""
+        return self.answer(self.request(cell.ReadJob(HOST, PREFIX + job_id)))
+
+    def run_until_shown(self, job_id, state, duration_ms=60_000):
+        """Run until a job is shown in a state."""
+        for _round in range(duration_ms // 200):
+            if self.state(job_id).text == state:
+                return
+            self.run(200)
+        raise AssertionError((self.state(job_id), self.describe()))
+
+    def check_start(self, worker, order):
+        """What must hold whenever a worker starts something."""
+        task = order.task
+        for other in self.workers.values():
+            if task in other.running and not other.is_down:
+                raise cell_worker.Broken(f"{task} runs on {other.name} already")
+        if task in self.noted:
+            raise cell_worker.Broken(f"{task} starts after its end was acknowledged")
+        job_id, _k, step, _index = task.split(".")
+        demand = self.steps[job_id][int(step)].demand.cpu_millis
+        used = sum(
+            self.steps[key.split(".")[0]][int(key.split(".")[2])].demand.cpu_millis
+            for key in worker.running
+        )
+        if used + demand > worker.capacity.cpu_millis:
+            raise cell_worker.Broken(f"{worker.name} is over its capacity")
+
+    def note_end(self, end):
+        """An end was acknowledged; a task that is done never starts again."""
+        if end.how == "done":
+            self.noted.add(end.task)
+
+    def agreed(self):
+        """The cell's state as the leader's log has it."""
+        return self.keepers[self.elect()]._state.cell
+
+    def _answer(self, sender, message):
+        if isinstance(message, cell.CellReply):
+            answer = message.status
+            if message.status == "answered":
+                answer = codec.unpack(message.payload).unwrap()
+            self.replies[message.request_id] = answer
+        else:
+            super()._answer(sender, message)
+
+    def _workers_step(self):
+        if self.time.now_ms >= self._next_heartbeat_ms:
+            self._next_heartbeat_ms = self.time.now_ms + HEARTBEAT_MS
+            for worker in self.workers.values():
+                self.announce(worker)
+        for worker in self.workers.values():
+            worker.step()
+        due = [call for call in self.calls if call.due_ms <= self.time.now_ms]
+        self.calls = [call for call in self.calls if call.due_ms > self.time.now_ms]
+        for call in due:
+            self._deliver_call(call)
+
+    def announce(self, worker, name=None):
+        """A worker's heartbeat reaches the leader, if there is one."""
+        leader = name or self.leader()
+        if worker.is_down or leader is None or (worker.name, leader) in self.cut:
+            return
+        worker.sequence += 1
+        record = cell.TargetRecord(
+            worker.name,
+            worker.born_ms,
+            "pool",
+            f"{worker.name}:1",
+            "d",
+            worker.capacity,
+            ["a", "r1"],
+            worker.state,
+            worker.name,
+        )
+        message = cell.AnnounceTarget(record, worker.sequence, worker.clock_ms())
+        return self.request(message, leader)
+
+    def _deliver_call(self, call):
+        worker = self.workers[call.target_id]
+        if worker.is_down or (call.controller, worker.name) in self.cut:
+            self._fail(call)
+            return
+        result = worker.carry_out(call.order)
+        if not call.is_answered or (worker.name, call.controller) in self.cut:
+            self._fail(call)
+        else:
+            self._tell(call, result)
+
+    def _fail(self, call):
+        is_look = isinstance(call.order, orders.Look)
+        kind = orders.LookResult if is_look else orders.OrderResult
+        self._tell(call, kind(orders.UNKNOWN))
+
+    def _tell(self, call, result):
+        if call.controller not in self.keepers:
+            return
+        is_look = isinstance(call.order, orders.Look)
+        kind = target_link.LookAnswered if is_look else target_link.OrderAnswered
+        mail = kind(call.epoch, call.target_id, call.order, result)
+        self._mail(call.controller, mail)
+
+
+def step(tasks=1, cpu_millis=1000, after=(), **options):
+    """A step of small tasks."""
+    plain = cell.Step(
+        tasks,
+        common.Resources(cpu_millis, 100, 0),
+        500,
+        list(after),
+        *cell_state.NO_STEP_OPTIONS,
+    )
+    return plain._replace(**options)
+
+
+@contextlib.contextmanager
+def running_cell(folder, **options):
+    """A configured cell whose workers are known."""
+    sim = Cell(folder, **options)
+    with contextlib.closing(sim):
+        sim.elect()
+        assert sim.configure().kind == "accepted"
+        sim.run(3000)
+        yield sim
+
+
+def hand_in(sim, job_id, *steps):
+    """Hand a job in and note its steps for the workers' checks."""
+    sim.steps[job_id] = steps
+    answer = sim.answer(sim.submit(job_id, *steps))
+    assert answer.kind == "accepted", answer
--- /dev/null
+++ b/tests/cell_worker.py
@@ -0,0 +1,148 @@
+"""A worker that does what a leader may rely on, and checks what it may rely on itself.
+
+It keeps its own clock, refuses lower epochs and older runs, kills everything when its
+lease lapses, and lists ends until they are acknowledged. Calls may be held back and
+carried out late, answers may be lost; the test says which.
+"""
+
+import typing
+
+from alderreach.core import orders
+
+LEASE_MAX_MS = 6000
+
+
+class Running:
+    """One run at work."""
+
+    def __init__(self, order, ends_ms, how):
+        self.order = order
+        self.ends_ms = ends_ms
+        self.how = how
+
+
+class Broken(AssertionError):
+    """A promise was broken, as a worker sees it."""
+
+
+class Script(typing.NamedTuple):
+    """How the tasks of a worker go."""
+
+    work_ms: int = 500
+    how: str = "done"
+
+
+class Worker:
+    """One machine; ``restart`` begins a new life under the same id."""
+
+    def __init__(self, world, name, capacity, clock_rate=1.0):
+        self.world = world
+        self.name = name
+        self.capacity = capacity
+        self.rate = clock_rate
+        self.script = Script()
+        self.lives = 0
+        self.state = "ready"
+        self.is_down = False
+        self.restart()
+
+    def restart(self):
+        """Come up with nothing: no run, no epoch, a clock that starts anew."""
+        self.lives += 1
+        self.is_down = False
+        self.born_ms = 1_700_000_000_000 + self.world.time.now_ms
+        self._started_ms = self.world.time.now_ms
+        self.epoch = 0
+        self.lease_until_ms = 0
+        self.running = {}
+        self.closed = {}
+        self.ends = []
+        self.next_end = 1
+        self.sequence = 0
+
+    def crash(self):
+        """Go down; whatever ran is gone."""
+        self.is_down = True
+        self.running = {}
+
+    def clock_ms(self):
+        """This machine's own steady clock."""
+        return int((self.world.time.now_ms - self._started_ms) * self.rate)
+
+    def step(self):
+        """Let time pass: tasks end, and the lease may lapse."""
+        if self.is_down:
+            return
+        now_ms = self.clock_ms()
+        if now_ms >= self.lease_until_ms:
+            for task in list(self.running):
+                self._end(task, "lapsed")
+        for task, run in list(self.running.items()):
+            if now_ms >= run.ends_ms:
+                self._end(task, run.how)
+
+    def carry_out(self, order):
+        """Do what an order says and return its result."""
+        if order.epoch < self.epoch:
+            return self._result(orders.FENCED)
+        self.epoch = order.epoch
+        if isinstance(order, orders.Start):
+            return self._start(order)
+        if isinstance(order, orders.Stop):
+            return self._stop(order)
+        if isinstance(order, orders.Look):
+            return self._look(order)
+        return self._result(orders.OK)
+
+    def _start(self, order):
+        present = self.running.get(order.task)
+        if present is not None and present.order.run == order.run:
+            self._extend(order.lease_until_ms)
+            return self._result(orders.OK)
+        if order.run <= self.closed.get(order.task, 0):
+            return self._result(orders.STALE_RUN)
+        if order.lease_until_ms <= self.clock_ms():
+            return self._result(orders.LEASE_OVER)
+        self._extend(order.lease_until_ms)
+        self.world.check_start(self, order)
+        script = self.script
+        self.running[order.task] = Running(
+            order, self.clock_ms() + script.work_ms, script.how
+        )
+        return self._result(orders.OK)
+
+    def _stop(self, order):
+        run = self.running.get(order.task)
+        if run is not None and run.order.run <= order.run:
+            self._end(order.task, "stopped")
+        known = self.closed.get(order.task, 0)
+        self.closed[order.task] = max(known, order.run)
+        return self._result(orders.OK)
+
+    def _look(self, look):
+        if look.lease_until_ms is not None:
+            self._extend(look.lease_until_ms)
+        for end in self.ends:
+            if end.number <= look.cursor:
+                self.world.note_end(end)
+        self.ends = [end for end in self.ends if end.number > look.cursor]
+        running = [
+            orders.ListedRun(task, run.order.run, "", 50, 0.0)
+            for task, run in self.running.items()
+        ]
+        return orders.LookResult(
+            orders.OK, self.clock_ms(), self.born_ms, running, list(self.ends)
+        )
+
+    def _extend(self, until_ms):
+        most_ms = self.clock_ms() + LEASE_MAX_MS
+        self.lease_until_ms = max(self.lease_until_ms, min(until_ms, most_ms))
+
+    def _end(self, task, how):
+        run = self.running.pop(task).order.run
+        self.closed[task] = max(self.closed.get(task, 0), run)
+        self.ends.append(orders.ListedEnd(self.next_end, task, run, how, ""))
+        self.next_end += 1
+
+    def _result(self, outcome):
+        return orders.OrderResult(outcome, self.clock_ms())
