--- a/alderreach/core/membership.py
+++ b/alderreach/core/membership.py
@@ -84,6 +84,28 @@
     return None
 
 
+def next_replacement(members, wanted, is_silent, is_caught_up):
+    """The next change towards ``wanted`` voters that answer, or None.
+
+    Failure answered: a controller is gone for good and its successor comes at another
+    address. Its vote stays counted, so that the next loss leaves no quorum. A learner
+    that has caught up is promoted first and the silent voter removed afterwards; the
+    other way round the two changes would leave fewer voters in between.
+    """
+    silent = [m for m in members if m.voter and is_silent(m.identity)]
+    surplus = len(voters(members)) - wanted
+    ready = [
+        m
+        for m in members
+        if not m.voter and is_caught_up(m.identity) and not is_silent(m.identity)
+    ]
+    if surplus > 0:
+        return _command("remove", silent[0]) if silent else None
+    if ready and (surplus < 0 or silent):
+        return _command("promote", ready[0])
+    return None
+
+
 def _command(action, member):
     return keeper.ChangeMembers(action, member.identity, member.name, member.address)
 
--- a/alderreach/decisions/cell/choice.py
+++ b/alderreach/decisions/cell/choice.py
@@ -18,6 +18,8 @@
 # data's rack, and a worker without serving tasks, go before any better fit.
 FAR_FROM_DATA = 10.0
 BESIDE_SERVING = 100.0
+# A worker that failed something lately, or failed this very task, is the last choice.
+STRUCK = 1000.0
 
 
 def candidates(workers, step, group, now_ms):
@@ -44,11 +46,17 @@
     )
 
 
-def best(workers, step):
-    """The best of some candidates for one task; None if there are none."""
+def best(workers, step, avoided=""):
+    """The best of some candidates for one task; None if there are none.
+
+    ``avoided`` is the worker on which the task failed last.
+    """
     if not workers:
         return None
-    return min(workers, key=lambda worker: _cost(worker, step))
+    return min(
+        workers,
+        key=lambda worker: (worker.target_id == avoided, _cost(worker, step)),
+    )
 
 
 def gather(workers, step, group, wanted, now_ms):
@@ -95,10 +103,11 @@
 
 
 def _cost(worker, step):
+    struck = STRUCK * len(worker.health.strikes)
     if step.best_effort:
-        return _best_effort_cost(worker)
+        return struck + _best_effort_cost(worker)
     far = step.data_rack and worker.rack != step.data_rack
-    return (FAR_FROM_DATA if far else 0.0) + _left(worker, step)
+    return struck + (FAR_FROM_DATA if far else 0.0) + _left(worker, step)
 
 
 def _left(worker, step):
--- /dev/null
+++ b/alderreach/decisions/cell/health.py
@@ -0,0 +1,93 @@
+"""Workers that do worse than their peers, and runs that get nowhere.
+
+Load answered: one worker of twelve fails all it starts, lets tasks stand still, or is
+several times slower, while its heartbeats and answers are good.
+
+Without it: a worker that fails at once is always empty, so best fit or not it is given
+task after task, and a job whose tasks may fail twice is lost to it; a task that stands
+still holds its job up for ever.
+
+- Failed ends count against a worker only once for each job, since a broken job fails
+  everywhere, and a success clears them. One strike makes a worker the last choice;
+  ``STRIKES_OUT`` take it out for ``FIRST_OUT_MS``, doubled each time, and then it is
+  tried again. At most ``OUT_SHARE`` of the workers are out at once: if more seem bad,
+  it is not the workers.
+- A run whose progress has not moved for ``STALL_MS`` is stopped and started elsewhere;
+  its worker gets a strike. Progress is whole percents and seen at every look, so a task
+  of three minutes still moves in that time.
+- A run that by its progress will take ``SLOW_RATIO`` times as long as its finished
+  siblings is moved if that is sure to pay: what is left there has to be longer than all
+  of it elsewhere.
+"""
+
+import statistics
+
+STRIKES_OUT = 2
+# The usual trouble of a worker lasts some seconds; a healthy one loses little by this.
+FIRST_OUT_MS = 3000
+LONGEST_OUT_MS = 30_000
+OUT_SHARE = 0.34
+STALL_MS = 1800
+SLOW_RATIO = 2.5
+# Below this share of done siblings their durations say little of the step's.
+SIBLINGS_LEAST = 2
+# What moving a run costs beside doing the work again: a stop, a commit, a start.
+MOVE_COST_MS = 800
+# A task moved this often is left where it is: its progress may just not show.
+MOVES_MOST = 2
+# Progress below this is too rough to project from.
+PERCENT_LEAST = 4
+
+
+class Record:
+    """What speaks against one worker."""
+
+    __slots__ = ("out_ms", "strikes")
+
+    def __init__(self):
+        self.strikes = set()
+        self.out_ms = FIRST_OUT_MS
+
+
+def ended_well(worker):
+    """A run was done: the worker is well."""
+    worker.health.strikes.clear()
+    worker.health.out_ms = FIRST_OUT_MS
+
+
+def strike(worker, job_id, workers, now_ms):
+    """Count a failure or stall of a job against a worker; True if it is now out."""
+    record = worker.health
+    record.strikes.add(job_id)
+    if len(record.strikes) < STRIKES_OUT:
+        return False
+    others_out = sum(
+        other is not worker and now_ms < other.held_back_until_ms for other in workers
+    )
+    if others_out + 1 > OUT_SHARE * len(workers):
+        return False
+    worker.held_back_until_ms = now_ms + record.out_ms
+    record.out_ms = min(2 * record.out_ms, LONGEST_OUT_MS)
+    # One more failure after its return takes it out again.
+    record.strikes = {job_id}
+    return True
+
+
+def is_stalled(run, now_ms):
+    """Whether a run that should get on has not moved for too long."""
+    return run.pace == 100 and run.percent < 100 and now_ms - run.moved_ms >= STALL_MS
+
+
+def is_straggler(run, durations_ms, now_ms):
+    """Whether a run is so much slower than its done siblings that moving it pays.
+
+    >>> class Run: percent, placed_ms, moved_ms, pace = 10, 0, 4000, 100
+    >>> is_straggler(Run, [1000, 1200, 900], 4000)
+    True
+    """
+    if len(durations_ms) < SIBLINGS_LEAST or run.percent < PERCENT_LEAST:
+        return False
+    usual_ms = statistics.median(durations_ms)
+    whole_ms = (run.moved_ms - run.placed_ms) * 100 / run.percent
+    left_ms = whole_ms - (now_ms - run.placed_ms)
+    return whole_ms > SLOW_RATIO * usual_ms and left_ms > usual_ms + MOVE_COST_MS
--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -148,6 +148,11 @@
         """Nothing of this group will be started any more."""
         self._groups.pop(group, None)
 
+    def forget_all(self, is_over):
+        """Forget all groups of which ``is_over`` holds."""
+        for group in [group for group in self._groups if is_over(group)]:
+            del self._groups[group]
+
     def give_up_overdue(self, now_ms):
         """Free what waits for helpers that don't answer; returns their names."""
         overdue = [q for q in self._questions.values() if now_ms >= q.due_ms]
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -20,6 +20,7 @@
 import typing
 
 from alderreach.core.generated import common
+from alderreach.decisions.cell import health
 
 ORDERED = "ordered"
 RUNNING = "running"
@@ -104,6 +105,7 @@
         self.looked_ms = now_ms
         self.paced_ms = now_ms
         self.held_back_until_ms = 0
+        self.health = health.Record()
 
     @property
     def target_id(self):
--- a/alderreach/ops/controller/books.py
+++ b/alderreach/ops/controller/books.py
@@ -53,6 +53,8 @@
         self.links = {}
         self.permissions = permissions.Permissions()
         self.is_stale = True
+        self.durations = {}
+        self.moves = {}
         self.on_run_ended = lambda job_id, occurrence, step: None
         self._changes = []
         self._effects = []
@@ -98,6 +100,18 @@
         self._changes = batch.changes + self._changes
         self._effects = effects + self._effects
 
+    def tidy(self):
+        """Forget what is kept of jobs that have ended."""
+
+        def is_over(key):
+            job = self.state.jobs.get(key[0])
+            return job is None or job.state != cell_state.ACTIVE
+
+        for kept in (self.durations, self.moves):
+            for key in [key for key in kept if is_over(key)]:
+                del kept[key]
+        self.permissions.forget_all(is_over)
+
     def add_worker(self, record):
         """Take up a worker, with the runs that the state has on it.
 
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -74,7 +74,7 @@
         )
 
         self.leader_calls = leader_calls.LeaderCalls(
-            self._own_address, self._addresses, self._post, context.clock
+            self._own_address, self._addresses, self._post, context.clock, record
         )
 
     def _addresses(self):
@@ -118,6 +118,8 @@
             self._next_housekeeping_ms = now_ms + discovery.GREETING_INTERVAL_MS
             self._greeters.forget_silent(now_ms)
             self._reload_if_changed(now_ms)
+            if self._leading is not None:
+                self._leading.books.tidy()
         if self._leading is not None and self._may_act(now_ms):
             for helper in self._leading.books.permissions.give_up_overdue(now_ms):
                 self._record("permission_overdue", helper=helper)
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -145,7 +145,8 @@
         started = 0
         for index in waiting:
             usable = choice.candidates(pool, step, group, now_ms)
-            worker = choice.best(usable, step)
+            failed_on = tasks[index].target_id if tasks[index].failed_run else ""
+            worker = choice.best(usable, step, failed_on)
             if worker is None:
                 if rule is not None:
                     self._ask_more(job, group, rule, now_ms)
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -16,7 +16,7 @@
 
 from alderreach.core import cell_state, orders
 from alderreach.core.generated import cell
-from alderreach.decisions.cell import pacing, workers
+from alderreach.decisions.cell import health, pacing, workers
 
 # An order without an answer is sent again after this; the call itself has waited
 # longer than any healthy worker takes.
@@ -169,6 +169,7 @@
     has_ends = _take_ends(books, worker, result.ended)
     _take_running(books, worker, result.running, sent_ms)
     _pace(books, worker, now_ms)
+    _move_on(books, worker, now_ms)
     if has_ends:
         cursor = max(end.number for end in result.ended)
         life = worker.record.born_ms
@@ -229,6 +230,7 @@
     job = books.state.jobs.get(key.job_id)
     if job is None:
         return
+    _judge(books, worker, run, how)
     step = job.record.steps[key.step]
     is_final = False
     if how == "failed" and not step.long_running:
@@ -442,6 +444,55 @@
     return now_ms - max(worker.announced_ms, worker.heard_ms) > FORGOTTEN_AFTER_MS
 
 
+def _move_on(books, worker, now_ms):
+    """Stop what stands still here, or is far slower than the same work elsewhere."""
+    for run in list(worker.runs.values()):
+        if run.state != workers.RUNNING or run.is_long:
+            continue
+        durations = books.durations.get(run.key[:3], ())
+        if health.is_stalled(run, now_ms):
+            reason = "stalled"
+        elif health.is_straggler(run, durations, now_ms):
+            reason = "slow"
+        else:
+            continue
+        moves = books.moves.get(run.key, 0)
+        if moves >= health.MOVES_MOST:
+            continue
+        books.moves[run.key] = moves + 1
+        books.environment.record(
+            "run_moved",
+            task=str(run.key),
+            run=run.run,
+            target=worker.target_id,
+            reason=reason,
+            percent=run.percent,
+            still_ms=now_ms - run.moved_ms,
+        )
+        _strike(books, worker, run.key.job_id)
+        close_run(books, worker, run)
+
+
+def _strike(books, worker, job_id):
+    everyone = list(books.workers.values())
+    if health.strike(worker, job_id, everyone, books.now_ms()):
+        books.environment.record(
+            "worker_out",
+            target=worker.target_id,
+            until_in_ms=worker.held_back_until_ms - books.now_ms(),
+        )
+
+
+def _judge(books, worker, run, how):
+    """What an end says of its worker, and of how long such tasks take."""
+    if how == "done":
+        health.ended_well(worker)
+        durations = books.durations.setdefault(run.key[:3], [])
+        durations.append(books.now_ms() - run.placed_ms)
+    elif how == "failed":
+        _strike(books, worker, run.key.job_id)
+
+
 def _lapse(books, worker):
     """The lease is over without an answer: whatever ran there was killed.
 
--- a/alderreach/ops/frontend/service.py
+++ b/alderreach/ops/frontend/service.py
@@ -52,6 +52,7 @@
             self._seeker.controllers,
             context.transport.send,
             context.clock,
+            context.timeline.record,
         )
         self._asking = permission_calls.PermissionCalls(
             outside.ask_permission, context.transport.send
--- a/alderreach/ops/keeper/joining.py
+++ b/alderreach/ops/keeper/joining.py
@@ -9,14 +9,18 @@
 
 HELLO_INTERVAL_MS = 200
 LOST_AFTER_ELECTIONS = 5
+# A voter silent for this long is replaced if there is a learner to take its place:
+# before the next loss is to be borne, which the users' platform sets at 4 s.
+SILENT_VOTER_MS = 2500
 
 
 class Joining:
     """Hellos sent and heard, and the leader's repairs; used by the keeper's task.
 
     ``addresses`` maps the names of the other keepers of the settings to addresses. In
-    an open cell they are only the seeds: whoever asks is taken in, and a keeper is
-    named by its address. ``may_found`` is False for a keeper that came later.
+    an open cell they are only the seeds: whoever asks is taken in, also one that was
+    removed while it was silent, and a keeper is named by its address. ``may_found`` is
+    False for a keeper that came later.
     ``is_removed`` is set once a leader said that this identity is no member any more.
     """
 
@@ -25,6 +29,7 @@
         self._addresses = addresses
         self._is_open = is_open
         self._may_found = may_found
+        self._losses = context.settings.discovery.losses
         self._clock = context.clock
         self._timeline = context.timeline
         self._send = context.transport.send
@@ -60,7 +65,7 @@
             leads and message.formed and not known,
         )
         self._send(address, reply)
-        if leads and not message.formed and not known:
+        if leads and not known and (self._is_open or not message.formed):
             self._take_in(message)
 
     def handle_reply(self, message, now_ms):
@@ -117,6 +122,8 @@
             self._node.members,
             lambda identity: raft_leader.is_caught_up(self._node, identity, now_ms),
         )
+        if command is None and self._is_open:
+            command = self._replacement(now_ms)
         if command is None:
             return
         members = membership.change(self._node.members, command).unwrap()
@@ -124,6 +131,23 @@
             detail = f"{command.action} {command.name} {command.identity}"
             self._timeline.record("members_repair", detail=detail)
 
+    def _replacement(self, now_ms):
+        """In an open cell others take the places of voters that are silent for long."""
+        losses = self._losses
+
+        def is_silent(identity):
+            if identity == self._node.identity:
+                return False
+            progress = self._node.progress.get(identity)
+            return progress is None or now_ms - progress.heard_ms > SILENT_VOTER_MS
+
+        return membership.next_replacement(
+            self._node.members,
+            2 * losses + 1,
+            is_silent,
+            lambda identity: raft_leader.is_caught_up(self._node, identity, now_ms),
+        )
+
     def _propose(self, members):
         index = raft.propose_members(
             self._node, members, self._clock.wall_ms(), self._clock.monotonic_ms()
--- a/alderreach/ops/leader_calls.py
+++ b/alderreach/ops/leader_calls.py
@@ -29,6 +29,8 @@
 # Without any leader a request that surely was not taken is turned away after this, so
 # that its caller can come back when there is one.
 LEADERLESS_MS = 700
+# Heartbeats that are answered sooner are too many and too alike for a line each.
+SLOW_MS = 200
 
 
 class Outcome(typing.NamedTuple):
@@ -41,15 +43,17 @@
 class LeaderCalls:
     """Used by HTTP threads; ``deliver`` takes replies on any thread.
 
-    ``addresses()`` lists the controllers to try, the leader's first.
+    ``addresses()`` lists the controllers to try, the leader's first; ``record`` takes
+    an event for each request.
     """
 
-    def __init__(self, name, addresses, send, clock):
+    def __init__(self, name, addresses, send, clock, record):
         self._prefix = f"{name}/{uuid.uuid4().hex[:8]}"
         self._numbers = itertools.count()
         self._addresses = addresses
         self._send = send
         self._clock = clock
+        self._record = record
         self._lock = threading.Lock()
         self._waiting = {}
         self._newest_epoch = 0
@@ -64,9 +68,30 @@
 
     def call(self, request, give_up_ms):
         """Ask until there is an answer, at the longest until ``give_up_ms``."""
-        payload = codec.pack(request)
         started_ms = self._clock.monotonic_ms()
+        outcome, attempts = self._call(request, started_ms, give_up_ms)
+        took_ms = self._clock.monotonic_ms() - started_ms
+        is_routine = isinstance(request, cell.AnnounceTarget) and took_ms < SLOW_MS
+        if outcome.answer is None or not is_routine:
+            self._record(
+                "request_answered",
+                request=type(request).__name__,
+                path=getattr(request, "path", ""),
+                answer=outcome.answer.kind if outcome.answer else "none",
+                text=outcome.answer.text if outcome.answer else "",
+                may_have_acted=outcome.may_have_acted,
+                attempts=attempts,
+                took_ms=took_ms,
+                patience_ms=give_up_ms - started_ms,
+                epoch=self._newest_epoch,
+            )
+        return outcome
+
+    def _call(self, request, started_ms, give_up_ms):
+        """Returns the Outcome and how many attempts it took."""
+        payload = codec.pack(request)
         may_have_acted = False
+        attempts = 0
         tried = set()
         while (left_ms := give_up_ms - self._clock.monotonic_ms()) > 0:
             address = self._next_address(tried)
@@ -78,17 +103,18 @@
                 time.sleep(min(ROUND_PAUSE_MS, left_ms) / 1000)
                 continue
             tried.add(address)
+            attempts += 1
             reply = self._attempt(address, payload, min(ATTEMPT_MS, left_ms))
             if reply is None:
                 may_have_acted = True
                 self._hint = ""
             elif reply.status == "answered" and self._is_newest(reply.epoch):
-                return Outcome(codec.unpack(reply.payload).unwrap(), True)
+                return Outcome(codec.unpack(reply.payload).unwrap(), True), attempts
             elif reply.status == "answered":
                 may_have_acted = True
             else:
                 self._follow_hint(reply.leader, address, tried)
-        return Outcome(None, may_have_acted)
+        return Outcome(None, may_have_acted), attempts
 
     def _next_address(self, tried):
         for address in (self._hint, *self._addresses()):
--- a/alderreach/scripts/client.py
+++ b/alderreach/scripts/client.py
@@ -14,6 +14,7 @@
 from alderreach.scripts.commands import (
     cell,
     config,
+    explain,
     job,
     keeper,
     maintenance,
@@ -51,6 +52,7 @@
     keeper.Remove,
     cell.Status,
     cell.Timeline,
+    explain.Explain,
 )
 
 
--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -131,6 +131,30 @@
         assert tasks[0].failures == 3
 
 
+def test_a_worker_on_which_everything_stands_still(tmp_path):
+    """Tasks on one worker get nowhere while it answers well. They are stopped and run
+    elsewhere within seconds instead of holding their job up for ever.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        still = cell_worker.Script(work_ms=800, stands_still=True)
+        sim.workers["w1"].script = still
+        cell_sim.hand_in(sim, "j1", cell_sim.step(9))
+        sim.run_until_shown("j1", "completed", duration_ms=8000)
+
+
+def test_a_worker_that_fails_all_it_starts(tmp_path):
+    """One worker of three fails each task at once, so it is always empty. Jobs may fail
+    three times; none of them is lost to that worker.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        sim.workers["w1"].script = cell_worker.Script(work_ms=20, how="failed")
+        for number in range(12):
+            cell_sim.hand_in(sim, f"j{number}", cell_sim.step(3))
+            sim.run(200)
+        for number in range(12):
+            sim.run_until_shown(f"j{number}", "completed", duration_ms=8000)
+
+
 def test_a_deposed_leader_tells_nobody_of_missing_jobs(tmp_path):
     """A leader is cut off from the other controllers; callers still reach it. A job
     that its successor accepts is unknown to it, and it must not say so.
