--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -36,6 +36,23 @@
         assert len(sim.noted) == 20
 
 
+def test_a_takeover_while_a_worker_is_cut_off(tmp_path):
+    """The leader dies and its successor can't reach one worker, on which tasks run on
+    under the old leader's lease. They are started elsewhere only once that has lapsed.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=5500)
+        cell_sim.hand_in(sim, "j1", cell_sim.step(9))
+        sim.run(300)
+        assert sim.workers["w1"].running
+        old = sim.leader()
+        for name in sim.names:
+            sim.cut |= {(name, "w1"), ("w1", name)}
+        sim.crash(old)
+        sim.run_until_shown("j1", "completed")
+
+
 def test_all_controllers_lose_power(tmp_path):
     """All controllers stop at once right after a job was accepted. They come back with
     their disks after the leases have lapsed; the job is known and is run.
