--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -2,7 +2,8 @@
 
 from alderreach.core import orders
 from alderreach.core.generated import cell
-from tests import cell_sim, cell_worker
+from tests import cell_sim
+from tools.standins import cell_worker
 
 
 def test_steps_in_order_and_shown_once_all_is_done(tmp_path):
--- a/tests/cell_random_test.py
+++ b/tests/cell_random_test.py
@@ -13,7 +13,8 @@
 
 from alderreach.core import orders
 from alderreach.core.generated import cell
-from tests import cell_sim, cell_worker
+from tests import cell_sim
+from tools.standins import cell_worker
 
 SEEDS = range(200) if os.environ.get("ALDERREACH_SOAK") else range(6)
 EVENTS = 25
--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -13,7 +13,8 @@
 from alderreach.core.generated import cell, common
 from alderreach.ops.controller import director, target_link
 from alderreach.ops.keeper import service, storage
-from tests import cell_worker, memory_cell
+from tests import memory_cell
+from tools.standins import cell_worker
 
 HEARTBEAT_MS = 1500
 HOST, PREFIX = "a.example", "/q/"
--- /dev/null
+++ b/tests/platform_cell_test.py
@@ -0,0 +1,182 @@
+"""Real controllers and a frontend, spoken to as the users' platform speaks."""
+
+import contextlib
+import json
+
+import pytest
+import urllib3
+
+from tools import cell, seeded_cell
+from tools.standins import platform_worker
+
+HOST = "a.example"
+RULE = {"decision_ms": 10, "per_worker_ms": 0.1, "validity_ms": 2000}
+ROUTE = {
+    "name": "r",
+    "host": HOST,
+    "path_prefix": "/q/",
+    "type": "non_idempotent",
+    "timeout_ms": 3000,
+    "target_latency_ms": 250,
+    "priority": 0,
+    "service": "pool",
+    "max_attempts": 3,
+    "stretch": 1.5,
+}
+CONFIG = {
+    "version": 5,
+    "routes": [ROUTE, ROUTE | {"name": "p", "path_prefix": "/p/", "advice": RULE}],
+    "services": [{"name": "pool", "enforces_capacity": False}],
+    "limits": {"max_body_bytes": 262144},
+}
+JOB = {
+    "spec": "run",
+    "steps": [
+        {"count": 4, "cpu": 500, "mem_mb": 64, "estimated_ms": 200},
+        {"count": 3, "cpu": 500, "mem_mb": 64, "estimated_ms": 200, "after": [0]},
+    ],
+}
+PATIENCE_S = 20
+
+
+class Session:
+    """Calls to one cell, each with its answer kept as (what, status, body)."""
+
+    def __init__(self, running):
+        self.running = running
+        self.http = urllib3.PoolManager(retries=False, timeout=5)
+        self.lines = []
+
+    def caller(self, method, path, body=None):
+        (frontend,) = self.running.of_role("frontend")
+        return self._call(method, frontend.callers, path, body, {"Host": HOST})
+
+    def control(self, method, path, body=None, number=0):
+        address = self.running.of_role("controller")[number].control
+        return self._call(method, address, path, body, {})
+
+    def is_configured(self):
+        """Put the configuration in force; False while nobody takes it."""
+        try:
+            return self.control("PUT", "/-/config", CONFIG)[0] == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def is_ready(self):
+        """What the balancer sees of the frontend."""
+        (frontend,) = self.running.of_role("frontend")
+        try:
+            path = "/-/readiness"
+            return self._call("GET", frontend.balancer, path, None, {})[0] == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def told(self, answer, what):
+        """Keep an answer for the golden session."""
+        status, body = answer
+        self.lines.append(f"{what}: {status} {body}")
+
+    def _call(self, method, address, path, body, headers):
+        data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+        answer = self.http.request(
+            method, f"http://{address}{path}", body=data, headers=headers
+        )
+        return answer.status, answer.data.decode()
+
+
+@pytest.fixture
+def session(tmp_path):
+    with contextlib.ExitStack() as stack:
+        running = stack.enter_context(seeded_cell.SeededCell(tmp_path / "cell"))
+        running.start()
+        made = Session(running)
+        platform_worker.permission_service(running.permission, 10, stack)
+        cell.wait_until(made.is_configured, "a configuration is accepted")
+        controls = [plan.control for plan in running.of_role("controller")]
+        made.workers = [
+            platform_worker.PlatformWorker(
+                f"i-{number}", f"127.{running.octet}.8.{number}:7096", controls
+            )
+            for number in (1, 2)
+        ]
+        for worker in made.workers:
+            stack.callback(worker.close)
+            worker.start()
+        cell.wait_until(made.is_ready, "the frontend is ready")
+        yield made
+
+
+def _until(session, path, state):
+    shown = lambda: session.caller("GET", path) == (200, f'{{"state":"{state}"}}')
+    cell.wait_until(shown, f"{path} shown as {state}", PATIENCE_S)
+
+
+def test_a_session_in_the_platforms_protocol(session, snapshot):
+    told, caller, control = session.told, session.caller, session.control
+    told(caller("POST", "/q/5c0e", JOB), "submit")
+    told(caller("POST", "/q/5c0e", JOB), "submit again")
+    _until(session, "/q/5c0e", "completed")
+    told(caller("GET", "/q/5c0e"), "state")
+    told(caller("DELETE", "/q/5c0e"), "cancel what is done")
+    told(caller("GET", "/q/"), "pending")
+    told(caller("GET", "/q/ffff"), "state of no job")
+    told(caller("DELETE", "/q/ffff"), "cancel no job")
+    told(caller("GET", "/none/5c0e"), "no queue")
+    told(caller("POST", "/q/5c0f", b"{not json"), "a body that is no JSON")
+    told(caller("POST", "/q/5c0f", {"spec": "x", "steps": []}), "no step")
+    told(caller("PATCH", "/q/5c0f"), "a method that is not served")
+    told(control("PUT", "/-/config", CONFIG, 1), "configuration again")
+    told(control("PUT", "/-/config", CONFIG | {"version": 4}, 2), "an older one")
+    twice = CONFIG | {"version": 6, "routes": [ROUTE, ROUTE]}
+    told(control("PUT", "/-/config", twice), "two routes at one place")
+    no_time = CONFIG | {"version": 6, "routes": [ROUTE | {"timeout_ms": 0}]}
+    told(control("PUT", "/-/config", no_time), "no timeout")
+    told(control("PUT", "/-/config", b'{"version": 7, "rou'), "cut short")
+    told(control("PUT", "/-/instances/i-9", {"service": 3}), "a strange heartbeat")
+    for number in range(3):
+        status, body = control("GET", "/-/config", None, number)
+        told((status, json.loads(body) == CONFIG), f"read at controller {number + 1}")
+    assert session.lines == snapshot
+
+
+def test_permission_is_asked_for_and_kept_to(session):
+    """Only workers with even numbers may run the steps of this queue."""
+    assert session.caller("POST", "/p/77aa", JOB)[0] == 200
+    _until(session, "/p/77aa", "completed")
+    odd, even = session.workers
+    assert (odd.ran(), even.ran()) == (0, 7)
+
+
+def test_the_leader_is_killed_under_a_job(session):
+    """The leading controller is killed while tasks run. Callers go on through the same
+    frontend, the job is completed, and what was done is not run again.
+    """
+    for worker in session.workers:
+        worker.worker.script = worker.worker.script._replace(work_ms=1200)
+    assert session.caller("POST", "/q/5c0e", JOB)[0] == 200
+    running = session.running
+    leader = next(
+        plan
+        for plan in running.of_role("controller")
+        if '"leadership_gained"' in running.log(plan.name)
+    )
+    running.kill(leader.name)
+    _until(session, "/q/5c0e", "completed")
+    assert sum(worker.ran() for worker in session.workers) == 7
+
+
+def test_a_hangup_and_a_graceful_stop(session):
+    """The settings file changes and a hangup says so: the process goes on. A graceful
+    stop of the frontend answers what is sent to it until the balancer has noticed.
+    """
+    running = session.running
+    (frontend,) = running.of_role("frontend")
+    running.write_settings(frontend, found="no")
+    running.processes[frontend.name].send_signal(1)
+    reloaded = lambda: '"settings_reloaded"' in running.log(frontend.name)
+    cell.wait_until(reloaded, "the settings are read again")
+    running.processes[frontend.name].terminate()
+    draining = lambda: '"drain_started"' in running.log(frontend.name)
+    cell.wait_until(draining, "the stop begins")
+    assert session.caller("POST", "/q/5c0e", JOB)[0] == 200
+    assert running.processes[frontend.name].wait(20) == 0
--- /dev/null
+++ b/tools/standins/platform_worker.py
@@ -0,0 +1,184 @@
+"""A worker of the users' platform, by its published protocol, on a loopback address.
+
+It announces itself to controllers and carries out their calls; what it does with
+them is ``cell_worker``'s. The permission service beside it lets every other worker run a step.
+"""
+
+import contextlib
+import json
+import threading
+import time
+import types
+
+import urllib3
+
+from alderreach.core import orders
+from alderreach.utils import clocks, http_server
+from tools.standins import cell_worker
+
+HEARTBEAT_S = 0.3
+STEP_S = 0.01
+LIMITS = http_server.HttpLimits(16, 16384, 1 << 20, 5000)
+STATUS_LINES = {200: "200 OK", 404: "404 Not Found", 409: "409 Conflict"}
+STATUS_LINES |= {421: "421 Misdirected Request"}
+REASONS = {
+    orders.FENCED: "fence",
+    orders.STALE_RUN: "old",
+    orders.LEASE_OVER: "late",
+}
+
+
+class World:
+    """What ``cell_worker`` asks of the world around it: a clock, no checks."""
+
+    time = property(
+        lambda self: types.SimpleNamespace(now_ms=clocks.SYSTEM.monotonic_ms())
+    )
+
+    def check_start(self, worker, order):
+        """Nothing is known here of other workers."""
+
+    def note_end(self, end):
+        """Nothing is kept of acknowledged ends."""
+
+
+class PlatformWorker:
+    """One worker process's part: a server, a heartbeat and the passing of time."""
+
+    def __init__(self, name, address, controls, service="pool", work_ms=200):
+        self.name, self.address = name, address
+        self._controls = controls
+        self._service = service
+        self._lock = threading.Lock()
+        self.worker = cell_worker.Worker(World(), name, None)
+        self.worker.script = cell_worker.Script(work_ms)
+        self._http = urllib3.PoolManager(retries=False, timeout=1)
+        self._stopping = threading.Event()
+        self._stack = contextlib.ExitStack()
+
+    def start(self):
+        """Serve and announce until ``close``."""
+        server = http_server.HttpServer(self.address, self._application, LIMITS)
+        self._stack.callback(server.close)
+        for work in (self._beat_all, self._step_all):
+            thread = threading.Thread(target=work, daemon=True)
+            thread.start()
+            self._stack.callback(thread.join, 5)
+        self._stack.callback(self._stopping.set)
+        return self
+
+    def close(self):
+        """Stop answering and announcing."""
+        self._stack.close()
+
+    def ran(self):
+        """How many runs have ended as done."""
+        with self._lock:
+            return self.worker.next_end - 1
+
+    def _beat_all(self):
+        turn = 0
+        while not self._stopping.wait(HEARTBEAT_S):
+            turn += 1
+            control = self._controls[turn % len(self._controls)]
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                self._http.request(
+                    "PUT",
+                    f"http://{control}/-/instances/{self.name}",
+                    body=json.dumps(self._announcement(turn)),
+                )
+
+    def _announcement(self, turn):
+        return {
+            "service": self._service,
+            "address": self.address,
+            "zone": "urubici",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": 8000, "mem_mb": 16384, "gpu": 0},
+            "labels": ["a", "r1"],
+            "clock_ms": self.worker.clock_ms(),
+            "sequence": turn,
+            "born": self.worker.born_ms,
+        }
+
+    def _step_all(self):
+        while not self._stopping.wait(STEP_S):
+            with self._lock:
+                self.worker.step()
+
+    def _application(self, environ, start_response):
+        body = json.loads(environ["wsgi.input"].read() or b"{}")
+        status, answer = self._answer(environ, body)
+        data = json.dumps(answer).encode()
+        headers = [("Content-Type", "application/json")]
+        headers.append(("Content-Length", str(len(data))))
+        start_response(STATUS_LINES[status], headers)
+        return [data]
+
+    def _answer(self, environ, body):
+        if environ.get("HTTP_EXPECT_INSTANCE", self.name) != self.name:
+            return 421, {}
+        order = _order(environ["PATH_INFO"], body)
+        if order is None:
+            return 404, {}
+        if isinstance(order, orders.Look):
+            self._await_end(order)
+        with self._lock:
+            result = self.worker.carry_out(order)
+        if result.outcome != orders.OK:
+            reason = REASONS[result.outcome]
+            return 409, {"clock_ms": result.clock_ms, "reason": reason}
+        answer = {"clock_ms": result.clock_ms, "born": self.worker.born_ms}
+        if isinstance(order, orders.Look):
+            answer["running"] = [list(entry) for entry in result.running]
+            answer["ended"] = [list(entry) for entry in result.ended]
+        return 200, answer
+
+    def _await_end(self, look):
+        give_up = time.monotonic() + look.wait_ms / 1000
+        while time.monotonic() < give_up and not self._stopping.is_set():
+            with self._lock:
+                if any(end.number > look.cursor for end in self.worker.ends):
+                    return
+            time.sleep(STEP_S)
+
+
+def _order(path, body):
+    """The order that a call spells, or None for a path that is not served."""
+    if path == "/-/run-start":
+        return orders.Start(
+            body["task"],
+            body["run"],
+            body["spec"],
+            body["until_ms"],
+            body.get("fencing_token", 0),
+            body.get("checkpoint", ""),
+            body.get("ticket", ""),
+        )
+    if path == "/-/run-stop":
+        return orders.Stop(body["task"], body["run"], body.get("fencing_token", 0))
+    if path == "/-/hold":
+        return orders.Look(
+            body.get("fencing_token", 0),
+            body.get("ack_cursor", 0),
+            body.get("until_ms"),
+            body.get("wait_ms", 0),
+        )
+    return None
+
+
+def permission_service(address, decision_ms, stack):
+    """Serve ``/-/advise`` at an address: workers with an even number may run a step."""
+
+    def application(environ, start_response):
+        body = json.loads(environ["wsgi.input"].read())
+        time.sleep(decision_ms / 1000)
+        good = [[w, f"t-{w}"] for w in body["workers"] if int(w[-1]) % 2 == 0]
+        data = json.dumps({"good": good}).encode()
+        start_response("200 OK", [("Content-Length", str(len(data)))])
+        return [data]
+
+    stack.callback(http_server.HttpServer(address, application, LIMITS).close)
