--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -15,6 +15,9 @@
 - ``RUNNING``: the worker said so.
 - ``CLOSING``: a stop is under way, or wanted.
 - ``CLOSED``: the worker confirmed the stop; a look sent after that tells how it ended.
+
+A run that is *abandoned* was given up by its task, which may run elsewhere beside it;
+here it keeps its room until its end is known like that of any other.
 """
 
 import typing
@@ -43,6 +46,8 @@
     """One run of a task as its leader sees it."""
 
     __slots__ = (
+        "abandoned",
+        "allow_duplicates",
         "answered_ms",
         "best_effort",
         "checkpoint",
@@ -70,6 +75,8 @@
         self.best_effort = step.best_effort
         self.tail_target_ms = step.tail_target_ms
         self.is_long = step.long_running
+        self.allow_duplicates = step.allow_duplicates
+        self.abandoned = False
         self.ticket = ticket
         self.state = ORDERED
         self.sends = 0
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -74,7 +74,12 @@
         )
 
         self.leader_calls = leader_calls.LeaderCalls(
-            self._own_address, self._addresses, self._post, context.clock, record
+            self._own_address,
+            self._addresses,
+            self._is_isolated,
+            self._post,
+            context.clock,
+            record,
         )
 
     def _addresses(self):
@@ -85,6 +90,12 @@
             self._own_address,
         ]
 
+    def _is_isolated(self):
+        """Whether this process reaches no leader and can't become one."""
+        if self._leading is not None:
+            return False
+        return self.seeker.is_isolated(self._clock.monotonic_ms())
+
     def handle(self, mail):
         """Take what a worker's link reports."""
         leading = self._leading
--- a/alderreach/ops/controller/discovery.py
+++ b/alderreach/ops/controller/discovery.py
@@ -53,6 +53,7 @@
         self._own = own_address
         self._seeds = list(seeds)
         self._known = {}
+        self._heard = {}
         self._role = role
         self._clock = clock
         self._send = send
@@ -74,6 +75,7 @@
 
     def heard(self, reply, sender, now_ms):
         """Take a GreetingReply that came from ``sender``."""
+        self._heard[sender] = now_ms
         for address in (sender, *reply.controllers):
             self._known[address] = now_ms
         if reply.leader and reply.epoch >= self.leadership.epoch:
@@ -93,6 +95,25 @@
             now_ms - leadership.heard_ms < SILENT_AFTER_MS
         )
 
+    def is_isolated(self, now_ms):
+        """Whether it is cut off, rather than between two leaders.
+
+        Between two leaders the other controllers still answer greetings. Once the
+        leader is silent all of them are greeted, and if at most a third answers, no
+        leader can be expected from here until the network is whole again.
+        """
+        if self.has_leader(now_ms):
+            return False
+        known = self.controllers()
+        answering = [
+            address
+            for address, heard_ms in list(self._heard.items())
+            if now_ms - heard_ms < GREETING_INTERVAL_MS * 2
+        ]
+        silent_ms = now_ms - self.leadership.heard_ms
+        settled = silent_ms >= SILENT_AFTER_MS + GREETING_INTERVAL_MS
+        return settled and len(known) >= 3 and 3 * len(answering) <= len(known)
+
     def _to_greet(self, now_ms):
         if self.has_leader(now_ms) and self.leadership.address != self._own:
             return [self.leadership.address]
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -144,7 +144,12 @@
             return self._place_gang(job, group, step, tasks, pool, now_ms)
         started = 0
         for index in waiting:
-            usable = choice.candidates(pool, step, group, now_ms)
+            key = cell_state.TaskKey(*group, index)
+            usable = [
+                worker
+                for worker in choice.candidates(pool, step, group, now_ms)
+                if key not in worker.runs
+            ]
             failed_on = tasks[index].target_id if tasks[index].failed_run else ""
             worker = choice.best(usable, step, failed_on)
             if worker is None:
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -31,6 +31,9 @@
 HOLD_BACK_MS = 500
 # A worker without runs that neither announces itself nor answers for ten heartbeats.
 FORGOTTEN_AFTER_MS = 15_000
+# Tasks that may run twice are started elsewhere once their worker has been silent for
+# this: two looks that failed. The others have to wait for the lease.
+ABANDON_AFTER_MS = 1500
 # Two reports of the tail lie between two changes of a share.
 PACE_INTERVAL_MS = 1100
 
@@ -109,6 +112,8 @@
             if run.next_send_ms is not None and now_ms >= run.next_send_ms:
                 run.next_send_ms = None
                 _send_again(books, worker, run)
+        if worker.failures and now_ms - worker.heard_ms >= ABANDON_AFTER_MS:
+            _abandon(books, worker)
         if worker.look is None:
             _look_if_due(books, worker, now_ms)
         if not worker.runs and _is_forgotten(worker, now_ms):
@@ -444,6 +449,9 @@
     if entry.percent != run.percent:
         run.percent, run.moved_ms = entry.percent, now_ms
     run.load = entry.load
+    if run.abandoned:
+        close_run(books, worker, run)
+        return
     run.checkpoint = entry.checkpoint or run.checkpoint
     job = books.state.jobs.get(run.key.job_id)
     if job is None or job.state != cell_state.ACTIVE:
@@ -469,6 +477,27 @@
         books.links[worker.target_id].order(order)
 
 
+def _abandon(books, worker):
+    """Start tasks that may run twice elsewhere; what may still run here keeps its room.
+
+    Failure answered: a worker falls silent, and a task that could have been repeated at
+    once waits for the whole lease.
+    """
+    for run in worker.runs.values():
+        if not run.allow_duplicates or run.abandoned or not run.sends or run.is_long:
+            continue
+        job = books.state.jobs.get(run.key.job_id)
+        if job is None or job.record.steps[run.key.step].gang:
+            continue
+        run.abandoned = True
+        ended = cell.RunEnded(*run.key, run.run, "abandoned", run.checkpoint, False)
+        books.decide(ended=[ended])
+        books.on_run_ended(run.key.job_id, run.key.occurrence, run.key.step)
+        books.environment.record(
+            "run_abandoned", task=str(run.key), run=run.run, target=worker.target_id
+        )
+
+
 def _is_forgotten(worker, now_ms):
     return now_ms - max(worker.announced_ms, worker.heard_ms) > FORGOTTEN_AFTER_MS
 
--- a/alderreach/ops/frontend/service.py
+++ b/alderreach/ops/frontend/service.py
@@ -50,6 +50,7 @@
         self._calls = leader_calls.LeaderCalls(
             settings.process.name,
             self._seeker.controllers,
+            lambda: self._seeker.is_isolated(context.clock.monotonic_ms()),
             context.transport.send,
             context.clock,
             context.timeline.record,
--- a/alderreach/ops/leader_calls.py
+++ b/alderreach/ops/leader_calls.py
@@ -9,7 +9,9 @@
 state. Answers carry the epoch of the leadership, and one that is older than another
 already heard here is thrown away. A leader is lost with a request: no answer comes, and
 after ``ATTEMPT_MS`` the next controller is asked, which knows the new one or says that
-there is none.
+there is none. This process is cut off from the controllers: the call ends at once, so
+that its sender can go to another process while it still has time; held until its
+deadline, every request of a cut zone would be lost.
 """
 
 import itertools
@@ -43,14 +45,15 @@
 class LeaderCalls:
     """Used by HTTP threads; ``deliver`` takes replies on any thread.
 
-    ``addresses()`` lists the controllers to try, the leader's first; ``record`` takes
-    an event for each request.
+    ``addresses()`` lists the controllers to try, the leader's first, ``is_isolated()``
+    says that none of them can help, and ``record`` takes an event for each request.
     """
 
-    def __init__(self, name, addresses, send, clock, record):
+    def __init__(self, name, addresses, is_isolated, send, clock, record):
         self._prefix = f"{name}/{uuid.uuid4().hex[:8]}"
         self._numbers = itertools.count()
         self._addresses = addresses
+        self._is_isolated = is_isolated
         self._send = send
         self._clock = clock
         self._record = record
@@ -94,6 +97,8 @@
         attempts = 0
         tried = set()
         while (left_ms := give_up_ms - self._clock.monotonic_ms()) > 0:
+            if self._is_isolated():
+                break
             address = self._next_address(tried)
             if address is None:
                 waited_ms = self._clock.monotonic_ms() - started_ms
--- a/alderreach/platform/callers.py
+++ b/alderreach/platform/callers.py
@@ -19,7 +19,7 @@
 def serve(context, leader_calls, in_flight, is_ready):
     """Open both listeners; the context's stack closes them."""
     limits, listen = context.settings.limits, context.settings.listen
-    application = _application(context, leader_calls, in_flight)
+    application = _application(context, leader_calls, in_flight, is_ready)
     _listen(context, listen.callers, application, limits.http_threads)
     if listen.balancer:
         _listen(context, listen.balancer, _readiness(is_ready), BALANCER_THREADS)
@@ -53,13 +53,18 @@
     return application
 
 
-def _application(context, leader_calls, in_flight):
+def _application(context, leader_calls, in_flight, is_ready):
+    """Connections end after an answer while this process is not ready.
+
+    An open connection stays with its process, also when the balancer has turned to
+    others, so its caller would go on asking one that can't help.
+    """
     clock = context.clock
 
     def application(environ, start_response):
         with in_flight:
             reply = _answer(environ, leader_calls, clock)
-        closes = context.draining.is_set()
+        closes = not is_ready()
         return answers.respond(reply, start_response, closes)
 
     return application
