--- a/alderreach/ops/controller/discovery.py
+++ b/alderreach/ops/controller/discovery.py
@@ -74,11 +74,18 @@
             self._send(address, greeting)
 
     def heard(self, reply, sender, now_ms):
-        """Take a GreetingReply that came from ``sender``."""
+        """Take a GreetingReply that came from ``sender``.
+
+        Only the leader itself proves that it is there. Refreshed by hearsay, a leader
+        beyond a cut would seem alive for as long as one other controller on this side
+        still names it. One that is new is given the time to be heard itself.
+        """
         self._heard[sender] = now_ms
         for address in (sender, *reply.controllers):
             self._known[address] = now_ms
-        if reply.leader and reply.epoch >= self.leadership.epoch:
+        is_new = reply.epoch > self.leadership.epoch
+        speaks_itself = reply.leader == sender and reply.epoch == self.leadership.epoch
+        if reply.leader and (is_new or speaks_itself):
             self.leadership = Leadership(
                 reply.leader, reply.epoch, reply.leader_contact, now_ms
             )
