--- a/alderreach/ops/controller/discovery.py
+++ b/alderreach/ops/controller/discovery.py
@@ -112,14 +112,18 @@
         if self.has_leader(now_ms):
             return False
         known = self.controllers()
-        answering = [
+        answering = self.answering(now_ms)
+        silent_ms = now_ms - self.leadership.heard_ms
+        settled = silent_ms >= SILENT_AFTER_MS + GREETING_INTERVAL_MS
+        return settled and len(known) >= 3 and 3 * len(answering) <= len(known)
+
+    def answering(self, now_ms):
+        """Addresses of controllers that answered one of the last two greetings."""
+        return [
             address
             for address, heard_ms in list(self._heard.items())
             if now_ms - heard_ms < GREETING_INTERVAL_MS * 2
         ]
-        silent_ms = now_ms - self.leadership.heard_ms
-        settled = silent_ms >= SILENT_AFTER_MS + GREETING_INTERVAL_MS
-        return settled and len(known) >= 3 and 3 * len(answering) <= len(known)
 
     def _to_greet(self, now_ms):
         if self.has_leader(now_ms) and self.leadership.address != self._own:
--- /dev/null
+++ b/alderreach/ops/controller/discovery_test.py
@@ -0,0 +1,89 @@
+"""What a process knows of its controllers, and what it makes of their silence."""
+
+import collections
+
+from alderreach.core.generated import cell
+from alderreach.ops.controller import discovery
+from alderreach.utils import clocks
+
+CONTROLLERS = ["a:1", "b:1", "c:1", "d:1"]
+
+
+def seeker(seeds=("a:1", "b:1", "c:1")):
+    time = clocks.FakeClock(monotonic_ms=10_000)
+    sent = collections.deque()
+    made = discovery.Seeker(
+        "me:1", seeds, "frontend", time.clock, lambda *message: sent.append(message)
+    )
+    return made, time, sent
+
+
+def tell(made, time, sender, leader="a:1", epoch=2):
+    reply = cell.GreetingReply(leader, epoch, "contact", CONTROLLERS)
+    made.heard(reply, sender, time.now_ms)
+
+
+def pass_time(made, time, duration_ms, answering, leader="a:1"):
+    for _step in range(duration_ms // 100):
+        time.advance(100)
+        made.tick(time.now_ms)
+        for name in answering:
+            tell(made, time, name, leader)
+
+
+def test_only_the_leader_is_greeted_while_it_answers():
+    made, time, sent = seeker()
+    made.tick(time.now_ms)
+    assert [address for address, _ in sent] == ["a:1", "b:1", "c:1"]
+    tell(made, time, "a:1")
+    sent.clear()
+    pass_time(made, time, 900, ["a:1"])
+    assert {address for address, _ in sent} == {"a:1"}
+
+
+def test_a_leader_beyond_a_cut_is_not_kept_alive_by_hearsay():
+    """A failure domain is cut off. The one controller on this side still names the
+    leader it knew. Callers must be sent elsewhere, so the frontend must not take that
+    for a sign of life.
+    """
+    made, time, _sent = seeker()
+    tell(made, time, "a:1")
+    pass_time(made, time, 2000, ["d:1"])
+    assert not made.has_leader(time.now_ms)
+    assert made.is_isolated(time.now_ms)
+
+
+def test_between_two_leaders_nobody_is_isolated():
+    made, time, _sent = seeker()
+    tell(made, time, "a:1")
+    pass_time(made, time, 2000, ["b:1", "c:1", "d:1"])
+    assert not made.has_leader(time.now_ms)
+    assert not made.is_isolated(time.now_ms)
+    tell(made, time, "b:1", leader="b:1", epoch=3)
+    assert made.leadership.address == "b:1"
+
+
+def test_an_older_leadership_does_not_come_back():
+    made, time, _sent = seeker()
+    tell(made, time, "b:1", leader="b:1", epoch=3)
+    tell(made, time, "a:1", leader="a:1", epoch=2)
+    assert made.leadership.address == "b:1"
+
+
+def test_exchanged_seeds_are_not_needed_once_others_are_known():
+    """All seeds are replaced after the process has started, then its leader is lost."""
+    made, time, sent = seeker()
+    tell(made, time, "a:1")
+    made.set_seeds(["x:1"])
+    sent.clear()
+    pass_time(made, time, 2000, [])
+    assert {address for address, _ in sent} >= {"x:1", *CONTROLLERS}
+
+
+def test_the_cells_time_is_the_median_of_its_clocks():
+    """Two of five clocks jump ahead by an hour, this process's own among them."""
+    greeters = discovery.Greeters()
+    for name, wall_ms in (("b", 50_000), ("c", 50_010), ("d", 49_990)):
+        greeters.note(name, cell.Greeting("frontend", wall_ms), 1000)
+    greeters.note("e", cell.Greeting("frontend", 3_650_000), 1000)
+    assert greeters.cell_offset_ms(3_650_000, 1000) == 49_010
--- a/alderreach/ops/frontend/service.py
+++ b/alderreach/ops/frontend/service.py
@@ -60,6 +60,7 @@
         ).start()
         context.stack.callback(self._asking.close)
         self._in_flight = callers.InFlight(context.clock)
+        self._contact = ""
         self._watch = settings_watch.SettingsWatch(context.settings_path, "frontend")
         self._task = tasks.Task(
             "frontend", self._handle, self._tick, context.clock, tick_ms=100
@@ -117,9 +118,26 @@
                     "leader_heard", leader=leadership.address, epoch=leadership.epoch
                 )
 
+    def _note_contact(self, now_ms):
+        """A line for each lost or regained contact with the leader."""
+        seeker = self._seeker
+        contact = "leader" if seeker.has_leader(now_ms) else "controllers"
+        if contact != "leader" and seeker.is_isolated(now_ms):
+            contact = "isolated"
+        if contact != self._contact:
+            self._context.timeline.record(
+                "contact_changed",
+                contact=contact,
+                was=self._contact,
+                silent_ms=now_ms - seeker.leadership.heard_ms,
+                answering=seeker.answering(now_ms),
+            )
+            self._contact = contact
+
     def _tick(self):
         now_ms = self._clock.monotonic_ms()
         self._seeker.tick(now_ms)
+        self._note_contact(now_ms)
         changed = self._watch.poll(now_ms)
         if changed is not None:
             found = changed.discovery
