--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -15,9 +15,10 @@
 - A run whose progress has not moved for ``STALL_MS`` is stopped and started elsewhere;
   its worker gets a strike. Progress is whole percents and seen at every look, so a task
   of three minutes still moves in that time.
-- A run that by its progress will take ``SLOW_RATIO`` times as long as its finished
-  siblings is moved if that is sure to pay: what is left there has to be longer than all
-  of it elsewhere.
+- A run that by its pace will take ``SLOW_RATIO`` times as long as its finished siblings
+  is moved if that is sure to pay: what is left there has to be longer than all of it
+  elsewhere. The pace is taken between two looks, since a start with a restore, or a
+  gang that gathers, makes the first percents slow on a healthy worker.
 """
 
 import statistics
@@ -35,8 +36,10 @@
 MOVE_COST_MS = 800
 # A task moved this often is left where it is: its progress may just not show.
 MOVES_MOST = 2
-# Progress below this is too rough to project from.
-PERCENT_LEAST = 4
+# Less progress between two looks than this is too rough to project from, unless this
+# much time has passed.
+GAINED_LEAST = 10
+WATCHED_LEAST_MS = 1500
 
 
 class Record:
@@ -81,13 +84,17 @@
 def is_straggler(run, durations_ms, now_ms):
     """Whether a run is so much slower than its done siblings that moving it pays.
 
-    >>> class Run: percent, placed_ms, moved_ms, pace = 10, 0, 4000, 100
-    >>> is_straggler(Run, [1000, 1200, 900], 4000)
+    >>> class Run:
+    ...     first_percent, first_ms, percent, moved_ms, pace = 2, 0, 14, 1200, 100
+    >>> is_straggler(Run, [1000, 1200, 900], 1200)
     True
     """
-    if len(durations_ms) < SIBLINGS_LEAST or run.percent < PERCENT_LEAST:
+    if len(durations_ms) < SIBLINGS_LEAST or run.first_ms is None or run.pace < 100:
+        return False
+    gained, watched_ms = run.percent - run.first_percent, run.moved_ms - run.first_ms
+    if gained <= 0 or (gained < GAINED_LEAST and watched_ms < WATCHED_LEAST_MS):
         return False
     usual_ms = statistics.median(durations_ms)
-    whole_ms = (run.moved_ms - run.placed_ms) * 100 / run.percent
-    left_ms = whole_ms - (now_ms - run.placed_ms)
+    whole_ms = watched_ms * 100 / gained
+    left_ms = watched_ms * (100 - run.percent) / gained - (now_ms - run.moved_ms)
     return whole_ms > SLOW_RATIO * usual_ms and left_ms > usual_ms + MOVE_COST_MS
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -52,6 +52,8 @@
         "best_effort",
         "checkpoint",
         "demand",
+        "first_ms",
+        "first_percent",
         "is_long",
         "key",
         "load",
@@ -83,6 +85,8 @@
         self.next_send_ms = now_ms
         self.answered_ms = now_ms
         self.percent = 0
+        self.first_percent = 0
+        self.first_ms = None
         self.moved_ms = now_ms
         self.placed_ms = now_ms
         self.load = 0.0
@@ -101,6 +105,7 @@
         self.used = [0, 0, 0]
         self.shown = False
         self.is_settling = False
+        self.has_ends = False
         self.unsettled = {}
         self.is_leaving = False
         self.announced_ms = now_ms
@@ -113,6 +118,7 @@
         self.cursor = 0
         self.look = None
         self.looked_ms = now_ms
+        self.look_due_ms = now_ms
         self.paced_ms = now_ms
         self.held_back_until_ms = 0
         self.health = health.Record()
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -26,6 +26,12 @@
 LOOK_WAIT_MS = 1000
 # A look that failed is repeated after this, without extending the lease.
 LOOK_AGAIN_MS = 300
+# After ends, the next look waits this long, so that ends that come close together are
+# listed by one look. Looks cost the worker and us; on a day of short tasks every run
+# took one and a half of them, half of which listed nothing.
+LOOK_GAP_MS = 50
+# A worker on which nothing runs any more has only its ends to forget.
+IDLE_LOOK_GAP_MS = 250
 # Refusals for want of health or room say that our view is behind; waiting lets a look
 # or a heartbeat come first.
 HOLD_BACK_MS = 500
@@ -180,8 +186,8 @@
         life = worker.record.born_ms
         worker.is_settling = True
         books.after_commit(lambda: _forget_ends(books, worker, cursor, life))
-    elif worker.runs:
-        look(books, worker)
+    else:
+        look_later(books, worker, 0)
 
 
 def announced(books, worker, clock_ms, now_ms):
@@ -205,6 +211,13 @@
             end_run(books, worker, run, "lost", run.checkpoint)
 
 
+def look_later(books, worker, gap_ms=LOOK_GAP_MS):
+    """Have the next look made after a gap, in which more ends may gather."""
+    if not worker.runs:
+        gap_ms = IDLE_LOOK_GAP_MS
+    worker.look_due_ms = books.now_ms() + gap_ms
+
+
 def look(books, worker, wait_ms=LOOK_WAIT_MS):
     """Look at a worker now, unless a look is under way.
 
@@ -224,6 +237,7 @@
     )
     wait_ms = 0 if is_urgent else wait_ms
     worker.look = worker.looked_ms = now_ms
+    worker.has_ends = False
     books.links[worker.target_id].look(
         orders.Look(books.epoch, worker.cursor, until_ms, wait_ms)
     )
@@ -290,7 +304,7 @@
         run.ticket,
     )
     _send_start(books, worker, run)
-    look(books, worker)
+    look_later(books, worker)
 
 
 def _send_start(books, worker, run):
@@ -365,10 +379,11 @@
 
 
 def _look_if_due(books, worker, now_ms):
-    wanted = worker.runs or not worker.shown
+    wanted = worker.runs or worker.has_ends or not worker.shown
+    due_ms = worker.look_due_ms
     if worker.failures:
-        wanted = wanted and now_ms - worker.looked_ms >= LOOK_AGAIN_MS
-    if wanted:
+        due_ms = worker.looked_ms + LOOK_AGAIN_MS
+    if wanted and now_ms >= due_ms:
         look(books, worker)
 
 
@@ -379,7 +394,8 @@
         return
     if worker.record.born_ms == life:
         worker.cursor = max(worker.cursor, cursor)
-    look(books, worker)
+        worker.has_ends = True
+    look_later(books, worker)
 
 
 def _take_ends(books, worker, ended):
@@ -448,6 +464,8 @@
         run.moved_ms = now_ms
     if entry.percent != run.percent:
         run.percent, run.moved_ms = entry.percent, now_ms
+    if run.first_ms is None and entry.percent > 0:
+        run.first_percent, run.first_ms = entry.percent, now_ms
     run.load = entry.load
     if run.abandoned:
         close_run(books, worker, run)
--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -10,6 +10,7 @@
     with cell_sim.running_cell(tmp_path) as sim:
         cell_sim.hand_in(sim, "j1", cell_sim.step(6), cell_sim.step(4, after=[0]))
         sim.run_until_shown("j1", "completed")
+        sim.run(1000)
         assert len(sim.noted) == 10
 
 
@@ -34,6 +35,7 @@
         sim.run(400)
         sim.crash(sim.leader())
         sim.run_until_shown("j1", "completed")
+        sim.run(1000)
         assert len(sim.noted) == 20
 
 
