--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -6,7 +6,11 @@
 Without it: asked by the leader alone and only when a step is ready, the questions queue
 up behind each other for longer than the tasks run.
 
-Questions are spread over all processes of the cell, one at a time each. A verdict never
+Questions are spread over all processes of the cell, one at a time each. A third of the
+processes is kept for questions that are decided several times faster than the longest:
+played with a burst of urgent jobs, quick questions of 25 ms waited 83 ms at the median
+and 550 ms in one of ten cases behind slow ones of 600 ms for work that is not urgent.
+A verdict never
 changes, so a worker that was turned down is not asked about again, and a renewal names
 only workers known to be good. A ticket ages: it is used only while ``SAFETY_MS`` of its
 life are left, and renewed that much and a decision's time ahead if the step still
@@ -26,6 +30,9 @@
 RENEWED_PER_TASK = 3
 # Workers in one renewal at the least; room moves while the question is decided.
 RENEWED_AT_LEAST = 4
+# Helpers kept for questions that are decided this many times faster.
+QUICK_SHARE = 0.34
+QUICKER = 4
 # A question without an answer is asked elsewhere after this and twice its due time.
 ANSWER_SLACK_MS = 400
 
@@ -106,11 +113,15 @@
         known = verdicts.tickets.keys() | verdicts.denied
         return [t for t in suitable if t not in known][:ASKED_AT_MOST]
 
-    def ask(self, group, target_ids, rule, helpers, now_ms):
-        """Give a question to an idle helper; None if all are busy."""
-        helper = next((h for h in helpers if h not in self._busy), None)
-        if helper is None:
+    def ask(self, group, target_ids, rule, helpers, now_ms, quickest_ms=None):
+        """Give a question to an idle helper; None if there is none for it.
+
+        ``quickest_ms`` is the decision time of the quickest rule in force.
+        """
+        idle = [helper for helper in helpers if helper not in self._busy]
+        if len(idle) <= _kept_idle(rule, helpers, quickest_ms):
             return None
+        helper = idle[0]
         self._serial += 1
         due_ms = now_ms + 2 * _decision_ms(rule, target_ids) + ANSWER_SLACK_MS
         question = Question(str(self._serial), group, target_ids, helper, due_ms)
@@ -173,5 +184,12 @@
     return math.ceil(rule.decision_ms + rule.per_target_ms * asked) + SAFETY_MS
 
 
+def _kept_idle(rule, helpers, quickest_ms):
+    """How many helpers a question must leave idle for quicker ones."""
+    if quickest_ms is None or rule.decision_ms < QUICKER * max(1, quickest_ms):
+        return 0
+    return int(QUICK_SHARE * len(helpers))
+
+
 def _decision_ms(rule, target_ids):
     return math.ceil(rule.decision_ms + rule.per_target_ms * len(target_ids))
--- /dev/null
+++ b/alderreach/decisions/cell/permissions_test.py
@@ -0,0 +1,64 @@
+"""Who is asked what, when many steps wait for permission at once."""
+
+from alderreach.core.generated import cell
+from alderreach.decisions.cell import permissions
+
+QUICK = cell.PermissionRule(20, 0.25, 2000)
+SLOW = cell.PermissionRule(430, 6.0, 2000)
+HELPERS = [f"h{number}" for number in range(12)]
+WORKERS = [f"w{number}" for number in range(24)]
+
+
+def ask(made, name, rule, now_ms=0):
+    return made.ask((name, 0, 0), WORKERS, rule, HELPERS, now_ms, QUICK.decision_ms)
+
+
+def test_quick_questions_of_urgent_jobs_do_not_wait_behind_slow_ones():
+    """A burst of urgent jobs comes while many wide plans ask for permission. The plans'
+    slow questions would keep every process busy for half a second at a time.
+    """
+    made = permissions.Permissions()
+    asked = [ask(made, f"plan{number}", SLOW) for number in range(20)]
+    assert sum(question is not None for question in asked) == 8
+    urgent = [ask(made, f"urgent{number}", QUICK) for number in range(4)]
+    assert all(question is not None for question in urgent)
+
+
+def test_without_quick_rules_every_helper_is_used():
+    made = permissions.Permissions()
+    asked = [
+        made.ask((n, 0, 0), WORKERS, SLOW, HELPERS, 0, SLOW.decision_ms)
+        for n in range(12)
+    ]
+    assert all(question is not None for question in asked)
+
+
+def test_one_question_at_a_time_for_each_helper():
+    made = permissions.Permissions()
+    asked = [ask(made, f"j{number}", QUICK) for number in range(13)]
+    assert len({question.helper for question in asked[:12]}) == 12
+    assert asked[12] is None
+
+
+def test_a_verdict_lasts_and_a_ticket_ages():
+    made = permissions.Permissions()
+    group = ("j", 0, 0)
+    question = ask(made, "j", QUICK)
+    granted = [cell.Ticket("w1", "t1"), cell.Ticket("w2", "t2")]
+    made.answered(question.query_id, True, granted, QUICK, now_ms=30)
+    assert made.ticket(group, "w1", 1000) == "t1"
+    assert made.ticket(group, "w3", 1000) is None
+    assert made.wanted(group, WORKERS, 1, permissions.SAFETY_MS, 1000) == []
+    assert made.ticket(group, "w1", 1900) is None
+    renewed = made.wanted(group, WORKERS, 1, permissions.SAFETY_MS, 1900)
+    assert renewed == ["w1", "w2"]
+
+
+def test_a_helper_that_does_not_answer_is_given_up():
+    """The process that was to ask is cut off. Its question is put by another."""
+    made = permissions.Permissions()
+    question = ask(made, "j", QUICK)
+    assert made.is_asking(("j", 0, 0))
+    assert made.give_up_overdue(question.due_ms) == [question.helper]
+    assert ask(made, "j", QUICK, question.due_ms) is not None
+    assert made.answered(question.query_id, True, [], QUICK, 0) is None
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -228,7 +228,9 @@
             return
         books = self._books
         helpers = books.environment.helpers()
-        question = books.permissions.ask(group, target_ids, rule, helpers, now_ms)
+        question = books.permissions.ask(
+            group, target_ids, rule, helpers, now_ms, self._quickest_ms()
+        )
         if question is not None:
             books.environment.ask(question)
             books.environment.record(
@@ -238,6 +240,16 @@
                 targets=len(target_ids),
             )
 
+    def _quickest_ms(self):
+        """The shortest decision time among the queues' rules."""
+        config = self._books.state.config
+        times = [
+            queue.permission.decision_ms
+            for queue in (config.queues if config else ())
+            if queue.permission is not None
+        ]
+        return min(times, default=None)
+
     def _suitable(self, job, group, now_ms):
         """Ids of workers that could run the step, those with most room first."""
         step = job.record.steps[group.step]
