--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -267,15 +267,21 @@
         self._post(address, self._greeting_reply())
 
     def _greeting_reply(self):
+        """Who leads: this controller, or the one that the quorum protocol follows.
+
+        A leader that has lost its leadership and knows of no other names nobody. Did it
+        name itself still, frontends that reach it would go on greeting it, and its
+        successor would have no helpers.
+        """
         controllers = [m.address for m in self._port.node.members if m.address]
         if self._leading is not None:
             return cell.GreetingReply(
                 self._own_address, self._leading.books.epoch, self._contact, controllers
             )
-        known = self.seeker.leadership
-        return cell.GreetingReply(
-            known.address, known.epoch, known.contact, controllers
-        )
+        leader = self._port.leader_address()
+        if leader == self._own_address:
+            leader = ""
+        return cell.GreetingReply(leader, self._port.node.term, "", controllers)
 
     def _relayed(self, message, address):
         def reply(status, payload=b""):
--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -190,3 +190,19 @@
         again = sim.request(cell.ReadJob(cell_sim.HOST, cell_sim.PREFIX + "j1"), old)
         sim.run(500)
         assert sim.replies.get(again) in (None, "not_leader")
+
+
+def test_a_deposed_leader_does_not_name_itself(tmp_path):
+    """The core is split and the leader is on the smaller side, where frontends reach it
+    still. If it went on naming itself, they would never greet its successor, which then
+    had nobody to put its questions to the permission service.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        old = sim.leader()
+        others = [name for name in sim.names if name != old]
+        assert sim.greet(old).leader == old
+        sim.cut = {(old, name) for name in others} | {(n, old) for n in others}
+        sim.run(5000)
+        assert sim.greet(old).leader == ""
+        new = sim.leader()
+        assert {sim.greet(name).leader for name in others} == {new}
--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -140,6 +140,14 @@
         config = cell.CellConfig(version, [queue], [pool], b"{}")
         return self.answer(self.request(cell.PutConfig(config)))
 
+    def greet(self, name):
+        """Greet a controller as a frontend does; returns its GreetingReply."""
+        greeting = codec.pack(cell.Greeting("frontend", self.time.now_ms))
+        self.network.append(memory_cell.Message(memory_cell.CLIENT, name, greeting))
+        self.greeted = None
+        assert self.run(1000, lambda: self.greeted is not None)
+        return self.greeted
+
     def state(self, job_id):
         """What a caller is shown of a job, by a leader that serves."""
         return self.answer(self.request(cell.ReadJob(HOST, PREFIX + job_id)))
@@ -184,6 +192,8 @@
             if message.status == "answered":
                 answer = codec.unpack(message.payload).unwrap()
             self.replies[message.request_id] = answer
+        elif isinstance(message, cell.GreetingReply):
+            self.greeted = message
         else:
             super()._answer(sender, message)
 
