--- a/alderreach/utils/http_connection.py
+++ b/alderreach/utils/http_connection.py
@@ -116,9 +116,27 @@
             sent += self._socket.send(memoryview(buffered)[sent:])
 
 
+class _Headers(dict):
+    """Headers of one request as they are read; two lengths that differ are refused.
+
+    Failure answered: with the last of two lengths taken, this server and a proxy before
+    it disagree on where a request ends, and the next caller's bytes become part of it.
+    """
+
+    def __setitem__(self, name, value):
+        if name == b"Content-Length" and self.get(name, value) != value:
+            raise ValueError("two different Content-Length headers")
+        super().__setitem__(name, value)
+
+
 class Request(server.HTTPRequest):
     """A request whose protocol mistakes get the application's kind of answer."""
 
+    def read_request_headers(self):
+        """Read the headers; True if they are sound."""
+        self.inheaders = _Headers(self.inheaders)
+        return super().read_request_headers()
+
     def simple_response(self, status, msg=""):
         """Answer for the server itself, before the application has seen a request."""
         refuse = self.server.refuse
--- a/tests/entry_bad_input_test.py
+++ b/tests/entry_bad_input_test.py
@@ -128,3 +128,15 @@
 
 def test_entry_serves_on_after_all_of_it(cell):
     assert cell.post().status == 200
+
+
+def test_two_lengths_that_differ(cell):
+    """A request names two lengths. Whichever is taken, a proxy may take the other one,
+    and what follows would be read as another caller's request.
+    """
+    lines = head("Content-Length: 2", "Content-Length: 5")
+    assert exchange(cell, lines + b"{}") == (400, "malformed_request")
+    assert exchange(
+        cell,
+        head("Content-Length: 2", "Content-Length: 2", "Connection: close") + b"{}",
+    )
