--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -15,10 +15,14 @@
 - A run whose progress has not moved for ``STALL_MS`` is stopped and started elsewhere;
   its worker gets a strike. Progress is whole percents and seen at every look, so a task
   of three minutes still moves in that time.
-- A run that by its pace will take ``SLOW_RATIO`` times as long as its finished siblings
-  is moved if that is sure to pay: what is left there has to be longer than all of it
-  elsewhere. The pace is taken between two looks, since a start with a restore, or a
-  gang that gathers, makes the first percents slow on a healthy worker.
+- Runs leave a worker that is slow: one whose runs, by their pace, take ``SLOW_RATIO``
+  times as long as their finished siblings at the median, or ``LONE_RATIO`` times if
+  only one can be compared. Single runs say little: tasks of one step differ several
+  times by themselves, and the same ones are long wherever they go. Moved for their own
+  length alone, they cost a calm day 3 % of its worth. A run is moved only if what is
+  left of it there is longer than all of it elsewhere. The pace is taken between two
+  looks, since a start with a restore, or a gang that gathers, makes the first percents
+  slow on a healthy worker.
 """
 
 import statistics
@@ -29,7 +33,8 @@
 LONGEST_OUT_MS = 30_000
 OUT_SHARE = 0.34
 STALL_MS = 1800
-SLOW_RATIO = 2.5
+SLOW_RATIO = 3.0
+LONE_RATIO = 5.0
 # Below this share of done siblings their durations say little of the step's.
 SIBLINGS_LEAST = 2
 # What moving a run costs beside doing the work again: a stop, a commit, a start.
@@ -81,20 +86,31 @@
     return run.pace == 100 and run.percent < 100 and now_ms - run.moved_ms >= STALL_MS
 
 
-def is_straggler(run, durations_ms, now_ms):
-    """Whether a run is so much slower than its done siblings that moving it pays.
+def slowness(run, durations_ms):
+    """How many times as long as its done siblings a run takes, or None if unknown.
 
     >>> class Run:
     ...     first_percent, first_ms, percent, moved_ms, pace = 2, 0, 14, 1200, 100
-    >>> is_straggler(Run, [1000, 1200, 900], 1200)
-    True
+    >>> slowness(Run, [1000, 1200, 900])
+    10.0
     """
     if len(durations_ms) < SIBLINGS_LEAST or run.first_ms is None or run.pace < 100:
-        return False
+        return None
     gained, watched_ms = run.percent - run.first_percent, run.moved_ms - run.first_ms
     if gained <= 0 or (gained < GAINED_LEAST and watched_ms < WATCHED_LEAST_MS):
-        return False
+        return None
+    return watched_ms * 100 / gained / statistics.median(durations_ms)
+
+
+def is_slow(ratios):
+    """Whether a worker is slow, by the slowness of those of its runs that have one."""
+    if len(ratios) == 1:
+        return ratios[0] >= LONE_RATIO
+    return bool(ratios) and statistics.median(ratios) >= SLOW_RATIO
+
+
+def pays_to_move(run, ratio, durations_ms):
+    """Whether a run on a slow worker would be done sooner elsewhere, all of it anew."""
     usual_ms = statistics.median(durations_ms)
-    whole_ms = watched_ms * 100 / gained
-    left_ms = watched_ms * (100 - run.percent) / gained - (now_ms - run.moved_ms)
-    return whole_ms > SLOW_RATIO * usual_ms and left_ms > usual_ms + MOVE_COST_MS
+    left_ms = ratio * usual_ms * (100 - run.percent) / 100
+    return left_ms > usual_ms + MOVE_COST_MS
--- /dev/null
+++ b/alderreach/decisions/cell/health_test.py
@@ -0,0 +1,71 @@
+"""Workers that do worse than their peers, and tasks not to be blamed on them."""
+
+from alderreach.core import cell_state
+from alderreach.core.generated import cell, common
+from alderreach.decisions.cell import health, workers
+
+
+def worker(name):
+    record = cell.TargetRecord(
+        name, 1, "pool", "", "d", common.Resources(8, 8, 0), ["a", "r1"], "ready", ""
+    )
+    return workers.Worker(record, 0, 0)
+
+
+def run(percent, watched_ms, first_percent=0):
+    step = cell.Step(1, common.Resources(1, 1, 0), 500, [], *cell_state.NO_STEP_OPTIONS)
+    made = workers.Run(cell_state.TaskKey("j", 0, 0, 0), 1, step, 0)
+    made.first_ms, made.first_percent = 0, first_percent
+    made.percent, made.moved_ms = percent, watched_ms
+    return made
+
+
+SIBLINGS = [1000, 1100, 900]
+
+
+def test_a_long_task_on_a_healthy_worker_is_left_there():
+    """Tasks of one step differ several times by themselves. One that takes four times
+    as long as its siblings is long everywhere: moved, its work is done twice.
+    """
+    ratios = [health.slowness(run(25, 1000), SIBLINGS)]
+    ratios += [health.slowness(run(95, 1000), SIBLINGS) for _ in range(3)]
+    assert ratios[0] == 4.0
+    assert not health.is_slow(ratios)
+    assert not health.is_slow(ratios[:1])
+
+
+def test_a_slow_worker_loses_what_is_sooner_done_elsewhere():
+    early, late = run(12, 800), run(80, 5000)
+    ratios = [health.slowness(each, SIBLINGS) for each in (early, late)]
+    assert health.is_slow(ratios)
+    assert health.pays_to_move(early, ratios[0], SIBLINGS)
+    assert not health.pays_to_move(late, ratios[1], SIBLINGS)
+
+
+def test_a_restore_before_the_first_percents_is_not_slowness():
+    assert health.slowness(run(14, 100, first_percent=2), SIBLINGS) < 1.0
+    assert health.slowness(run(5, 100, first_percent=2), SIBLINGS) is None
+
+
+def test_failures_of_one_broken_job_do_not_take_a_worker_out():
+    everyone = [worker(f"w{number}") for number in range(6)]
+    assert not any(health.strike(everyone[0], "j1", everyone, 0) for _ in range(9))
+    assert health.strike(everyone[0], "j2", everyone, 0)
+    assert not everyone[0].is_usable(100)
+
+
+def test_no_more_than_a_third_is_taken_out():
+    """Every worker fails what it is given: it is not the workers."""
+    everyone = [worker(f"w{number}") for number in range(6)]
+    out = [
+        health.strike(each, "j1", everyone, 0) or health.strike(each, "j2", everyone, 0)
+        for each in everyone
+    ]
+    assert sum(out) == 2
+
+
+def test_a_success_clears_a_worker():
+    everyone = [worker(f"w{number}") for number in range(6)]
+    health.strike(everyone[0], "j1", everyone, 0)
+    health.ended_well(everyone[0])
+    assert not health.strike(everyone[0], "j2", everyone, 0)
--- a/alderreach/ops/controller/discovery.py
+++ b/alderreach/ops/controller/discovery.py
@@ -58,6 +58,7 @@
         self._clock = clock
         self._send = send
         self._next_ms = 0
+        self._started_ms = clock.monotonic_ms()
         self.leadership = NOBODY
 
     def set_seeds(self, seeds):
@@ -113,7 +114,7 @@
             return False
         known = self.controllers()
         answering = self.answering(now_ms)
-        silent_ms = now_ms - self.leadership.heard_ms
+        silent_ms = now_ms - max(self.leadership.heard_ms, self._started_ms)
         settled = silent_ms >= SILENT_AFTER_MS + GREETING_INTERVAL_MS
         return settled and len(known) >= 3 and 3 * len(answering) <= len(known)
 
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -521,32 +521,40 @@
 
 
 def _move_on(books, worker, now_ms):
-    """Stop what stands still here, or is far slower than the same work elsewhere."""
+    """Stop what stands still here, and all that pays if the worker is slow."""
+    ratios = {}
     for run in list(worker.runs.values()):
         if run.state != workers.RUNNING or run.is_long:
             continue
-        durations = books.durations.get(run.key[:3], ())
         if health.is_stalled(run, now_ms):
-            reason = "stalled"
-        elif health.is_straggler(run, durations, now_ms):
-            reason = "slow"
-        else:
-            continue
-        moves = books.moves.get(run.key, 0)
-        if moves >= health.MOVES_MOST:
+            _move(books, worker, run, "stalled", now_ms)
             continue
-        books.moves[run.key] = moves + 1
-        books.environment.record(
-            "run_moved",
-            task=str(run.key),
-            run=run.run,
-            target=worker.target_id,
-            reason=reason,
-            percent=run.percent,
-            still_ms=now_ms - run.moved_ms,
-        )
-        _strike(books, worker, run.key.job_id)
-        close_run(books, worker, run)
+        ratio = health.slowness(run, books.durations.get(run.key[:3], ()))
+        if ratio is not None:
+            ratios[run] = ratio
+    if not health.is_slow(list(ratios.values())):
+        return
+    for run, ratio in ratios.items():
+        if health.pays_to_move(run, ratio, books.durations[run.key[:3]]):
+            _move(books, worker, run, "slow", now_ms)
+
+
+def _move(books, worker, run, reason, now_ms):
+    moves = books.moves.get(run.key, 0)
+    if moves >= health.MOVES_MOST:
+        return
+    books.moves[run.key] = moves + 1
+    books.environment.record(
+        "run_moved",
+        task=str(run.key),
+        run=run.run,
+        target=worker.target_id,
+        reason=reason,
+        percent=run.percent,
+        still_ms=now_ms - run.moved_ms,
+    )
+    _strike(books, worker, run.key.job_id)
+    close_run(books, worker, run)
 
 
 def _strike(books, worker, job_id):
