--- /dev/null
+++ b/alderreach/core/cell_state_test.py
@@ -0,0 +1,135 @@
+"""What controllers agree on: ends, gangs, late successes, snapshots."""
+
+from alderreach.core import cell_state
+from alderreach.core.generated import cell, common
+
+QUEUE = cell.QueueConfig("q", "h", "/q/", "pool", 0, 2, 1.5, 250, 3000, None)
+
+
+def step(tasks, after=(), **options):
+    plain = cell.Step(
+        tasks,
+        common.Resources(500, 64, 0),
+        900,
+        list(after),
+        *cell_state.NO_STEP_OPTIONS,
+    )
+    return plain._replace(**options)
+
+
+def state_with(*steps, repeat_count=0):
+    state = cell_state.CellState()
+    job = cell.CellJob("j", QUEUE, "pool", "run", list(steps), repeat_count, 0, 100)
+    change(state, accepted=[cell.JobAccepted(job, 1000)])
+    return state
+
+
+def change(state, wall_ms=1000, **parts):
+    empty = cell_state.empty_change()
+    cell_state.apply(state, empty._replace(**parts), wall_ms)
+
+
+def place(state, index, run, number=0, target="w1"):
+    placed = cell.RunPlaced("j", 0, number, index, run, target, 1)
+    change(state, placed=[placed])
+
+
+def end(state, index, run, how, number=0, is_final=False, wall_ms=1000):
+    ended = cell.RunEnded("j", 0, number, index, run, how, "", is_final)
+    change(state, wall_ms, ended=[ended])
+
+
+def test_a_job_is_completed_by_its_last_task():
+    state = state_with(step(2), step(1, after=[0]))
+    job = state.jobs["j"]
+    assert cell_state.shown_state(job) == "queued"
+    place(state, 0, 1)
+    assert cell_state.shown_state(job) == "running"
+    end(state, 0, 1, "done")
+    assert not cell_state.is_open(job, 0, 1)
+    place(state, 1, 1)
+    end(state, 1, 1, "done")
+    assert cell_state.is_open(job, 0, 1)
+    place(state, 0, 1, number=1)
+    end(state, 0, 1, "done", number=1)
+    assert cell_state.shown_state(job) == "completed"
+
+
+def test_news_of_an_older_run_changes_nothing():
+    state = state_with(step(1))
+    place(state, 0, 1)
+    end(state, 0, 1, "lapsed")
+    place(state, 0, 2, target="w2")
+    end(state, 0, 1, "failed", is_final=True)
+    place(state, 0, 1)
+    task = state.jobs["j"].groups[(0, 0)][0]
+    assert (task.run, task.target_id, task.failures) == (2, "w2", 0)
+    assert state.jobs["j"].state == "active"
+
+
+def test_a_success_counts_late_if_nothing_runs_in_its_place():
+    state = state_with(step(2))
+    for index in (0, 1):
+        place(state, index, 1)
+        end(state, index, 1, "lapsed")
+    end(state, 0, 1, "done")
+    place(state, 1, 2)
+    end(state, 1, 1, "done")
+    tasks = state.jobs["j"].groups[(0, 0)]
+    assert [task.state for task in tasks] == ["done", "placed"]
+
+
+def test_a_gangs_run_fails_once_however_many_members_report_it():
+    state = state_with(step(3, gang=True))
+    for index in range(3):
+        place(state, index, 1)
+    for index in range(3):
+        end(state, index, 1, "failed")
+    assert cell_state.failures_of(state.jobs["j"], 0, 0, 2) == 1
+
+
+def test_tasks_that_last_are_never_done():
+    state = state_with(step(1, long_running=True))
+    place(state, 0, 1)
+    end(state, 0, 1, "done")
+    assert state.jobs["j"].groups[(0, 0)][0].state == "waiting"
+    assert state.jobs["j"].unfinished == 1
+
+
+def test_an_ended_job_stays_as_it_is_and_is_forgotten_late():
+    state = state_with(step(1))
+    change(state, cancelled=["j"])
+    change(state, cancelled=["j"])
+    assert state.jobs["j"].state == "cancelled"
+    change(state, wall_ms=1000 + cell_state.KEPT_AFTER_END_MS - 1)
+    assert "j" in state.jobs
+    change(state, wall_ms=1000 + cell_state.KEPT_AFTER_END_MS)
+    assert "j" not in state.jobs
+
+
+def test_only_a_higher_configuration_is_put_in_force():
+    state = cell_state.CellState()
+    for version in (5, 3, 5, 9):
+        change(state, configs=[cell.CellConfig(version, [], [], b"%d" % version)])
+    assert state.config.body == b"9"
+
+
+def test_a_snapshot_holds_everything():
+    state = state_with(step(2), step(2, after=[0]), repeat_count=2)
+    place(state, 0, 1)
+    end(state, 0, 1, "done")
+    place(state, 1, 1)
+    end(state, 1, 1, "failed")
+    record = cell.TargetRecord(
+        "w1", 1, "pool", "a:1", "d", common.Resources(8, 8, 0), ["a"], "ready", ""
+    )
+    change(state, targets=[record])
+    restored = cell_state.CellState()
+    for kind, data in cell_state.dump(state):
+        cell_state.load_part(restored, kind, data)
+    assert list(cell_state.dump(restored)) == list(cell_state.dump(state))
+    assert restored.jobs["j"].undone == state.jobs["j"].undone
+    copied = cell_state.copy(state)
+    end(copied, 1, 1, "done")
+    place(copied, 1, 2)
+    assert list(cell_state.dump(restored)) == list(cell_state.dump(state))
--- /dev/null
+++ b/alderreach/decisions/cell/choice_test.py
@@ -0,0 +1,86 @@
+"""Where tasks start, on workers of unequal size and health."""
+
+from alderreach.core import cell_state
+from alderreach.core.generated import cell, common
+from alderreach.decisions.cell import choice, workers
+
+GROUP = cell_state.GroupKey("j", 0, 0)
+
+
+def worker(name, cpu=8000, rack="r1", kind="a", used=0):
+    capacity = common.Resources(cpu, 16_000, 0)
+    record = cell.TargetRecord(
+        name, 1, "pool", "", "d", capacity, [kind, rack], "ready", ""
+    )
+    made = workers.Worker(record, 0, 0)
+    made.shown = True
+    made.used[0] = used
+    return made
+
+
+def step(tasks=1, cpu=1000, **options):
+    plain = cell.Step(
+        tasks, common.Resources(cpu, 100, 0), 500, [], *cell_state.NO_STEP_OPTIONS
+    )
+    return plain._replace(**options)
+
+
+def chosen(everyone, wanted, avoided=""):
+    usable = choice.candidates(everyone, wanted, GROUP, 0)
+    best = choice.best(usable, wanted, avoided)
+    return best and best.target_id
+
+
+def test_small_tasks_leave_the_large_hole_open():
+    everyone = [worker("empty"), worker("half", used=4000), worker("full", used=7500)]
+    assert chosen(everyone, step(cpu=1000)) == "half"
+    assert chosen(everyone, step(cpu=6000)) == "empty"
+    assert chosen(everyone, step(cpu=9000)) is None
+
+
+def test_the_data_goes_before_the_fit():
+    everyone = [worker("near", rack="r2"), worker("tight", used=7000)]
+    assert chosen(everyone, step(data_rack="r2")) == "near"
+
+
+def test_labels_and_limits_are_kept():
+    limited = worker("w1", kind="b")
+    assert chosen([limited], step(required_label="a")) is None
+    run = workers.Run(cell_state.TaskKey(*GROUP, 0), 1, step(), 0)
+    limited.add(run)
+    assert chosen([limited], step(max_per_target=1)) is None
+    assert chosen([limited], step(max_per_target=2)) == "w1"
+
+
+def test_where_a_task_failed_it_goes_last():
+    everyone = [worker("w1", used=4000), worker("w2")]
+    assert chosen(everyone, step(), avoided="w1") == "w2"
+    assert chosen(everyone[:1], step(), avoided="w1") == "w1"
+
+
+def test_best_effort_tasks_avoid_serving_ones():
+    """A best-effort task beside one that serves would make that one's users wait."""
+    serving, busy = worker("serving"), worker("busy", used=7000)
+    run = workers.Run(cell_state.TaskKey(*GROUP, 0), 1, step(tail_target_ms=80), 0)
+    serving.add(run)
+    assert chosen([serving, busy], step(best_effort=True, cpu=9000)) is None
+    assert chosen([serving, busy], step(best_effort=True, cpu=4000)) == "busy"
+
+
+def test_a_gang_takes_one_rack_if_one_can_hold_it():
+    """Spread over racks, a gang that wants one takes several times as long."""
+    everyone = [worker(f"a{n}", cpu=2000, rack="r1") for n in range(3)]
+    everyone += [worker(f"b{n}", cpu=4000, rack="r2") for n in range(3)]
+    gang = step(tasks=6, gang=True, same_rack=True)
+    plan = choice.gather(everyone, gang, GROUP, 6, 0)
+    assert {each.rack for each in plan} == {"r1"}
+    wide = choice.gather(everyone, gang, GROUP, 14, 0)
+    assert {each.rack for each in wide} == {"r1", "r2"}
+    assert choice.gather(everyone, gang, GROUP, 19, 0) is None
+
+
+def test_a_silent_or_draining_worker_gets_nothing():
+    silent, draining = worker("w1"), worker("w2")
+    silent.failures = 1
+    draining.record = draining.record._replace(state="draining")
+    assert chosen([silent, draining], step()) is None
--- /dev/null
+++ b/alderreach/platform/wire_test.py
@@ -0,0 +1,89 @@
+"""Bodies of the platform's protocol, whole, and what becomes of them."""
+
+import pytest
+
+from alderreach.core import orders
+from alderreach.platform import wire
+
+JOB = b"""{"spec":"run it","steps":[
+ {"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900.5,"data_rack":"r1-3"},
+ {"count":20,"cpu":2000,"mem_mb":1024,"gpu":1,"after":[0],"checkpointing":true,
+  "gang":true,"same_rack":true,"requirements":"a","anti_affinity":3,"fills":true,
+  "allow_duplicates":true,"long_running":true,"image":"x","target_ms":80,
+  "max_unavailable":2,"something_new":[1]}],
+ "repeat_count":3,"start_at_ms":1700000000000,"interval_ms":500}"""
+HEARTBEAT = b"""{"service":"pool","address":"10.0.0.9:80","zone":"urubici",
+ "version":"v1","slots":8,"state":"draining","cold_remaining_ms":0,"labels":["a","r1-3"],
+ "capacity":{"cpu":16000,"mem_mb":32768},"clock_ms":482113,"sequence":4,
+ "born":1700000000123,"machine":"m-1"}"""
+LISTS = b"""{"clock_ms":482113,"born":7,
+ "running":[["j.0.1.17",2,"c1",41,12.5],["j.0.0.1",1,"",0]],
+ "ended":[[58,"j.0.1.9",1,"done",""],[59,"j.0.1.8",3,"stopped","c2"]]}"""
+
+
+def test_a_job_with_every_field(snapshot):
+    assert wire.submission("h", "/q/5c0e", JOB) == snapshot
+
+
+def test_a_heartbeat(snapshot):
+    assert wire.announcement("i-1", HEARTBEAT) == snapshot
+
+
+def test_a_workers_lists(snapshot):
+    assert wire.look_result(200, LISTS) == snapshot
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b'{"service":"pool"}',
+        HEARTBEAT.replace(b"draining", b"dancing"),
+        HEARTBEAT.replace(b'"sequence":4', b'"sequence":"4"'),
+        HEARTBEAT.replace(b'"labels":["a","r1-3"]', b'"labels":null'),
+    ],
+)
+def test_a_strange_heartbeat_names_no_worker(body):
+    with pytest.raises(wire.Malformed):
+        wire.announcement("i-1", body)
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "outcome"),
+    [
+        (200, b'{"clock_ms":5}', orders.OK),
+        (409, b'{"clock_ms":5,"reason":"fence"}', orders.FENCED),
+        (409, b'{"clock_ms":5,"reason":"old"}', orders.STALE_RUN),
+        (409, b'{"clock_ms":5,"reason":"late"}', orders.LEASE_OVER),
+        (409, b'{"clock_ms":5,"reason":"room"}', orders.NO_ROOM),
+        (409, b'{"clock_ms":5,"reason":"ticket"}', orders.NO_TICKET),
+        (409, b'{"reason":"a new one"}', orders.UNKNOWN),
+        (421, b"", orders.OTHER_LIFE),
+        (429, b"", orders.REFUSED),
+        (503, b"", orders.REFUSED),
+        (500, b"", orders.UNKNOWN),
+    ],
+)
+def test_answers_to_orders(status, body, outcome):
+    assert wire.order_result(status, body).outcome == outcome
+
+
+def test_a_row_that_is_no_row():
+    with pytest.raises(wire.Malformed):
+        wire.look_result(200, b'{"clock_ms":1,"running":[["j.0.0.1"]]}')
+
+
+def test_orders_leave_out_what_is_empty(snapshot):
+    start = orders.Start("j.0.0.1", 2, "run", 9000, 7, "", "")
+    bodies = [
+        wire.start_body(start),
+        wire.start_body(start._replace(checkpoint="c", ticket="t")),
+        wire.stop_body(orders.Stop("j.0.0.1", 2, 7)),
+        wire.pace_body(orders.Pace("j.0.0.1", 2, 40, 7)),
+        wire.look_body(orders.Look(7, 57, 9000, 1000)),
+        wire.look_body(orders.Look(7, 57, None, 0)),
+        wire.advise_body("j.0.1", ["i-1", "i-2"]),
+    ]
+    assert [body.decode() for body in bodies] == snapshot
