--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -102,6 +102,16 @@
     return watched_ms * 100 / gained / statistics.median(durations_ms)
 
 
+def left_ms(run, now_ms):
+    """How long a run will still take by its pace, or None if that is not known."""
+    if run.first_ms is None or run.pace < 100:
+        return None
+    gained, watched_ms = run.percent - run.first_percent, run.moved_ms - run.first_ms
+    if gained <= 0:
+        return None
+    return watched_ms * (100 - run.percent) / gained - (now_ms - run.moved_ms)
+
+
 def is_slow(ratios):
     """Whether a worker is slow, by the slowness of those of its runs that have one."""
     if len(ratios) == 1:
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -108,6 +108,7 @@
         self.has_ends = False
         self.unsettled = {}
         self.is_leaving = False
+        self.is_evacuated = False
         self.announced_ms = now_ms
         self.sequence = -1
         self.heard_ms = now_ms
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -12,6 +12,8 @@
 from alderreach.ops.controller import (
     books,
     discovery,
+    looks,
+    order_answers,
     placing,
     requests,
     running,
@@ -102,9 +104,9 @@
         if leading is None or mail.epoch != leading.books.epoch:
             return
         if isinstance(mail, target_link.OrderAnswered):
-            running.order_answered(leading.books, mail)
+            order_answers.order_answered(leading.books, mail)
         elif isinstance(mail, target_link.LookAnswered):
-            running.look_answered(leading.books, mail)
+            looks.look_answered(leading.books, mail)
 
     def deliver(self, received):
         """Take a message of another process."""
--- /dev/null
+++ b/alderreach/ops/controller/lives.py
@@ -0,0 +1,163 @@
+"""Lives of workers: heartbeats, silence, lapsed leases, new lives under old ids.
+
+Failures answered, and why the guards hold:
+
+- *A worker is cut off one way:* it hears us and we don't hear it. Nothing extends its
+  lease while its answers are missing, so its runs end before they are started anew.
+- *A worker starts again under its id.* Its looks name the life; what the new life does
+  not list is over.
+- *A worker drains and then ends.* What loses nothing by a stop leaves it at once.
+"""
+
+from alderreach.core import orders
+from alderreach.core.generated import cell
+from alderreach.decisions.cell import health, workers
+from alderreach.ops.controller import runs
+
+# A worker without runs that neither announces itself nor answers for ten heartbeats.
+FORGOTTEN_AFTER_MS = 15_000
+# A draining worker serves for 2 s at least, less the time until its leader knows.
+DRAIN_LEAST_MS = 1500
+# Tasks that may run twice are started elsewhere once their worker has been silent for
+# this: two looks that failed. The others have to wait for the lease.
+ABANDON_AFTER_MS = 1500
+
+
+def announced(books, worker, clock_ms, now_ms):
+    """A heartbeat of a known life arrived."""
+    worker.announced_ms = now_ms
+    if clock_ms >= 0:
+        worker.note_clock(clock_ms, now_ms)
+
+
+def new_life(books, worker, record):
+    """A newer life bears a known id: what the old one ran is over."""
+    books.environment.record(
+        "worker_reborn", target=worker.target_id, born_ms=record.born_ms
+    )
+    worker.cursor = 0
+    _refuse_late_starts(books, worker)
+    for run in list(worker.runs.values()):
+        if run.state == workers.ORDERED and run.sends:
+            runs.close_run(books, worker, run)
+        elif run.sends:
+            runs.end_run(books, worker, run, "lost", run.checkpoint)
+
+
+def note_new_life(books, worker, result):
+    """A new life under the old id: only what it lists still runs."""
+    listed = {(entry.task, entry.run) for entry in result.running}
+    books.environment.record(
+        "worker_reborn", target=worker.target_id, born_ms=result.born_ms
+    )
+    worker.cursor = 0
+    _refuse_late_starts(books, worker)
+    for run in list(worker.runs.values()):
+        if (str(run.key), run.run) in listed:
+            continue
+        if run.state == workers.ORDERED:
+            runs.close_run(books, worker, run)
+        else:
+            runs.end_run(books, worker, run, "lost", run.checkpoint)
+    worker.record = worker.record._replace(born_ms=result.born_ms)
+    books.decide(targets=[worker.record])
+
+
+def lapse(books, worker):
+    """The lease is over without an answer: whatever ran there was killed.
+
+    A run whose start waits for its commit is not concerned: its start brings a lease.
+    """
+    sent = [run for run in worker.runs.values() if run.sends]
+    if not sent:
+        return
+    books.environment.record("lease_lapsed", target=worker.target_id, runs=len(sent))
+    for run in sent:
+        runs.end_run(books, worker, run, "lapsed", run.checkpoint)
+
+
+def life_over(books, worker):
+    """This life of the worker is over for certain."""
+    books.environment.record("worker_gone", target=worker.target_id)
+    for run in list(worker.runs.values()):
+        runs.end_run(books, worker, run, "lost", run.checkpoint)
+    books.drop_worker(worker.target_id)
+    books.decide(gone=[worker.target_id])
+
+
+def abandon(books, worker):
+    """Start tasks that may run twice elsewhere; what may still run here keeps its room.
+
+    Failure answered: a worker falls silent, and a task that could have been repeated at
+    once waits for the whole lease.
+    """
+    for run in worker.runs.values():
+        if not run.allow_duplicates or run.abandoned or not run.sends or run.is_long:
+            continue
+        job = books.state.jobs.get(run.key.job_id)
+        if job is None or job.record.steps[run.key.step].gang:
+            continue
+        run.abandoned = True
+        ended = cell.RunEnded(*run.key, run.run, "abandoned", run.checkpoint, False)
+        books.decide(ended=[ended])
+        books.on_run_ended(run.key.job_id, run.key.occurrence, run.key.step)
+        books.environment.record(
+            "run_abandoned", task=str(run.key), run=run.run, target=worker.target_id
+        )
+
+
+def watch(books, worker, now_ms):
+    """What silence and draining call for as time passes."""
+    if now_ms >= worker.lapses_ms:
+        lapse(books, worker)
+    if worker.failures and now_ms - worker.heard_ms >= ABANDON_AFTER_MS:
+        abandon(books, worker)
+    is_draining = worker.record.state == "draining"
+    if is_draining and worker.shown and not worker.is_evacuated:
+        evacuate(books, worker, now_ms)
+    worker.is_evacuated = is_draining
+
+
+def evacuate(books, worker, now_ms):
+    """A worker drains: what saves its progress, or starts anew anyway, leaves at once.
+
+    Failure answered: the worker ends some seconds later without a word, and whatever
+    ran there waits for its lease. Tasks that save nothing stay: most of them are done
+    before the worker is gone. So do those that will be done before it may end.
+    """
+    for run in list(worker.runs.values()):
+        job = books.state.jobs.get(run.key.job_id)
+        if job is None or not run.sends:
+            continue
+        step = job.record.steps[run.key.step]
+        left_ms = health.left_ms(run, now_ms)
+        is_done_soon = left_ms is not None and left_ms < DRAIN_LEAST_MS
+        if step.long_running or (step.checkpointing and not is_done_soon):
+            books.environment.record(
+                "run_evacuated",
+                task=str(run.key),
+                run=run.run,
+                target=worker.target_id,
+            )
+            runs.close_run(books, worker, run)
+
+
+def forget_if_silent(books, worker, now_ms):
+    """Drop a worker on which nothing runs and that nobody heard of for long."""
+    silent_ms = now_ms - max(worker.announced_ms, worker.heard_ms)
+    if worker.runs or silent_ms <= FORGOTTEN_AFTER_MS:
+        return
+    books.environment.record("worker_forgotten", target=worker.target_id)
+    books.drop_worker(worker.target_id)
+    books.decide(gone=[worker.target_id])
+
+
+def _refuse_late_starts(books, worker):
+    """Have a new life refuse what was sent to the one before and may arrive only now.
+
+    The new life's clock starts anew, so the lease that the start names, long over on
+    the old clock, seems to lie ahead; and it has seen no epoch. A run that was stopped
+    there is refused.
+    """
+    for task, run in worker.late_starts(books.now_ms()):
+        books.links[worker.target_id].order(orders.Stop(task, run, books.epoch))
--- /dev/null
+++ b/alderreach/ops/controller/looks.py
@@ -0,0 +1,243 @@
+"""Looks at workers: their lists, the ends among them, and what the lists call for.
+
+An end is acknowledged only once it is in the log: a worker may forget what it has been
+acknowledged, and a new leader would start the task again.
+"""
+
+from alderreach.core import cell_state, orders
+from alderreach.core.generated import cell
+from alderreach.decisions.cell import health, pacing, workers
+from alderreach.ops.controller import lives, runs
+
+# How long the answer to a look may wait for an end. Half of the shortest lease, and
+# below the time in which serving tasks may be disturbed.
+LOOK_WAIT_MS = 1000
+# A look that failed is repeated after this, without extending the lease.
+LOOK_AGAIN_MS = 300
+# Two reports of the tail lie between two changes of a share.
+PACE_INTERVAL_MS = 1100
+
+
+def look(books, worker, wait_ms=LOOK_WAIT_MS):
+    """Look at a worker now, unless a look is under way.
+
+    The lease is extended only while the worker answers and its clock is known.
+    """
+    if worker.look is not None or worker.is_settling:
+        return
+    now_ms = books.now_ms()
+    until_ms = None
+    if worker.shown and worker.failures == 0 and worker.offset_ms is not None:
+        lease_ms = books.environment.settings.cell.worker_lease_ms
+        until_ms = worker.lease_until_ms(lease_ms, now_ms)
+    is_urgent = (
+        not worker.runs
+        or not worker.shown
+        or any(run.state == workers.CLOSED for run in worker.runs.values())
+    )
+    wait_ms = 0 if is_urgent else wait_ms
+    worker.look = worker.looked_ms = now_ms
+    worker.has_ends = False
+    books.links[worker.target_id].look(
+        orders.Look(books.epoch, worker.cursor, until_ms, wait_ms)
+    )
+
+
+def look_answered(books, mail):
+    """Take a worker's lists."""
+    worker = books.workers.get(mail.target_id)
+    if worker is None or worker.look is None:
+        return
+    now_ms, result = books.now_ms(), mail.result
+    sent_ms, worker.look = worker.look, None
+    if result.outcome == orders.OTHER_LIFE:
+        lives.life_over(books, worker)
+        return
+    if result.outcome != orders.OK:
+        _look_failed(books, worker, result, now_ms)
+        return
+    worker.note_clock(result.clock_ms, now_ms)
+    worker.heard_ms = now_ms
+    worker.failures = 0
+    if not worker.shown:
+        worker.shown = True
+        books.is_stale = True
+    if result.born_ms and result.born_ms != worker.record.born_ms:
+        lives.note_new_life(books, worker, result)
+    has_ends = _take_ends(books, worker, result.ended)
+    _take_running(books, worker, result.running, sent_ms)
+    _pace(books, worker, now_ms)
+    _move_on(books, worker, now_ms)
+    if has_ends:
+        cursor = max(end.number for end in result.ended)
+        life = worker.record.born_ms
+        worker.is_settling = True
+        books.after_commit(lambda: _forget_ends(books, worker, cursor, life))
+    else:
+        runs.look_later(books, worker, 0)
+
+
+def look_if_due(books, worker, now_ms):
+    """Make the next look if the worker needs one and its gap is over."""
+    wanted = worker.runs or worker.has_ends or not worker.shown
+    due_ms = worker.look_due_ms
+    if worker.failures:
+        due_ms = worker.looked_ms + LOOK_AGAIN_MS
+    if wanted and now_ms >= due_ms:
+        look(books, worker)
+
+
+def _look_failed(books, worker, result, now_ms):
+    worker.failures += 1
+    if worker.failures == 1:
+        books.environment.record(
+            "worker_doubtful", target=worker.target_id, outcome=result.outcome
+        )
+    if worker.is_leaving and result.outcome == orders.UNREACHABLE:
+        # It said that it ends, and nothing listens there any more.
+        lives.life_over(books, worker)
+
+
+def _forget_ends(books, worker, cursor, life):
+    """The ends up to ``cursor`` are durable here, so the worker may forget them."""
+    worker.is_settling = False
+    if books.workers.get(worker.target_id) is not worker:
+        return
+    if worker.record.born_ms == life:
+        worker.cursor = max(worker.cursor, cursor)
+        worker.has_ends = True
+    runs.look_later(books, worker)
+
+
+def _take_ends(books, worker, ended):
+    """Record the ends that concern runs of ours; True if any was listed."""
+    for end in sorted(ended):
+        run = runs.run_of(worker, end.task)
+        if run is not None and run.run == end.run:
+            runs.end_run(books, worker, run, end.how, end.checkpoint)
+        elif end.how == "done":
+            _take_late_success(books, worker, end)
+    return bool(ended)
+
+
+def _take_late_success(books, worker, end):
+    """A run given up for lost is listed as done, and nothing runs in its place."""
+    key = runs.key_of(end.task)
+    task = cell_state.task_of(books.state, key) if key else None
+    if task is None or not cell_state.is_late_success(task, end.run, end.how):
+        return
+    job = books.state.jobs[key.job_id]
+    step = job.record.steps[key.step]
+    if step.long_running:
+        return
+    keys = [key]
+    if step.gang:
+        tasks = job.groups[(key.occurrence, key.step)]
+        keys = [key._replace(index=index) for index in range(len(tasks))]
+        if any(not cell_state.is_late_success(t, end.run, end.how) for t in tasks):
+            return
+    books.decide(
+        ended=[cell.RunEnded(*each, end.run, end.how, "", False) for each in keys]
+    )
+    books.on_run_ended(key.job_id, key.occurrence, key.step)
+    books.environment.record(
+        "late_success", task=end.task, run=end.run, target=worker.target_id
+    )
+
+
+def _take_running(books, worker, running, sent_ms):
+    """Compare what a worker runs with what it should run."""
+    now_ms = books.now_ms()
+    listed = {entry.task: entry for entry in running}
+    for run in list(worker.runs.values()):
+        entry = listed.pop(str(run.key), None)
+        if entry is not None and entry.run == run.run:
+            _note_progress(books, worker, run, entry, now_ms)
+        elif entry is not None:
+            listed[entry.task] = entry
+        elif sent_ms > run.answered_ms:
+            _note_missing(books, worker, run)
+    for entry in listed.values():
+        order = orders.Stop(entry.task, entry.run, books.epoch)
+        books.links[worker.target_id].order(order)
+        books.environment.record(
+            "unknown_run_stopped",
+            task=entry.task,
+            run=entry.run,
+            target=worker.target_id,
+        )
+
+
+def _note_progress(books, worker, run, entry, now_ms):
+    if run.state == workers.ORDERED:
+        run.state = workers.RUNNING
+        run.next_send_ms = None
+        run.moved_ms = now_ms
+    if entry.percent != run.percent:
+        run.percent, run.moved_ms = entry.percent, now_ms
+    if run.first_ms is None and entry.percent > 0:
+        run.first_percent, run.first_ms = entry.percent, now_ms
+    run.load = entry.load
+    if run.abandoned:
+        runs.close_run(books, worker, run)
+        return
+    run.checkpoint = entry.checkpoint or run.checkpoint
+    job = books.state.jobs.get(run.key.job_id)
+    if job is None or job.state != cell_state.ACTIVE:
+        runs.close_run(books, worker, run)
+
+
+def _note_missing(books, worker, run):
+    """A run that a fresh look does not list; only a confirmed stop makes it final."""
+    if run.state == workers.ORDERED and run.sends == 0:
+        return
+    if run.state == workers.CLOSED:
+        runs.end_run(books, worker, run, "stopped", run.checkpoint)
+    elif run.state == workers.RUNNING or run.order is None:
+        runs.close_run(books, worker, run)
+
+
+def _pace(books, worker, now_ms):
+    if now_ms - worker.paced_ms < PACE_INTERVAL_MS:
+        return
+    for run, share in pacing.changes(list(worker.runs.values())):
+        worker.paced_ms = now_ms
+        order = orders.Pace(str(run.key), run.run, share, books.epoch)
+        books.links[worker.target_id].order(order)
+
+
+def _move_on(books, worker, now_ms):
+    """Stop what stands still here, and all that pays if the worker is slow."""
+    ratios = {}
+    for run in list(worker.runs.values()):
+        if run.state != workers.RUNNING or run.is_long:
+            continue
+        if health.is_stalled(run, now_ms):
+            _move(books, worker, run, "stalled", now_ms)
+            continue
+        ratio = health.slowness(run, books.durations.get(run.key[:3], ()))
+        if ratio is not None:
+            ratios[run] = ratio
+    if not health.is_slow(list(ratios.values())):
+        return
+    for run, ratio in ratios.items():
+        if health.pays_to_move(run, ratio, books.durations[run.key[:3]]):
+            _move(books, worker, run, "slow", now_ms)
+
+
+def _move(books, worker, run, reason, now_ms):
+    moves = books.moves.get(run.key, 0)
+    if moves >= health.MOVES_MOST:
+        return
+    books.moves[run.key] = moves + 1
+    books.environment.record(
+        "run_moved",
+        task=str(run.key),
+        run=run.run,
+        target=worker.target_id,
+        reason=reason,
+        percent=run.percent,
+        still_ms=now_ms - run.moved_ms,
+    )
+    runs.strike(books, worker, run.key.job_id)
+    runs.close_run(books, worker, run)
--- /dev/null
+++ b/alderreach/ops/controller/order_answers.py
@@ -0,0 +1,93 @@
+"""What follows from the answer to a start, a stop or a pace, or from none."""
+
+from absl import logging
+
+from alderreach.core import orders
+from alderreach.decisions.cell import workers
+from alderreach.ops.controller import lives, looks, runs
+
+# An order without an answer is sent again after this; the call itself has waited
+# longer than any healthy worker takes.
+RESEND_AFTER_MS = 50
+# Refusals for want of health or room say that our view is behind; waiting lets a look
+# or a heartbeat come first.
+HOLD_BACK_MS = 500
+
+
+def order_answered(books, mail):
+    """Take the answer to a Start, Stop or Pace."""
+    worker = books.workers.get(mail.target_id)
+    if worker is None:
+        return
+    now_ms, result = books.now_ms(), mail.result
+    if result.clock_ms is not None:
+        worker.note_clock(result.clock_ms, now_ms)
+        worker.heard_ms = now_ms
+    if result.outcome in (orders.UNKNOWN, orders.UNREACHABLE):
+        worker.failures += 1
+    elif result.outcome == orders.OK:
+        worker.failures = 0
+    if result.outcome == orders.OTHER_LIFE:
+        lives.life_over(books, worker)
+        return
+    run = runs.run_of(worker, mail.order.task)
+    if run is None or run.run != mail.order.run:
+        return
+    if isinstance(mail.order, orders.Start):
+        _start_answered(books, worker, run, mail, now_ms)
+    elif isinstance(mail.order, orders.Stop):
+        _stop_answered(run, result, now_ms)
+        looks.look(books, worker)
+    elif result.outcome == orders.OK:
+        run.pace = mail.order.percent
+
+
+def send_again(books, worker, run):
+    """Repeat a start or stop that was not answered."""
+    if run.state == workers.CLOSING:
+        runs.send_stop(books, worker, run)
+    elif run.state == workers.ORDERED and run.order is not None:
+        runs.send_start(books, worker, run)
+
+
+def _start_answered(books, worker, run, mail, now_ms):
+    """Act on the answer to a start; only OK and proofs that nothing ran settle it."""
+    result = mail.result
+    if run.state != workers.ORDERED:
+        return
+    if result.outcome == orders.OK:
+        run.state = workers.RUNNING
+        run.answered_ms = run.moved_ms = now_ms
+        return
+    books.environment.record(
+        "start_not_taken",
+        task=str(run.key),
+        run=run.run,
+        target=worker.target_id,
+        outcome=result.outcome,
+        sends=run.sends,
+    )
+    books.environment.metrics.count("starts_not_taken", result.outcome)
+    if result.outcome == orders.NO_TICKET:
+        books.permissions.refuse(run.key[:3], worker.target_id)
+    elif result.outcome in (orders.NO_ROOM, orders.REFUSED):
+        worker.held_back_until_ms = now_ms + HOLD_BACK_MS
+    if result.outcome in orders.NOT_CARRIED_OUT and run.sends == 1:
+        runs.end_run(books, worker, run, "refused")
+    elif result.outcome == orders.UNKNOWN:
+        worker.may_arrive_late(run, now_ms)
+        run.next_send_ms = now_ms + RESEND_AFTER_MS
+    elif result.outcome == orders.FENCED:
+        logging.warning("worker %s saw a higher epoch", worker.target_id)
+    else:
+        runs.close_run(books, worker, run)
+
+
+def _stop_answered(run, result, now_ms):
+    if run.state != workers.CLOSING:
+        return
+    if result.outcome in (orders.OK, orders.STALE_RUN):
+        run.state = workers.CLOSED
+        run.answered_ms = now_ms
+    else:
+        run.next_send_ms = now_ms + RESEND_AFTER_MS
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -10,7 +10,7 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions.cell import choice, order, permissions
-from alderreach.ops.controller import running
+from alderreach.ops.controller import runs
 
 # Bounds one pass, so that heartbeats of the quorum are never held up by a large job:
 # at some 50 us a start this is 10 ms.
@@ -183,7 +183,7 @@
         if checkpoint is None:
             checkpoint = cell_state.task_of(books.state, key).checkpoint
         ticket = books.permissions.ticket(group, worker.target_id, now_ms) or ""
-        running.place(books, worker, key, run, step, ticket, checkpoint)
+        runs.place(books, worker, key, run, step, ticket, checkpoint)
         books.environment.record(
             "run_placed",
             task=str(key),
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -13,7 +13,7 @@
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import choice
-from alderreach.ops.controller import running
+from alderreach.ops.controller import lives, looks, runs
 
 # When to come back while the cell can't answer: about an election.
 RETRY_AFTER_MS = 1000
@@ -176,7 +176,7 @@
 
     def cancelled():
         reply(answer(ACCEPTED))
-        running.close_job(books, job)
+        runs.close_job(books, job)
 
     books.decide(cancelled, cancelled=[job_id])
     leading.record("job_cancelled", job=job_id)
@@ -223,12 +223,12 @@
         worker.sequence = request.sequence
     if worker is None:
         worker = books.add_worker(record)
-    running.announced(books, worker, request.clock_ms, books.now_ms())
+    lives.announced(books, worker, request.clock_ms, books.now_ms())
     if not is_new and record == worker.record:
         reply(done)
         return
     if is_new and worker.record.born_ms != record.born_ms:
-        running.new_life(books, worker, record)
+        lives.new_life(books, worker, record)
     worker.record = record
     books.decide(lambda: reply(done), targets=[record])
     leading.record(
@@ -238,7 +238,7 @@
         address=record.address,
         is_new=is_new,
     )
-    running.look(books, worker)
+    looks.look(books, worker)
 
 
 def _withdraw(leading, request, reply):
@@ -247,7 +247,7 @@
     if worker is not None:
         worker.is_leaving = True
         leading.record("worker_leaves", target=request.target_id)
-        running.look(leading.books, worker)
+        looks.look(leading.books, worker)
     reply(answer(ACCEPTED))
 
 
--- /dev/null
+++ b/alderreach/ops/controller/runs.py
@@ -0,0 +1,173 @@
+"""Runs of tasks: decided, started, stopped and ended.
+
+Failure answered: *an order gets no answer* (lost, or carried out seconds later). The
+same run is sent again; a worker that has it says so. It is placed elsewhere only after
+a confirmed stop and a look sent later than that, or after the lease has lapsed: the
+order names the lease's end, so a worker refuses it afterwards.
+"""
+
+from alderreach.core import cell_state, orders
+from alderreach.core.generated import cell
+from alderreach.decisions.cell import health, workers
+
+# After ends, the next look waits this long, so that ends that come close together are
+# listed by one look. Looks cost the worker and us; without a gap a day of short tasks
+# took one and a half for each run. At 50 ms the steps that follow were late more often.
+LOOK_GAP_MS = 15
+# A worker on which nothing runs any more has only its ends to forget.
+IDLE_LOOK_GAP_MS = 250
+
+
+def place(books, worker, key, run_number, step, ticket, checkpoint):
+    """Decide a start; the worker hears of it once that is durable."""
+    now_ms = books.now_ms()
+    run = workers.Run(key, run_number, step, now_ms, ticket)
+    run.next_send_ms = None
+    run.checkpoint = checkpoint
+    worker.add(run)
+    record = worker.record
+    placed = cell.RunPlaced(*key, run_number, record.target_id, record.born_ms)
+    books.decide(lambda: _start(books, worker, run), placed=[placed])
+
+
+def close_job(books, job):
+    """Stop all that runs of a job."""
+    for (occurrence, number), tasks in job.groups.items():
+        for index, task in enumerate(tasks):
+            if task.state == cell_state.PLACED:
+                key = cell_state.TaskKey(job.record.job_id, occurrence, number, index)
+                worker = books.workers.get(task.target_id)
+                run = worker.runs.get(key) if worker else None
+                if run is not None:
+                    close_run(books, worker, run)
+
+
+def close_run(books, worker, run):
+    """Have a run stopped, also one whose start may still be on its way."""
+    if run.state in (workers.CLOSING, workers.CLOSED):
+        return
+    if run.state == workers.ORDERED and run.sends == 0:
+        # Its start waits for the commit, which then finds it closing.
+        run.state = workers.CLOSING
+        return
+    run.state = workers.CLOSING
+    run.next_send_ms = None
+    send_stop(books, worker, run)
+
+
+def end_run(books, worker, run, how, checkpoint=""):
+    """Record the end of a run and give its room back."""
+    worker.remove(run)
+    key = run.key
+    job = books.state.jobs.get(key.job_id)
+    if job is None:
+        return
+    _judge(books, worker, run, how)
+    step = job.record.steps[key.step]
+    is_final = False
+    if how == "failed" and not step.long_running:
+        failed = cell_state.failures_of(job, *key[1:]) + 1
+        is_final = failed >= books.queue_of(job).max_attempts
+    ended = cell.RunEnded(*key, run.run, how, checkpoint, is_final)
+    books.decide(ended=[ended])
+    books.on_run_ended(key.job_id, key.occurrence, key.step)
+    books.environment.record(
+        "run_ended", task=str(key), run=run.run, how=how, target=worker.target_id
+    )
+    if job.state == cell_state.FAILED:
+        close_job(books, job)
+    elif step.gang:
+        _end_gang(books, job, key, run.run, how, checkpoint)
+
+
+def send_start(books, worker, run):
+    """Send a start; how often is counted, since each copy may arrive late."""
+    run.sends += 1
+    books.links[worker.target_id].order(run.order)
+
+
+def send_stop(books, worker, run):
+    """Send a stop."""
+    order = orders.Stop(str(run.key), run.run, books.epoch)
+    books.links[worker.target_id].order(order)
+
+
+def look_later(books, worker, gap_ms=LOOK_GAP_MS):
+    """Have the next look made after a gap, in which more ends may gather."""
+    if not worker.runs:
+        gap_ms = IDLE_LOOK_GAP_MS
+    worker.look_due_ms = books.now_ms() + gap_ms
+
+
+def strike(books, worker, job_id):
+    """Count a failure or stall against a worker."""
+    everyone = list(books.workers.values())
+    if health.strike(worker, job_id, everyone, books.now_ms()):
+        books.environment.record(
+            "worker_out",
+            target=worker.target_id,
+            until_in_ms=worker.held_back_until_ms - books.now_ms(),
+        )
+
+
+def run_of(worker, task):
+    """The run here that a task names, or None."""
+    return worker.runs.get(key_of(task))
+
+
+def key_of(task):
+    """The key that a task's name spells, or None for a name of another kind."""
+    parts = task.split(".")
+    try:
+        return cell_state.TaskKey(parts[0], *(int(part) for part in parts[1:]))
+    except (TypeError, ValueError):
+        return None
+
+
+def _start(books, worker, run):
+    """Send a start that is durable now, unless its job ended meanwhile."""
+    if worker.runs.get(run.key) is not run:
+        return
+    job = books.state.jobs[run.key.job_id]
+    if run.state == workers.CLOSING or job.state != cell_state.ACTIVE:
+        end_run(books, worker, run, "stopped")
+        return
+    lease_ms = books.environment.settings.cell.worker_lease_ms
+    now_ms = books.now_ms()
+    run.order = orders.Start(
+        str(run.key),
+        run.run,
+        job.record.spec,
+        worker.lease_until_ms(lease_ms, now_ms),
+        books.epoch,
+        run.checkpoint,
+        run.ticket,
+    )
+    send_start(books, worker, run)
+    look_later(books, worker)
+
+
+def _end_gang(books, job, key, run_number, how, checkpoint):
+    """One end of a gang's run stands for all: all are done, or the others stop."""
+    tasks = job.groups[(key.occurrence, key.step)]
+    for index, task in enumerate(tasks):
+        if task.state != cell_state.PLACED or task.run != run_number:
+            continue
+        worker = books.workers.get(task.target_id)
+        run = worker.runs.get(key._replace(index=index)) if worker else None
+        if run is None:
+            continue
+        if how == "done":
+            end_run(books, worker, run, how, checkpoint)
+        else:
+            close_run(books, worker, run)
+
+
+def _judge(books, worker, run, how):
+    """What an end says of its worker, and of how long such tasks take."""
+    if how == "done":
+        health.ended_well(worker)
+        durations = books.durations.setdefault(run.key[:3], [])
+        durations.append(books.now_ms() - run.placed_ms)
+    elif how == "failed":
+        strike(books, worker, run.key.job_id)
--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -175,6 +175,29 @@
             sim.run_until_shown(f"j{number}", "completed", duration_ms=8000)
 
 
+def test_a_draining_worker_is_left_before_it_ends(tmp_path):
+    """A worker says that it drains and is gone seconds later without a word. A task
+    that lasts leaves it at once; left there, it would be down until the lease lapses.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=10_000_000)
+        lasting = cell_sim.step(1, long_running=True)
+        saved = cell_sim.step(1, checkpointing=True)
+        cell_sim.hand_in(sim, "j1", lasting)
+        cell_sim.hand_in(sim, "j2", saved)
+        cell_sim.hand_in(sim, "j3", cell_sim.step(1))
+        sim.run(500)
+        (leaving,) = [w for w in sim.workers.values() if w.running]
+        assert len(leaving.running) == 3
+        leaving.state = "draining"
+        sim.announce(leaving)
+        sim.run(500)
+        assert list(leaving.running) == ["j3.0.0.0"]
+        others = [w for w in sim.workers.values() if w is not leaving]
+        assert sum(len(worker.running) for worker in others) == 2
+
+
 def test_a_deposed_leader_tells_nobody_of_missing_jobs(tmp_path):
     """A leader is cut off from the other controllers; callers still reach it. A job
     that its successor accepts is unknown to it, and it must not say so.
