--- a/alderreach/ops/controller/books.py
+++ b/alderreach/ops/controller/books.py
@@ -129,6 +129,11 @@
         self.links[record.target_id] = self.environment.open_link(record, self.epoch)
         return worker
 
+    def move_link(self, record):
+        """A worker has another address: call it there from now on."""
+        self.links[record.target_id].close()
+        self.links[record.target_id] = self.environment.open_link(record, self.epoch)
+
     def drop_worker(self, target_id):
         """Forget a worker on which nothing runs."""
         del self.workers[target_id]
--- a/alderreach/ops/controller/lives.py
+++ b/alderreach/ops/controller/lives.py
@@ -112,8 +112,8 @@
         lapse(books, worker)
     if worker.failures and now_ms - worker.heard_ms >= ABANDON_AFTER_MS:
         abandon(books, worker)
-    is_draining = worker.record.state == "draining"
-    if is_draining and worker.shown and not worker.is_evacuated:
+    is_draining = worker.record.state == "draining" and worker.shown
+    if is_draining and not worker.is_evacuated:
         evacuate(books, worker, now_ms)
     worker.is_evacuated = is_draining
 
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -9,6 +9,9 @@
 # An order without an answer is sent again after this; the call itself has waited
 # longer than any healthy worker takes.
 RESEND_AFTER_MS = 50
+# Where nothing listens the answer comes at once; without a pause every run there would
+# open a connection twenty times a second.
+UNREACHABLE_PAUSE_MS = 400
 # Refusals for want of health or room say that our view is behind; waiting lets a look
 # or a heartbeat come first.
 HOLD_BACK_MS = 500
@@ -89,5 +92,7 @@
     if result.outcome in (orders.OK, orders.STALE_RUN):
         run.state = workers.CLOSED
         run.answered_ms = now_ms
+    elif result.outcome == orders.UNREACHABLE:
+        run.next_send_ms = now_ms + UNREACHABLE_PAUSE_MS
     else:
         run.next_send_ms = now_ms + RESEND_AFTER_MS
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -229,6 +229,9 @@
         return
     if is_new and worker.record.born_ms != record.born_ms:
         lives.new_life(books, worker, record)
+    if record.address != worker.record.address:
+        books.move_link(record)
+        worker.look = None
     worker.record = record
     books.decide(lambda: reply(done), targets=[record])
     leading.record(
--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -115,6 +115,22 @@
         sim.run_until_shown("j1", "completed", duration_ms=8000)
 
 
+def test_a_worker_born_again_at_another_address(tmp_path):
+    """A worker starts again under its id at another address. Called at the old one, it
+    would never be heard again and get no work.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        cell_sim.hand_in(sim, "j1", cell_sim.step(1))
+        sim.run_until_shown("j1", "completed")
+        worker = sim.workers["w1"]
+        worker.crash()
+        sim.run(200)
+        worker.address = "w1:2"
+        worker.restart()
+        cell_sim.hand_in(sim, "j2", cell_sim.step(1))
+        sim.run_until_shown("j2", "completed", duration_ms=6000)
+
+
 def test_a_cancelled_job_leaves_nothing(tmp_path):
     """A job is cancelled while some of its starts are on their way, late. Once that is
     acknowledged nothing of it starts, and what runs is stopped.
--- a/tools/standins/cell_worker.py
+++ b/tools/standins/cell_worker.py
@@ -49,6 +49,7 @@
         self.script = Script()
         self.lives = 0
         self.state = "ready"
+        self.address = f"{name}:1"
         self.is_down = False
         self.restart()
 
