--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -99,7 +99,9 @@
     gained, watched_ms = run.percent - run.first_percent, run.moved_ms - run.first_ms
     if gained <= 0 or (gained < GAINED_LEAST and watched_ms < WATCHED_LEAST_MS):
         return None
-    return watched_ms * 100 / gained / statistics.median(durations_ms)
+    # A run that was taken up by a new leader may end in the millisecond it was found.
+    usual_ms = max(1, statistics.median(durations_ms))
+    return watched_ms * 100 / gained / usual_ms
 
 
 def left_ms(run, now_ms):
--- a/alderreach/decisions/cell/health_test.py
+++ b/alderreach/decisions/cell/health_test.py
@@ -47,6 +47,13 @@
     assert health.slowness(run(5, 100, first_percent=2), SIBLINGS) is None
 
 
+def test_siblings_that_took_no_time():
+    """A new leader takes up runs that have just ended: their durations are zero, and a
+    division by them ended the leader.
+    """
+    assert health.slowness(run(50, 500), [0, 0]) == 1000.0
+
+
 def test_failures_of_one_broken_job_do_not_take_a_worker_out():
     everyone = [worker(f"w{number}") for number in range(6)]
     assert not any(health.strike(everyone[0], "j1", everyone, 0) for _ in range(9))
