--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -20,8 +20,6 @@
 here it keeps its room until its end is known like that of any other.
 """
 
-import typing
-
 from alderreach.core.generated import common
 from alderreach.decisions.cell import health
 
@@ -217,13 +215,3 @@
     'r1-3'
     """
     return labels[-1] if len(labels) > 1 else ""
-
-
-class Fleet(typing.NamedTuple):
-    """All workers, by id."""
-
-    by_id: dict
-
-    def of_service(self, service):
-        """The workers of one pool."""
-        return [w for w in self.by_id.values() if w.record.service == service]
--- a/alderreach/ops/controller/books.py
+++ b/alderreach/ops/controller/books.py
@@ -20,7 +20,7 @@
 
 
 class Environment(typing.NamedTuple):
-    """What a leader uses of its process; ``post`` sends a peer a message.
+    """What a leader uses of its process.
 
     ``committed()`` returns the cell's state as the log has it, ``cell_offset_ms()``
     what added to the steady clock gives the cell's time, ``helpers()`` the peers that
@@ -32,7 +32,6 @@
     clock: typing.Any
     metrics: typing.Any
     record: typing.Callable
-    post: typing.Callable
     confirm: typing.Callable
     committed: typing.Callable
     cell_offset_ms: typing.Callable
@@ -59,6 +58,11 @@
         self._changes = []
         self._effects = []
 
+    def lease_ms(self):
+        """The lease of workers: the setting, or the longest that the workers take."""
+        settings = self.environment.settings.cell
+        return min(settings.worker_lease_ms, settings.worker_lease_max_ms)
+
     def now_ms(self):
         """The steady clock."""
         return self.environment.clock.monotonic_ms()
@@ -121,7 +125,7 @@
         """
         settings = self.environment.settings
         now_ms = self.now_ms()
-        longest_ms = int(settings.cell.worker_lease_ms * workers.SLOW_CLOCK)
+        longest_ms = int(self.lease_ms() * workers.SLOW_CLOCK)
         lapses_ms = now_ms + longest_ms + settings.timing.election_timeout_ms
         lapses_ms += workers.LEASE_MARGIN_MS
         worker = workers.Worker(record, now_ms, lapses_ms)
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -201,7 +201,6 @@
             clock=self._clock,
             metrics=self._context.metrics,
             record=self._record,
-            post=self._post,
             confirm=self._port.confirm,
             committed=lambda: self._port.state_of().cell,
             cell_offset_ms=self._cell_offset_ms,
@@ -277,13 +276,12 @@
         """
         controllers = [m.address for m in self._port.node.members if m.address]
         if self._leading is not None:
-            return cell.GreetingReply(
-                self._own_address, self._leading.books.epoch, self._contact, controllers
-            )
+            epoch = self._leading.books.epoch
+            return cell.GreetingReply(self._own_address, epoch, controllers)
         leader = self._port.leader_address()
         if leader == self._own_address:
             leader = ""
-        return cell.GreetingReply(leader, self._port.node.term, "", controllers)
+        return cell.GreetingReply(leader, self._port.node.term, controllers)
 
     def _relayed(self, message, address):
         def reply(status, payload=b""):
--- a/alderreach/ops/controller/discovery.py
+++ b/alderreach/ops/controller/discovery.py
@@ -35,15 +35,14 @@
 
 
 class Leadership(typing.NamedTuple):
-    """Who leads, as last heard: address, epoch, where workers reach it."""
+    """Who leads, as last heard: address, epoch, and when it was heard itself."""
 
     address: str
     epoch: int
-    contact: str
     heard_ms: int
 
 
-NOBODY = Leadership("", 0, "", 0)
+NOBODY = Leadership("", 0, 0)
 
 
 class Seeker:
@@ -87,9 +86,7 @@
         is_new = reply.epoch > self.leadership.epoch
         speaks_itself = reply.leader == sender and reply.epoch == self.leadership.epoch
         if reply.leader and (is_new or speaks_itself):
-            self.leadership = Leadership(
-                reply.leader, reply.epoch, reply.leader_contact, now_ms
-            )
+            self.leadership = Leadership(reply.leader, reply.epoch, now_ms)
 
     def controllers(self):
         """All addresses worth trying, the leader's first."""
--- a/alderreach/ops/controller/looks.py
+++ b/alderreach/ops/controller/looks.py
@@ -9,9 +9,10 @@
 from alderreach.decisions.cell import health, pacing, workers
 from alderreach.ops.controller import lives, runs
 
-# How long the answer to a look may wait for an end. Half of the shortest lease, and
-# below the time in which serving tasks may be disturbed.
+# How long the answer to a look may wait for an end: a quarter of the time in which
+# serving tasks may be disturbed by others; and three looks fit into a lease.
 LOOK_WAIT_MS = 1000
+LOOKS_PER_LEASE = 3
 # A look that failed is repeated after this, without extending the lease.
 LOOK_AGAIN_MS = 300
 # Two reports of the tail lie between two changes of a share.
@@ -28,14 +29,14 @@
     now_ms = books.now_ms()
     until_ms = None
     if worker.shown and worker.failures == 0 and worker.offset_ms is not None:
-        lease_ms = books.environment.settings.cell.worker_lease_ms
-        until_ms = worker.lease_until_ms(lease_ms, now_ms)
+        until_ms = worker.lease_until_ms(books.lease_ms(), now_ms)
     is_urgent = (
         not worker.runs
         or not worker.shown
         or any(run.state == workers.CLOSED for run in worker.runs.values())
     )
-    wait_ms = 0 if is_urgent else wait_ms
+    longest_ms = books.lease_ms() // LOOKS_PER_LEASE
+    wait_ms = 0 if is_urgent else min(wait_ms, longest_ms)
     worker.look = worker.looked_ms = now_ms
     worker.has_ends = False
     books.links[worker.target_id].look(
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -132,13 +132,12 @@
     if run.state == workers.CLOSING or job.state != cell_state.ACTIVE:
         end_run(books, worker, run, "stopped")
         return
-    lease_ms = books.environment.settings.cell.worker_lease_ms
     now_ms = books.now_ms()
     run.order = orders.Start(
         str(run.key),
         run.run,
         job.record.spec,
-        worker.lease_until_ms(lease_ms, now_ms),
+        worker.lease_until_ms(books.lease_ms(), now_ms),
         books.epoch,
         run.checkpoint,
         run.ticket,
--- a/alderreach/parser/settings.py
+++ b/alderreach/parser/settings.py
@@ -14,6 +14,7 @@
 from alderreach.parser import toml_lines
 
 ROLES = ("entry", "placer", "keeper", "controller", "frontend")
+SEEDED_ROLES = ("controller", "frontend")
 LISTENERS = {
     "entry": ("callers", "operators"),
     "placer": ("targets",),
@@ -156,6 +157,12 @@
             found.add(f"listen.{key}", f"is required for the role {role}")
     if role == "entry" and not sections["operators"].token_file:
         found.add("operators.token_file", "is required for the role entry")
+    if role in SEEDED_ROLES and not sections["discovery"].seeds:
+        found.add("discovery.seeds", f"is required for the role {role}")
+    if role == "controller" and not sections["cell"].control:
+        found.add("cell.control", "is required for the role controller")
+    if sections["discovery"].found not in ("yes", "no"):
+        found.add("discovery.found", "must be yes or no")
     limits, timing = sections["limits"], sections["timing"]
     if limits.queue_length >= limits.http_threads:
         found.add("limits.queue_length", "must be below limits.http_threads")
--- a/alderreach/parser/settings_test.py
+++ b/alderreach/parser/settings_test.py
@@ -53,3 +53,24 @@
 def test_syntax_error_names_its_line():
     _, mistakes = settings.parse("[process]\nname = \n", "x.toml", "keeper")
     assert mistakes[0].line == 2
+
+
+def test_a_controller_needs_seeds_and_a_listener_for_workers():
+    text = """
+[process]
+cell = "c"
+name = "k"
+vm = "v"
+failure_domain = "d"
+data_folder = "/x"
+[listen]
+peers = "127.0.0.1:1"
+[discovery]
+found = "perhaps"
+"""
+    _settings, mistakes = settings.parse(text, "f", "controller")
+    assert [(mistake.key, mistake.message) for mistake in mistakes] == [
+        ("discovery.seeds", "is required for the role controller"),
+        ("cell.control", "is required for the role controller"),
+        ("discovery.found", "must be yes or no"),
+    ]
