--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -6,6 +6,7 @@
 its end before the worker may forget it. What is *not* recorded is anything that can be
 asked again: leases, tickets, how far a task has come.
 
+>>> from alderreach.core.generated import common
 >>> state = CellState()
 >>> step = cell.Step(2, common.Resources(500, 64, 0), 900, [], *NO_STEP_OPTIONS)
 >>> queue = cell.QueueConfig("q", "h", "/q/", "pool", 0, 2, 1.5, 250, 3000, None)
