--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -6,15 +6,16 @@
 Without it: asked by the leader alone and only when a step is ready, the questions queue
 up behind each other for longer than the tasks run.
 
-Questions are spread over all processes of the cell, one at a time each. A third of the
-processes is kept for questions that are decided several times faster than the longest,
-so that an urgent step's 25 ms do not queue behind 600 ms of work that can wait. Shown by
-the test beside this with all processes present; no gain was measured on a played day.
-A verdict never
-changes, so a worker that was turned down is not asked about again, and a renewal names
-only workers known to be good. A ticket ages: it is used only while ``SAFETY_MS`` of its
-life are left, and renewed that much and a decision's time ahead if the step still
-waits.
+Questions are spread over all processes of the cell, one at a time each. A third of
+the processes is kept for questions that are decided several times faster than the
+longest, so that an urgent step's 25 ms do not queue behind 600 ms of work that can
+wait. Shown by the test beside this with all processes present; no gain was measured on
+a played day.
+
+A verdict never changes, so a worker that was turned down is not asked about again, and
+a renewal names only workers known to be good. A ticket ages: it is used only while
+``SAFETY_MS`` of its life are left, and renewed that much and a decision's time ahead if
+the step still waits.
 """
 
 import math
