--- a/alderreach/core/raft_election.py
+++ b/alderreach/core/raft_election.py
@@ -3,6 +3,12 @@
 A candidate asks on trial first (pre-vote). A voter that heard from a leader within the
 election timeout refuses, unless that leader itself sent the candidate. So a voter that
 comes back from a long cut can't depose a leader that serves well.
+
+Candidates that ask on trial at the same time would each get the other's consent, vote
+for themselves and split the vote, and with one voter away do so term after term. So of
+two whose logs are alike the one with the lower identity goes on and the other gives up.
+After a loss of power of a whole cell this took three elections, 2.2 s in place of 0.4,
+by the log of such a day.
 """
 
 from alderreach.core import membership, raft_leader, raft_state
@@ -87,6 +93,8 @@
     log = node.log
     newer = (message.last_term, message.last_index) >= (log.last_term, log.last_index)
     granted = not refused and newer and _is_free(node, message)
+    if granted and message.trial and _gives_way(node, message):
+        become_follower(node, now_ms)
     if granted and not message.trial:
         node.voted_for = message.candidate
         node.vote_changed = True
@@ -101,6 +109,12 @@
     node.outbox.append((message.candidate, reply))
 
 
+def _gives_way(node, message):
+    """Whether this node asks for votes itself and leaves that to the other."""
+    is_asking = node.role == raft_state.CANDIDATE
+    return is_asking and message.candidate < node.identity
+
+
 def _is_free(node, message):
     if message.trial:
         return message.term > node.term
--- a/alderreach/core/raft_state.py
+++ b/alderreach/core/raft_state.py
@@ -62,6 +62,17 @@
         self.offset = 0
 
 
+def first_wait_ms(rules, random):
+    """How long a starting voter waits for a leader before it asks for votes.
+
+    A third of the election timeout at least, several beats, so that a leader that
+    serves is heard first; and a lot, since after a loss of power all voters start in
+    the same moment. Asking early deposes nobody: it is on trial first.
+    """
+    least_ms = rules.election_timeout_ms // 3
+    return least_ms + random.randrange(rules.election_timeout_ms // 3)
+
+
 class Receiving(typing.NamedTuple):
     """A snapshot that is coming in."""
 
@@ -96,7 +107,7 @@
         self.leader = ""
         self.leader_name = ""
         self.heard_ms = None
-        self.election_due_ms = now_ms + rules.election_timeout_ms
+        self.election_due_ms = now_ms + first_wait_ms(rules, random)
         self.trial = False
         self.transfer = False
         self.votes = set()
--- a/tests/keeper_failures_test.py
+++ b/tests/keeper_failures_test.py
@@ -72,6 +72,24 @@
     assert [item.value for item in items] == [b"1", b"2"]
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_voters_that_start_together_elect_one_without_a_split_vote(make, seed):
+    """All keepers lose power and come back in the same moment, one of them without its
+    disk. Callers saw nothing answered for seconds: the two that could vote asked each
+    other at the same time, each voted for itself, and so on, term after term.
+    """
+    cell = make(3, seed=seed)
+    cell.settle()
+    term = cell.keepers[cell.leader()]._node.term
+    for name in list(cell.keepers):
+        cell.crash(name)
+    for name in ("k1", "k2"):
+        cell.start(name)
+    timeout_ms = cell.keepers["k1"]._node.rules.election_timeout_ms
+    assert cell.run(timeout_ms, lambda: cell.leader() is not None), cell.describe()
+    assert cell.keepers[cell.leader()]._node.term == term + 1
+
+
 def test_a_voter_back_from_a_long_cut_does_not_depose_the_leader(make):
     """A keeper is cut off for a minute and comes back while the others serve.
 
