--- a/alderreach/decisions/cell/choice.py
+++ b/alderreach/decisions/cell/choice.py
@@ -40,9 +40,12 @@
 def is_suitable(worker, step):
     """Whether a worker could ever run a step, empty and in good health."""
     capacity, demand = worker.record.capacity, step.demand
-    labelled = not step.required_label or step.required_label in worker.record.labels
-    return labelled and all(
-        need <= have for need, have in zip(demand, capacity, strict=True)
+    if step.required_label and step.required_label not in worker.record.labels:
+        return False
+    return (
+        demand.cpu_millis <= capacity.cpu_millis
+        and demand.memory_mb <= capacity.memory_mb
+        and demand.accelerators <= capacity.accelerators
     )
 
 
--- a/alderreach/decisions/cell/order.py
+++ b/alderreach/decisions/cell/order.py
@@ -17,6 +17,15 @@
 WORTHLESS_AFTER_OBJECTIVES = 3
 
 
+class Rank(typing.NamedTuple):
+    """What of a step's urgency does not change while its queue is configured alike."""
+
+    priority: int
+    worthless_from_ms: float
+    latest_start_ms: float
+    job_id: str
+
+
 class Urgency(typing.NamedTuple):
     """Sorts the most urgent first."""
 
@@ -45,10 +54,19 @@
     return queue.stretch * longest + queue.target_latency_ms
 
 
-def urgency(queue, job, step, due_ms, now_ms):
-    """The urgency of a step of a job that was due at ``due_ms``."""
+def rank(queue, job, step, due_ms):
+    """The Rank of a step of a job that was due at ``due_ms``."""
     steps = job.record.steps
     allowed_ms = objective_ms(queue, steps)
-    worthless = now_ms - due_ms > WORTHLESS_AFTER_OBJECTIVES * allowed_ms
-    latest_ms = due_ms + allowed_ms - chain_ms(steps)[step]
-    return Urgency(queue.priority, worthless, latest_ms, job.record.job_id)
+    return Rank(
+        queue.priority,
+        due_ms + WORTHLESS_AFTER_OBJECTIVES * allowed_ms,
+        due_ms + allowed_ms - chain_ms(steps)[step],
+        job.record.job_id,
+    )
+
+
+def urgency(ranked, now_ms):
+    """The urgency now of a step with this Rank."""
+    is_worthless = now_ms > ranked.worthless_from_ms
+    return Urgency(ranked.priority, is_worthless, ranked.latest_start_ms, ranked.job_id)
--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -36,6 +36,9 @@
 QUICKER = 4
 # A question without an answer is asked elsewhere after this and twice its due time.
 ANSWER_SLACK_MS = 400
+# A step for which there was nothing to ask is looked at again after this: a worker that
+# comes or recovers meanwhile is asked about that much later.
+NOTHING_TO_ASK_MS = 50
 
 
 class Question(typing.NamedTuple):
@@ -51,12 +54,21 @@
 class _Verdicts:
     """What is known of one group: tickets by worker, and who was turned down."""
 
-    __slots__ = ("asking", "denied", "tickets")
+    __slots__ = ("asking", "denied", "next_check_ms", "tickets")
 
     def __init__(self):
         self.tickets = {}
         self.denied = set()
         self.asking = None
+        self.next_check_ms = 0
+
+    def fresh(self, ahead_ms, now_ms):
+        """Workers whose tickets last longer than ``ahead_ms`` from now."""
+        return [
+            target_id
+            for target_id, (_ticket, until_ms) in self.tickets.items()
+            if until_ms - now_ms > ahead_ms
+        ]
 
 
 class Permissions:
@@ -81,6 +93,41 @@
         verdicts = self._groups.get(group)
         return verdicts is not None and verdicts.asking is not None
 
+    def permitted(self, group, now_ms):
+        """Ids of workers with a ticket that is good for a start now."""
+        verdicts = self._groups.get(group)
+        if verdicts is None:
+            return set()
+        return set(verdicts.fresh(SAFETY_MS - 1, now_ms))
+
+    def may_need(self, group, tasks, ahead_ms, now_ms):
+        """Whether it is worth working out whom to ask about; see ``wanted``.
+
+        A pass looks at every waiting step, and most of them wait for room with all
+        tickets fresh: sorting the workers for each took four fifths of a busy leader's
+        time (``bench cell``).
+        """
+        verdicts = self._groups.get(group)
+        if verdicts is None:
+            return True
+        if verdicts.asking is not None or now_ms < verdicts.next_check_ms:
+            return False
+        fresh = len(verdicts.fresh(ahead_ms, now_ms))
+        return not fresh or fresh < min(_enough(tasks), len(verdicts.tickets))
+
+    def may_need_more(self, group, now_ms):
+        """Whether it is worth working out whom else to ask about; see ``more``."""
+        verdicts = self._groups.get(group)
+        if verdicts is None:
+            return True
+        return verdicts.asking is None and now_ms >= verdicts.next_check_ms
+
+    def nothing_to_ask(self, group, now_ms):
+        """There was nobody to ask about; not worth working out again for a while."""
+        verdicts = self._groups.get(group)
+        if verdicts is not None:
+            verdicts.next_check_ms = now_ms + NOTHING_TO_ASK_MS
+
     def wanted(self, group, suitable, tasks, ahead_ms, now_ms):
         """Workers to ask about now, best first; empty if nothing has to be asked.
 
@@ -98,12 +145,11 @@
             for t in suitable
             if t not in verdicts.tickets and t not in verdicts.denied
         ]
-        enough = max(RENEWED_AT_LEAST, min(len(good), RENEWED_PER_TASK * tasks))
-        if len(fresh) >= min(enough, len(good)) and good:
+        if good and len(fresh) >= min(_enough(tasks), len(good)):
             return []
         if good:
             stale = [t for t in good if t not in fresh]
-            return stale[: max(RENEWED_AT_LEAST, RENEWED_PER_TASK * tasks)]
+            return stale[: _enough(tasks)]
         return unknown[:ASKED_AT_MOST]
 
     def more(self, group, suitable):
@@ -114,15 +160,21 @@
         known = verdicts.tickets.keys() | verdicts.denied
         return [t for t in suitable if t not in known][:ASKED_AT_MOST]
 
-    def ask(self, group, target_ids, rule, helpers, now_ms, quickest_ms=None):
-        """Give a question to an idle helper; None if there is none for it.
+    def idle_helper(self, rule, helpers, quickest_ms=None):
+        """The helper that may take a question under a rule now, or None.
 
         ``quickest_ms`` is the decision time of the quickest rule in force.
         """
         idle = [helper for helper in helpers if helper not in self._busy]
         if len(idle) <= _kept_idle(rule, helpers, quickest_ms):
             return None
-        helper = idle[0]
+        return idle[0]
+
+    def ask(self, group, target_ids, rule, helpers, now_ms, quickest_ms=None):
+        """Give a question to an idle helper; None if there is none for it."""
+        helper = self.idle_helper(rule, helpers, quickest_ms)
+        if helper is None:
+            return None
         self._serial += 1
         due_ms = now_ms + 2 * _decision_ms(rule, target_ids) + ANSWER_SLACK_MS
         question = Question(str(self._serial), group, target_ids, helper, due_ms)
@@ -180,6 +232,11 @@
             verdicts.asking = None
 
 
+def _enough(tasks):
+    """How many workers with tickets are enough for so many waiting tasks."""
+    return max(RENEWED_AT_LEAST, RENEWED_PER_TASK * tasks)
+
+
 def lead_ms(rule, asked):
     """How long ahead a question about so many workers has to be asked."""
     return math.ceil(rule.decision_ms + rule.per_target_ms * asked) + SAFETY_MS
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -55,6 +55,7 @@
         "is_long",
         "key",
         "load",
+        "may_yield",
         "moved_ms",
         "next_send_ms",
         "order",
@@ -91,6 +92,16 @@
         self.pace = 100
         self.order = None
         self.checkpoint = ""
+        self.may_yield = (
+            step.checkpointing
+            and not step.gang
+            and not step.long_running
+            and not step.best_effort
+        )
+
+    def is_closing(self):
+        """Whether a stop of it is wanted or under way."""
+        return self.state in (CLOSING, CLOSED)
 
 
 class Worker:
@@ -180,11 +191,11 @@
 
     def free(self):
         """What is not taken, as Resources."""
+        capacity, used = self.record.capacity, self.used
         return common.Resources(
-            *(
-                have - used
-                for have, used in zip(self.record.capacity, self.used, strict=True)
-            )
+            capacity.cpu_millis - used[0],
+            capacity.memory_mb - used[1],
+            capacity.accelerators - used[2],
         )
 
     def add(self, run):
--- a/alderreach/ops/controller/books.py
+++ b/alderreach/ops/controller/books.py
@@ -104,17 +104,21 @@
         self._changes = batch.changes + self._changes
         self._effects = effects + self._effects
 
-    def tidy(self):
-        """Forget what is kept of jobs that have ended."""
+    def is_over(self, key):
+        """Whether the job of a task or group, which its key begins with, has ended."""
+        job = self.state.jobs.get(key[0])
+        return job is None or job.state != cell_state.ACTIVE
 
-        def is_over(key):
-            job = self.state.jobs.get(key[0])
-            return job is None or job.state != cell_state.ACTIVE
+    def drop_ended(self, kept):
+        """Drop what a dictionary keeps under keys of jobs that have ended."""
+        for key in [key for key in kept if self.is_over(key)]:
+            del kept[key]
 
-        for kept in (self.durations, self.moves):
-            for key in [key for key in kept if is_over(key)]:
-                del kept[key]
-        self.permissions.forget_all(is_over)
+    def tidy(self):
+        """Forget what is kept of jobs that have ended."""
+        self.drop_ended(self.durations)
+        self.drop_ended(self.moves)
+        self.permissions.forget_all(self.is_over)
 
     def add_worker(self, record):
         """Take up a worker, with the runs that the state has on it.
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -18,6 +18,7 @@
     requests,
     running,
     target_link,
+    verdicts,
 )
 
 
@@ -118,7 +119,8 @@
         elif isinstance(message, cell.GreetingReply):
             self.seeker.heard(message, address, self._clock.monotonic_ms())
         elif isinstance(message, cell.PermissionAnswer):
-            self._permission_answered(message)
+            if self._leading is not None:
+                verdicts.take(self._leading.books, message)
         elif isinstance(message, cell.PermissionQuery):
             self._ask_here(message, address)
         elif isinstance(message, cell.CellReply):
@@ -133,6 +135,7 @@
             self._reload_if_changed(now_ms)
             if self._leading is not None:
                 self._leading.books.tidy()
+                self._leading.planner.tidy()
         if self._leading is not None and self._may_act(now_ms):
             for helper in self._leading.books.permissions.give_up_overdue(now_ms):
                 self._record("permission_overdue", helper=helper)
@@ -235,32 +238,6 @@
         query = cell.PermissionQuery(question.query_id, step, question.target_ids)
         self._post(question.helper, query)
 
-    def _permission_answered(self, message):
-        leading = self._leading
-        if leading is None:
-            return
-        books_ = leading.books
-        now_ms = self._clock.monotonic_ms()
-        question = books_.permissions.find(message.query_id)
-        job = books_.state.jobs.get(question.group[0]) if question else None
-        rule = books_.queue_of(job).permission if job else None
-        books_.permissions.answered(
-            message.query_id,
-            message.is_decided and rule is not None,
-            message.granted,
-            rule,
-            now_ms,
-        )
-        books_.is_stale = True
-        if question is not None:
-            self._record(
-                "permission_answered",
-                task=".".join(str(part) for part in question.group),
-                is_decided=message.is_decided,
-                granted=len(message.granted),
-                asked=len(question.target_ids),
-            )
-
     def _greeted(self, message, address):
         now_ms = self._clock.monotonic_ms()
         if address != self._own_address:
