--- /dev/null
+++ b/alderreach/ops/controller/evictions.py
@@ -0,0 +1,67 @@
+"""Stops that make room for urgent steps; see ``decisions/cell/preemption.py``."""
+
+from alderreach.core import cell_state
+from alderreach.decisions.cell import preemption, workers
+from alderreach.ops.controller import runs
+
+
+class Evictions:
+    """What was stopped in one term, and for whom.
+
+    ``rank_of(job, group)`` returns the ``order.Rank`` of a group.
+    """
+
+    def __init__(self, books, rank_of):
+        self._books = books
+        self._rank_of = rank_of
+        self._yielded = {}
+        self._next_ms = {}
+
+    def consider(self, job, group, pool, wanted, waited_ms, now_ms):
+        """Make room for ``wanted`` tasks of a group on workers of its ``pool``.
+
+        Nothing happens before the group has waited for ``preemption.PATIENCE_MS``, nor
+        while the stops made for it before may still be under way.
+        """
+        if waited_ms < preemption.PATIENCE_MS or now_ms < self._next_ms.get(group, 0):
+            return
+        books = self._books
+        priority = books.queue_of(job).priority
+        step = job.record.steps[group.step]
+        chosen = preemption.choose(
+            pool, step, wanted, lambda run: self._may_yield(run, priority)
+        )
+        pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
+        self._next_ms[group] = now_ms + pause_ms
+        for eviction in chosen:
+            for run in eviction.runs:
+                self._stop(eviction.worker, run, group)
+
+    def tidy(self):
+        """Forget what is kept of jobs that have ended."""
+        self._books.drop_ended(self._yielded)
+        self._books.drop_ended(self._next_ms)
+
+    def _may_yield(self, run, priority):
+        if not run.may_yield or run.state != workers.RUNNING:
+            return False
+        if self._yielded.get(run.key, 0) >= preemption.YIELDS_MOST:
+            return False
+        job = self._books.state.jobs.get(run.key.job_id)
+        if job is None or self._books.queue_of(job).priority <= priority:
+            return False
+        rank = self._rank_of(job, cell_state.GroupKey(*run.key[:3]))
+        spare_ms = rank.latest_start_ms - self._books.cell_ms()
+        return spare_ms >= preemption.YIELD_COST_MS
+
+    def _stop(self, worker, run, group):
+        self._yielded[run.key] = self._yielded.get(run.key, 0) + 1
+        self._books.environment.record(
+            "run_preempted",
+            task=str(run.key),
+            run=run.run,
+            target=worker.target_id,
+            percent=run.percent,
+            urgent=".".join(str(part) for part in group),
+        )
+        runs.close_run(self._books, worker, run)
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -11,7 +11,7 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions.cell import choice, order
-from alderreach.ops.controller import asking, runs
+from alderreach.ops.controller import asking, evictions, runs
 
 # Bounds one pass, so that heartbeats of the quorum are never held up by a large job:
 # at some 50 us a start this is 10 ms.
@@ -29,6 +29,7 @@
         self._ranks = {}
         self._ranked_config = None
         self._asking = asking.Asking(books)
+        self._evictions = evictions.Evictions(books, self._rank)
         self._due = []
         self._next_pass_ms = 0
         for job in books.state.jobs.values():
@@ -79,6 +80,7 @@
     def tidy(self):
         """Forget what is kept of jobs that have ended."""
         self._books.drop_ended(self._ranks)
+        self._evictions.tidy()
 
     def pending(self, queue_name):
         """How many accepted jobs of a queue have started nothing, times left out."""
@@ -176,8 +178,16 @@
         if started < len(waiting):
             if rule is not None:
                 self._asking.for_more(job, group, rule, now_ms)
+            self._make_room(job, group, pool, len(waiting) - started, now_ms)
         return started
 
+    def _make_room(self, job, group, pool, wanted, now_ms):
+        """Have less urgent runs stopped for a group that has waited for long."""
+        step = job.record.steps[group.step]
+        waited_ms = now_ms - self._waiting[group]
+        if not step.gang:
+            self._evictions.consider(job, group, pool, wanted, waited_ms, now_ms)
+
     def _place_tasks(self, group, step, tasks, waiting, pool, now_ms):
         """Start as many of the waiting tasks as find a worker."""
         usable = choice.candidates(pool, step, group, now_ms)
--- /dev/null
+++ b/tests/cell_load_test.py
@@ -0,0 +1,98 @@
+"""Load on a cell's decisions, in virtual time and without a network."""
+
+from alderreach.core.generated import cell
+from alderreach.ops.controller import asking
+from tools import virtual_cell
+
+RULE = cell.PermissionRule(20, 0.2, 2_000)
+
+
+def plan_and_urgent(**options):
+    """Two workers full of plan tasks of ten seconds, and a queue of urgent work."""
+    queues = [
+        virtual_cell.queue("urgent", 0, 1.5, 700),
+        virtual_cell.queue("plan", 2, 2.2, 8_000),
+    ]
+    records = [virtual_cell.worker(number, 8_000) for number in (1, 2)]
+    made = virtual_cell.VirtualCell(queues, records)
+    step = virtual_cell.step(8, 2_000, estimated_ms=10_000, **options)
+    made.submit_at(0, "plan", "p1", [virtual_cell.Work(step, [10_000] * 8)])
+    return made
+
+
+def urgent(tasks=4):
+    step = virtual_cell.step(tasks, 1_000)
+    return [virtual_cell.Work(step, [500] * tasks)]
+
+
+def test_urgent_work_takes_the_room_of_plans_that_save_their_progress():
+    """All workers are full of tasks that run for ten seconds when an urgent job with an
+    objective of 1.5 s comes. Without preemption it is done after ten seconds. The plan
+    loses a stop and a restore, and is still done within its own objective.
+    """
+    made = plan_and_urgent(checkpointing=True)
+    made.submit_at(2_000, "urgent", "u1", urgent())
+    made.run_until(30_000)
+    outcomes = made.outcomes()
+    assert outcomes["urgent"].on_time == 1
+    assert outcomes["plan"].on_time == 1
+    assert 1 <= made.stops <= 2
+
+
+def test_work_that_saves_nothing_does_not_give_way():
+    made = plan_and_urgent()
+    made.submit_at(2_000, "urgent", "u1", urgent())
+    made.run_until(30_000)
+    assert made.stops == 0
+    assert made.outcomes()["plan"].on_time == 1
+
+
+def test_a_stream_of_urgent_work_does_not_stop_the_same_tasks_for_ever():
+    """Urgent jobs keep coming for a minute. The plan's tasks give way a few times each
+    and then run to their end.
+    """
+    made = plan_and_urgent(checkpointing=True)
+    for number in range(60):
+        made.submit_at(2_000 + 1_000 * number, "urgent", f"u{number}", urgent(8))
+    made.run_until(120_000)
+    assert made.stops <= 8 * 2
+    assert made.outcomes()["plan"].never == 0
+
+
+def test_steps_that_wait_for_room_cost_no_sort_of_the_workers(monkeypatch):
+    """Forty steps wait for room on full workers, with fresh tickets. Each pass used to
+    sort all workers for each of them, only to find that there was nothing to ask;
+    that took most of a busy leader's time.
+    """
+    sorts = []
+    suitable = asking.Asking._suitable
+
+    def counted(self, job, group, now_ms):
+        sorts.append(group)
+        return suitable(self, job, group, now_ms)
+
+    monkeypatch.setattr(asking.Asking, "_suitable", counted)
+    queues = [virtual_cell.queue("q", permission=RULE._replace(valid_ms=60_000))]
+    made = virtual_cell.VirtualCell(queues, [virtual_cell.worker(1, 1_000)])
+    for number in range(40):
+        work = virtual_cell.Work(virtual_cell.step(1, 1_000), [400])
+        made.submit_at(10 * number, "q", f"j{number}", [work])
+    made.run_until(3_000)
+    assert made.questions == 40
+    passes_of_100_ms = 30
+    assert len(sorts) <= 40 * passes_of_100_ms
+    before = len(sorts)
+    made.leading.planner.plan(3_000)
+    assert len(sorts) == before
+
+
+def test_an_answer_about_nobody_is_not_asked_for_again_and_again():
+    """The service lets a step run nowhere. It is asked about each worker once."""
+    queues = [virtual_cell.queue("q", permission=RULE)]
+    records = [virtual_cell.worker(number, 8_000) for number in range(5)]
+    made = virtual_cell.VirtualCell(queues, records, good_shares={"q": 0.0})
+    work = virtual_cell.Work(virtual_cell.step(3, 1_000), [400] * 3)
+    made.submit_at(0, "q", "j1", [work])
+    made.run_until(10_000)
+    assert made.questions == 1
+    assert made.starts == 0
--- /dev/null
+++ b/tools/benches/cell.py
@@ -0,0 +1,170 @@
+"""Jobs of a cell on the platform: who is done in time, and the leader's processor time.
+
+Three kinds of work share workers that are some four fifths full: urgent short jobs,
+wide plans that save their progress, and services that last. Bursts come on top. Each
+row is one way to decide or one size, over the same seeded jobs.
+
+Run some parts with ``python tools/bench.py cell`` and CELL_PARTS=baselines,patience,
+sizes (all by default).
+"""
+
+import contextlib
+import os
+import random
+
+from alderreach.core.generated import cell
+from alderreach.decisions.cell import order, preemption
+from tools import virtual_cell
+
+PARTS = ("baselines", "patience", "sizes")
+SEEDS = (1, 2)
+BURSTS = {"urgent_burst": 4.0, "plan_burst": 4.0}
+NEVER_MS = 10**9
+SECONDS = 40
+# Medians of a kind's work, width and need; shares of a worker of 32 processors.
+URGENT = {"work_ms": 640, "width": 6, "cpu": 2_500, "steps": 1.6, "memory": 3_600}
+PLAN = {"work_ms": 4_800, "width": 10, "cpu": 5_500, "steps": 2.0, "memory": 7_800}
+SERVICE = {"work_ms": 10**9, "width": 8, "cpu": 6_700, "steps": 1.0, "memory": 12_000}
+QUICK_RULE = cell.PermissionRule(18, 0.25, 2_000)
+SLOW_RULE = cell.PermissionRule(430, 6.1, 2_000)
+GOOD = {"urgent": 0.7, "watch": 0.35, "plan": 0.35}
+
+
+def main():
+    chosen = os.environ.get("CELL_PARTS", ",".join(PARTS)).split(",")
+    for part in PARTS:
+        if part in chosen:
+            print(f"-- {part}")
+            globals()[f"measure_{part}"]()
+
+
+def queues():
+    """Urgent work goes first; plans may wait; services last."""
+    queue = virtual_cell.queue
+    return [
+        queue("urgent", 0, 1.5, 250, permission=QUICK_RULE),
+        queue("watch", 1, 2.2, 2_500, permission=SLOW_RULE),
+        queue("plan", 2, 2.2, 1_200, permission=SLOW_RULE),
+    ]
+
+
+class Load:
+    """Seeded jobs of the three kinds; ``scale`` times as many as 24 workers take."""
+
+    def __init__(self, made, seed, scale=1.0):
+        self.made, self.scale = made, scale
+        self.lots = random.Random(seed)
+        self.number = 0
+
+    def fill(self, seconds, urgent_burst=2.2, plan_burst=1.8):
+        """All jobs of a day, with a burst of each kind."""
+        for _service in range(round(self.scale)):
+            self._submit(0, "watch", SERVICE, long_running=True)
+        end_ms = seconds * 1000
+        self._arrivals("urgent", URGENT, 9.1, (7_000, 11_000, urgent_burst), end_ms)
+        options = {"checkpointing": True}
+        burst = (17_000, 21_000, plan_burst)
+        self._arrivals("plan", PLAN, 0.75, burst, end_ms, **options)
+        self._arrivals("watch", SERVICE, 0.03, (0, 0, 1), end_ms, long_running=True)
+
+    def _arrivals(self, name, kind, per_s, burst, end_ms, **options):
+        began_ms, over_ms, times = burst
+        now_ms = 0.0
+        while True:
+            rate = per_s * self.scale
+            if began_ms <= now_ms < over_ms:
+                rate *= times
+            now_ms += self.lots.expovariate(rate) * 1000
+            if now_ms >= end_ms:
+                return
+            self._submit(now_ms, name, kind, **options)
+
+    def _submit(self, moment_ms, name, kind, **options):
+        self.number += 1
+        steps = max(1, round(self.lots.lognormvariate(0, 0.4) * kind["steps"]))
+        works = [self._work(kind, n, **options) for n in range(steps)]
+        self.made.submit_at(moment_ms, name, f"{name}{self.number}", works)
+
+    def _work(self, kind, number, **options):
+        lots = self.lots
+        tasks = max(1, round(kind["width"] * lots.lognormvariate(-0.3, 0.7)))
+        cpu = int(kind["cpu"] * min(3.0, lots.lognormvariate(-0.1, 0.45)))
+        memory = int(kind["memory"] * min(3.0, lots.lognormvariate(-0.15, 0.6)))
+        mean_ms = kind["work_ms"] * min(2.5, lots.lognormvariate(-0.12, 0.5))
+        work_ms = [mean_ms * lots.lognormvariate(0, 0.3) for _ in range(tasks)]
+        if options.get("long_running"):
+            work_ms = [kind["work_ms"]] * tasks
+        step = virtual_cell.step(
+            tasks,
+            cpu,
+            memory,
+            int(min(mean_ms, 1000) * lots.lognormvariate(0, 0.9)),
+            [number - 1] if number else [],
+            **options,
+        )
+        return virtual_cell.Work(step, work_ms)
+
+
+def play(workers, seed=1, seconds=SECONDS, **bursts):
+    """One day on so many workers; returns the VirtualCell."""
+    sizes = (32_000, 32_000, 16_000, 64_000)
+    records = [
+        virtual_cell.worker(n, sizes[n % 4], 2 * sizes[n % 4], f"r{n // 6}")
+        for n in range(workers)
+    ]
+    made = virtual_cell.VirtualCell(queues(), records, good_shares=GOOD, seed=seed)
+    Load(made, seed, workers / 24).fill(seconds, **bursts)
+    made.run_until(seconds * 1000 + 60_000)
+    return made
+
+
+def row(name, made):
+    """One line of figures."""
+    outcomes = made.outcomes()
+    parts = [
+        f"{queue} {o.on_time}+{o.late}+{o.never}/{o.jobs}"
+        for queue, o in sorted(outcomes.items())
+    ]
+    cost_ms = 1000 * made.cpu_s / max(1, made.starts)
+    print(
+        f"{name}: {', '.join(parts)} (in time + late + never); {made.starts} starts, "
+        f"{made.stops} preempted, {made.looks} looks, {made.questions} questions, "
+        f"{cost_ms:.2f} ms CPU/start"
+    )
+
+
+@contextlib.contextmanager
+def replaced(module, name, value):
+    """A decision's constant or function exchanged for a while."""
+    kept = getattr(module, name)
+    setattr(module, name, value)
+    try:
+        yield
+    finally:
+        setattr(module, name, kept)
+
+
+def first_come(queue, job, step, due_ms):
+    """The baseline's order: as the jobs came, whatever their queue."""
+    return order.Rank(0, due_ms + NEVER_MS, due_ms, job.record.job_id)
+
+
+def measure_baselines():
+    """First come, first served; by priority and slack; and with preemption."""
+    for seed in SEEDS:
+        with replaced(preemption, "PATIENCE_MS", NEVER_MS):
+            with replaced(order, "rank", first_come):
+                row(f"seed {seed}, first come", play(24, seed, **BURSTS))
+            row(f"seed {seed}, by priority", play(24, seed, **BURSTS))
+        row(f"seed {seed}, preempting", play(24, seed, **BURSTS))
+
+
+def measure_patience():
+    for patience_ms in (60, 150, 300, 600, NEVER_MS):
+        with replaced(preemption, "PATIENCE_MS", patience_ms):
+            row(f"patience {patience_ms} ms", play(24, 1, **BURSTS))
+
+
+def measure_sizes():
+    for workers in (24, 72, 176):
+        row(f"{workers} workers", play(workers, 1, 12))
--- /dev/null
+++ b/tools/virtual_cell.py
@@ -0,0 +1,430 @@
+"""A leader's decisions under load in virtual time: no network, no log, no threads.
+
+The leader's own code (``ops/controller``) decides; workers, the permission service and
+the commit of its log are modelled by delays. Tests and benches hand jobs in, let the
+time pass, and look at how long each job took against its objective.
+
+>>> made = VirtualCell([queue("q")], [worker(1, 4000)])
+>>> made.submit("q", "j1", [Work(step(2, 1000), [300, 400])])
+>>> made.run_until(2000)
+>>> made.outcomes()["q"].on_time
+1
+"""
+
+import collections
+import random
+import time
+import typing
+
+from alderreach.core import cell_state, orders
+from alderreach.core.generated import cell, common
+from alderreach.ops.controller import (
+    books,
+    director,
+    looks,
+    order_answers,
+    requests,
+    running,
+    target_link,
+    verdicts,
+)
+from alderreach.parser import settings as settings_parser
+from alderreach.utils import clocks, metrics
+from tools import virtual_load
+
+HOST = "a.example"
+POOL = "pool"
+# One way to a worker, and a batch's way through the log: a sync and a round of voters.
+HOP_MS = 1.0
+COMMIT_MS = 8.0
+TICK_MS = 20
+# A worker kills what it is told to stop, or saves it first, within this.
+STOP_MS = 60.0
+RESTORE_MS = 600.0
+LATE_AFTER_OBJECTIVES = 3
+
+SETTINGS = """
+    [process]
+    cell = "c"
+    name = "k"
+    vm = "v"
+    failure_domain = "d"
+    data_folder = "/nowhere"
+    [listen]
+    peers = "127.0.0.1:1"
+    [discovery]
+    seeds = "127.0.0.1:1"
+    peer_port = 1
+    [cell]
+    control = "127.0.0.1:2"
+    [timing]
+    election_timeout_ms = 500
+    leader_beat_ms = 100
+"""
+
+
+class Work(typing.NamedTuple):
+    """A step with how long each of its tasks really works, and the share it fails."""
+
+    step: cell.Step
+    work_ms: list
+    fail_share: float = 0.0
+
+
+class Outcome(typing.NamedTuple):
+    """What became of a queue's jobs: counts, and the work of those in time."""
+
+    jobs: int
+    on_time: int
+    late: int
+    """Done after the objective, but within three times of it."""
+    never: int
+    """Done later than that, or not at all."""
+
+    @property
+    def share(self):
+        """The share done within the objective."""
+        return self.on_time / max(1, self.jobs)
+
+
+class _Running:
+    """One run on a model worker."""
+
+    def __init__(self, order, work_ms, how, now_ms):
+        self.order = order
+        self.work_ms = work_ms
+        self.how = how
+        self.began_ms = now_ms
+        self.is_over = False
+
+    def done_ms(self, now_ms):
+        """How much of its work is done."""
+        return min(self.work_ms, max(0.0, now_ms - self.began_ms))
+
+
+class _Machine:
+    """A worker that does as it is told, at once and without faults."""
+
+    def __init__(self, world, record):
+        self.world, self.record = world, record
+        self.runs = {}
+        self.ends = []
+        self.next_end = 1
+        self.held = None
+
+    def carry_out(self, order):
+        """Carry an order out; returns the ``orders.OrderResult``."""
+        if isinstance(order, orders.Start):
+            self._start(order)
+        elif isinstance(order, orders.Stop):
+            run = self.runs.get((order.task, order.run))
+            if run is not None:
+                self.world.loop.after(STOP_MS, lambda: self._end(run, "stopped"))
+        return orders.OrderResult(orders.OK, self._clock_ms())
+
+    def look(self, look, answer):
+        """Answer a look once there is an end, or its time is over."""
+        self.ends = [end for end in self.ends if end.number > look.cursor]
+        if self.ends or not look.wait_ms:
+            answer(self._lists())
+            return
+        held = self.held = answer
+        self.world.loop.after(look.wait_ms, lambda: self._release(held))
+
+    def _start(self, order):
+        key = (order.task, order.run)
+        if key in self.runs:
+            return
+        left_ms, how = self.world.work_of(order)
+        run = self.runs[key] = _Running(order, left_ms, how, self.world.loop.now_ms)
+        self.world.loop.after(left_ms, lambda: self._end(run, run.how))
+
+    def _end(self, run, how):
+        if run.is_over:
+            return
+        run.is_over = True
+        now_ms = self.world.loop.now_ms
+        del self.runs[(run.order.task, run.order.run)]
+        saved = self.world.save(run, how, now_ms)
+        self.ends.append(
+            orders.ListedEnd(self.next_end, run.order.task, run.order.run, how, saved)
+        )
+        self.next_end += 1
+        if self.held is not None:
+            self._release(self.held)
+
+    def _release(self, held):
+        if self.held is held:
+            self.held = None
+            held(self._lists())
+
+    def _lists(self):
+        now_ms = self.world.loop.now_ms
+        listed = [
+            orders.ListedRun(
+                run.order.task,
+                run.order.run,
+                "",
+                int(100 * run.done_ms(now_ms) / run.work_ms) if run.work_ms else 100,
+                0.0,
+            )
+            for run in self.runs.values()
+        ]
+        return orders.LookResult(
+            orders.OK, self._clock_ms(), self.record.born_ms, listed, list(self.ends)
+        )
+
+    def _clock_ms(self):
+        return int(self.world.loop.now_ms)
+
+
+class _Link:
+    """Stands for ``target_link.TargetLink``."""
+
+    def __init__(self, world, machine):
+        self._world, self._machine = world, machine
+
+    def order(self, order):
+        self._world.call(lambda: self._carry_out(order))
+
+    def look(self, look):
+        self._world.call(
+            lambda: self._machine.look(
+                look, lambda result: self._tell(target_link.LookAnswered, look, result)
+            )
+        )
+
+    def close(self):
+        pass
+
+    def _carry_out(self, order):
+        result = self._machine.carry_out(order)
+        self._tell(target_link.OrderAnswered, order, result)
+
+    def _tell(self, kind, order, result):
+        self._world.mail(kind(1, self._machine.record.target_id, order, result))
+
+
+class VirtualCell:
+    """One leader, its workers and the permission service.
+
+    ``helpers`` is how many processes put questions to the service, which lets the steps
+    of a queue run on its share, by ``good_shares``, of the workers. ``cpu_s`` is the
+    processor time that the leader's own code took.
+    """
+
+    def __init__(self, queues, records, helpers=12, good_shares=None, seed=1):
+        self.loop = virtual_load.Loop()
+        self.lots = random.Random(seed)
+        self.cpu_s = 0.0
+        self.starts = 0
+        self.stops = 0
+        self.looks = 0
+        self.questions = 0
+        self._queues = {queue.name: queue for queue in queues}
+        self._good_shares = good_shares or {}
+        self._helpers = [f"helper-{number}" for number in range(helpers)]
+        self._works = {}
+        self._saved = {}
+        self._done_ms = {}
+        self._due = {}
+        self._machines = {r.target_id: _Machine(self, r) for r in records}
+        state = cell_state.CellState()
+        pools = [cell.ServiceConfig(POOL, False, False)]
+        state.config = cell.CellConfig(1, list(queues), pools, b"{}")
+        state.targets = {record.target_id: record for record in records}
+        clock = clocks.Clock(
+            lambda: int(self.loop.now_ms), lambda: int(self.loop.now_ms)
+        )
+        settings, problems = settings_parser.parse(SETTINGS, "virtual", "controller")
+        assert not problems, problems
+        self.leading = director.Leading(
+            1,
+            books.Environment(
+                settings=settings,
+                clock=clock,
+                metrics=metrics.Metrics(),
+                record=self._record,
+                confirm=lambda act, _refuse: self.loop.after(COMMIT_MS, act),
+                committed=lambda: state,
+                cell_offset_ms=lambda: 0,
+                helpers=lambda: self._helpers,
+                ask=self._ask,
+                open_link=self._open_link,
+                contact="",
+            ),
+        )
+        self.loop.after(0, self._tick)
+        self._heartbeats()
+
+    def submit(self, queue_name, job_id, works):
+        """Hand a job in now."""
+        self._works[job_id] = works
+        request = cell.SubmitJob(
+            HOST, f"/{queue_name}/{job_id}", "run", [w.step for w in works], 0, 0, 0
+        )
+        objective_ms = _objective_ms(self._queues[queue_name], works)
+        self._due[job_id] = (queue_name, self.loop.now_ms, objective_ms)
+        self._lead(lambda: requests.handle(self.leading, request, lambda answer: None))
+
+    def submit_at(self, moment_ms, queue_name, job_id, works):
+        """Hand a job in later."""
+        self.loop.at(moment_ms, lambda: self.submit(queue_name, job_id, works))
+
+    def run_until(self, end_ms):
+        """Let time pass."""
+        self.loop.run_until(end_ms)
+        self._note_done()
+
+    def outcomes(self):
+        """An Outcome for each queue."""
+        self._note_done()
+        counts = collections.defaultdict(lambda: [0, 0, 0, 0])
+        for job_id, (queue_name, due_ms, objective_ms) in self._due.items():
+            count = counts[queue_name]
+            count[0] += 1
+            took_ms = self._done_ms.get(job_id, float("inf")) - due_ms
+            if took_ms <= objective_ms:
+                count[1] += 1
+            elif took_ms <= LATE_AFTER_OBJECTIVES * objective_ms:
+                count[2] += 1
+            else:
+                count[3] += 1
+        return {name: Outcome(*count) for name, count in counts.items()}
+
+    def call(self, act):
+        """Have something happen at a worker."""
+        self.loop.after(HOP_MS, act)
+
+    def mail(self, mail):
+        """A worker's answer, on its way to the leader."""
+        self.loop.after(HOP_MS, lambda: self._lead(lambda: self._take(mail)))
+
+    def work_of(self, order):
+        """How long a run works, and how it ends."""
+        job_id, _occurrence, step, index = order.task.split(".")
+        work = self._works[job_id][int(step)]
+        work_ms = work.work_ms[int(index)]
+        saved_ms = self._saved.get(order.task, 0.0) if order.checkpoint else 0.0
+        if saved_ms:
+            work_ms = work_ms - saved_ms + RESTORE_MS
+        how = "failed" if self.lots.random() < work.fail_share else "done"
+        return work_ms, how
+
+    def save(self, run, how, now_ms):
+        """What a run that ends leaves: its checkpoint if its step saves."""
+        job_id, _occurrence, number, _index = run.order.task.split(".")
+        step = self._works[job_id][int(number)].step
+        if how != "stopped" or not step.checkpointing:
+            return ""
+        before_ms = self._saved.get(run.order.task, 0.0) if run.order.checkpoint else 0
+        restored_ms = RESTORE_MS if run.order.checkpoint else 0.0
+        worked_ms = max(0.0, run.done_ms(now_ms) - restored_ms)
+        self._saved[run.order.task] = before_ms + worked_ms
+        return "saved"
+
+    def _open_link(self, record, _epoch):
+        return _Link(self, self._machines[record.target_id])
+
+    def _record(self, kind, **fields):
+        self.starts += kind == "run_placed"
+        self.stops += kind == "run_preempted"
+        self.questions += kind == "permission_asked"
+
+    def _take(self, mail):
+        if isinstance(mail, target_link.OrderAnswered):
+            order_answers.order_answered(self.leading.books, mail)
+        else:
+            self.looks += 1
+            looks.look_answered(self.leading.books, mail)
+
+    def _lead(self, act):
+        """Run some of the leader's code, plan, and have the decisions committed."""
+        began_s = time.process_time()
+        act()
+        self.leading.planner.plan(int(self.loop.now_ms))
+        batch, effects = self.leading.books.take_batch()
+        self.cpu_s += time.process_time() - began_s
+        if batch is not None:
+            self.loop.after(COMMIT_MS, lambda: self._committed(effects))
+
+    def _committed(self, effects):
+        self._note_done()
+        for effect in effects:
+            self._lead(effect)
+
+    def _tick(self):
+        def tick():
+            now_ms = int(self.loop.now_ms)
+            self.leading.books.permissions.give_up_overdue(now_ms)
+            running.tick(self.leading.books, now_ms)
+
+        self._lead(tick)
+        self.loop.after(TICK_MS, self._tick)
+
+    def _heartbeats(self):
+        for worker in self.leading.books.workers.values():
+            worker.announced_ms = int(self.loop.now_ms)
+        self.loop.after(1000, self._heartbeats)
+
+    def _ask(self, question):
+        job = self.leading.books.state.jobs[question.group[0]]
+        rule = self.leading.books.queue_of(job).permission
+        took_ms = rule.decision_ms + rule.per_target_ms * len(question.target_ids)
+        granted = [
+            cell.Ticket(target_id, "t")
+            for target_id in question.target_ids
+            if self._may_run(job, question.group, target_id)
+        ]
+        answer = cell.PermissionAnswer(question.query_id, True, granted)
+        self.loop.after(
+            took_ms + 2 * HOP_MS,
+            lambda: self._lead(lambda: verdicts.take(self.leading.books, answer)),
+        )
+
+    def _may_run(self, job, group, target_id):
+        share = self._good_shares.get(job.record.queue.name, 1.0)
+        return random.Random(f"{group}{target_id}").random() < share
+
+    def _note_done(self):
+        jobs = self.leading.books.state.jobs
+        for job_id in self._due:
+            is_done = jobs[job_id].state == cell_state.COMPLETED
+            if is_done and job_id not in self._done_ms:
+                self._done_ms[job_id] = self.loop.now_ms
+
+
+def queue(name, priority=0, stretch=2.0, target_latency_ms=500, **options):
+    """A queue whose jobs arrive under its own name."""
+    plain = cell.QueueConfig(
+        name, HOST, f"/{name}/", POOL, priority, 3, stretch, target_latency_ms, 3000,
+        None,
+    )  # fmt: skip
+    return plain._replace(**options)
+
+
+def worker(number, cpu_millis, memory_mb=64_000, rack="r1"):
+    """A worker's record."""
+    name = f"w{number}"
+    capacity = common.Resources(cpu_millis, memory_mb, 0)
+    return cell.TargetRecord(
+        name, 1, POOL, f"{name}:1", "d", capacity, ["a", rack], "ready", name
+    )
+
+
+def step(tasks, cpu_millis, memory_mb=100, estimated_ms=500, after=(), **options):
+    """A step of equal tasks."""
+    demand = common.Resources(cpu_millis, memory_mb, 0)
+    plain = cell.Step(
+        tasks, demand, estimated_ms, list(after), *cell_state.NO_STEP_OPTIONS
+    )
+    return plain._replace(**options)
+
+
+def _objective_ms(queue_config, works):
+    """How long a job may take, by the longest chain of its real work."""
+    ends = []
+    for work in works:
+        began_ms = max((ends[earlier] for earlier in work.step.after), default=0.0)
+        ends.append(began_ms + max(work.work_ms))
+    return queue_config.stretch * max(ends) + queue_config.target_latency_ms
