--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 # `make demo` and `make test` are the two commands a newcomer needs.
 PYTHON ?= python3
+# The first seed of a soak; fresh ones each time, unless one is to be played again.
+SEED ?= $(shell date +%s)
 BIN := .venv/bin
 
 .PHONY: env generate format test bench demo soak
@@ -33,4 +35,5 @@
 	$(BIN)/python tools/bench.py
 
 soak: env
+	$(BIN)/python -m tools.soak.main $(SEED) 50
 	ALDERREACH_SOAK=1 $(BIN)/python -m pytest -m "" alderreach tests
--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -184,6 +184,9 @@
         if end.how == "done":
             self.noted.add(end.task)
 
+    def saw_end(self, task, how):
+        """Ends count here once they are acknowledged."""
+
     def agreed(self):
         """The cell's state as the leader's log has it."""
         return self.keepers[self.elect()]._state.cell
--- a/tools/relay.py
+++ b/tools/relay.py
@@ -1,9 +1,11 @@
-"""A relay between processes that can go silent, for tests of network cuts.
-
-A cut link keeps its connections open and passes nothing on, in one direction or both,
-as a network does that drops packets: the sender's kernel holds what it could not
-deliver, and it arrives late once the link heals. New connections over a cut link are
-accepted by the kernel and stay silent as well.
+"""A relay between processes that misbehaves as networks do, for tests of failures.
+
+- *Cut:* a link keeps its connections open and passes nothing on, in one direction or
+  both, as a network does that drops packets: the sender's kernel holds what it could
+  not deliver, and it arrives late once the link heals. New connections over a cut link
+  are accepted by the kernel and stay silent as well.
+- *Slow:* whatever passes is held up for a while.
+- *Reset:* all connections of a link end at once.
 """
 
 import asyncio
@@ -11,6 +13,19 @@
 import threading
 
 CHUNK_BYTES = 65536
+OUT, IN = "out", "in"
+BOTH = (OUT, IN)
+
+
+class _Link:
+    """One listening address: which directions pass, how slowly, its connections."""
+
+    def __init__(self):
+        self.passing = {OUT: asyncio.Event(), IN: asyncio.Event()}
+        for event in self.passing.values():
+            event.set()
+        self.delay_s = 0.0
+        self.writers = set()
 
 
 class Relay:
@@ -18,7 +33,7 @@
 
     def __init__(self):
         self._loop = asyncio.new_event_loop()
-        self._open = {}
+        self._links = {}
         self._servers = []
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
@@ -30,13 +45,35 @@
         )
         future.result(timeout=5)
 
-    def cut(self, names):
+    def names(self):
+        """The names of all links."""
+        return list(self._links)
+
+    def cut(self, names, directions=BOTH):
         """Let nothing pass on the named links until they are healed."""
-        self._set(names, False)
+        self._change(names, lambda link: _set(link, directions, False))
 
     def heal(self, names):
-        """Let the named links pass everything, what they held first."""
-        self._set(names, True)
+        """Let the named links pass everything at once, what they held first."""
+
+        def mend(link):
+            link.delay_s = 0.0
+            _set(link, BOTH, True)
+
+        self._change(names, mend)
+
+    def slow(self, names, delay_ms):
+        """Hold up whatever passes on the named links."""
+        self._change(names, lambda link: setattr(link, "delay_s", delay_ms / 1000))
+
+    def reset(self, names):
+        """End all connections of the named links at once."""
+
+        def abort(link):
+            for writer in list(link.writers):
+                writer.transport.abort()
+
+        self._change(names, abort)
 
     def close(self):
         """End all links and wait until their connections are closed."""
@@ -53,42 +90,54 @@
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
 
-    def _set(self, names, passing):
-        def change():
+    def _change(self, names, change):
+        def change_all():
             for name in names:
-                event = self._open[name]
-                event.set() if passing else event.clear()
+                change(self._links[name])
 
-        self._loop.call_soon_threadsafe(change)
+        self._loop.call_soon_threadsafe(change_all)
 
     async def _serve(self, name, listen, target):
-        self._open[name] = asyncio.Event()
-        self._open[name].set()
+        link = self._links[name] = _Link()
 
         async def connected(reader, writer):
             with contextlib.suppress(asyncio.CancelledError):
-                await self._forward(name, reader, writer, target)
+                await _forward(link, reader, writer, target)
 
         self._servers.append(await asyncio.start_server(connected, *listen))
 
-    async def _forward(self, name, reader, writer, target):
-        await self._open[name].wait()
-        try:
-            far_reader, far_writer = await asyncio.open_connection(*target)
-        except OSError:
-            writer.close()
-            return
+
+def _set(link, directions, passing):
+    for direction in directions:
+        event = link.passing[direction]
+        event.set() if passing else event.clear()
+
+
+async def _forward(link, reader, writer, target):
+    await link.passing[OUT].wait()
+    try:
+        far_reader, far_writer = await asyncio.open_connection(*target)
+    except OSError:
+        writer.close()
+        return
+    link.writers |= {writer, far_writer}
+    try:
         await asyncio.gather(
-            self._pump(name, reader, far_writer), self._pump(name, far_reader, writer)
+            _pump(link, OUT, reader, far_writer), _pump(link, IN, far_reader, writer)
         )
-
-    async def _pump(self, name, reader, writer):
-        try:
-            while data := await reader.read(CHUNK_BYTES):
-                await self._open[name].wait()
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            pass
-        finally:
-            writer.close()
+    finally:
+        link.writers -= {writer, far_writer}
+
+
+async def _pump(link, direction, reader, writer):
+    try:
+        while data := await reader.read(CHUNK_BYTES):
+            if link.delay_s:
+                await asyncio.sleep(link.delay_s)
+            await link.passing[direction].wait()
+            writer.write(data)
+            await writer.drain()
+    except OSError:
+        pass
+    finally:
+        writer.close()
--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,151 @@
+"""Callers of a soak: they hand jobs in, ask for them, and sometimes cancel them.
+
+A caller keeps its connections open until they end. Without an answer it sends the same
+request again, at any frontend; only a job that was rejected each time is given up.
+"""
+
+import http.client
+import json
+import threading
+import time
+import typing
+
+import urllib3
+from hdrh.histogram import HdrHistogram
+
+HOST = "a.example"
+PREFIX = "/q/"
+TIMEOUT_S = 3.0
+PAUSE_S = 0.15
+ATTEMPTS = 12
+REJECTED = (429, 503)
+HIGHEST_MS = 600_000
+
+
+class Answer(typing.NamedTuple):
+    """One request as its caller saw it; ``status`` is 0 without an answer."""
+
+    at_s: float
+    kind: str
+    status: int
+    took_ms: float
+
+
+class Callers:
+    """Threads that submit jobs until ``stop``; ``answers`` is what they were told."""
+
+    def __init__(self, addresses, promises, lots, threads=3):
+        self._addresses = addresses
+        self._promises = promises
+        self._lots = lots
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._began_s = time.monotonic()
+        self._number = 0
+        self.accepted = {}
+        self.cancelled = set()
+        self.answers = []
+        self.latency = HdrHistogram(1, HIGHEST_MS, 3)
+        self._threads = [
+            threading.Thread(target=self._run, daemon=True) for _ in range(threads)
+        ]
+
+    def start(self):
+        """Begin to call."""
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def stop(self):
+        """Hand nothing in any more and wait for the callers to end."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def state(self, session, job_id):
+        """What a job is shown as; None without a clear answer."""
+        status, body = self._call(session, "GET", job_id)
+        if status == 410:
+            self._promises.broken.append(f"{job_id} was accepted and is unknown")
+        return json.loads(body).get("state") if status == 200 else None
+
+    def session(self):
+        """Connections of one caller."""
+        return urllib3.PoolManager(retries=False, timeout=TIMEOUT_S, maxsize=2)
+
+    def _run(self):
+        session = self.session()
+        while not self._stopping.is_set():
+            job_id, steps, cancels = self._draw()
+            self._promises.submitted(job_id, steps)
+            if self._submit(session, job_id, steps):
+                if cancels:
+                    self._cancel(session, job_id)
+                self._stopping.wait(PAUSE_S)
+                self.state(session, job_id)
+
+    def _draw(self):
+        with self._lock:
+            lots = self._lots
+            self._number += 1
+            job_id = f"{self._number:016x}"
+            steps = [(lots.randrange(1, 6), lots.choice([500, 1000, 2000]), [])]
+            if lots.random() < 0.5:
+                steps.append((lots.randrange(1, 4), 500, [0]))
+            return job_id, steps, lots.random() < 0.15
+
+    def _submit(self, session, job_id, steps):
+        body = json.dumps(
+            {
+                "spec": "run",
+                "steps": [
+                    {"count": n, "cpu": cpu, "mem_mb": 1, "estimated_ms": 200}
+                    | ({"after": after} if after else {})
+                    for n, cpu, after in steps
+                ],
+            }
+        ).encode()
+        statuses = []
+        for _attempt in range(ATTEMPTS):
+            status, _body = self._call(session, "POST", job_id, body)
+            statuses.append(status)
+            if status == 200:
+                self.accepted[job_id] = steps
+                return True
+            if status == 404:
+                self._promises.broken.append("the queue is unknown")
+                return False
+            time.sleep(PAUSE_S)
+        if all(status in REJECTED for status in statuses):
+            self._promises.was_refused(job_id)
+        return False
+
+    def _cancel(self, session, job_id):
+        for _attempt in range(ATTEMPTS):
+            status, _body = self._call(session, "DELETE", job_id)
+            if status in (200, 410):
+                self.cancelled.add(job_id)
+                return
+            time.sleep(PAUSE_S)
+
+    def _call(self, session, method, job_id, body=None):
+        with self._lock:
+            address = self._lots.choice(self._addresses)
+        began_s = time.monotonic()
+        try:
+            answer = session.request(
+                method,
+                f"http://{address}{PREFIX}{job_id}",
+                body=body,
+                headers={"Host": HOST, "Deadline-Ms": str(int(TIMEOUT_S * 1000))},
+            )
+            status, data = answer.status, answer.data
+        except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError):
+            status, data = 0, b""
+        took_ms = (time.monotonic() - began_s) * 1000
+        with self._lock:
+            self.answers.append(
+                Answer(began_s - self._began_s, method, status, took_ms)
+            )
+            self.latency.record_value(max(1, int(took_ms)))
+        return status, data
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,187 @@
+"""Faults of a soak, brought about from outside the programs.
+
+Each fault begins and ends by itself after a drawn time; several overlap. Processes are
+ended, paused and restarted by signals; connections to workers and from callers go
+through a relay that cuts, slows and resets them; disks are emptied while their process
+is down. What the cell promises to bear is kept to: one controller out of three voters
+is gone or without its disk at a time, but all of them may lose power together.
+"""
+
+import shutil
+import signal
+import threading
+import time
+import typing
+
+from tools import relay as relay_module
+
+ROLES = ("controller", "frontend")
+
+
+class Fault(typing.NamedTuple):
+    """One fault as it happened."""
+
+    at_s: float
+    for_s: float
+    kind: str
+    place: str
+
+
+class Faults:
+    """Draws faults until its time is over, then mends all."""
+
+    def __init__(self, running, relay, workers, lots):
+        self._running = running
+        self._relay = relay
+        self._workers = workers
+        self._lots = lots
+        self._lock = threading.Lock()
+        self._busy = set()
+        self._began_s = time.monotonic()
+        self.happened = []
+        self._kinds = {
+            "kill": self._kill,
+            "stop": self._stop,
+            "pause": self._pause,
+            "wipe": self._wipe,
+            "dark": self._dark,
+            "cut": self._cut,
+            "cut_one_way": self._cut_one_way,
+            "slow": self._slow,
+            "reset": self._reset,
+            "worker_crash": self._worker_crash,
+        }
+
+    def play(self, duration_s):
+        """Faults for so long; returns once the last one is mended."""
+        give_up_s = time.monotonic() + duration_s
+        threads = []
+        while time.monotonic() < give_up_s:
+            kind = self._lots.choice(list(self._kinds))
+            hold_s = self._lots.choice([0.05, 0.4, 1.5, 4.0])
+            place_lot = self._lots.random()
+            work = lambda k=kind, h=hold_s, p=place_lot: self._kinds[k](k, h, p)
+            threads.append(threading.Thread(target=work, daemon=True))
+            threads[-1].start()
+            time.sleep(self._lots.choice([0.1, 0.5, 1.2]))
+        for thread in threads:
+            thread.join()
+
+    def _kill(self, kind, hold_s, lot):
+        self._one(kind, hold_s, lot, ROLES, self._down)
+
+    def _stop(self, kind, hold_s, lot):
+        def stop(plan, hold_s):
+            process = self._running.processes[plan.name]
+            process.terminate()
+            process.wait(20)
+            time.sleep(hold_s)
+            self._running.start([plan.name])
+
+        self._one(kind, hold_s, lot, ROLES, stop)
+
+    def _pause(self, kind, hold_s, lot):
+        def pause(plan, hold_s):
+            self._running.pause(plan.name)
+            time.sleep(hold_s)
+            self._running.resume(plan.name)
+
+        self._one(kind, hold_s, lot, ROLES, pause)
+
+    def _wipe(self, kind, hold_s, lot):
+        def wipe(plan, hold_s):
+            self._running.kill(plan.name)
+            shutil.rmtree(self._running.folder / "data" / plan.name)
+            time.sleep(hold_s)
+            self._running.start([plan.name])
+            self._await_member(plan)
+
+        self._one(kind, hold_s, lot, ("controller",), wipe)
+
+    def _down(self, plan, hold_s):
+        self._running.kill(plan.name)
+        time.sleep(hold_s)
+        self._running.start([plan.name])
+
+    def _dark(self, kind, hold_s, _lot):
+        """All controllers lose power; left out while one of them is in trouble."""
+        plans = self._running.of_role("controller")
+        with self._lock:
+            if any(plan.name in self._busy for plan in plans):
+                return
+            self._busy |= {plan.name for plan in plans}
+        self._note(kind, hold_s, "controllers")
+        for plan in plans:
+            self._running.processes[plan.name].send_signal(signal.SIGKILL)
+        for plan in plans:
+            self._running.processes[plan.name].wait()
+        time.sleep(hold_s)
+        self._running.start([plan.name for plan in plans])
+        self._free(plan.name for plan in plans)
+
+    def _cut(self, kind, hold_s, lot):
+        self._link(kind, hold_s, lot, lambda name: self._relay.cut([name]))
+
+    def _cut_one_way(self, kind, hold_s, lot):
+        directions = (relay_module.IN,) if lot < 0.5 else (relay_module.OUT,)
+        self._link(kind, hold_s, lot, lambda name: self._relay.cut([name], directions))
+
+    def _slow(self, kind, hold_s, lot):
+        self._link(kind, hold_s, lot, lambda name: self._relay.slow([name], 150))
+
+    def _reset(self, kind, hold_s, lot):
+        self._link(kind, hold_s, lot, lambda name: self._relay.reset([name]))
+
+    def _worker_crash(self, kind, hold_s, lot):
+        worker = self._workers[int(lot * len(self._workers))]
+        with self._lock:
+            if worker.name in self._busy:
+                return
+            self._busy.add(worker.name)
+        self._note(kind, hold_s, worker.name)
+        # Silent while it is down; calls that were under way reach the new life late.
+        self._relay.cut([worker.link])
+        worker.crash()
+        time.sleep(hold_s)
+        worker.restart()
+        self._relay.heal([worker.link])
+        self._free([worker.name])
+
+    def _one(self, kind, hold_s, lot, roles, act):
+        """A fault of one process; of the controllers one at a time."""
+        plans = [plan for plan in self._running.plans if plan.role in roles]
+        plan = plans[int(lot * len(plans))]
+        with self._lock:
+            taken = {plan.name}
+            if plan.role == "controller":
+                taken = {p.name for p in self._running.of_role("controller")}
+            if taken & self._busy:
+                return
+            self._busy |= taken
+        self._note(kind, hold_s, plan.name)
+        act(plan, hold_s)
+        self._free(taken)
+
+    def _link(self, kind, hold_s, lot, act):
+        names = self._relay.names()
+        name = names[int(lot * len(names))]
+        self._note(kind, hold_s, name)
+        act(name)
+        time.sleep(hold_s)
+        self._relay.heal([name])
+
+    def _await_member(self, plan):
+        """Until a controller without a disk has a vote or copy again."""
+        log = lambda: self._running.log(plan.name).rpartition("process_started")[2]
+        give_up_s = time.monotonic() + 20
+        while '"members_changed"' not in log() and time.monotonic() < give_up_s:
+            time.sleep(0.1)
+        time.sleep(1.0)
+
+    def _note(self, kind, hold_s, place):
+        at_s = time.monotonic() - self._began_s
+        self.happened.append(Fault(at_s, hold_s, kind, place))
+
+    def _free(self, names):
+        with self._lock:
+            self._busy -= set(names)
--- /dev/null
+++ b/tools/soak/promises.py
@@ -0,0 +1,120 @@
+"""What callers and workers may rely on, checked from outside while a cell runs.
+
+Workers ask ``check_start`` before each start and say what they see end; callers say
+what they were told. Whatever breaks a promise is kept as a line of text.
+"""
+
+import threading
+import types
+
+from alderreach.utils import clocks
+
+DONE = "done"
+
+
+class Promises:
+    """The world that the stand-in workers share; ``lock`` guards all of it."""
+
+    def __init__(self):
+        self.lock = threading.RLock()
+        self.workers = []
+        self.steps = {}
+        self.done = set()
+        self.noted = set()
+        self.refused = set()
+        self.broken = []
+        self.starts = 0
+
+    @property
+    def time(self):
+        """The clock of the stand-in workers."""
+        return types.SimpleNamespace(now_ms=clocks.SYSTEM.monotonic_ms())
+
+    def submitted(self, job_id, steps):
+        """A caller is about to hand a job in; ``steps`` as (count, cpu, after)."""
+        with self.lock:
+            self.steps[job_id] = steps
+
+    def was_refused(self, job_id):
+        """All attempts to hand a job in were rejected, so it must never run."""
+        with self.lock:
+            self.refused.add(job_id)
+            if any(task.startswith(f"{job_id}.") for task in self._started()):
+                self.broken.append(f"{job_id} was refused and has run")
+
+    def check_start(self, worker, order):
+        """What must hold whenever a worker starts something."""
+        self.starts += 1
+        task = order.task
+        job_id, _occurrence, number, _index = task.split(".")
+        if job_id in self.refused:
+            self.broken.append(f"{task} starts, though its job was refused")
+        if job_id not in self.steps:
+            self.broken.append(f"{task} starts, and nobody submitted its job")
+            return
+        if task in self.noted:
+            self.broken.append(f"{task} starts after its end was acknowledged")
+        for other in self.workers:
+            # A lease may have lapsed a moment ago, unnoticed as yet.
+            other.step()
+            if task in other.running and not other.is_down:
+                self.broken.append(
+                    f"{task} starts on {worker.name}, runs on {other.name}"
+                )
+        self._check_order(task, job_id, int(number))
+        self._check_room(worker, order)
+
+    def note_end(self, end):
+        """An end was acknowledged."""
+        if end.how == DONE:
+            self.noted.add(end.task)
+
+    def saw_end(self, task, how):
+        """A run has ended on a worker."""
+        if how == DONE:
+            self.done.add(task)
+
+    def unfinished(self, job_id):
+        """Tasks of a job of which no run has ended well."""
+        with self.lock:
+            return [task for task in self._tasks(job_id) if task not in self.done]
+
+    def running(self, job_id):
+        """Tasks of a job that some worker works on."""
+        with self.lock:
+            return [
+                task
+                for worker in self.workers
+                if not worker.is_down
+                for task in worker.running
+                if task.startswith(f"{job_id}.")
+            ]
+
+    def _started(self):
+        return [task for worker in self.workers for task in worker.closed] + [
+            task for worker in self.workers for task in worker.running
+        ]
+
+    def _tasks(self, job_id):
+        return [
+            f"{job_id}.0.{number}.{index}"
+            for number, (count, _cpu, _after) in enumerate(self.steps[job_id])
+            for index in range(count)
+        ]
+
+    def _check_order(self, task, job_id, number):
+        steps = self.steps[job_id]
+        for earlier in steps[number][2]:
+            for index in range(steps[earlier][0]):
+                if f"{job_id}.0.{earlier}.{index}" not in self.done:
+                    self.broken.append(f"{task} starts before step {earlier} is done")
+                    return
+
+    def _check_room(self, worker, order):
+        used = sum(self._need(task) for task in [*worker.running, order.task])
+        if used > worker.capacity.cpu_millis:
+            self.broken.append(f"{worker.name} is over its capacity by {order.task}")
+
+    def _need(self, task):
+        job_id, _occurrence, number, _index = task.split(".")
+        return self.steps[job_id][int(number)][1]
--- /dev/null
+++ b/tools/soak/report.py
@@ -0,0 +1,62 @@
+"""The soak's report: counts, latencies, and service over time with its faults."""
+
+import collections
+
+BARS = " .:-=+*#%@"
+LETTERS = {
+    "kill": "k",
+    "stop": "t",
+    "pause": "p",
+    "wipe": "w",
+    "dark": "D",
+    "cut": "c",
+    "cut_one_way": "o",
+    "slow": "s",
+    "reset": "r",
+    "worker_crash": "x",
+}
+
+
+def lines(report):
+    """The lines that tell of one day."""
+    statuses = collections.Counter(answer.status for answer in report.answers)
+    kinds = collections.Counter(fault.kind for fault in report.faults)
+    latency = report.latency
+    yield (
+        f"seed {report.seed}: {len(report.broken)} broken; {report.accepted} jobs "
+        f"accepted, {report.cancelled} cancelled, {report.refused} refused, "
+        f"{report.starts} starts"
+    )
+    yield f"  answers {_counts(statuses)}; faults {_counts(kinds)}"
+    yield "  latency ms " + ", ".join(
+        f"p{percent:g} {latency.get_value_at_percentile(percent)}"
+        for percent in (50, 90, 99, 100)
+    )
+    yield from (f"  {line}" for line in plot(report))
+    yield from (f"  BROKEN {text}" for text in report.broken)
+
+
+def plot(report):
+    """Two rows over seconds: the share of requests answered well, and the faults.
+
+    Each column is a second. The upper row is darker the more were answered well, the
+    lower has the letter of the last fault that began then.
+    """
+    seconds = int(max([answer.at_s for answer in report.answers], default=0)) + 1
+    asked, served = [0] * seconds, [0] * seconds
+    for answer in report.answers:
+        asked[int(answer.at_s)] += 1
+        served[int(answer.at_s)] += answer.status in (200, 410)
+    marks = [" "] * seconds
+    for fault in report.faults:
+        if int(fault.at_s) < seconds:
+            marks[int(fault.at_s)] = LETTERS[fault.kind]
+    yield "served " + "".join(
+        BARS[round(9 * good / all_)] if all_ else "?"
+        for good, all_ in zip(served, asked, strict=True)
+    )
+    yield "faults " + "".join(marks)
+
+
+def _counts(counter):
+    return ", ".join(f"{name} {number}" for name, number in sorted(counter.items()))
--- a/tools/standins/cell_worker.py
+++ b/tools/standins/cell_worker.py
@@ -150,6 +150,7 @@
         self.closed[task] = max(self.closed.get(task, 0), run)
         self.ends.append(orders.ListedEnd(self.next_end, task, run, how, ""))
         self.next_end += 1
+        self.world.saw_end(task, how)
 
     def _result(self, outcome):
         return orders.OrderResult(outcome, self.clock_ms())
--- a/tools/standins/platform_worker.py
+++ b/tools/standins/platform_worker.py
@@ -42,16 +42,28 @@
     def note_end(self, end):
         """Nothing is kept of acknowledged ends."""
 
+    def saw_end(self, task, how):
+        """Nothing is kept of ends."""
+
 
 class PlatformWorker:
-    """One worker process's part: a server, a heartbeat and the passing of time."""
+    """One worker process's part: a server, a heartbeat and the passing of time.
+
+    ``world`` is asked about starts and told of ends; if it has a lock, that guards all
+    workers of the world together. ``relayed`` is the address under which the worker
+    announces itself.
+    """
 
-    def __init__(self, name, address, controls, service="pool", work_ms=200):
+    def __init__(
+        self, name, address, controls, service="pool", work_ms=200, world=None
+    ):
         self.name, self.address = name, address
+        self.relayed = address
         self._controls = controls
         self._service = service
-        self._lock = threading.Lock()
-        self.worker = cell_worker.Worker(World(), name, None)
+        world = world or World()
+        self._lock = getattr(world, "lock", None) or threading.Lock()
+        self.worker = cell_worker.Worker(world, name, None)
         self.worker.script = cell_worker.Script(work_ms)
         self._http = urllib3.PoolManager(retries=False, timeout=1)
         self._stopping = threading.Event()
@@ -81,6 +93,8 @@
         turn = 0
         while not self._stopping.wait(HEARTBEAT_S):
             turn += 1
+            if self.worker.is_down:
+                continue
             control = self._controls[turn % len(self._controls)]
             with contextlib.suppress(urllib3.exceptions.HTTPError):
                 self._http.request(
@@ -92,7 +106,7 @@
     def _announcement(self, turn):
         return {
             "service": self._service,
-            "address": self.address,
+            "address": self.relayed,
             "zone": "urubici",
             "version": "v1",
             "slots": 8,
