--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -34,6 +34,9 @@
 LEASE_MARGIN_MS = 400
 # Two missed heartbeats of 1.5 s: a worker that is silent for longer gets nothing new.
 SILENT_AFTER_MS = 4000
+# An answer's clock is older than its arrival by the call's time limit and some
+# queueing; a clock that is further behind than this is that of another life.
+OTHER_LIFE_BEHIND_MS = 3000
 # The longest time after which an order without an answer was seen carried out is 12 s.
 LATE_MS = 15_000
 # An order or look without an answer makes a worker doubtful until the next answer.
@@ -105,7 +108,12 @@
 
 
 class Worker:
-    """One life of a worker; ``shown`` says whether it saw the leader's epoch."""
+    """One life of a worker.
+
+    ``shown`` says whether it saw the leader's epoch, ``awaits_list`` that a new life
+    began and its first list will tell which runs it has, ``life`` counts such lives,
+    and ``asked`` is the look that is under way, sent at ``look``.
+    """
 
     def __init__(self, record, now_ms, lapses_ms):
         self.record = record
@@ -113,6 +121,8 @@
         self.runs = {}
         self.used = [0, 0, 0]
         self.shown = False
+        self.awaits_list = False
+        self.life = 0
         self.is_settling = False
         self.has_ends = False
         self.unsettled = {}
@@ -127,6 +137,7 @@
         self.offset_at_ms = now_ms
         self.cursor = 0
         self.look = None
+        self.asked = None
         self.looked_ms = now_ms
         self.look_due_ms = now_ms
         self.paced_ms = now_ms
@@ -148,6 +159,25 @@
         """Its id."""
         return self.record.target_id
 
+    def begin_life(self):
+        """Forget what was known of the life before: its ends, its epoch, its clock.
+
+        A look under way may be answered by either life, so its answer won't count.
+        """
+        self.life += 1
+        self.look = self.asked = None
+        self.cursor = 0
+        self.shown = False
+        self.awaits_list = True
+        self.offset_ms = None
+
+    def is_other_clock(self, clock_ms, now_ms):
+        """Whether a clock is too far behind to be the one that is known."""
+        if self.offset_ms is None:
+            return False
+        aged = self.offset_ms - (SLOW_CLOCK - 1) * (now_ms - self.offset_at_ms)
+        return clock_ms - now_ms < aged - OTHER_LIFE_BEHIND_MS
+
     def note_clock(self, clock_ms, now_ms):
         """Learn how far the worker's clock is ahead of ours; never too far ahead.
 
--- a/alderreach/ops/controller/lives.py
+++ b/alderreach/ops/controller/lives.py
@@ -30,37 +30,41 @@
         worker.note_clock(clock_ms, now_ms)
 
 
-def new_life(books, worker, record):
-    """A newer life bears a known id: what the old one ran is over."""
-    books.environment.record(
-        "worker_reborn", target=worker.target_id, born_ms=record.born_ms
-    )
-    worker.cursor = 0
+def new_life(books, worker, born_ms):
+    """A newer life bears a known id; which runs it has, only its list can tell.
+
+    Failures answered. The new life took a start before its first heartbeat came here:
+    taken for over, the task would be started beside itself. Its clock starts anew: on
+    the old one its lease would seem to end far ahead, and it would keep its runs longer
+    than the leader counts. Its ends are numbered anew: acknowledged by the old count,
+    they would be forgotten unseen, and the tasks run again.
+    """
+    books.environment.record("worker_reborn", target=worker.target_id, born_ms=born_ms)
+    worker.begin_life()
     _refuse_late_starts(books, worker)
-    for run in list(worker.runs.values()):
-        if run.state == workers.ORDERED and run.sends:
-            runs.close_run(books, worker, run)
-        elif run.sends:
-            runs.end_run(books, worker, run, "lost", run.checkpoint)
 
 
-def note_new_life(books, worker, result):
-    """A new life under the old id: only what it lists still runs."""
+def suspect_new_life(books, worker):
+    """An answer's clock is far behind: it is that of a life not yet heard of."""
+    books.environment.record("worker_clock_behind", target=worker.target_id)
+    worker.begin_life()
+
+
+def take_first_list(books, worker, result, sent_ms):
+    """What the first list of a life does not name is over.
+
+    Starts that were answered after the look was sent may be missing there, and so may
+    those still on their way, which are closed.
+    """
+    worker.awaits_list = False
     listed = {(entry.task, entry.run) for entry in result.running}
-    books.environment.record(
-        "worker_reborn", target=worker.target_id, born_ms=result.born_ms
-    )
-    worker.cursor = 0
-    _refuse_late_starts(books, worker)
     for run in list(worker.runs.values()):
         if (str(run.key), run.run) in listed:
             continue
         if run.state == workers.ORDERED:
             runs.close_run(books, worker, run)
-        else:
+        elif run.answered_ms <= sent_ms:
             runs.end_run(books, worker, run, "lost", run.checkpoint)
-    worker.record = worker.record._replace(born_ms=result.born_ms)
-    books.decide(targets=[worker.record])
 
 
 def lapse(books, worker):
--- a/alderreach/ops/controller/looks.py
+++ b/alderreach/ops/controller/looks.py
@@ -39,39 +39,47 @@
     wait_ms = 0 if is_urgent else min(wait_ms, longest_ms)
     worker.look = worker.looked_ms = now_ms
     worker.has_ends = False
-    books.links[worker.target_id].look(
-        orders.Look(books.epoch, worker.cursor, until_ms, wait_ms)
-    )
+    worker.asked = orders.Look(books.epoch, worker.cursor, until_ms, wait_ms)
+    books.links[worker.target_id].look(worker.asked)
 
 
 def look_answered(books, mail):
-    """Take a worker's lists."""
+    """Take a worker's lists; an answer to another look than the last is too old."""
     worker = books.workers.get(mail.target_id)
-    if worker is None or worker.look is None:
+    if worker is None or worker.look is None or mail.look is not worker.asked:
         return
     now_ms, result = books.now_ms(), mail.result
     sent_ms, worker.look = worker.look, None
     if result.outcome == orders.OTHER_LIFE:
         lives.life_over(books, worker)
-        return
-    if result.outcome != orders.OK:
+    elif result.outcome != orders.OK:
         _look_failed(books, worker, result, now_ms)
-        return
+    elif result.born_ms and result.born_ms < worker.record.born_ms:
+        runs.look_later(books, worker, 0)
+    else:
+        _take_lists(books, worker, result, sent_ms, now_ms)
+
+
+def _take_lists(books, worker, result, sent_ms, now_ms):
+    if result.born_ms > worker.record.born_ms:
+        lives.new_life(books, worker, result.born_ms)
+        worker.record = worker.record._replace(born_ms=result.born_ms)
+        books.decide(targets=[worker.record])
     worker.note_clock(result.clock_ms, now_ms)
     worker.heard_ms = now_ms
     worker.failures = 0
     if not worker.shown:
         worker.shown = True
         books.is_stale = True
-    if result.born_ms and result.born_ms != worker.record.born_ms:
-        lives.note_new_life(books, worker, result)
     has_ends = _take_ends(books, worker, result.ended)
+    if worker.awaits_list:
+        lives.take_first_list(books, worker, result, sent_ms)
     _take_running(books, worker, result.running, sent_ms)
     _pace(books, worker, now_ms)
     _move_on(books, worker, now_ms)
     if has_ends:
         cursor = max(end.number for end in result.ended)
-        life = worker.record.born_ms
+        life = worker.life
         worker.is_settling = True
         books.after_commit(lambda: _forget_ends(books, worker, cursor, life))
     else:
@@ -104,7 +112,7 @@
     worker.is_settling = False
     if books.workers.get(worker.target_id) is not worker:
         return
-    if worker.record.born_ms == life:
+    if worker.life == life:
         worker.cursor = max(worker.cursor, cursor)
         worker.has_ends = True
     runs.look_later(books, worker)
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -24,6 +24,8 @@
         return
     now_ms, result = books.now_ms(), mail.result
     if result.clock_ms is not None:
+        if worker.is_other_clock(result.clock_ms, now_ms):
+            lives.suspect_new_life(books, worker)
         worker.note_clock(result.clock_ms, now_ms)
         worker.heard_ms = now_ms
     if result.outcome in (orders.UNKNOWN, orders.UNREACHABLE):
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -223,15 +223,16 @@
         worker.sequence = request.sequence
     if worker is None:
         worker = books.add_worker(record)
+    is_reborn = worker.record.born_ms != record.born_ms
+    if is_reborn or record.address != worker.record.address:
+        books.move_link(record)
+        worker.look = None
+    if is_reborn:
+        lives.new_life(books, worker, record.born_ms)
     lives.announced(books, worker, request.clock_ms, books.now_ms())
     if not is_new and record == worker.record:
         reply(done)
         return
-    if is_new and worker.record.born_ms != record.born_ms:
-        lives.new_life(books, worker, record)
-    if record.address != worker.record.address:
-        books.move_link(record)
-        worker.look = None
     worker.record = record
     books.decide(lambda: reply(done), targets=[record])
     leading.record(
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -129,7 +129,9 @@
     if worker.runs.get(run.key) is not run:
         return
     job = books.state.jobs[run.key.job_id]
-    if run.state == workers.CLOSING or job.state != cell_state.ACTIVE:
+    is_unwanted = run.state == workers.CLOSING or job.state != cell_state.ACTIVE
+    if is_unwanted or worker.offset_ms is None:
+        # Without a clock, since a new life began meanwhile, no lease can be named.
         end_run(books, worker, run, "stopped")
         return
     now_ms = books.now_ms()
--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -245,3 +245,66 @@
         assert sim.greet(old).leader == ""
         new = sim.leader()
         assert {sim.greet(name).leader for name in others} == {new}
+
+
+def test_a_new_life_takes_starts_before_its_first_heartbeat(tmp_path):
+    """A worker's machine crashes and is back under its id at once. Before its first
+    heartbeat reaches the leader it takes a start that was meant for its former life.
+    The heartbeat used to be read as the end of all that had been started there, and
+    the task was started a second time beside the first.
+    """
+    with cell_sim.running_cell(tmp_path, workers=2) as sim:
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=1500)
+        sim.run(3000)
+        sim.lost_answers = lambda call: isinstance(call.order, orders.Look)
+        for worker in sim.workers.values():
+            worker.restart()
+        cell_sim.hand_in(sim, "j1", cell_sim.step(6))
+        sim.run(40)
+        assert any(worker.running for worker in sim.workers.values())
+        for worker in sim.workers.values():
+            sim.announce(worker)
+        sim.lost_answers = lambda call: False
+        sim.run_until_shown("j1", "completed")
+        assert sum(worker.next_end - 1 for worker in sim.workers.values()) == 6
+
+
+def test_the_lease_of_a_new_life_is_counted_on_its_own_clock(tmp_path):
+    """A worker starts again, so its clock starts anew, and is cut off later while tasks
+    run on it. Counted on the clock of its former life, the lease it was given ended far
+    ahead; it kept its tasks for the longest time that it grants, and the leader started
+    them elsewhere before.
+    """
+    with cell_sim.running_cell(tmp_path, workers=3) as sim:
+        sim.run(60_000)
+        worker = sim.workers["w1"]
+        worker.restart()
+        sim.announce(worker)
+        sim.run(1000)
+        for other in sim.workers.values():
+            other.script = cell_worker.Script(work_ms=20_000)
+        cell_sim.hand_in(sim, "j1", cell_sim.step(8))
+        sim.run(1000)
+        assert worker.running
+        for name in sim.names:
+            sim.cut |= {(name, "w1"), ("w1", name)}
+        sim.run(8_000)
+        assert not worker.running
+
+
+def test_an_old_cursor_forgets_no_end_of_a_new_life(tmp_path):
+    """A worker starts again without the leader's knowledge, takes a start and has it
+    done before its first heartbeat. A look that still acknowledged the ends of the
+    former life made it forget this one, and the task ran a second time.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        cell_sim.hand_in(sim, "j1", cell_sim.step(4))
+        sim.run_until_shown("j1", "completed")
+        sim.run(5_000)
+        worker = sim.workers["w1"]
+        worker.script = cell_worker.Script(work_ms=10)
+        worker.restart()
+        cell_sim.hand_in(sim, "j2", cell_sim.step(3))
+        sim.run_until_shown("j2", "completed")
+        assert worker.next_end - 1 == 3
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -80,7 +80,7 @@
 
 def play(seed, folder, duration_s):
     """Play a seed's faults for so long, then wait until all is as it should be."""
-    lots = random.Random(seed)
+    lots = random.Random(f"workers {seed}")
     promises = promises_module.Promises()
     with contextlib.ExitStack() as stack:
         running = stack.enter_context(
@@ -94,9 +94,13 @@
         workers = _start_workers(running, links, controls, promises, lots, stack)
         addresses = _link_frontends(running, links)
         _wait_ready(running)
-        calling = callers_module.Callers(addresses, promises, lots).start()
+        calling = callers_module.Callers(
+            addresses, promises, random.Random(f"callers {seed}")
+        ).start()
         stack.callback(calling.stop)
-        troubles = faults_module.Faults(running, links, workers, lots)
+        troubles = faults_module.Faults(
+            running, links, workers, random.Random(f"faults {seed}")
+        )
         troubles.play(duration_s)
         calling.stop()
         _check_calm(calling, promises)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -139,10 +139,11 @@
                 return
             self._busy.add(worker.name)
         self._note(kind, hold_s, worker.name)
-        # Silent while it is down; calls that were under way reach the new life late.
+        # Silent while it is down; connections to the old life end with it.
         self._relay.cut([worker.link])
         worker.crash()
         time.sleep(hold_s)
+        self._relay.reset([worker.link])
         worker.restart()
         self._relay.heal([worker.link])
         self._free([worker.name])
