--- a/alderreach/ops/controller/books.py
+++ b/alderreach/ops/controller/books.py
@@ -23,7 +23,8 @@
     """What a leader uses of its process.
 
     ``committed()`` returns the cell's state as the log has it, ``cell_offset_ms()``
-    what added to the steady clock gives the cell's time, ``helpers()`` the peers that
+    what added to the steady clock gives the cell's time, ``is_time_known()`` whether
+    that rests on more than one process's clock, ``helpers()`` the peers that
     may put questions to the permission service, and ``ask(question)`` gives one of
     them a ``permissions.Question``.
     """
@@ -35,6 +36,7 @@
     confirm: typing.Callable
     committed: typing.Callable
     cell_offset_ms: typing.Callable
+    is_time_known: typing.Callable
     helpers: typing.Callable
     ask: typing.Callable
     open_link: typing.Callable
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -21,6 +21,10 @@
     verdicts,
 )
 
+# A new leader waits this long at the most for others' clocks; processes that have lost
+# their leader greet all controllers they know three times a second.
+CLOCKS_WAIT_MS = 3000
+
 
 class Leading:
     """One term: the books, the planner, and how requests reach the quorum."""
@@ -207,6 +211,7 @@
             confirm=self._port.confirm,
             committed=lambda: self._port.state_of().cell,
             cell_offset_ms=self._cell_offset_ms,
+            is_time_known=self._time_judge(),
             helpers=self._helpers,
             ask=self._ask,
             open_link=self._open_link,
@@ -220,6 +225,23 @@
         now_ms = self._clock.monotonic_ms()
         return self._greeters.cell_offset_ms(self._clock.wall_ms(), now_ms)
 
+    def _time_judge(self):
+        """A function that says whether the cell's time can be relied on in a new term.
+
+        Failure answered: a controller whose clock is wrong takes over, and before the
+        first greetings reach it starts what is due by its own clock. A cell of so few
+        processes that no more will come goes by the clocks that there are.
+        """
+        began_ms = self._clock.monotonic_ms()
+
+        def is_known():
+            now_ms = self._clock.monotonic_ms()
+            if now_ms - began_ms >= CLOCKS_WAIT_MS:
+                return True
+            return self._greeters.has_clocks(now_ms)
+
+        return is_known
+
     def _helpers(self):
         """Who may ask the permission service: everyone heard lately, and this process.
 
--- a/alderreach/ops/controller/discovery.py
+++ b/alderreach/ops/controller/discovery.py
@@ -20,6 +20,8 @@
 # frontend that is cut off then reports itself not ready, and the balancer, which takes
 # two seconds to notice, sends its callers elsewhere.
 SILENT_AFTER_MS = 1000
+# With its own clock three, the least of which one may be wrong.
+CLOCKS_ENOUGH = 2
 
 
 def peer_addresses(seeds, port):
@@ -159,10 +161,17 @@
         Wall clocks of single VMs jump by seconds and back; the median stays right
         while fewer than half of the processes are wrong.
         """
-        offsets = [own_wall_ms - now_ms]
-        offsets += [
+        offsets = [own_wall_ms - now_ms, *self._offsets(now_ms)]
+        return int(statistics.median_low(offsets))
+
+    def has_clocks(self, now_ms):
+        """Whether enough others were heard that one wrong clock moves no median."""
+        return len(self._offsets(now_ms)) >= CLOCKS_ENOUGH
+
+    def _offsets(self, now_ms):
+        """What others' greetings gave lately."""
+        return [
             offset
             for heard_ms, offset, _role in self._seen.values()
             if now_ms - heard_ms < SILENT_AFTER_MS
         ]
-        return int(statistics.median_low(offsets))
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -106,7 +106,10 @@
 
         Cell time may be a little ahead of the submitter's; the slack is the workers'.
         Starting on time rather than early leaves all of it for clocks that differ.
+        Nothing is due while the cell's time is not known.
         """
+        if not self._books.environment.is_time_known():
+            return 0
         return self._books.cell_ms()
 
     def _release_due(self):
--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -308,3 +308,51 @@
         cell_sim.hand_in(sim, "j2", cell_sim.step(3))
         sim.run_until_shown("j2", "completed")
         assert worker.next_end - 1 == 3
+
+
+def _due_in(sim, job_id, delay_ms):
+    """Hand a job in that is due once, so long from now by the right time."""
+    sim.steps[job_id] = (cell_sim.step(2),)
+    due_ms = sim.time.clock.wall_ms() + delay_ms
+    request = cell_sim.job_request(job_id, sim.steps[job_id])
+    request = request._replace(repeat_count=1, first_due_ms=due_ms)
+    assert sim.answer(sim.request(request)).kind == "accepted"
+
+
+def _has_run(sim):
+    return any(worker.next_end > 1 or worker.running for worker in sim.workers.values())
+
+
+def test_a_job_is_due_by_the_cells_time_not_by_its_leaders_clock(tmp_path):
+    """The leader's wall clock jumps an hour ahead, and one frontend's an hour back. A
+    job that is due in five seconds starts then: the cell goes by the median of its
+    processes' clocks, which no single one moves.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        sim.wall_steps_ms[sim.leader()] = 3_600_000
+        clocks = {"f1": 0, "f2": 10, "f3": -3_600_000, "f4": -10}
+        sim.run_greeted(1_500, clocks)
+        _due_in(sim, "j1", 5_000)
+        sim.run_greeted(4_500, clocks)
+        assert not _has_run(sim)
+        sim.run_greeted(1_500, clocks)
+        assert _has_run(sim)
+
+
+def test_a_takeover_by_a_controller_whose_clock_is_wrong(tmp_path):
+    """The leader dies while a job waits for its time, and its successor's clock is an
+    hour ahead. The job still starts when it is due.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        old = sim.leader()
+        for name in sim.names:
+            if name != old:
+                sim.wall_steps_ms[name] = 3_600_000
+        clocks = {"f1": 0, "f2": 10, "f3": -10}
+        sim.run_greeted(1_500, clocks)
+        _due_in(sim, "j1", 8_000)
+        sim.crash(old)
+        sim.run_greeted(6_000, clocks)
+        assert not _has_run(sim)
+        sim.run_greeted(3_000, clocks)
+        assert _has_run(sim)
--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -17,6 +17,7 @@
 from tools.standins import cell_worker
 
 HEARTBEAT_MS = 1500
+GREETING_MS = 300
 HOST, PREFIX = "a.example", "/q/"
 
 
@@ -150,6 +151,20 @@
         assert self.run(1000, lambda: self.greeted is not None)
         return self.greeted
 
+    def run_greeted(self, duration_ms, wall_clocks):
+        """Let time pass while frontends greet the leader, each by its own wall clock.
+
+        ``wall_clocks`` maps a frontend's address to how far its clock is ahead.
+        """
+        until_ms = self.time.now_ms + duration_ms
+        while self.time.now_ms < until_ms:
+            leader = self.elect()
+            for name, ahead_ms in wall_clocks.items():
+                wall_ms = self.time.clock.wall_ms() + ahead_ms
+                packed = codec.pack(cell.Greeting("frontend", wall_ms))
+                self.network.append(memory_cell.Message(name, leader, packed))
+            self.run(min(GREETING_MS, until_ms - self.time.now_ms))
+
     def state(self, job_id):
         """What a caller is shown of a job, by a leader that serves."""
         return self.answer(self.request(cell.ReadJob(HOST, PREFIX + job_id)))
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -248,6 +248,7 @@
                 confirm=lambda act, _refuse: self.loop.after(COMMIT_MS, act),
                 committed=lambda: state,
                 cell_offset_ms=lambda: 0,
+                is_time_known=lambda: True,
                 helpers=lambda: self._helpers,
                 ask=self._ask,
                 open_link=self._open_link,
