--- a/tools/standins/http.py
+++ b/tools/standins/http.py
@@ -28,6 +28,10 @@
         def do_POST(self):
             length = int(self.headers.get("Content-Length", 0))
             body = self.rfile.read(length)
+            if len(body) < length:
+                # Its sender died in the middle; nobody asked for what is there.
+                self.close_connection = True
+                return
             request = Request("POST", self.path, self.headers, body)
             status, headers, answer, announced = handle(request)
             self.send_response(status)
