--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -16,7 +16,7 @@
 import time
 import typing
 
-from alderreach.core import cell_state, orders
+from alderreach.core import cell_state
 from alderreach.core.generated import cell, common
 from alderreach.ops.controller import (
     books,
@@ -30,7 +30,7 @@
 )
 from alderreach.parser import settings as settings_parser
 from alderreach.utils import clocks, metrics
-from tools import virtual_load
+from tools import virtual_load, virtual_workers
 
 HOST = "a.example"
 POOL = "pool"
@@ -38,8 +38,6 @@
 HOP_MS = 1.0
 COMMIT_MS = 8.0
 TICK_MS = 20
-# A worker kills what it is told to stop, or saves it first, within this.
-STOP_MS = 60.0
 RESTORE_MS = 600.0
 LATE_AFTER_OBJECTIVES = 3
 
@@ -87,124 +85,6 @@
         return self.on_time / max(1, self.jobs)
 
 
-class _Running:
-    """One run on a model worker."""
-
-    def __init__(self, order, work_ms, how, now_ms):
-        self.order = order
-        self.work_ms = work_ms
-        self.how = how
-        self.began_ms = now_ms
-        self.is_over = False
-
-    def done_ms(self, now_ms):
-        """How much of its work is done."""
-        return min(self.work_ms, max(0.0, now_ms - self.began_ms))
-
-
-class _Machine:
-    """A worker that does as it is told, at once and without faults."""
-
-    def __init__(self, world, record):
-        self.world, self.record = world, record
-        self.runs = {}
-        self.ends = []
-        self.next_end = 1
-        self.held = None
-
-    def carry_out(self, order):
-        """Carry an order out; returns the ``orders.OrderResult``."""
-        if isinstance(order, orders.Start):
-            self._start(order)
-        elif isinstance(order, orders.Stop):
-            run = self.runs.get((order.task, order.run))
-            if run is not None:
-                self.world.loop.after(STOP_MS, lambda: self._end(run, "stopped"))
-        return orders.OrderResult(orders.OK, self._clock_ms())
-
-    def look(self, look, answer):
-        """Answer a look once there is an end, or its time is over."""
-        self.ends = [end for end in self.ends if end.number > look.cursor]
-        if self.ends or not look.wait_ms:
-            answer(self._lists())
-            return
-        held = self.held = answer
-        self.world.loop.after(look.wait_ms, lambda: self._release(held))
-
-    def _start(self, order):
-        key = (order.task, order.run)
-        if key in self.runs:
-            return
-        left_ms, how = self.world.work_of(order)
-        run = self.runs[key] = _Running(order, left_ms, how, self.world.loop.now_ms)
-        self.world.loop.after(left_ms, lambda: self._end(run, run.how))
-
-    def _end(self, run, how):
-        if run.is_over:
-            return
-        run.is_over = True
-        now_ms = self.world.loop.now_ms
-        del self.runs[(run.order.task, run.order.run)]
-        saved = self.world.save(run, how, now_ms)
-        self.ends.append(
-            orders.ListedEnd(self.next_end, run.order.task, run.order.run, how, saved)
-        )
-        self.next_end += 1
-        if self.held is not None:
-            self._release(self.held)
-
-    def _release(self, held):
-        if self.held is held:
-            self.held = None
-            held(self._lists())
-
-    def _lists(self):
-        now_ms = self.world.loop.now_ms
-        listed = [
-            orders.ListedRun(
-                run.order.task,
-                run.order.run,
-                "",
-                int(100 * run.done_ms(now_ms) / run.work_ms) if run.work_ms else 100,
-                0.0,
-            )
-            for run in self.runs.values()
-        ]
-        return orders.LookResult(
-            orders.OK, self._clock_ms(), self.record.born_ms, listed, list(self.ends)
-        )
-
-    def _clock_ms(self):
-        return int(self.world.loop.now_ms)
-
-
-class _Link:
-    """Stands for ``target_link.TargetLink``."""
-
-    def __init__(self, world, machine):
-        self._world, self._machine = world, machine
-
-    def order(self, order):
-        self._world.call(lambda: self._carry_out(order))
-
-    def look(self, look):
-        self._world.call(
-            lambda: self._machine.look(
-                look, lambda result: self._tell(target_link.LookAnswered, look, result)
-            )
-        )
-
-    def close(self):
-        pass
-
-    def _carry_out(self, order):
-        result = self._machine.carry_out(order)
-        self._tell(target_link.OrderAnswered, order, result)
-
-    def _tell(self, kind, order, result):
-        self._world.mail(kind(1, self._machine.record.target_id, order, result))
-
-
 class VirtualCell:
     """One leader, its workers and the permission service.
 
@@ -228,7 +108,10 @@
         self._saved = {}
         self._done_ms = {}
         self._due = {}
-        self._machines = {r.target_id: _Machine(self, r) for r in records}
+        self._machines = {
+            record.target_id: virtual_workers.Machine(self, record)
+            for record in records
+        }
         state = cell_state.CellState()
         pools = [cell.ServiceConfig(POOL, False, False)]
         state.config = cell.CellConfig(1, list(queues), pools, b"{}")
@@ -325,7 +208,7 @@
         return "saved"
 
     def _open_link(self, record, _epoch):
-        return _Link(self, self._machines[record.target_id])
+        return virtual_workers.Link(self, self._machines[record.target_id])
 
     def _record(self, kind, **fields):
         self.starts += kind == "run_placed"
