--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -14,7 +14,8 @@
 # Seeds that failed once. 102: a worker back under its id took starts before its first
 # heartbeat, which was read as their end, so they were started beside themselves. 103,
 # 207: the stand-in forgot ends by a former life's count after the wait of a look, not
-# as the look came. 105, 204: calls held by the relay reached a worker's new life.
+# as the look came. 105, 204: likely calls that the relay held for a worker's
+# former life; not isolated.
 FOUND = (102, 103, 105, 204, 207)
 # In CI one that plays many kinds of faults in a few seconds, and the product's own.
 SEEDS = (1, *FOUND) if os.environ.get("ALDERREACH_SOAK") else (1, 102)
