--- /dev/null
+++ b/tests/cell_permission_test.py
@@ -0,0 +1,54 @@
+"""Steps under a permission rule, while the workers that they may use come and go."""
+
+from alderreach.core.generated import cell
+from tools import virtual_cell
+
+RULE = cell.PermissionRule(600, 5, 1_500)
+WORKERS = 60
+GOOD_SHARE = 0.45
+FIRST_WORK_MS = 5_000
+# Each of eleven workers that one question finds holds three of these tasks.
+TASKS = 60
+
+
+def chain(**options):
+    """A job of one task and then a wide step, on workers of which few are permitted."""
+    records = [
+        virtual_cell.worker(number, 64_000, 128_000) for number in range(WORKERS)
+    ]
+    made = virtual_cell.VirtualCell(
+        [virtual_cell.queue("q", permission=RULE)],
+        records,
+        good_shares={"q": GOOD_SHARE},
+    )
+    first = virtual_cell.step(1, 1_000, estimated_ms=FIRST_WORK_MS)
+    wide = virtual_cell.step(TASKS, 16_900, 16_832, after=(0,), **options)
+    works = [
+        virtual_cell.Work(first, [FIRST_WORK_MS]),
+        virtual_cell.Work(wide, [1_000] * TASKS),
+    ]
+    made.submit_at(0, "q", "j1", works)
+    return made
+
+
+def permitted(made, step):
+    """Workers with a ticket for a step of the job."""
+    group = ("j1", 0, step)
+    return made.leading.books.permissions.permitted(group, int(made.loop.now_ms))
+
+
+def test_a_gang_finds_room_after_some_of_its_permitted_workers_are_gone():
+    """A gang stands still for ever beside idle workers; nothing in the log says why.
+    The workers it may use are asked for ahead of time. Two of them end, and so does
+    the one that runs the step before, which starts again; meanwhile all tickets run
+    out and are renewed for the workers that are left. These can't hold the gang, and
+    nobody else is ever asked about.
+    """
+    made = chain(gang=True)
+    made.run_until(5_500)
+    running = [w.target_id for w in made.leading.books.workers.values() if w.runs]
+    made.leave_at(5_501, [*running, *sorted(permitted(made, 1))[:2]])
+    made.run_until(11_000)
+    assert made.leading.books.state.jobs["j1"].undone[(0, 1)] == TASKS
+    made.run_until(20_000)
+    assert made.leading.books.state.jobs["j1"].state == "completed"
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -176,6 +176,11 @@
                 count[3] += 1
         return {name: Outcome(*count) for name, count in counts.items()}
 
+    def leave_at(self, moment_ms, target_ids):
+        """Workers that end later, with all that runs there, and never come back."""
+        for target_id in target_ids:
+            self.loop.at(moment_ms, self._machines[target_id].leave)
+
     def call(self, act):
         """Have something happen at a worker."""
         self.loop.after(HOP_MS, act)
@@ -247,8 +252,9 @@
         self.loop.after(TICK_MS, self._tick)
 
     def _heartbeats(self):
-        for worker in self.leading.books.workers.values():
-            worker.announced_ms = int(self.loop.now_ms)
+        for target_id, worker in self.leading.books.workers.items():
+            if not self._machines[target_id].is_gone:
+                worker.announced_ms = int(self.loop.now_ms)
         self.loop.after(1000, self._heartbeats)
 
     def _ask(self, question):
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -1,4 +1,4 @@
-"""Model workers in virtual time: they do as told, at once and without faults."""
+"""Model workers in virtual time: they do as told at once, until they leave."""
 
 from alderreach.core import orders
 from alderreach.ops.controller import target_link
@@ -23,7 +23,7 @@
 
 
 class Machine:
-    """A worker that does as it is told, at once and without faults."""
+    """A worker that does as it is told at once, until it leaves."""
 
     def __init__(self, world, record):
         self.world, self.record = world, record
@@ -31,9 +31,21 @@
         self.ends = []
         self.next_end = 1
         self.held = None
+        self.is_gone = False
+
+    def leave(self):
+        """End with all that runs here; another life answers at this address now."""
+        self.is_gone = True
+        for run in self.runs.values():
+            run.is_over = True
+        self.runs = {}
+        if self.held is not None:
+            self._release(self.held)
 
     def carry_out(self, order):
         """Carry an order out; returns the ``orders.OrderResult``."""
+        if self.is_gone:
+            return orders.OrderResult(orders.OTHER_LIFE)
         if isinstance(order, orders.Start):
             self._start(order)
         elif isinstance(order, orders.Stop):
@@ -45,7 +57,7 @@
     def look(self, look, answer):
         """Answer a look once there is an end, or its time is over."""
         self.ends = [end for end in self.ends if end.number > look.cursor]
-        if self.ends or not look.wait_ms:
+        if self.is_gone or self.ends or not look.wait_ms:
             answer(self._lists())
             return
         held = self.held = answer
@@ -79,6 +91,8 @@
             held(self._lists())
 
     def _lists(self):
+        if self.is_gone:
+            return orders.LookResult(orders.OTHER_LIFE)
         now_ms = self.world.loop.now_ms
         listed = [
             orders.ListedRun(
