--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -154,11 +154,23 @@
 
     def more(self, group, suitable):
         """Workers nobody asked about yet, for a step that found no room."""
-        verdicts = self._groups.setdefault(group, _Verdicts())
-        if verdicts.asking is not None:
+        if self.is_asking(group):
             return []
-        known = verdicts.tickets.keys() | verdicts.denied
-        return [t for t in suitable if t not in known][:ASKED_AT_MOST]
+        return self.unasked(group, suitable)[:ASKED_AT_MOST]
+
+    def unasked(self, group, suitable):
+        """Those of some workers that nobody asked about yet."""
+        verdicts = self._groups.setdefault(group, _Verdicts())
+        return [
+            target_id
+            for target_id in suitable
+            if target_id not in verdicts.tickets and target_id not in verdicts.denied
+        ]
+
+    def denied(self, group):
+        """How many workers were turned down for a group."""
+        verdicts = self._groups.get(group)
+        return len(verdicts.denied) if verdicts is not None else 0
 
     def idle_helper(self, rule, helpers, quickest_ms=None):
         """The helper that may take a question under a rule now, or None.
--- /dev/null
+++ b/alderreach/decisions/cell/waiting_test.py
@@ -0,0 +1,32 @@
+"""The word for what a step waits for."""
+
+import pytest
+
+from alderreach.decisions.cell import waiting
+
+PLACEABLE = waiting.Standing(
+    waiting=31,
+    usable=120,
+    permitted=12,
+    with_room=9,
+    denied=16,
+    unasked=92,
+    is_asking=False,
+    is_gang=True,
+)
+
+
+@pytest.mark.parametrize(
+    ("changes", "cause"),
+    [
+        ({"usable": 0, "permitted": 0, "unasked": 0}, waiting.WORKERS),
+        ({"is_partly_placed": True}, waiting.ITSELF),
+        ({"is_asking": True}, waiting.ANSWER),
+        ({}, waiting.QUESTION),
+        ({"unasked": 0, "permitted": 0}, waiting.PERMISSION),
+        ({"unasked": 0}, waiting.ROOM),
+        ({"is_partly_placed": True, "is_gang": False}, waiting.QUESTION),
+    ],
+)
+def test_the_first_that_holds(changes, cause):
+    assert waiting.cause(PLACEABLE._replace(**changes)) == cause
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -11,7 +11,7 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions.cell import choice, order
-from alderreach.ops.controller import asking, evictions, runs
+from alderreach.ops.controller import asking, evictions, runs, waits
 
 # Bounds one pass, so that heartbeats of the quorum are never held up by a large job:
 # at some 50 us a start this is 10 ms.
@@ -30,6 +30,7 @@
         self._ranked_config = None
         self._asking = asking.Asking(books)
         self._evictions = evictions.Evictions(books, self._rank)
+        self._waits = waits.Waits(books)
         self._due = []
         self._next_pass_ms = 0
         for job in books.state.jobs.values():
@@ -68,6 +69,7 @@
         self._next_pass_ms = now_ms + PASS_INTERVAL_MS
         self._release_due()
         self._asking.begin()
+        self._waits.begin()
         usable = self._usable(now_ms)
         started = 0
         for _urgency, group in self._in_order():
@@ -81,6 +83,7 @@
         """Forget what is kept of jobs that have ended."""
         self._books.drop_ended(self._ranks)
         self._evictions.tidy()
+        self._waits.tidy(self._waiting.values(), self._books.now_ms())
 
     def pending(self, queue_name):
         """How many accepted jobs of a queue have started nothing, times left out."""
@@ -100,6 +103,17 @@
         else:
             self._waiting[group] = self._books.now_ms()
             self._books.is_stale = True
+            self._record_opened(job, group)
+
+    def _record_opened(self, job, group):
+        """A line for each step that may start, beside those for what starts of it."""
+        step = job.record.steps[group.step]
+        self._books.environment.record(
+            "step_opened",
+            task=".".join(str(part) for part in group),
+            tasks=step.tasks,
+            is_gang=step.gang,
+        )
 
     def _latest_due_ms(self):
         """Occurrences due up to this moment may start.
@@ -155,6 +169,7 @@
     def _not_waiting(self, group):
         self._waiting.pop(group, None)
         self._ranks.pop(group, None)
+        self._waits.started(group)
 
     def _place_group(self, group, usable, now_ms):
         """Start what can be started of a group; returns how many tasks."""
@@ -182,6 +197,7 @@
             if rule is not None:
                 self._asking.for_more(job, group, rule, now_ms)
             self._make_room(job, group, pool, len(waiting) - started, now_ms)
+            self._waits.consider(job, group, pool, self._waiting[group], now_ms)
         return started
 
     def _make_room(self, job, group, pool, wanted, now_ms):
--- /dev/null
+++ b/alderreach/ops/controller/waits.py
@@ -0,0 +1,91 @@
+"""Log lines and metrics for steps that could run and wait for long.
+
+A step is reported once it has waited for ``FIRST_MS`` and again each time its wait has
+doubled, a few steps at a time, so that a cell full of waiting steps writes a bounded
+number of lines and spends little on them.
+"""
+
+from alderreach.core import cell_state
+from alderreach.decisions.cell import choice, waiting
+
+# Most steps start within a second on a calm day; an objective is seldom shorter.
+FIRST_MS = 2000
+# A report looks at all workers, some 0.2 ms for 176 of them. At ten passes a second
+# this many reports take about one percent of the leader's processor time.
+REPORTS_PER_PASS = 4
+
+
+class Waits:
+    """What was reported in one term; ``begin`` comes first in each planning pass."""
+
+    def __init__(self, books):
+        self._books = books
+        self._due_ms = {}
+        self._left = 0
+
+    def begin(self):
+        """A pass begins, which may report a few steps."""
+        self._left = REPORTS_PER_PASS
+
+    def consider(self, job, group, pool, since_ms, now_ms):
+        """Report a step that waits since ``since_ms`` if its report is due.
+
+        ``pool`` are the workers that it may use, by their permission and health.
+        """
+        due_ms = self._due_ms.get(group, since_ms + FIRST_MS)
+        if now_ms < due_ms or not self._left:
+            return
+        self._left -= 1
+        waited_ms = now_ms - since_ms
+        self._due_ms[group] = now_ms + waited_ms
+        standing = self._standing(job, group, pool, now_ms)
+        cause = waiting.cause(standing)
+        self._books.environment.metrics.count("long_waits", cause)
+        self._books.environment.record(
+            "step_waits",
+            task=".".join(str(part) for part in group),
+            cause=cause,
+            waited_ms=waited_ms,
+            **standing._asdict(),
+        )
+
+    def started(self, group):
+        """Nothing of a group waits any more."""
+        self._due_ms.pop(group, None)
+
+    def tidy(self, since_ms, now_ms):
+        """Show how many steps wait and for how long; forget those that have ended.
+
+        ``since_ms`` are the moments since when the waiting steps wait.
+        """
+        self._books.drop_ended(self._due_ms)
+        metrics = self._books.environment.metrics
+        metrics.gauge("steps_waiting", len(since_ms))
+        metrics.gauge("longest_wait_ms", now_ms - min(since_ms, default=now_ms))
+
+    def _standing(self, job, group, pool, now_ms):
+        books = self._books
+        step = job.record.steps[group.step]
+        tasks = job.groups[group[1:]]
+        usable = [
+            worker.target_id
+            for worker in books.workers.values()
+            if worker.record.service == job.record.service
+            and choice.is_suitable(worker, step)
+            and worker.is_usable(now_ms)
+        ]
+        unasked = denied = 0
+        if books.queue_of(job).permission is not None:
+            unasked = len(books.permissions.unasked(group, usable))
+            denied = books.permissions.denied(group)
+        return waiting.Standing(
+            waiting=sum(task.state == cell_state.WAITING for task in tasks),
+            usable=len(usable),
+            permitted=sum(choice.is_suitable(worker, step) for worker in pool),
+            with_room=len(choice.candidates(pool, step, group, now_ms)),
+            denied=denied,
+            unasked=unasked,
+            is_asking=books.permissions.is_asking(group),
+            is_gang=step.gang,
+            is_partly_placed=any(task.state == cell_state.PLACED for task in tasks),
+        )
--- a/tests/cell_permission_test.py
+++ b/tests/cell_permission_test.py
@@ -1,6 +1,9 @@
 """Steps under a permission rule, while the workers that they may use come and go."""
 
+import itertools
+
 from alderreach.core.generated import cell
+from alderreach.decisions.cell import waiting
 from tools import virtual_cell
 
 RULE = cell.PermissionRule(600, 5, 1_500)
@@ -52,3 +55,18 @@
     assert made.leading.books.state.jobs["j1"].undone[(0, 1)] == TASKS
     made.run_until(20_000)
     assert made.leading.books.state.jobs["j1"].state == "completed"
+
+
+def test_a_step_that_waits_for_long_says_what_for():
+    """Both workers are full for half a minute; the lines grow rarer as it waits."""
+    records = [virtual_cell.worker(number, 8_000) for number in range(2)]
+    made = virtual_cell.VirtualCell([virtual_cell.queue("q")], records)
+    full = virtual_cell.Work(virtual_cell.step(2, 8_000), [30_000] * 2)
+    made.submit_at(0, "q", "j1", [full])
+    made.submit_at(100, "q", "j2", [virtual_cell.Work(virtual_cell.step(1, 1), [10])])
+    made.run_until(29_000)
+    assert [report["cause"] for report in made.waits] == [waiting.ROOM] * 4
+    assert {report["task"] for report in made.waits} == {"j2.0.0"}
+    waited_ms = [report["waited_ms"] for report in made.waits]
+    assert all(2 * a <= b for a, b in itertools.pairwise(waited_ms))
+    assert made.waits[0]["with_room"] == 0
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -90,7 +90,8 @@
 
     ``helpers`` is how many processes put questions to the service, which lets the steps
     of a queue run on its share, by ``good_shares``, of the workers. ``cpu_s`` is the
-    processor time that the leader's own code took.
+    processor time that the leader's own code took, and ``waits`` holds the fields of
+    each report on a step that waits for long.
     """
 
     def __init__(self, queues, records, helpers=12, good_shares=None, seed=1):
@@ -101,6 +102,7 @@
         self.stops = 0
         self.looks = 0
         self.questions = 0
+        self.waits = []
         self._queues = {queue.name: queue for queue in queues}
         self._good_shares = good_shares or {}
         self._helpers = [f"helper-{number}" for number in range(helpers)]
@@ -219,6 +221,8 @@
         self.starts += kind == "run_placed"
         self.stops += kind == "run_preempted"
         self.questions += kind == "permission_asked"
+        if kind == "step_waits":
+            self.waits.append(fields)
 
     def _take(self, mail):
         if isinstance(mail, target_link.OrderAnswered):
