--- /dev/null
+++ b/tests/cell_return_test.py
@@ -0,0 +1,50 @@
+"""Workers that come back after calls to them failed: whether they get work again."""
+
+from alderreach.core import orders
+from tests import cell_sim
+from tools.standins import cell_worker
+
+
+def test_a_worker_that_was_cut_off_gets_work_again(tmp_path):
+    """Tasks wait for ever beside an empty worker in good health. It was cut off until
+    its lease lapsed, so nothing runs there any more; looks are made only where
+    something runs or has ended, and only an answered look ends the leader's doubt.
+    In a log of a loaded day 42 of 43 workers whose leases had lapsed in a cut of five
+    seconds got nothing more in the 23 s that were left.
+    """
+    with cell_sim.running_cell(tmp_path, workers=2) as sim:
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=60_000)
+        cell_sim.hand_in(sim, "j1", cell_sim.step(6))
+        sim.run(1_000)
+        cut_off = sim.workers["w1"]
+        assert cut_off.running
+        for name in sim.names:
+            sim.cut |= {(name, "w1"), ("w1", name)}
+        assert sim.run(20_000, lambda: not cut_off.running)
+        assert sim.run(20_000, lambda: _waiting(sim, "j1") == 2)
+        sim.cut = set()
+        assert sim.run(10_000, lambda: _waiting(sim, "j1") == 0)
+
+
+def test_a_worker_whose_last_answer_was_lost_gets_work_again(tmp_path):
+    """The only worker stands idle and a new job waits for ever. All was done there, and
+    the answer to the look that told it so was lost: there was nothing left to look for,
+    and only an answered look ends the leader's doubt.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        sim.lost_answers = lambda call: (
+            isinstance(call.order, orders.Look) and call.order.cursor > 0
+        )
+        cell_sim.hand_in(sim, "j1", cell_sim.step(1))
+        sim.run_until_shown("j1", "completed")
+        assert sim.run(5_000, lambda: sim.noted == {"j1.0.0.0"})
+        sim.lost_answers = lambda call: False
+        cell_sim.hand_in(sim, "j2", cell_sim.step(1))
+        sim.run_until_shown("j2", "completed", duration_ms=10_000)
+
+
+def _waiting(sim, job_id):
+    """How many tasks of a job have no run, as the log has it."""
+    groups = sim.agreed().jobs[job_id].groups
+    return sum(task.state == "waiting" for tasks in groups.values() for task in tasks)
