--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -224,11 +224,33 @@
                 self.announce(worker)
         for worker in self.workers.values():
             worker.step()
+        self._end_gangs()
         due = [call for call in self.calls if call.due_ms <= self.time.now_ms]
         self.calls = [call for call in self.calls if call.due_ms > self.time.now_ms]
         for call in due:
             self._deliver_call(call)
 
+    def _end_gangs(self):
+        """All tasks of a gang's run end done together, however slow their workers.
+
+        Left to end one by one, a member is at work on a worker whose room the leader
+        has given out again, as it may by what workers promise.
+        """
+        done = {
+            (_group_of(end.task), end.run)
+            for worker in self.workers.values()
+            for end in worker.ends
+            if end.how == "done" and self._is_gang(end.task)
+        }
+        for worker in self.workers.values():
+            for task, run in list(worker.running.items()):
+                if (_group_of(task), run.order.run) in done:
+                    worker.end(task, "done")
+
+    def _is_gang(self, task):
+        job_id, _occurrence, step, _index = task.split(".")
+        return self.steps[job_id][int(step)].gang
+
     def announce(self, worker, name=None):
         """A worker's heartbeat reaches the leader, if there is one."""
         leader = name or self.leader()
@@ -276,6 +298,11 @@
         self._mail(call.controller, mail)
 
 
+def _group_of(task):
+    """Which step of which occurrence a task belongs to, as the start of its name."""
+    return task.rpartition(".")[0]
+
+
 def job_request(job_id, steps):
     """The submission of a job that runs once."""
     return cell.SubmitJob(HOST, PREFIX + job_id, "run", list(steps), 0, 0, 0)
--- a/tools/standins/cell_worker.py
+++ b/tools/standins/cell_worker.py
@@ -86,10 +86,10 @@
             # The leader may have started all that it had not heard of the end of.
             self.void |= {end.number for end in self.ends}
             for task in list(self.running):
-                self._end(task, "lapsed")
+                self.end(task, "lapsed")
         for task, run in list(self.running.items()):
             if run.percent(now_ms) >= 100:
-                self._end(task, run.script.how)
+                self.end(task, run.script.how)
 
     def carry_out(self, order):
         """Do what an order says and return its result."""
@@ -121,7 +121,7 @@
     def _stop(self, order):
         run = self.running.get(order.task)
         if run is not None and run.order.run <= order.run:
-            self._end(order.task, "stopped")
+            self.end(order.task, "stopped")
         known = self.closed.get(order.task, 0)
         self.closed[order.task] = max(known, order.run)
         return self._result(orders.OK)
@@ -145,7 +145,8 @@
         most_ms = self.clock_ms() + LEASE_MAX_MS
         self.lease_until_ms = max(self.lease_until_ms, min(until_ms, most_ms))
 
-    def _end(self, task, how):
+    def end(self, task, how):
+        """A run here ends, and is listed until that is acknowledged."""
         run = self.running.pop(task).order.run
         self.closed[task] = max(self.closed.get(task, 0), run)
         self.ends.append(orders.ListedEnd(self.next_end, task, run, how, ""))
