--- a/alderreach/ops/controller/looks.py
+++ b/alderreach/ops/controller/looks.py
@@ -87,8 +87,14 @@
 
 
 def look_if_due(books, worker, now_ms):
-    """Make the next look if the worker needs one and its gap is over."""
-    wanted = worker.runs or worker.has_ends or not worker.shown
+    """Make the next look if the worker needs one and its gap is over.
+
+    Failure answered: a worker is cut off until its lease lapses, and tasks wait beside
+    it for ever once it is back. A doubtful worker gets nothing until a call to it is
+    answered, and where nothing runs a look is the only call, so the doubt itself asks
+    for one.
+    """
+    wanted = worker.runs or worker.has_ends or not worker.shown or worker.failures > 0
     due_ms = worker.look_due_ms
     if worker.failures:
         due_ms = worker.looked_ms + LOOK_AGAIN_MS
