--- a/tests/cell_return_test.py
+++ b/tests/cell_return_test.py
@@ -1,6 +1,7 @@
 """Workers that come back after calls to them failed: whether they get work again."""
 
 from alderreach.core import orders
+from alderreach.core.generated import cell
 from tests import cell_sim
 from tools.standins import cell_worker
 
@@ -44,6 +45,38 @@
         sim.run_until_shown("j2", "completed", duration_ms=10_000)
 
 
+def test_a_worker_that_left_and_starts_again_gets_work(tmp_path):
+    """A worker says that it ends, ends, and starts again under its id. Nobody got an
+    answer from it in between, so its leader knows it still, and knew for ever that it
+    leaves: the new life was listed as ready and got nothing.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        worker = sim.workers["w1"]
+        sim.answer(sim.request(cell.WithdrawTarget("w1")))
+        worker.crash()
+        sim.run(1_000)
+        worker.restart()
+        cell_sim.hand_in(sim, "j1", cell_sim.step(1))
+        sim.run_until_shown("j1", "completed", duration_ms=10_000)
+
+
+def test_the_heartbeats_of_a_new_life_count_from_the_start(tmp_path):
+    """A worker starts again after a minute and counts its heartbeats anew. Taken for
+    old ones that were held up, they were acknowledged and not read: the worker seemed
+    silent and got no work, and that it drains was not heard.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        sim.run(60_000)
+        worker = sim.workers["w1"]
+        worker.restart()
+        sim.run(8_000)
+        cell_sim.hand_in(sim, "j1", cell_sim.step(1))
+        sim.run_until_shown("j1", "completed", duration_ms=2_000)
+        worker.state = "draining"
+        sim.answer(sim.announce(worker))
+        assert sim.agreed().targets["w1"].state == "draining"
+
+
 def _waiting(sim, job_id):
     """How many tasks of a job have no run, as the log has it."""
     groups = sim.agreed().jobs[job_id].groups
