--- a/alderreach/ops/controller/lives.py
+++ b/alderreach/ops/controller/lives.py
@@ -37,10 +37,16 @@
     taken for over, the task would be started beside itself. Its clock starts anew: on
     the old one its lease would seem to end far ahead, and it would keep its runs longer
     than the leader counts. Its ends are numbered anew: acknowledged by the old count,
-    they would be forgotten unseen, and the tasks run again.
+    they would be forgotten unseen, and the tasks run again. Its heartbeats are numbered
+    anew: by the old count they seem held up on their way and would not be read, so that
+    it seems silent. And only the life before said that it leaves: held against this
+    one, it would get no work for ever. Heartbeats of the life before do not come
+    between, since they name an earlier birth.
     """
     books.environment.record("worker_reborn", target=worker.target_id, born_ms=born_ms)
     worker.begin_life()
+    worker.sequence = -1
+    worker.is_leaving = False
     _refuse_late_starts(books, worker)
 
 
