--- a/alderreach/decisions/cell/health_test.py
+++ b/alderreach/decisions/cell/health_test.py
@@ -76,3 +76,16 @@
     health.strike(everyone[0], "j1", everyone, 0)
     health.ended_well(everyone[0])
     assert not health.strike(everyone[0], "j2", everyone, 0)
+
+
+def test_workers_held_back_for_want_of_room_do_not_keep_a_bad_one_in():
+    """In a full cell a worker that fails all it starts goes on getting tasks. Others
+    refused a start for want of room a moment ago and are held back for half a second;
+    they used to count among the third that may be out for bad health.
+    """
+    everyone = [worker(f"w{number}") for number in range(6)]
+    for other in everyone[1:4]:
+        other.held_back_until_ms = 500
+    health.strike(everyone[0], "j1", everyone, 0)
+    assert health.strike(everyone[0], "j2", everyone, 0)
+    assert not everyone[0].is_usable(100)
--- /dev/null
+++ b/alderreach/ops/controller/order_answers_test.py
@@ -0,0 +1,33 @@
+"""What the leader makes of the answers to its orders."""
+
+from alderreach.core import orders
+from alderreach.decisions.cell import health
+from alderreach.ops.controller import order_answers, target_link
+from tools import virtual_cell
+
+
+def test_a_refusal_does_not_bring_a_bad_worker_back():
+    """A worker that fails all it starts is out for three seconds, and back after half a
+    second: a start that was on its way is refused, which holds the worker back for half
+    a second and used to end the longer wait.
+    """
+    records = [virtual_cell.worker(number, 8_000) for number in range(6)]
+    made = virtual_cell.VirtualCell([virtual_cell.queue("q")], records)
+    made.run_until(500)
+    books = made.leading.books
+    made.submit("q", "j1", [virtual_cell.Work(virtual_cell.step(1, 1_000), [9_000])])
+    made.run_until(500 + virtual_cell.COMMIT_MS)
+    (worker,) = [worker for worker in books.workers.values() if worker.runs]
+    (run,) = worker.runs.values()
+    now_ms, everyone = books.now_ms(), list(books.workers.values())
+    assert worker.is_usable(now_ms)
+    health.strike(worker, "j2", everyone, now_ms)
+    assert health.strike(worker, "j3", everyone, now_ms)
+    refused = orders.OrderResult(orders.REFUSED, now_ms)
+    mail = target_link.OrderAnswered(1, worker.target_id, run.order, refused)
+    order_answers.order_answered(books, mail)
+    assert not worker.runs
+    later_ms = now_ms + order_answers.HOLD_BACK_MS
+    worker.announced_ms = later_ms
+    assert not worker.is_usable(later_ms)
+    assert worker.is_usable(now_ms + health.FIRST_OUT_MS)
