--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -48,12 +48,17 @@
 
 
 class Record:
-    """What speaks against one worker."""
+    """What speaks against one worker, and until when it is out for that.
 
-    __slots__ = ("out_ms", "strikes")
+    The moment is its own: shared with the short wait after a refused start, the refusal
+    brought a bad worker back early, and refusals for want of room kept bad workers in.
+    """
+
+    __slots__ = ("out_ms", "out_until_ms", "strikes")
 
     def __init__(self):
         self.strikes = set()
+        self.out_until_ms = 0
         self.out_ms = FIRST_OUT_MS
 
 
@@ -70,11 +75,11 @@
     if len(record.strikes) < STRIKES_OUT:
         return False
     others_out = sum(
-        other is not worker and now_ms < other.held_back_until_ms for other in workers
+        other is not worker and now_ms < other.health.out_until_ms for other in workers
     )
     if others_out + 1 > OUT_SHARE * len(workers):
         return False
-    worker.held_back_until_ms = now_ms + record.out_ms
+    record.out_until_ms = now_ms + record.out_ms
     record.out_ms = min(2 * record.out_ms, LONGEST_OUT_MS)
     # One more failure after its return takes it out again.
     record.strikes = {job_id}
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -203,7 +203,7 @@
             and not self.is_leaving
             and self.record.state == "ready"
             and self.failures < DOUBTFUL_FAILURES
-            and now_ms >= self.held_back_until_ms
+            and now_ms >= max(self.held_back_until_ms, self.health.out_until_ms)
             and now_ms - max(self.announced_ms, self.heard_ms) < SILENT_AFTER_MS
         )
 
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -106,7 +106,7 @@
         books.environment.record(
             "worker_out",
             target=worker.target_id,
-            until_in_ms=worker.held_back_until_ms - books.now_ms(),
+            until_in_ms=worker.health.out_until_ms - books.now_ms(),
         )
 
 
