--- a/alderreach/decisions/cell/health_test.py
+++ b/alderreach/decisions/cell/health_test.py
@@ -89,3 +89,19 @@
     health.strike(everyone[0], "j1", everyone, 0)
     assert health.strike(everyone[0], "j2", everyone, 0)
     assert not everyone[0].is_usable(100)
+
+
+def test_a_small_pool_is_not_taken_out_as_a_whole():
+    """A service has six workers of a cell's thirty, and two broken jobs fail on all of
+    them. A third of the cell may be out, which was all of this service: its other jobs
+    stood still for up to half a minute beside empty workers.
+    """
+    pool = [worker(f"w{number}") for number in range(6)]
+    others = [worker(f"o{number}") for number in range(24)]
+    for other in others:
+        other.record = other.record._replace(service="other")
+    everyone = pool + others
+    for job_id in ("j1", "j2"):
+        for each in pool:
+            health.strike(each, job_id, everyone, 0)
+    assert sum(100 < each.health.out_until_ms for each in pool) == 2
