--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -10,8 +10,9 @@
 - Failed ends count against a worker only once for each job, since a broken job fails
   everywhere, and a success clears them. One strike makes a worker the last choice;
   ``STRIKES_OUT`` take it out for ``FIRST_OUT_MS``, doubled each time, and then it is
-  tried again. At most ``OUT_SHARE`` of the workers are out at once: if more seem bad,
-  it is not the workers.
+  tried again. At most ``OUT_SHARE`` of a service's workers are out at once: if more
+  seem bad, it is not the workers. Counted over all services, a small one could lose
+  all of its workers to two broken jobs.
 - A run whose progress has not moved for ``STALL_MS`` is stopped and started elsewhere;
   its worker gets a strike. Progress is whole percents and seen at every look, so a task
   of three minutes still moves in that time.
@@ -69,15 +70,19 @@
 
 
 def strike(worker, job_id, workers, now_ms):
-    """Count a failure or stall of a job against a worker; True if it is now out."""
+    """Count a failure or stall of a job against a worker; True if it is now out.
+
+    ``workers`` are all that are known, of every service.
+    """
     record = worker.health
     record.strikes.add(job_id)
     if len(record.strikes) < STRIKES_OUT:
         return False
+    peers = [w for w in workers if w.record.service == worker.record.service]
     others_out = sum(
-        other is not worker and now_ms < other.health.out_until_ms for other in workers
+        peer is not worker and now_ms < peer.health.out_until_ms for peer in peers
     )
-    if others_out + 1 > OUT_SHARE * len(workers):
+    if others_out + 1 > OUT_SHARE * len(peers):
         return False
     record.out_until_ms = now_ms + record.out_ms
     record.out_ms = min(2 * record.out_ms, LONGEST_OUT_MS)
