--- a/tests/cell_return_test.py
+++ b/tests/cell_return_test.py
@@ -60,6 +60,20 @@
         sim.run_until_shown("j1", "completed", duration_ms=10_000)
 
 
+def test_a_goodbye_that_was_held_up_does_not_bar_the_next_life(tmp_path):
+    """A worker says that it ends, and the message is held up on its way. It has started
+    again under its id and is listed as ready when its leader hears that it leaves; it
+    got nothing more, although its heartbeats went on.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        worker = sim.workers["w1"]
+        worker.restart()
+        sim.answer(sim.announce(worker))
+        sim.answer(sim.request(cell.WithdrawTarget("w1")))
+        cell_sim.hand_in(sim, "j1", cell_sim.step(1))
+        sim.run_until_shown("j1", "completed", duration_ms=10_000)
+
+
 def test_the_heartbeats_of_a_new_life_count_from_the_start(tmp_path):
     """A worker starts again after a minute and counts its heartbeats anew. Taken for
     old ones that were held up, they were acknowledged and not read: the worker seemed
