--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -221,6 +221,10 @@
             reply(done)
             return
         worker.sequence = request.sequence
+        if record.state == "ready":
+            # Who ends drains first and is not ready again: the goodbye was that of the
+            # life before, held up on its way. Believed, it would bar this one for ever.
+            worker.is_leaving = False
     if worker is None:
         worker = books.add_worker(record)
     is_reborn = worker.record.born_ms != record.born_ms
