--- a/alderreach/decisions/cell/permissions_test.py
+++ b/alderreach/decisions/cell/permissions_test.py
@@ -62,3 +62,19 @@
     assert made.give_up_overdue(question.due_ms) == [question.helper]
     assert ask(made, "j", QUICK, question.due_ms) is not None
     assert made.answered(question.query_id, True, [], QUICK, 0) is None
+
+
+def test_a_helper_that_gave_no_answer_is_not_the_first_to_be_asked_again():
+    """A step waits for ever beside idle workers that nobody was told about. The process
+    that greeted the leader first is heard by it and does not reach the permission
+    service; idle again, it was given the same question each time, and eleven others
+    that reach the service were never asked.
+    """
+    made = permissions.Permissions()
+    silent = ask(made, "j", QUICK)
+    made.give_up_overdue(silent.due_ms)
+    again = ask(made, "j", QUICK, silent.due_ms)
+    assert again.helper != silent.helper
+    made.answered(again.query_id, False, [], QUICK, silent.due_ms)
+    third = ask(made, "j", QUICK, silent.due_ms)
+    assert third.helper not in (silent.helper, again.helper)
