--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -16,6 +16,17 @@
 a renewal names only workers known to be good. A ticket ages: it is used only while
 ``SAFETY_MS`` of its life are left, and renewed that much and a decision's time ahead if
 the step still waits.
+
+>>> from alderreach.core.generated import cell
+>>> made, rule = Permissions(), cell.PermissionRule(20, 0.2, 2000)
+>>> question = made.ask("g", ["w1", "w2"], rule, ["helper"], now_ms=0)
+>>> tickets = [cell.Ticket("w1", "t1")]
+>>> _ = made.answered(question.query_id, True, tickets, rule, now_ms=20)
+>>> made.wanted("g", ["w1", "w2", "w3"], 4, SAFETY_MS, now_ms=30)
+[]
+>>> made.found_short("g")
+>>> made.wanted("g", ["w1", "w2", "w3"], 4, SAFETY_MS, now_ms=30)
+['w3']
 """
 
 import math
@@ -52,14 +63,18 @@
 
 
 class _Verdicts:
-    """What is known of one group: tickets by worker, and who was turned down."""
+    """What is known of one group: tickets by worker, and who was turned down.
+
+    ``is_short`` says that workers with good tickets had too little room for it.
+    """
 
-    __slots__ = ("asking", "denied", "next_check_ms", "tickets")
+    __slots__ = ("asking", "denied", "is_short", "next_check_ms", "tickets")
 
     def __init__(self):
         self.tickets = {}
         self.denied = set()
         self.asking = None
+        self.is_short = False
         self.next_check_ms = 0
 
     def fresh(self, ahead_ms, now_ms):
@@ -100,6 +115,22 @@
             return set()
         return set(verdicts.fresh(SAFETY_MS - 1, now_ms))
 
+    def found_short(self, group):
+        """Workers with good tickets had too little room for what waits of a group.
+
+        A pause that was made while it was not short says nothing of what it needs now.
+        """
+        verdicts = self._groups.get(group)
+        if verdicts is not None and not verdicts.is_short:
+            verdicts.is_short = True
+            verdicts.next_check_ms = 0
+
+    def placed(self, group):
+        """Nothing of a group waits any more."""
+        verdicts = self._groups.get(group)
+        if verdicts is not None:
+            verdicts.is_short = False
+
     def may_need(self, group, tasks, ahead_ms, now_ms):
         """Whether it is worth working out whom to ask about; see ``wanted``.
 
@@ -112,16 +143,11 @@
             return True
         if verdicts.asking is not None or now_ms < verdicts.next_check_ms:
             return False
+        if verdicts.is_short:
+            return True
         fresh = len(verdicts.fresh(ahead_ms, now_ms))
         return not fresh or fresh < min(_enough(tasks), len(verdicts.tickets))
 
-    def may_need_more(self, group, now_ms):
-        """Whether it is worth working out whom else to ask about; see ``more``."""
-        verdicts = self._groups.get(group)
-        if verdicts is None:
-            return True
-        return verdicts.asking is None and now_ms >= verdicts.next_check_ms
-
     def nothing_to_ask(self, group, now_ms):
         """There was nobody to ask about; not worth working out again for a while."""
         verdicts = self._groups.get(group)
@@ -134,29 +160,21 @@
         ``suitable`` are ids of workers in the order in which they are wanted, and
         ``tasks`` is how many still wait. Tickets that last longer than ``ahead_ms``
         need no renewal.
+
+        Failure answered: a step holds tickets for workers that can't hold it, and
+        stands still beside idle ones. Renewals and new workers are two wants; as two
+        questions, the one kept the other out for good: a pause made for the one
+        silenced the other, or its turn always came first. So each question of a step
+        that is short names somebody new, until nobody is left.
         """
         verdicts = self._groups.setdefault(group, _Verdicts())
         if verdicts.asking is not None:
             return []
-        good = [t for t in suitable if t in verdicts.tickets]
-        fresh = [t for t in good if verdicts.tickets[t][1] - now_ms > ahead_ms]
-        unknown = [
-            t
-            for t in suitable
-            if t not in verdicts.tickets and t not in verdicts.denied
-        ]
-        if good and len(fresh) >= min(_enough(tasks), len(good)):
-            return []
-        if good:
-            stale = [t for t in good if t not in fresh]
-            return stale[: _enough(tasks)]
-        return unknown[:ASKED_AT_MOST]
-
-    def more(self, group, suitable):
-        """Workers nobody asked about yet, for a step that found no room."""
-        if self.is_asking(group):
-            return []
-        return self.unasked(group, suitable)[:ASKED_AT_MOST]
+        new = []
+        if verdicts.is_short or not any(t in verdicts.tickets for t in suitable):
+            new = self.unasked(group, suitable)[:ASKED_AT_MOST]
+        stale = _to_renew(verdicts, suitable, tasks, ahead_ms, now_ms)
+        return [*stale, *new]
 
     def unasked(self, group, suitable):
         """Those of some workers that nobody asked about yet."""
@@ -244,6 +262,15 @@
             verdicts.asking = None
 
 
+def _to_renew(verdicts, suitable, tasks, ahead_ms, now_ms):
+    """Permitted workers whose tickets run out, if too few others have fresh ones."""
+    good = [t for t in suitable if t in verdicts.tickets]
+    stale = [t for t in good if verdicts.tickets[t][1] - now_ms <= ahead_ms]
+    if len(good) - len(stale) >= min(_enough(tasks), len(good)):
+        return []
+    return stale[: _enough(tasks)]
+
+
 def _enough(tasks):
     """How many workers with tickets are enough for so many waiting tasks."""
     return max(RENEWED_AT_LEAST, RENEWED_PER_TASK * tasks)
--- a/alderreach/decisions/cell/permissions_test.py
+++ b/alderreach/decisions/cell/permissions_test.py
@@ -54,6 +54,56 @@
     assert renewed == ["w1", "w2"]
 
 
+def granted_two(made, valid_ms):
+    """A group that may use w0 and w1 of three workers asked about at 0 ms."""
+    rule = QUICK._replace(valid_ms=valid_ms)
+    question = made.ask("g", ["w0", "w1", "w2"], rule, HELPERS, 0)
+    granted = [cell.Ticket("w0", "t0"), cell.Ticket("w1", "t1")]
+    made.answered(question.query_id, True, granted, rule, now_ms=0)
+
+
+def test_a_step_that_is_short_asks_about_others_though_a_permitted_worker_is_gone():
+    """A step holds tickets of two workers and one of them is gone. The ticket of the
+    other is fresh, so nothing is to be renewed, and that used to pause all questions.
+    """
+    made = permissions.Permissions()
+    granted_two(made, valid_ms=2000)
+    left = ["w1", "w3", "w4"]
+    now_ms = 2000
+    renewal = made.wanted("g", left, 8, permissions.SAFETY_MS, now_ms)
+    assert renewal == ["w1"]
+    question = made.ask("g", renewal, QUICK, HELPERS, now_ms)
+    made.answered(question.query_id, True, [cell.Ticket("w1", "t")], QUICK, now_ms)
+    assert made.wanted("g", left, 8, permissions.SAFETY_MS, now_ms) == []
+    made.nothing_to_ask("g", now_ms)
+    made.found_short("g")
+    assert made.may_need("g", 8, permissions.SAFETY_MS, now_ms)
+    assert made.wanted("g", left, 8, permissions.SAFETY_MS, now_ms) == ["w3", "w4"]
+
+
+def test_a_step_that_is_short_names_new_workers_beside_those_it_renews():
+    """All processes are busy asking, so a step's turn comes only after its tickets have
+    run out. Were a renewal a question of its own, its turn would always come first.
+    """
+    made = permissions.Permissions()
+    granted_two(made, valid_ms=2000)
+    made.found_short("g")
+    wanted = made.wanted("g", WORKERS[:4], 8, permissions.SAFETY_MS, now_ms=5000)
+    assert wanted == ["w0", "w1", "w3"]
+
+
+def test_a_step_that_was_placed_whole_is_asked_for_with_its_own_workers_again():
+    """A task of a step that had room is lost. Its tickets have run out; naming others
+    as well would only make the answer come later.
+    """
+    made = permissions.Permissions()
+    granted_two(made, valid_ms=2000)
+    made.found_short("g")
+    made.placed("g")
+    wanted = made.wanted("g", WORKERS[:4], 1, permissions.SAFETY_MS, now_ms=5000)
+    assert wanted == ["w0", "w1"]
+
+
 def test_a_helper_that_does_not_answer_is_given_up():
     """The process that was to ask is cut off. Its question is put by another."""
     made = permissions.Permissions()
--- a/alderreach/ops/controller/asking.py
+++ b/alderreach/ops/controller/asking.py
@@ -1,8 +1,9 @@
 """The leader's questions to the permission service: which step, about which workers.
 
-A step that waits is asked for when its tickets run out, with more workers when those
-permitted have no room, and ahead of its time while the steps before it run. What is
-worth asking is decided in ``decisions/cell/permissions.py``.
+A step whose permitted workers have no room for it is asked for with further workers and
+with those whose tickets run out; a step that is to open, ahead of its time while the
+steps before it run. What is worth asking is decided in
+``decisions/cell/permissions.py``.
 """
 
 from alderreach.core import cell_state
@@ -37,17 +38,15 @@
         self._helpers = self._books.environment.helpers()
         self._quickest_ms = self._quickest_decision_ms()
 
-    def for_waiting(self, job, group, rule, tasks, now_ms):
-        """See that a group with so many waiting tasks has tickets."""
-        self._ask(job, group, rule, tasks, permissions.SAFETY_MS, now_ms)
+    def for_waiting(self, job, group, rule, tasks, has_permitted, now_ms):
+        """See to tickets for a group of which so many tasks were not placed.
 
-    def for_more(self, job, group, rule, now_ms):
-        """Nobody permitted has room: ask about workers that nobody asked about yet."""
-        known = self._books.permissions
-        if not known.may_need_more(group, now_ms) or not self._has_helper(rule):
-            return
-        suitable = self._suitable(job, group, now_ms)
-        self._put(group, known.more(group, suitable), rule, now_ms)
+        ``has_permitted`` says that workers with good tickets were tried; if none were,
+        the tickets have run out, and the workers may have room.
+        """
+        if has_permitted:
+            self._books.permissions.found_short(group)
+        self._ask(job, group, rule, tasks, permissions.SAFETY_MS, now_ms)
 
     def ahead(self, now_ms):
         """Ask for steps that open about when the answer comes."""
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -170,6 +170,7 @@
         self._waiting.pop(group, None)
         self._ranks.pop(group, None)
         self._waits.started(group)
+        self._books.permissions.placed(group)
 
     def _place_group(self, group, usable, now_ms):
         """Start what can be started of a group; returns how many tasks."""
@@ -188,15 +189,15 @@
         if rule is not None:
             permitted = books.permissions.permitted(group, now_ms)
             pool = [worker for worker in pool if worker.target_id in permitted]
-            self._asking.for_waiting(job, group, rule, len(waiting), now_ms)
         if step.gang:
             started = self._place_gang(group, step, tasks, pool, now_ms)
         else:
             started = self._place_tasks(group, step, tasks, waiting, pool, now_ms)
-        if started < len(waiting):
+        left = len(waiting) - started
+        if left:
             if rule is not None:
-                self._asking.for_more(job, group, rule, now_ms)
-            self._make_room(job, group, pool, len(waiting) - started, now_ms)
+                self._asking.for_waiting(job, group, rule, left, bool(pool), now_ms)
+            self._make_room(job, group, pool, left, now_ms)
             self._waits.consider(job, group, pool, self._waiting[group], now_ms)
         return started
 
