--- a/alderreach/decisions/cell/permissions_test.py
+++ b/alderreach/decisions/cell/permissions_test.py
@@ -104,6 +104,25 @@
     assert wanted == ["w0", "w1"]
 
 
+def test_no_question_names_more_workers_than_the_service_takes():
+    """A wide step of a generous policy waits for room in a large cell. Its tickets run
+    out, and all its workers are to be renewed at once: 130, of which the permission
+    service refuses to judge more than a hundred, each time.
+    """
+    made = permissions.Permissions()
+    names = [f"w{number}" for number in range(176)]
+    for first in range(0, 130, 26):
+        asked = names[first : first + 26]
+        question = made.ask("g", asked, QUICK, HELPERS, first)
+        granted = [cell.Ticket(name, "t") for name in asked]
+        made.answered(question.query_id, True, granted, QUICK, first)
+    assert len(made.wanted("g", names[:130], 50, 200, now_ms=9000)) == 100
+    made.found_short("g")
+    wanted = made.wanted("g", names, 50, 200, now_ms=9000)
+    assert len(wanted) == 100
+    assert set(names[130:160]) <= set(wanted)
+
+
 def test_a_helper_that_does_not_answer_is_given_up():
     """The process that was to ask is cut off. Its question is put by another."""
     made = permissions.Permissions()
