--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -37,6 +37,9 @@
 # The longest list of workers in one question. Longer ones take longer to decide, and
 # a third or more of the workers are usually let run a step.
 ASKED_AT_MOST = 30
+# The permission service takes no question that names more workers; one that did would
+# be put again and again, and its step never placed.
+LONGEST_QUESTION = 100
 # A renewal names this many workers for each task that still waits, so that two of
 # three may be full.
 RENEWED_PER_TASK = 3
@@ -174,7 +177,7 @@
         if verdicts.is_short or not any(t in verdicts.tickets for t in suitable):
             new = self.unasked(group, suitable)[:ASKED_AT_MOST]
         stale = _to_renew(verdicts, suitable, tasks, ahead_ms, now_ms)
-        return [*stale, *new]
+        return [*stale[: LONGEST_QUESTION - len(new)], *new]
 
     def unasked(self, group, suitable):
         """Those of some workers that nobody asked about yet."""
