--- a/alderreach/decisions/cell/preemption.py
+++ b/alderreach/decisions/cell/preemption.py
@@ -40,22 +40,27 @@
     fitting: int
 
 
-def choose(workers, step, wanted, may_yield):
+def choose(workers, step, wanted, may_yield, group=None):
     """Evictions that make room for ``wanted`` tasks of a step, the cheapest first.
 
     ``workers`` are those on which the step may start but for want of room, and
     ``may_yield(run)`` says which runs may be stopped for it. Fewer tasks may find room
-    than are wanted; what is being stopped already counts as room.
+    than are wanted; what is being stopped already counts as room. On a worker that may
+    hold no more tasks of ``group`` no room counts, or the step would wait beside it.
     """
     options = []
     for worker in workers:
         if not choice.is_suitable(worker, step):
             continue
-        eviction = _cheapest(worker, step, may_yield)
+        allowed = wanted
+        if step.max_per_target:
+            allowed = min(wanted, step.max_per_target - worker.count_of(group))
+        eviction = _cheapest(worker, step, may_yield) if allowed > 0 else None
         if eviction is not None:
+            fitting = min(eviction.fitting, allowed)
             stopped_millis = sum(run.demand.cpu_millis for run in eviction.runs)
-            cost = stopped_millis / min(eviction.fitting, wanted)
-            options.append((cost, worker.target_id, eviction))
+            cost = stopped_millis / fitting
+            options.append((cost, worker.target_id, eviction._replace(fitting=fitting)))
     chosen = []
     for _cost, _name, eviction in sorted(options, key=lambda option: option[:2]):
         if wanted <= 0:
--- a/alderreach/ops/controller/evictions.py
+++ b/alderreach/ops/controller/evictions.py
@@ -29,7 +29,7 @@
         priority = books.queue_of(job).priority
         step = job.record.steps[group.step]
         chosen = preemption.choose(
-            pool, step, wanted, lambda run: self._may_yield(run, priority)
+            pool, step, wanted, lambda run: self._may_yield(run, priority), group
         )
         pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
         self._next_ms[group] = now_ms + pause_ms
