--- a/tools/standins/cell_worker.py
+++ b/tools/standins/cell_worker.py
@@ -19,6 +19,7 @@
         self.order = order
         self.started_ms = now_ms
         self.script = script
+        self.share = 100
 
     def percent(self, now_ms):
         """How far it has come."""
@@ -31,11 +32,12 @@
 
 
 class Script(typing.NamedTuple):
-    """How the tasks of a worker go."""
+    """How the tasks of a worker go; ``load`` is what is listed of each."""
 
     work_ms: int = 500
     how: str = "done"
     stands_still: bool = False
+    load: float = 0.0
 
 
 class Worker:
@@ -102,7 +104,7 @@
             return self._stop(order)
         if isinstance(order, orders.Look):
             return self._look(order)
-        return self._result(orders.OK)
+        return self._pace(order)
 
     def _start(self, order):
         present = self.running.get(order.task)
@@ -126,6 +128,12 @@
         self.closed[order.task] = max(known, order.run)
         return self._result(orders.OK)
 
+    def _pace(self, order):
+        run = self.running.get(order.task)
+        if run is not None and run.order.run == order.run:
+            run.share = order.percent
+        return self._result(orders.OK)
+
     def _look(self, look):
         if look.lease_until_ms is not None:
             self._extend(look.lease_until_ms)
@@ -134,7 +142,13 @@
                 self.world.note_end(end)
         self.ends = [end for end in self.ends if end.number > look.cursor]
         running = [
-            orders.ListedRun(task, run.order.run, "", run.percent(self.clock_ms()), 0.0)
+            orders.ListedRun(
+                task,
+                run.order.run,
+                "",
+                run.percent(self.clock_ms()),
+                self.script.load,
+            )
             for task, run in self.running.items()
         ]
         return orders.LookResult(
