--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -104,7 +104,7 @@
     >>> slowness(Run, [1000, 1200, 900])
     10.0
     """
-    if len(durations_ms) < SIBLINGS_LEAST or run.first_ms is None or run.pace < 100:
+    if len(durations_ms) < SIBLINGS_LEAST or run.first_ms is None or run.pace != 100:
         return None
     gained, watched_ms = run.percent - run.first_percent, run.moved_ms - run.first_ms
     if gained <= 0 or (gained < GAINED_LEAST and watched_ms < WATCHED_LEAST_MS):
@@ -116,7 +116,7 @@
 
 def left_ms(run, now_ms):
     """How long a run will still take by its pace, or None if that is not known."""
-    if run.first_ms is None or run.pace < 100:
+    if run.first_ms is None or run.pace != 100:
         return None
     gained, watched_ms = run.percent - run.first_percent, run.moved_ms - run.first_ms
     if gained <= 0:
--- a/alderreach/decisions/cell/pacing.py
+++ b/alderreach/decisions/cell/pacing.py
@@ -42,14 +42,19 @@
 
 
 def changes(runs):
-    """(run, share) for each best-effort run whose share should change now."""
+    """(run, share) for each best-effort run whose share should change now.
+
+    A share that is not known, since another leader or an order without an answer may
+    have set it, is set in any case: a run that is held down to nothing for what nobody
+    knows of would never work again.
+    """
     ratio = worst_ratio(runs)
     if ratio is None:
         ratio = 0.0
     wanted = []
     for run in runs:
         if run.best_effort and not run.tail_target_ms:
-            share = next_share(run.pace, ratio)
+            share = next_share(FULL if run.pace is None else run.pace, ratio)
             if share != run.pace:
                 wanted.append((run, share))
     return wanted
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -44,7 +44,7 @@
 
 
 class Run:
-    """One run of a task as its leader sees it."""
+    """One run of a task as its leader sees it; ``pace`` is None while not known."""
 
     __slots__ = (
         "abandoned",
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -45,6 +45,8 @@
         looks.look(books, worker)
     elif result.outcome == orders.OK:
         run.pace = mail.order.percent
+    elif result.outcome == orders.UNKNOWN:
+        run.pace = None
 
 
 def send_again(books, worker, run):
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -45,4 +45,6 @@
     run = workers.Run(key, task.run, step, now_ms)
     run.sends = 1
     run.next_send_ms = None
+    if run.best_effort:
+        run.pace = None
     worker.add(run)
