--- /dev/null
+++ b/tests/keeper_joining_test.py
@@ -0,0 +1,54 @@
+"""Keepers that know a few seeds join a cell, also one that none of the seeds leads."""
+
+import contextlib
+
+from tests import memory_cell
+
+SEEDS = ("k1", "k2", "k3")
+
+
+def five_voters(folder):
+    """A cell of five, of which three are seeds; two losses are to be borne."""
+    made = memory_cell.MemoryCell(folder, 5, seeds=SEEDS, losses=2)
+    made.settle()
+    return made
+
+
+def led_by_none_of_the_seeds(made):
+    """Have another keeper lead; returns its name."""
+    for _round in range(20):
+        leader = made.elect()
+        if leader not in SEEDS:
+            return leader
+        made.crash(leader)
+        made.elect()
+        made.start(leader)
+        made.settle()
+    raise AssertionError("only seeds were elected")
+
+
+def test_a_seed_that_lost_its_disk_joins_a_cell_that_no_seed_leads(tmp_path):
+    """All controllers but two lose power and these two their disks: no leader comes any
+    more, all callers are refused, tasks that last lapse one after the other, and no
+    configuration can be read. A controller had lost its disk a while before. It knew
+    three seeds, none of which led by then; they answered its hellos and told nobody.
+    So its old vote was never replaced, and was missing for the next loss.
+    """
+    with contextlib.closing(five_voters(tmp_path)) as made:
+        led_by_none_of_the_seeds(made)
+        made.write("team/a", b"1", base=0)
+        made.lose_disk("k1")
+        made.start("k1")
+        made.run(4_000)
+        leader = made.elect()
+        assert leader not in SEEDS
+        lost = [name for name in made.names if name not in (leader, "k1")][:2]
+        for name in list(made.keepers):
+            made.crash(name)
+        for name in lost:
+            made.lose_disk(name)
+        for name in made.names:
+            made.start(name)
+        assert made.elect()
+        made.settle()
+        assert made.write("team/b", b"2", base=0).status == "accepted"
