--- a/alderreach/ops/keeper/joining.py
+++ b/alderreach/ops/keeper/joining.py
@@ -52,10 +52,18 @@
         """Answer a hello; as leader, take in a blank keeper of a name that is expected.
 
         Only a leader may call a keeper removed: others may lack the newest membership.
+
+        Failure answered: a keeper comes back without its disk and knows a few seeds,
+        none of which leads by now. Heard by them alone it never joined, its old vote
+        stayed counted, and after the next loss there was no quorum. So a follower
+        passes the hello on to its leader; once, since a leader keeps it.
         """
         node = self._node
         leads = node.is_ready_leader
         known = membership.find(node.members, message.identity) is not None
+        leader = membership.find(node.members, node.leader)
+        if self._is_open and leader is not None and leader.identity != node.identity:
+            self._send(leader.address, message)
         reply = keeper.KeeperHelloReply(
             message.identity,
             node.identity,
