--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -183,6 +183,13 @@
         for target_id in target_ids:
             self.loop.at(moment_ms, self._machines[target_id].leave)
 
+    def cut_off_at(self, moment_ms, target_ids, for_ms):
+        """Workers that neither hear nor answer for a while; what runs there ends."""
+        for target_id in target_ids:
+            machine = self._machines[target_id]
+            self.loop.at(moment_ms, machine.cut_off)
+            self.loop.at(moment_ms + for_ms, machine.come_back)
+
     def call(self, act):
         """Have something happen at a worker."""
         self.loop.after(HOP_MS, act)
@@ -257,7 +264,8 @@
 
     def _heartbeats(self):
         for target_id, worker in self.leading.books.workers.items():
-            if not self._machines[target_id].is_gone:
+            machine = self._machines[target_id]
+            if not (machine.is_gone or machine.is_cut_off):
                 worker.announced_ms = int(self.loop.now_ms)
         self.loop.after(1000, self._heartbeats)
 
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -1,10 +1,16 @@
-"""Model workers in virtual time: they do as told at once, until they leave."""
+"""Model workers in virtual time: they do as told at once, until they leave.
+
+One that is cut off for a while carries nothing out and answers nothing; what still runs
+there when it is back is killed.
+"""
 
 from alderreach.core import orders
 from alderreach.ops.controller import target_link
 
 # A worker kills what it is told to stop, or saves it first, within this.
 STOP_MS = 60.0
+# A call that gets no answer is given up after this.
+CALL_LIMIT_MS = 300.0
 
 
 class _Running:
@@ -32,6 +38,22 @@
         self.next_end = 1
         self.held = None
         self.is_gone = False
+        self.is_cut_off = False
+
+    def cut_off(self):
+        """Hear and answer nothing from now on."""
+        self.is_cut_off = True
+        held, self.held = self.held, None
+        if held is not None:
+            lost = orders.LookResult(orders.UNKNOWN)
+            self.world.loop.after(CALL_LIMIT_MS, lambda: held(lost))
+
+    def come_back(self):
+        """Answer again; what still runs here is killed, as if its lease had ended."""
+        self.is_cut_off = False
+        for run in self.runs.values():
+            run.is_over = True
+        self.runs = {}
 
     def leave(self):
         """End with all that runs here; another life answers at this address now."""
@@ -122,18 +144,31 @@
         self._world.call(lambda: self._carry_out(order))
 
     def look(self, look):
-        self._world.call(
-            lambda: self._machine.look(
-                look, lambda result: self._tell(target_link.LookAnswered, look, result)
-            )
-        )
+        def answer(result):
+            self._tell(target_link.LookAnswered, look, result)
+
+        def reach():
+            if self._machine.is_cut_off:
+                self._give_up(answer, orders.LookResult(orders.UNKNOWN))
+            else:
+                self._machine.look(look, answer)
+
+        self._world.call(reach)
 
     def close(self):
         pass
 
     def _carry_out(self, order):
-        result = self._machine.carry_out(order)
-        self._tell(target_link.OrderAnswered, order, result)
+        def answer(result):
+            self._tell(target_link.OrderAnswered, order, result)
+
+        if self._machine.is_cut_off:
+            self._give_up(answer, orders.OrderResult(orders.UNKNOWN))
+        else:
+            answer(self._machine.carry_out(order))
+
+    def _give_up(self, answer, result):
+        self._world.loop.after(CALL_LIMIT_MS, lambda: answer(result))
 
     def _tell(self, kind, order, result):
         self._world.mail(kind(1, self._machine.record.target_id, order, result))
