--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -91,7 +91,8 @@
     ``helpers`` is how many processes put questions to the service, which lets the steps
     of a queue run on its share, by ``good_shares``, of the workers. ``cpu_s`` is the
     processor time that the leader's own code took, and ``waits`` holds the fields of
-    each report on a step that waits for long.
+    each report on a step that waits for long. ``silent_helpers`` take questions and
+    never answer; ``cut_helpers`` answer at once that the service can't be reached.
     """
 
     def __init__(self, queues, records, helpers=12, good_shares=None, seed=1):
@@ -103,6 +104,8 @@
         self.looks = 0
         self.questions = 0
         self.waits = []
+        self.silent_helpers = set()
+        self.cut_helpers = set()
         self._queues = {queue.name: queue for queue in queues}
         self._good_shares = good_shares or {}
         self._helpers = [f"helper-{number}" for number in range(helpers)]
@@ -278,7 +281,12 @@
             for target_id in question.target_ids
             if self._may_run(job, question.group, target_id)
         ]
-        answer = cell.PermissionAnswer(question.query_id, True, granted)
+        if question.helper in self.silent_helpers:
+            return
+        is_decided = question.helper not in self.cut_helpers
+        if not is_decided:
+            took_ms, granted = 0, []
+        answer = cell.PermissionAnswer(question.query_id, is_decided, granted)
         self.loop.after(
             took_ms + 2 * HOP_MS,
             lambda: self._lead(lambda: verdicts.take(self.leading.books, answer)),
