--- /dev/null
+++ b/tests/cell_refuser_test.py
@@ -0,0 +1,41 @@
+"""A worker that refuses the tickets that the permission service grants for it."""
+
+from alderreach.core import orders
+from alderreach.core.generated import cell
+from tools import virtual_cell, virtual_workers
+
+RULE = cell.PermissionRule(825, 7, 2_500)
+WORKERS = 40
+PERMITTED = ("w0", "w35")
+
+
+class OnlySome(virtual_cell.VirtualCell):
+    """A cell whose permission service lets steps run on two workers."""
+
+    def _may_run(self, job, group, target_id):
+        return target_id in PERMITTED
+
+
+def test_a_step_whose_permitted_worker_refuses_its_tickets_asks_about_others(
+    monkeypatch,
+):
+    """A step stands still for ever beside idle workers that nobody asked about.
+    The first question finds one worker, which refuses each ticket. At each pass the
+    task finds room there, so its step does not count as short; the worker's stale
+    ticket makes it one to renew; and further workers are named only for steps that
+    are short or have nobody to renew.
+    """
+    carry_out = virtual_workers.Machine.carry_out
+
+    def refusing(machine, order):
+        if machine.record.target_id == "w0" and isinstance(order, orders.Start):
+            return orders.OrderResult(orders.NO_TICKET)
+        return carry_out(machine, order)
+
+    monkeypatch.setattr(virtual_workers.Machine, "carry_out", refusing)
+    records = [virtual_cell.worker(number, 4_000) for number in range(WORKERS)]
+    made = OnlySome([virtual_cell.queue("q", permission=RULE)], records)
+    step = virtual_cell.step(1, 3_000)
+    made.submit_at(0, "q", "j1", [virtual_cell.Work(step, [500])])
+    made.run_until(40_000)
+    assert made.leading.books.state.jobs["j1"].state == "completed", made.starts
