--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -157,7 +157,7 @@
         if verdicts is not None:
             verdicts.next_check_ms = now_ms + NOTHING_TO_ASK_MS
 
-    def wanted(self, group, suitable, tasks, ahead_ms, now_ms):
+    def wanted(self, group, suitable, tasks, ahead_ms, now_ms, is_gang=False):
         """Workers to ask about now, best first; empty if nothing has to be asked.
 
         ``suitable`` are ids of workers in the order in which they are wanted, and
@@ -169,6 +169,10 @@
         questions, the one kept the other out for good: a pause made for the one
         silenced the other, or its turn always came first. So each question of a step
         that is short names somebody new, until nobody is left.
+
+        And a gang needs all its tickets at one time. Got by several questions they run
+        out one after the other; renewed one batch at a time, one would always be stale.
+        So the renewal of a gang that is short names all its permitted workers.
         """
         verdicts = self._groups.setdefault(group, _Verdicts())
         if verdicts.asking is not None:
@@ -177,6 +181,8 @@
         if verdicts.is_short or not any(t in verdicts.tickets for t in suitable):
             new = self.unasked(group, suitable)[:ASKED_AT_MOST]
         stale = _to_renew(verdicts, suitable, tasks, ahead_ms, now_ms)
+        if stale and is_gang and verdicts.is_short:
+            stale = [t for t in suitable if t in verdicts.tickets]
         return [*stale[: LONGEST_QUESTION - len(new)], *new]
 
     def unasked(self, group, suitable):
--- a/alderreach/ops/controller/asking.py
+++ b/alderreach/ops/controller/asking.py
@@ -80,7 +80,8 @@
         if not self._has_helper(rule):
             return
         suitable = self._suitable(job, group, now_ms)
-        wanted = known.wanted(group, suitable, tasks, ahead_ms, now_ms)
+        is_gang = job.record.steps[group.step].gang
+        wanted = known.wanted(group, suitable, tasks, ahead_ms, now_ms, is_gang)
         self._put(group, wanted, rule, now_ms)
 
     def _has_helper(self, rule):
