--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -96,6 +96,7 @@
         self._groups = {}
         self._questions = {}
         self._busy = {}
+        self._failed_ms = {}
         self._serial = 0
 
     def ticket(self, group, target_id, now_ms):
@@ -203,11 +204,16 @@
         """The helper that may take a question under a rule now, or None.
 
         ``quickest_ms`` is the decision time of the quickest rule in force.
+
+        Failure answered: a process is in touch with its leader and not with the
+        permission service. Idle again after each question that it could not put, and
+        first in the list, it got the same step's question each time. So whoever failed
+        lately comes last.
         """
         idle = [helper for helper in helpers if helper not in self._busy]
         if len(idle) <= _kept_idle(rule, helpers, quickest_ms):
             return None
-        return idle[0]
+        return min(idle, key=lambda helper: self._failed_ms.get(helper, 0))
 
     def ask(self, group, target_ids, rule, helpers, now_ms, quickest_ms=None):
         """Give a question to an idle helper; None if there is none for it."""
@@ -232,6 +238,10 @@
         if question is None:
             return None
         self._end(question)
+        if is_decided:
+            self._failed_ms.pop(question.helper, None)
+        else:
+            self._failed_ms[question.helper] = now_ms
         verdicts = self._groups.get(question.group)
         if verdicts is None or not is_decided:
             return question
@@ -260,6 +270,7 @@
         """Free what waits for helpers that don't answer; returns their names."""
         overdue = [q for q in self._questions.values() if now_ms >= q.due_ms]
         for question in overdue:
+            self._failed_ms[question.helper] = now_ms
             self._end(question)
         return [question.helper for question in overdue]
 
