--- a/alderreach/decisions/quarantine.py
+++ b/alderreach/decisions/quarantine.py
@@ -101,14 +101,19 @@
         self._forget(worker_id)
 
     def probe(self, lines):
-        """Give quarantined workers whose wait is over one task each."""
+        """Give quarantined workers whose wait is over one task each.
+
+        ``lines()`` walks through what waits. Each probe walks anew, since the one
+        before may have taken the last task of a line or team: walked on, the walk
+        failed, and a worker found nothing of what another had been shown.
+        """
         left = PROBES_PER_TICK
         while left and self._probes and self._probes[0][0] <= self._state.now_ms:
             _, worker_id = heapq.heappop(self._probes)
             left -= 1
             record = self._records.get(worker_id)
             if worker_id in self._quarantined and record.probe is None:
-                self._probe(worker_id, record, lines)
+                self._probe(worker_id, record, lines())
 
     def _may_quarantine(self):
         limit = max(1, int(QUARANTINED_SHARE * len(self._state.cell.workers)))
--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -173,7 +173,7 @@
         self._parking.check_parked()
         reservations.serve(books)
         self._place_urgent(budget)
-        self._judge.probe(books.backlog.lines())
+        self._judge.probe(books.backlog.lines)
         self._place_normal(budget)
         self._plan_ahead()
         self._emit_stops(budget - len(decisions))
