--- a/alderreach/decisions/passed_over_test.py
+++ b/alderreach/decisions/passed_over_test.py
@@ -1,6 +1,7 @@
 """Work that could run and was passed over, for long or for ever."""
 
-from alderreach.decisions import quarantine
+from alderreach.core.generated import common
+from alderreach.decisions import impossible, killers, quarantine
 from tests import placement_session
 
 SMALL = placement_session.SMALL
@@ -34,3 +35,39 @@
         session.submit(f"one-{team}", team=team)
     session.tick(quarantine.PROBE_AFTER_MS)
     assert len(session.on("w0")) == len(session.on("w1")) == 1
+
+
+def test_a_service_on_probation_that_was_parked_gets_all_its_tasks_again():
+    """A service runs one task of three for as long as its placer lives. It was put on
+    probation, one task at a time until that has lived for a minute, and parked for a
+    while since its team's quota was below a task; the review that ends the probation
+    found it parked, and was the last.
+    """
+    session = placement_session.Session().add(6)
+    session.submit("service", 3, kind="service")
+    session.tick()
+    session.lose(session.running["service/0"][0])
+    session.tick(killers.JUDGE_AFTER_MS)
+    session.end_all("stopped")
+    session.team("a", quota=common.Resources(1, 1, 0))
+    session.tick()
+    session.tick(impossible.SETTLE_MS)
+    session.tick(killers.REVIEW_MS)
+    session.team("a")
+    session.tick()
+    assert len(session.of("service")) == 1
+    for _review in range(2 * killers.WINDOW_MS // killers.REVIEW_MS):
+        session.tick(killers.REVIEW_MS)
+    assert len(session.of("service")) == 3
+
+
+def test_a_gang_gets_a_quarantined_worker_that_nobody_else_can_prove_well():
+    """A gang that needs all four workers waits for ever. One is in quarantine, which
+    only a task of a batch run or a service ends, and none comes; yet the worker counts
+    as one that the gang could have, so its sender isn't told that it can't run.
+    """
+    session = quarantined(placement_session.Session().add(4), "w0")
+    session.submit("gang", 4, kind="gang", task=WHOLE)
+    for _second in range(2 * quarantine.PROBE_AFTER_MS // 1000):
+        session.tick(1000)
+    assert len(session.of("gang")) == 4
