--- a/alderreach/decisions/impossible.py
+++ b/alderreach/decisions/impossible.py
@@ -83,6 +83,9 @@
         else:
             job.parked = ""
             job.named = False
+            # A review that found the job parked was the last; without another, what it
+            # was to end, as a probation, would never end.
+            self._state.review_at(self._state.now_ms, job)
             self._state.wait(job)
 
     def _check_line(self, line):
