--- a/alderreach/decisions/quarantine.py
+++ b/alderreach/decisions/quarantine.py
@@ -14,8 +14,9 @@
 caused are taken off its jobs' records.
 
 After ``PROBE_AFTER_MS`` a quarantined worker is probed with one task at a time; success
-releases it, failure doubles the wait. No more than ``QUARANTINED_SHARE`` of the workers
-are shut out: if more seem bad, it is not the workers.
+releases it, failure doubles the wait. Where only gangs wait it is released unproved.
+No more than ``QUARANTINED_SHARE`` of the workers are shut out: if more seem bad, it is
+not the workers.
 """
 
 import heapq
@@ -146,11 +147,27 @@
 
     def _probe(self, worker_id, record, lines):
         worker = self._state.cell.workers[worker_id]
+        has_gangs = False
         for line in lines:
             if self._may_probe(worker, record, line):
                 record.probe = self._state.start(line.head(), worker)
                 return
-        self._probe_later(worker_id, record)
+            has_gangs = has_gangs or line.is_gang
+        if has_gangs and worker.is_open:
+            self._trust(worker, record)
+        else:
+            self._probe_later(worker_id, record)
+
+    def _trust(self, worker, record):
+        """Let a worker out unproved, where only gangs could prove it well.
+
+        A gang is no probe. One that needs the worker would wait for ever where nothing
+        else is handed in. Should it still be bad, its next wait is twice as long.
+        """
+        record.wait_ms = min(2 * record.wait_ms, LONGEST_WAIT_MS)
+        self._quarantined.discard(worker.worker_id)
+        worker.quarantined = False
+        self._state.cell.reconsider(worker)
 
     def _may_probe(self, worker, record, line):
         if line.is_gang or not worker.is_open or worker.uncertain:
