--- a/alderreach/decisions/passed_over_test.py
+++ b/alderreach/decisions/passed_over_test.py
@@ -71,3 +71,42 @@
     for _second in range(2 * quarantine.PROBE_AFTER_MS // 1000):
         session.tick(1000)
     assert len(session.of("gang")) == 4
+
+
+def test_gangs_that_can_not_run_yet_keep_no_others_from_running():
+    """A gang of two waits for ever beside nine idle workers. Four gangs ahead of it in
+    its line need ten, one of which a service holds; a gang further behind is not looked
+    at, however long the four ahead of it wait.
+    """
+    session = placement_session.Session().add(10)
+    session.submit("service", kind="service", task=WHOLE, priority=5)
+    session.tick()
+    for number in range(4):
+        session.submit(f"large{number}", 10, kind="gang", task=WHOLE)
+    session.submit("small", 2, kind="gang", task=WHOLE)
+    for _second in range(60):
+        session.tick(1000)
+    assert len(session.of("small")) == 2
+
+
+def test_a_gang_that_nothing_can_be_drained_for_keeps_no_room_from_others():
+    """A gang of four waits for ever among small tasks that take each gap. Another team,
+    which has nothing yet, wants a gang of eight that services leave no room for; for as
+    long as that waits, the first team has more than the mean share of those who wait,
+    and gets no reservation.
+    """
+    session = placement_session.Session().add(8)
+    session.submit("services", 2, kind="service", task=WHOLE)
+    session.tick()
+    session.submit("small", 48)
+    session.tick()
+    session.submit("never", 8, kind="gang", task=WHOLE, team="b")
+    large = WHOLE._replace(memory_mb=8000)
+    session.submit("could", 4, kind="gang", task=large)
+    for number in range(100):
+        session.submit(f"more{number}", 2)
+        small = [task for task in session.running if "services" not in task]
+        for task_id in small[:2]:
+            session.end(task_id)
+        session.tick(1000)
+    assert len(session.of("could")) == 4
