--- a/alderreach/decisions/backlog.py
+++ b/alderreach/decisions/backlog.py
@@ -17,7 +17,11 @@
 
 
 class Line:
-    """Jobs whose tasks are equivalent, oldest first."""
+    """Jobs whose tasks are equivalent, oldest first.
+
+    ``turn`` says which of the gangs far behind was tried last, and ``retry_ms`` from
+    when on the next one may be.
+    """
 
     __slots__ = (
         "blocked_since_ms",
@@ -30,8 +34,10 @@
         "priority",
         "quota_since_ms",
         "reservation",
+        "retry_ms",
         "shape",
         "team",
+        "turn",
     )
 
     def __init__(self, key, shape):
@@ -45,6 +51,8 @@
         self.blocked_since_ms = None
         self.checked_ms = 0
         self.reservation = None
+        self.retry_ms = 0
+        self.turn = -1
 
     def head(self):
         """Return the oldest job."""
--- a/alderreach/decisions/rounds.py
+++ b/alderreach/decisions/rounds.py
@@ -10,6 +10,7 @@
 """
 
 import heapq
+import itertools
 
 from alderreach.decisions import gangs, killers, placement
 
@@ -74,12 +75,21 @@
 
 
 def _next_gang(state, line):
-    for place, job in enumerate(line.jobs.values()):
-        if place >= GANGS_LOOKED_AT:
-            return None
+    """Return one of the first gangs that may be tried, else one further behind.
+
+    Of those behind, one is tried in ``gangs.RETRY_MS``, in turn: looked at from the
+    front only, they would wait for ever behind gangs that can't run yet.
+    """
+    for job in itertools.islice(line.jobs.values(), GANGS_LOOKED_AT):
         if job.retry_ms <= state.now_ms:
             return job
-    return None
+    behind = len(line.jobs) - GANGS_LOOKED_AT
+    if behind <= 0 or line.retry_ms > state.now_ms:
+        return None
+    line.retry_ms = state.now_ms + gangs.RETRY_MS
+    line.turn = (line.turn + 1) % behind
+    place = GANGS_LOOKED_AT + line.turn
+    return next(itertools.islice(line.jobs.values(), place, None))
 
 
 def _note_blocked(state, line):
