--- a/alderreach/decisions/draining.py
+++ b/alderreach/decisions/draining.py
@@ -4,10 +4,10 @@
 waits for ever; with one for everybody, half of the cell stands empty, waiting to drain.
 
 The gang or large task that has waited longest goes first, urgent ones before others,
-and only for teams that have no more than their fair share among those who wait. Of a
-random window of workers that could hold the demand, those with the least to end are
-taken. Up to ``RESERVATIONS`` drain at once; all but the oldest may together hold
-``RESERVED_SHARE`` of the cell, which bounds what stands empty.
+and only for teams that have no more than their fair share among those who wait and for
+whom draining would make room. Of a random window of workers that could hold the demand,
+those with the least to end are taken. Up to ``RESERVATIONS`` drain at once; all but the
+oldest may together hold ``RESERVED_SHARE`` of the cell, which bounds what stands empty.
 """
 
 import itertools
@@ -27,6 +27,8 @@
 WINDOW_PER_TASK = 4
 # Rounding of shares must not exclude a team that is exactly at the average.
 ROUNDING = 1e-9
+# What became of a try to reserve.
+RESERVED, UNABLE, TOO_MUCH = "reserved", "unable", "too_much"
 
 
 def plan(state, lines):
@@ -38,14 +40,26 @@
     if len(held) >= RESERVATIONS:
         return
     due = [each for line in lines if (each := _due(state, line)) is not None]
-    if not due:
-        return
-    shares = [state.ledger.account(line.team).share for _, _, line, _ in due]
-    fair = sum(shares) / len(shares) + ROUNDING
-    ranked = sorted(zip(due, shares, strict=True), key=lambda pair: pair[0][:2])
-    for (_, _, line, job), share in ranked:
-        if share <= fair and _reserve(state, line, job, held):
+    due.sort(key=lambda each: each[:2])
+    tried = []
+    while due:
+        shares = [state.ledger.account(line.team).share for _, _, line, _ in due]
+        fair = sum(shares) / len(shares) + ROUNDING
+        unable = []
+        for each, share in zip(due, shares, strict=True):
+            if share > fair or each in tried:
+                continue
+            tried.append(each)
+            outcome = _reserve(state, each[2], each[3], held)
+            if outcome == RESERVED:
+                return
+            if outcome == UNABLE:
+                unable.append(each)
+        if not unable:
             return
+        # Counted on among those who wait, the unable would keep the mean so low that
+        # others are over it for as long as they wait.
+        due = [each for each in due if each not in unable]
 
 
 def _due(state, line):
@@ -68,18 +82,21 @@
 
 
 def _reserve(state, line, job, held):
+    """Return RESERVED, UNABLE if no drained workers would do, or else TOO_MUCH."""
     need = job.waiting if job else 1
     account = state.ledger.account(line.team)
     if not state.ledger.allows(account, resources.times(line.demand, need), line):
-        return False
+        return UNABLE
     workers = _drainable(state, line.demand, need)
-    if workers is None or not _within_share(state, workers, held):
-        return False
+    if workers is None:
+        return UNABLE
+    if not _within_share(state, workers, held):
+        return TOO_MUCH
     reservation = reservations.reserve(state, line, job, workers)
     reservation.needed_at_ms = _drained_at_ms(state, workers)
     if job is None:
         reservation.promised = dict.fromkeys(workers, 1)
-    return True
+    return RESERVED
 
 
 def _drainable(state, demand, need):
