--- a/alderreach/ops/controller/looks.py
+++ b/alderreach/ops/controller/looks.py
@@ -87,8 +87,13 @@
 
 
 def look_if_due(books, worker, now_ms):
-    """Make the next look if the worker needs one and its gap is over."""
-    wanted = worker.runs or worker.has_ends or not worker.shown
+    """Make the next look if the worker needs one and its gap is over.
+
+    A doubtful worker needs one even if nothing runs there. Only an answer ends the
+    doubt: a worker whose lease lapsed, or that was idle as an answer was lost, would
+    be left without work for good.
+    """
+    wanted = worker.runs or worker.has_ends or not worker.shown or worker.failures
     due_ms = worker.look_due_ms
     if worker.failures:
         due_ms = worker.looked_ms + LOOK_AGAIN_MS
