--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -151,6 +151,8 @@
 def _end_gang(books, job, key, run_number, how, checkpoint):
     """One end of a gang's run stands for all: all are done, or the others stop."""
     tasks = job.groups[(key.occurrence, key.step)]
+    if how == "done":
+        _end_lost_members(books, job, key, run_number)
     for index, task in enumerate(tasks):
         if task.state != cell_state.PLACED or task.run != run_number:
             continue
@@ -164,6 +166,28 @@
             close_run(books, worker, run)
 
 
+def _end_lost_members(books, job, key, run_number):
+    """Members of a run that was done count as done, also those given up before.
+
+    Failure answered: one worker crashes as the gang is done, and its member waits again
+    before the other members' ends are heard. A gang that is partly done is never
+    started, so the job would never end.
+    """
+    if job.record.steps[key.step].long_running:
+        return
+    tasks = job.groups[(key.occurrence, key.step)]
+    lost = [
+        key._replace(index=index)
+        for index, task in enumerate(tasks)
+        if cell_state.is_late_success(task, run_number, "done")
+    ]
+    if lost:
+        books.decide(
+            ended=[cell.RunEnded(*each, run_number, "done", "", False) for each in lost]
+        )
+        books.on_run_ended(key.job_id, key.occurrence, key.step)
+
+
 def _judge(books, worker, run, how):
     """What an end says of its worker, and of how long such tasks take."""
     if how == "done":
