--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -13,7 +13,8 @@
 # open a connection twenty times a second.
 UNREACHABLE_PAUSE_MS = 400
 # Refusals for want of health or room say that our view is behind; waiting lets a look
-# or a heartbeat come first.
+# or a heartbeat come first. Those of a ticket let others be asked about meanwhile: a
+# worker that refuses all tickets was the only one renewed, and its step never ran.
 HOLD_BACK_MS = 500
 
 
@@ -77,7 +78,7 @@
     books.environment.metrics.count("starts_not_taken", result.outcome)
     if result.outcome == orders.NO_TICKET:
         books.permissions.refuse(run.key[:3], worker.target_id)
-    elif result.outcome in (orders.NO_ROOM, orders.REFUSED):
+    if result.outcome in (orders.NO_ROOM, orders.REFUSED, orders.NO_TICKET):
         worker.held_back_until_ms = now_ms + HOLD_BACK_MS
     if result.outcome in orders.NOT_CARRIED_OUT and run.sends == 1:
         runs.end_run(books, worker, run, "refused")
