--- a/alderreach/decisions/cell/permissions_test.py
+++ b/alderreach/decisions/cell/permissions_test.py
@@ -104,6 +104,23 @@
     assert wanted == ["w0", "w1"]
 
 
+def test_fresh_tickets_for_full_workers_do_not_keep_a_free_one_from_its_renewal():
+    """A step holds five tickets. Four are fresh, for workers that are full; the fifth
+    has run out, for one that is free. Four used to be enough, so the free worker stood
+    idle until the others' tickets had run out as well.
+    """
+    made = permissions.Permissions()
+    early = made.ask("g", ["w0"], QUICK, HELPERS, 0)
+    made.answered(early.query_id, True, [cell.Ticket("w0", "t")], QUICK, 0)
+    later = made.ask("g", WORKERS[1:5], QUICK, HELPERS, 1500)
+    granted = [cell.Ticket(name, "t") for name in WORKERS[1:5]]
+    made.answered(later.query_id, True, granted, QUICK, 1500)
+    suitable = WORKERS[:5]
+    assert made.wanted("g", suitable, 1, permissions.SAFETY_MS, 2000) == []
+    made.found_short("g")
+    assert made.wanted("g", suitable, 1, permissions.SAFETY_MS, 2000) == ["w0"]
+
+
 def test_no_question_names_more_workers_than_the_service_takes():
     """A wide step of a generous policy waits for room in a large cell. Its tickets run
     out, and all its workers are to be renewed at once: 130, of which the permission
--- a/tests/cell_permission_test.py
+++ b/tests/cell_permission_test.py
@@ -57,6 +57,21 @@
     assert made.leading.books.state.jobs["j1"].state == "completed"
 
 
+def test_a_step_whose_permitted_workers_drain_asks_about_others_at_once():
+    """All workers that a step may use, asked for ahead of time, drain just before it
+    opens. Idle ones that nobody asked about stand by. Their tickets, still fresh, used
+    to count as enough, so the next question waited until they had run out.
+    """
+    made = chain()
+    made.run_until(5_500)
+    workers = made.leading.books.workers
+    for target_id in permitted(made, 1):
+        worker = workers[target_id]
+        worker.record = worker.record._replace(state="draining")
+    made.run_until(5_900)
+    assert made.leading.books.permissions.is_asking(("j1", 0, 1))
+
+
 def test_a_step_that_waits_for_long_says_what_for():
     """Both workers are full for half a minute; the lines grow rarer as it waits."""
     records = [virtual_cell.worker(number, 8_000) for number in range(2)]
