--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -135,19 +135,28 @@
         if verdicts is not None:
             verdicts.is_short = False
 
-    def may_need(self, group, tasks, ahead_ms, now_ms):
+    def may_ask(self, group, now_ms):
         """Whether it is worth working out whom to ask about; see ``wanted``.
 
         A pass looks at every waiting step, and most of them wait for room with all
         tickets fresh: sorting the workers for each took four fifths of a busy leader's
-        time (``bench cell``).
+        time (``bench cell``). So finding nobody is followed by a pause.
         """
         verdicts = self._groups.get(group)
         if verdicts is None:
             return True
-        if verdicts.asking is not None or now_ms < verdicts.next_check_ms:
+        return verdicts.asking is None and now_ms >= verdicts.next_check_ms
+
+    def may_need_ahead(self, group, tasks, ahead_ms, now_ms):
+        """As ``may_ask``, for a step that is yet to open: not with tickets enough.
+
+        Of a step that waits they say nothing: they may be of workers that drain, or are
+        silent, and the next question would come only when they have run out.
+        """
+        if not self.may_ask(group, now_ms):
             return False
-        if verdicts.is_short:
+        verdicts = self._groups.get(group)
+        if verdicts is None:
             return True
         fresh = len(verdicts.fresh(ahead_ms, now_ms))
         return not fresh or fresh < min(_enough(tasks), len(verdicts.tickets))
--- a/alderreach/ops/controller/asking.py
+++ b/alderreach/ops/controller/asking.py
@@ -44,9 +44,11 @@
         ``has_permitted`` says that workers with good tickets were tried; if none were,
         the tickets have run out, and the workers may have room.
         """
+        known = self._books.permissions
         if has_permitted:
-            self._books.permissions.found_short(group)
-        self._ask(job, group, rule, tasks, permissions.SAFETY_MS, now_ms)
+            known.found_short(group)
+        if known.may_ask(group, now_ms):
+            self._ask(job, group, rule, tasks, permissions.SAFETY_MS, now_ms)
 
     def ahead(self, now_ms):
         """Ask for steps that open about when the answer comes."""
@@ -66,7 +68,8 @@
 
     def _ask_ahead(self, job, group, rule, now_ms):
         tasks = job.record.steps[group.step].tasks
-        if not self._books.permissions.may_need(group, tasks, AHEAD_MS, now_ms):
+        known = self._books.permissions
+        if not known.may_need_ahead(group, tasks, AHEAD_MS, now_ms):
             return
         lead_ms = permissions.lead_ms(rule, permissions.ASKED_AT_MOST)
         left_ms = self._left_ms(job, group, now_ms)
@@ -75,8 +78,6 @@
 
     def _ask(self, job, group, rule, tasks, ahead_ms, now_ms):
         known = self._books.permissions
-        if not known.may_need(group, tasks, ahead_ms, now_ms):
-            return
         if not self._has_helper(rule):
             return
         suitable = self._suitable(job, group, now_ms)
