--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -292,10 +292,15 @@
 
 
 def _to_renew(verdicts, suitable, tasks, ahead_ms, now_ms):
-    """Permitted workers whose tickets run out, if too few others have fresh ones."""
+    """Permitted workers whose tickets run out, if too few others have fresh ones.
+
+    Those with fresh tickets are no reason to wait for a step that is short: they were
+    tried and are full, and one whose ticket has run out may be free.
+    """
     good = [t for t in suitable if t in verdicts.tickets]
     stale = [t for t in good if verdicts.tickets[t][1] - now_ms <= ahead_ms]
-    if len(good) - len(stale) >= min(_enough(tasks), len(good)):
+    fresh = len(good) - len(stale)
+    if not verdicts.is_short and fresh >= min(_enough(tasks), len(good)):
         return []
     return stale[: _enough(tasks)]
 
