--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -204,6 +204,12 @@
             if target_id not in verdicts.tickets and target_id not in verdicts.denied
         ]
 
+    def granted(self, group, target_ids):
+        """How many of some workers a group was ever let run on."""
+        verdicts = self._groups.get(group)
+        tickets = verdicts.tickets if verdicts is not None else {}
+        return sum(target_id in tickets for target_id in target_ids)
+
     def denied(self, group):
         """How many workers were turned down for a group."""
         verdicts = self._groups.get(group)
--- a/alderreach/decisions/cell/waiting.py
+++ b/alderreach/decisions/cell/waiting.py
@@ -5,24 +5,26 @@
 room. The word is the first of these that holds:
 
 - ``WORKERS``: no worker in good health could ever hold one of its tasks.
-- ``ANSWER``: a question to the permission service is on its way.
-- ``QUESTION``: there are workers that nobody asked about, and no question is out.
+- ``ITSELF``: a gang of which some tasks still run or are done.
+- ``TICKETS``: it may run on some, but their tickets have run out and are renewed.
+- ``ANSWER``: room is short on those that may run it; others are being asked about.
+- ``QUESTION``: so it is, nobody asked about others, and no question is out.
 - ``PERMISSION``: everybody was asked about, and nobody may run it.
-- ``ROOM``: the workers that may run it have too little room.
-- ``ITSELF``: a gang whose former run is not over yet.
+- ``ROOM``: all that may run it have too little room.
 
->>> cause(Standing(31, 120, 12, 9, 0, 146, False, True))
+>>> cause(Standing(31, 120, 12, 12, 9, 16, 92, False, True))
 'question'
 """
 
 import typing
 
 WORKERS = "workers"
+ITSELF = "itself"
+TICKETS = "tickets"
 ANSWER = "answer"
 QUESTION = "question"
 PERMISSION = "permission"
 ROOM = "room"
-ITSELF = "itself"
 
 
 class Standing(typing.NamedTuple):
@@ -32,18 +34,20 @@
     """Tasks that have not started."""
     usable: int
     """Workers in good health that could hold a task if they were empty."""
+    granted: int
+    """Those of them that the step was ever let run on; all if it has no such rule."""
     permitted: int
-    """Those of them that may run the step now; all if it has no such rule."""
+    """Those of them with a ticket that is good now; all if it has no such rule."""
     with_room: int
     """Those of the permitted on which one more task fits now."""
     denied: int
-    """Workers that the permission service turned down."""
+    """Workers that were turned down, also such as are not usable any more."""
     unasked: int
     """Usable workers that the permission service was not asked about."""
     is_asking: bool
     is_gang: bool
     is_partly_placed: bool = False
-    """Whether other tasks of the step still run, which keeps a gang waiting."""
+    """Whether other tasks of the step run or are done, which keeps a gang waiting."""
 
 
 def cause(standing):
@@ -52,10 +56,8 @@
         return WORKERS
     if standing.is_gang and standing.is_partly_placed:
         return ITSELF
-    if standing.is_asking:
-        return ANSWER
+    if standing.granted and not standing.permitted:
+        return TICKETS
     if standing.unasked:
-        return QUESTION
-    if not standing.permitted:
-        return PERMISSION
-    return ROOM
+        return ANSWER if standing.is_asking else QUESTION
+    return ROOM if standing.granted else PERMISSION
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -96,17 +96,20 @@
         )
 
     def _open(self, job, group):
+        """A group may start now, or at its time; one that waits already goes on."""
+        if group in self._waiting:
+            return
         self._asking.drop(group)
         due_ms = _due_ms(job, group)
         if job.record.repeat_count and due_ms > self._latest_due_ms():
             heapq.heappush(self._due, (due_ms, group))
         else:
-            self._waiting[group] = self._books.now_ms()
-            self._books.is_stale = True
-            self._record_opened(job, group)
+            self._wait(job, group)
 
-    def _record_opened(self, job, group):
-        """A line for each step that may start, beside those for what starts of it."""
+    def _wait(self, job, group):
+        """A group waits from now on; told in the log beside what starts of it."""
+        self._waiting[group] = self._books.now_ms()
+        self._books.is_stale = True
         step = job.record.steps[group.step]
         self._books.environment.record(
             "step_opened",
@@ -128,7 +131,10 @@
 
     def _release_due(self):
         while self._due and self._due[0][0] <= self._latest_due_ms():
-            self._waiting[heapq.heappop(self._due)[1]] = self._books.now_ms()
+            group = heapq.heappop(self._due)[1]
+            job = self._books.state.jobs.get(group.job_id)
+            if job is not None:
+                self._wait(job, group)
 
     def _usable(self, now_ms):
         """Workers that may get new runs, by the pool they belong to."""
--- a/alderreach/ops/controller/waits.py
+++ b/alderreach/ops/controller/waits.py
@@ -75,17 +75,20 @@
             and worker.is_usable(now_ms)
         ]
         unasked = denied = 0
+        granted = len(usable)
         if books.queue_of(job).permission is not None:
-            unasked = len(books.permissions.unasked(group, usable))
-            denied = books.permissions.denied(group)
+            known = books.permissions
+            unasked, denied = len(known.unasked(group, usable)), known.denied(group)
+            granted = known.granted(group, usable)
         return waiting.Standing(
             waiting=sum(task.state == cell_state.WAITING for task in tasks),
             usable=len(usable),
+            granted=granted,
             permitted=sum(choice.is_suitable(worker, step) for worker in pool),
             with_room=len(choice.candidates(pool, step, group, now_ms)),
             denied=denied,
             unasked=unasked,
             is_asking=books.permissions.is_asking(group),
             is_gang=step.gang,
-            is_partly_placed=any(task.state == cell_state.PLACED for task in tasks),
+            is_partly_placed=any(task.state != cell_state.WAITING for task in tasks),
         )
