--- a/alderreach/ops/keeper/joining.py
+++ b/alderreach/ops/keeper/joining.py
@@ -12,6 +12,8 @@
 # A voter silent for this long is replaced if there is a learner to take its place:
 # before the next loss is to be borne, which the users' platform sets at 4 s.
 SILENT_VOTER_MS = 2500
+# A blank keeper is taken in within a second; one that still is not says so this often.
+OUTSIDE_LINE_MS = 5000
 
 
 class Joining:
@@ -37,16 +39,20 @@
         self._heard = {}
         self._started_ms = context.clock.monotonic_ms()
         self._next_hello_ms = 0
+        self._outside_line_ms = self._started_ms + OUTSIDE_LINE_MS
+        self._silent_voters = set()
         self.is_removed = False
 
     def tick(self, now_ms):
         """Seek the cell without a log or a leader; as leader, repair the membership."""
         if self._node.is_ready_leader:
+            self._note_silent_voters(now_ms)
             self._repair(now_ms)
         elif now_ms >= self._next_hello_ms and self._is_lost(now_ms):
             self._next_hello_ms = now_ms + HELLO_INTERVAL_MS
             if not self._found(now_ms):
                 self._say_hello()
+                self._note_outside(now_ms)
 
     def handle_hello(self, message, address):
         """Answer a hello; as leader, take in a blank keeper of a name that is expected.
@@ -115,6 +121,41 @@
         for address in self._addresses.values():
             self._send(address, hello)
 
+    def _note_outside(self, now_ms):
+        """Say that a blank keeper is not taken in: its old vote is missing meanwhile.
+
+        Failure answered: a keeper without its disk stayed outside for the rest of a
+        day, and nothing told so before the next loss cost the quorum.
+        """
+        if self._node.members or now_ms < self._outside_line_ms:
+            return
+        self._outside_line_ms = now_ms + OUTSIDE_LINE_MS
+        waited_ms = now_ms - self._started_ms
+        asked = ", ".join(self._addresses.values())
+        detail = f"for {waited_ms} ms, asked {asked}"
+        self._timeline.record("not_taken_in", detail=detail)
+
+    def _note_silent_voters(self, now_ms):
+        """A line for each voter that falls silent, and that is heard again."""
+        node = self._node
+        voters = {member.name for member in node.members if member.voter}
+        silent = {
+            member.name
+            for member in node.members
+            if member.voter and self._is_silent(member.identity, now_ms)
+        }
+        for name in sorted(silent - self._silent_voters):
+            self._timeline.record("voter_silent", epoch=node.term, detail=name)
+        for name in sorted((self._silent_voters - silent) & voters):
+            self._timeline.record("voter_heard", epoch=node.term, detail=name)
+        self._silent_voters = silent
+
+    def _is_silent(self, identity, now_ms):
+        if identity == self._node.identity:
+            return False
+        progress = self._node.progress.get(identity)
+        return progress is None or now_ms - progress.heard_ms > SILENT_VOTER_MS
+
     def _take_in(self, message):
         node = self._node
         expected = {member.name for member in node.members} | set(self._addresses)
@@ -141,18 +182,10 @@
 
     def _replacement(self, now_ms):
         """In an open cell others take the places of voters that are silent for long."""
-        losses = self._losses
-
-        def is_silent(identity):
-            if identity == self._node.identity:
-                return False
-            progress = self._node.progress.get(identity)
-            return progress is None or now_ms - progress.heard_ms > SILENT_VOTER_MS
-
         return membership.next_replacement(
             self._node.members,
-            2 * losses + 1,
-            is_silent,
+            2 * self._losses + 1,
+            lambda identity: self._is_silent(identity, now_ms),
             lambda identity: raft_leader.is_caught_up(self._node, identity, now_ms),
         )
 
--- a/tests/keeper_joining_test.py
+++ b/tests/keeper_joining_test.py
@@ -52,3 +52,37 @@
         assert made.elect()
         made.settle()
         assert made.write("team/b", b"2", base=0).status == "accepted"
+
+
+def cut_off(made, name):
+    """Let a keeper reach nobody and be reached by nobody."""
+    others = [other for other in made.names if other != name]
+    made.cut = {(name, other) for other in others} | {(o, name) for o in others}
+
+
+def test_a_voter_that_falls_silent_is_told_once_and_when_it_is_heard_again(tmp_path):
+    with contextlib.closing(five_voters(tmp_path)) as made:
+        leader = made.elect()
+        follower = next(name for name in made.names if name != leader)
+        cut_off(made, follower)
+        made.run(6_000)
+        assert made.lines[leader].events.count(("voter_silent", follower)) == 1
+        made.cut = set()
+        events = made.lines[leader].events
+        assert made.run(5_000, lambda: ("voter_heard", follower) in events)
+
+
+def test_a_blank_keeper_that_is_not_taken_in_says_so(tmp_path):
+    """A controller loses its disk and reaches nobody. Nothing told that a vote was
+    missing until the next loss left no quorum.
+    """
+    with contextlib.closing(five_voters(tmp_path)) as made:
+        lost = next(name for name in made.names if name != made.elect())
+        made.lose_disk(lost)
+        made.start(lost)
+        cut_off(made, lost)
+        made.run(11_000)
+        told = [kind for kind, _detail in made.lines[lost].events]
+        assert told.count("not_taken_in") == 2
+        made.cut = set()
+        made.settle()
