--- /dev/null
+++ b/alderreach/ops/controller/books_test.py
@@ -0,0 +1,43 @@
+"""Decisions on their way into the log, and what may be told before they are there."""
+
+from tools import virtual_cell
+
+
+def test_what_repeats_an_uncommitted_decision_waits_for_its_commit():
+    """An accepted job is unknown to the next leader. It was handed in twice; the second
+    request came while the first was on its way into the log, was answered after a round
+    of voters that shows who leads and not what they hold, and the leader was lost
+    before the job was committed.
+    """
+    made = virtual_cell.VirtualCell([virtual_cell.queue("q")], [])
+    made.run_until(500)
+    books, told = made.leading.books, []
+    books.decide(lambda: told.append("first"), gone=["nobody"])
+    _batch, effects = books.take_batch()
+    books.after_commit(lambda: told.append("second"))
+    made.run_until(1_000)
+    assert told == []
+    for effect in effects:
+        effect()
+    assert told == ["first", "second"]
+    books.after_commit(lambda: told.append("third"))
+    made.run_until(1_500)
+    assert told == ["first", "second", "third"]
+
+
+def test_what_waits_for_a_batch_that_could_not_be_logged_waits_for_the_next():
+    """A leader that hands over takes nothing into its log; what it decided goes into
+    the next batch with all that waits for it, in order.
+    """
+    made = virtual_cell.VirtualCell([virtual_cell.queue("q")], [])
+    made.run_until(500)
+    books, told = made.leading.books, []
+    books.decide(lambda: told.append("first"), gone=["nobody"])
+    batch, effects = books.take_batch()
+    books.put_back(batch, effects)
+    books.after_commit(lambda: told.append("second"))
+    batch, effects = books.take_batch()
+    assert len(batch.changes) == 1
+    for effect in effects:
+        effect()
+    assert told == ["first", "second"]
