--- a/alderreach/ops/controller/books.py
+++ b/alderreach/ops/controller/books.py
@@ -59,6 +59,8 @@
         self.on_run_ended = lambda job_id, occurrence, step: None
         self._changes = []
         self._effects = []
+        # The effects of batches that are not committed yet, oldest batch first.
+        self._under_way = []
 
     def lease_ms(self):
         """The lease of workers: the setting, or the longest that the workers take."""
@@ -86,9 +88,15 @@
         self.is_stale = True
 
     def after_commit(self, effect):
-        """Call ``effect`` once all that was decided so far is committed."""
+        """Call ``effect`` once all that was decided so far is committed.
+
+        A round of voters shows that nobody else leads. It does not show that they hold
+        a batch that is under way, so what comes meanwhile waits for that batch.
+        """
         if self._changes:
             self._effects.append(effect)
+        elif self._under_way:
+            self._under_way[-1].append(effect)
         else:
             self.environment.confirm(effect, lambda: None)
 
@@ -99,12 +107,18 @@
         batch = cell.CellBatch(self.cell_ms(), self._changes)
         effects = self._effects
         self._changes, self._effects = [], []
+        self._under_way.append(effects)
+        effects.insert(0, self._oldest_committed)
         return batch, effects
 
     def put_back(self, batch, effects):
         """A batch could not be logged yet; it goes first in the next one."""
+        self._under_way.pop()
         self._changes = batch.changes + self._changes
-        self._effects = effects + self._effects
+        self._effects = effects[1:] + self._effects
+
+    def _oldest_committed(self):
+        self._under_way.pop(0)
 
     def is_over(self, key):
         """Whether the job of a task or group, which its key begins with, has ended."""
