--- a/alderreach/decisions/passed_over_test.py
+++ b/alderreach/decisions/passed_over_test.py
@@ -1,7 +1,7 @@
 """Work that could run and was passed over, for long or for ever."""
 
 from alderreach.core.generated import common
-from alderreach.decisions import impossible, killers, quarantine
+from alderreach.decisions import impossible, killers, quarantine, quotas, resources
 from tests import placement_session
 
 SMALL = placement_session.SMALL
@@ -111,3 +111,24 @@
         session.tick(1000)
     assert "never" not in session.first_start_ms
     assert "could" in session.first_start_ms
+
+
+def test_quota_saved_for_a_gang_that_lacks_room_does_not_stop_its_team():
+    """A team's work stands still for ever in a cell that is mostly empty. Its gang
+    waited for quota, which is saved for it since, and now has the quota and lacks room:
+    services hold workers that it needs. What is saved keeps all else of the team back.
+    """
+    session = placement_session.Session().add(10)
+    session.submit("services", 3, kind="service", task=WHOLE, team="b")
+    session.team("a", quota=resources.times(WHOLE, 8))
+    session.submit("first", 56)
+    session.tick()
+    session.submit("gang", 8, kind="gang", task=WHOLE)
+    session.tick()
+    session.tick(quotas.SAVE_AFTER_MS)
+    session.end_all(job_id="first")
+    session.submit("later", 8)
+    for _second in range(60):
+        session.tick(1000)
+    assert "gang" not in session.first_start_ms
+    assert "later" in session.first_start_ms
