--- a/alderreach/decisions/draining.py
+++ b/alderreach/decisions/draining.py
@@ -62,6 +62,20 @@
         due = [each for each in due if each not in unable]
 
 
+def end_vain_savings(state, lines):
+    """Save no more quota for lines that lack room and have no reservation.
+
+    ``lines`` have the quota they need. Their teams' other work is kept back for them,
+    so without this a gang that finds no room stops all of its team.
+    """
+    served = {reservation.line for reservation in state.reservations}
+    latest_ms = state.now_ms - RESERVE_ONE_AFTER_MS
+    for line in lines:
+        is_saved_for = state.ledger.account(line.team).saver is line
+        if is_saved_for and line not in served and line.blocked_since_ms <= latest_ms:
+            state.ledger.saved_in_vain(line)
+
+
 def _due(state, line):
     """Return (not urgent, since, line, gang or None) if a line is due, else None."""
     if line.reservation is not None:
--- a/alderreach/decisions/quotas.py
+++ b/alderreach/decisions/quotas.py
@@ -13,13 +13,17 @@
 
 A team's own small tasks can keep its quota used up, so that its gang never fits under
 it. A line that has waited for quota for ``SAVE_AFTER_MS`` is saved for: the team's
-other normal work starts only if the saved amount stays free.
+other normal work starts only if the saved amount stays free. Where the line then lacks
+room that nobody makes for it (``draining``), the saving ends, or all else of the team
+would stand still with it; the next one begins twice as late each time.
 """
 
 from alderreach.decisions import resources
 
 # As long as a large task waits for room before a worker is drained for it.
 SAVE_AFTER_MS = 15_000
+# The latest is then eight minutes, against tasks that run for minutes.
+DOUBLINGS = 5
 
 
 class Account:
@@ -91,13 +95,23 @@
         """Note that a line waits for quota; after a while it is saved for."""
         if line.quota_since_ms is None:
             line.quota_since_ms = now_ms
-        is_due = line.quota_since_ms + SAVE_AFTER_MS <= now_ms
+        after_ms = SAVE_AFTER_MS << min(line.vain_savings, DOUBLINGS)
+        is_due = line.quota_since_ms + after_ms <= now_ms
         if account.saver is None and is_due and resources.fits(demand, account.quota):
             account.saver = line
             account.saved = demand
 
     def stop_saving(self, line):
         """The line was served, or waits no more."""
+        line.vain_savings = 0
+        self._forget_saving(line)
+
+    def saved_in_vain(self, line):
+        """The line has the quota that was saved for it, and can't use it."""
+        line.vain_savings += 1
+        self._forget_saving(line)
+
+    def _forget_saving(self, line):
         line.quota_since_ms = None
         account = self.account(line.team)
         if account.saver is line:
--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -239,6 +239,7 @@
             for line in rounds.blocked_lines(books, band)
         ]
         draining.plan(books, blocked)
+        draining.end_vain_savings(books, blocked)
 
     def _review(self):
         for job in self._state.due_reviews(REVIEWS_PER_TICK):
