--- a/alderreach/decisions/ordering.py
+++ b/alderreach/decisions/ordering.py
@@ -127,14 +127,15 @@
     def head(self, now_ms, skipped=()):
         """The request to go next, or None; ``take`` then takes it out.
 
-        ``skipped`` holds request ids of heads that can't go now.
+        ``skipped`` holds request ids of heads that can't go now; they are those that
+        avoid a runner, and others of their team may use it.
         """
         for group, team in self._order():
             queue = group.queues[team]
             takes_newest = len(queue) > 1 and _is_flipped(queue[0].ask, now_ms)
-            waiting = queue[-1] if takes_newest else queue[0]
-            if waiting.ask.request_id not in skipped:
-                return waiting
+            for waiting in reversed(queue) if takes_newest else queue:
+                if waiting.ask.request_id not in skipped:
+                    return waiting
         return None
 
     def drop(self, waiting):
