--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -40,6 +40,12 @@
 TICK_MS = 20
 RESTORE_MS = 600.0
 LATE_AFTER_OBJECTIVES = 3
+# A lasting run that fails does so after this, evenly.
+LASTING_FAILS_MS = (1000.0, 10_000.0)
+# How the permission service answers.
+DECIDED = "decided"
+UNDECIDED = "undecided"
+SILENT = "silent"
 
 SETTINGS = """
     [process]
@@ -154,7 +160,7 @@
         )
         objective_ms = _objective_ms(self._queues[queue_name], works)
         self._due[job_id] = (queue_name, self.loop.now_ms, objective_ms)
-        self._lead(lambda: requests.handle(self.leading, request, lambda answer: None))
+        self._request(request)
 
     def submit_at(self, moment_ms, queue_name, job_id, works):
         """Hand a job in later."""
@@ -186,13 +192,31 @@
         for target_id in target_ids:
             self.loop.at(moment_ms, self._machines[target_id].leave)
 
+    def crash_at(self, moment_ms, target_ids):
+        """Workers that end later without a word; nobody answers in their place."""
+        for target_id in target_ids:
+            self.loop.at(moment_ms, self._machines[target_id].crash)
+
+    def join_at(self, moment_ms, records):
+        """Workers that are there from a later moment on."""
+        for record in records:
+            self.loop.at(moment_ms, lambda record=record: self._join(record))
+
     def cut_off_at(self, moment_ms, target_ids, for_ms):
-        """Workers that neither hear nor answer for a while; what runs there ends."""
+        """Workers that neither hear nor answer for a while."""
         for target_id in target_ids:
             machine = self._machines[target_id]
             self.loop.at(moment_ms, machine.cut_off)
             self.loop.at(moment_ms + for_ms, machine.come_back)
 
+    def drain_at(self, moment_ms, target_ids, for_ms):
+        """Workers that get nothing new from a moment on, and leave a while later."""
+        for target_id in target_ids:
+            self.loop.at(moment_ms, lambda name=target_id: self._drain(name))
+            self.loop.at(
+                moment_ms + for_ms, lambda name=target_id: self._withdraw(name)
+            )
+
     def call(self, act):
         """Have something happen at a worker."""
         self.loop.after(HOP_MS, act)
@@ -210,8 +234,17 @@
         if saved_ms:
             work_ms = work_ms - saved_ms + RESTORE_MS
         how = "failed" if self.lots.random() < work.fail_share else "done"
+        if how == "failed" and work.step.long_running:
+            work_ms = self.lots.uniform(*LASTING_FAILS_MS)
         return work_ms, how
 
+    def began(self, machine, run):
+        """A run began on a worker: it will end by itself once its work is done."""
+        self.loop.after(run.work_ms, lambda: machine.end(run, run.how))
+
+    def ended(self, machine, run, how):
+        """A run ended on a worker, or went with it."""
+
     def save(self, run, how, now_ms):
         """What a run that ends leaves: its checkpoint if its step saves."""
         job_id, _occurrence, number, _index = run.order.task.split(".")
@@ -266,13 +299,48 @@
         self.loop.after(TICK_MS, self._tick)
 
     def _heartbeats(self):
-        for target_id, worker in self.leading.books.workers.items():
-            machine = self._machines[target_id]
-            if not (machine.is_gone or machine.is_cut_off):
+        for target_id, machine in self._machines.items():
+            if machine.is_gone or machine.is_cut_off:
+                continue
+            worker = self.leading.books.workers.get(target_id)
+            if worker is None or worker.record != machine.record:
+                self._announce(machine.record)
+            else:
                 worker.announced_ms = int(self.loop.now_ms)
         self.loop.after(1000, self._heartbeats)
 
+    def _announce(self, record):
+        """A heartbeat that tells something new."""
+        now_ms = int(self.loop.now_ms)
+        self._request(cell.AnnounceTarget(record, now_ms, now_ms))
+
+    def _join(self, record):
+        self._machines[record.target_id] = virtual_workers.Machine(self, record)
+        self._announce(record)
+
+    def _drain(self, target_id):
+        machine = self._machines[target_id]
+        machine.record = machine.record._replace(state="draining")
+        if not machine.is_gone and not machine.is_cut_off:
+            self._announce(machine.record)
+
+    def _withdraw(self, target_id):
+        machine = self._machines[target_id]
+        if not machine.is_gone and not machine.is_cut_off:
+            self._request(cell.WithdrawTarget(target_id))
+        machine.leave()
+
+    def _request(self, request):
+        self._lead(lambda: requests.handle(self.leading, request, lambda answer: None))
+
+    def answers(self, question):
+        """How the permission service answers: DECIDED, UNDECIDED or SILENT."""
+        return DECIDED
+
     def _ask(self, question):
+        how = self.answers(question)
+        if question.helper in self.silent_helpers or how == SILENT:
+            return
         job = self.leading.books.state.jobs[question.group[0]]
         rule = self.leading.books.queue_of(job).permission
         took_ms = rule.decision_ms + rule.per_target_ms * len(question.target_ids)
@@ -281,14 +349,13 @@
             for target_id in question.target_ids
             if self._may_run(job, question.group, target_id)
         ]
-        if question.helper in self.silent_helpers:
-            return
-        is_decided = question.helper not in self.cut_helpers
-        if not is_decided:
-            took_ms, granted = 0, []
-        answer = cell.PermissionAnswer(question.query_id, is_decided, granted)
+        is_cut = question.helper in self.cut_helpers
+        is_decided = how == DECIDED and not is_cut
+        answer = cell.PermissionAnswer(
+            question.query_id, is_decided, granted if is_decided else []
+        )
         self.loop.after(
-            took_ms + 2 * HOP_MS,
+            2 * HOP_MS + (0 if is_cut else took_ms),
             lambda: self._lead(lambda: verdicts.take(self.leading.books, answer)),
         )
 
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -1,7 +1,6 @@
-"""Model workers in virtual time: they do as told at once, until they leave.
+"""Model workers in virtual time: they do as told at once, while they are reached.
 
-One that is cut off for a while carries nothing out and answers nothing; what still runs
-there when it is back is killed.
+A worker kills all it runs when its lease lapses, as the real ones do.
 """
 
 from alderreach.core import orders
@@ -9,8 +8,9 @@
 
 # A worker kills what it is told to stop, or saves it first, within this.
 STOP_MS = 60.0
-# A call that gets no answer is given up after this.
-CALL_LIMIT_MS = 300.0
+LEASE_MAX_MS = 6000
+# A call that gets no answer fails after this, a look's wait added.
+CALL_LIMIT_MS = 500.0
 
 
 class _Running:
@@ -36,70 +36,73 @@
         self.runs = {}
         self.ends = []
         self.next_end = 1
+        self.closed = {}
         self.held = None
         self.is_gone = False
         self.is_cut_off = False
-
-    def cut_off(self):
-        """Hear and answer nothing from now on."""
-        self.is_cut_off = True
-        held, self.held = self.held, None
-        if held is not None:
-            lost = orders.LookResult(orders.UNKNOWN)
-            self.world.loop.after(CALL_LIMIT_MS, lambda: held(lost))
-
-    def come_back(self):
-        """Answer again; what still runs here is killed, as if its lease had ended."""
-        self.is_cut_off = False
-        for run in self.runs.values():
-            run.is_over = True
-        self.runs = {}
+        self.lease_until_ms = 0
+        self._is_watched = False
 
     def leave(self):
         """End with all that runs here; another life answers at this address now."""
         self.is_gone = True
-        for run in self.runs.values():
+        runs, self.runs = list(self.runs.values()), {}
+        for run in runs:
             run.is_over = True
-        self.runs = {}
+            self.world.ended(self, run, "gone")
         if self.held is not None:
             self._release(self.held)
 
+    def crash(self):
+        """End with all that runs here; nobody answers any more."""
+        self.is_cut_off = True
+        self.leave()
+
+    def cut_off(self):
+        """Hear and answer nothing from now on; what runs here ends with its lease."""
+        self.is_cut_off = True
+
+    def come_back(self):
+        """Hear and answer again, unless it has ended."""
+        self.is_cut_off = self.is_gone
+
+    def is_up(self):
+        """Whether it may get work: reached, and neither gone nor draining."""
+        is_here = not self.is_gone and not self.is_cut_off
+        return is_here and self.record.state == "ready"
+
     def carry_out(self, order):
         """Carry an order out; returns the ``orders.OrderResult``."""
         if self.is_gone:
             return orders.OrderResult(orders.OTHER_LIFE)
+        outcome = orders.OK
         if isinstance(order, orders.Start):
-            self._start(order)
+            outcome = self._start(order)
         elif isinstance(order, orders.Stop):
-            run = self.runs.get((order.task, order.run))
-            if run is not None:
-                self.world.loop.after(STOP_MS, lambda: self._end(run, "stopped"))
-        return orders.OrderResult(orders.OK, self._clock_ms())
+            self._stop(order)
+        return orders.OrderResult(outcome, self._clock_ms())
 
     def look(self, look, answer):
         """Answer a look once there is an end, or its time is over."""
         self.ends = [end for end in self.ends if end.number > look.cursor]
+        if look.lease_until_ms is not None:
+            self._extend(look.lease_until_ms)
         if self.is_gone or self.ends or not look.wait_ms:
             answer(self._lists())
             return
         held = self.held = answer
         self.world.loop.after(look.wait_ms, lambda: self._release(held))
 
-    def _start(self, order):
-        key = (order.task, order.run)
-        if key in self.runs:
-            return
-        left_ms, how = self.world.work_of(order)
-        run = self.runs[key] = _Running(order, left_ms, how, self.world.loop.now_ms)
-        self.world.loop.after(left_ms, lambda: self._end(run, run.how))
-
-    def _end(self, run, how):
+    def end(self, run, how):
+        """A run here ends, unless it has."""
         if run.is_over:
             return
         run.is_over = True
         now_ms = self.world.loop.now_ms
         del self.runs[(run.order.task, run.order.run)]
+        self._close(run.order)
         saved = self.world.save(run, how, now_ms)
+        self.world.ended(self, run, how)
         self.ends.append(
             orders.ListedEnd(self.next_end, run.order.task, run.order.run, how, saved)
         )
@@ -107,6 +110,44 @@
         if self.held is not None:
             self._release(self.held)
 
+    def _start(self, order):
+        key = (order.task, order.run)
+        if key in self.runs:
+            return orders.OK
+        if order.run <= self.closed.get(order.task, 0):
+            return orders.STALE_RUN
+        if order.lease_until_ms <= self._clock_ms():
+            return orders.LEASE_OVER
+        self._extend(order.lease_until_ms)
+        left_ms, how = self.world.work_of(order)
+        run = self.runs[key] = _Running(order, left_ms, how, self.world.loop.now_ms)
+        self.world.began(self, run)
+        return orders.OK
+
+    def _stop(self, order):
+        self._close(order)
+        run = self.runs.get((order.task, order.run))
+        if run is not None:
+            self.world.loop.after(STOP_MS, lambda: self.end(run, "stopped"))
+
+    def _close(self, order):
+        self.closed[order.task] = max(self.closed.get(order.task, 0), order.run)
+
+    def _extend(self, until_ms):
+        until_ms = min(until_ms, self._clock_ms() + LEASE_MAX_MS)
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        if not self._is_watched:
+            self._is_watched = True
+            self.world.loop.at(self.lease_until_ms, self._watch_lease)
+
+    def _watch_lease(self):
+        self._is_watched = False
+        if self._clock_ms() < self.lease_until_ms:
+            self._extend(0)
+            return
+        for run in list(self.runs.values()):
+            self.end(run, "lapsed")
+
     def _release(self, held):
         if self.held is held:
             self.held = None
@@ -144,31 +185,39 @@
         self._world.call(lambda: self._carry_out(order))
 
     def look(self, look):
-        def answer(result):
-            self._tell(target_link.LookAnswered, look, result)
-
-        def reach():
-            if self._machine.is_cut_off:
-                self._give_up(answer, orders.LookResult(orders.UNKNOWN))
-            else:
-                self._machine.look(look, answer)
-
-        self._world.call(reach)
+        self._world.call(lambda: self._look(look))
 
     def close(self):
         pass
 
     def _carry_out(self, order):
-        def answer(result):
-            self._tell(target_link.OrderAnswered, order, result)
-
         if self._machine.is_cut_off:
-            self._give_up(answer, orders.OrderResult(orders.UNKNOWN))
-        else:
-            answer(self._machine.carry_out(order))
+            self._fail(target_link.OrderAnswered, order, 0)
+            return
+        result = self._machine.carry_out(order)
+        self._tell(target_link.OrderAnswered, order, result)
 
-    def _give_up(self, answer, result):
-        self._world.loop.after(CALL_LIMIT_MS, lambda: answer(result))
+    def _look(self, look):
+        if self._machine.is_cut_off:
+            self._fail(target_link.LookAnswered, look, look.wait_ms)
+            return
+        self._machine.look(
+            look, lambda result: self._tell(target_link.LookAnswered, look, result)
+        )
 
     def _tell(self, kind, order, result):
+        if self._machine.is_cut_off:
+            self._fail(kind, order, 0)
+            return
+        self._mail(kind, order, result)
+
+    def _fail(self, kind, order, wait_ms):
+        """No answer arrives, which is known once the call has waited for it."""
+        is_look = kind is target_link.LookAnswered
+        result = (orders.LookResult if is_look else orders.OrderResult)(orders.UNKNOWN)
+        self._world.loop.after(
+            CALL_LIMIT_MS + wait_ms, lambda: self._mail(kind, order, result)
+        )
+
+    def _mail(self, kind, order, result):
         self._world.mail(kind(1, self._machine.record.target_id, order, result))
