--- /dev/null
+++ b/tools/virtual_days.py
@@ -0,0 +1,467 @@
+"""Random days in the virtual cell, and a check that work which could run does run.
+
+The check looks at the model's machines, not at the leader's view of them: what runs
+where, what is free, which workers are reached, whom the permission service would let
+run a step. It takes from the leader only which tasks it counts as done. A task is
+broken off as *standing* if, for long enough and with nothing that excuses it, its turn
+had come and there was room, yet nothing of its step started.
+
+>>> day = Day(seed=3)
+>>> day.play()
+>>> day.watch.standing, day.false_states()
+([], [])
+"""
+
+import collections
+import math
+import random
+import typing
+
+from alderreach.core import cell_state
+from alderreach.core.generated import cell
+from tools import virtual_cell
+
+WATCH_INTERVAL_MS = 250
+# What could start has to start within this: two questions of the slowest rule.
+START_WITHIN_MS = 3000
+# A lasting task has to run again within this.
+LAST_WITHIN_MS = 6000
+# After a worker came or left. One that falls silent holds its tasks for its lease.
+CALM_MS = 4000
+SILENT_LEASE_MS = 5500
+# There is room only if what waits fits this many times over, in a cell that is at most
+# so full.
+ROOM_TIMES = 2
+FULL_SHARE = 0.5
+
+EVENTS_FROM_MS, EVENTS_TO_MS = 3_000, 14_000
+LOAD_MS = 20_000
+END_MS = 60_000
+# As many processes as the largest site has.
+HELPERS = 47
+LASTING_SHARE = 0.2
+# A wide step takes at most this share of all that may run it, when that is empty.
+WIDE_SHARE = 0.45
+# Nothing but lasting tasks runs for so long, a save and a restore included.
+LONGEST_WORK_MS = 10_000
+CORES = 1000
+MB_PER_CPU_MILLI = 2
+SIZES = (4 * CORES, 8 * CORES, 16 * CORES)
+WORKERS_PER_RACK = 6
+
+
+class Standing(typing.NamedTuple):
+    """A step, or a lasting task, that could run and didn't."""
+
+    task: str
+    at_ms: int
+    waiting: int
+    room: int
+    """How many of its tasks the workers that may run it had room for."""
+    workers: int
+    """How many workers that is."""
+    full_share: float
+
+
+class Watch:
+    """Looks at all machines now and then, and notes what stands still."""
+
+    def __init__(self, day):
+        self.day = day
+        self.standing = []
+        self.calm_from_ms = CALM_MS
+        self.started_ms = {}
+        self.excused_ms = {}
+        self._since = {}
+        self._reported = set()
+
+    def disturbed(self, until_ms):
+        """The workers changed, or one's tasks are held until this moment."""
+        self.calm_from_ms = max(self.calm_from_ms, until_ms + CALM_MS)
+
+    def look(self):
+        """Look at everything once."""
+        now_ms = self.day.loop.now_ms
+        up = [machine for machine in self.day.machines() if machine.is_up()]
+        full_share = self._full_share(up)
+        is_calm = now_ms >= self.calm_from_ms and full_share < FULL_SHARE
+        running = self._running()
+        for group, step in self.day.open_steps():
+            waiting = self.day.undone(group) - running.get(group, set())
+            fits = {}
+            if is_calm and waiting:
+                fits = self._fits(up, group, step)
+            needed = ROOM_TIMES * (step.tasks if step.gang else len(waiting))
+            could_run = bool(waiting) and sum(fits.values()) >= needed
+            for key, moment_ms in self._keys(group, step, waiting):
+                since_ms = self._since.get(key)
+                if not could_run or since_ms is None:
+                    since_ms = now_ms
+                since_ms = max(since_ms, moment_ms, self.excused_ms.get(group, 0))
+                self._since[key] = since_ms
+                within_ms = LAST_WITHIN_MS if step.long_running else START_WITHIN_MS
+                if could_run and now_ms - since_ms >= within_ms:
+                    self._report(key, len(waiting), fits, full_share)
+
+    def check_end(self):
+        """At the end everything has to be over that could be."""
+        running = self._running()
+        up = [machine for machine in self.day.machines() if machine.is_up()]
+        full_share = self._full_share(up)
+        for group, step in self.day.open_steps():
+            if step.long_running:
+                continue
+            fits = self._fits(up, group, step)
+            waiting = self.day.undone(group) - running.get(group, set())
+            needed = ROOM_TIMES * (step.tasks if step.gang else len(waiting))
+            is_fitting = bool(waiting) and sum(fits.values()) >= needed
+            still_ms = self.day.loop.now_ms - self.started_ms.get(group, 0)
+            if is_fitting or (running.get(group) and still_ms >= LONGEST_WORK_MS):
+                self._report(group, len(waiting), fits, full_share)
+
+    def _keys(self, group, step, waiting):
+        """What is watched of a step, and since when at the earliest."""
+        if not step.long_running:
+            return [(group, self.started_ms.get(group, 0))]
+        return [((*group, index), 0) for index in sorted(waiting)] + [
+            ((*group, index), self.day.loop.now_ms)
+            for index in range(step.tasks)
+            if index not in waiting
+        ]
+
+    def _report(self, key, waiting, fits, full_share):
+        if key in self._reported:
+            return
+        self._reported.add(key)
+        now_ms = int(self.day.loop.now_ms)
+        task = ".".join(str(part) for part in key)
+        workers = sum(fit > 0 for fit in fits.values())
+        self.standing.append(
+            Standing(
+                task, now_ms, waiting, sum(fits.values()), workers, round(full_share, 2)
+            )
+        )
+
+    def _running(self):
+        """Which tasks of each step run on some machine."""
+        running = {}
+        for machine in self.day.machines():
+            for run in machine.runs.values():
+                key = task_key(run.order.task)
+                group = cell_state.GroupKey(*key[:3])
+                running.setdefault(group, set()).add(key.index)
+        return running
+
+    def _full_share(self, up):
+        cpu = sum(machine.record.capacity.cpu_millis for machine in up)
+        memory = sum(machine.record.capacity.memory_mb for machine in up)
+        used = [self._used(machine) for machine in up]
+        return max(
+            sum(cpu_millis for cpu_millis, _memory in used) / max(1, cpu),
+            sum(memory_mb for _cpu, memory_mb in used) / max(1, memory),
+        )
+
+    def _used(self, machine):
+        cpu = memory = 0
+        for run in machine.runs.values():
+            step = self.day.step_of(task_key(run.order.task))
+            cpu += 0 if step.best_effort else step.demand.cpu_millis
+            memory += step.demand.memory_mb
+        return cpu, memory
+
+    def _fits(self, up, group, step):
+        """How many more tasks of a step fit on each worker that may run it."""
+        fits = {}
+        for machine in up:
+            record = machine.record
+            if step.required_label and step.required_label not in record.labels:
+                continue
+            if not self.day.permits(group, record.target_id):
+                continue
+            cpu, memory = self._used(machine)
+            here = (record.capacity.memory_mb - memory) // step.demand.memory_mb
+            if not step.best_effort:
+                free = record.capacity.cpu_millis - cpu
+                here = min(here, free // step.demand.cpu_millis)
+            if step.max_per_target:
+                of_step = sum(
+                    task_key(run.order.task)[:3] == group
+                    for run in machine.runs.values()
+                )
+                here = min(here, step.max_per_target - of_step)
+            fits[record.target_id] = max(0, here)
+        return fits
+
+
+class Day(virtual_cell.VirtualCell):
+    """One random day; every choice comes from the seed."""
+
+    def __init__(self, seed):
+        self.choices = random.Random(seed)
+        lots = self.choices
+        self.queues = _queues(lots)
+        self.workers = lots.choice([lots.randrange(10, 25), lots.randrange(40, 91)])
+        records = [self._worker(number) for number in range(self.workers)]
+        self.capacity_millis = sum(record.capacity.cpu_millis for record in records)
+        self._undecided_share = lots.choice([0.0, 0.02, 0.1])
+        self._silent_share = lots.choice([0.0, 0.01, 0.03])
+        self._gangs = {}
+        self._done = collections.defaultdict(set)
+        self._failures = collections.Counter()
+        self._number = 0
+        self.events = []
+        self._shares = {queue.name: lots.uniform(0.2, 0.8) for queue in self.queues}
+        self._shares["open"] = 1.0
+        super().__init__(self.queues, records, HELPERS, self._shares, seed)
+        self.watch = Watch(self)
+        self._submit_all()
+        self._disturb([record.target_id for record in records], len(records))
+        self._watch()
+
+    def play(self):
+        """The whole day."""
+        self.run_until(END_MS)
+        self.watch.check_end()
+
+    def machines(self):
+        """All workers that ever were, as virtual_workers.Machine."""
+        return list(self._machines.values())
+
+    def permits(self, group, target_id):
+        """Whether the permission service would let a step run on a worker."""
+        job = self.leading.books.state.jobs[group.job_id]
+        if self.leading.books.queue_of(job).permission is None:
+            return True
+        return self._may_run(job, group, target_id)
+
+    def false_states(self):
+        """Jobs or tasks that ended otherwise, by the leader, than the machines saw."""
+        false = []
+        for job in self.leading.books.state.jobs.values():
+            job_id = job.record.job_id
+            if job.state == cell_state.FAILED and not self._may_have_failed(job):
+                false.append(f"{job_id} has not failed so often")
+            for (occurrence, number), tasks in job.groups.items():
+                group = cell_state.GroupKey(job_id, occurrence, number)
+                is_gang_done = job.record.steps[number].gang and self._done[group]
+                false += [
+                    f"{job_id}.{occurrence}.{number}.{index} was never done"
+                    for index, task in enumerate(tasks)
+                    if task.state == cell_state.DONE
+                    and index not in self._done[group]
+                    and not is_gang_done
+                ]
+        return false
+
+    def _may_have_failed(self, job):
+        """Whether the runs of some task, or of a gang, have failed often enough."""
+        most = job.record.queue.max_attempts
+        job_id = job.record.job_id
+        return any(
+            failures >= most
+            for key, failures in self._failures.items()
+            if key[0] == job_id
+        )
+
+    def open_steps(self):
+        """(group, step) of all whose turn has come, of jobs that go on."""
+        for job in self.leading.books.state.jobs.values():
+            if job.state != cell_state.ACTIVE:
+                continue
+            for occurrence, number in job.groups:
+                if cell_state.is_open(job, occurrence, number):
+                    group = cell_state.GroupKey(job.record.job_id, occurrence, number)
+                    if job.undone[(occurrence, number)]:
+                        yield group, job.record.steps[number]
+
+    def undone(self, group):
+        """Numbers of the tasks of a step that are not done."""
+        tasks = self.leading.books.state.jobs[group.job_id].groups[group[1:]]
+        return {n for n, task in enumerate(tasks) if task.state != cell_state.DONE}
+
+    def step_of(self, key):
+        """The step of a task."""
+        return self._works[key.job_id][key.step].step
+
+    def answers(self, question):
+        """Now and then no decision, or no answer, which excuses the step's wait."""
+        lot = self.lots.random()
+        if lot >= self._undecided_share + self._silent_share:
+            return virtual_cell.DECIDED
+        excused = self.watch.excused_ms
+        excused[question.group] = max(question.due_ms, excused.get(question.group, 0))
+        is_silent = lot < self._silent_share
+        return virtual_cell.SILENT if is_silent else virtual_cell.UNDECIDED
+
+    def began(self, machine, run):
+        """A run began; a gang's members work once all of them are there."""
+        key = task_key(run.order.task)
+        group = cell_state.GroupKey(*key[:3])
+        self.watch.started_ms[group] = self.loop.now_ms
+        if not self.step_of(key).gang:
+            super().began(machine, run)
+            return
+        members = self._gangs.setdefault((group, run.order.run), {})
+        members[key.index] = (machine, run)
+        run.began_ms = math.inf
+        if len(members) == self.step_of(key).tasks:
+            self._gang_begins(list(members.values()))
+
+    def ended(self, machine, run, how):
+        """A run ended."""
+        key = task_key(run.order.task)
+        group = cell_state.GroupKey(*key[:3])
+        if how == "done":
+            self._done[group].add(key.index)
+        elif how == "failed":
+            self._failures[group if self.step_of(key).gang else key] += 1
+
+    def _gang_begins(self, members):
+        """All members are there: they are done together, or one fails on the way."""
+        for _machine, run in members:
+            run.began_ms = self.loop.now_ms
+        work_ms = max(run.work_ms for _machine, run in members)
+        failing = [member for member in members if member[1].how == "failed"]
+
+        def end():
+            if any(run.is_over for _machine, run in members):
+                return
+            for machine, run in failing[:1] or members:
+                machine.end(run, run.how)
+
+        self.loop.after(work_ms / 2 if failing else work_ms, end)
+
+    def _watch(self):
+        self.watch.look()
+        self.loop.after(WATCH_INTERVAL_MS, self._watch)
+
+    def _worker(self, number):
+        millis = self.choices.choice(SIZES)
+        made = virtual_cell.worker(
+            number, millis, MB_PER_CPU_MILLI * millis, f"r{number // WORKERS_PER_RACK}"
+        )
+        return made._replace(labels=[self.choices.choice("ab"), made.labels[-1]])
+
+    def _submit_all(self):
+        lots = self.choices
+        lasting = 0
+        while lasting < LASTING_SHARE * self.capacity_millis:
+            work = self._lasting()
+            lasting += work.step.tasks * work.step.demand.cpu_millis
+            queue = lots.choice(self.queues)
+            self._submit(lots.uniform(0, LOAD_MS / 2), queue, [work])
+        room_ms = lots.uniform(0.1, 0.8) * self.capacity_millis * LOAD_MS
+        while room_ms > 0:
+            queue = lots.choice(self.queues)
+            works = self._works_of_a_job(self._shares[queue.name])
+            for work in works:
+                if not work.step.best_effort:
+                    room_ms -= sum(work.work_ms) * work.step.demand.cpu_millis
+            self._submit(lots.uniform(0, LOAD_MS), queue, works)
+
+    def _submit(self, moment_ms, queue, works):
+        self._number += 1
+        self.submit_at(moment_ms, queue.name, f"j{self._number}", works)
+
+    def _lasting(self):
+        lots = self.choices
+        tasks = lots.randrange(1, 5)
+        step = virtual_cell.step(
+            tasks,
+            lots.choice([1, 2, 4]) * CORES,
+            lots.choice([1, 2, 4]) * CORES,
+            1000,
+            long_running=True,
+            max_per_target=lots.choice([0, 1]),
+            checkpointing=lots.random() < 0.5,
+        )
+        return virtual_cell.Work(step, [math.inf] * tasks, lots.choice([0, 0.3, 0.8]))
+
+    def _works_of_a_job(self, share):
+        lots = self.choices
+        works = []
+        for number in range(lots.choice([1, 1, 2, 3, 5])):
+            after = sorted(lots.sample(range(number), min(number, lots.choice([1, 2]))))
+            works.append(self._work(after, share))
+        return works
+
+    def _work(self, after, share):
+        lots = self.choices
+        tasks = lots.choice([1, 1, 2, 2, 4, 4, 8, 16, 31, 60])
+        max_per_target = lots.choice([0, 0, 0, 0, 1, 2])
+        if max_per_target:
+            places = max_per_target * share * self.workers
+            tasks = max(1, min(tasks, int(WIDE_SHARE * places)))
+        is_gang = lots.random() < 0.25
+        most = WIDE_SHARE * share * self.capacity_millis / tasks
+        cpu = int(min(CORES * lots.choice([1, 4, 8]), lots.uniform(0.2, 1) * most))
+        cpu = max(CORES // 4, cpu)
+        mean_ms = lots.choice([100, 400, 1000, 2000])
+        work_ms = [mean_ms * lots.uniform(0.7, 1.5) for _ in range(tasks)]
+        if is_gang:
+            work_ms = [mean_ms] * tasks
+        step = virtual_cell.step(
+            tasks,
+            cpu,
+            int(cpu * lots.choice([0.5, 1, 2])),
+            int(mean_ms * lots.choice([0.3, 1, 1, 3])),
+            after,
+            gang=is_gang,
+            same_rack=is_gang and lots.random() < 0.3,
+            max_per_target=max_per_target,
+            checkpointing=lots.random() < 0.4,
+            best_effort=not is_gang and lots.random() < 0.1,
+            required_label=lots.choice(["", "", "", "", "a"]),
+            allow_duplicates=not is_gang and lots.random() < 0.2,
+        )
+        return virtual_cell.Work(step, work_ms, lots.choice([0, 0, 0, 0.02, 0.1]))
+
+    def _disturb(self, target_ids, number):
+        """Workers that leave, crash, drain, are cut off, and are added."""
+        lots = self.choices
+        for _event in range(lots.randrange(0, 7)):
+            moment_ms = lots.uniform(EVENTS_FROM_MS, EVENTS_TO_MS)
+            chosen = lots.sample(target_ids, lots.randrange(1, len(target_ids) // 4))
+            kind = lots.choice(["leave", "crash", "drain", "cut", "cut", "join"])
+            for_ms = lots.choice([300, 2000, 4800, 5600, 7000, 12_000])
+            self.events.append((int(moment_ms), kind, chosen, for_ms))
+            until_ms = moment_ms
+            if kind == "leave":
+                self.leave_at(moment_ms, chosen)
+            elif kind == "crash":
+                self.crash_at(moment_ms, chosen)
+                until_ms += SILENT_LEASE_MS
+            elif kind == "drain":
+                self.drain_at(moment_ms, chosen, 2000)
+                until_ms += 2000 + SILENT_LEASE_MS
+            elif kind == "cut":
+                self.cut_off_at(moment_ms, chosen, for_ms)
+                until_ms += max(for_ms, SILENT_LEASE_MS)
+            else:
+                records = [self._worker(number + n) for n in range(len(chosen))]
+                number += len(records)
+                self.join_at(moment_ms, records)
+            self.loop.at(moment_ms, lambda ms=until_ms: self.watch.disturbed(ms))
+
+
+def task_key(task):
+    """The key that a task's name spells."""
+    job_id, *numbers = task.split(".")
+    return cell_state.TaskKey(job_id, *(int(number) for number in numbers))
+
+
+def _queues(lots):
+    """A queue without a rule, one with a quick rule, two with a slow one."""
+
+    def rule(low_ms, high_ms, per_target_ms):
+        return cell.PermissionRule(
+            lots.randrange(low_ms, high_ms), per_target_ms, lots.randrange(1500, 2501)
+        )
+
+    queue = virtual_cell.queue
+    return [
+        queue("open", 1, 2.0, 1000),
+        queue("urgent", 0, 1.5, 500, permission=rule(20, 41, 0.25)),
+        queue("plan", 2, 2.2, 1200, permission=rule(400, 701, 5)),
+        queue("watch", 1, 2.2, 2500, permission=rule(400, 701, 2)),
+    ]
