--- a/tests/cell_broken_gang_test.py
+++ b/tests/cell_broken_gang_test.py
@@ -1,7 +1,9 @@
 """Gangs that lose a member while the others end."""
 
 from alderreach.core import cell_state
+from tests import cell_sim
 from tools import virtual_cell
+from tools.standins import cell_worker
 
 WORK_MS = 1_000
 
@@ -24,3 +26,33 @@
     job = made.leading.books.state.jobs["j1"]
     tasks = job.groups[(0, 0)]
     assert [task.state for task in tasks] == [cell_state.DONE] * 2, made.waits[-1]
+
+
+def test_a_gang_that_is_done_on_one_worker_and_lost_on_another(tmp_path):
+    """A gang's last moments fall into a cut of its two workers. One crashes there and
+    starts again; its member counts as lost, and the other's is to be stopped. Then the
+    other worker is reached: its member was done. One member done and one that waits is
+    a gang that is neither over nor started again, so its job stands still for ever.
+    """
+    with cell_sim.running_cell(tmp_path, workers=2) as sim:
+        workers = list(sim.workers.values())
+        for worker in workers:
+            worker.script = cell_worker.Script(work_ms=2000)
+        cell_sim.hand_in(sim, "j1", cell_sim.step(2, gang=True, max_per_target=1))
+        assert sim.run(1000, lambda: all(worker.running for worker in workers))
+        sim.run(1500)
+        for name in sim.names:
+            sim.cut |= {(name, "w1"), ("w1", name), (name, "w2"), ("w2", name)}
+        assert sim.run(1000, lambda: not any(worker.running for worker in workers))
+        workers[0].crash()
+        workers[0].restart()
+        sim.cut = {pair for pair in sim.cut if "w1" not in pair}
+        assert sim.run(2000, lambda: _is_waiting(sim, "j1"))
+        sim.cut = set()
+        sim.run_until_shown("j1", "completed", duration_ms=10_000)
+
+
+def _is_waiting(sim, job_id):
+    """Whether some task of the only step of a job waits to be started."""
+    tasks = sim.agreed().jobs[job_id].groups[(0, 0)]
+    return any(task.state == cell_state.WAITING for task in tasks)
--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -1,6 +1,6 @@
 """Failures of controllers and workers, and what callers and workers see of them."""
 
-from alderreach.core import cell_state, orders
+from alderreach.core import orders
 from alderreach.core.generated import cell
 from tests import cell_sim
 from tools.standins import cell_worker
@@ -100,77 +100,6 @@
         sim.run_until_shown("j1", "completed")
 
 
-def test_a_worker_that_was_cut_off_for_longer_than_its_lease_is_used_again(tmp_path):
-    """A worker is cut off until its lease has lapsed, and is reached again soon after,
-    the same life. Its heartbeats arrive, but it gets no work any more: the leader gave
-    up its runs, looks only at workers that have some, and trusts none whose last look
-    failed. Each short cut of a failure domain takes its workers away for good.
-    """
-    with cell_sim.running_cell(tmp_path, workers=1) as sim:
-        worker = sim.workers["w1"]
-        worker.script = cell_worker.Script(work_ms=20_000)
-        cell_sim.hand_in(sim, "j1", cell_sim.step(2))
-        assert sim.run(1000, lambda: worker.running)
-        for name in sim.names:
-            sim.cut |= {(name, "w1"), ("w1", name)}
-        sim.run(8000)
-        assert not worker.running
-        sim.cut = set()
-        worker.script = cell_worker.Script()
-        sim.run_until_shown("j1", "completed", duration_ms=5000)
-
-
-def test_an_idle_worker_is_used_again_after_a_look_without_an_answer(tmp_path):
-    """The look that has an idle worker forget its last ends gets no answer. Nothing
-    runs there, so it is never looked at again, and stays doubtful for ever.
-    """
-    with cell_sim.running_cell(tmp_path, workers=1) as sim:
-        cell_sim.hand_in(sim, "j1", cell_sim.step(1))
-        sim.run_until_shown("j1", "completed")
-        lost = []
-
-        def is_lost(call):
-            if isinstance(call.order, orders.Look) and not lost:
-                lost.append(call)
-                return True
-            return False
-
-        sim.lost_answers = is_lost
-        assert sim.run(1000, lambda: lost)
-        cell_sim.hand_in(sim, "j2", cell_sim.step(1))
-        sim.run_until_shown("j2", "completed", duration_ms=5000)
-
-
-def test_a_gang_that_is_done_on_one_worker_and_lost_on_another(tmp_path):
-    """A gang's last moments fall into a cut of its two workers. One crashes there and
-    starts again; its member counts as lost, and the other's is to be stopped. Then the
-    other worker is reached: its member was done. One member done and one that waits is
-    a gang that is neither over nor started again, so its job stands still for ever.
-    """
-    with cell_sim.running_cell(tmp_path, workers=2) as sim:
-        workers = list(sim.workers.values())
-        for worker in workers:
-            worker.script = cell_worker.Script(work_ms=2000)
-        cell_sim.hand_in(sim, "j1", cell_sim.step(2, gang=True, max_per_target=1))
-        assert sim.run(1000, lambda: all(worker.running for worker in workers))
-        sim.run(1500)
-        for name in sim.names:
-            sim.cut |= {(name, "w1"), ("w1", name), (name, "w2"), ("w2", name)}
-        assert sim.run(1000, lambda: not any(worker.running for worker in workers))
-        workers[0].crash()
-        workers[0].restart()
-        sim.cut = {pair for pair in sim.cut if "w1" not in pair}
-        assert sim.run(2000, lambda: _is_waiting(sim, "j1"))
-        sim.cut = set()
-        sim.run_until_shown("j1", "completed", duration_ms=10_000)
-
-
-def _is_waiting(sim, job_id):
-    """Whether some task of the only step of a job waits to be started."""
-    tasks = sim.agreed().jobs[job_id].groups[(0, 0)]
-    return any(task.state == cell_state.WAITING for task in tasks)
-
-
 def test_a_worker_born_again_under_its_id(tmp_path):
     """A worker crashes and starts again under its id before its lease lapses. Its runs
     are over; they are started anew as soon as its new life is heard of.
--- a/tests/cell_return_test.py
+++ b/tests/cell_return_test.py
@@ -91,6 +91,47 @@
         assert sim.agreed().targets["w1"].state == "draining"
 
 
+def test_a_worker_that_was_cut_off_for_longer_than_its_lease_is_used_again(tmp_path):
+    """A worker is cut off until its lease has lapsed, and is reached again soon after,
+    the same life. Its heartbeats arrive, but it gets no work any more: the leader gave
+    up its runs, looks only at workers that have some, and trusts none whose last look
+    failed. Each short cut of a failure domain takes its workers away for good.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        worker = sim.workers["w1"]
+        worker.script = cell_worker.Script(work_ms=20_000)
+        cell_sim.hand_in(sim, "j1", cell_sim.step(2))
+        assert sim.run(1000, lambda: worker.running)
+        for name in sim.names:
+            sim.cut |= {(name, "w1"), ("w1", name)}
+        sim.run(8000)
+        assert not worker.running
+        sim.cut = set()
+        worker.script = cell_worker.Script()
+        sim.run_until_shown("j1", "completed", duration_ms=5000)
+
+
+def test_an_idle_worker_is_used_again_after_a_look_without_an_answer(tmp_path):
+    """The look that has an idle worker forget its last ends gets no answer. Nothing
+    runs there, so it is never looked at again, and stays doubtful for ever.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        cell_sim.hand_in(sim, "j1", cell_sim.step(1))
+        sim.run_until_shown("j1", "completed")
+        lost = []
+
+        def is_lost(call):
+            if isinstance(call.order, orders.Look) and not lost:
+                lost.append(call)
+                return True
+            return False
+
+        sim.lost_answers = is_lost
+        assert sim.run(1000, lambda: lost)
+        cell_sim.hand_in(sim, "j2", cell_sim.step(1))
+        sim.run_until_shown("j2", "completed", duration_ms=5000)
+
+
 def _waiting(sim, job_id):
     """How many tasks of a job have no run, as the log has it."""
     groups = sim.agreed().jobs[job_id].groups
