--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -42,6 +42,8 @@
 LATE_AFTER_OBJECTIVES = 3
 # A lasting run that fails does so after this, evenly.
 LASTING_FAILS_MS = (1000.0, 10_000.0)
+# A submission without an answer is handed in again.
+CALLER_RETRIES_MS = 1000
 # How the permission service answers.
 DECIDED = "decided"
 UNDECIDED = "undecided"
@@ -92,7 +94,7 @@
 
 
 class VirtualCell:
-    """One leader, its workers and the permission service.
+    """One leader at a time, its workers and the permission service.
 
     ``helpers`` is how many processes put questions to the service, which lets the steps
     of a queue run on its share, by ``good_shares``, of the workers. ``cpu_s`` is the
@@ -123,32 +125,13 @@
             record.target_id: virtual_workers.Machine(self, record)
             for record in records
         }
-        state = cell_state.CellState()
+        self._log = cell_state.CellState()
         pools = [cell.ServiceConfig(POOL, False, False)]
-        state.config = cell.CellConfig(1, list(queues), pools, b"{}")
-        state.targets = {record.target_id: record for record in records}
-        clock = clocks.Clock(
-            lambda: int(self.loop.now_ms), lambda: int(self.loop.now_ms)
-        )
-        settings, problems = settings_parser.parse(SETTINGS, "virtual", "controller")
-        assert not problems, problems
-        self.leading = director.Leading(
-            1,
-            books.Environment(
-                settings=settings,
-                clock=clock,
-                metrics=metrics.Metrics(),
-                record=self._record,
-                confirm=lambda act, _refuse: self.loop.after(COMMIT_MS, act),
-                committed=lambda: state,
-                cell_offset_ms=lambda: 0,
-                is_time_known=lambda: True,
-                helpers=lambda: self._helpers,
-                ask=self._ask,
-                open_link=self._open_link,
-                contact="",
-            ),
-        )
+        self._log.config = cell.CellConfig(1, list(queues), pools, b"{}")
+        self._log.targets = {record.target_id: record for record in records}
+        self._epoch = 0
+        self.leading = None
+        self._lead_anew()
         self.loop.after(0, self._tick)
         self._heartbeats()
 
@@ -160,12 +143,22 @@
         )
         objective_ms = _objective_ms(self._queues[queue_name], works)
         self._due[job_id] = (queue_name, self.loop.now_ms, objective_ms)
-        self._request(request)
+        self._submit_until_accepted(request)
 
     def submit_at(self, moment_ms, queue_name, job_id, works):
         """Hand a job in later."""
         self.loop.at(moment_ms, lambda: self.submit(queue_name, job_id, works))
 
+    def _submit_until_accepted(self, request):
+        accepted = []
+        self._request(request, accepted.append)
+
+        def again():
+            if not accepted:
+                self._submit_until_accepted(request)
+
+        self.loop.after(CALLER_RETRIES_MS, again)
+
     def run_until(self, end_ms):
         """Let time pass."""
         self.loop.run_until(end_ms)
@@ -217,6 +210,11 @@
                 moment_ms + for_ms, lambda name=target_id: self._withdraw(name)
             )
 
+    def lose_leader_at(self, moment_ms, for_ms):
+        """The leader ends with all it has not committed; later another takes over."""
+        self.loop.at(moment_ms, self._lose_leader)
+        self.loop.at(moment_ms + for_ms, self._lead_anew)
+
     def call(self, act):
         """Have something happen at a worker."""
         self.loop.after(HOP_MS, act)
@@ -257,8 +255,45 @@
         self._saved[run.order.task] = before_ms + worked_ms
         return "saved"
 
-    def _open_link(self, record, _epoch):
-        return virtual_workers.Link(self, self._machines[record.target_id])
+    def _lead_anew(self):
+        """A new term begins, with what is committed."""
+        self._epoch += 1
+        now_ms = lambda: int(self.loop.now_ms)
+        settings, problems = settings_parser.parse(SETTINGS, "virtual", "controller")
+        assert not problems, problems
+        self.leading = director.Leading(
+            self._epoch,
+            books.Environment(
+                settings=settings,
+                clock=clocks.Clock(now_ms, now_ms),
+                metrics=metrics.Metrics(),
+                record=self._record,
+                confirm=lambda act, _refuse: self._after_commit(act),
+                committed=lambda: self._log,
+                cell_offset_ms=lambda: 0,
+                is_time_known=lambda: True,
+                helpers=lambda: self._helpers,
+                ask=self._ask,
+                open_link=self._open_link,
+                contact="",
+            ),
+        )
+
+    def _lose_leader(self):
+        self.leading = None
+
+    def _after_commit(self, act):
+        """Have something happen after a commit, if that leader still leads."""
+        leading = self.leading
+
+        def if_leading():
+            if self.leading is leading:
+                act()
+
+        self.loop.after(COMMIT_MS, if_leading)
+
+    def _open_link(self, record, epoch):
+        return virtual_workers.Link(self, self._machines[record.target_id], epoch)
 
     def _record(self, kind, **fields):
         self.starts += kind == "run_placed"
@@ -268,6 +303,8 @@
             self.waits.append(fields)
 
     def _take(self, mail):
+        if mail.epoch != self._epoch:
+            return
         if isinstance(mail, target_link.OrderAnswered):
             order_answers.order_answered(self.leading.books, mail)
         else:
@@ -276,15 +313,18 @@
 
     def _lead(self, act):
         """Run some of the leader's code, plan, and have the decisions committed."""
+        if self.leading is None:
+            return
         began_s = time.process_time()
         act()
         self.leading.planner.plan(int(self.loop.now_ms))
         batch, effects = self.leading.books.take_batch()
         self.cpu_s += time.process_time() - began_s
         if batch is not None:
-            self.loop.after(COMMIT_MS, lambda: self._committed(effects))
+            self._after_commit(lambda: self._committed(batch, effects))
 
-    def _committed(self, effects):
+    def _committed(self, batch, effects):
+        cell_state.apply_batch(self._log, batch)
         self._note_done()
         for effect in effects:
             self._lead(effect)
@@ -299,6 +339,11 @@
         self.loop.after(TICK_MS, self._tick)
 
     def _heartbeats(self):
+        self.loop.after(1000, self._heartbeats)
+        if self.leading is None:
+            return
+        self.leading.books.tidy()
+        self.leading.planner.tidy()
         for target_id, machine in self._machines.items():
             if machine.is_gone or machine.is_cut_off:
                 continue
@@ -307,7 +352,6 @@
                 self._announce(machine.record)
             else:
                 worker.announced_ms = int(self.loop.now_ms)
-        self.loop.after(1000, self._heartbeats)
 
     def _announce(self, record):
         """A heartbeat that tells something new."""
@@ -330,8 +374,8 @@
             self._request(cell.WithdrawTarget(target_id))
         machine.leave()
 
-    def _request(self, request):
-        self._lead(lambda: requests.handle(self.leading, request, lambda answer: None))
+    def _request(self, request, reply=lambda answer: None):
+        self._lead(lambda: requests.handle(self.leading, request, reply))
 
     def answers(self, question):
         """How the permission service answers: DECIDED, UNDECIDED or SILENT."""
@@ -354,19 +398,22 @@
         answer = cell.PermissionAnswer(
             question.query_id, is_decided, granted if is_decided else []
         )
-        self.loop.after(
-            2 * HOP_MS + (0 if is_cut else took_ms),
-            lambda: self._lead(lambda: verdicts.take(self.leading.books, answer)),
-        )
+        leading = self.leading
+
+        def tell():
+            if self.leading is leading:
+                self._lead(lambda: verdicts.take(leading.books, answer))
+
+        self.loop.after(2 * HOP_MS + (0 if is_cut else took_ms), tell)
 
     def _may_run(self, job, group, target_id):
         share = self._good_shares.get(job.record.queue.name, 1.0)
         return random.Random(f"{group}{target_id}").random() < share
 
     def _note_done(self):
-        jobs = self.leading.books.state.jobs
+        jobs = self.leading.books.state.jobs if self.leading else self._log.jobs
         for job_id in self._due:
-            is_done = jobs[job_id].state == cell_state.COMPLETED
+            is_done = job_id in jobs and jobs[job_id].state == cell_state.COMPLETED
             if is_done and job_id not in self._done_ms:
                 self._done_ms[job_id] = self.loop.now_ms
 
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -40,6 +40,7 @@
         self.held = None
         self.is_gone = False
         self.is_cut_off = False
+        self.epoch = 0
         self.lease_until_ms = 0
         self._is_watched = False
 
@@ -75,6 +76,9 @@
         """Carry an order out; returns the ``orders.OrderResult``."""
         if self.is_gone:
             return orders.OrderResult(orders.OTHER_LIFE)
+        if order.epoch < self.epoch:
+            return orders.OrderResult(orders.FENCED, self._clock_ms())
+        self.epoch = order.epoch
         outcome = orders.OK
         if isinstance(order, orders.Start):
             outcome = self._start(order)
@@ -84,6 +88,10 @@
 
     def look(self, look, answer):
         """Answer a look once there is an end, or its time is over."""
+        if look.epoch < self.epoch:
+            answer(orders.LookResult(orders.FENCED, self._clock_ms()))
+            return
+        self.epoch = look.epoch
         self.ends = [end for end in self.ends if end.number > look.cursor]
         if look.lease_until_ms is not None:
             self._extend(look.lease_until_ms)
@@ -178,8 +186,8 @@
 class Link:
     """Stands for ``target_link.TargetLink``."""
 
-    def __init__(self, world, machine):
-        self._world, self._machine = world, machine
+    def __init__(self, world, machine, epoch):
+        self._world, self._machine, self._epoch = world, machine, epoch
 
     def order(self, order):
         self._world.call(lambda: self._carry_out(order))
@@ -220,4 +228,5 @@
         )
 
     def _mail(self, kind, order, result):
-        self._world.mail(kind(1, self._machine.record.target_id, order, result))
+        name = self._machine.record.target_id
+        self._world.mail(kind(self._epoch, name, order, result))
