--- a/tools/virtual_days.py
+++ b/tools/virtual_days.py
@@ -2,9 +2,10 @@
 
 The check looks at the model's machines, not at the leader's view of them: what runs
 where, what is free, which workers are reached, whom the permission service would let
-run a step. It takes from the leader only which tasks it counts as done. A task is
-broken off as *standing* if, for long enough and with nothing that excuses it, its turn
-had come and there was room, yet nothing of its step started.
+run a step. It takes from the leader only which tasks it counts as done, and at the end
+compares that with what the machines saw. A step is *standing* if, for long enough and
+with nothing that excuses it, its turn had come and there was room, yet nothing of it
+started.
 
 >>> day = Day(seed=3)
 >>> day.play()
@@ -35,6 +36,9 @@
 FULL_SHARE = 0.5
 
 EVENTS_FROM_MS, EVENTS_TO_MS = 3_000, 14_000
+KINDS = ("leave", "crash", "drain", "cut", "cut", "join", "reborn", "leader", "leader")
+NO_LEADER_MS = (300, 1500, 4000)
+REBORN_AFTER_MS = 700
 LOAD_MS = 20_000
 END_MS = 60_000
 # As many processes as the largest site has.
@@ -80,7 +84,9 @@
         self.calm_from_ms = max(self.calm_from_ms, until_ms + CALM_MS)
 
     def look(self):
-        """Look at everything once."""
+        """Look at everything once, unless nobody leads."""
+        if self.day.leading is None:
+            return
         now_ms = self.day.loop.now_ms
         up = [machine for machine in self.day.machines() if machine.is_up()]
         full_share = self._full_share(up)
@@ -215,7 +221,7 @@
         super().__init__(self.queues, records, HELPERS, self._shares, seed)
         self.watch = Watch(self)
         self._submit_all()
-        self._disturb([record.target_id for record in records], len(records))
+        self._disturb({record.target_id: record for record in records})
         self._watch()
 
     def play(self):
@@ -416,13 +422,13 @@
         )
         return virtual_cell.Work(step, work_ms, lots.choice([0, 0, 0, 0.02, 0.1]))
 
-    def _disturb(self, target_ids, number):
-        """Workers that leave, crash, drain, are cut off, and are added."""
-        lots = self.choices
+    def _disturb(self, by_id):
+        """Workers leave, crash, drain, are cut off, added and reborn; leaders end."""
+        lots, target_ids, number = self.choices, list(by_id), len(by_id)
         for _event in range(lots.randrange(0, 7)):
             moment_ms = lots.uniform(EVENTS_FROM_MS, EVENTS_TO_MS)
             chosen = lots.sample(target_ids, lots.randrange(1, len(target_ids) // 4))
-            kind = lots.choice(["leave", "crash", "drain", "cut", "cut", "join"])
+            kind = lots.choice(KINDS)
             for_ms = lots.choice([300, 2000, 4800, 5600, 7000, 12_000])
             self.events.append((int(moment_ms), kind, chosen, for_ms))
             until_ms = moment_ms
@@ -434,6 +440,16 @@
             elif kind == "drain":
                 self.drain_at(moment_ms, chosen, 2000)
                 until_ms += 2000 + SILENT_LEASE_MS
+            elif kind == "leader":
+                gap_ms = lots.choice(NO_LEADER_MS)
+                self.lose_leader_at(moment_ms, gap_ms)
+                until_ms += gap_ms + SILENT_LEASE_MS
+            elif kind == "reborn":
+                self.crash_at(moment_ms, chosen)
+                born_ms = int(moment_ms) + REBORN_AFTER_MS
+                lives = [by_id[name]._replace(born_ms=born_ms) for name in chosen]
+                self.join_at(born_ms, lives)
+                until_ms += SILENT_LEASE_MS
             elif kind == "cut":
                 self.cut_off_at(moment_ms, chosen, for_ms)
                 until_ms += max(for_ms, SILENT_LEASE_MS)
