--- a/tests/cell_helper_test.py
+++ b/tests/cell_helper_test.py
@@ -1,6 +1,9 @@
 """Processes that put the leader's questions to the permission service, or fail to."""
 
+from alderreach.core import codec
 from alderreach.core.generated import cell
+from alderreach.ops.controller import director
+from tests import cell_sim, memory_cell
 from tools import virtual_cell
 
 RULE = cell.PermissionRule(825, 7, 2_500)
@@ -25,3 +28,39 @@
     """
     states = {kind: state_with(kind) for kind in ("silent_helpers", "cut_helpers")}
     assert states == {"silent_helpers": "completed", "cut_helpers": "completed"}
+
+
+def test_an_answer_to_a_question_of_an_earlier_term_is_not_taken(tmp_path, monkeypatch):
+    """A job stands still for ever though the permission service lets it run anywhere.
+    Its leader started anew while a question about another job was on its way, and
+    numbers its questions anew. The answer to the old first question was taken for that
+    to the new one: nobody may run the new job, and a verdict is never asked for again.
+    """
+    queries = []
+    deliver = director.Director.deliver
+
+    def note_query(made, received):
+        if isinstance(received.message, cell.PermissionQuery):
+            queries.append(received.message)
+        else:
+            deliver(made, received)
+
+    def answer(sim, query, granted):
+        packed = codec.pack(cell.PermissionAnswer(query.query_id, True, granted))
+        sim.network.append(memory_cell.Message(memory_cell.CLIENT, "k1", packed))
+
+    monkeypatch.setattr(director.Director, "deliver", note_query)
+    with cell_sim.running_cell(tmp_path, controllers=1) as sim:
+        assert sim.configure(version=2, permission=RULE).kind == "accepted"
+        cell_sim.hand_in(sim, "old", cell_sim.step(1))
+        assert sim.run(5_000, lambda: queries)
+        old = queries.pop()
+        sim.answer(sim.request(cell.CancelJob(cell_sim.HOST, cell_sim.PREFIX + "old")))
+        sim.crash("k1")
+        sim.start("k1")
+        cell_sim.hand_in(sim, "new", cell_sim.step(1))
+        assert sim.run(10_000, lambda: queries)
+        answer(sim, old, [])
+        sim.run(100)
+        answer(sim, queries[-1], [cell.Ticket(t, "t") for t in queries[-1].targets])
+        sim.run_until_shown("new", "completed", duration_ms=10_000)
