--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -123,8 +123,7 @@
         elif isinstance(message, cell.GreetingReply):
             self.seeker.heard(message, address, self._clock.monotonic_ms())
         elif isinstance(message, cell.PermissionAnswer):
-            if self._leading is not None:
-                verdicts.take(self._leading.books, message)
+            self._permission_answered(message)
         elif isinstance(message, cell.PermissionQuery):
             self._ask_here(message, address)
         elif isinstance(message, cell.CellReply):
@@ -257,9 +256,23 @@
 
     def _ask(self, question):
         step = ".".join(str(part) for part in question.group)
-        query = cell.PermissionQuery(question.query_id, step, question.target_ids)
+        query_id = f"{self._leading.books.epoch}/{question.query_id}"
+        query = cell.PermissionQuery(query_id, step, question.target_ids)
         self._post(question.helper, query)
 
+    def _permission_answered(self, message):
+        """Take an answer to a question of this term; each numbers its own from 1.
+
+        Failure answered: an answer comes after its leader has lost its term, or started
+        anew, and leads again. Taken for that to another question, it would turn down
+        workers for a step that may run there, and a verdict is never asked for again.
+        """
+        if self._leading is None:
+            return
+        epoch, _slash, query_id = message.query_id.partition("/")
+        if epoch == str(self._leading.books.epoch):
+            verdicts.take(self._leading.books, message._replace(query_id=query_id))
+
     def _greeted(self, message, address):
         now_ms = self._clock.monotonic_ms()
         if address != self._own_address:
