--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -194,6 +194,10 @@
         if used + demand > worker.capacity.cpu_millis:
             raise cell_worker.Broken(f"{worker.name} is over its capacity")
 
+    def may_end(self, task):
+        """No task waits for others."""
+        return True
+
     def note_end(self, end):
         """An end was acknowledged; a task that is done never starts again."""
         if end.how == "done":
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -74,6 +74,10 @@
         if how == DONE:
             self.done.add(task)
 
+    def may_end(self, task):
+        """No task waits for others."""
+        return True
+
     def unfinished(self, job_id):
         """Tasks of a job of which no run has ended well."""
         with self.lock:
--- /dev/null
+++ b/tools/standins/permissions.py
@@ -0,0 +1,63 @@
+"""The permission service of the users' platform, by its published protocol.
+
+It decides which workers may run a step, takes its time over each question, and gives
+tickets that age and end with their worker's life. A caller keeps one connection, whose
+questions are served in turn.
+"""
+
+import json
+import threading
+import time
+import typing
+
+from alderreach.utils import http_server
+
+LIMITS = http_server.HttpLimits(16, 16384, 1 << 20, 5000)
+
+
+class Rule(typing.NamedTuple):
+    """How the service decides on a queue, in the words of a configuration."""
+
+    decision_ms: float
+    per_worker_ms: float
+    validity_ms: float
+
+
+class PermissionService:
+    """Serves ``/-/advise``; ``may_run(step, worker)`` never changes its mind."""
+
+    def __init__(self, address, rule, may_run):
+        self._rule = rule
+        self._may_run = may_run
+        self._lock = threading.Lock()
+        self._until_s = {}
+        self._server = http_server.HttpServer(address, self._application, LIMITS)
+
+    def close(self):
+        """Stop answering."""
+        self._server.close()
+
+    def is_valid(self, ticket, task, worker):
+        """Whether a ticket allows a start of a task on a worker now."""
+        key = (task.rpartition(".")[0], worker, ticket)
+        with self._lock:
+            return time.monotonic() < self._until_s.get(key, 0)
+
+    def life_over(self, worker):
+        """Tickets for a worker end with its life."""
+        with self._lock:
+            for key in [key for key in self._until_s if key[1] == worker]:
+                del self._until_s[key]
+
+    def _application(self, environ, start_response):
+        body = json.loads(environ["wsgi.input"].read())
+        step, workers = body["step"], body["workers"]
+        rule = self._rule
+        time.sleep((rule.decision_ms + rule.per_worker_ms * len(workers)) / 1000)
+        until_s = time.monotonic() + rule.validity_ms / 1000
+        good = [[w, f"t-{w}-{until_s}"] for w in workers if self._may_run(step, w)]
+        with self._lock:
+            self._until_s |= {(step, w, ticket): until_s for w, ticket in good}
+        data = json.dumps({"good": good}).encode()
+        start_response("200 OK", [("Content-Length", str(len(data)))])
+        return [data]
