--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -13,13 +13,28 @@
 import urllib3
 from hdrh.histogram import HdrHistogram
 
+from tools.soak import promises as promises_module
+
 HOST = "a.example"
-PREFIX = "/q/"
+FREE, PERMITTED = "/q/", "/p/"
 TIMEOUT_S = 3.0
 PAUSE_S = 0.15
 ATTEMPTS = 12
 REJECTED = (429, 503)
 HIGHEST_MS = 600_000
+WIDE_CPU_MILLIS = 5000
+
+
+def prefix_of(job_id):
+    """The queue of a job: every other one may run on permitted workers only."""
+    return PERMITTED if int(job_id, 16) % 2 else FREE
+
+
+def _spelled(step):
+    """A step as a caller spells it: what is empty or false is left out."""
+    said = {"count": step.count, "cpu": step.cpu_millis, "mem_mb": 1}
+    said |= {"estimated_ms": 200, "after": step.after, "gang": step.gang}
+    return {name: value for name, value in said.items() if value}
 
 
 class Answer(typing.NamedTuple):
@@ -89,21 +104,19 @@
             lots = self._lots
             self._number += 1
             job_id = f"{self._number:016x}"
-            steps = [(lots.randrange(1, 6), lots.choice([500, 1000, 2000]), [])]
-            if lots.random() < 0.5:
-                steps.append((lots.randrange(1, 4), 500, [0]))
+            step = promises_module.Step
+            steps = [step(lots.randrange(1, 6), lots.choice([500, 1000, 2000]))]
+            kind = lots.random()
+            if kind < 0.5:
+                steps.append(step(lots.randrange(1, 4), 500, [0]))
+            elif kind < 0.7:
+                # Each task takes more than half of a worker.
+                steps.append(step(2, WIDE_CPU_MILLIS, [0], gang=kind < 0.6))
             return job_id, steps, lots.random() < 0.15
 
     def _submit(self, session, job_id, steps):
         body = json.dumps(
-            {
-                "spec": "run",
-                "steps": [
-                    {"count": n, "cpu": cpu, "mem_mb": 1, "estimated_ms": 200}
-                    | ({"after": after} if after else {})
-                    for n, cpu, after in steps
-                ],
-            }
+            {"spec": "run", "steps": [_spelled(s) for s in steps]}
         ).encode()
         statuses = []
         for _attempt in range(ATTEMPTS):
@@ -135,7 +148,7 @@
         try:
             answer = session.request(
                 method,
-                f"http://{address}{PREFIX}{job_id}",
+                f"http://{address}{prefix_of(job_id)}{job_id}",
                 body=body,
                 headers={"Host": HOST, "Deadline-Ms": str(int(TIMEOUT_S * 1000))},
             )
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -6,6 +6,8 @@
 """
 
 import contextlib
+import functools
+import itertools
 import json
 import random
 import time
@@ -18,26 +20,31 @@
 from tools.soak import callers as callers_module
 from tools.soak import faults as faults_module
 from tools.soak import promises as promises_module
-from tools.standins import platform_worker
+from tools.standins import permissions, platform_worker
 
 CONTROLLERS, FRONTENDS, WORKERS = 4, 2, 4
 CPU_MILLIS = 8000
 WORK_MS = (60, 250, 900)
 # After the last fault: elections, leases of 4.5 s, connections held by the kernel.
 CALM_S = 60
+# In the calm, accepted work that waits for longer than this without any start is lost.
+STILL_S = 20
+RULE = permissions.Rule(decision_ms=60, per_worker_ms=2, validity_ms=1000)
+ROUTE = {
+    "host": callers_module.HOST,
+    "timeout_ms": 3000,
+    "target_latency_ms": 500,
+    "service": "pool",
+    "max_attempts": 3,
+    "stretch": 2.0,
+}
 CONFIG = {
     "version": 1,
     "routes": [
-        {
-            "name": "q",
-            "host": callers_module.HOST,
-            "path_prefix": callers_module.PREFIX,
-            "timeout_ms": 3000,
-            "target_latency_ms": 500,
-            "service": "pool",
-            "max_attempts": 3,
-            "stretch": 2.0,
-        }
+        ROUTE | {"name": "q", "path_prefix": callers_module.FREE},
+        ROUTE
+        | {"name": "p", "path_prefix": callers_module.PERMITTED}
+        | {"advice": RULE._asdict()},
     ],
     "services": [{"name": "pool"}],
 }
@@ -60,11 +67,13 @@
 class Worker(platform_worker.PlatformWorker):
     """A stand-in worker behind the relay, whose starts and ends are checked."""
 
-    def __init__(self, name, address, relayed, link, controls, promises, work_ms):
+    def __init__(self, name, address, relayed, link, controls, scene, work_ms):
+        promises, self._permission = scene
         super().__init__(name, address, controls, work_ms=work_ms, world=promises)
         self.relayed = relayed
         self.link = link
         self.worker.capacity = common.Resources(CPU_MILLIS, 16384, 0)
+        self.worker.permits = self._permits
         promises.workers.append(self.worker)
 
     def crash(self):
@@ -75,12 +84,18 @@
     def restart(self):
         """Begin a new life under the same id."""
         with self._lock:
+            self._permission.life_over(self.name)
             self.worker.restart()
 
+    def _permits(self, start):
+        job_id = start.task.partition(".")[0]
+        if callers_module.prefix_of(job_id) == callers_module.FREE:
+            return True
+        return self._permission.is_valid(start.ticket, start.task, self.name)
+
 
 def play(seed, folder, duration_s):
     """Play a seed's faults for so long, then wait until all is as it should be."""
-    lots = random.Random(f"workers {seed}")
     promises = promises_module.Promises()
     with contextlib.ExitStack() as stack:
         running = stack.enter_context(
@@ -91,16 +106,20 @@
         running.start()
         controls = [plan.control for plan in running.of_role("controller")]
         cell.wait_until(lambda: _configure(controls), "a configuration is accepted")
-        workers = _start_workers(running, links, controls, promises, lots, stack)
+        service = permissions.PermissionService(
+            running.permission, RULE, functools.partial(may_run, seed)
+        )
+        stack.callback(service.close)
+        scene = (promises, service)
+        hire = _hiring(running, links, controls, scene, seed, stack)
+        workers = [hire(place) for place in range(WORKERS)]
         addresses = _link_frontends(running, links)
         _wait_ready(running)
         calling = callers_module.Callers(
             addresses, promises, random.Random(f"callers {seed}")
         ).start()
         stack.callback(calling.stop)
-        troubles = faults_module.Faults(
-            running, links, workers, random.Random(f"faults {seed}")
-        )
+        troubles = faults_module.Faults(running, links, workers, hire, seed)
         troubles.play(duration_s)
         calling.stop()
         _check_calm(calling, promises)
@@ -117,6 +136,21 @@
         )
 
 
+def may_run(seed, step, worker):
+    """Whether the permission service lets a step run on a worker: two places or three.
+
+    A worker that comes in another's place may run the same steps, so that whatever was
+    accepted can run once all places are taken.
+    """
+    lots = random.Random(f"permits {seed} {step}")
+    places = lots.sample(range(WORKERS), lots.choice([2, 3]))
+    return _number_of(worker) % WORKERS in places
+
+
+def _number_of(worker):
+    return int(worker.removeprefix("i-"))
+
+
 def _configure(controls):
     http = urllib3.PoolManager(retries=False, timeout=2)
     try:
@@ -127,26 +161,32 @@
         return False
 
 
-def _start_workers(running, links, controls, promises, lots, stack):
-    made = []
-    for number in range(1, WORKERS + 1):
+def _hiring(running, links, controls, scene, seed, stack):
+    """A function that starts a worker with a fresh id in one of the places."""
+    lots = random.Random(f"workers {seed}")
+    rounds = [itertools.count(place, WORKERS) for place in range(WORKERS)]
+
+    def hire(place):
+        number = next(rounds[place])
         listen, target = (
-            f"127.{running.octet}.7.{number}",
-            f"127.{running.octet}.8.{number}",
+            f"127.{running.octet}.7.{number + 1}",
+            f"127.{running.octet}.8.{number + 1}",
         )
-        links.add(f"worker-{number}", (listen, 7096), (target, 7096))
+        link = f"worker-{place + 1}"
+        links.add(link, (listen, 7096), (target, 7096))
         worker = Worker(
             f"i-{number}",
             f"{target}:7096",
             f"{listen}:7096",
-            f"worker-{number}",
+            link,
             controls,
-            promises,
+            scene,
             lots.choice(WORK_MS),
         )
         stack.callback(worker.close)
-        made.append(worker.start())
-    return made
+        return worker.start()
+
+    return hire
 
 
 def _link_frontends(running, links):
@@ -177,12 +217,17 @@
 def _check_calm(calling, promises):
     """All accepted jobs end as they should; nothing is left of cancelled ones."""
     session = calling.session()
+    starts, started_s = promises.starts, time.monotonic()
     left = [job_id for job_id in calling.accepted if job_id not in calling.cancelled]
     give_up_s = time.monotonic() + CALM_S
-    while left and time.monotonic() < give_up_s:
+    while left and time.monotonic() < min(give_up_s, started_s + STILL_S):
         left = [j for j in left if calling.state(session, j) != "completed"]
+        if promises.starts != starts:
+            starts, started_s = promises.starts, time.monotonic()
         time.sleep(0.2)
-    promises.broken += [f"{job_id} is not completed" for job_id in left]
+    for job_id in left:
+        first = next(iter(promises.unfinished(job_id)), "nothing")
+        promises.broken.append(f"{job_id} is not completed: {first} is left")
     for job_id in calling.accepted:
         if job_id in calling.cancelled:
             if promises.running(job_id):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,8 +5,11 @@
 through a relay that cuts, slows and resets them; disks are emptied while their process
 is down. What the cell promises to bear is kept to: one controller out of three voters
 is gone or without its disk at a time, but all of them may lose power together.
+Workers leave for good, and others come in their place, one at a time: each step may
+run on two of the four places or more, and has to be able to run in the end.
 """
 
+import random
 import shutil
 import signal
 import threading
@@ -16,6 +19,8 @@
 from tools import relay as relay_module
 
 ROLES = ("controller", "frontend")
+# A worker that drains serves for at least two seconds.
+DRAIN_S = 2.2
 
 
 class Fault(typing.NamedTuple):
@@ -30,11 +35,13 @@
 class Faults:
     """Draws faults until its time is over, then mends all."""
 
-    def __init__(self, running, relay, workers, lots):
+    def __init__(self, running, relay, workers, hire, seed):
         self._running = running
         self._relay = relay
         self._workers = workers
-        self._lots = lots
+        self._hire = hire
+        self._lots = random.Random(f"faults {seed}")
+        self._turnover_lots = random.Random(f"turnover {seed}")
         self._lock = threading.Lock()
         self._busy = set()
         self._began_s = time.monotonic()
@@ -55,7 +62,8 @@
     def play(self, duration_s):
         """Faults for so long; returns once the last one is mended."""
         give_up_s = time.monotonic() + duration_s
-        threads = []
+        threads = [threading.Thread(target=self._turn_over, args=[give_up_s])]
+        threads[0].start()
         while time.monotonic() < give_up_s:
             kind = self._lots.choice(list(self._kinds))
             hold_s = self._lots.choice([0.05, 0.4, 1.5, 4.0])
@@ -133,8 +141,8 @@
         self._link(kind, hold_s, lot, lambda name: self._relay.reset([name]))
 
     def _worker_crash(self, kind, hold_s, lot):
-        worker = self._workers[int(lot * len(self._workers))]
         with self._lock:
+            worker = self._workers[int(lot * len(self._workers))]
             if worker.name in self._busy:
                 return
             self._busy.add(worker.name)
@@ -148,6 +156,33 @@
         self._relay.heal([worker.link])
         self._free([worker.name])
 
+    def _turn_over(self, give_up_s):
+        lots = self._turnover_lots
+        while time.monotonic() < give_up_s:
+            kind = lots.choice(["drain", "vanish"])
+            place = lots.randrange(len(self._workers))
+            self._replace(kind, lots.choice([0.05, 0.4, 1.5, 3.0]), place)
+            time.sleep(lots.choice([0.1, 0.5, 1.2]))
+
+    def _replace(self, kind, hold_s, place):
+        """A worker leaves for good; after a while another comes in its place."""
+        with self._lock:
+            worker = self._workers[place]
+            if worker.name in self._busy:
+                return
+            self._busy.add(worker.name)
+        self._note(kind, hold_s, worker.name)
+        if kind == "drain":
+            worker.drain()
+            time.sleep(DRAIN_S)
+            worker.leave()
+        else:
+            worker.vanish()
+        time.sleep(hold_s)
+        hired = self._hire(place)
+        with self._lock:
+            self._workers[place] = hired
+
     def _one(self, kind, hold_s, lot, roles, act):
         """A fault of one process; of the controllers one at a time."""
         plans = [plan for plan in self._running.plans if plan.role in roles]
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -6,12 +6,22 @@
 
 import threading
 import types
+import typing
 
 from alderreach.utils import clocks
 
 DONE = "done"
 
 
+class Step(typing.NamedTuple):
+    """A step of a job; ``after`` are the numbers of earlier ones."""
+
+    count: int
+    cpu_millis: int
+    after: list[int] = []
+    gang: bool = False
+
+
 class Promises:
     """The world that the stand-in workers share; ``lock`` guards all of it."""
 
@@ -31,7 +41,7 @@
         return types.SimpleNamespace(now_ms=clocks.SYSTEM.monotonic_ms())
 
     def submitted(self, job_id, steps):
-        """A caller is about to hand a job in; ``steps`` as (count, cpu, after)."""
+        """A caller is about to hand a job in; ``steps`` as ``Step``."""
         with self.lock:
             self.steps[job_id] = steps
 
@@ -67,16 +77,22 @@
     def note_end(self, end):
         """An end was acknowledged."""
         if end.how == DONE:
-            self.noted.add(end.task)
+            self.noted.update(self._gang(end.task))
 
     def saw_end(self, task, how):
         """A run has ended on a worker."""
-        if how == DONE:
-            self.done.add(task)
+        if how != DONE:
+            return
+        self.done.add(task)
+        for worker in self.workers:
+            for mate in self._gang(task):
+                if mate in worker.running and mate not in self.done:
+                    worker.end(mate, DONE)
 
     def may_end(self, task):
-        """No task waits for others."""
-        return True
+        """The members of a gang work only while all of them run."""
+        present = {t for w in self.workers if not w.is_down for t in w.running}
+        return present.issuperset(self._gang(task))
 
     def unfinished(self, job_id):
         """Tasks of a job of which no run has ended well."""
@@ -102,14 +118,22 @@
     def _tasks(self, job_id):
         return [
             f"{job_id}.0.{number}.{index}"
-            for number, (count, _cpu, _after) in enumerate(self.steps[job_id])
-            for index in range(count)
+            for number, step in enumerate(self.steps[job_id])
+            for index in range(step.count)
         ]
 
+    def _gang(self, task):
+        """The tasks that end together with a task, itself among them."""
+        job_id, occurrence, number, _index = task.split(".")
+        step = self.steps[job_id][int(number)]
+        if not step.gang:
+            return [task]
+        return [f"{job_id}.{occurrence}.{number}.{n}" for n in range(step.count)]
+
     def _check_order(self, task, job_id, number):
         steps = self.steps[job_id]
-        for earlier in steps[number][2]:
-            for index in range(steps[earlier][0]):
+        for earlier in steps[number].after:
+            for index in range(steps[earlier].count):
                 if f"{job_id}.0.{earlier}.{index}" not in self.done:
                     self.broken.append(f"{task} starts before step {earlier} is done")
                     return
@@ -121,4 +145,4 @@
 
     def _need(self, task):
         job_id, _occurrence, number, _index = task.split(".")
-        return self.steps[job_id][int(number)][1]
+        return self.steps[job_id][int(number)].cpu_millis
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -14,6 +14,8 @@
     "slow": "s",
     "reset": "r",
     "worker_crash": "x",
+    "drain": "d",
+    "vanish": "v",
 }
 
 
