--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -99,6 +99,21 @@
     assert made.broken == ["g.0.0.1 starts after its end was acknowledged"]
 
 
+def test_a_task_that_lasts_has_to_run_again_after_its_end():
+    made = world()
+    made.submitted("s", [promises.Step(1, 1000, lasts=True)])
+    run_on(made, 0, "s.0.0.0")
+    assert made.may_end("s.0.0.0")
+    made.workers[0].end("s.0.0.0", "done")
+    made.note_end(made.workers[0].ends[0])
+    assert made.unfinished("s") == ["s.0.0.0"]
+    made.check_start(made.workers[1], Order("s.0.0.0", 2))
+    run_on(made, 1, "s.0.0.0")
+    assert made.unfinished("s") == []
+    assert not made.may_end("s.0.0.0")
+    assert made.broken == []
+
+
 def test_accepted_work_that_stands_still_is_seen(monkeypatch):
     """In the calm a job stays as it is, and nothing starts any more."""
     monkeypatch.setattr(day, "STILL_S", 0.1)
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -23,6 +23,8 @@
 REJECTED = (429, 503)
 HIGHEST_MS = 600_000
 WIDE_CPU_MILLIS = 5000
+# Jobs that last: all six together leave any worker room for a task that is wide.
+LASTING = range(5, 95, 15)
 
 
 def prefix_of(job_id):
@@ -34,6 +36,7 @@
     """A step as a caller spells it: what is empty or false is left out."""
     said = {"count": step.count, "cpu": step.cpu_millis, "mem_mb": 1}
     said |= {"estimated_ms": 200, "after": step.after, "gang": step.gang}
+    said |= {"long_running": step.lasts}
     return {name: value for name, value in said.items() if value}
 
 
@@ -105,6 +108,8 @@
             self._number += 1
             job_id = f"{self._number:016x}"
             step = promises_module.Step
+            if self._number in LASTING:
+                return job_id, [step(1, 500, lasts=True)], lots.random() < 0.15
             steps = [step(lots.randrange(1, 6), lots.choice([500, 1000, 2000]))]
             kind = lots.random()
             if kind < 0.5:
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -144,11 +144,7 @@
     """
     lots = random.Random(f"permits {seed} {step}")
     places = lots.sample(range(WORKERS), lots.choice([2, 3]))
-    return _number_of(worker) % WORKERS in places
-
-
-def _number_of(worker):
-    return int(worker.removeprefix("i-"))
+    return int(worker.removeprefix("i-")) % WORKERS in places
 
 
 def _configure(controls):
@@ -221,16 +217,25 @@
     left = [job_id for job_id in calling.accepted if job_id not in calling.cancelled]
     give_up_s = time.monotonic() + CALM_S
     while left and time.monotonic() < min(give_up_s, started_s + STILL_S):
-        left = [j for j in left if calling.state(session, j) != "completed"]
+        left = [j for j in left if not _is_well(calling, promises, session, j)]
         if promises.starts != starts:
             starts, started_s = promises.starts, time.monotonic()
         time.sleep(0.2)
     for job_id in left:
         first = next(iter(promises.unfinished(job_id)), "nothing")
-        promises.broken.append(f"{job_id} is not completed: {first} is left")
+        wanted = "running" if promises.lasts(job_id) else "completed"
+        promises.broken.append(f"{job_id} is not {wanted}: {first} is left")
     for job_id in calling.accepted:
         if job_id in calling.cancelled:
             if promises.running(job_id):
                 promises.broken.append(f"{job_id} was cancelled and runs on")
         elif job_id not in left and promises.unfinished(job_id):
             promises.broken.append(f"{job_id} is shown as completed and is not")
+
+
+def _is_well(calling, promises, session, job_id):
+    """Whether a job is completed; one that lasts runs, with all its tasks."""
+    state = calling.state(session, job_id)
+    if not promises.lasts(job_id):
+        return state == "completed"
+    return state == "running" and not promises.unfinished(job_id)
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -20,6 +20,7 @@
     cpu_millis: int
     after: list[int] = []
     gang: bool = False
+    lasts: bool = False
 
 
 class Promises:
@@ -77,7 +78,7 @@
     def note_end(self, end):
         """An end was acknowledged."""
         if end.how == DONE:
-            self.noted.update(self._gang(end.task))
+            self.noted.update(self._over_with(end.task))
 
     def saw_end(self, task, how):
         """A run has ended on a worker."""
@@ -85,19 +86,34 @@
             return
         self.done.add(task)
         for worker in self.workers:
-            for mate in self._gang(task):
+            for mate in self._over_with(task):
                 if mate in worker.running and mate not in self.done:
                     worker.end(mate, DONE)
 
     def may_end(self, task):
-        """The members of a gang work only while all of them run."""
+        """The members of a gang work only while all of them run.
+
+        A task that lasts ends once by itself, and has to be started again.
+        """
+        if self._step_of(task).lasts:
+            return task not in self.done
         present = {t for w in self.workers if not w.is_down for t in w.running}
-        return present.issuperset(self._gang(task))
+        return present.issuperset(self._over_with(task))
 
     def unfinished(self, job_id):
-        """Tasks of a job of which no run has ended well."""
+        """Tasks of a job of which no run has ended well.
+
+        Those that last have to run again since then.
+        """
         with self.lock:
-            return [task for task in self._tasks(job_id) if task not in self.done]
+            over = self.done
+            if self.lasts(job_id):
+                over = self.done.intersection(self.running(job_id))
+            return [task for task in self._tasks(job_id) if task not in over]
+
+    def lasts(self, job_id):
+        """Whether a job's tasks are to run until it is cancelled."""
+        return any(step.lasts for step in self.steps[job_id])
 
     def running(self, job_id):
         """Tasks of a job that some worker works on."""
@@ -122,10 +138,12 @@
             for index in range(step.count)
         ]
 
-    def _gang(self, task):
-        """The tasks that end together with a task, itself among them."""
+    def _over_with(self, task):
+        """The tasks that are over for good with a task: itself, or its gang."""
         job_id, occurrence, number, _index = task.split(".")
-        step = self.steps[job_id][int(number)]
+        step = self._step_of(task)
+        if step.lasts:
+            return []
         if not step.gang:
             return [task]
         return [f"{job_id}.{occurrence}.{number}.{n}" for n in range(step.count)]
@@ -144,5 +162,8 @@
             self.broken.append(f"{worker.name} is over its capacity by {order.task}")
 
     def _need(self, task):
+        return self._step_of(task).cpu_millis
+
+    def _step_of(self, task):
         job_id, _occurrence, number, _index = task.split(".")
-        return self.steps[job_id][int(number)].cpu_millis
+        return self.steps[job_id][int(number)]
