--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -6,12 +6,23 @@
 
 import threading
 import types
+import typing
 
 from alderreach.utils import clocks
 
 DONE = "done"
 
 
+class Step(typing.NamedTuple):
+    """A step of a job; ``after`` are the numbers of earlier ones."""
+
+    count: int
+    cpu_millis: int
+    after: list[int] = []
+    gang: bool = False
+    lasts: bool = False
+
+
 class Promises:
     """The world that the stand-in workers share; ``lock`` guards all of it."""
 
@@ -31,7 +42,7 @@
         return types.SimpleNamespace(now_ms=clocks.SYSTEM.monotonic_ms())
 
     def submitted(self, job_id, steps):
-        """A caller is about to hand a job in; ``steps`` as (count, cpu, after)."""
+        """A caller is about to hand a job in; ``steps`` as ``Step``."""
         with self.lock:
             self.steps[job_id] = steps
 
@@ -67,17 +78,42 @@
     def note_end(self, end):
         """An end was acknowledged."""
         if end.how == DONE:
-            self.noted.add(end.task)
+            self.noted.update(self._over_with(end.task))
 
     def saw_end(self, task, how):
         """A run has ended on a worker."""
-        if how == DONE:
-            self.done.add(task)
+        if how != DONE:
+            return
+        self.done.add(task)
+        for worker in self.workers:
+            for mate in self._over_with(task):
+                if mate in worker.running and mate not in self.done:
+                    worker.end(mate, DONE)
+
+    def may_end(self, task):
+        """The members of a gang work only while all of them run.
+
+        A task that lasts ends once by itself, and has to be started again.
+        """
+        if self._step_of(task).lasts:
+            return task not in self.done
+        present = {t for w in self.workers if not w.is_down for t in w.running}
+        return present.issuperset(self._over_with(task))
 
     def unfinished(self, job_id):
-        """Tasks of a job of which no run has ended well."""
+        """Tasks of a job of which no run has ended well.
+
+        Those that last have to run again since then.
+        """
         with self.lock:
-            return [task for task in self._tasks(job_id) if task not in self.done]
+            over = self.done
+            if self.lasts(job_id):
+                over = self.done.intersection(self.running(job_id))
+            return [task for task in self._tasks(job_id) if task not in over]
+
+    def lasts(self, job_id):
+        """Whether a job's tasks are to run until it is cancelled."""
+        return any(step.lasts for step in self.steps[job_id])
 
     def running(self, job_id):
         """Tasks of a job that some worker works on."""
@@ -98,14 +134,24 @@
     def _tasks(self, job_id):
         return [
             f"{job_id}.0.{number}.{index}"
-            for number, (count, _cpu, _after) in enumerate(self.steps[job_id])
-            for index in range(count)
+            for number, step in enumerate(self.steps[job_id])
+            for index in range(step.count)
         ]
 
+    def _over_with(self, task):
+        """The tasks that are over for good with a task: itself, or its gang."""
+        job_id, occurrence, number, _index = task.split(".")
+        step = self._step_of(task)
+        if step.lasts:
+            return []
+        if not step.gang:
+            return [task]
+        return [f"{job_id}.{occurrence}.{number}.{n}" for n in range(step.count)]
+
     def _check_order(self, task, job_id, number):
         steps = self.steps[job_id]
-        for earlier in steps[number][2]:
-            for index in range(steps[earlier][0]):
+        for earlier in steps[number].after:
+            for index in range(steps[earlier].count):
                 if f"{job_id}.0.{earlier}.{index}" not in self.done:
                     self.broken.append(f"{task} starts before step {earlier} is done")
                     return
@@ -116,5 +162,8 @@
             self.broken.append(f"{worker.name} is over its capacity by {order.task}")
 
     def _need(self, task):
+        return self._step_of(task).cpu_millis
+
+    def _step_of(self, task):
         job_id, _occurrence, number, _index = task.split(".")
-        return self.steps[job_id][int(number)][1]
+        return self.steps[job_id][int(number)]
