--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -171,13 +171,19 @@
     return tasks[key.index] if 0 <= key.index < len(tasks) else None
 
 
-def is_late_success(task, run, how):
+def is_late_success(task, run, how, step=None):
     """Whether a run that was given up for lost turns out to be done after all.
 
     Nothing was started since, so its success counts; run again, the task would run a
-    second time after an end that its worker may forget.
+    second time after an end that its worker may forget. Of a ``step`` whose tasks may
+    run twice any run's success counts: another was started while the worker was silent,
+    and if that one came to nothing, the task would start after an acknowledged end.
     """
-    return how == "done" and task.state == WAITING and task.run == run
+    if how != "done":
+        return False
+    if step is not None and step.allow_duplicates and not step.long_running:
+        return task.state != DONE and run <= task.run
+    return task.state == WAITING and task.run == run
 
 
 def is_open(job, occurrence, number):
@@ -210,13 +216,15 @@
 def _end(state, ended, wall_ms):
     key = TaskKey(ended.job_id, ended.occurrence, ended.step, ended.index)
     task = task_of(state, key)
-    if task is None or task.run != ended.run:
-        return
-    if task.state != PLACED and not is_late_success(task, ended.run, ended.how):
+    if task is None:
         return
     job = state.jobs[ended.job_id]
+    step = job.record.steps[ended.step]
+    is_newest = task.state == PLACED and task.run == ended.run
+    if not is_newest and not is_late_success(task, ended.run, ended.how, step):
+        return
     task.checkpoint = ended.checkpoint or task.checkpoint
-    if ended.how == "done" and not job.record.steps[ended.step].long_running:
+    if ended.how == "done" and not step.long_running:
         task.state = DONE
         job.undone[(ended.occurrence, ended.step)] -= 1
         job.unfinished -= 1
--- a/alderreach/ops/controller/looks.py
+++ b/alderreach/ops/controller/looks.py
@@ -137,14 +137,15 @@
 
 
 def _take_late_success(books, worker, end):
-    """A run given up for lost is listed as done, and nothing runs in its place."""
+    """A run given up for lost is listed as done, and its success counts still."""
     key = runs.key_of(end.task)
     task = cell_state.task_of(books.state, key) if key else None
-    if task is None or not cell_state.is_late_success(task, end.run, end.how):
+    if task is None:
         return
     job = books.state.jobs[key.job_id]
     step = job.record.steps[key.step]
-    if step.long_running:
+    is_counted = cell_state.is_late_success(task, end.run, end.how, step)
+    if step.long_running or not is_counted:
         return
     keys = [key]
     if step.gang:
@@ -155,6 +156,7 @@
     books.decide(
         ended=[cell.RunEnded(*each, end.run, end.how, "", False) for each in keys]
     )
+    runs.stop_duplicate(books, key, end.run)
     books.on_run_ended(key.job_id, key.occurrence, key.step)
     books.environment.record(
         "late_success", task=end.task, run=end.run, target=worker.target_id
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -70,6 +70,8 @@
         is_final = failed >= books.queue_of(job).max_attempts
     ended = cell.RunEnded(*key, run.run, how, checkpoint, is_final)
     books.decide(ended=[ended])
+    if how == "done":
+        stop_duplicate(books, key, run.run)
     books.on_run_ended(key.job_id, key.occurrence, key.step)
     books.environment.record(
         "run_ended", task=str(key), run=run.run, how=how, target=worker.target_id
@@ -80,6 +82,15 @@
         _end_gang(books, job, key, run.run, how, checkpoint)
 
 
+def stop_duplicate(books, key, done_run):
+    """Stop a newer run of a task of which an older one is done."""
+    task = cell_state.task_of(books.state, key)
+    worker = books.workers.get(task.target_id)
+    run = worker.runs.get(key) if worker else None
+    if run is not None and run.run > done_run:
+        close_run(books, worker, run)
+
+
 def send_start(books, worker, run):
     """Send a start; how often is counted, since each copy may arrive late."""
     run.sends += 1
