--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -85,9 +85,10 @@
         if how != DONE:
             return
         self.done.add(task)
-        for worker in self.workers:
+        # A worker that is gone may have taken a last start as it went.
+        for worker in [worker for worker in self.workers if not worker.is_down]:
             for mate in self._over_with(task):
-                if mate in worker.running and mate not in self.done:
+                if mate in worker.running:
                     worker.end(mate, DONE)
 
     def may_end(self, task):
