--- a/alderreach/decisions/cell/health_test.py
+++ b/alderreach/decisions/cell/health_test.py
@@ -54,6 +54,22 @@
     assert health.slowness(run(50, 500), [0, 0]) == 1000.0
 
 
+def test_what_fails_on_a_worker_that_is_out_does_not_keep_it_out_for_longer():
+    """A lasting task waits for seven seconds beside its only permitted worker, idle.
+    Three runs failed there within half a second: the first took the worker out for
+    three seconds, and the others, which had started before, each doubled that.
+    """
+    everyone = [worker(f"w{number}") for number in range(6)]
+    bad = everyone[0]
+    health.strike(bad, "j1", everyone, 0)
+    assert health.strike(bad, "j2", everyone, 100)
+    assert not health.strike(bad, "j3", everyone, 300)
+    assert bad.health.out_until_ms == 100 + health.FIRST_OUT_MS
+    back_ms = bad.health.out_until_ms
+    assert health.strike(bad, "j1", everyone, back_ms)
+    assert bad.health.out_until_ms == back_ms + 2 * health.FIRST_OUT_MS
+
+
 def test_failures_of_one_broken_job_do_not_take_a_worker_out():
     everyone = [worker(f"w{number}") for number in range(6)]
     assert not any(health.strike(everyone[0], "j1", everyone, 0) for _ in range(9))
