--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -75,6 +75,9 @@
     ``workers`` are all that are known, of every service.
     """
     record = worker.health
+    if now_ms < record.out_until_ms:
+        # It started before; only what fails after the return says that it is still bad.
+        return False
     record.strikes.add(job_id)
     if len(record.strikes) < STRIKES_OUT:
         return False
