--- a/tools/virtual_days.py
+++ b/tools/virtual_days.py
@@ -1,11 +1,11 @@
 """Random days in the virtual cell, and a check that work which could run does run.
 
-The check looks at the model's machines, not at the leader's view of them: what runs
-where, what is free, which workers are reached, whom the permission service would let
-run a step. It takes from the leader only which tasks it counts as done, and at the end
-compares that with what the machines saw. A step is *standing* if, for long enough and
-with nothing that excuses it, its turn had come and there was room, yet nothing of it
-started.
+The check (``virtual_watch.py``) looks at the model's machines, not at the leader's view
+of them: what runs where, what is free, which workers are reached, whom the permission
+service would let run a step. It takes from the leader only which tasks it counts as
+done, and at the end compares that with what the machines saw. A step is *standing* if,
+for long enough and with nothing that excuses it, its turn had come and there was room,
+yet nothing of it started.
 
 >>> day = Day(seed=3)
 >>> day.play()
@@ -16,24 +16,10 @@
 import collections
 import math
 import random
-import typing
 
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
-from tools import virtual_cell
-
-WATCH_INTERVAL_MS = 250
-# What could start has to start within this: two questions of the slowest rule.
-START_WITHIN_MS = 3000
-# A lasting task has to run again within this.
-LAST_WITHIN_MS = 6000
-# After a worker came or left. One that falls silent holds its tasks for its lease.
-CALM_MS = 4000
-SILENT_LEASE_MS = 5500
-# There is room only if what waits fits this many times over, in a cell that is at most
-# so full.
-ROOM_TIMES = 2
-FULL_SHARE = 0.5
+from tools import virtual_cell, virtual_parts, virtual_watch
 
 EVENTS_FROM_MS, EVENTS_TO_MS = 3_000, 14_000
 KINDS = ("leave", "crash", "drain", "cut", "cut", "join", "reborn", "leader", "leader")
@@ -46,159 +32,12 @@
 LASTING_SHARE = 0.2
 # A wide step takes at most this share of all that may run it, when that is empty.
 WIDE_SHARE = 0.45
-# Nothing but lasting tasks runs for so long, a save and a restore included.
-LONGEST_WORK_MS = 10_000
 CORES = 1000
 MB_PER_CPU_MILLI = 2
 SIZES = (4 * CORES, 8 * CORES, 16 * CORES)
 WORKERS_PER_RACK = 6
 
 
-class Standing(typing.NamedTuple):
-    """A step, or a lasting task, that could run and didn't."""
-
-    task: str
-    at_ms: int
-    waiting: int
-    room: int
-    """How many of its tasks the workers that may run it had room for."""
-    workers: int
-    """How many workers that is."""
-    full_share: float
-
-
-class Watch:
-    """Looks at all machines now and then, and notes what stands still."""
-
-    def __init__(self, day):
-        self.day = day
-        self.standing = []
-        self.calm_from_ms = CALM_MS
-        self.started_ms = {}
-        self.excused_ms = {}
-        self._since = {}
-        self._reported = set()
-
-    def disturbed(self, until_ms):
-        """The workers changed, or one's tasks are held until this moment."""
-        self.calm_from_ms = max(self.calm_from_ms, until_ms + CALM_MS)
-
-    def look(self):
-        """Look at everything once, unless nobody leads."""
-        if self.day.leading is None:
-            return
-        now_ms = self.day.loop.now_ms
-        up = [machine for machine in self.day.machines() if machine.is_up()]
-        full_share = self._full_share(up)
-        is_calm = now_ms >= self.calm_from_ms and full_share < FULL_SHARE
-        running = self._running()
-        for group, step in self.day.open_steps():
-            waiting = self.day.undone(group) - running.get(group, set())
-            fits = {}
-            if is_calm and waiting:
-                fits = self._fits(up, group, step)
-            needed = ROOM_TIMES * (step.tasks if step.gang else len(waiting))
-            could_run = bool(waiting) and sum(fits.values()) >= needed
-            for key, moment_ms in self._keys(group, step, waiting):
-                since_ms = self._since.get(key)
-                if not could_run or since_ms is None:
-                    since_ms = now_ms
-                since_ms = max(since_ms, moment_ms, self.excused_ms.get(group, 0))
-                self._since[key] = since_ms
-                within_ms = LAST_WITHIN_MS if step.long_running else START_WITHIN_MS
-                if could_run and now_ms - since_ms >= within_ms:
-                    self._report(key, len(waiting), fits, full_share)
-
-    def check_end(self):
-        """At the end everything has to be over that could be."""
-        running = self._running()
-        up = [machine for machine in self.day.machines() if machine.is_up()]
-        full_share = self._full_share(up)
-        for group, step in self.day.open_steps():
-            if step.long_running:
-                continue
-            fits = self._fits(up, group, step)
-            waiting = self.day.undone(group) - running.get(group, set())
-            needed = ROOM_TIMES * (step.tasks if step.gang else len(waiting))
-            is_fitting = bool(waiting) and sum(fits.values()) >= needed
-            still_ms = self.day.loop.now_ms - self.started_ms.get(group, 0)
-            if is_fitting or (running.get(group) and still_ms >= LONGEST_WORK_MS):
-                self._report(group, len(waiting), fits, full_share)
-
-    def _keys(self, group, step, waiting):
-        """What is watched of a step, and since when at the earliest."""
-        if not step.long_running:
-            return [(group, self.started_ms.get(group, 0))]
-        return [((*group, index), 0) for index in sorted(waiting)] + [
-            ((*group, index), self.day.loop.now_ms)
-            for index in range(step.tasks)
-            if index not in waiting
-        ]
-
-    def _report(self, key, waiting, fits, full_share):
-        if key in self._reported:
-            return
-        self._reported.add(key)
-        now_ms = int(self.day.loop.now_ms)
-        task = ".".join(str(part) for part in key)
-        workers = sum(fit > 0 for fit in fits.values())
-        self.standing.append(
-            Standing(
-                task, now_ms, waiting, sum(fits.values()), workers, round(full_share, 2)
-            )
-        )
-
-    def _running(self):
-        """Which tasks of each step run on some machine."""
-        running = {}
-        for machine in self.day.machines():
-            for run in machine.runs.values():
-                key = task_key(run.order.task)
-                group = cell_state.GroupKey(*key[:3])
-                running.setdefault(group, set()).add(key.index)
-        return running
-
-    def _full_share(self, up):
-        cpu = sum(machine.record.capacity.cpu_millis for machine in up)
-        memory = sum(machine.record.capacity.memory_mb for machine in up)
-        used = [self._used(machine) for machine in up]
-        return max(
-            sum(cpu_millis for cpu_millis, _memory in used) / max(1, cpu),
-            sum(memory_mb for _cpu, memory_mb in used) / max(1, memory),
-        )
-
-    def _used(self, machine):
-        cpu = memory = 0
-        for run in machine.runs.values():
-            step = self.day.step_of(task_key(run.order.task))
-            cpu += 0 if step.best_effort else step.demand.cpu_millis
-            memory += step.demand.memory_mb
-        return cpu, memory
-
-    def _fits(self, up, group, step):
-        """How many more tasks of a step fit on each worker that may run it."""
-        fits = {}
-        for machine in up:
-            record = machine.record
-            if step.required_label and step.required_label not in record.labels:
-                continue
-            if not self.day.permits(group, record.target_id):
-                continue
-            cpu, memory = self._used(machine)
-            here = (record.capacity.memory_mb - memory) // step.demand.memory_mb
-            if not step.best_effort:
-                free = record.capacity.cpu_millis - cpu
-                here = min(here, free // step.demand.cpu_millis)
-            if step.max_per_target:
-                of_step = sum(
-                    task_key(run.order.task)[:3] == group
-                    for run in machine.runs.values()
-                )
-                here = min(here, step.max_per_target - of_step)
-            fits[record.target_id] = max(0, here)
-        return fits
-
-
 class Day(virtual_cell.VirtualCell):
     """One random day; every choice comes from the seed."""
 
@@ -219,7 +58,7 @@
         self._shares = {queue.name: lots.uniform(0.2, 0.8) for queue in self.queues}
         self._shares["open"] = 1.0
         super().__init__(self.queues, records, HELPERS, self._shares, seed)
-        self.watch = Watch(self)
+        self.watch = virtual_watch.Watch(self)
         self._submit_all()
         self._disturb({record.target_id: record for record in records})
         self._watch()
@@ -301,7 +140,7 @@
 
     def began(self, machine, run):
         """A run began; a gang's members work once all of them are there."""
-        key = task_key(run.order.task)
+        key = virtual_watch.task_key(run.order.task)
         group = cell_state.GroupKey(*key[:3])
         self.watch.started_ms[group] = self.loop.now_ms
         if not self.step_of(key).gang:
@@ -315,7 +154,7 @@
 
     def ended(self, machine, run, how):
         """A run ended."""
-        key = task_key(run.order.task)
+        key = virtual_watch.task_key(run.order.task)
         group = cell_state.GroupKey(*key[:3])
         if how == "done":
             self._done[group].add(key.index)
@@ -339,11 +178,11 @@
 
     def _watch(self):
         self.watch.look()
-        self.loop.after(WATCH_INTERVAL_MS, self._watch)
+        self.loop.after(virtual_watch.WATCH_INTERVAL_MS, self._watch)
 
     def _worker(self, number):
         millis = self.choices.choice(SIZES)
-        made = virtual_cell.worker(
+        made = virtual_parts.worker(
             number, millis, MB_PER_CPU_MILLI * millis, f"r{number // WORKERS_PER_RACK}"
         )
         return made._replace(labels=[self.choices.choice("ab"), made.labels[-1]])
@@ -372,7 +211,7 @@
     def _lasting(self):
         lots = self.choices
         tasks = lots.randrange(1, 5)
-        step = virtual_cell.step(
+        step = virtual_parts.step(
             tasks,
             lots.choice([1, 2, 4]) * CORES,
             lots.choice([1, 2, 4]) * CORES,
@@ -381,7 +220,7 @@
             max_per_target=lots.choice([0, 1]),
             checkpointing=lots.random() < 0.5,
         )
-        return virtual_cell.Work(step, [math.inf] * tasks, lots.choice([0, 0.3, 0.8]))
+        return virtual_parts.Work(step, [math.inf] * tasks, lots.choice([0, 0.3, 0.8]))
 
     def _works_of_a_job(self, share):
         lots = self.choices
@@ -406,7 +245,7 @@
         work_ms = [mean_ms * lots.uniform(0.7, 1.5) for _ in range(tasks)]
         if is_gang:
             work_ms = [mean_ms] * tasks
-        step = virtual_cell.step(
+        step = virtual_parts.step(
             tasks,
             cpu,
             int(cpu * lots.choice([0.5, 1, 2])),
@@ -420,7 +259,7 @@
             required_label=lots.choice(["", "", "", "", "a"]),
             allow_duplicates=not is_gang and lots.random() < 0.2,
         )
-        return virtual_cell.Work(step, work_ms, lots.choice([0, 0, 0, 0.02, 0.1]))
+        return virtual_parts.Work(step, work_ms, lots.choice([0, 0, 0, 0.02, 0.1]))
 
     def _disturb(self, by_id):
         """Workers leave, crash, drain, are cut off, added and reborn; leaders end."""
@@ -436,23 +275,23 @@
                 self.leave_at(moment_ms, chosen)
             elif kind == "crash":
                 self.crash_at(moment_ms, chosen)
-                until_ms += SILENT_LEASE_MS
+                until_ms += virtual_watch.SILENT_LEASE_MS
             elif kind == "drain":
                 self.drain_at(moment_ms, chosen, 2000)
-                until_ms += 2000 + SILENT_LEASE_MS
+                until_ms += 2000 + virtual_watch.SILENT_LEASE_MS
             elif kind == "leader":
                 gap_ms = lots.choice(NO_LEADER_MS)
                 self.lose_leader_at(moment_ms, gap_ms)
-                until_ms += gap_ms + SILENT_LEASE_MS
+                until_ms += gap_ms + virtual_watch.SILENT_LEASE_MS
             elif kind == "reborn":
                 self.crash_at(moment_ms, chosen)
                 born_ms = int(moment_ms) + REBORN_AFTER_MS
                 lives = [by_id[name]._replace(born_ms=born_ms) for name in chosen]
                 self.join_at(born_ms, lives)
-                until_ms += SILENT_LEASE_MS
+                until_ms += virtual_watch.SILENT_LEASE_MS
             elif kind == "cut":
                 self.cut_off_at(moment_ms, chosen, for_ms)
-                until_ms += max(for_ms, SILENT_LEASE_MS)
+                until_ms += max(for_ms, virtual_watch.SILENT_LEASE_MS)
             else:
                 records = [self._worker(number + n) for n in range(len(chosen))]
                 number += len(records)
@@ -460,12 +299,6 @@
             self.loop.at(moment_ms, lambda ms=until_ms: self.watch.disturbed(ms))
 
 
-def task_key(task):
-    """The key that a task's name spells."""
-    job_id, *numbers = task.split(".")
-    return cell_state.TaskKey(job_id, *(int(number) for number in numbers))
-
-
 def _queues(lots):
     """A queue without a rule, one with a quick rule, two with a slow one."""
 
@@ -474,7 +307,7 @@
             lots.randrange(low_ms, high_ms), per_target_ms, lots.randrange(1500, 2501)
         )
 
-    queue = virtual_cell.queue
+    queue = virtual_parts.queue
     return [
         queue("open", 1, 2.0, 1000),
         queue("urgent", 0, 1.5, 500, permission=rule(20, 41, 0.25)),
--- /dev/null
+++ b/tools/virtual_parts.py
@@ -0,0 +1,73 @@
+"""What days in virtual time are made of: queues, workers, steps, and their work.
+
+>>> worker(1, 4000).target_id, step(2, 1000).tasks
+('w1', 2)
+"""
+
+import typing
+
+from alderreach.core import cell_state
+from alderreach.core.generated import cell, common
+
+HOST = "a.example"
+POOL = "pool"
+
+
+class Work(typing.NamedTuple):
+    """A step with how long each of its tasks really works, and the share it fails."""
+
+    step: cell.Step
+    work_ms: list
+    fail_share: float = 0.0
+
+
+class Outcome(typing.NamedTuple):
+    """What became of a queue's jobs: counts, and the work of those in time."""
+
+    jobs: int
+    on_time: int
+    late: int
+    """Done after the objective, but within three times of it."""
+    never: int
+    """Done later than that, or not at all."""
+
+    @property
+    def share(self):
+        """The share done within the objective."""
+        return self.on_time / max(1, self.jobs)
+
+
+def queue(name, priority=0, stretch=2.0, target_latency_ms=500, **options):
+    """A queue whose jobs arrive under its own name."""
+    plain = cell.QueueConfig(
+        name, HOST, f"/{name}/", POOL, priority, 3, stretch, target_latency_ms, 3000,
+        None,
+    )  # fmt: skip
+    return plain._replace(**options)
+
+
+def worker(number, cpu_millis, memory_mb=64_000, rack="r1"):
+    """A worker's record."""
+    name = f"w{number}"
+    capacity = common.Resources(cpu_millis, memory_mb, 0)
+    return cell.TargetRecord(
+        name, 1, POOL, f"{name}:1", "d", capacity, ["a", rack], "ready", name
+    )
+
+
+def step(tasks, cpu_millis, memory_mb=100, estimated_ms=500, after=(), **options):
+    """A step of equal tasks."""
+    demand = common.Resources(cpu_millis, memory_mb, 0)
+    plain = cell.Step(
+        tasks, demand, estimated_ms, list(after), *cell_state.NO_STEP_OPTIONS
+    )
+    return plain._replace(**options)
+
+
+def objective_ms(queue_config, works):
+    """How long a job may take, by the longest chain of its real work."""
+    ends = []
+    for work in works:
+        began_ms = max((ends[earlier] for earlier in work.step.after), default=0.0)
+        ends.append(began_ms + max(work.work_ms))
+    return queue_config.stretch * max(ends) + queue_config.target_latency_ms
--- /dev/null
+++ b/tools/virtual_watch.py
@@ -0,0 +1,175 @@
+"""Watches a random day in virtual time for work that could run and doesn't.
+
+It looks at the model's machines, not at the leader's view of them; see
+``virtual_days.py``, whose ``Day`` it is given.
+"""
+
+import typing
+
+from alderreach.core import cell_state
+
+WATCH_INTERVAL_MS = 250
+# What could start has to start within this: two questions of the slowest rule.
+START_WITHIN_MS = 3000
+# A lasting task has to run again within this.
+LAST_WITHIN_MS = 6000
+# After a worker came or left. One that falls silent holds its tasks for its lease.
+CALM_MS = 4000
+SILENT_LEASE_MS = 5500
+# There is room only if what waits fits this many times over, in a cell that is at most
+# so full.
+ROOM_TIMES = 2
+FULL_SHARE = 0.5
+# Nothing but lasting tasks runs for so long, a save and a restore included.
+LONGEST_WORK_MS = 10_000
+
+
+class Standing(typing.NamedTuple):
+    """A step, or a lasting task, that could run and didn't."""
+
+    task: str
+    at_ms: int
+    waiting: int
+    room: int
+    """How many of its tasks the workers that may run it had room for."""
+    workers: int
+    """How many workers that is."""
+    full_share: float
+
+
+class Watch:
+    """Looks at all machines now and then, and notes what stands still."""
+
+    def __init__(self, day):
+        self.day = day
+        self.standing = []
+        self.calm_from_ms = CALM_MS
+        self.started_ms = {}
+        self.excused_ms = {}
+        self._since = {}
+        self._reported = set()
+
+    def disturbed(self, until_ms):
+        """The workers changed, or one's tasks are held until this moment."""
+        self.calm_from_ms = max(self.calm_from_ms, until_ms + CALM_MS)
+
+    def look(self):
+        """Look at everything once, unless nobody leads."""
+        if self.day.leading is None:
+            return
+        now_ms = self.day.loop.now_ms
+        up = [machine for machine in self.day.machines() if machine.is_up()]
+        full_share = self._full_share(up)
+        is_calm = now_ms >= self.calm_from_ms and full_share < FULL_SHARE
+        running = self._running()
+        for group, step in self.day.open_steps():
+            waiting = self.day.undone(group) - running.get(group, set())
+            fits = {}
+            if is_calm and waiting:
+                fits = self._fits(up, group, step)
+            needed = ROOM_TIMES * (step.tasks if step.gang else len(waiting))
+            could_run = bool(waiting) and sum(fits.values()) >= needed
+            for key, moment_ms in self._keys(group, step, waiting):
+                since_ms = self._since.get(key)
+                if not could_run or since_ms is None:
+                    since_ms = now_ms
+                since_ms = max(since_ms, moment_ms, self.excused_ms.get(group, 0))
+                self._since[key] = since_ms
+                within_ms = LAST_WITHIN_MS if step.long_running else START_WITHIN_MS
+                if could_run and now_ms - since_ms >= within_ms:
+                    self._report(key, len(waiting), fits, full_share)
+
+    def check_end(self):
+        """At the end everything has to be over that could be."""
+        running = self._running()
+        up = [machine for machine in self.day.machines() if machine.is_up()]
+        full_share = self._full_share(up)
+        for group, step in self.day.open_steps():
+            if step.long_running:
+                continue
+            fits = self._fits(up, group, step)
+            waiting = self.day.undone(group) - running.get(group, set())
+            needed = ROOM_TIMES * (step.tasks if step.gang else len(waiting))
+            is_fitting = bool(waiting) and sum(fits.values()) >= needed
+            still_ms = self.day.loop.now_ms - self.started_ms.get(group, 0)
+            if is_fitting or (running.get(group) and still_ms >= LONGEST_WORK_MS):
+                self._report(group, len(waiting), fits, full_share)
+
+    def _keys(self, group, step, waiting):
+        """What is watched of a step, and since when at the earliest."""
+        if not step.long_running:
+            return [(group, self.started_ms.get(group, 0))]
+        return [((*group, index), 0) for index in sorted(waiting)] + [
+            ((*group, index), self.day.loop.now_ms)
+            for index in range(step.tasks)
+            if index not in waiting
+        ]
+
+    def _report(self, key, waiting, fits, full_share):
+        if key in self._reported:
+            return
+        self._reported.add(key)
+        now_ms = int(self.day.loop.now_ms)
+        task = ".".join(str(part) for part in key)
+        workers = sum(fit > 0 for fit in fits.values())
+        self.standing.append(
+            Standing(
+                task, now_ms, waiting, sum(fits.values()), workers, round(full_share, 2)
+            )
+        )
+
+    def _running(self):
+        """Which tasks of each step run on some machine."""
+        running = {}
+        for machine in self.day.machines():
+            for run in machine.runs.values():
+                key = task_key(run.order.task)
+                group = cell_state.GroupKey(*key[:3])
+                running.setdefault(group, set()).add(key.index)
+        return running
+
+    def _full_share(self, up):
+        cpu = sum(machine.record.capacity.cpu_millis for machine in up)
+        memory = sum(machine.record.capacity.memory_mb for machine in up)
+        used = [self._used(machine) for machine in up]
+        return max(
+            sum(cpu_millis for cpu_millis, _memory in used) / max(1, cpu),
+            sum(memory_mb for _cpu, memory_mb in used) / max(1, memory),
+        )
+
+    def _used(self, machine):
+        cpu = memory = 0
+        for run in machine.runs.values():
+            step = self.day.step_of(task_key(run.order.task))
+            cpu += 0 if step.best_effort else step.demand.cpu_millis
+            memory += step.demand.memory_mb
+        return cpu, memory
+
+    def _fits(self, up, group, step):
+        """How many more tasks of a step fit on each worker that may run it."""
+        fits = {}
+        for machine in up:
+            record = machine.record
+            if step.required_label and step.required_label not in record.labels:
+                continue
+            if not self.day.permits(group, record.target_id):
+                continue
+            cpu, memory = self._used(machine)
+            here = (record.capacity.memory_mb - memory) // step.demand.memory_mb
+            if not step.best_effort:
+                free = record.capacity.cpu_millis - cpu
+                here = min(here, free // step.demand.cpu_millis)
+            if step.max_per_target:
+                of_step = sum(
+                    task_key(run.order.task)[:3] == group
+                    for run in machine.runs.values()
+                )
+                here = min(here, step.max_per_target - of_step)
+            fits[record.target_id] = max(0, here)
+        return fits
+
+
+def task_key(task):
+    """The key that a task's name spells."""
+    job_id, *numbers = task.split(".")
+    return cell_state.TaskKey(job_id, *(int(number) for number in numbers))
