--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -62,6 +62,7 @@
         self._number = 0
         self.accepted = {}
         self.cancelled = set()
+        self.unclear = set()
         self.answers = []
         self.latency = HdrHistogram(1, HIGHEST_MS, 3)
         self._threads = [
@@ -145,6 +146,7 @@
                 self.cancelled.add(job_id)
                 return
             time.sleep(PAUSE_S)
+        self.unclear.add(job_id)
 
     def _call(self, session, method, job_id, body=None):
         with self._lock:
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -234,8 +234,15 @@
 
 
 def _is_well(calling, promises, session, job_id):
-    """Whether a job is completed; one that lasts runs, with all its tasks."""
+    """Whether a job is completed; one that lasts runs, with all its tasks.
+
+    A cancellation that never got a clear answer may be in force or not; if it is, the
+    job has to be gone like any other that was cancelled.
+    """
     state = calling.state(session, job_id)
+    if state == "cancelled" and job_id in calling.unclear:
+        calling.cancelled.add(job_id)
+        return True
     if not promises.lasts(job_id):
         return state == "completed"
     return state == "running" and not promises.unfinished(job_id)
