--- a/tests/system_failures_test.py
+++ b/tests/system_failures_test.py
@@ -244,6 +244,7 @@
         outside = cell.of_role("entry", "cambara") + cell.of_role("entry", "bom-jardim")
         inside = [p.name for p in cell.plans if p.failure_domain == "urubici"]
         entry = cell.of_role("entry", "urubici")[0]
+        deployment.wait_for_all_runners()
         job_id = deployment.submit(entry, 6, {"run_ms": 1000}, uuid.uuid4().hex)
         with system_support.Load(deployment, entries=outside) as load:
             load.wait_for(30, "requests before the loss")
--- a/tests/system_support.py
+++ b/tests/system_support.py
@@ -89,6 +89,19 @@
                 lambda plan=plan: self._routes(plan), f"{plan.name} routes"
             )
 
+    def wait_for_all_runners(self):
+        """Wait until the service runs in all domains, as each entry sees it.
+
+        A domain that is lost before that may take the only runners there are with it,
+        and requests are rightly refused.
+        """
+        cells.wait_until(self._knows_all_runners, "entries know all runners")
+
+    def _knows_all_runners(self):
+        rows = self.client("status")["processes"]
+        known = [row["detail"]["runners"] for row in rows if row["role"] == "entry"]
+        return set(known) == {RUNNERS}
+
     def start_targets(self, domain):
         """Start a domain's stand-ins, or start them again; returns the history."""
         specs = targets.make_specs(
