--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -12,10 +12,10 @@
 wait. Shown by the test beside this with all processes present; no gain was measured on
 a played day.
 
-A verdict never changes, so a worker that was turned down is not asked about again, and
-a renewal names only workers known to be good. A ticket ages: it is used only while
-``SAFETY_MS`` of its life are left, and renewed that much and a decision's time ahead if
-the step still waits.
+A verdict never changes, so a worker that was turned down is not asked about again. A
+ticket ages: it is used only while ``SAFETY_MS`` of its life are left, and renewed once
+they are not if the step still waits; a step that found too little room names workers
+that nobody asked about in the same question.
 
 >>> from alderreach.core.generated import cell
 >>> made, rule = Permissions(), cell.PermissionRule(20, 0.2, 2000)
