--- a/alderreach/ops/controller/waits.py
+++ b/alderreach/ops/controller/waits.py
@@ -10,8 +10,8 @@
 
 # Most steps start within a second on a calm day; an objective is seldom shorter.
 FIRST_MS = 2000
-# A report looks at all workers, some 0.2 ms for 176 of them. At ten passes a second
-# this many reports take about one percent of the leader's processor time.
+# A report looks at all workers: 0.12 ms for 176 of them, timed alone. So a pass spends
+# half a millisecond on reports at most.
 REPORTS_PER_PASS = 4
 
 
