--- /dev/null
+++ b/tools/benches/accelerators.py
@@ -0,0 +1,145 @@
+"""Gangs and saving tasks that share a few machines with accelerators.
+
+Two kinds of work fill a handful of workers: gangs whose members take half a worker's
+processors, most of its memory and two to all of its accelerators, on the third of the
+workers that the permission service lets them use; and small tasks of one accelerator
+each, less urgent, most of which save their progress. Estimates are off by half and by
+nine tenths of themselves.
+
+Each row is one way to decide over the same seeded days: the share of what the jobs of a
+kind are worth that was earned (a job is worth more the more work it is, and a fifth if
+it is late), and the difference to the way in use, paired by seed, with its interval.
+"""
+
+import os
+import random
+import statistics
+
+from alderreach.core.generated import cell
+from tools import paired, virtual_cell, virtual_parts
+
+SEEDS = int(os.environ.get("ACCELERATOR_SEEDS", "12"))
+SECONDS = 45
+DRAIN_SECONDS = 60
+WORKERS = 7
+# What a worker has, and what a task of a kind takes of it.
+WORKER = {"cpu": 128_000, "memory": 524_288, "accelerators": 8}
+GANG = {
+    "queue": "gang", "per_s": 0.59, "width": 1.5, "spread": 0.8, "widest": 9,
+    "cpu": 62_000, "memory": 320_000, "accelerators": (2, 4, 8, 8), "work_ms": 5_600,
+    "estimate_off": 0.5, "saves": 0.9,
+}  # fmt: skip
+SAVING = {
+    "queue": "saving", "per_s": 0.95, "width": 4.1, "spread": 0.6, "widest": 20,
+    "cpu": 11_000, "memory": 59_000, "accelerators": (1,), "work_ms": 3_800,
+    "estimate_off": 0.9, "saves": 0.8,
+}  # fmt: skip
+GOOD = {"gang": 0.3, "saving": 0.45}
+LATE_WORTH = 0.2
+LARGEST_WORTH = 4.0
+
+
+def queues():
+    """Gangs go first; both need a slow permission."""
+    gang = cell.PermissionRule(560, 8.0, 2_000)
+    saving = cell.PermissionRule(140, 2.0, 2_000)
+    return [
+        virtual_parts.queue("gang", 1, 2.2, 1_000, permission=gang),
+        virtual_parts.queue("saving", 2, 4.0, 3_000, permission=saving),
+    ]
+
+
+def play(seed, burst=1.0, workers=WORKERS):
+    """One day; returns the share of its worth that each queue earned, by name."""
+    records = [
+        virtual_parts.worker(
+            n,
+            WORKER["cpu"],
+            WORKER["memory"],
+            f"r{n // 3}",
+            WORKER["accelerators"],
+        )
+        for n in range(workers)
+    ]
+    made = virtual_cell.VirtualCell(
+        queues(), records, good_shares=GOOD, seed=seed, restore_ms=100.0
+    )
+    worths = {}
+    lots = random.Random(seed)
+    for kind in (GANG, SAVING):
+        _arrivals(made, lots, kind, workers / WORKERS, burst, worths)
+    made.run_until((SECONDS + DRAIN_SECONDS) * 1000)
+    return earned(made, worths)
+
+
+def earned(made, worths):
+    """The share of all worth that the jobs of each queue earned."""
+    owed, paid = {}, {}
+    for job_id, (queue, worth) in worths.items():
+        owed[queue] = owed.get(queue, 0.0) + worth
+        share = {"on_time": 1.0, "late": LATE_WORTH}.get(made.outcome_of(job_id), 0.0)
+        paid[queue] = paid.get(queue, 0.0) + share * worth
+    return {queue: paid[queue] / owed[queue] for queue in owed}
+
+
+def _arrivals(made, lots, kind, scale, burst, worths):
+    now_ms, number = 0.0, 0
+    while True:
+        rate = kind["per_s"] * scale * (burst if 15_000 <= now_ms < 19_000 else 1)
+        now_ms += lots.expovariate(rate) * 1000
+        if now_ms >= SECONDS * 1000:
+            return
+        number += 1
+        job_id = f"{kind['queue']}{number}"
+        work = _work(lots, kind)
+        mean = kind["work_ms"] * kind["width"]
+        worth = min(LARGEST_WORTH, 0.3 + 0.7 * sum(work.work_ms) / mean)
+        worths[job_id] = (kind["queue"], worth)
+        made.submit_at(now_ms, kind["queue"], job_id, [work])
+
+
+def _work(lots, kind):
+    tasks = round(kind["width"] * lots.lognormvariate(-0.2, kind["spread"]))
+    tasks = max(1, min(kind["widest"], tasks))
+    is_gang = kind is GANG
+    if is_gang:
+        tasks = min(tasks, 3)
+    mean_ms = kind["work_ms"] * min(2.5, lots.lognormvariate(-0.12, 0.5))
+    off = kind["estimate_off"]
+    work_ms = [mean_ms * lots.lognormvariate(0, 0.15) for _ in range(tasks)]
+    step = virtual_parts.step(
+        tasks,
+        kind["cpu"],
+        kind["memory"],
+        int(mean_ms * lots.uniform(1 - off, 1 + off)),
+        accelerators=lots.choice(kind["accelerators"]),
+        gang=is_gang,
+        checkpointing=lots.random() < kind["saves"],
+    )
+    return virtual_parts.Work(step, [mean_ms] * tasks if is_gang else work_ms)
+
+
+def compare(name, ways):
+    """Print a row for each way to decide: (title, context manager that sets it).
+
+    The first is what the others are compared with.
+    """
+    print(f"-- {name}: {SEEDS} seeds")
+    first = None
+    for title, way in ways:
+        with way():
+            days = [play(seed, burst) for seed in range(SEEDS) for burst in (1.0, 1.8)]
+        row = {queue: [day[queue] for day in days] for queue in days[0]}
+        means = ", ".join(f"{q} {statistics.fmean(row[q]):.3f}" for q in sorted(row))
+        if first is None:
+            first = row
+            print(f"{title}: {means}")
+            continue
+        gains = ", ".join(f"{q} {paired.difference(first[q], row[q])}" for q in row)
+        print(f"{title}: {means}; {gains}")
+
+
+def main():
+    import contextlib
+
+    compare("as it is", [("as it is", contextlib.nullcontext)])
--- /dev/null
+++ b/tools/paired.py
@@ -0,0 +1,85 @@
+"""Differences between two ways to decide, paired by the day that both have played.
+
+Days differ among each other far more than two revisions do on one day. So a change is
+judged by the differences on the same days and seeds, with an interval in which their
+mean lies in 19 of 20 such experiments, and not by two means.
+
+    python -m tools.paired --before journal/A.json --after journal/B.json journal/C.json
+
+pairs the days of some journal entries by site, name and seed. The interval is found by
+resampling the differences, so it rests on no shape of theirs; below five pairs it says
+little, and the count stands beside it.
+"""
+
+import argparse
+import collections
+import json
+import pathlib
+import random
+import statistics
+import typing
+
+RESAMPLES = 4000
+# The share of resampled means that lies outside of the interval, on either side.
+OUTSIDE = 0.025
+
+
+class Difference(typing.NamedTuple):
+    """The mean difference of pairs, and the interval in which it lies."""
+
+    pairs: int
+    mean: float
+    low: float
+    high: float
+
+    def __str__(self):
+        return f"{self.mean:+.4f} [{self.low:+.4f}, {self.high:+.4f}] n={self.pairs}"
+
+
+def difference(before, after):
+    """The Difference of two equally long lists of figures, pair by pair.
+
+    >>> print(difference([1.0, 2.0, 3.0], [1.5, 2.5, 3.5]))
+    +0.5000 [+0.5000, +0.5000] n=3
+    """
+    gains = [b - a for a, b in zip(before, after, strict=True)]
+    lots = random.Random(len(gains))
+    means = sorted(
+        statistics.fmean(lots.choices(gains, k=len(gains))) for _ in range(RESAMPLES)
+    )
+    outside = int(OUTSIDE * RESAMPLES)
+    return Difference(
+        len(gains), statistics.fmean(gains), means[outside], means[-1 - outside]
+    )
+
+
+def days_of(paths):
+    """The worth of each day in some journal entries: lists of plays by (site, day)."""
+    found = collections.defaultdict(list)
+    for path in paths:
+        entry = json.loads(pathlib.Path(path).read_text())
+        for day in entry["days"]:
+            found[(entry["site"], day["name"], day["seed"])].append(day["G"])
+    return found
+
+
+def main():
+    """Print each pair of days, and the Difference by site."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--before", nargs="+", required=True)
+    parser.add_argument("--after", nargs="+", required=True)
+    arguments = parser.parse_args()
+    before, after = days_of(arguments.before), days_of(arguments.after)
+    sites = collections.defaultdict(lambda: ([], []))
+    for key in sorted(before.keys() & after.keys()):
+        site, name, _seed = key
+        old, new = statistics.fmean(before[key]), statistics.fmean(after[key])
+        print(f"{site} {name}: {old:.3f} to {new:.3f}, {new - old:+.3f}")
+        sites[site][0].append(old)
+        sites[site][1].append(new)
+    for site, (old, new) in sites.items():
+        print(f"{site}: {difference(old, new)}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -13,6 +13,7 @@
 """
 
 import collections
+import math
 import random
 import time
 
@@ -35,12 +36,15 @@
 HOP_MS = 1.0
 COMMIT_MS = 8.0
 TICK_MS = 20
-RESTORE_MS = 600.0
 LATE_AFTER_OBJECTIVES = 3
 # A lasting run that fails does so after this, evenly.
 LASTING_FAILS_MS = (1000.0, 10_000.0)
 # A submission without an answer is handed in again.
 CALLER_RETRIES_MS = 1000
+# What becomes of a job.
+ON_TIME = "on_time"
+LATE = "late"
+NEVER = "never"
 # How the permission service answers.
 DECIDED = "decided"
 UNDECIDED = "undecided"
@@ -57,8 +61,11 @@
     never answer; ``cut_helpers`` answer at once that the service can't be reached.
     """
 
-    def __init__(self, queues, records, helpers=12, good_shares=None, seed=1):
+    def __init__(
+        self, queues, records, helpers=12, good_shares=None, seed=1, restore_ms=600.0
+    ):
         self.loop = virtual_load.Loop()
+        self.restore_ms = restore_ms
         self.lots = random.Random(seed)
         self.cpu_s = 0.0
         self.starts = 0
@@ -73,6 +80,7 @@
         self._helpers = [f"helper-{number}" for number in range(helpers)]
         self._works = {}
         self._saved = {}
+        self._gangs = {}
         self._done_ms = {}
         self._due = {}
         self._machines = {
@@ -80,7 +88,8 @@
             for record in records
         }
         self._log = cell_state.CellState()
-        pools = [cell.ServiceConfig(virtual_parts.POOL, False, False)]
+        services = sorted({queue.service for queue in queues})
+        pools = [cell.ServiceConfig(name, False, False) for name in services]
         self._log.config = cell.CellConfig(1, list(queues), pools, b"{}")
         self._log.targets = {record.target_id: record for record in records}
         self._epoch = 0
@@ -127,18 +136,23 @@
     def outcomes(self):
         """An Outcome for each queue."""
         self._note_done()
-        counts = collections.defaultdict(lambda: [0, 0, 0, 0])
-        for job_id, (queue_name, due_ms, objective_ms) in self._due.items():
-            count = counts[queue_name]
-            count[0] += 1
-            took_ms = self._done_ms.get(job_id, float("inf")) - due_ms
-            if took_ms <= objective_ms:
-                count[1] += 1
-            elif took_ms <= LATE_AFTER_OBJECTIVES * objective_ms:
-                count[2] += 1
-            else:
-                count[3] += 1
-        return {name: virtual_parts.Outcome(*count) for name, count in counts.items()}
+        counts = collections.defaultdict(collections.Counter)
+        for job_id, (queue_name, _due_ms, _objective_ms) in self._due.items():
+            counts[queue_name][self.outcome_of(job_id)] += 1
+        return {
+            name: virtual_parts.Outcome(
+                count.total(), count[ON_TIME], count[LATE], count[NEVER]
+            )
+            for name, count in counts.items()
+        }
+
+    def outcome_of(self, job_id):
+        """Whether a job was done ON_TIME, LATE or NEVER, so far."""
+        _queue_name, due_ms, objective_ms = self._due[job_id]
+        took_ms = self._done_ms.get(job_id, math.inf) - due_ms
+        if took_ms <= objective_ms:
+            return ON_TIME
+        return LATE if took_ms <= LATE_AFTER_OBJECTIVES * objective_ms else NEVER
 
     def leave_at(self, moment_ms, target_ids):
         """Workers that end later, with all that runs there, and never come back."""
@@ -185,36 +199,69 @@
 
     def work_of(self, order):
         """How long a run works, and how it ends."""
-        job_id, _occurrence, step, index = order.task.split(".")
-        work = self._works[job_id][int(step)]
-        work_ms = work.work_ms[int(index)]
-        saved_ms = self._saved.get(order.task, 0.0) if order.checkpoint else 0.0
+        key = virtual_workers.task_key(order.task)
+        work = self._works[key.job_id][key.step]
+        work_ms = work.work_ms[key.index]
+        saved_ms = self._saved.get(self._saver(key), 0.0) if order.checkpoint else 0.0
         if saved_ms:
-            work_ms = work_ms - saved_ms + RESTORE_MS
+            work_ms = work_ms - saved_ms + self.restore_ms
         how = "failed" if self.lots.random() < work.fail_share else "done"
         if how == "failed" and work.step.long_running:
             work_ms = self.lots.uniform(*LASTING_FAILS_MS)
         return work_ms, how
 
+    def step_of(self, key):
+        """The step of a task."""
+        return self._works[key.job_id][key.step].step
+
     def began(self, machine, run):
-        """A run began on a worker: it will end by itself once its work is done."""
-        self.loop.after(run.work_ms, lambda: machine.end(run, run.how))
+        """A run began on a worker: it will end by itself once its work is done.
+
+        A gang's members work once all of them are there.
+        """
+        key = virtual_workers.task_key(run.order.task)
+        step = self.step_of(key)
+        if not step.gang:
+            self.loop.after(run.work_ms, lambda: machine.end(run, run.how))
+            return
+        members = self._gangs.setdefault((key[:3], run.order.run), {})
+        members[key.index] = (machine, run)
+        run.began_ms = math.inf
+        if len(members) == step.tasks:
+            self._gang_begins(list(members.values()))
+
+    def _gang_begins(self, members):
+        """All members are there: they are done together, or one fails on the way."""
+        for _machine, run in members:
+            run.began_ms = self.loop.now_ms
+        work_ms = max(run.work_ms for _machine, run in members)
+        failing = [member for member in members if member[1].how == "failed"]
+
+        def end():
+            if any(run.is_over for _machine, run in members):
+                return
+            for machine, run in failing[:1] or members:
+                machine.end(run, run.how)
+
+        self.loop.after(work_ms / 2 if failing else work_ms, end)
 
     def ended(self, machine, run, how):
         """A run ended on a worker, or went with it."""
 
     def save(self, run, how, now_ms):
         """What a run that ends leaves: its checkpoint if its step saves."""
-        job_id, _occurrence, number, _index = run.order.task.split(".")
-        step = self._works[job_id][int(number)].step
-        if how != "stopped" or not step.checkpointing:
+        key = virtual_workers.task_key(run.order.task)
+        if how != "stopped" or not self.step_of(key).checkpointing:
             return ""
-        before_ms = self._saved.get(run.order.task, 0.0) if run.order.checkpoint else 0
-        restored_ms = RESTORE_MS if run.order.checkpoint else 0.0
-        worked_ms = max(0.0, run.done_ms(now_ms) - restored_ms)
-        self._saved[run.order.task] = before_ms + worked_ms
+        all_ms = self._works[key.job_id][key.step].work_ms[key.index]
+        left_ms = run.work_ms - run.done_ms(now_ms)
+        self._saved[self._saver(key)] = max(0.0, all_ms - left_ms)
         return "saved"
 
+    def _saver(self, key):
+        """Under what a task's progress is saved: a gang saves as one."""
+        return key[:3] if self.step_of(key).gang else key
+
     def _lead_anew(self):
         """A new term begins, with what is committed."""
         self._epoch += 1
--- a/tools/virtual_days.py
+++ b/tools/virtual_days.py
@@ -19,7 +19,7 @@
 
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
-from tools import virtual_cell, virtual_parts, virtual_watch
+from tools import virtual_cell, virtual_parts, virtual_watch, virtual_workers
 
 EVENTS_FROM_MS, EVENTS_TO_MS = 3_000, 14_000
 KINDS = ("leave", "crash", "drain", "cut", "cut", "join", "reborn", "leader", "leader")
@@ -50,7 +50,6 @@
         self.capacity_millis = sum(record.capacity.cpu_millis for record in records)
         self._undecided_share = lots.choice([0.0, 0.02, 0.1])
         self._silent_share = lots.choice([0.0, 0.01, 0.03])
-        self._gangs = {}
         self._done = collections.defaultdict(set)
         self._failures = collections.Counter()
         self._number = 0
@@ -124,10 +123,6 @@
         tasks = self.leading.books.state.jobs[group.job_id].groups[group[1:]]
         return {n for n, task in enumerate(tasks) if task.state != cell_state.DONE}
 
-    def step_of(self, key):
-        """The step of a task."""
-        return self._works[key.job_id][key.step].step
-
     def answers(self, question):
         """Now and then no decision, or no answer, which excuses the step's wait."""
         lot = self.lots.random()
@@ -139,43 +134,20 @@
         return virtual_cell.SILENT if is_silent else virtual_cell.UNDECIDED
 
     def began(self, machine, run):
-        """A run began; a gang's members work once all of them are there."""
-        key = virtual_watch.task_key(run.order.task)
-        group = cell_state.GroupKey(*key[:3])
-        self.watch.started_ms[group] = self.loop.now_ms
-        if not self.step_of(key).gang:
-            super().began(machine, run)
-            return
-        members = self._gangs.setdefault((group, run.order.run), {})
-        members[key.index] = (machine, run)
-        run.began_ms = math.inf
-        if len(members) == self.step_of(key).tasks:
-            self._gang_begins(list(members.values()))
+        """A run began, so its step does not stand still."""
+        key = virtual_workers.task_key(run.order.task)
+        self.watch.started_ms[cell_state.GroupKey(*key[:3])] = self.loop.now_ms
+        super().began(machine, run)
 
     def ended(self, machine, run, how):
         """A run ended."""
-        key = virtual_watch.task_key(run.order.task)
+        key = virtual_workers.task_key(run.order.task)
         group = cell_state.GroupKey(*key[:3])
         if how == "done":
             self._done[group].add(key.index)
         elif how == "failed":
             self._failures[group if self.step_of(key).gang else key] += 1
 
-    def _gang_begins(self, members):
-        """All members are there: they are done together, or one fails on the way."""
-        for _machine, run in members:
-            run.began_ms = self.loop.now_ms
-        work_ms = max(run.work_ms for _machine, run in members)
-        failing = [member for member in members if member[1].how == "failed"]
-
-        def end():
-            if any(run.is_over for _machine, run in members):
-                return
-            for machine, run in failing[:1] or members:
-                machine.end(run, run.how)
-
-        self.loop.after(work_ms / 2 if failing else work_ms, end)
-
     def _watch(self):
         self.watch.look()
         self.loop.after(virtual_watch.WATCH_INTERVAL_MS, self._watch)
--- a/tools/virtual_parts.py
+++ b/tools/virtual_parts.py
@@ -46,18 +46,28 @@
     return plain._replace(**options)
 
 
-def worker(number, cpu_millis, memory_mb=64_000, rack="r1"):
+def worker(
+    number, cpu_millis, memory_mb=64_000, rack="r1", accelerators=0, service=POOL
+):
     """A worker's record."""
     name = f"w{number}"
-    capacity = common.Resources(cpu_millis, memory_mb, 0)
+    capacity = common.Resources(cpu_millis, memory_mb, accelerators)
     return cell.TargetRecord(
-        name, 1, POOL, f"{name}:1", "d", capacity, ["a", rack], "ready", name
+        name, 1, service, f"{name}:1", "d", capacity, ["a", rack], "ready", name
     )
 
 
-def step(tasks, cpu_millis, memory_mb=100, estimated_ms=500, after=(), **options):
+def step(
+    tasks,
+    cpu_millis,
+    memory_mb=100,
+    estimated_ms=500,
+    after=(),
+    accelerators=0,
+    **options,
+):
     """A step of equal tasks."""
-    demand = common.Resources(cpu_millis, memory_mb, 0)
+    demand = common.Resources(cpu_millis, memory_mb, accelerators)
     plain = cell.Step(
         tasks, demand, estimated_ms, list(after), *cell_state.NO_STEP_OPTIONS
     )
--- a/tools/virtual_watch.py
+++ b/tools/virtual_watch.py
@@ -7,6 +7,7 @@
 import typing
 
 from alderreach.core import cell_state
+from tools import virtual_workers
 
 WATCH_INTERVAL_MS = 250
 # What could start has to start within this: two questions of the slowest rule.
@@ -123,7 +124,7 @@
         running = {}
         for machine in self.day.machines():
             for run in machine.runs.values():
-                key = task_key(run.order.task)
+                key = virtual_workers.task_key(run.order.task)
                 group = cell_state.GroupKey(*key[:3])
                 running.setdefault(group, set()).add(key.index)
         return running
@@ -140,7 +141,7 @@
     def _used(self, machine):
         cpu = memory = 0
         for run in machine.runs.values():
-            step = self.day.step_of(task_key(run.order.task))
+            step = self.day.step_of(virtual_workers.task_key(run.order.task))
             cpu += 0 if step.best_effort else step.demand.cpu_millis
             memory += step.demand.memory_mb
         return cpu, memory
@@ -161,15 +162,9 @@
                 here = min(here, free // step.demand.cpu_millis)
             if step.max_per_target:
                 of_step = sum(
-                    task_key(run.order.task)[:3] == group
+                    virtual_workers.task_key(run.order.task)[:3] == group
                     for run in machine.runs.values()
                 )
                 here = min(here, step.max_per_target - of_step)
             fits[record.target_id] = max(0, here)
         return fits
-
-
-def task_key(task):
-    """The key that a task's name spells."""
-    job_id, *numbers = task.split(".")
-    return cell_state.TaskKey(job_id, *(int(number) for number in numbers))
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -3,7 +3,7 @@
 A worker kills all it runs when its lease lapses, as the real ones do.
 """
 
-from alderreach.core import orders
+from alderreach.core import cell_state, orders
 from alderreach.ops.controller import target_link
 
 # A worker kills what it is told to stop, or saves it first, within this.
@@ -13,6 +13,12 @@
 CALL_LIMIT_MS = 500.0
 
 
+def task_key(task):
+    """The key that a task's name spells."""
+    job_id, *numbers = task.split(".")
+    return cell_state.TaskKey(job_id, *map(int, numbers))
+
+
 class _Running:
     """One run on a model worker."""
 
