--- a/alderreach/decisions/cell/choice.py
+++ b/alderreach/decisions/cell/choice.py
@@ -10,12 +10,20 @@
 but first to the rack of its data, and gangs that want one rack into the rack that holds
 all of them with least to spare. Best-effort tasks go where the most processor time is
 idle and, if there is a choice, not beside tasks that serve.
+
+Before the fit goes the failure domain: the tasks of a step that are under way stay in
+one if it has room for them. Failure answered: a domain is cut off and what runs there
+stands still for a lease. A job is done when its last task is, so of jobs that are
+spread over three domains nearly every one stands still, and of jobs that are each in
+one domain a third. A new step goes to the domain with most room for it, so that steps
+are spread over the domains though none of them is.
 """
 
 import collections
 
 # Costs are shares of a worker, below 1; these are above every such cost, so that the
-# data's rack, and a worker without serving tasks, go before any better fit.
+# domain, the data's rack and a worker without serving tasks go before any better fit.
+OTHER_DOMAIN = 2.0
 FAR_FROM_DATA = 10.0
 BESIDE_SERVING = 100.0
 # A worker that failed something lately, or failed this very task, is the last choice.
@@ -49,17 +57,38 @@
     )
 
 
-def best(workers, step, avoided=""):
+def best(workers, step, avoided="", domains=()):
     """The best of some candidates for one task; None if there are none.
 
-    ``avoided`` is the worker on which the task failed last.
+    ``avoided`` is the worker on which the task failed last, and ``domains`` are those
+    that go first.
     """
     if not workers:
         return None
-    return min(
-        workers,
-        key=lambda worker: (worker.target_id == avoided, _cost(worker, step)),
-    )
+
+    def cost(worker):
+        outside = bool(domains) and worker.record.failure_domain not in domains
+        far = OTHER_DOMAIN if outside and not step.best_effort else 0.0
+        return worker.target_id == avoided, _cost(worker, step) + far
+
+    return min(workers, key=cost)
+
+
+def domains_for(workers, step, group, wanted, used):
+    """The failure domains in which ``wanted`` tasks of a step start first.
+
+    ``workers`` are its candidates, and ``used`` names the domains where others of its
+    tasks are under way: they go on there. Otherwise it is the domain with most room, if
+    that holds them all; if none does, no domain goes before another.
+    """
+    if used:
+        return used
+    room = collections.Counter()
+    for worker in workers:
+        room[worker.record.failure_domain] += _copies(worker, step, group)
+    for domain, fits in room.most_common(1):
+        return {domain} if fits >= wanted else ()
+    return ()
 
 
 def gather(workers, step, group, wanted, now_ms):
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -217,12 +217,14 @@
     def _place_tasks(self, group, step, tasks, waiting, pool, now_ms):
         """Start as many of the waiting tasks as find a worker."""
         usable = choice.candidates(pool, step, group, now_ms)
+        used = self._domains_of(tasks) if usable else ()
+        domains = choice.domains_for(usable, step, group, len(waiting), used)
         started = 0
         for index in waiting:
             key = cell_state.TaskKey(*group, index)
             failed_on = tasks[index].target_id if tasks[index].failed_run else ""
             free = [worker for worker in usable if key not in worker.runs]
-            worker = choice.best(free, step, failed_on)
+            worker = choice.best(free, step, failed_on, domains)
             if worker is None:
                 break
             self._start(worker, group, step, index, tasks[index].run + 1, now_ms)
@@ -231,6 +233,16 @@
                 usable.remove(worker)
         return started
 
+    def _domains_of(self, tasks):
+        """The failure domains in which some of a step's tasks are under way."""
+        known = self._books.workers
+        placed = [
+            known.get(task.target_id)
+            for task in tasks
+            if task.state == cell_state.PLACED
+        ]
+        return {worker.record.failure_domain for worker in placed if worker}
+
     def _place_gang(self, group, step, tasks, pool, now_ms):
         """Start all tasks of a gang in one run, or none."""
         if any(task.state != cell_state.WAITING for task in tasks):
