--- a/alderreach/decisions/cell/preemption.py
+++ b/alderreach/decisions/cell/preemption.py
@@ -1,10 +1,13 @@
 """Urgent tasks take the room of less urgent ones that save their progress.
 
 Load answered: a burst doubles the urgent queue while plans, whose tasks take several
-seconds each, fill the workers.
+seconds each, fill the workers; or tasks of one accelerator each lie scattered over the
+few machines that have any.
 
 Without it: an urgent step whose objective leaves it half a second waits until enough
-plan tasks end by themselves on the workers that it is permitted to use.
+plan tasks end by themselves on the workers that it is permitted to use. One that needs
+all accelerators of a machine, or a gang that needs several machines, waits until they
+happen to be empty.
 
 Only runs that save their progress when they are stopped give way, so what is lost is
 the time until they start again and their restore, not their work. A run gives way to a
@@ -15,6 +18,7 @@
 
 import typing
 
+from alderreach.core.generated import common
 from alderreach.decisions.cell import choice
 
 # Room mostly comes by itself within this. Of 1,878 urgent jobs in bursts of four times
@@ -30,6 +34,7 @@
 YIELD_COST_MS = 1500
 # Often enough for two bursts in a long task's life; never without end.
 YIELDS_MOST = 2
+NOTHING = common.Resources(0, 0, 0)
 
 
 class Eviction(typing.NamedTuple):
@@ -45,8 +50,9 @@
 
     ``workers`` are those on which the step may start but for want of room, and
     ``may_yield(run)`` says which runs may be stopped for it. Fewer tasks may find room
-    than are wanted; what is being stopped already counts as room. On a worker that may
-    hold no more tasks of ``group`` no room counts, or the step would wait beside it.
+    than are wanted, but for a gang, which starts whole: for a part of one nothing is
+    stopped. What is being stopped already counts as room. On a worker that may hold no
+    more tasks of ``group`` no room counts, or the step would wait beside it.
     """
     options = []
     for worker in workers:
@@ -58,8 +64,7 @@
         eviction = _cheapest(worker, step, may_yield) if allowed > 0 else None
         if eviction is not None:
             fitting = min(eviction.fitting, allowed)
-            stopped_millis = sum(run.demand.cpu_millis for run in eviction.runs)
-            cost = stopped_millis / fitting
+            cost = _share_stopped(eviction) / fitting
             options.append((cost, worker.target_id, eviction._replace(fitting=fitting)))
     chosen = []
     for _cost, _name, eviction in sorted(options, key=lambda option: option[:2]):
@@ -68,50 +73,82 @@
         wanted -= eviction.fitting
         if eviction.runs:
             chosen.append(eviction)
-    return chosen
+    return [] if step.gang and wanted > 0 else chosen
+
+
+def _share_stopped(eviction):
+    """The share of a worker's scarcest resource that an eviction stops work on."""
+    capacity = eviction.worker.record.capacity
+    stopped = _sum((NOTHING, *(run.demand for run in eviction.runs)))
+    return max(
+        part / max(1, whole) for part, whole in zip(stopped, capacity, strict=True)
+    )
 
 
 def _cheapest(worker, step, may_yield):
-    """The fewest processors' worth of runs after which a task fits; None if never."""
-    cpu, memory, accelerators = _soon_free(worker)
+    """The fewest runs after which a task fits on a worker; None if it never does."""
     demand = step.demand
-    if accelerators < demand.accelerators:
-        return None
+    free = _soon_free(worker)
     candidates = [run for run in worker.runs.values() if may_yield(run)]
-    candidates.sort(key=lambda run: (run.demand.cpu_millis, str(run.key)))
+    candidates.sort(key=lambda run: (run.demand, str(run.key)))
     chosen = []
-    while cpu < demand.cpu_millis or memory < demand.memory_mb:
-        if not candidates:
+    while any(_missing(free, demand)):
+        useful = [run for run in candidates if _helps(run, free, demand)]
+        if not useful:
             return None
-        run = _next(candidates, demand.cpu_millis - cpu, demand.memory_mb - memory)
+        run = _next(useful, _missing(free, demand))
         candidates.remove(run)
         chosen.append(run)
-        cpu += run.demand.cpu_millis
-        memory += run.demand.memory_mb
-    return Eviction(worker, chosen, _copies(cpu, memory, demand))
+        free = _sum((free, run.demand))
+    return Eviction(worker, _needed(chosen, free, demand), _copies(free, demand))
+
+
+def _needed(chosen, free, demand):
+    """Those of some runs without which the demand does not fit; larger ones go first.
+
+    A run that was taken for one resource may have become needless by one that was taken
+    for another.
+    """
+    for run in sorted(chosen, key=lambda run: run.demand):
+        left = common.Resources(*(a - b for a, b in zip(free, run.demand, strict=True)))
+        if not any(_missing(left, demand)):
+            chosen = [other for other in chosen if other is not run]
+            free = left
+    return chosen
+
 
+def _helps(run, free, demand):
+    """Whether a run holds some of what is missing."""
+    missing = _missing(free, demand)
+    return any(lacks and held for lacks, held in zip(missing, run.demand, strict=True))
 
-def _next(candidates, cpu, memory):
+
+def _next(candidates, missing):
     """The smallest run that gives all that is missing, or else the largest."""
     for run in candidates:
-        if run.demand.cpu_millis >= cpu and run.demand.memory_mb >= memory:
+        if all(held >= lacks for held, lacks in zip(run.demand, missing, strict=True)):
             return run
     return candidates[-1]
 
 
+def _missing(free, demand):
+    """What has to be freed of each resource."""
+    return [max(0, wanted - there) for wanted, there in zip(demand, free, strict=True)]
+
+
 def _soon_free(worker):
     """What is free once all stops under way are done."""
-    free = worker.free()
     closing = [run.demand for run in worker.runs.values() if run.is_closing()]
-    return (
-        free.cpu_millis + sum(demand.cpu_millis for demand in closing),
-        free.memory_mb + sum(demand.memory_mb for demand in closing),
-        free.accelerators + sum(demand.accelerators for demand in closing),
-    )
+    return _sum((worker.free(), *closing)) if closing else worker.free()
+
+
+def _sum(parts):
+    return common.Resources(*(sum(kind) for kind in zip(*parts, strict=True)))
 
 
-def _copies(cpu, memory, demand):
-    limits = [cpu // demand.cpu_millis] if demand.cpu_millis else []
-    if demand.memory_mb:
-        limits.append(memory // demand.memory_mb)
+def _copies(free, demand):
+    """How many times a demand fits into what is free; once at the least."""
+    limits = [
+        there // wanted for there, wanted in zip(free, demand, strict=True) if wanted
+    ]
     return max(1, min(limits, default=1))
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -209,10 +209,8 @@
 
     def _make_room(self, job, group, pool, wanted, now_ms):
         """Have less urgent runs stopped for a group that has waited for long."""
-        step = job.record.steps[group.step]
         waited_ms = now_ms - self._waiting[group]
-        if not step.gang:
-            self._evictions.consider(job, group, pool, wanted, waited_ms, now_ms)
+        self._evictions.consider(job, group, pool, wanted, waited_ms, now_ms)
 
     def _place_tasks(self, group, step, tasks, waiting, pool, now_ms):
         """Start as many of the waiting tasks as find a worker."""
