--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -94,6 +94,21 @@
     return True
 
 
+def whole_ms(run, now_ms):
+    """How long all the work of a run that is done now takes, or None if unknown.
+
+    Failure answered: a run is found by a new leader, or resumes from a checkpoint, and
+    is done soon after. Taken for the length of its step, that moment makes each of its
+    siblings look slow; they are stopped, and their healthy workers are out. So what was
+    seen of such a run stands for the rest by its pace.
+    """
+    if run.is_whole:
+        return now_ms - run.placed_ms
+    if run.first_ms is None or 100 - run.first_percent < GAINED_LEAST:
+        return None
+    return (now_ms - run.first_ms) * 100 / (100 - run.first_percent)
+
+
 def is_stalled(run, now_ms):
     """Whether a run that should get on has not moved for too long."""
     return run.pace == 100 and run.percent < 100 and now_ms - run.moved_ms >= STALL_MS
@@ -112,7 +127,7 @@
     gained, watched_ms = run.percent - run.first_percent, run.moved_ms - run.first_ms
     if gained <= 0 or (gained < GAINED_LEAST and watched_ms < WATCHED_LEAST_MS):
         return None
-    # A run that was taken up by a new leader may end in the millisecond it was found.
+    # A run may be done in the millisecond in which it was first seen to have begun.
     usual_ms = max(1, statistics.median(durations_ms))
     return watched_ms * 100 / gained / usual_ms
 
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -44,7 +44,10 @@
 
 
 class Run:
-    """One run of a task as its leader sees it; ``pace`` is None while not known."""
+    """One run of a task as its leader sees it; ``pace`` is None while not known.
+
+    ``is_whole`` says that this leader started it, and from the beginning of its work.
+    """
 
     __slots__ = (
         "abandoned",
@@ -56,6 +59,7 @@
         "first_ms",
         "first_percent",
         "is_long",
+        "is_whole",
         "key",
         "load",
         "may_yield",
@@ -79,6 +83,7 @@
         self.best_effort = step.best_effort
         self.tail_target_ms = step.tail_target_ms
         self.is_long = step.long_running
+        self.is_whole = True
         self.allow_duplicates = step.allow_duplicates
         self.abandoned = False
         self.ticket = ticket
--- a/alderreach/ops/controller/asking.py
+++ b/alderreach/ops/controller/asking.py
@@ -7,7 +7,7 @@
 """
 
 from alderreach.core import cell_state
-from alderreach.decisions.cell import choice, permissions
+from alderreach.decisions.cell import choice, health, permissions
 
 # Beyond the predicted end of the earlier steps, tickets should last for at least this.
 AHEAD_MS = 400
@@ -152,8 +152,7 @@
         run = worker.runs.get(key) if worker else None
         if run is None:
             return step.estimated_ms
-        worked_ms = now_ms - run.placed_ms
-        if run.percent > 0:
-            expected_ms = (run.moved_ms - run.placed_ms) * 100 / run.percent
-            return max(0, expected_ms - worked_ms)
-        return max(0, step.estimated_ms - worked_ms)
+        left_ms = health.left_ms(run, now_ms)
+        if left_ms is None:
+            left_ms = step.estimated_ms - (now_ms - run.placed_ms)
+        return max(0, left_ms)
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -44,6 +44,7 @@
         return
     run = workers.Run(key, task.run, step, now_ms)
     run.sends = 1
+    run.is_whole = False
     run.next_send_ms = None
     if run.best_effort:
         run.pace = None
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -24,6 +24,7 @@
     run = workers.Run(key, run_number, step, now_ms, ticket)
     run.next_send_ms = None
     run.checkpoint = checkpoint
+    run.is_whole = not checkpoint
     worker.add(run)
     record = worker.record
     placed = cell.RunPlaced(*key, run_number, record.target_id, record.born_ms)
@@ -203,7 +204,8 @@
     """What an end says of its worker, and of how long such tasks take."""
     if how == "done":
         health.ended_well(worker)
-        durations = books.durations.setdefault(run.key[:3], [])
-        durations.append(books.now_ms() - run.placed_ms)
+        whole_ms = health.whole_ms(run, books.now_ms())
+        if whole_ms is not None:
+            books.durations.setdefault(run.key[:3], []).append(whole_ms)
     elif how == "failed":
         strike(books, worker, run.key.job_id)
--- /dev/null
+++ b/tests/cell_takeover_test.py
@@ -0,0 +1,25 @@
+"""A new leader judges runs that it did not start."""
+
+import pytest
+
+from tools import virtual_cell, virtual_parts
+
+WORKERS = 8
+WORK_MS = 4000
+
+
+@pytest.mark.parametrize("checkpointing", [True, False])
+def test_no_run_is_moved_for_being_slow_after_a_takeover(checkpointing):
+    """A leader is lost, and its successor finds a plan's tasks halfway. Those that end
+    first seemed to have taken as long as they were known; by that their siblings were
+    slow, were stopped, and their healthy workers got nothing new for seconds.
+    """
+    records = [virtual_parts.worker(n, 4000) for n in range(WORKERS)]
+    made = virtual_cell.VirtualCell([virtual_parts.queue("q")], records)
+    work_ms = [WORK_MS * (1 + index / 40) for index in range(4 * WORKERS)]
+    step = virtual_parts.step(len(work_ms), 1000, checkpointing=checkpointing)
+    made.submit("q", "plan", [virtual_parts.Work(step, work_ms)])
+    made.lose_leader_at(WORK_MS * 0.9, 300)
+    made.run_until(4 * WORK_MS)
+    assert made.outcomes()["q"].on_time == 1
+    assert made.moves == 0
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -70,6 +70,7 @@
         self.cpu_s = 0.0
         self.starts = 0
         self.stops = 0
+        self.moves = 0
         self.looks = 0
         self.questions = 0
         self.waits = []
@@ -304,6 +305,7 @@
     def _record(self, kind, **fields):
         self.starts += kind == "run_placed"
         self.stops += kind == "run_preempted"
+        self.moves += kind == "run_moved"
         self.questions += kind == "permission_asked"
         if kind == "step_waits":
             self.waits.append(fields)
