--- a/alderreach/ops/controller/evictions.py
+++ b/alderreach/ops/controller/evictions.py
@@ -1,4 +1,11 @@
-"""Stops that make room for urgent steps; see ``decisions/cell/preemption.py``."""
+"""Stops that make room for urgent steps; see ``decisions/cell/preemption.py``.
+
+Failure answered: several runs are stopped for one large task and end one after the
+other. The first room is too small for it yet, and the run that gave it, which waits
+again, takes it back; it is stopped once more, and the urgent task goes on waiting. So a
+worker on which runs were stopped is held for the step that asked until the stops are
+over.
+"""
 
 from alderreach.core import cell_state
 from alderreach.decisions.cell import preemption, workers
@@ -16,6 +23,13 @@
         self._rank_of = rank_of
         self._yielded = {}
         self._next_ms = {}
+        self._held = {}
+
+    def held_for(self, group, now_ms):
+        """Ids of workers on which nothing less urgent than a group may start now."""
+        if now_ms >= self._next_ms.get(group, 0):
+            return ()
+        return self._held.get(group, ())
 
     def consider(self, job, group, pool, wanted, waited_ms, now_ms):
         """Make room for ``wanted`` tasks of a group on workers of its ``pool``.
@@ -33,6 +47,7 @@
         )
         pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
         self._next_ms[group] = now_ms + pause_ms
+        self._held[group] = {eviction.worker.target_id for eviction in chosen}
         for eviction in chosen:
             for run in eviction.runs:
                 self._stop(eviction.worker, run, group)
@@ -41,6 +56,7 @@
         """Forget what is kept of jobs that have ended."""
         self._books.drop_ended(self._yielded)
         self._books.drop_ended(self._next_ms)
+        self._books.drop_ended(self._held)
 
     def _may_yield(self, run, priority):
         if not run.may_yield or run.state != workers.RUNNING:
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -31,6 +31,7 @@
         self._asking = asking.Asking(books)
         self._evictions = evictions.Evictions(books, self._rank)
         self._waits = waits.Waits(books)
+        self._held = set()
         self._due = []
         self._next_pass_ms = 0
         for job in books.state.jobs.values():
@@ -70,6 +71,7 @@
         self._release_due()
         self._asking.begin()
         self._waits.begin()
+        self._held.clear()
         usable = self._usable(now_ms)
         started = 0
         for _urgency, group in self._in_order():
@@ -195,6 +197,8 @@
         if rule is not None:
             permitted = books.permissions.permitted(group, now_ms)
             pool = [worker for worker in pool if worker.target_id in permitted]
+        if self._held:
+            pool = [worker for worker in pool if worker.target_id not in self._held]
         if step.gang:
             started = self._place_gang(group, step, tasks, pool, now_ms)
         else:
@@ -211,6 +215,7 @@
         """Have less urgent runs stopped for a group that has waited for long."""
         waited_ms = now_ms - self._waiting[group]
         self._evictions.consider(job, group, pool, wanted, waited_ms, now_ms)
+        self._held.update(self._evictions.held_for(group, now_ms))
 
     def _place_tasks(self, group, step, tasks, waiting, pool, now_ms):
         """Start as many of the waiting tasks as find a worker."""
