--- a/alderreach/decisions/cell/order.py
+++ b/alderreach/decisions/cell/order.py
@@ -15,12 +15,14 @@
 import typing
 
 WORTHLESS_AFTER_OBJECTIVES = 3
+LATE_SHARE = 0.5
 
 
 class Rank(typing.NamedTuple):
     """What of a step's urgency does not change while its queue is configured alike."""
 
     priority: int
+    late_from_ms: float
     worthless_from_ms: float
     latest_start_ms: float
     job_id: str
@@ -31,6 +33,7 @@
 
     priority: int
     is_worthless: bool
+    is_late: bool
     latest_start_ms: float
     job_id: str
 
@@ -58,10 +61,12 @@
     """The Rank of a step of a job that was due at ``due_ms``."""
     steps = job.record.steps
     allowed_ms = objective_ms(queue, steps)
+    left_ms = chain_ms(steps)[step]
     return Rank(
         queue.priority,
+        due_ms + allowed_ms - LATE_SHARE * left_ms,
         due_ms + WORTHLESS_AFTER_OBJECTIVES * allowed_ms,
-        due_ms + allowed_ms - chain_ms(steps)[step],
+        due_ms + allowed_ms - left_ms,
         job.record.job_id,
     )
 
@@ -69,4 +74,7 @@
 def urgency(ranked, now_ms):
     """The urgency now of a step with this Rank."""
     is_worthless = now_ms > ranked.worthless_from_ms
-    return Urgency(ranked.priority, is_worthless, ranked.latest_start_ms, ranked.job_id)
+    is_late = now_ms > ranked.late_from_ms
+    return Urgency(
+        ranked.priority, is_worthless, is_late, ranked.latest_start_ms, ranked.job_id
+    )
