--- a/alderreach/ops/keeper/disk.py
+++ b/alderreach/ops/keeper/disk.py
@@ -4,6 +4,13 @@
 what it should have kept, and a second one would report success, so a vote or
 acknowledgement after it could promise something that is gone. Operators see
 ``storage_failed`` in the time line and the log; the other keepers go on.
+
+A full disk is another matter: nothing was written, and room may come back. Failure
+answered: the process ended, was started again and ended at its first write, over and
+over, until the platform gave it up. Now the keeper's task waits for room. To the others
+it looks like a process that is frozen: it neither votes nor acknowledges, a leader is
+replaced, and what it had to write is written, and only then answered for, once there is
+room. Operators see ``disk_full`` and ``disk_has_room``, and the gauge ``disk_full``.
 """
 
 import time
@@ -13,8 +20,11 @@
 
 from alderreach.core import keeper_dump, raft, raft_state
 from alderreach.ops.keeper import log_file, snapshot_file
+from alderreach.utils import files
 
 EXIT_STORAGE = 4
+# How often a write is tried again on a full disk.
+FULL_RETRY_S = 0.1
 KEPT_BYTES = 8 << 20
 
 
@@ -27,21 +37,21 @@
 class Disk:
     """The open files of one keeper; all but ``_write_snapshot`` is its task's.
 
-    ``run_aside(work)`` runs a snapshot's writing beside the task, ``put`` gives the
-    task mail, and ``end_process(code)`` ends the process without any clean-up.
+    ``hooks.run_aside(work)`` runs a snapshot's writing beside the task, ``put`` gives
+    the task mail, ``hooks.end_process(code)`` ends the process without any clean-up,
+    and ``hooks.wait(seconds)`` lets time pass.
     """
 
-    def __init__(self, context, identity, run_aside, put, end_process):
+    def __init__(self, context, identity, hooks, put):
         self._folder = context.settings.process.data_folder
         self._snapshot_entries = context.settings.limits.snapshot_entries
         self._timeline = context.timeline
         self._metrics = context.metrics
-        self._run_aside = run_aside
+        self._hooks = hooks
         self._put = put
-        self._end_process = end_process
         self._log_file = log_file.LogFile(self._folder, identity)
         self._is_writing_snapshot = False
-        self.sink = snapshot_file.Sink(self._folder)
+        self.sink = snapshot_file.Sink(self._folder, self._when_room)
 
     def write(self, node):
         """Sync what is new; returns the state of a snapshot just installed, or None.
@@ -54,7 +64,7 @@
                 return self._install(node)
             if write is not None:
                 started_ns = time.perf_counter_ns()
-                self._log_file.append(write)
+                self._when_room(lambda: self._log_file.append(write))
                 spent_ms = (time.perf_counter_ns() - started_ns) / 1_000_000
                 self._metrics.observe_ms("log_sync", spent_ms)
         except OSError as error:
@@ -71,7 +81,7 @@
         term, members = node.log.term_at(index), node.members_at(index)
         copy = keeper_dump.copy(state)
         self._is_writing_snapshot = True
-        self._run_aside(lambda: self._write_snapshot(index, term, members, copy))
+        self._hooks.run_aside(lambda: self._write_snapshot(index, term, members, copy))
 
     def compact(self, node, snapshot):
         """Drop what a new snapshot covers, but for a tail, from the log."""
@@ -84,7 +94,7 @@
         raft_state.compact(node, kept)
         raft.take_write(node)
         try:
-            self._log_file.rewrite(node.log, node.term, node.voted_for)
+            self._rewrite(node)
         except OSError as error:
             self.fail(error)
 
@@ -94,7 +104,9 @@
         self._timeline.record("storage_failed", detail=detail)
         logging.error("%s; the keeper ends and does not vote", detail)
         logging.flush()
-        self._end_process(EXIT_STORAGE)
+        # The process ends without clean-up; unwritten, its reason would be lost.
+        self._timeline.flush()
+        self._hooks.end_process(EXIT_STORAGE)
 
     def close(self):
         """Close the files."""
@@ -103,11 +115,34 @@
 
     def _install(self, node):
         node.installed = None
-        self._log_file.rewrite(node.log, node.term, node.voted_for)
+        self._rewrite(node)
         state = self.sink.loaded.state
         self._timeline.record("snapshot_installed", detail=f"index {state.index}")
         return state
 
+    def _rewrite(self, node):
+        self._when_room(
+            lambda: self._log_file.rewrite(node.log, node.term, node.voted_for)
+        )
+
+    def _when_room(self, write):
+        """Write, and wait while the disk is full; other failures are raised."""
+        is_full = False
+        while True:
+            try:
+                write()
+                break
+            except files.DiskFull as error:
+                if not is_full:
+                    is_full = True
+                    self._metrics.gauge("disk_full", 1)
+                    self._timeline.record("disk_full", detail=str(error))
+                    logging.error("disk full, neither voting nor writing: %s", error)
+                self._hooks.wait(FULL_RETRY_S)
+        if is_full:
+            self._metrics.gauge("disk_full", 0)
+            self._timeline.record("disk_has_room")
+
     def _write_snapshot(self, index, term, members, state):
         """Run beside the task, since a large state takes longer than a heartbeat.
 
--- a/alderreach/ops/keeper/log_file.py
+++ b/alderreach/ops/keeper/log_file.py
@@ -77,10 +77,11 @@
 
 
 class LogFile:
-    """The file open for writing; any ``OSError`` it raises is final.
+    """The file open for writing; any ``OSError`` it raises but DiskFull is final.
 
     After a failed sync the kernel may have dropped the bytes, and a second sync would
-    report success: the caller must stop answering, not try again.
+    report success: the caller must stop answering, not try again. Of a record for which
+    the disk had no room nothing is in the file, so that one may be written again.
     """
 
     def __init__(self, folder, identity):
@@ -90,7 +91,7 @@
 
     def append(self, write):
         """Write and sync one ``raft_state.Write``."""
-        self._write(records.frame(_encode(write)))
+        files.append_whole(self._file, records.frame(_encode(write)))
         os.fsync(self._file.fileno())
 
     def rewrite(self, log, term, voted_for):
@@ -106,10 +107,6 @@
         """Close the file; all in it is synced already."""
         self._file.close()
 
-    def _write(self, data):
-        while data:
-            data = data[self._file.write(data) :]
-
 
 def _replay(header, writes, torn_bytes):
     term, voted_for = 0, ""
--- a/alderreach/ops/keeper/service.py
+++ b/alderreach/ops/keeper/service.py
@@ -44,16 +44,17 @@
 
 
 class Hooks(typing.NamedTuple):
-    """What a test replaces: lots, work beside the task, and the end of the process."""
+    """What a test replaces: lots, work beside the task, the process's end, waits."""
 
     random: random.Random
     run_aside: typing.Callable
     end_process: typing.Callable
+    wait: typing.Callable
 
 
 def system_hooks():
     """What a daemon uses."""
-    return Hooks(random.Random(), _run_on_thread, os._exit)
+    return Hooks(random.Random(), _run_on_thread, os._exit, time.sleep)
 
 
 def _run_on_thread(work):
@@ -99,13 +100,7 @@
             }
         self._reply_addresses = {}
         self._task = tasks.Task("keeper", self._handle, self._tick, self._clock)
-        self._disk = disk.Disk(
-            context,
-            opened.identity,
-            hooks.run_aside,
-            self._task.put,
-            hooks.end_process,
-        )
+        self._disk = disk.Disk(context, opened.identity, hooks, self._task.put)
         self._state = opened.state
         self._node = self._make_node(opened, hooks.random)
         self._joining = joining.Joining(
--- a/alderreach/ops/keeper/snapshot_file.py
+++ b/alderreach/ops/keeper/snapshot_file.py
@@ -66,21 +66,25 @@
 
 
 class Sink:
-    """Takes a snapshot that another keeper sends; see ``raft_state.Node``."""
+    """Takes a snapshot that another keeper sends; see ``raft_state.Node``.
 
-    def __init__(self, folder):
+    ``when_room(write)`` calls ``write`` until the disk has room for it.
+    """
+
+    def __init__(self, folder, when_room):
         self._folder = pathlib.Path(folder)
+        self._when_room = when_room
         self._file = None
         self.loaded = None
 
     def begin(self, _index, _term):
         """Start over with an empty file."""
         self.close()
-        self._file = (self._folder / PART_FILE).open("wb")
+        self._file = (self._folder / PART_FILE).open("wb", buffering=0)
 
     def write(self, data):
         """Add the next bytes."""
-        self._file.write(data)
+        self._when_room(lambda: files.append_whole(self._file, data))
 
     def finish(self):
         """Sync and check the file and put it in force; None if it is not whole.
@@ -88,7 +92,6 @@
         What it held is left in ``loaded``.
         """
         path = self._folder / PART_FILE
-        self._file.flush()
         os.fsync(self._file.fileno())
         self.close()
         if isinstance(_load(path), Err):
--- a/alderreach/utils/event_log.py
+++ b/alderreach/utils/event_log.py
@@ -17,6 +17,9 @@
 # Lines a second of one kind: several times what the heaviest kind needs at the size of
 # today's cells; without a bound, a storm of failures would take the processor.
 KIND_EVENTS_PER_S = 400
+LINES_PER_WRITE = 200
+# A reader that takes nothing for so long has stalled.
+STALLED_S = 1
 STOP = object()
 
 _encode = msgspec.json.Encoder().encode
@@ -53,10 +56,16 @@
                 return
         self._queue.put(event)
 
+    def flush(self):
+        """Wait until what was recorded is written, unless the reader has stalled."""
+        written = threading.Event()
+        self._queue.put(written)
+        written.wait(timeout=STALLED_S)
+
     def close(self):
         """Write what is queued, unless the reader has stalled."""
         self._queue.put(STOP)
-        self._thread.join(timeout=1)
+        self._thread.join(timeout=STALLED_S)
 
     def _has_budget(self, kind, now_ms):
         second = now_ms // 1000
@@ -79,15 +88,19 @@
             )
 
     def _run(self):
-        while (event := self._queue.get()) is not STOP:
-            lines = [_encode(event)]
-            while not self._queue.empty() and len(lines) < 200:
-                event = self._queue.get()
-                if event is STOP:
-                    self._write(lines)
-                    return
+        event = None
+        while event is not STOP:
+            event = self._queue.get()
+            lines = []
+            while isinstance(event, dict):
                 lines.append(_encode(event))
-            self._write(lines)
+                if self._queue.empty() or len(lines) >= LINES_PER_WRITE:
+                    break
+                event = self._queue.get()
+            if lines:
+                self._write(lines)
+            if isinstance(event, threading.Event):
+                event.set()
 
     def _write(self, lines):
         try:
--- a/alderreach/utils/timeline.py
+++ b/alderreach/utils/timeline.py
@@ -76,6 +76,9 @@
             events = list(self._ring)
         return [event for event in events if matches(event, query)][-query.limit :]
 
+    def flush(self):
+        """Nothing to do: each event is written as it is recorded."""
+
     def close(self):
         """Flush and close the file."""
         with self._lock:
--- a/tests/keeper_failures_test.py
+++ b/tests/keeper_failures_test.py
@@ -1,5 +1,8 @@
 """Keepers' own code over real files and a fake clock, through one failure each."""
 
+import errno
+import pathlib
+
 import pytest
 
 from alderreach.core import codec
@@ -221,6 +224,51 @@
     assert kind == "storage_failed" and "No space left" in detail
 
 
+@pytest.mark.parametrize("taken", [0, 7])
+def test_a_full_disk_is_waited_for(make, monkeypatch, taken):
+    """A follower's disk is full for some seconds. Operators saw its process end and
+    start three times in two seconds, and no line that said why.
+
+    The write fails after all or a part of a record; the rest of the cell goes on, the
+    keeper stays up, and has acknowledged nothing that is not in its file.
+    """
+    cell = make(3)
+    leader = cell.elect()
+    bad = next(name for name in cell.names if name != leader)
+    log_file = cell.keepers[bad]._disk._log_file
+    whole = log_file._file
+    waits = []
+
+    class Full:
+        """A file on a full disk, which takes the first bytes of a record at most."""
+
+        def __getattr__(self, name):
+            return getattr(whole, name)
+
+        def write(self, data):
+            if len(data) > taken and taken:
+                return whole.write(data[:taken])
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+    def wait(seconds):
+        waits.append(seconds)
+        if len(waits) == 20:
+            log_file._file = whole
+
+    log_file._file, cell.wait = Full(), wait
+    size = pathlib.Path(whole.name).stat().st_size
+    assert cell.write("team/a", b"1").status == "accepted"
+    cell.run(200)
+    kinds = [kind for kind, _detail in cell.lines[bad].events]
+    assert len(waits) == 20 and size < pathlib.Path(whole.name).stat().st_size
+    assert kinds.count("disk_full") == kinds.count("disk_has_room") == 1
+    cell.settle()
+    cell.crash(bad)
+    assert cell.start(bad) is None
+    cell.settle()
+    assert cell.keepers[bad]._state.version == 1
+
+
 def test_a_write_under_way_when_leadership_is_lost_is_uncertain(make):
     """The leader logs a write, but is cut off before any other keeper has it.
 
