--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -252,7 +252,8 @@
     def save(self, run, how, now_ms):
         """What a run that ends leaves: its checkpoint if its step saves."""
         key = virtual_workers.task_key(run.order.task)
-        if how != "stopped" or not self.step_of(key).checkpointing:
+        step = self.step_of(key)
+        if how != "stopped" or not step.checkpointing or step.long_running:
             return ""
         all_ms = self._works[key.job_id][key.step].work_ms[key.index]
         left_ms = run.work_ms - run.done_ms(now_ms)
