--- a/alderreach/decisions/cell/preemption.py
+++ b/alderreach/decisions/cell/preemption.py
@@ -19,7 +19,7 @@
 import typing
 
 from alderreach.core.generated import common
-from alderreach.decisions.cell import choice
+from alderreach.decisions.cell import choice, health
 
 # Room mostly comes by itself within this. Of 1,878 urgent jobs in bursts of four times
 # the usual (``bench cell``, four seeds), 17 are late without preemption, and 6 and 4
@@ -45,13 +45,14 @@
     fitting: int
 
 
-def choose(workers, step, wanted, may_yield, group=None):
+def choose(workers, step, wanted, may_yield, now_ms, group=None):
     """Evictions that make room for ``wanted`` tasks of a step, the cheapest first.
 
     ``workers`` are those on which the step may start but for want of room, and
     ``may_yield(run)`` says which runs may be stopped for it. Fewer tasks may find room
     than are wanted, but for a gang, which starts whole: for a part of one nothing is
-    stopped. What is being stopped already counts as room. On a worker that may hold no
+    stopped. What is being stopped already counts as room, and so does what will be
+    done by itself within the time of a stop. On a worker that may hold no
     more tasks of ``group`` no room counts, or the step would wait beside it.
     """
     options = []
@@ -61,7 +62,7 @@
         allowed = wanted
         if step.max_per_target:
             allowed = min(wanted, step.max_per_target - worker.count_of(group))
-        eviction = _cheapest(worker, step, may_yield) if allowed > 0 else None
+        eviction = _cheapest(worker, step, may_yield, now_ms) if allowed > 0 else None
         if eviction is not None:
             fitting = min(eviction.fitting, allowed)
             cost = _share_stopped(eviction) / fitting
@@ -85,11 +86,14 @@
     )
 
 
-def _cheapest(worker, step, may_yield):
+def _cheapest(worker, step, may_yield, now_ms):
     """The fewest runs after which a task fits on a worker; None if it never does."""
     demand = step.demand
-    free = _soon_free(worker)
-    candidates = [run for run in worker.runs.values() if may_yield(run)]
+    ending = [run for run in worker.runs.values() if _ends_soon(run, now_ms)]
+    free = _sum((worker.free(), *(run.demand for run in ending)))
+    candidates = [
+        run for run in worker.runs.values() if may_yield(run) and run not in ending
+    ]
     candidates.sort(key=lambda run: (run.demand, str(run.key)))
     chosen = []
     while any(_missing(free, demand)):
@@ -136,10 +140,16 @@
     return [max(0, wanted - there) for wanted, there in zip(demand, free, strict=True)]
 
 
-def _soon_free(worker):
-    """What is free once all stops under way are done."""
-    closing = [run.demand for run in worker.runs.values() if run.is_closing()]
-    return _sum((worker.free(), *closing)) if closing else worker.free()
+def _ends_soon(run, now_ms):
+    """Whether a run is over, stopped or done, by the time a stop would take.
+
+    Stopped shortly before its end, it would give its room no sooner and lose a stop, a
+    ticket and a restore for it.
+    """
+    if run.is_closing():
+        return True
+    left_ms = None if run.is_long else health.left_ms(run, now_ms)
+    return left_ms is not None and abs(left_ms) < STOP_MS
 
 
 def _sum(parts):
