--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -20,6 +20,7 @@
 here it keeps its room until its end is known like that of any other.
 """
 
+from alderreach.core import orders
 from alderreach.core.generated import common
 from alderreach.decisions.cell import health
 
@@ -117,7 +118,8 @@
 
     ``shown`` says whether it saw the leader's epoch, ``awaits_list`` that a new life
     began and its first list will tell which runs it has, ``life`` counts such lives,
-    and ``asked`` is the look that is under way, sent at ``look``.
+    ``is_refusing`` that nothing listened there at the last call, and ``asked`` is the
+    look that is under way, sent at ``look``.
     """
 
     def __init__(self, record, now_ms, lapses_ms):
@@ -137,6 +139,7 @@
         self.sequence = -1
         self.heard_ms = now_ms
         self.failures = 0
+        self.is_refusing = False
         self.lapses_ms = lapses_ms
         self.offset_ms = None
         self.offset_at_ms = now_ms
@@ -149,6 +152,17 @@
         self.held_back_until_ms = 0
         self.health = health.Record()
 
+    def note_answer(self, outcome):
+        """Learn from whether a call was answered: a worker that misses one is doubtful.
+
+        Answers that prove nothing about its health leave that as it was.
+        """
+        self.is_refusing = outcome == orders.UNREACHABLE
+        if outcome in (orders.UNKNOWN, orders.UNREACHABLE):
+            self.failures += 1
+        elif outcome == orders.OK:
+            self.failures = 0
+
     def may_arrive_late(self, run, now_ms):
         """A start of this run got no answer and may be carried out seconds later."""
         self.unsettled[(str(run.key), run.run)] = now_ms + LATE_MS
--- a/alderreach/ops/controller/lives.py
+++ b/alderreach/ops/controller/lives.py
@@ -19,7 +19,8 @@
 # A draining worker serves for 2 s at least, less the time until its leader knows.
 DRAIN_LEAST_MS = 1500
 # Tasks that may run twice are started elsewhere once their worker has been silent for
-# this: two looks that failed. The others have to wait for the lease.
+# this: two looks that failed; at once if nothing listens there, which mostly means that
+# it has crashed. That is no proof, so the others have to wait for the lease.
 ABANDON_AFTER_MS = 1500
 
 
@@ -120,7 +121,8 @@
     """What silence and draining call for as time passes."""
     if now_ms >= worker.lapses_ms:
         lapse(books, worker)
-    if worker.failures and now_ms - worker.heard_ms >= ABANDON_AFTER_MS:
+    is_silent = worker.failures and now_ms - worker.heard_ms >= ABANDON_AFTER_MS
+    if is_silent or worker.is_refusing:
         abandon(books, worker)
     is_draining = worker.record.state == "draining" and worker.shown
     if is_draining and not worker.is_evacuated:
--- a/alderreach/ops/controller/looks.py
+++ b/alderreach/ops/controller/looks.py
@@ -67,7 +67,7 @@
         books.decide(targets=[worker.record])
     worker.note_clock(result.clock_ms, now_ms)
     worker.heard_ms = now_ms
-    worker.failures = 0
+    worker.note_answer(orders.OK)
     if not worker.shown:
         worker.shown = True
         books.is_stale = True
@@ -105,6 +105,7 @@
 
 def _look_failed(books, worker, result, now_ms):
     worker.failures += 1
+    worker.is_refusing = result.outcome == orders.UNREACHABLE
     if worker.failures == 1:
         books.environment.record(
             "worker_doubtful", target=worker.target_id, outcome=result.outcome
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -29,10 +29,7 @@
             lives.suspect_new_life(books, worker)
         worker.note_clock(result.clock_ms, now_ms)
         worker.heard_ms = now_ms
-    if result.outcome in (orders.UNKNOWN, orders.UNREACHABLE):
-        worker.failures += 1
-    elif result.outcome == orders.OK:
-        worker.failures = 0
+    worker.note_answer(result.outcome)
     if result.outcome == orders.OTHER_LIFE:
         lives.life_over(books, worker)
         return
