--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -7,8 +7,10 @@
 task after task, and a job whose tasks may fail twice is lost to it; a task that stands
 still holds its job up for ever.
 
-- Failed ends count against a worker only once for each job, since a broken job fails
-  everywhere, and a success clears them. One strike makes a worker the last choice;
+- Failed ends count against a worker only once for each job, and a success clears them.
+  A job that has failed on two workers counts against neither, since a broken job fails
+  everywhere: two such jobs at a time took the only worker that may run a third one out
+  for as long as they were tried. One strike makes a worker the last choice;
   ``STRIKES_OUT`` take it out for ``FIRST_OUT_MS``, doubled each time, and then it is
   tried again. At most ``OUT_SHARE`` of a service's workers are out at once: if more
   seem bad, it is not the workers. Counted over all services, a small one could lose
@@ -26,6 +28,7 @@
   slow on a healthy worker.
 """
 
+import collections
 import statistics
 
 STRIKES_OUT = 2
@@ -33,6 +36,8 @@
 FIRST_OUT_MS = 3000
 LONGEST_OUT_MS = 30_000
 OUT_SHARE = 0.34
+# More broken jobs than fail on one worker at a time.
+EXCUSED_KEPT = 16
 STALL_MS = 1800
 SLOW_RATIO = 3.0
 LONE_RATIO = 5.0
@@ -51,14 +56,17 @@
 class Record:
     """What speaks against one worker, and until when it is out for that.
 
+    ``excused`` are the last jobs whose failure here turned out to be their own fault.
+
     The moment is its own: shared with the short wait after a refused start, the refusal
     brought a bad worker back early, and refusals for want of room kept bad workers in.
     """
 
-    __slots__ = ("out_ms", "out_until_ms", "strikes")
+    __slots__ = ("excused", "out_ms", "out_until_ms", "strikes")
 
     def __init__(self):
         self.strikes = set()
+        self.excused = collections.deque(maxlen=EXCUSED_KEPT)
         self.out_until_ms = 0
         self.out_ms = FIRST_OUT_MS
 
@@ -78,10 +86,12 @@
     if now_ms < record.out_until_ms:
         # It started before; only what fails after the return says that it is still bad.
         return False
+    peers = [w for w in workers if w.record.service == worker.record.service]
+    if _is_excused(job_id, worker, peers):
+        return False
     record.strikes.add(job_id)
     if len(record.strikes) < STRIKES_OUT:
         return False
-    peers = [w for w in workers if w.record.service == worker.record.service]
     others_out = sum(
         peer is not worker and now_ms < peer.health.out_until_ms for peer in peers
     )
@@ -94,6 +104,21 @@
     return True
 
 
+def _is_excused(job_id, worker, peers):
+    """Whether a job's failures count against no worker: it has failed on two.
+
+    A worker that is out with a strike for such a job is back.
+    """
+    if any(job_id in peer.health.excused for peer in peers):
+        return True
+    blamed = [w for w in peers if w is not worker and job_id in w.health.strikes]
+    for other in blamed:
+        other.health.strikes.discard(job_id)
+        other.health.excused.append(job_id)
+        other.health.out_until_ms = 0
+    return bool(blamed)
+
+
 def whole_ms(run, now_ms):
     """How long all the work of a run that is done now takes, or None if unknown.
 
