--- a/alderreach/ops/controller/waits.py
+++ b/alderreach/ops/controller/waits.py
@@ -5,6 +5,8 @@
 number of lines and spends little on them.
 """
 
+import collections
+
 from alderreach.core import cell_state
 from alderreach.decisions.cell import choice, waiting
 
@@ -13,6 +15,8 @@
 # A report looks at all workers: 0.12 ms for 176 of them, timed alone. So a pass spends
 # half a millisecond on reports at most.
 REPORTS_PER_PASS = 4
+# A report names this many of the queues whose runs hold the room.
+HOLDERS_NAMED = 3
 
 
 class Waits:
@@ -46,6 +50,7 @@
             task=".".join(str(part) for part in group),
             cause=cause,
             waited_ms=waited_ms,
+            held_by=self._holders(pool),
             **standing._asdict(),
         )
 
@@ -63,6 +68,23 @@
         metrics.gauge("steps_waiting", len(since_ms))
         metrics.gauge("longest_wait_ms", now_ms - min(since_ms, default=now_ms))
 
+    def _holders(self, pool):
+        """The queues with most runs on some workers, as [queue, runs, urgency].
+
+        A less urgent queue among them shows that preemption found nothing to stop.
+        """
+        counts = collections.Counter()
+        for worker in pool:
+            for run in worker.runs.values():
+                job = self._books.state.jobs.get(run.key.job_id)
+                if job is not None:
+                    queue = self._books.queue_of(job)
+                    counts[(queue.name, queue.priority)] += 1
+        return [
+            [name, runs, priority]
+            for (name, priority), runs in counts.most_common(HOLDERS_NAMED)
+        ]
+
     def _standing(self, job, group, pool, now_ms):
         books = self._books
         step = job.record.steps[group.step]
