--- a/alderreach/decisions/cell/preemption.py
+++ b/alderreach/decisions/cell/preemption.py
@@ -19,7 +19,7 @@
 import typing
 
 from alderreach.core.generated import common
-from alderreach.decisions.cell import choice, health
+from alderreach.decisions.cell import choice
 
 # Room mostly comes by itself within this. Of 1,878 urgent jobs in bursts of four times
 # the usual (``bench cell``, four seeds), 17 are late without preemption, and 6 and 4
@@ -45,14 +45,13 @@
     fitting: int
 
 
-def choose(workers, step, wanted, may_yield, now_ms, group=None):
+def choose(workers, step, wanted, may_yield, group=None):
     """Evictions that make room for ``wanted`` tasks of a step, the cheapest first.
 
     ``workers`` are those on which the step may start but for want of room, and
     ``may_yield(run)`` says which runs may be stopped for it. Fewer tasks may find room
     than are wanted, but for a gang, which starts whole: for a part of one nothing is
-    stopped. What is being stopped already counts as room, and so does what will be
-    done by itself within the time of a stop. On a worker that may hold no
+    stopped. What is being stopped already counts as room. On a worker that may hold no
     more tasks of ``group`` no room counts, or the step would wait beside it.
     """
     options = []
@@ -62,7 +61,7 @@
         allowed = wanted
         if step.max_per_target:
             allowed = min(wanted, step.max_per_target - worker.count_of(group))
-        eviction = _cheapest(worker, step, may_yield, now_ms) if allowed > 0 else None
+        eviction = _cheapest(worker, step, may_yield) if allowed > 0 else None
         if eviction is not None:
             fitting = min(eviction.fitting, allowed)
             cost = _share_stopped(eviction) / fitting
@@ -86,14 +85,12 @@
     )
 
 
-def _cheapest(worker, step, may_yield, now_ms):
+def _cheapest(worker, step, may_yield):
     """The fewest runs after which a task fits on a worker; None if it never does."""
     demand = step.demand
-    ending = [run for run in worker.runs.values() if _ends_soon(run, now_ms)]
-    free = _sum((worker.free(), *(run.demand for run in ending)))
-    candidates = [
-        run for run in worker.runs.values() if may_yield(run) and run not in ending
-    ]
+    closing = [run.demand for run in worker.runs.values() if run.is_closing()]
+    free = _sum((worker.free(), *closing))
+    candidates = [run for run in worker.runs.values() if may_yield(run)]
     candidates.sort(key=lambda run: (run.demand, str(run.key)))
     chosen = []
     while any(_missing(free, demand)):
@@ -104,21 +101,22 @@
         candidates.remove(run)
         chosen.append(run)
         free = _sum((free, run.demand))
-    return Eviction(worker, _needed(chosen, free, demand), _copies(free, demand))
+    chosen, free = _spare(chosen, free, demand)
+    return Eviction(worker, chosen, _copies(free, demand))
 
 
-def _needed(chosen, free, demand):
-    """Those of some runs without which the demand does not fit; larger ones go first.
+def _spare(chosen, free, demand):
+    """Leave out runs, the largest first, without which the demand fits as well.
 
     A run that was taken for one resource may have become needless by one that was taken
-    for another.
+    for another. Returns the runs that are left and what is free with them.
     """
-    for run in sorted(chosen, key=lambda run: run.demand):
+    for run in sorted(chosen, key=lambda run: run.demand, reverse=True):
         left = common.Resources(*(a - b for a, b in zip(free, run.demand, strict=True)))
         if not any(_missing(left, demand)):
             chosen = [other for other in chosen if other is not run]
             free = left
-    return chosen
+    return chosen, free
 
 
 def _helps(run, free, demand):
@@ -140,18 +138,6 @@
     return [max(0, wanted - there) for wanted, there in zip(demand, free, strict=True)]
 
 
-def _ends_soon(run, now_ms):
-    """Whether a run is over, stopped or done, by the time a stop would take.
-
-    Stopped shortly before its end, it would give its room no sooner and lose a stop, a
-    ticket and a restore for it.
-    """
-    if run.is_closing():
-        return True
-    left_ms = None if run.is_long else health.left_ms(run, now_ms)
-    return left_ms is not None and abs(left_ms) < STOP_MS
-
-
 def _sum(parts):
     return common.Resources(*(sum(kind) for kind in zip(*parts, strict=True)))
 
--- a/alderreach/ops/controller/evictions.py
+++ b/alderreach/ops/controller/evictions.py
@@ -43,7 +43,7 @@
         priority = books.queue_of(job).priority
         step = job.record.steps[group.step]
         may_yield = lambda run: self._may_yield(run, priority)
-        chosen = preemption.choose(pool, step, wanted, may_yield, now_ms, group)
+        chosen = preemption.choose(pool, step, wanted, may_yield, group)
         pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
         self._next_ms[group] = now_ms + pause_ms
         self._held[group] = {eviction.worker.target_id for eviction in chosen}
