--- /dev/null
+++ b/tools/benches/ablation.py
@@ -0,0 +1,122 @@
+"""Each mechanism of a cell's decisions switched off, by itself, over the same days.
+
+Two loads: machines with accelerators that large and small tasks share (see
+``accelerators.py``), and a cell of 24 workers in four failure domains with urgent jobs,
+plans and services (see ``cell.py``), where a domain is cut off, a worker drains and the
+leader is lost; a twentieth of the runs fail. A row gives the share of the worth that
+the jobs of each queue earned, less what they earn with everything on: paired by seed,
+with its interval. Below zero, the mechanism is worth something there.
+
+``python tools/bench.py ablation``; ABLATION_SEEDS days for each row, ABLATION_ONLY some
+of the mechanisms.
+"""
+
+import os
+
+from alderreach.decisions.cell import choice, health, order, permissions, preemption
+from alderreach.ops.controller import asking, evictions, lives
+from tools import paired, virtual_cell, virtual_parts
+from tools.benches import _settings, accelerators
+from tools.benches import cell as cell_bench
+
+SEEDS = int(os.environ.get("ABLATION_SEEDS", "6"))
+NEVER_MS = 10**9
+SECONDS = 30
+DOMAINS = 4
+WORKERS = 24
+FAIL_SHARE = 0.05
+COPIES_SHARE = 0.3
+CUT_AT_MS, CUT_FOR_MS = 10_000, 6000
+DRAIN_AT_MS, DRAIN_FOR_MS = 5000, 3000
+LEADER_LOST_AT_MS, LEADERLESS_MS = 22_000, 1000
+
+MECHANISMS = {
+    "preemption": (preemption, "PATIENCE_MS", NEVER_MS),
+    "workers held for who had runs stopped": (
+        evictions.Evictions,
+        "held_for",
+        lambda _self, _group, _now_ms: (),
+    ),
+    "late jobs go behind": (order, "LATE_SHARE", -NEVER_MS),
+    "a step in one domain": (choice, "domains_for", lambda *_any: ()),
+    "best fit": (choice, "_left", lambda _worker, _step: 0.0),
+    "tickets renewed early": (permissions, "IDLE_SHARE", 2.0),
+    "permission ahead": (asking.Asking, "ahead", lambda _self, _now_ms: None),
+    "helpers for quick questions": (permissions, "QUICK_SHARE", 0.0),
+    "out for bad health": (health, "STRIKES_OUT", NEVER_MS),
+    "broken jobs excused": (health, "_is_excused", lambda *_any: False),
+    "slow workers lose runs": (health, "is_slow", lambda _ratios: False),
+    "copies of silent runs": (lives, "abandon", lambda _books, _worker: None),
+    "draining workers are left": (lives, "evacuate", lambda *_any: None),
+}
+
+
+class Load(cell_bench.Load):
+    """The load of ``bench cell``, with runs that fail and tasks that may be copied."""
+
+    def _work(self, kind, number, **options):
+        if not options.get("long_running") and self.lots.random() < COPIES_SHARE:
+            options["allow_duplicates"] = True
+        work = super()._work(kind, number, **options)
+        return work._replace(fail_share=FAIL_SHARE)
+
+
+def play_cell(seed):
+    """A day with a cut, a drain and a takeover; the share earned by queue."""
+    sizes = (32_000, 32_000, 16_000, 64_000)
+    records = [
+        virtual_parts.worker(
+            n, sizes[n % 4], 2 * sizes[n % 4], f"r{n // 6}", domain=f"d{n // 6}"
+        )
+        for n in range(WORKERS)
+    ]
+    made = virtual_cell.VirtualCell(
+        cell_bench.queues(), records, good_shares=cell_bench.GOOD, seed=seed
+    )
+    Load(made, seed).fill(SECONDS)
+    names = [record.target_id for record in records]
+    cut = seed % DOMAINS * WORKERS // DOMAINS
+    made.cut_off_at(CUT_AT_MS, names[cut : cut + WORKERS // DOMAINS], CUT_FOR_MS)
+    made.drain_at(DRAIN_AT_MS, [names[(cut + WORKERS // 2) % WORKERS]], DRAIN_FOR_MS)
+    made.lose_leader_at(LEADER_LOST_AT_MS, LEADERLESS_MS)
+    made.run_until((SECONDS + 30) * 1000)
+    return {
+        queue: (outcome.on_time + accelerators.LATE_WORTH * outcome.late) / outcome.jobs
+        for queue, outcome in made.outcomes().items()
+        if queue != "watch"
+    }
+
+
+def main():
+    loads = {
+        "accelerators": lambda seed: accelerators.play(seed, burst=1.8),
+        "cell": play_cell,
+    }
+    only = os.environ.get("ABLATION_ONLY", "")
+    for name, play in loads.items():
+        whole = _days(play)
+        print(f"-- {name}: {SEEDS} seeds; with everything {_means(whole)}", flush=True)
+        for mechanism, (owner, attribute, off) in MECHANISMS.items():
+            if only in mechanism:
+                with _settings.setting(owner, attribute, off):
+                    row = _against(whole, _days(play))
+                print(f"without {mechanism}: {row}", flush=True)
+
+
+def _days(play):
+    return [play(seed) for seed in range(SEEDS)]
+
+
+def _means(days):
+    return ", ".join(
+        f"{queue} {sum(day[queue] for day in days) / len(days):.3f}"
+        for queue in sorted(days[0])
+    )
+
+
+def _against(whole, without):
+    return "; ".join(
+        f"{queue} "
+        + str(paired.difference([d[queue] for d in whole], [d[queue] for d in without]))
+        for queue in sorted(whole[0])
+    )
--- a/tools/virtual_parts.py
+++ b/tools/virtual_parts.py
@@ -47,13 +47,19 @@
 
 
 def worker(
-    number, cpu_millis, memory_mb=64_000, rack="r1", accelerators=0, service=POOL
+    number,
+    cpu_millis,
+    memory_mb=64_000,
+    rack="r1",
+    accelerators=0,
+    service=POOL,
+    domain="d",
 ):
     """A worker's record."""
     name = f"w{number}"
     capacity = common.Resources(cpu_millis, memory_mb, accelerators)
     return cell.TargetRecord(
-        name, 1, service, f"{name}:1", "d", capacity, ["a", rack], "ready", name
+        name, 1, service, f"{name}:1", domain, capacity, ["a", rack], "ready", name
     )
 
 
