--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -30,15 +30,19 @@
     verdicts,
 )
 from alderreach.utils import clocks, metrics
-from tools import virtual_load, virtual_parts, virtual_settings, virtual_workers
+from tools import (
+    virtual_load,
+    virtual_parts,
+    virtual_settings,
+    virtual_tasks,
+    virtual_workers,
+)
 
 # One way to a worker, and a batch's way through the log: a sync and a round of voters.
 HOP_MS = 1.0
 COMMIT_MS = 8.0
 TICK_MS = 20
 LATE_AFTER_OBJECTIVES = 3
-# A lasting run that fails does so after this, evenly.
-LASTING_FAILS_MS = (1000.0, 10_000.0)
 # A submission without an answer is handed in again.
 CALLER_RETRIES_MS = 1000
 # What becomes of a job.
@@ -65,8 +69,8 @@
         self, queues, records, helpers=12, good_shares=None, seed=1, restore_ms=600.0
     ):
         self.loop = virtual_load.Loop()
-        self.restore_ms = restore_ms
         self.lots = random.Random(seed)
+        self._tasks = virtual_tasks.Tasks(self.loop, self.lots, restore_ms)
         self.cpu_s = 0.0
         self.starts = 0
         self.stops = 0
@@ -79,9 +83,6 @@
         self._queues = {queue.name: queue for queue in queues}
         self._good_shares = good_shares or {}
         self._helpers = [f"helper-{number}" for number in range(helpers)]
-        self._works = {}
-        self._saved = {}
-        self._gangs = {}
         self._done_ms = {}
         self._due = {}
         self._machines = {
@@ -101,7 +102,7 @@
 
     def submit(self, queue_name, job_id, works):
         """Hand a job in now."""
-        self._works[job_id] = works
+        self._tasks.add(job_id, works)
         request = cell.SubmitJob(
             virtual_parts.HOST,
             f"/{queue_name}/{job_id}",
@@ -200,69 +201,22 @@
 
     def work_of(self, order):
         """How long a run works, and how it ends."""
-        key = virtual_workers.task_key(order.task)
-        work = self._works[key.job_id][key.step]
-        work_ms = work.work_ms[key.index]
-        saved_ms = self._saved.get(self._saver(key), 0.0) if order.checkpoint else 0.0
-        if saved_ms:
-            work_ms = work_ms - saved_ms + self.restore_ms
-        how = "failed" if self.lots.random() < work.fail_share else "done"
-        if how == "failed" and work.step.long_running:
-            work_ms = self.lots.uniform(*LASTING_FAILS_MS)
-        return work_ms, how
+        return self._tasks.work_of(order)
 
     def step_of(self, key):
         """The step of a task."""
-        return self._works[key.job_id][key.step].step
+        return self._tasks.step_of(key)
 
     def began(self, machine, run):
-        """A run began on a worker: it will end by itself once its work is done.
-
-        A gang's members work once all of them are there.
-        """
-        key = virtual_workers.task_key(run.order.task)
-        step = self.step_of(key)
-        if not step.gang:
-            self.loop.after(run.work_ms, lambda: machine.end(run, run.how))
-            return
-        members = self._gangs.setdefault((key[:3], run.order.run), {})
-        members[key.index] = (machine, run)
-        run.began_ms = math.inf
-        if len(members) == step.tasks:
-            self._gang_begins(list(members.values()))
-
-    def _gang_begins(self, members):
-        """All members are there: they are done together, or one fails on the way."""
-        for _machine, run in members:
-            run.began_ms = self.loop.now_ms
-        work_ms = max(run.work_ms for _machine, run in members)
-        failing = [member for member in members if member[1].how == "failed"]
-
-        def end():
-            if any(run.is_over for _machine, run in members):
-                return
-            for machine, run in failing[:1] or members:
-                machine.end(run, run.how)
-
-        self.loop.after(work_ms / 2 if failing else work_ms, end)
+        """A run began on a worker."""
+        self._tasks.began(machine, run)
 
     def ended(self, machine, run, how):
         """A run ended on a worker, or went with it."""
 
     def save(self, run, how, now_ms):
         """What a run that ends leaves: its checkpoint if its step saves."""
-        key = virtual_workers.task_key(run.order.task)
-        step = self.step_of(key)
-        if how != "stopped" or not step.checkpointing or step.long_running:
-            return ""
-        all_ms = self._works[key.job_id][key.step].work_ms[key.index]
-        left_ms = run.work_ms - run.done_ms(now_ms)
-        self._saved[self._saver(key)] = max(0.0, all_ms - left_ms)
-        return "saved"
-
-    def _saver(self, key):
-        """Under what a task's progress is saved: a gang saves as one."""
-        return key[:3] if self.step_of(key).gang else key
+        return self._tasks.save(run, how, now_ms)
 
     def _lead_anew(self):
         """A new term begins, with what is committed."""
--- /dev/null
+++ b/tools/virtual_tasks.py
@@ -0,0 +1,96 @@
+"""What tasks in virtual time do: how long they work, how they end, what they save.
+
+A gang works once all its members are there and ends as one. A run that is stopped
+leaves how far it came if its step saves that, and the next one goes on from there.
+
+>>> made = Tasks(loop, random.Random(1), restore_ms=100.0)  # doctest: +SKIP
+>>> made.add("j1", [work])  # doctest: +SKIP
+>>> made.work_of(start)  # doctest: +SKIP
+(300.0, 'done')
+"""
+
+import math
+
+from tools import virtual_workers
+
+# A lasting run that fails does so after this, evenly.
+LASTING_FAILS_MS = (1000.0, 10_000.0)
+
+
+class Tasks:
+    """The tasks of all jobs; going on from a checkpoint takes ``restore_ms``."""
+
+    def __init__(self, loop, lots, restore_ms):
+        self._loop = loop
+        self._lots = lots
+        self._restore_ms = restore_ms
+        self._works = {}
+        self._saved = {}
+        self._gangs = {}
+
+    def add(self, job_id, works):
+        """A job is handed in, of one ``virtual_parts.Work`` a step."""
+        self._works[job_id] = works
+
+    def work_of(self, order):
+        """How long a run works, and how it ends."""
+        key = virtual_workers.task_key(order.task)
+        work = self._works[key.job_id][key.step]
+        work_ms = work.work_ms[key.index]
+        saved_ms = self._saved.get(self._saver(key), 0.0) if order.checkpoint else 0.0
+        if saved_ms:
+            work_ms = work_ms - saved_ms + self._restore_ms
+        how = "failed" if self._lots.random() < work.fail_share else "done"
+        if how == "failed" and work.step.long_running:
+            work_ms = self._lots.uniform(*LASTING_FAILS_MS)
+        return work_ms, how
+
+    def step_of(self, key):
+        """The step of a task."""
+        return self._works[key.job_id][key.step].step
+
+    def began(self, machine, run):
+        """A run began on a worker: it will end by itself once its work is done.
+
+        A gang's members work once all of them are there.
+        """
+        key = virtual_workers.task_key(run.order.task)
+        step = self.step_of(key)
+        if not step.gang:
+            self._loop.after(run.work_ms, lambda: machine.end(run, run.how))
+            return
+        members = self._gangs.setdefault((key[:3], run.order.run), {})
+        members[key.index] = (machine, run)
+        run.began_ms = math.inf
+        if len(members) == step.tasks:
+            self._gang_begins(list(members.values()))
+
+    def _gang_begins(self, members):
+        """All members are there: they are done together, or one fails on the way."""
+        for _machine, run in members:
+            run.began_ms = self._loop.now_ms
+        work_ms = max(run.work_ms for _machine, run in members)
+        failing = [member for member in members if member[1].how == "failed"]
+
+        def end():
+            if any(run.is_over for _machine, run in members):
+                return
+            for machine, run in failing[:1] or members:
+                machine.end(run, run.how)
+
+        self._loop.after(work_ms / 2 if failing else work_ms, end)
+
+    def save(self, run, how, now_ms):
+        """What a run that ends leaves: its checkpoint if its step saves."""
+        key = virtual_workers.task_key(run.order.task)
+        step = self.step_of(key)
+        if how != "stopped" or not step.checkpointing or step.long_running:
+            return ""
+        all_ms = self._works[key.job_id][key.step].work_ms[key.index]
+        left_ms = run.work_ms - run.done_ms(now_ms)
+        self._saved[self._saver(key)] = max(0.0, all_ms - left_ms)
+        return "saved"
+
+    def _saver(self, key):
+        """Under what a task's progress is saved: a gang saves as one."""
+        return key[:3] if self.step_of(key).gang else key
