--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -22,7 +22,7 @@
   times as long as their finished siblings at the median, or ``LONE_RATIO`` times if
   only one can be compared. Single runs say little: tasks of one step differ several
   times by themselves, and the same ones are long wherever they go. Moved for their own
-  length alone, they cost a calm day 3 % of its worth. A run is moved only if what is
+  length alone, they would do their work twice. A run is moved only if what is
   left of it there is longer than all of it elsewhere. The pace is taken between two
   looks, since a start with a restore, or a gang that gathers, makes the first percents
   slow on a healthy worker.
--- a/alderreach/decisions/cell/order.py
+++ b/alderreach/decisions/cell/order.py
@@ -10,11 +10,17 @@
 submitter's estimates, is taken off the deadline. A job past three times its objective
 earns nothing any more and goes behind those that do; it is still run, since it was
 accepted.
+
+Behind those that can be in time go the jobs that would be late whatever follows.
+Failure answered: in an overload the step with least slack is one that is late already.
+It takes the room of the next, which is late then too, and so on, until every job is.
 """
 
 import typing
 
 WORTHLESS_AFTER_OBJECTIVES = 3
+# A job counts as late once this share of what is left of it, by its estimates, no
+# longer fits before its objective. Not all of it: estimates are often twice the truth.
 LATE_SHARE = 0.5
 
 
--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -9,8 +9,7 @@
 Questions are spread over all processes of the cell, one at a time each. A third of
 the processes is kept for questions that are decided several times faster than the
 longest, so that an urgent step's 25 ms do not queue behind 600 ms of work that can
-wait. Shown by the test beside this with all processes present; no gain was measured on
-a played day.
+wait.
 
 A verdict never changes, so a worker that was turned down is not asked about again. A
 ticket ages: it is used only while ``SAFETY_MS`` of its life are left, and renewed once
@@ -156,8 +155,8 @@
         """Whether it is worth working out whom to ask about; see ``wanted``.
 
         A pass looks at every waiting step, and most of them wait for room with all
-        tickets fresh: sorting the workers for each took four fifths of a busy leader's
-        time (``bench cell``). So finding nobody is followed by a pause.
+        tickets fresh; sorting the workers for each would take most of a busy leader's
+        time. So finding nobody is followed by a pause.
         """
         verdicts = self._groups.get(group)
         if verdicts is None:
--- a/alderreach/decisions/cell/preemption.py
+++ b/alderreach/decisions/cell/preemption.py
@@ -21,9 +21,7 @@
 from alderreach.core.generated import common
 from alderreach.decisions.cell import choice
 
-# Room mostly comes by itself within this. Of 1,878 urgent jobs in bursts of four times
-# the usual (``bench cell``, four seeds), 17 are late without preemption, and 6 and 4
-# with a patience of 300 and 150 ms, for 188 and 250 stops; plans are as often in time.
+# Room mostly comes by itself within this.
 PATIENCE_MS = 150
 # Where nothing could give way, it is looked for again after this.
 RETRY_MS = 50
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -11,8 +11,8 @@
 from alderreach.decisions.cell import health, workers
 
 # After ends, the next look waits this long, so that ends that come close together are
-# listed by one look. Looks cost the worker and us; without a gap a day of short tasks
-# took one and a half for each run. At 50 ms the steps that follow were late more often.
+# listed by one look. Looks cost the worker and us; a long gap holds up the steps that
+# follow.
 LOOK_GAP_MS = 15
 # A worker on which nothing runs any more has only its ends to forget.
 IDLE_LOOK_GAP_MS = 250
--- a/alderreach/ops/controller/waits.py
+++ b/alderreach/ops/controller/waits.py
@@ -12,8 +12,7 @@
 
 # Most steps start within a second on a calm day; an objective is seldom shorter.
 FIRST_MS = 2000
-# A report looks at all workers: 0.12 ms for 176 of them, timed alone. So a pass spends
-# half a millisecond on reports at most.
+# A report looks at all workers, so a pass makes only a few.
 REPORTS_PER_PASS = 4
 # A report names this many of the queues whose runs hold the room.
 HOLDERS_NAMED = 3
