--- a/tools/paired.py
+++ b/tools/paired.py
@@ -7,8 +7,8 @@
     python -m tools.paired --before journal/A.json --after journal/B.json journal/C.json
 
 pairs the days of some journal entries by site, name and seed. The interval is found by
-resampling the differences, so it rests on no shape of theirs; it is too narrow for few
-pairs: with six, one in four that excluded zero did not do so with fourteen.
+resampling the differences, so it rests on no shape of theirs. It is too narrow for a
+handful of pairs: take a dozen at the least.
 """
 
 import argparse
