--- a/alderreach/utils/http_server.py
+++ b/alderreach/utils/http_server.py
@@ -11,17 +11,19 @@
 from absl import logging
 from cheroot import wsgi
 
-from alderreach.utils import clocks, http_connection
+from alderreach.utils import clocks, http_connection, http_threads
 
 CLOSE_WAIT_S = 5
 ACCEPT_BACKLOG = 256
 # The server's own default of 10 would end all other connections after each answer, and
 # every request of theirs would pay for a new one.
 IDLE_CONNECTIONS_MAX = 1000
+# Threads that a listener keeps while nobody calls.
+THREADS_LEAST = 2
 
 
 class HttpLimits(typing.NamedTuple):
-    """What a listener takes at most."""
+    """What a listener takes at most; ``threads`` is how many requests at once."""
 
     threads: int
     header_bytes: int
@@ -48,11 +50,13 @@
         self._server = wsgi.Server(
             (host, int(port)),
             application,
-            numthreads=limits.threads,
             request_queue_size=ACCEPT_BACKLOG,
             timeout=limits.idle_ms / 1000,
             shutdown_timeout=CLOSE_WAIT_S,
         )
+        self._server.requests = http_threads.GrowingPool(
+            self._server, min(THREADS_LEAST, limits.threads), limits.threads
+        )
         self._server.max_request_header_size = limits.header_bytes
         self._server.max_request_body_size = limits.body_bytes
         self._server.keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
--- /dev/null
+++ b/alderreach/utils/http_threads_test.py
@@ -0,0 +1,97 @@
+"""Threads of the HTTP server by the load that they are for."""
+
+import threading
+import types
+
+import pytest
+from cheroot.workers import threadpool
+
+from alderreach.utils import http_threads
+
+PATIENCE_S = 10
+
+
+class Connection:
+    """A connection whose request ends when the test says so."""
+
+    def __init__(self):
+        self.begun = threading.Event()
+        self.may_end = threading.Event()
+
+    def communicate(self):
+        self.begun.set()
+        self.may_end.wait(PATIENCE_S)
+        return False
+
+    def close(self):
+        pass
+
+
+@pytest.fixture
+def pool():
+    server = types.SimpleNamespace(stats={"Enabled": False, "Worker Threads": {}})
+    server.requests = made = http_threads.GrowingPool(server, 2, 5)
+    made.start()
+    yield made
+    made.stop(timeout=PATIENCE_S)
+
+
+def hand_in(pool, number):
+    connections = [Connection() for _ in range(number)]
+    for connection in connections:
+        pool.put(connection)
+    return connections
+
+
+def test_burst_of_slow_requests_gets_a_thread_each(pool):
+    """Guards against a request that waits behind slow ones while threads may be added.
+
+    Pattern: a burst of requests, all of which wait for an answer from elsewhere.
+    """
+    connections = hand_in(pool, 5)
+    assert all(connection.begun.wait(PATIENCE_S) for connection in connections)
+    assert len(pool._threads) == 5
+    for connection in connections:
+        connection.may_end.set()
+
+
+def test_requests_beyond_the_limit_wait_their_turn(pool):
+    connections = hand_in(pool, 6)
+    assert all(connection.begun.wait(PATIENCE_S) for connection in connections[:5])
+    assert len(pool._threads) == 5
+    assert not connections[5].begun.is_set()
+    connections[0].may_end.set()
+    assert connections[5].begun.wait(PATIENCE_S)
+    for connection in connections:
+        connection.may_end.set()
+
+
+def test_one_request_after_another_needs_no_further_thread(pool):
+    """Guards against growth by the number of requests rather than of those under way.
+
+    Pattern: steady traffic that one thread can bear.
+    """
+    for _ in range(20):
+        (connection,) = hand_in(pool, 1)
+        assert connection.begun.wait(PATIENCE_S)
+        connection.may_end.set()
+    assert len(pool._threads) <= 3
+
+
+def test_idle_threads_end_down_to_the_least(monkeypatch):
+    """Guards against a process that keeps the threads of its busiest moment."""
+    monkeypatch.setattr(http_threads, "IDLE_S", 0.01)
+    server = types.SimpleNamespace(stats={"Enabled": False, "Worker Threads": {}})
+    server.requests = pool = http_threads.GrowingPool(server, 2, 5)
+    pool.start()
+    connections = hand_in(pool, 5)
+    assert all(connection.begun.wait(PATIENCE_S) for connection in connections)
+    threads = list(pool._threads)
+    for connection in connections:
+        connection.may_end.set()
+    while sum(thread.is_alive() for thread in threads) > 2:
+        for thread in threads:
+            thread.join(0.01)
+    assert len(pool._threads) == 2
+    assert threadpool.ThreadPool.idle.fget(pool) == 2
+    pool.stop(timeout=PATIENCE_S)
--- a/alderreach/utils/transport.py
+++ b/alderreach/utils/transport.py
@@ -14,6 +14,7 @@
 
 import pynng
 from absl import logging
+from pynng import lib as nng
 from result import Err
 
 from alderreach.core import codec
@@ -24,6 +25,19 @@
 MESSAGE_BYTES_MAX = 64 * 1024 * 1024
 OUTBOX_MESSAGES_MAX = 20_000
 STOP = object()
+# nng makes several threads for each processor of the machine unless told otherwise; a
+# process here seldom has more than one processor, and there may be hundreds.
+NNG_THREADS = {
+    nng.NNG_INIT_NUM_TASK_THREADS: 2,
+    nng.NNG_INIT_MAX_TASK_THREADS: 2,
+    nng.NNG_INIT_NUM_EXPIRE_THREADS: 1,
+    nng.NNG_INIT_MAX_EXPIRE_THREADS: 1,
+    nng.NNG_INIT_NUM_POLLER_THREADS: 1,
+    nng.NNG_INIT_MAX_POLLER_THREADS: 1,
+    nng.NNG_INIT_NUM_RESOLVER_THREADS: 1,
+}
+for _parameter, _threads in NNG_THREADS.items():
+    nng.nng_init_set_parameter(_parameter, _threads)
 
 
 class Link:
