--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -263,6 +263,9 @@
 
 def _forget_old(state, wall_ms):
     """Drop jobs that ended long ago, but never one of which something may still run."""
+    oldest_ms = next(iter(state.ended.values()), wall_ms)
+    if wall_ms - oldest_ms < KEPT_AFTER_END_MS:
+        return
     for job_id, ended_ms in list(state.ended.items()):
         if wall_ms - ended_ms < KEPT_AFTER_END_MS:
             return
--- a/alderreach/decisions/cell/choice.py
+++ b/alderreach/decisions/cell/choice.py
@@ -20,6 +20,7 @@
 """
 
 import collections
+import heapq
 
 # Costs are shares of a worker, below 1; these are above every such cost, so that the
 # domain, the data's rack and a worker without serving tasks go before any better fit.
@@ -57,21 +58,53 @@
     )
 
 
-def best(workers, step, avoided="", domains=()):
-    """The best of some candidates for one task; None if there are none.
+class Ranking:
+    """Candidates of one step, the best first, while its tasks are placed on them.
 
-    ``avoided`` is the worker on which the task failed last, and ``domains`` are those
-    that go first.
+    Only the worker that took a task is ranked anew, so that placing a wide step costs
+    by its tasks and not by its tasks times the workers. ``domains`` are those that go
+    first; equal workers go by their ids.
     """
-    if not workers:
-        return None
 
-    def cost(worker):
-        outside = bool(domains) and worker.record.failure_domain not in domains
-        far = OTHER_DOMAIN if outside and not step.best_effort else 0.0
-        return worker.target_id == avoided, _cost(worker, step) + far
-
-    return min(workers, key=cost)
+    def __init__(self, workers, step, group, domains=()):
+        self._step = step
+        self._group = group
+        self._domains = domains
+        self._rows = [self._row(worker) for worker in workers]
+        heapq.heapify(self._rows)
+
+    def take(self, key, avoided=""):
+        """The best worker for a task, no longer ranked; None if there is none.
+
+        ``avoided`` is the worker on which the task failed last. One that still has an
+        older run of the task is passed over.
+        """
+        passed = []
+        found = None
+        while self._rows and found is None:
+            row = heapq.heappop(self._rows)
+            if row[1] == avoided or key in row[2].runs:
+                passed.append(row)
+            else:
+                found = row
+        if found is None:
+            found = next((row for row in passed if key not in row[2].runs), None)
+        for row in passed:
+            if row is not found:
+                heapq.heappush(self._rows, row)
+        return found[2] if found else None
+
+    def put_back(self, worker, now_ms):
+        """Rank a worker again that has taken a task, if it may take another."""
+        if may_run(worker, self._step, self._group, now_ms):
+            heapq.heappush(self._rows, self._row(worker))
+
+    def _row(self, worker):
+        cost = _cost(worker, self._step)
+        is_outside = self._domains and worker.record.failure_domain not in self._domains
+        if is_outside and not self._step.best_effort:
+            cost += OTHER_DOMAIN
+        return cost, worker.target_id, worker
 
 
 def domains_for(workers, step, group, wanted, used):
@@ -111,7 +144,8 @@
 
 def _pack(workers, step, group, wanted):
     plan = []
-    for worker in sorted(workers, key=lambda worker: _cost(worker, step)):
+    ranked = sorted(workers, key=lambda w: (_cost(w, step), w.target_id))
+    for worker in ranked:
         fits = min(_copies(worker, step, group), wanted - len(plan))
         plan += [worker] * fits
         if len(plan) == wanted:
--- a/alderreach/decisions/cell/order.py
+++ b/alderreach/decisions/cell/order.py
@@ -12,8 +12,11 @@
 accepted.
 """
 
+import heapq
 import typing
 
+import sortedcontainers
+
 WORTHLESS_AFTER_OBJECTIVES = 3
 
 
@@ -70,3 +73,45 @@
     """The urgency now of a step with this Rank."""
     is_worthless = now_ms > ranked.worthless_from_ms
     return Urgency(ranked.priority, is_worthless, ranked.latest_start_ms, ranked.job_id)
+
+
+class UrgencyQueue:
+    """Waiting steps, the most urgent first, kept in order as they come and go."""
+
+    def __init__(self):
+        self._rows = sortedcontainers.SortedList()
+        self._by_group = {}
+        self._aging = []
+
+    def add(self, group, ranked, now_ms):
+        """Put a step with this Rank where it belongs."""
+        self.remove(group)
+        row = (urgency(ranked, now_ms), group)
+        self._rows.add(row)
+        self._by_group[group] = (row, ranked)
+        if not row[0].is_worthless:
+            heapq.heappush(self._aging, (ranked.worthless_from_ms, group))
+
+    def remove(self, group):
+        """Take a step out if it is there."""
+        row, _ranked = self._by_group.pop(group, (None, None))
+        if row is not None:
+            self._rows.remove(row)
+
+    def refresh(self, now_ms):
+        """Move steps behind whose jobs have become too late to earn anything."""
+        while self._aging and self._aging[0][0] < now_ms:
+            group = heapq.heappop(self._aging)[1]
+            _row, ranked = self._by_group.get(group, (None, None))
+            if ranked is not None and ranked.worthless_from_ms < now_ms:
+                self.add(group, ranked, now_ms)
+
+    def groups(self):
+        """All steps in order, as a list that later changes leave alone."""
+        return [group for _urgency, group in self._rows]
+
+    def is_before(self, group, other):
+        """Whether a step goes before another; one that is not here goes last."""
+        row, _ranked = self._by_group.get(group, (None, None))
+        other_row, _ranked = self._by_group.get(other, (None, None))
+        return row is not None and (other_row is None or row < other_row)
--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -51,9 +51,11 @@
 IDLE_SHARE = 0.5
 # A question without an answer is asked elsewhere after this and twice its due time.
 ANSWER_SLACK_MS = 400
-# A step for which there was nothing to ask is looked at again after this: a worker that
-# comes or recovers meanwhile is asked about that much later.
+# A step for which there was nothing to ask is looked at again after this at the
+# soonest: a worker that comes or recovers meanwhile is asked about that much later.
 NOTHING_TO_ASK_MS = 50
+# A step that found no idle helper tries again after this.
+NO_HELPER_MS = 20
 
 
 class Question(typing.NamedTuple):
@@ -69,17 +71,35 @@
 class _Verdicts:
     """What is known of one group: tickets by worker, and who was turned down.
 
-    ``is_short`` says that workers with good tickets had too little room for it.
+    ``is_short`` says that workers with good tickets had too little room for it. After
+    there was nothing to ask, the next check is at ``next_check_ms``, but already at
+    ``early_check_ms`` if workers come or go meanwhile.
     """
 
-    __slots__ = ("asking", "denied", "is_short", "next_check_ms", "tickets")
+    __slots__ = (
+        "asking",
+        "denied",
+        "early_check_ms",
+        "is_short",
+        "next_check_ms",
+        "tickets",
+    )
 
     def __init__(self):
         self.tickets = {}
         self.denied = set()
         self.asking = None
         self.is_short = False
-        self.next_check_ms = 0
+        self.check_at_once()
+
+    def check_at_once(self):
+        """Forget that there was nothing to ask."""
+        self.next_check_ms = self.early_check_ms = 0
+
+    def next_expiry_ms(self, after_ms):
+        """When the first of the tickets that are good after a moment runs out."""
+        later = [until for _ticket, until in self.tickets.values() if until > after_ms]
+        return min(later, default=math.inf)
 
     def fresh(self, ahead_ms, now_ms):
         """Workers whose tickets last longer than ``ahead_ms`` from now."""
@@ -128,7 +148,7 @@
         verdicts = self._groups.get(group)
         if verdicts is not None and not verdicts.is_short:
             verdicts.is_short = True
-            verdicts.next_check_ms = 0
+            verdicts.check_at_once()
 
     def placed(self, group):
         """Nothing of a group waits any more."""
@@ -149,20 +169,28 @@
         idle = sum(helper not in self._busy for helper in helpers)
         if idle < IDLE_SHARE * len(helpers):
             return SAFETY_MS
-        return SAFETY_MS + lead_ms(rule, _enough(tasks))
+        return longest_renewal_ms(rule, tasks)
 
     def may_ask(self, group, now_ms):
         """Whether it is worth working out whom to ask about; see ``wanted``.
 
-        A pass looks at every waiting step, and most of them wait for room with all
-        tickets fresh; sorting the workers for each would take most of a busy leader's
-        time. So finding nobody is followed by a pause.
+        Most waiting steps wait for room with all tickets fresh, and sorting the workers
+        for each of them would take most of a busy leader's time.
         """
         verdicts = self._groups.get(group)
         if verdicts is None:
             return True
         return verdicts.asking is None and now_ms >= verdicts.next_check_ms
 
+    def next_check_ms(self, group, now_ms):
+        """When a step that waits should be looked at for something to ask."""
+        verdicts = self._groups.get(group)
+        if verdicts is None:
+            return now_ms + NO_HELPER_MS
+        if verdicts.asking is not None:
+            return verdicts.asking.due_ms + 1
+        return max(verdicts.next_check_ms, now_ms + NO_HELPER_MS)
+
     def may_need_ahead(self, group, tasks, ahead_ms, now_ms):
         """As ``may_ask``, for a step that is yet to open: not with tickets enough.
 
@@ -177,11 +205,32 @@
         fresh = len(verdicts.fresh(ahead_ms, now_ms))
         return not fresh or fresh < min(_enough(tasks), len(verdicts.tickets))
 
-    def nothing_to_ask(self, group, now_ms):
-        """There was nobody to ask about; not worth working out again for a while."""
+    def nothing_to_ask(self, group, now_ms, ahead_ms=SAFETY_MS, workers_version=0):
+        """There was nobody to ask about; not worth working out again for a while.
+
+        It is again once a ticket has less than ``ahead_ms`` left, the most by which one
+        is renewed early, or workers come.
+        """
         verdicts = self._groups.get(group)
         if verdicts is not None:
-            verdicts.next_check_ms = now_ms + NOTHING_TO_ASK_MS
+            verdicts.early_check_ms = now_ms + NOTHING_TO_ASK_MS
+            expiry_ms = verdicts.next_expiry_ms(now_ms + SAFETY_MS)
+            verdicts.next_check_ms = max(verdicts.early_check_ms, expiry_ms - ahead_ms)
+
+    def workers_changed(self, appeared, gone):
+        """Workers have become usable or unusable; returns the groups it concerns.
+
+        A group may be asked for with a worker that it was not denied, and has fewer
+        workers than it counted on if one that it was let run on is gone.
+        """
+        concerned = []
+        for group, verdicts in self._groups.items():
+            if not verdicts.denied.issuperset(appeared) or any(
+                target_id in verdicts.tickets for target_id in gone
+            ):
+                verdicts.next_check_ms = verdicts.early_check_ms
+                concerned.append(group)
+        return concerned
 
     def wanted(self, group, suitable, tasks, ahead_ms, now_ms, is_gang=False):
         """Workers to ask about now, best first; empty if nothing has to be asked.
@@ -280,6 +329,7 @@
         for ticket in granted:
             verdicts.tickets[ticket.target_id] = (ticket.ticket, until_ms)
         verdicts.denied.update(set(question.target_ids) - verdicts.tickets.keys())
+        verdicts.check_at_once()
         return question
 
     def refuse(self, group, target_id):
@@ -287,6 +337,7 @@
         verdicts = self._groups.get(group)
         if verdicts is not None and target_id in verdicts.tickets:
             verdicts.tickets[target_id] = ("", 0)
+            verdicts.check_at_once()
 
     def forget(self, group):
         """Nothing of this group will be started any more."""
@@ -332,6 +383,11 @@
     return max(RENEWED_AT_LEAST, RENEWED_PER_TASK * tasks)
 
 
+def longest_renewal_ms(rule, tasks):
+    """The earliest that tickets are renewed before they run out."""
+    return SAFETY_MS + lead_ms(rule, _enough(tasks))
+
+
 def lead_ms(rule, asked):
     """How long ahead a question about so many workers has to be asked."""
     return math.ceil(rule.decision_ms + rule.per_target_ms * asked) + SAFETY_MS
--- a/alderreach/ops/controller/asking.py
+++ b/alderreach/ops/controller/asking.py
@@ -11,8 +11,10 @@
 
 # Beyond the predicted end of the earlier steps, tickets should last for at least this.
 AHEAD_MS = 400
-# How often steps that are to open are looked at; a question takes 20 ms at the least.
+# How soon and how late a step that is to open is looked at again. In between it is at
+# half of the time until its question is due, since earlier steps may end early.
 ASK_AHEAD_INTERVAL_MS = 20
+ASK_AHEAD_LATEST_MS = 100
 
 
 class Asking:
@@ -20,6 +22,7 @@
 
     def __init__(self, books):
         self._books = books
+        # Groups that open later, and when to look at them next.
         self._upcoming = {}
         self._helpers = ()
         self._quickest_ms = None
@@ -27,7 +30,7 @@
 
     def opens_later(self, group):
         """A group whose earlier steps are not done yet."""
-        self._upcoming[group] = None
+        self._upcoming[group] = 0
 
     def drop(self, group):
         """A group that has opened, or will never."""
@@ -51,31 +54,46 @@
             ahead_ms = known.renewal_ms(rule, tasks, self._helpers)
             self._ask(job, group, rule, tasks, ahead_ms, now_ms)
 
+    def next_ms(self, group, now_ms):
+        """When a group that waits should be looked at for something to ask."""
+        return self._books.permissions.next_check_ms(group, now_ms)
+
     def ahead(self, now_ms):
         """Ask for steps that open about when the answer comes."""
         if now_ms < self._next_ahead_ms:
             return
         self._next_ahead_ms = now_ms + ASK_AHEAD_INTERVAL_MS
         books = self._books
-        for group in list(self._upcoming):
+        for group, due_ms in list(self._upcoming.items()):
+            if now_ms < due_ms:
+                continue
             job = books.state.jobs.get(group.job_id)
             if job is None or job.state != cell_state.ACTIVE:
                 self.drop(group)
                 books.permissions.forget(group)
                 continue
             rule = books.queue_of(job).permission
+            pause_ms = ASK_AHEAD_LATEST_MS
             if rule is not None:
-                self._ask_ahead(job, group, rule, now_ms)
+                pause_ms = self._ask_ahead(job, group, rule, now_ms)
+            self._upcoming[group] = now_ms + pause_ms
 
     def _ask_ahead(self, job, group, rule, now_ms):
+        """Ask for a step that is to open if it is time; returns when to look again."""
         tasks = job.record.steps[group.step].tasks
         known = self._books.permissions
         if not known.may_need_ahead(group, tasks, AHEAD_MS, now_ms):
-            return
+            return ASK_AHEAD_INTERVAL_MS
         lead_ms = permissions.lead_ms(rule, permissions.ASKED_AT_MOST)
         left_ms = self._left_ms(job, group, now_ms)
-        if left_ms is not None and left_ms <= lead_ms + AHEAD_MS:
-            self._ask(job, group, rule, tasks, AHEAD_MS, now_ms)
+        if left_ms is None:
+            return ASK_AHEAD_INTERVAL_MS
+        spare_ms = left_ms - lead_ms - AHEAD_MS
+        if spare_ms > 0:
+            pause_ms = min(spare_ms / 2, ASK_AHEAD_LATEST_MS)
+            return max(pause_ms, ASK_AHEAD_INTERVAL_MS)
+        self._ask(job, group, rule, tasks, AHEAD_MS, now_ms)
+        return ASK_AHEAD_INTERVAL_MS
 
     def _ask(self, job, group, rule, tasks, ahead_ms, now_ms):
         known = self._books.permissions
@@ -84,16 +102,17 @@
         suitable = self._suitable(job, group, now_ms)
         is_gang = job.record.steps[group.step].gang
         wanted = known.wanted(group, suitable, tasks, ahead_ms, now_ms, is_gang)
-        self._put(group, wanted, rule, now_ms)
+        self._put(group, wanted, rule, tasks, now_ms)
 
     def _has_helper(self, rule):
         known = self._books.permissions
         return known.idle_helper(rule, self._helpers, self._quickest_ms) is not None
 
-    def _put(self, group, target_ids, rule, now_ms):
+    def _put(self, group, target_ids, rule, tasks, now_ms):
         books = self._books
         if not target_ids:
-            books.permissions.nothing_to_ask(group, now_ms)
+            longest_ms = permissions.longest_renewal_ms(rule, tasks)
+            books.permissions.nothing_to_ask(group, now_ms, longest_ms)
             return
         question = books.permissions.ask(
             group, target_ids, rule, self._helpers, now_ms, self._quickest_ms
@@ -121,16 +140,12 @@
     def _suitable(self, job, group, now_ms):
         """Ids of workers that could run the step, those with most room first."""
         step = job.record.steps[group.step]
-        rows = [
-            (not worker.has_room(step), -worker.free().cpu_millis, n)
-            for n, worker in enumerate(self._books.workers.values())
-            if worker.record.service == job.record.service
-            and choice.is_suitable(worker, step)
-            and worker.is_usable(now_ms)
-        ]
-        rows.sort()
-        ids = list(self._books.workers)
-        return [ids[n] for _is_full, _free, n in rows]
+        roomy, full = [], []
+        for worker in self._books.pools.usable(job.record.service):
+            if choice.is_suitable(worker, step):
+                ids = roomy if worker.has_room(step) else full
+                ids.append(worker.target_id)
+        return roomy + full
 
     def _left_ms(self, job, group, now_ms):
         """About how long the earlier steps of a group take; None if some wait."""
--- a/alderreach/ops/controller/books.py
+++ b/alderreach/ops/controller/books.py
@@ -10,13 +10,14 @@
 that down. The next leader would start the task a second time beside the first.
 """
 
+import math
 import typing
 
 from absl import logging
 
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
-from alderreach.decisions.cell import permissions, workers
+from alderreach.decisions.cell import permissions, pools, workers
 
 
 class Environment(typing.NamedTuple):
@@ -43,6 +44,14 @@
     contact: str
 
 
+class _Queues(typing.NamedTuple):
+    """The queues of one configuration, by name."""
+
+    config: typing.Any
+    by_name: dict
+    least_urgent: float
+
+
 class Books:
     """One term of leadership. Used by the controller's task only."""
 
@@ -51,12 +60,16 @@
         self.environment = environment
         self.state = cell_state.copy(environment.committed())
         self.workers = {}
+        self.pools = pools.Pools(self.workers)
         self.links = {}
         self.permissions = permissions.Permissions()
         self.is_stale = True
+        # Groups for which something other than room has changed.
+        self.revisited = set()
         self.durations = {}
         self.moves = {}
         self.on_run_ended = lambda job_id, occurrence, step: None
+        self._queues = _Queues(None, {}, math.inf)
         self._changes = []
         self._effects = []
         # The effects of batches that are not committed yet, oldest batch first.
@@ -120,6 +133,11 @@
     def _oldest_committed(self):
         self._under_way.pop(0)
 
+    def revisit(self, group):
+        """Have the next planning pass consider a group anew, whatever has room."""
+        self.revisited.add(group)
+        self.is_stale = True
+
     def is_over(self, key):
         """Whether the job of a task or group, which its key begins with, has ended."""
         job = self.state.jobs.get(key[0])
@@ -161,16 +179,27 @@
     def drop_worker(self, target_id):
         """Forget a worker on which nothing runs."""
         del self.workers[target_id]
+        self.pools.worker_changed(target_id)
         self.links.pop(target_id).close()
 
     def queue_of(self, job):
         """The queue of a job as configured now, or as it was when it took the job."""
-        name = job.record.queue.name
+        return self._queues_now().by_name.get(job.record.queue.name, job.record.queue)
+
+    def least_urgent(self):
+        """The highest priority number among the queues in force; infinite if none."""
+        return self._queues_now().least_urgent
+
+    def _queues_now(self):
         config = self.state.config
-        for queue in config.queues if config else ():
-            if queue.name == name:
-                return queue
-        return job.record.queue
+        if self._queues.config is not config:
+            queues = config.queues
+            self._queues = _Queues(
+                config,
+                {queue.name: queue for queue in queues},
+                max((queue.priority for queue in queues), default=math.inf),
+            )
+        return self._queues
 
     def close(self):
         """The term is over: nothing is sent any more."""
--- a/alderreach/ops/controller/evictions.py
+++ b/alderreach/ops/controller/evictions.py
@@ -7,11 +7,21 @@
 over.
 """
 
+import math
+import typing
+
 from alderreach.core import cell_state
 from alderreach.decisions.cell import preemption, workers
 from alderreach.ops.controller import runs
 
 
+class Hold(typing.NamedTuple):
+    """For which group a worker is held, and until when."""
+
+    group: cell_state.GroupKey
+    until_ms: int
+
+
 class Evictions:
     """What was stopped in one term, and for whom.
 
@@ -23,21 +33,36 @@
         self._rank_of = rank_of
         self._yielded = {}
         self._next_ms = {}
-        self._held = {}
+        self._holds = {}
+
+    def hold_of(self, target_id):
+        """The group for which a worker is held, or None.
+
+        Less urgent groups may not start anything there.
+        """
+        hold = self._holds.get(target_id)
+        return hold.group if hold else None
+
+    def end_holds(self, is_waiting, now_ms):
+        """End holds that are over; their workers have room for others from now on."""
+        for target_id, hold in list(self._holds.items()):
+            if now_ms >= hold.until_ms or not is_waiting(hold.group):
+                del self._holds[target_id]
+                self._books.pools.gained_room(target_id)
 
-    def held_for(self, group, now_ms):
-        """Ids of workers on which nothing less urgent than a group may start now."""
-        if now_ms >= self._next_ms.get(group, 0):
-            return ()
-        return self._held.get(group, ())
+    def next_ms(self, job, group, since_ms):
+        """When room may be made for a group that waits since a moment."""
+        if self._books.queue_of(job).priority >= self._books.least_urgent():
+            return math.inf
+        return max(since_ms + preemption.PATIENCE_MS, self._next_ms.get(group, 0))
 
-    def consider(self, job, group, pool, wanted, waited_ms, now_ms):
+    def consider(self, job, group, pool, wanted, since_ms, now_ms):
         """Make room for ``wanted`` tasks of a group on workers of its ``pool``.
 
         Nothing happens before the group has waited for ``preemption.PATIENCE_MS``, nor
         while the stops made for it before may still be under way.
         """
-        if waited_ms < preemption.PATIENCE_MS or now_ms < self._next_ms.get(group, 0):
+        if now_ms < self.next_ms(job, group, since_ms):
             return
         books = self._books
         priority = books.queue_of(job).priority
@@ -46,8 +71,9 @@
         chosen = preemption.choose(pool, step, wanted, may_yield, group)
         pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
         self._next_ms[group] = now_ms + pause_ms
-        self._held[group] = {eviction.worker.target_id for eviction in chosen}
         for eviction in chosen:
+            hold = Hold(group, now_ms + pause_ms)
+            self._holds[eviction.worker.target_id] = hold
             for run in eviction.runs:
                 self._stop(eviction.worker, run, group)
 
@@ -55,7 +81,6 @@
         """Forget what is kept of jobs that have ended."""
         self._books.drop_ended(self._yielded)
         self._books.drop_ended(self._next_ms)
-        self._books.drop_ended(self._held)
 
     def _may_yield(self, run, priority):
         if not run.may_yield or run.state != workers.RUNNING:
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -2,7 +2,7 @@
 
 from absl import logging
 
-from alderreach.core import orders
+from alderreach.core import cell_state, orders
 from alderreach.decisions.cell import workers
 from alderreach.ops.controller import lives, looks, runs
 
@@ -74,9 +74,12 @@
     )
     books.environment.metrics.count("starts_not_taken", result.outcome)
     if result.outcome == orders.NO_TICKET:
-        books.permissions.refuse(run.key[:3], worker.target_id)
+        group = cell_state.GroupKey(*run.key[:3])
+        books.permissions.refuse(group, worker.target_id)
+        books.revisit(group)
     if result.outcome in (orders.NO_ROOM, orders.REFUSED, orders.NO_TICKET):
         worker.held_back_until_ms = now_ms + HOLD_BACK_MS
+        books.pools.worker_changed(worker.target_id)
     if result.outcome in orders.NOT_CARRIED_OUT and run.sends == 1:
         runs.end_run(books, worker, run, "refused")
     elif result.outcome == orders.UNKNOWN:
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -1,23 +1,28 @@
 """The leader's planning pass: which tasks start now, and on which worker.
 
 A *group* is one step of one occurrence of a job. Groups with waiting tasks whose
-earlier steps are done stand in ``waiting``; those whose earlier steps all run stand in
-``upcoming``, so that the permission service can be asked ahead. A pass goes through the
-waiting groups in order of urgency and is made only after something changed.
+earlier steps are done stand in ``_queue`` in order of urgency; those whose earlier
+steps all run are upcoming, so that the permission service can be asked ahead.
+
+A pass is made only after something changed, and costs by what changed: a group is
+considered whole when something other than room changed for it, or its own time has
+come (a ticket that ages, patience, a report), and otherwise only against the workers
+that have gained room since the last pass.
 """
 
-import collections
 import heapq
+import math
 
 from alderreach.core import cell_state
 from alderreach.decisions.cell import choice, order
 from alderreach.ops.controller import asking, evictions, runs, waits
 
-# Bounds one pass, so that heartbeats of the quorum are never held up by a large job:
-# at some 50 us a start this is 10 ms.
+# Both bound a pass, so that the quorum's heartbeats and the workers' leases are never
+# held up by a large job or a long queue; what is left is done by the next pass.
 STARTS_PER_PASS = 200
+PASS_MS = 25
 # A pass is made at least this often, for tickets that age and workers that recover.
-PASS_INTERVAL_MS = 100
+PASS_INTERVAL_MS = 20
 
 
 class Planner:
@@ -25,14 +30,17 @@
 
     def __init__(self, books):
         self._books = books
+        # Since when each group waits, their order, and when each is considered whole.
         self._waiting = {}
+        self._queue = order.UrgencyQueue()
+        self._due_ms = {}
         self._ranks = {}
         self._ranked_config = None
         self._asking = asking.Asking(books)
         self._evictions = evictions.Evictions(books, self._rank)
         self._waits = waits.Waits(books)
-        self._held = set()
-        self._due = []
+        # Occurrences that wait for their time, by that time.
+        self._timed = []
         self._next_pass_ms = 0
         for job in books.state.jobs.values():
             self.job_added(job)
@@ -55,7 +63,8 @@
             return
         if job.undone[(occurrence, number)]:
             group = cell_state.GroupKey(job_id, occurrence, number)
-            self._waiting.setdefault(group, self._books.now_ms())
+            self._put_in_queue(job, group)
+            self._books.revisit(group)
             return
         for later, step in enumerate(job.record.steps):
             if number in step.after and cell_state.is_open(job, occurrence, later):
@@ -68,18 +77,52 @@
             return
         books.is_stale = False
         self._next_pass_ms = now_ms + PASS_INTERVAL_MS
-        self._release_due()
+        self._release_timed()
         self._asking.begin()
         self._waits.begin()
-        self._held.clear()
-        usable = self._usable(now_ms)
-        started = 0
-        for _urgency, group in self._in_order():
-            started += self._place_group(group, usable, now_ms)
-            if started >= STARTS_PER_PASS:
+        self._evictions.end_holds(self._waiting.__contains__, now_ms)
+        self._refresh_pools(now_ms)
+        self._rank_anew_if_configured()
+        self._queue.refresh(books.cell_ms())
+        self._go_through(now_ms)
+        self._asking.ahead(now_ms)
+
+    def _refresh_pools(self, now_ms):
+        """Have groups considered whose permitted workers are others than before."""
+        books = self._books
+        appeared, gone = books.pools.refresh(now_ms)
+        if not appeared and not gone:
+            return
+        for group in books.permissions.workers_changed(appeared, gone):
+            if group in self._due_ms:
+                due_ms = self._asking.next_ms(group, now_ms)
+                self._due_ms[group] = min(self._due_ms[group], due_ms)
+
+    def _go_through(self, now_ms):
+        """Consider the groups that something changed for, in order of urgency."""
+        books = self._books
+        for group in books.revisited:
+            self._due_ms[group] = now_ms
+        books.revisited = set()
+        gained = books.pools.take_gained()
+        started = visits = 0
+        for group in self._queue.groups():
+            if started >= STARTS_PER_PASS or books.now_ms() - now_ms >= PASS_MS:
+                for worker in gained:
+                    books.pools.gained_room(worker.target_id)
                 books.is_stale = True
                 break
-        self._asking.ahead(now_ms)
+            if books.is_over(group):
+                self._drop(group)
+            elif now_ms >= self._due_ms.get(group, 0):
+                started += self._consider_whole(group, now_ms)
+                visits += 1
+            elif gained:
+                started += self._consider_gained(group, gained, now_ms)
+        metrics = books.environment.metrics
+        metrics.observe_ms("planning_pass", books.now_ms() - now_ms)
+        metrics.count("planning_visits", amount=visits)
+        metrics.count("planning_starts", amount=started)
 
     def tidy(self):
         """Forget what is kept of jobs that have ended."""
@@ -104,13 +147,13 @@
         self._asking.drop(group)
         due_ms = _due_ms(job, group)
         if job.record.repeat_count and due_ms > self._latest_due_ms():
-            heapq.heappush(self._due, (due_ms, group))
+            heapq.heappush(self._timed, (due_ms, group))
         else:
             self._wait(job, group)
 
     def _wait(self, job, group):
         """A group waits from now on; told in the log beside what starts of it."""
-        self._waiting[group] = self._books.now_ms()
+        self._put_in_queue(job, group)
         self._books.is_stale = True
         step = job.record.steps[group.step]
         self._books.environment.record(
@@ -120,6 +163,12 @@
             is_gang=step.gang,
         )
 
+    def _put_in_queue(self, job, group):
+        if group not in self._waiting:
+            self._waiting[group] = self._books.now_ms()
+            self._due_ms[group] = 0
+            self._queue.add(group, self._rank(job, group), self._books.cell_ms())
+
     def _latest_due_ms(self):
         """Occurrences due up to this moment may start.
 
@@ -131,36 +180,25 @@
             return 0
         return self._books.cell_ms()
 
-    def _release_due(self):
-        while self._due and self._due[0][0] <= self._latest_due_ms():
-            group = heapq.heappop(self._due)[1]
+    def _release_timed(self):
+        while self._timed and self._timed[0][0] <= self._latest_due_ms():
+            group = heapq.heappop(self._timed)[1]
             job = self._books.state.jobs.get(group.job_id)
             if job is not None:
                 self._wait(job, group)
 
-    def _usable(self, now_ms):
-        """Workers that may get new runs, by the pool they belong to."""
-        usable = collections.defaultdict(list)
-        for worker in self._books.workers.values():
-            if worker.is_usable(now_ms):
-                usable[worker.record.service].append(worker)
-        return usable
-
-    def _in_order(self):
+    def _rank_anew_if_configured(self):
+        """Put all groups in the order of a new configuration."""
         books = self._books
-        cell_ms = books.cell_ms()
-        if self._ranked_config is not books.state.config:
-            self._ranked_config = books.state.config
-            self._ranks.clear()
-        rows = []
-        for group in list(self._waiting):
+        if self._ranked_config is books.state.config:
+            return
+        self._ranked_config = books.state.config
+        self._ranks.clear()
+        for group in self._waiting:
             job = books.state.jobs.get(group.job_id)
-            if job is None or job.state != cell_state.ACTIVE:
-                self._drop(group)
-                continue
-            rows.append((order.urgency(self._rank(job, group), cell_ms), group))
-        rows.sort()
-        return rows
+            if job is not None:
+                self._queue.add(group, self._rank(job, group), books.cell_ms())
+                self._due_ms[group] = 0
 
     def _rank(self, job, group):
         rank = self._ranks.get(group)
@@ -175,66 +213,117 @@
         self._books.permissions.forget(group)
 
     def _not_waiting(self, group):
-        self._waiting.pop(group, None)
+        if self._waiting.pop(group, None) is None:
+            return
+        self._queue.remove(group)
+        self._due_ms.pop(group, None)
         self._ranks.pop(group, None)
         self._waits.started(group)
         self._books.permissions.placed(group)
 
-    def _place_group(self, group, usable, now_ms):
-        """Start what can be started of a group; returns how many tasks."""
+    def _consider_whole(self, group, now_ms):
+        """Start what can be started of a group; returns how many tasks.
+
+        For what is left, ask for permission, make room and report, as each is due.
+        """
+        books = self._books
+        job = books.state.jobs[group.job_id]
+        rule = books.queue_of(job).permission
+        pool = self._pool(job, group, rule, now_ms)
+        started, left = self._place(job, group, pool, now_ms)
+        if not left:
+            return started
+        since_ms = self._waiting[group]
+        if rule is not None:
+            self._asking.for_waiting(job, group, rule, left, bool(pool), now_ms)
+        self._evictions.consider(job, group, pool, left, since_ms, now_ms)
+        self._waits.consider(job, group, pool, since_ms, now_ms)
+        self._due_ms[group] = min(
+            self._asking.next_ms(group, now_ms) if rule is not None else math.inf,
+            self._evictions.next_ms(job, group, since_ms),
+            self._waits.next_ms(group, since_ms),
+        )
+        return started
+
+    def _consider_gained(self, group, gained, now_ms):
+        """Start what fits of a group on workers that have gained room."""
         books = self._books
         job = books.state.jobs[group.job_id]
         step = job.record.steps[group.step]
+        rule = books.queue_of(job).permission
+        pool = [
+            worker
+            for worker in gained
+            if worker.record.service == job.record.service
+            and worker.has_room(step)
+            and (rule is None or self._has_ticket(group, worker, now_ms))
+            and self._may_use(group, worker)
+        ]
+        if not pool:
+            return 0
+        if step.gang:
+            pool = self._pool(job, group, rule, now_ms)
+        return self._place(job, group, pool, now_ms)[0]
+
+    def _has_ticket(self, group, worker, now_ms):
+        permissions = self._books.permissions
+        return permissions.ticket(group, worker.target_id, now_ms) is not None
+
+    def _pool(self, job, group, rule, now_ms):
+        """Usable workers on which a group may start."""
+        pools, service = self._books.pools, job.record.service
+        if rule is None:
+            pool = pools.usable(service)
+        else:
+            permitted = self._books.permissions.permitted(group, now_ms)
+            pool = pools.usable_among(service, permitted)
+        return [worker for worker in pool if self._may_use(group, worker)]
+
+    def _may_use(self, group, worker):
+        """Whether a worker is not held for a group that goes before this one."""
+        holder = self._evictions.hold_of(worker.target_id)
+        return (
+            holder is None
+            or holder == group
+            or not self._queue.is_before(holder, group)
+        )
+
+    def _place(self, job, group, pool, now_ms):
+        """Start what fits on some workers; returns how many started and are left."""
+        step = job.record.steps[group.step]
         tasks = job.groups[group[1:]]
         waiting = [
             n for n, task in enumerate(tasks) if task.state == cell_state.WAITING
         ]
         if not waiting:
             self._not_waiting(group)
-            return 0
-        rule = books.queue_of(job).permission
-        pool = usable[job.record.service]
-        if rule is not None:
-            permitted = books.permissions.permitted(group, now_ms)
-            pool = [worker for worker in pool if worker.target_id in permitted]
-        if self._held:
-            pool = [worker for worker in pool if worker.target_id not in self._held]
+            return 0, 0
         if step.gang:
             started = self._place_gang(group, step, tasks, pool, now_ms)
         else:
             started = self._place_tasks(group, step, tasks, waiting, pool, now_ms)
         left = len(waiting) - started
-        if left:
-            if rule is not None:
-                self._asking.for_waiting(job, group, rule, left, bool(pool), now_ms)
-            self._make_room(job, group, pool, left, now_ms)
-            self._waits.consider(job, group, pool, self._waiting[group], now_ms)
-        return started
-
-    def _make_room(self, job, group, pool, wanted, now_ms):
-        """Have less urgent runs stopped for a group that has waited for long."""
-        waited_ms = now_ms - self._waiting[group]
-        self._evictions.consider(job, group, pool, wanted, waited_ms, now_ms)
-        self._held.update(self._evictions.held_for(group, now_ms))
+        if not left:
+            self._not_waiting(group)
+        return started, left
 
     def _place_tasks(self, group, step, tasks, waiting, pool, now_ms):
         """Start as many of the waiting tasks as find a worker."""
         usable = choice.candidates(pool, step, group, now_ms)
-        used = self._domains_of(tasks) if usable else ()
+        if not usable:
+            return 0
+        used = self._domains_of(tasks)
         domains = choice.domains_for(usable, step, group, len(waiting), used)
-        started = 0
-        for index in waiting:
+        ranking = choice.Ranking(usable, step, group, domains)
+        for started, index in enumerate(waiting):
             key = cell_state.TaskKey(*group, index)
             failed_on = tasks[index].target_id if tasks[index].failed_run else ""
-            free = [worker for worker in usable if key not in worker.runs]
-            worker = choice.best(free, step, failed_on, domains)
+            worker = ranking.take(key, failed_on)
             if worker is None:
-                break
+                return started
             self._start(worker, group, step, index, tasks[index].run + 1, now_ms)
-            started += 1
-            if not choice.may_run(worker, step, group, now_ms):
-                usable.remove(worker)
-        return started
+            ranking.put_back(worker, now_ms)
+        return len(waiting)
 
     def _domains_of(self, tasks):
         """The failure domains in which some of a step's tasks are under way."""
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -238,6 +238,7 @@
         reply(done)
         return
     worker.record = record
+    books.pools.worker_changed(worker.target_id)
     books.decide(lambda: reply(done), targets=[record])
     leading.record(
         "worker_changed",
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -59,6 +59,7 @@
 def end_run(books, worker, run, how, checkpoint=""):
     """Record the end of a run and give its room back."""
     worker.remove(run)
+    books.pools.gained_room(worker.target_id)
     key = run.key
     job = books.state.jobs.get(key.job_id)
     if job is None:
--- a/alderreach/ops/controller/verdicts.py
+++ b/alderreach/ops/controller/verdicts.py
@@ -15,7 +15,7 @@
         rule,
         books.now_ms(),
     )
-    books.is_stale = True
+    books.revisit(question.group)
     books.environment.record(
         "permission_answered",
         task=".".join(str(part) for part in question.group),
--- a/alderreach/ops/controller/waits.py
+++ b/alderreach/ops/controller/waits.py
@@ -35,8 +35,7 @@
 
         ``pool`` are the workers that it may use, by their permission and health.
         """
-        due_ms = self._due_ms.get(group, since_ms + FIRST_MS)
-        if now_ms < due_ms or not self._left:
+        if now_ms < self.next_ms(group, since_ms) or not self._left:
             return
         self._left -= 1
         waited_ms = now_ms - since_ms
@@ -53,6 +52,10 @@
             **standing._asdict(),
         )
 
+    def next_ms(self, group, since_ms):
+        """When the next report on a group that waits is due."""
+        return self._due_ms.get(group, since_ms + FIRST_MS)
+
     def started(self, group):
         """Nothing of a group waits any more."""
         self._due_ms.pop(group, None)
--- /dev/null
+++ b/tools/benches/fleet.py
@@ -0,0 +1,80 @@
+"""The leader's processor time for decisions as a cell grows: jobs, workers, helpers.
+
+Urgent short jobs, wide plans that save their progress, and services, on workers of 64
+processors that are nearly full, with bursts that leave a backlog of plans. All of it
+grows with the number of workers, so a cost that grows faster than the starts do shows.
+
+Run with ``python tools/bench.py fleet``; FLEET_WORKERS=27,270 takes some sizes only.
+"""
+
+import os
+
+from alderreach.core.generated import cell
+from tools import virtual_cell, virtual_parts
+from tools.benches import cell as cell_bench
+
+SIZES = (27, 135, 270, 540, 1080)
+SECONDS = 14
+# The load below is for so many workers.
+USUAL_WORKERS = 270
+HELPERS_PER_WORKER = 0.38
+DOMAINS = 6
+RACK = 20
+URGENT = {"work_ms": 1_000, "width": 6, "cpu": 14_000, "steps": 1.6, "memory": 26_000}
+PLAN = {"work_ms": 3_800, "width": 20, "cpu": 18_000, "steps": 2.0, "memory": 33_000}
+SERVICE = {
+    "work_ms": 10**9, "width": 20, "cpu": 18_000, "steps": 1.0, "memory": 25_000
+}  # fmt: skip
+MIX = cell_bench.Mix(URGENT, PLAN, SERVICE, 23.5, 3.67, 0.255)
+SERVICES_AT_START = 12
+
+
+def queues():
+    """As in the smaller cell, with decisions that take longer for more workers."""
+    queue = virtual_parts.queue
+    quick = cell.PermissionRule(43, 0.61, 2_500)
+    slow = cell.PermissionRule(560, 8.0, 2_500)
+    return [
+        queue("urgent", 0, 1.5, 250, permission=quick),
+        queue("watch", 1, 2.2, 2_500, permission=slow),
+        queue("plan", 2, 2.2, 1_200, permission=slow),
+    ]
+
+
+def play(workers, seed=1, seconds=SECONDS):
+    """One day on so many workers; returns the VirtualCell."""
+    sizes = (64_000, 64_000, 32_000, 128_000)
+    records = [
+        virtual_parts.worker(
+            n,
+            sizes[n % 4],
+            2 * sizes[n % 4],
+            f"r{n // RACK}",
+            domain=f"d{n % DOMAINS}",
+        )
+        for n in range(workers)
+    ]
+    made = virtual_cell.VirtualCell(
+        queues(),
+        records,
+        helpers=max(6, round(HELPERS_PER_WORKER * workers)),
+        good_shares=cell_bench.GOOD,
+        seed=seed,
+    )
+    scale = workers / USUAL_WORKERS
+    load = cell_bench.Load(made, seed, scale, MIX)
+    for _ in range(max(1, round(SERVICES_AT_START * scale))):
+        load.serve_from_start()
+    load.arrivals(seconds, urgent_burst=2.0, plan_burst=1.8)
+    made.run_until(seconds * 1000)
+    return made
+
+
+def main():
+    chosen = os.environ.get("FLEET_WORKERS", "")
+    sizes = [int(size) for size in chosen.split(",")] if chosen else SIZES
+    for workers in sizes:
+        made = play(workers)
+        cell_bench.row(f"{workers} workers", made)
+        busiest_s = max(made.cpu_by_second.values())
+        print(f"    busiest second {busiest_s:.2f} s of processor time")
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -60,8 +60,9 @@
 
     ``helpers`` is how many processes put questions to the service, which lets the steps
     of a queue run on its share, by ``good_shares``, of the workers. ``cpu_s`` is the
-    processor time that the leader's own code took, and ``waits`` holds the fields of
-    each report on a step that waits for long. ``silent_helpers`` take questions and
+    processor time that the leader's own code took, ``cpu_by_second`` the same for each
+    second of virtual time, and ``waits`` holds the fields of each report on a step that
+    waits for long. ``silent_helpers`` take questions and
     never answer; ``cut_helpers`` answer at once that the service can't be reached.
     """
 
@@ -72,6 +73,7 @@
         self.lots = random.Random(seed)
         self._tasks = virtual_tasks.Tasks(self.loop, self.lots, restore_ms)
         self.cpu_s = 0.0
+        self.cpu_by_second = collections.Counter()
         self.starts = 0
         self.stops = 0
         self.moves = 0
@@ -282,7 +284,9 @@
         act()
         self.leading.planner.plan(int(self.loop.now_ms))
         batch, effects = self.leading.books.take_batch()
-        self.cpu_s += time.process_time() - began_s
+        took_s = time.process_time() - began_s
+        self.cpu_s += took_s
+        self.cpu_by_second[int(self.loop.now_ms // 1000)] += took_s
         if batch is not None:
             self._after_commit(lambda: self._committed(batch, effects))
 
