--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -164,16 +164,16 @@
 
     def tick(self, now_ms, budget):
         """Return the next decisions, about ``budget`` of them."""
-        books = self._state
-        books.now_ms = now_ms
-        books.decisions = decisions = []
-        books.cell.index.refresh()
+        leader = self._state
+        leader.now_ms = now_ms
+        leader.decisions = decisions = []
+        leader.cell.index.refresh()
         self._emit_stops(budget // 2)
         self._review()
         self._parking.check_parked()
-        reservations.serve(books)
+        reservations.serve(leader)
         self._place_urgent(budget)
-        self._judge.probe(books.backlog.lines)
+        self._judge.probe(leader.backlog.lines)
         self._place_normal(budget)
         self._plan_ahead()
         self._emit_stops(budget - len(decisions))
@@ -215,31 +215,31 @@
         return "no room" if job.line is not None else "pausing after a failure"
 
     def _place_urgent(self, budget):
-        books = self._state
-        band = books.backlog.bands[backlog.URGENT]
-        rounds.place_band(books, band, budget - len(books.decisions))
-        backfill.use_reserved(books, rounds.blocked_lines(books, band))
-        preemption.plan(books, rounds.blocked_lines(books, band))
+        leader = self._state
+        band = leader.backlog.bands[backlog.URGENT]
+        rounds.place_band(leader, band, budget - len(leader.decisions))
+        backfill.use_reserved(leader, rounds.blocked_lines(leader, band))
+        preemption.plan(leader, rounds.blocked_lines(leader, band))
 
     def _place_normal(self, budget):
-        books = self._state
-        band = books.backlog.bands[backlog.NORMAL]
-        rounds.place_band(books, band, budget - len(books.decisions))
-        backfill.fill(books, rounds.blocked_lines(books, band))
+        leader = self._state
+        band = leader.backlog.bands[backlog.NORMAL]
+        rounds.place_band(leader, band, budget - len(leader.decisions))
+        backfill.fill(leader, rounds.blocked_lines(leader, band))
 
     def _plan_ahead(self):
         """Reserve room for who is passed over; park who can't run at all."""
-        books = self._state
-        for band in books.backlog.bands:
+        leader = self._state
+        for band in leader.backlog.bands:
             self._parking.check_lines(rounds.stuck_lines(band))
         self._parking.name_due()
         blocked = [
             line
-            for band in books.backlog.bands
-            for line in rounds.blocked_lines(books, band)
+            for band in leader.backlog.bands
+            for line in rounds.blocked_lines(leader, band)
         ]
-        draining.plan(books, blocked)
-        draining.end_vain_savings(books, blocked)
+        draining.plan(leader, blocked)
+        draining.end_vain_savings(leader, blocked)
 
     def _review(self):
         for job in self._state.due_reviews(REVIEWS_PER_TICK):
--- a/alderreach/decisions/state.py
+++ b/alderreach/decisions/state.py
@@ -1,4 +1,4 @@
-"""What runs where, what waits and what it holds: the books that the policies share.
+"""What runs where, what waits and what it holds: the state that the policies share.
 
 Load: starts and ends by the thousand a second, takeovers in which tasks are announced
 before their jobs are known, workers that vanish and return with their tasks running.
@@ -23,7 +23,7 @@
 
 
 class State:
-    """The books of one failure domain."""
+    """The state of one failure domain."""
 
     def __init__(self, random):
         self.random = random
@@ -147,7 +147,7 @@
         return worker
 
     def remove_worker(self, worker_id):
-        """Forget a worker; its runs stay on the books until their end is reported."""
+        """Forget a worker; its runs stay until their end is reported."""
         worker = self.cell.workers.get(worker_id)
         if worker is None:
             return
--- a/alderreach/ops/controller/asking.py
+++ b/alderreach/ops/controller/asking.py
@@ -20,8 +20,8 @@
 class Asking:
     """Questions of one term; ``begin`` comes first in each planning pass."""
 
-    def __init__(self, books):
-        self._books = books
+    def __init__(self, leader):
+        self._leader = leader
         # Groups that open later, and when to look at them next.
         self._upcoming = {}
         self._helpers = ()
@@ -38,7 +38,7 @@
 
     def begin(self):
         """Note who can ask, for all questions of one pass."""
-        self._helpers = self._books.environment.helpers()
+        self._helpers = self._leader.environment.helpers()
         self._quickest_ms = self._quickest_decision_ms()
 
     def for_waiting(self, job, group, rule, tasks, has_permitted, now_ms):
@@ -47,7 +47,7 @@
         ``has_permitted`` says that workers with good tickets were tried; if none were,
         the tickets have run out, and the workers may have room.
         """
-        known = self._books.permissions
+        known = self._leader.permissions
         if has_permitted:
             known.found_short(group)
         if known.may_ask(group, now_ms):
@@ -56,23 +56,23 @@
 
     def next_ms(self, group, now_ms):
         """When a group that waits should be looked at for something to ask."""
-        return self._books.permissions.next_check_ms(group, now_ms)
+        return self._leader.permissions.next_check_ms(group, now_ms)
 
     def ahead(self, now_ms):
         """Ask for steps that open about when the answer comes."""
         if now_ms < self._next_ahead_ms:
             return
         self._next_ahead_ms = now_ms + ASK_AHEAD_INTERVAL_MS
-        books = self._books
+        leader = self._leader
         for group, due_ms in list(self._upcoming.items()):
             if now_ms < due_ms:
                 continue
-            job = books.state.jobs.get(group.job_id)
+            job = leader.state.jobs.get(group.job_id)
             if job is None or job.state != cell_state.ACTIVE:
                 self.drop(group)
-                books.permissions.forget(group)
+                leader.permissions.forget(group)
                 continue
-            rule = books.queue_of(job).permission
+            rule = leader.queue_of(job).permission
             pause_ms = ASK_AHEAD_LATEST_MS
             if rule is not None:
                 pause_ms = self._ask_ahead(job, group, rule, now_ms)
@@ -81,7 +81,7 @@
     def _ask_ahead(self, job, group, rule, now_ms):
         """Ask for a step that is to open if it is time; returns when to look again."""
         tasks = job.record.steps[group.step].tasks
-        known = self._books.permissions
+        known = self._leader.permissions
         if not known.may_need_ahead(group, tasks, AHEAD_MS, now_ms):
             return ASK_AHEAD_INTERVAL_MS
         lead_ms = permissions.lead_ms(rule, permissions.ASKED_AT_MOST)
@@ -96,7 +96,7 @@
         return ASK_AHEAD_INTERVAL_MS
 
     def _ask(self, job, group, rule, tasks, ahead_ms, now_ms):
-        known = self._books.permissions
+        known = self._leader.permissions
         if not self._has_helper(rule):
             return
         suitable = self._suitable(job, group, now_ms)
@@ -105,22 +105,22 @@
         self._put(group, wanted, rule, tasks, now_ms)
 
     def _has_helper(self, rule):
-        known = self._books.permissions
+        known = self._leader.permissions
         return known.idle_helper(rule, self._helpers, self._quickest_ms) is not None
 
     def _put(self, group, target_ids, rule, tasks, now_ms):
-        books = self._books
+        leader = self._leader
         if not target_ids:
             longest_ms = permissions.longest_renewal_ms(rule, tasks)
-            books.permissions.nothing_to_ask(group, now_ms, longest_ms)
+            leader.permissions.nothing_to_ask(group, now_ms, longest_ms)
             return
-        question = books.permissions.ask(
+        question = leader.permissions.ask(
             group, target_ids, rule, self._helpers, now_ms, self._quickest_ms
         )
         if question is None:
             return
-        books.environment.ask(question)
-        books.environment.record(
+        leader.environment.ask(question)
+        leader.environment.record(
             "permission_asked",
             task=".".join(str(part) for part in group),
             helper=question.helper,
@@ -129,7 +129,7 @@
 
     def _quickest_decision_ms(self):
         """The shortest decision time among the queues' rules."""
-        config = self._books.state.config
+        config = self._leader.state.config
         times = [
             queue.permission.decision_ms
             for queue in (config.queues if config else ())
@@ -141,7 +141,7 @@
         """Ids of workers that could run the step, those with most room first."""
         step = job.record.steps[group.step]
         roomy, full = [], []
-        for worker in self._books.pools.usable(job.record.service):
+        for worker in self._leader.pools.usable(job.record.service):
             if choice.is_suitable(worker, step):
                 ids = roomy if worker.has_room(step) else full
                 ids.append(worker.target_id)
@@ -163,7 +163,7 @@
         return left_ms
 
     def _run_left_ms(self, task, key, step, now_ms):
-        worker = self._books.workers.get(task.target_id)
+        worker = self._leader.workers.get(task.target_id)
         run = worker.runs.get(key) if worker else None
         if run is None:
             return step.estimated_ms
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -10,8 +10,8 @@
 from alderreach.core.generated import cell
 from alderreach.ops import leader_calls, settings_watch
 from alderreach.ops.controller import (
-    books,
     discovery,
+    leader_state,
     looks,
     order_answers,
     placing,
@@ -27,17 +27,17 @@
 
 
 class Leading:
-    """One term: the books, the planner, and how requests reach the quorum."""
+    """One term: its state, its planner, and how requests reach the quorum."""
 
     def __init__(self, epoch, environment):
-        self.books = books.Books(epoch, environment)
-        self.planner = placing.Planner(self.books)
-        self.books.on_run_ended = self.planner.changed
+        self.leader = leader_state.LeaderState(epoch, environment)
+        self.planner = placing.Planner(self.leader)
+        self.leader.on_run_ended = self.planner.changed
         self.record = environment.record
         self.committed = environment.committed
         self._environment = environment
         self.batches = {}
-        running.take_over(self.books)
+        running.take_over(self.leader)
 
     def confirm(self, act):
         """Call ``act`` once the leadership is confirmed; a lost one answers nobody."""
@@ -106,12 +106,12 @@
     def handle(self, mail):
         """Take what a worker's link reports."""
         leading = self._leading
-        if leading is None or mail.epoch != leading.books.epoch:
+        if leading is None or mail.epoch != leading.leader.epoch:
             return
         if isinstance(mail, target_link.OrderAnswered):
-            order_answers.order_answered(leading.books, mail)
+            order_answers.order_answered(leading.leader, mail)
         elif isinstance(mail, target_link.LookAnswered):
-            looks.look_answered(leading.books, mail)
+            looks.look_answered(leading.leader, mail)
 
     def deliver(self, received):
         """Take a message of another process."""
@@ -137,12 +137,12 @@
             self._greeters.forget_silent(now_ms)
             self._reload_if_changed(now_ms)
             if self._leading is not None:
-                self._leading.books.tidy()
+                self._leading.leader.tidy()
                 self._leading.planner.tidy()
         if self._leading is not None and self._may_act(now_ms):
-            for helper in self._leading.books.permissions.give_up_overdue(now_ms):
+            for helper in self._leading.leader.permissions.give_up_overdue(now_ms):
                 self._record("permission_overdue", helper=helper)
-            running.tick(self._leading.books, now_ms)
+            running.tick(self._leading.leader, now_ms)
 
     def before_write(self, now_ms):
         """Begin or end a term; plan, and propose what was decided."""
@@ -151,19 +151,19 @@
         if leading is None or not self._may_act(now_ms):
             return
         leading.planner.plan(now_ms)
-        batch, effects = leading.books.take_batch()
+        batch, effects = leading.leader.take_batch()
         if batch is None:
             return
         index = self._port.propose(codec.pack(batch))
         if index is None:
-            leading.books.put_back(batch, effects)
+            leading.leader.put_back(batch, effects)
         else:
             leading.batches[index] = effects
 
     def applied(self, index, term):
         """An entry is committed: what waited for it happens now."""
         leading = self._leading
-        if leading is None or term != leading.books.epoch:
+        if leading is None or term != leading.leader.epoch:
             return
         for effect in leading.batches.pop(index, ()):
             effect()
@@ -184,9 +184,9 @@
     def _follow_leadership(self):
         node = self._port.node
         epoch = node.term if self._is_in_charge() else None
-        if self._leading is not None and self._leading.books.epoch != epoch:
-            self._record("leadership_lost", epoch=self._leading.books.epoch)
-            self._leading.books.close()
+        if self._leading is not None and self._leading.leader.epoch != epoch:
+            self._record("leadership_lost", epoch=self._leading.leader.epoch)
+            self._leading.leader.close()
             self._leading = None
         if epoch is not None and self._leading is None:
             self._record("leadership_gained", epoch=epoch)
@@ -202,7 +202,7 @@
         )
 
     def _environment(self):
-        return books.Environment(
+        return leader_state.Environment(
             settings=self._context.settings,
             clock=self._clock,
             metrics=self._context.metrics,
@@ -256,7 +256,7 @@
 
     def _ask(self, question):
         step = ".".join(str(part) for part in question.group)
-        query_id = f"{self._leading.books.epoch}/{question.query_id}"
+        query_id = f"{self._leading.leader.epoch}/{question.query_id}"
         query = cell.PermissionQuery(query_id, step, question.target_ids)
         self._post(question.helper, query)
 
@@ -270,8 +270,8 @@
         if self._leading is None:
             return
         epoch, _slash, query_id = message.query_id.partition("/")
-        if epoch == str(self._leading.books.epoch):
-            verdicts.take(self._leading.books, message._replace(query_id=query_id))
+        if epoch == str(self._leading.leader.epoch):
+            verdicts.take(self._leading.leader, message._replace(query_id=query_id))
 
     def _greeted(self, message, address):
         now_ms = self._clock.monotonic_ms()
@@ -288,7 +288,7 @@
         """
         controllers = [m.address for m in self._port.node.members if m.address]
         if self._leading is not None:
-            epoch = self._leading.books.epoch
+            epoch = self._leading.leader.epoch
             return cell.GreetingReply(self._own_address, epoch, controllers)
         leader = self._port.leader_address()
         if leader == self._own_address:
@@ -297,7 +297,7 @@
 
     def _relayed(self, message, address):
         def reply(status, payload=b""):
-            epoch = self._leading.books.epoch if self._leading else 0
+            epoch = self._leading.leader.epoch if self._leading else 0
             self._post(
                 address,
                 cell.CellReply(
--- a/alderreach/ops/controller/evictions.py
+++ b/alderreach/ops/controller/evictions.py
@@ -28,8 +28,8 @@
     ``rank_of(job, group)`` returns the ``order.Rank`` of a group.
     """
 
-    def __init__(self, books, rank_of):
-        self._books = books
+    def __init__(self, leader, rank_of):
+        self._leader = leader
         self._rank_of = rank_of
         self._yielded = {}
         self._next_ms = {}
@@ -48,11 +48,11 @@
         for target_id, hold in list(self._holds.items()):
             if now_ms >= hold.until_ms or not is_waiting(hold.group):
                 del self._holds[target_id]
-                self._books.pools.gained_room(target_id)
+                self._leader.pools.gained_room(target_id)
 
     def next_ms(self, job, group, since_ms):
         """When room may be made for a group that waits since a moment."""
-        if self._books.queue_of(job).priority >= self._books.least_urgent():
+        if self._leader.queue_of(job).priority >= self._leader.least_urgent():
             return math.inf
         return max(since_ms + preemption.PATIENCE_MS, self._next_ms.get(group, 0))
 
@@ -64,8 +64,8 @@
         """
         if now_ms < self.next_ms(job, group, since_ms):
             return
-        books = self._books
-        priority = books.queue_of(job).priority
+        leader = self._leader
+        priority = leader.queue_of(job).priority
         step = job.record.steps[group.step]
         may_yield = lambda run: self._may_yield(run, priority)
         chosen = preemption.choose(pool, step, wanted, may_yield, group)
@@ -79,24 +79,24 @@
 
     def tidy(self):
         """Forget what is kept of jobs that have ended."""
-        self._books.drop_ended(self._yielded)
-        self._books.drop_ended(self._next_ms)
+        self._leader.drop_ended(self._yielded)
+        self._leader.drop_ended(self._next_ms)
 
     def _may_yield(self, run, priority):
         if not run.may_yield or run.state != workers.RUNNING:
             return False
         if self._yielded.get(run.key, 0) >= preemption.YIELDS_MOST:
             return False
-        job = self._books.state.jobs.get(run.key.job_id)
-        if job is None or self._books.queue_of(job).priority <= priority:
+        job = self._leader.state.jobs.get(run.key.job_id)
+        if job is None or self._leader.queue_of(job).priority <= priority:
             return False
         rank = self._rank_of(job, cell_state.GroupKey(*run.key[:3]))
-        spare_ms = rank.latest_start_ms - self._books.cell_ms()
+        spare_ms = rank.latest_start_ms - self._leader.cell_ms()
         return spare_ms >= preemption.YIELD_COST_MS
 
     def _stop(self, worker, run, group):
         self._yielded[run.key] = self._yielded.get(run.key, 0) + 1
-        self._books.environment.record(
+        self._leader.environment.record(
             "run_preempted",
             task=str(run.key),
             run=run.run,
@@ -104,4 +104,4 @@
             percent=run.percent,
             urgent=".".join(str(part) for part in group),
         )
-        runs.close_run(self._books, worker, run)
+        runs.close_run(self._leader, worker, run)
--- a/alderreach/ops/controller/books.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -52,7 +52,7 @@
     least_urgent: float
 
 
-class Books:
+class LeaderState:
     """One term of leadership. Used by the controller's task only."""
 
     def __init__(self, epoch, environment):
--- a/alderreach/ops/controller/lives.py
+++ b/alderreach/ops/controller/lives.py
@@ -24,14 +24,14 @@
 ABANDON_AFTER_MS = 1500
 
 
-def announced(books, worker, clock_ms, now_ms):
+def announced(leader, worker, clock_ms, now_ms):
     """A heartbeat of a known life arrived."""
     worker.announced_ms = now_ms
     if clock_ms >= 0:
         worker.note_clock(clock_ms, now_ms)
 
 
-def new_life(books, worker, born_ms):
+def new_life(leader, worker, born_ms):
     """A newer life bears a known id; which runs it has, only its list can tell.
 
     Failures answered. The new life took a start before its first heartbeat came here:
@@ -44,20 +44,20 @@
     one, it would get no work for ever. Heartbeats of the life before do not come
     between, since they name an earlier birth.
     """
-    books.environment.record("worker_reborn", target=worker.target_id, born_ms=born_ms)
+    leader.environment.record("worker_reborn", target=worker.target_id, born_ms=born_ms)
     worker.begin_life()
     worker.sequence = -1
     worker.is_leaving = False
-    _refuse_late_starts(books, worker)
+    _refuse_late_starts(leader, worker)
 
 
-def suspect_new_life(books, worker):
+def suspect_new_life(leader, worker):
     """An answer's clock is far behind: it is that of a life not yet heard of."""
-    books.environment.record("worker_clock_behind", target=worker.target_id)
+    leader.environment.record("worker_clock_behind", target=worker.target_id)
     worker.begin_life()
 
 
-def take_first_list(books, worker, result, sent_ms):
+def take_first_list(leader, worker, result, sent_ms):
     """What the first list of a life does not name is over.
 
     Starts that were answered after the look was sent may be missing there, and so may
@@ -69,12 +69,12 @@
         if (str(run.key), run.run) in listed:
             continue
         if run.state == workers.ORDERED:
-            runs.close_run(books, worker, run)
+            runs.close_run(leader, worker, run)
         elif run.answered_ms <= sent_ms:
-            runs.end_run(books, worker, run, "lost", run.checkpoint)
+            runs.end_run(leader, worker, run, "lost", run.checkpoint)
 
 
-def lapse(books, worker):
+def lapse(leader, worker):
     """The lease is over without an answer: whatever ran there was killed.
 
     A run whose start waits for its commit is not concerned: its start brings a lease.
@@ -82,21 +82,21 @@
     sent = [run for run in worker.runs.values() if run.sends]
     if not sent:
         return
-    books.environment.record("lease_lapsed", target=worker.target_id, runs=len(sent))
+    leader.environment.record("lease_lapsed", target=worker.target_id, runs=len(sent))
     for run in sent:
-        runs.end_run(books, worker, run, "lapsed", run.checkpoint)
+        runs.end_run(leader, worker, run, "lapsed", run.checkpoint)
 
 
-def life_over(books, worker):
+def life_over(leader, worker):
     """This life of the worker is over for certain."""
-    books.environment.record("worker_gone", target=worker.target_id)
+    leader.environment.record("worker_gone", target=worker.target_id)
     for run in list(worker.runs.values()):
-        runs.end_run(books, worker, run, "lost", run.checkpoint)
-    books.drop_worker(worker.target_id)
-    books.decide(gone=[worker.target_id])
+        runs.end_run(leader, worker, run, "lost", run.checkpoint)
+    leader.drop_worker(worker.target_id)
+    leader.decide(gone=[worker.target_id])
 
 
-def abandon(books, worker):
+def abandon(leader, worker):
     """Start tasks that may run twice elsewhere; what may still run here keeps its room.
 
     Failure answered: a worker falls silent, and a task that could have been repeated at
@@ -105,32 +105,32 @@
     for run in worker.runs.values():
         if not run.allow_duplicates or run.abandoned or not run.sends or run.is_long:
             continue
-        job = books.state.jobs.get(run.key.job_id)
+        job = leader.state.jobs.get(run.key.job_id)
         if job is None or job.record.steps[run.key.step].gang:
             continue
         run.abandoned = True
         ended = cell.RunEnded(*run.key, run.run, "abandoned", run.checkpoint, False)
-        books.decide(ended=[ended])
-        books.on_run_ended(run.key.job_id, run.key.occurrence, run.key.step)
-        books.environment.record(
+        leader.decide(ended=[ended])
+        leader.on_run_ended(run.key.job_id, run.key.occurrence, run.key.step)
+        leader.environment.record(
             "run_abandoned", task=str(run.key), run=run.run, target=worker.target_id
         )
 
 
-def watch(books, worker, now_ms):
+def watch(leader, worker, now_ms):
     """What silence and draining call for as time passes."""
     if now_ms >= worker.lapses_ms:
-        lapse(books, worker)
+        lapse(leader, worker)
     is_silent = worker.failures and now_ms - worker.heard_ms >= ABANDON_AFTER_MS
     if is_silent or worker.is_refusing:
-        abandon(books, worker)
+        abandon(leader, worker)
     is_draining = worker.record.state == "draining" and worker.shown
     if is_draining and not worker.is_evacuated:
-        evacuate(books, worker, now_ms)
+        evacuate(leader, worker, now_ms)
     worker.is_evacuated = is_draining
 
 
-def evacuate(books, worker, now_ms):
+def evacuate(leader, worker, now_ms):
     """A worker drains: what saves its progress, or starts anew anyway, leaves at once.
 
     Failure answered: the worker ends some seconds later without a word, and whatever
@@ -138,38 +138,38 @@
     before the worker is gone. So do those that will be done before it may end.
     """
     for run in list(worker.runs.values()):
-        job = books.state.jobs.get(run.key.job_id)
+        job = leader.state.jobs.get(run.key.job_id)
         if job is None or not run.sends:
             continue
         step = job.record.steps[run.key.step]
         left_ms = health.left_ms(run, now_ms)
         is_done_soon = left_ms is not None and left_ms < DRAIN_LEAST_MS
         if step.long_running or (step.checkpointing and not is_done_soon):
-            books.environment.record(
+            leader.environment.record(
                 "run_evacuated",
                 task=str(run.key),
                 run=run.run,
                 target=worker.target_id,
             )
-            runs.close_run(books, worker, run)
+            runs.close_run(leader, worker, run)
 
 
-def forget_if_silent(books, worker, now_ms):
+def forget_if_silent(leader, worker, now_ms):
     """Drop a worker on which nothing runs and that nobody heard of for long."""
     silent_ms = now_ms - max(worker.announced_ms, worker.heard_ms)
     if worker.runs or silent_ms <= FORGOTTEN_AFTER_MS:
         return
-    books.environment.record("worker_forgotten", target=worker.target_id)
-    books.drop_worker(worker.target_id)
-    books.decide(gone=[worker.target_id])
+    leader.environment.record("worker_forgotten", target=worker.target_id)
+    leader.drop_worker(worker.target_id)
+    leader.decide(gone=[worker.target_id])
 
 
-def _refuse_late_starts(books, worker):
+def _refuse_late_starts(leader, worker):
     """Have a new life refuse what was sent to the one before and may arrive only now.
 
     The new life's clock starts anew, so the lease that the start names, long over on
     the old clock, seems to lie ahead; and it has seen no epoch. A run that was stopped
     there is refused.
     """
-    for task, run in worker.late_starts(books.now_ms()):
-        books.links[worker.target_id].order(orders.Stop(task, run, books.epoch))
+    for task, run in worker.late_starts(leader.now_ms()):
+        leader.links[worker.target_id].order(orders.Stop(task, run, leader.epoch))
--- a/alderreach/ops/controller/looks.py
+++ b/alderreach/ops/controller/looks.py
@@ -19,74 +19,74 @@
 PACE_INTERVAL_MS = 1100
 
 
-def look(books, worker, wait_ms=LOOK_WAIT_MS):
+def look(leader, worker, wait_ms=LOOK_WAIT_MS):
     """Look at a worker now, unless a look is under way.
 
     The lease is extended only while the worker answers and its clock is known.
     """
     if worker.look is not None or worker.is_settling:
         return
-    now_ms = books.now_ms()
+    now_ms = leader.now_ms()
     until_ms = None
     if worker.shown and worker.failures == 0 and worker.offset_ms is not None:
-        until_ms = worker.lease_until_ms(books.lease_ms(), now_ms)
+        until_ms = worker.lease_until_ms(leader.lease_ms(), now_ms)
     is_urgent = (
         not worker.runs
         or not worker.shown
         or any(run.state == workers.CLOSED for run in worker.runs.values())
     )
-    longest_ms = books.lease_ms() // LOOKS_PER_LEASE
+    longest_ms = leader.lease_ms() // LOOKS_PER_LEASE
     wait_ms = 0 if is_urgent else min(wait_ms, longest_ms)
     worker.look = worker.looked_ms = now_ms
     worker.has_ends = False
-    worker.asked = orders.Look(books.epoch, worker.cursor, until_ms, wait_ms)
-    books.links[worker.target_id].look(worker.asked)
+    worker.asked = orders.Look(leader.epoch, worker.cursor, until_ms, wait_ms)
+    leader.links[worker.target_id].look(worker.asked)
 
 
-def look_answered(books, mail):
+def look_answered(leader, mail):
     """Take a worker's lists; an answer to another look than the last is too old."""
-    worker = books.workers.get(mail.target_id)
+    worker = leader.workers.get(mail.target_id)
     if worker is None or worker.look is None or mail.look is not worker.asked:
         return
-    now_ms, result = books.now_ms(), mail.result
+    now_ms, result = leader.now_ms(), mail.result
     sent_ms, worker.look = worker.look, None
     if result.outcome == orders.OTHER_LIFE:
-        lives.life_over(books, worker)
+        lives.life_over(leader, worker)
     elif result.outcome != orders.OK:
-        _look_failed(books, worker, result, now_ms)
+        _look_failed(leader, worker, result, now_ms)
     elif result.born_ms and result.born_ms < worker.record.born_ms:
-        runs.look_later(books, worker, 0)
+        runs.look_later(leader, worker, 0)
     else:
-        _take_lists(books, worker, result, sent_ms, now_ms)
+        _take_lists(leader, worker, result, sent_ms, now_ms)
 
 
-def _take_lists(books, worker, result, sent_ms, now_ms):
+def _take_lists(leader, worker, result, sent_ms, now_ms):
     if result.born_ms > worker.record.born_ms:
-        lives.new_life(books, worker, result.born_ms)
+        lives.new_life(leader, worker, result.born_ms)
         worker.record = worker.record._replace(born_ms=result.born_ms)
-        books.decide(targets=[worker.record])
+        leader.decide(targets=[worker.record])
     worker.note_clock(result.clock_ms, now_ms)
     worker.heard_ms = now_ms
     worker.note_answer(orders.OK)
     if not worker.shown:
         worker.shown = True
-        books.is_stale = True
-    has_ends = _take_ends(books, worker, result.ended)
+        leader.is_stale = True
+    has_ends = _take_ends(leader, worker, result.ended)
     if worker.awaits_list:
-        lives.take_first_list(books, worker, result, sent_ms)
-    _take_running(books, worker, result.running, sent_ms)
-    _pace(books, worker, now_ms)
-    _move_on(books, worker, now_ms)
+        lives.take_first_list(leader, worker, result, sent_ms)
+    _take_running(leader, worker, result.running, sent_ms)
+    _pace(leader, worker, now_ms)
+    _move_on(leader, worker, now_ms)
     if has_ends:
         cursor = max(end.number for end in result.ended)
         life = worker.life
         worker.is_settling = True
-        books.after_commit(lambda: _forget_ends(books, worker, cursor, life))
+        leader.after_commit(lambda: _forget_ends(leader, worker, cursor, life))
     else:
-        runs.look_later(books, worker, 0)
+        runs.look_later(leader, worker, 0)
 
 
-def look_if_due(books, worker, now_ms):
+def look_if_due(leader, worker, now_ms):
     """Make the next look if the worker needs one and its gap is over.
 
     Failure answered: a worker misses an answer and gets nothing new until the next one.
@@ -100,50 +100,50 @@
     if worker.failures:
         due_ms = worker.looked_ms + LOOK_AGAIN_MS
     if wanted and now_ms >= due_ms:
-        look(books, worker)
+        look(leader, worker)
 
 
-def _look_failed(books, worker, result, now_ms):
+def _look_failed(leader, worker, result, now_ms):
     worker.failures += 1
     worker.is_refusing = result.outcome == orders.UNREACHABLE
     if worker.failures == 1:
-        books.environment.record(
+        leader.environment.record(
             "worker_doubtful", target=worker.target_id, outcome=result.outcome
         )
     if worker.is_leaving and result.outcome == orders.UNREACHABLE:
         # It said that it ends, and nothing listens there any more.
-        lives.life_over(books, worker)
+        lives.life_over(leader, worker)
 
 
-def _forget_ends(books, worker, cursor, life):
+def _forget_ends(leader, worker, cursor, life):
     """The ends up to ``cursor`` are durable here, so the worker may forget them."""
     worker.is_settling = False
-    if books.workers.get(worker.target_id) is not worker:
+    if leader.workers.get(worker.target_id) is not worker:
         return
     if worker.life == life:
         worker.cursor = max(worker.cursor, cursor)
         worker.has_ends = True
-    runs.look_later(books, worker)
+    runs.look_later(leader, worker)
 
 
-def _take_ends(books, worker, ended):
+def _take_ends(leader, worker, ended):
     """Record the ends that concern runs of ours; True if any was listed."""
     for end in sorted(ended):
         run = runs.run_of(worker, end.task)
         if run is not None and run.run == end.run:
-            runs.end_run(books, worker, run, end.how, end.checkpoint)
+            runs.end_run(leader, worker, run, end.how, end.checkpoint)
         elif end.how == "done":
-            _take_late_success(books, worker, end)
+            _take_late_success(leader, worker, end)
     return bool(ended)
 
 
-def _take_late_success(books, worker, end):
+def _take_late_success(leader, worker, end):
     """A run given up for lost is listed as done, and its success counts still."""
     key = runs.key_of(end.task)
-    task = cell_state.task_of(books.state, key) if key else None
+    task = cell_state.task_of(leader.state, key) if key else None
     if task is None:
         return
-    job = books.state.jobs[key.job_id]
+    job = leader.state.jobs[key.job_id]
     step = job.record.steps[key.step]
     is_counted = cell_state.is_late_success(task, end.run, end.how, step)
     if step.long_running or not is_counted:
@@ -154,32 +154,32 @@
         keys = [key._replace(index=index) for index in range(len(tasks))]
         if any(not cell_state.is_late_success(t, end.run, end.how) for t in tasks):
             return
-    books.decide(
+    leader.decide(
         ended=[cell.RunEnded(*each, end.run, end.how, "", False) for each in keys]
     )
-    runs.stop_duplicate(books, key, end.run)
-    books.on_run_ended(key.job_id, key.occurrence, key.step)
-    books.environment.record(
+    runs.stop_duplicate(leader, key, end.run)
+    leader.on_run_ended(key.job_id, key.occurrence, key.step)
+    leader.environment.record(
         "late_success", task=end.task, run=end.run, target=worker.target_id
     )
 
 
-def _take_running(books, worker, running, sent_ms):
+def _take_running(leader, worker, running, sent_ms):
     """Compare what a worker runs with what it should run."""
-    now_ms = books.now_ms()
+    now_ms = leader.now_ms()
     listed = {entry.task: entry for entry in running}
     for run in list(worker.runs.values()):
         entry = listed.pop(str(run.key), None)
         if entry is not None and entry.run == run.run:
-            _note_progress(books, worker, run, entry, now_ms)
+            _note_progress(leader, worker, run, entry, now_ms)
         elif entry is not None:
             listed[entry.task] = entry
         elif sent_ms > run.answered_ms:
-            _note_missing(books, worker, run)
+            _note_missing(leader, worker, run)
     for entry in listed.values():
-        order = orders.Stop(entry.task, entry.run, books.epoch)
-        books.links[worker.target_id].order(order)
-        books.environment.record(
+        order = orders.Stop(entry.task, entry.run, leader.epoch)
+        leader.links[worker.target_id].order(order)
+        leader.environment.record(
             "unknown_run_stopped",
             task=entry.task,
             run=entry.run,
@@ -187,7 +187,7 @@
         )
 
 
-def _note_progress(books, worker, run, entry, now_ms):
+def _note_progress(leader, worker, run, entry, now_ms):
     if run.state == workers.ORDERED:
         run.state = workers.RUNNING
         run.next_send_ms = None
@@ -198,58 +198,58 @@
         run.first_percent, run.first_ms = entry.percent, now_ms
     run.load = entry.load
     if run.abandoned:
-        runs.close_run(books, worker, run)
+        runs.close_run(leader, worker, run)
         return
     run.checkpoint = entry.checkpoint or run.checkpoint
-    job = books.state.jobs.get(run.key.job_id)
+    job = leader.state.jobs.get(run.key.job_id)
     if job is None or job.state != cell_state.ACTIVE:
-        runs.close_run(books, worker, run)
+        runs.close_run(leader, worker, run)
 
 
-def _note_missing(books, worker, run):
+def _note_missing(leader, worker, run):
     """A run that a fresh look does not list; only a confirmed stop makes it final."""
     if run.state == workers.ORDERED and run.sends == 0:
         return
     if run.state == workers.CLOSED:
-        runs.end_run(books, worker, run, "stopped", run.checkpoint)
+        runs.end_run(leader, worker, run, "stopped", run.checkpoint)
     elif run.state == workers.RUNNING or run.order is None:
-        runs.close_run(books, worker, run)
+        runs.close_run(leader, worker, run)
 
 
-def _pace(books, worker, now_ms):
+def _pace(leader, worker, now_ms):
     if now_ms - worker.paced_ms < PACE_INTERVAL_MS:
         return
     for run, share in pacing.changes(list(worker.runs.values())):
         worker.paced_ms = now_ms
-        order = orders.Pace(str(run.key), run.run, share, books.epoch)
-        books.links[worker.target_id].order(order)
+        order = orders.Pace(str(run.key), run.run, share, leader.epoch)
+        leader.links[worker.target_id].order(order)
 
 
-def _move_on(books, worker, now_ms):
+def _move_on(leader, worker, now_ms):
     """Stop what stands still here, and all that pays if the worker is slow."""
     ratios = {}
     for run in list(worker.runs.values()):
         if run.state != workers.RUNNING or run.is_long:
             continue
         if health.is_stalled(run, now_ms):
-            _move(books, worker, run, "stalled", now_ms)
+            _move(leader, worker, run, "stalled", now_ms)
             continue
-        ratio = health.slowness(run, books.durations.get(run.key[:3], ()))
+        ratio = health.slowness(run, leader.durations.get(run.key[:3], ()))
         if ratio is not None:
             ratios[run] = ratio
     if not health.is_slow(list(ratios.values())):
         return
     for run, ratio in ratios.items():
-        if health.pays_to_move(run, ratio, books.durations[run.key[:3]]):
-            _move(books, worker, run, "slow", now_ms)
+        if health.pays_to_move(run, ratio, leader.durations[run.key[:3]]):
+            _move(leader, worker, run, "slow", now_ms)
 
 
-def _move(books, worker, run, reason, now_ms):
-    moves = books.moves.get(run.key, 0)
+def _move(leader, worker, run, reason, now_ms):
+    moves = leader.moves.get(run.key, 0)
     if moves >= health.MOVES_MOST:
         return
-    books.moves[run.key] = moves + 1
-    books.environment.record(
+    leader.moves[run.key] = moves + 1
+    leader.environment.record(
         "run_moved",
         task=str(run.key),
         run=run.run,
@@ -258,5 +258,5 @@
         percent=run.percent,
         still_ms=now_ms - run.moved_ms,
     )
-    runs.strike(books, worker, run.key.job_id)
-    runs.close_run(books, worker, run)
+    runs.strike(leader, worker, run.key.job_id)
+    runs.close_run(leader, worker, run)
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -18,44 +18,44 @@
 HOLD_BACK_MS = 500
 
 
-def order_answered(books, mail):
+def order_answered(leader, mail):
     """Take the answer to a Start, Stop or Pace."""
-    worker = books.workers.get(mail.target_id)
+    worker = leader.workers.get(mail.target_id)
     if worker is None:
         return
-    now_ms, result = books.now_ms(), mail.result
+    now_ms, result = leader.now_ms(), mail.result
     if result.clock_ms is not None:
         if worker.is_other_clock(result.clock_ms, now_ms):
-            lives.suspect_new_life(books, worker)
+            lives.suspect_new_life(leader, worker)
         worker.note_clock(result.clock_ms, now_ms)
         worker.heard_ms = now_ms
     worker.note_answer(result.outcome)
     if result.outcome == orders.OTHER_LIFE:
-        lives.life_over(books, worker)
+        lives.life_over(leader, worker)
         return
     run = runs.run_of(worker, mail.order.task)
     if run is None or run.run != mail.order.run:
         return
     if isinstance(mail.order, orders.Start):
-        _start_answered(books, worker, run, mail, now_ms)
+        _start_answered(leader, worker, run, mail, now_ms)
     elif isinstance(mail.order, orders.Stop):
         _stop_answered(run, result, now_ms)
-        looks.look(books, worker)
+        looks.look(leader, worker)
     elif result.outcome == orders.OK:
         run.pace = mail.order.percent
     elif result.outcome == orders.UNKNOWN:
         run.pace = None
 
 
-def send_again(books, worker, run):
+def send_again(leader, worker, run):
     """Repeat a start or stop that was not answered."""
     if run.state == workers.CLOSING:
-        runs.send_stop(books, worker, run)
+        runs.send_stop(leader, worker, run)
     elif run.state == workers.ORDERED and run.order is not None:
-        runs.send_start(books, worker, run)
+        runs.send_start(leader, worker, run)
 
 
-def _start_answered(books, worker, run, mail, now_ms):
+def _start_answered(leader, worker, run, mail, now_ms):
     """Act on the answer to a start; only OK and proofs that nothing ran settle it."""
     result = mail.result
     if run.state != workers.ORDERED:
@@ -64,7 +64,7 @@
         run.state = workers.RUNNING
         run.answered_ms = run.moved_ms = now_ms
         return
-    books.environment.record(
+    leader.environment.record(
         "start_not_taken",
         task=str(run.key),
         run=run.run,
@@ -72,23 +72,23 @@
         outcome=result.outcome,
         sends=run.sends,
     )
-    books.environment.metrics.count("starts_not_taken", result.outcome)
+    leader.environment.metrics.count("starts_not_taken", result.outcome)
     if result.outcome == orders.NO_TICKET:
         group = cell_state.GroupKey(*run.key[:3])
-        books.permissions.refuse(group, worker.target_id)
-        books.revisit(group)
+        leader.permissions.refuse(group, worker.target_id)
+        leader.revisit(group)
     if result.outcome in (orders.NO_ROOM, orders.REFUSED, orders.NO_TICKET):
         worker.held_back_until_ms = now_ms + HOLD_BACK_MS
-        books.pools.worker_changed(worker.target_id)
+        leader.pools.worker_changed(worker.target_id)
     if result.outcome in orders.NOT_CARRIED_OUT and run.sends == 1:
-        runs.end_run(books, worker, run, "refused")
+        runs.end_run(leader, worker, run, "refused")
     elif result.outcome == orders.UNKNOWN:
         worker.may_arrive_late(run, now_ms)
         run.next_send_ms = now_ms + RESEND_AFTER_MS
     elif result.outcome == orders.FENCED:
         logging.warning("worker %s saw a higher epoch", worker.target_id)
     else:
-        runs.close_run(books, worker, run)
+        runs.close_run(leader, worker, run)
 
 
 def _stop_answered(run, result, now_ms):
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -28,21 +28,21 @@
 class Planner:
     """Waiting groups of one term of leadership."""
 
-    def __init__(self, books):
-        self._books = books
+    def __init__(self, leader):
+        self._leader = leader
         # Since when each group waits, their order, and when each is considered whole.
         self._waiting = {}
         self._queue = order.UrgencyQueue()
         self._due_ms = {}
         self._ranks = {}
         self._ranked_config = None
-        self._asking = asking.Asking(books)
-        self._evictions = evictions.Evictions(books, self._rank)
-        self._waits = waits.Waits(books)
+        self._asking = asking.Asking(leader)
+        self._evictions = evictions.Evictions(leader, self._rank)
+        self._waits = waits.Waits(leader)
         # Occurrences that wait for their time, by that time.
         self._timed = []
         self._next_pass_ms = 0
-        for job in books.state.jobs.values():
+        for job in leader.state.jobs.values():
             self.job_added(job)
 
     def job_added(self, job):
@@ -58,13 +58,13 @@
 
     def changed(self, job_id, occurrence, number):
         """A run of a group ended: it may wait again, or open the next steps."""
-        job = self._books.state.jobs.get(job_id)
+        job = self._leader.state.jobs.get(job_id)
         if job is None or job.state != cell_state.ACTIVE:
             return
         if job.undone[(occurrence, number)]:
             group = cell_state.GroupKey(job_id, occurrence, number)
             self._put_in_queue(job, group)
-            self._books.revisit(group)
+            self._leader.revisit(group)
             return
         for later, step in enumerate(job.record.steps):
             if number in step.after and cell_state.is_open(job, occurrence, later):
@@ -72,10 +72,10 @@
 
     def plan(self, now_ms):
         """Make a pass if anything changed or it is time."""
-        books = self._books
-        if not books.is_stale and now_ms < self._next_pass_ms:
+        leader = self._leader
+        if not leader.is_stale and now_ms < self._next_pass_ms:
             return
-        books.is_stale = False
+        leader.is_stale = False
         self._next_pass_ms = now_ms + PASS_INTERVAL_MS
         self._release_timed()
         self._asking.begin()
@@ -83,52 +83,52 @@
         self._evictions.end_holds(self._waiting.__contains__, now_ms)
         self._refresh_pools(now_ms)
         self._rank_anew_if_configured()
-        self._queue.refresh(books.cell_ms())
+        self._queue.refresh(leader.cell_ms())
         self._go_through(now_ms)
         self._asking.ahead(now_ms)
 
     def _refresh_pools(self, now_ms):
         """Have groups considered whose permitted workers are others than before."""
-        books = self._books
-        appeared, gone = books.pools.refresh(now_ms)
+        leader = self._leader
+        appeared, gone = leader.pools.refresh(now_ms)
         if not appeared and not gone:
             return
-        for group in books.permissions.workers_changed(appeared, gone):
+        for group in leader.permissions.workers_changed(appeared, gone):
             if group in self._due_ms:
                 due_ms = self._asking.next_ms(group, now_ms)
                 self._due_ms[group] = min(self._due_ms[group], due_ms)
 
     def _go_through(self, now_ms):
         """Consider the groups that something changed for, in order of urgency."""
-        books = self._books
-        for group in books.revisited:
+        leader = self._leader
+        for group in leader.revisited:
             self._due_ms[group] = now_ms
-        books.revisited = set()
-        gained = books.pools.take_gained()
+        leader.revisited = set()
+        gained = leader.pools.take_gained()
         started = visits = 0
         for group in self._queue.groups():
-            if started >= STARTS_PER_PASS or books.now_ms() - now_ms >= PASS_MS:
+            if started >= STARTS_PER_PASS or leader.now_ms() - now_ms >= PASS_MS:
                 for worker in gained:
-                    books.pools.gained_room(worker.target_id)
-                books.is_stale = True
+                    leader.pools.gained_room(worker.target_id)
+                leader.is_stale = True
                 break
-            if books.is_over(group):
+            if leader.is_over(group):
                 self._drop(group)
             elif now_ms >= self._due_ms.get(group, 0):
                 started += self._consider_whole(group, now_ms)
                 visits += 1
             elif gained:
                 started += self._consider_gained(group, gained, now_ms)
-        metrics = books.environment.metrics
-        metrics.observe_ms("planning_pass", books.now_ms() - now_ms)
+        metrics = leader.environment.metrics
+        metrics.observe_ms("planning_pass", leader.now_ms() - now_ms)
         metrics.count("planning_visits", amount=visits)
         metrics.count("planning_starts", amount=started)
 
     def tidy(self):
         """Forget what is kept of jobs that have ended."""
-        self._books.drop_ended(self._ranks)
+        self._leader.drop_ended(self._ranks)
         self._evictions.tidy()
-        self._waits.tidy(self._waiting.values(), self._books.now_ms())
+        self._waits.tidy(self._waiting.values(), self._leader.now_ms())
 
     def pending(self, queue_name):
         """How many accepted jobs of a queue have started nothing, times left out."""
@@ -137,7 +137,7 @@
             and not job.has_started
             and not job.record.repeat_count
             and job.record.queue.name == queue_name
-            for job in self._books.state.jobs.values()
+            for job in self._leader.state.jobs.values()
         )
 
     def _open(self, job, group):
@@ -154,9 +154,9 @@
     def _wait(self, job, group):
         """A group waits from now on; told in the log beside what starts of it."""
         self._put_in_queue(job, group)
-        self._books.is_stale = True
+        self._leader.is_stale = True
         step = job.record.steps[group.step]
-        self._books.environment.record(
+        self._leader.environment.record(
             "step_opened",
             task=".".join(str(part) for part in group),
             tasks=step.tasks,
@@ -165,9 +165,9 @@
 
     def _put_in_queue(self, job, group):
         if group not in self._waiting:
-            self._waiting[group] = self._books.now_ms()
+            self._waiting[group] = self._leader.now_ms()
             self._due_ms[group] = 0
-            self._queue.add(group, self._rank(job, group), self._books.cell_ms())
+            self._queue.add(group, self._rank(job, group), self._leader.cell_ms())
 
     def _latest_due_ms(self):
         """Occurrences due up to this moment may start.
@@ -176,41 +176,41 @@
         Starting on time rather than early leaves all of it for clocks that differ.
         Nothing is due while the cell's time is not known.
         """
-        if not self._books.environment.is_time_known():
+        if not self._leader.environment.is_time_known():
             return 0
-        return self._books.cell_ms()
+        return self._leader.cell_ms()
 
     def _release_timed(self):
         while self._timed and self._timed[0][0] <= self._latest_due_ms():
             group = heapq.heappop(self._timed)[1]
-            job = self._books.state.jobs.get(group.job_id)
+            job = self._leader.state.jobs.get(group.job_id)
             if job is not None:
                 self._wait(job, group)
 
     def _rank_anew_if_configured(self):
         """Put all groups in the order of a new configuration."""
-        books = self._books
-        if self._ranked_config is books.state.config:
+        leader = self._leader
+        if self._ranked_config is leader.state.config:
             return
-        self._ranked_config = books.state.config
+        self._ranked_config = leader.state.config
         self._ranks.clear()
         for group in self._waiting:
-            job = books.state.jobs.get(group.job_id)
+            job = leader.state.jobs.get(group.job_id)
             if job is not None:
-                self._queue.add(group, self._rank(job, group), books.cell_ms())
+                self._queue.add(group, self._rank(job, group), leader.cell_ms())
                 self._due_ms[group] = 0
 
     def _rank(self, job, group):
         rank = self._ranks.get(group)
         if rank is None:
-            queue, due_ms = self._books.queue_of(job), _due_ms(job, group)
+            queue, due_ms = self._leader.queue_of(job), _due_ms(job, group)
             rank = self._ranks[group] = order.rank(queue, job, group.step, due_ms)
         return rank
 
     def _drop(self, group):
         self._not_waiting(group)
         self._asking.drop(group)
-        self._books.permissions.forget(group)
+        self._leader.permissions.forget(group)
 
     def _not_waiting(self, group):
         if self._waiting.pop(group, None) is None:
@@ -219,16 +219,16 @@
         self._due_ms.pop(group, None)
         self._ranks.pop(group, None)
         self._waits.started(group)
-        self._books.permissions.placed(group)
+        self._leader.permissions.placed(group)
 
     def _consider_whole(self, group, now_ms):
         """Start what can be started of a group; returns how many tasks.
 
         For what is left, ask for permission, make room and report, as each is due.
         """
-        books = self._books
-        job = books.state.jobs[group.job_id]
-        rule = books.queue_of(job).permission
+        leader = self._leader
+        job = leader.state.jobs[group.job_id]
+        rule = leader.queue_of(job).permission
         pool = self._pool(job, group, rule, now_ms)
         started, left = self._place(job, group, pool, now_ms)
         if not left:
@@ -247,10 +247,10 @@
 
     def _consider_gained(self, group, gained, now_ms):
         """Start what fits of a group on workers that have gained room."""
-        books = self._books
-        job = books.state.jobs[group.job_id]
+        leader = self._leader
+        job = leader.state.jobs[group.job_id]
         step = job.record.steps[group.step]
-        rule = books.queue_of(job).permission
+        rule = leader.queue_of(job).permission
         pool = [
             worker
             for worker in gained
@@ -266,16 +266,16 @@
         return self._place(job, group, pool, now_ms)[0]
 
     def _has_ticket(self, group, worker, now_ms):
-        permissions = self._books.permissions
+        permissions = self._leader.permissions
         return permissions.ticket(group, worker.target_id, now_ms) is not None
 
     def _pool(self, job, group, rule, now_ms):
         """Usable workers on which a group may start."""
-        pools, service = self._books.pools, job.record.service
+        pools, service = self._leader.pools, job.record.service
         if rule is None:
             pool = pools.usable(service)
         else:
-            permitted = self._books.permissions.permitted(group, now_ms)
+            permitted = self._leader.permissions.permitted(group, now_ms)
             pool = pools.usable_among(service, permitted)
         return [worker for worker in pool if self._may_use(group, worker)]
 
@@ -327,7 +327,7 @@
 
     def _domains_of(self, tasks):
         """The failure domains in which some of a step's tasks are under way."""
-        known = self._books.workers
+        known = self._leader.workers
         placed = [
             known.get(task.target_id)
             for task in tasks
@@ -349,13 +349,13 @@
         return len(tasks)
 
     def _start(self, worker, group, step, index, run, now_ms, checkpoint=None):
-        books = self._books
+        leader = self._leader
         key = cell_state.TaskKey(*group, index)
         if checkpoint is None:
-            checkpoint = cell_state.task_of(books.state, key).checkpoint
-        ticket = books.permissions.ticket(group, worker.target_id, now_ms) or ""
-        runs.place(books, worker, key, run, step, ticket, checkpoint)
-        books.environment.record(
+            checkpoint = cell_state.task_of(leader.state, key).checkpoint
+        ticket = leader.permissions.ticket(group, worker.target_id, now_ms) or ""
+        runs.place(leader, worker, key, run, step, ticket, checkpoint)
+        leader.environment.record(
             "run_placed",
             task=str(key),
             run=run,
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -71,7 +71,7 @@
 
     @functools.wraps(handler)
     def with_queue(leading, request, reply):
-        config = leading.books.state.config
+        config = leading.leader.state.config
         if config is None:
             reply(not_ready())
             return
@@ -86,9 +86,9 @@
 
 @_at_queue
 def _submit(leading, request, reply, queue, job_id):
-    books = leading.books
-    if job_id in books.state.jobs:
-        books.after_commit(lambda: reply(answer(ACCEPTED)))
+    leader = leading.leader
+    if job_id in leader.state.jobs:
+        leader.after_commit(lambda: reply(answer(ACCEPTED)))
         return
     reason = _why_invalid(request, job_id)
     if reason:
@@ -105,16 +105,16 @@
         request.first_due_ms,
         request.interval_ms,
     )
-    accepted = cell.JobAccepted(record, books.cell_ms())
-    books.decide(lambda: reply(answer(ACCEPTED)), accepted=[accepted])
-    leading.planner.job_added(books.state.jobs[job_id])
+    accepted = cell.JobAccepted(record, leader.cell_ms())
+    leader.decide(lambda: reply(answer(ACCEPTED)), accepted=[accepted])
+    leading.planner.job_added(leader.state.jobs[job_id])
     leading.record(
         "job_accepted",
         job=job_id,
         queue=queue.name,
         tasks=sum(step.tasks for step in request.steps),
-        config_version=books.state.config.version,
-        is_placeable=_is_placeable(books, record),
+        config_version=leader.state.config.version,
+        is_placeable=_is_placeable(leader, record),
     )
 
 
@@ -134,9 +134,9 @@
     return ""
 
 
-def _is_placeable(books, record):
+def _is_placeable(leader, record):
     """Whether some worker known now could hold a task of each step, for the log."""
-    pool = [w for w in books.workers.values() if w.record.service == record.service]
+    pool = [w for w in leader.workers.values() if w.record.service == record.service]
     return all(
         any(choice.is_suitable(worker, step) for worker in pool)
         for step in record.steps
@@ -158,37 +158,37 @@
     job = leading.committed().jobs.get(job_id)
     if job is not None:
         return answer(STATE, cell_state.shown_state(job))
-    if job_id in leading.books.state.jobs:
+    if job_id in leading.leader.state.jobs:
         return answer(STATE, "queued")
     return answer(NO_JOB)
 
 
 @_at_queue
 def _cancel(leading, request, reply, _queue, job_id):
-    books = leading.books
-    job = books.state.jobs.get(job_id)
+    leader = leading.leader
+    job = leader.state.jobs.get(job_id)
     if job is None:
         leading.confirm(lambda: reply(answer(NO_JOB)))
         return
     if job.state != cell_state.ACTIVE:
-        books.after_commit(lambda: reply(answer(ACCEPTED)))
+        leader.after_commit(lambda: reply(answer(ACCEPTED)))
         return
 
     def cancelled():
         reply(answer(ACCEPTED))
-        runs.close_job(books, job)
+        runs.close_job(leader, job)
 
-    books.decide(cancelled, cancelled=[job_id])
+    leader.decide(cancelled, cancelled=[job_id])
     leading.record("job_cancelled", job=job_id)
 
 
 def _put_config(leading, request, reply):
-    books = leading.books
-    held = books.state.config
+    leader = leading.leader
+    held = leader.state.config
     if held is not None and request.config.version <= held.version:
-        books.after_commit(lambda: reply(answer(ACCEPTED)))
+        leader.after_commit(lambda: reply(answer(ACCEPTED)))
         return
-    books.decide(lambda: reply(answer(ACCEPTED)), configs=[request.config])
+    leader.decide(lambda: reply(answer(ACCEPTED)), configs=[request.config])
     leading.record("config_accepted", version=request.config.version)
 
 
@@ -209,8 +209,8 @@
     An older life under a known id is answered and left alone: its heartbeat was held up
     on the way.
     """
-    books, record = leading.books, request.record
-    worker = books.workers.get(record.target_id)
+    leader, record = leading.leader, request.record
+    worker = leader.workers.get(record.target_id)
     done = answer(ACCEPTED, leading.contact())
     if worker is not None and record.born_ms < worker.record.born_ms:
         reply(done)
@@ -226,20 +226,20 @@
             # life before, held up on its way. Believed, it would bar this one for ever.
             worker.is_leaving = False
     if worker is None:
-        worker = books.add_worker(record)
+        worker = leader.add_worker(record)
     is_reborn = worker.record.born_ms != record.born_ms
     if is_reborn or record.address != worker.record.address:
-        books.move_link(record)
+        leader.move_link(record)
         worker.look = None
     if is_reborn:
-        lives.new_life(books, worker, record.born_ms)
-    lives.announced(books, worker, request.clock_ms, books.now_ms())
+        lives.new_life(leader, worker, record.born_ms)
+    lives.announced(leader, worker, request.clock_ms, leader.now_ms())
     if not is_new and record == worker.record:
         reply(done)
         return
     worker.record = record
-    books.pools.worker_changed(worker.target_id)
-    books.decide(lambda: reply(done), targets=[record])
+    leader.pools.worker_changed(worker.target_id)
+    leader.decide(lambda: reply(done), targets=[record])
     leading.record(
         "worker_changed",
         target=record.target_id,
@@ -247,16 +247,16 @@
         address=record.address,
         is_new=is_new,
     )
-    looks.look(books, worker)
+    looks.look(leader, worker)
 
 
 def _withdraw(leading, request, reply):
     """A worker that drained ends; it gets nothing more, and is looked at until gone."""
-    worker = leading.books.workers.get(request.target_id)
+    worker = leading.leader.workers.get(request.target_id)
     if worker is not None:
         worker.is_leaving = True
         leading.record("worker_leaves", target=request.target_id)
-        looks.look(leading.books, worker)
+        looks.look(leading.leader, worker)
     reply(answer(ACCEPTED))
 
 
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -7,38 +7,38 @@
 from alderreach.ops.controller import lives, looks, order_answers
 
 
-def take_over(books):
+def take_over(leader):
     """Take up all workers and every run that the state has placed on them."""
-    for record in books.state.targets.values():
-        books.add_worker(record)
-    now_ms = books.now_ms()
-    for job in books.state.jobs.values():
+    for record in leader.state.targets.values():
+        leader.add_worker(record)
+    now_ms = leader.now_ms()
+    for job in leader.state.jobs.values():
         for (occurrence, number), tasks in job.groups.items():
             for index, task in enumerate(tasks):
                 if task.state == cell_state.PLACED:
                     key = cell_state.TaskKey(
                         job.record.job_id, occurrence, number, index
                     )
-                    _adopt(books, key, task, job.record.steps[number], now_ms)
-    for worker in books.workers.values():
-        looks.look(books, worker)
+                    _adopt(leader, key, task, job.record.steps[number], now_ms)
+    for worker in leader.workers.values():
+        looks.look(leader, worker)
 
 
-def tick(books, now_ms):
+def tick(leader, now_ms):
     """Send again what was not answered, look again, and give up on lapsed leases."""
-    for worker in list(books.workers.values()):
-        lives.watch(books, worker, now_ms)
+    for worker in list(leader.workers.values()):
+        lives.watch(leader, worker, now_ms)
         for run in list(worker.runs.values()):
             if run.next_send_ms is not None and now_ms >= run.next_send_ms:
                 run.next_send_ms = None
-                order_answers.send_again(books, worker, run)
+                order_answers.send_again(leader, worker, run)
         if worker.look is None:
-            looks.look_if_due(books, worker, now_ms)
-        lives.forget_if_silent(books, worker, now_ms)
+            looks.look_if_due(leader, worker, now_ms)
+        lives.forget_if_silent(leader, worker, now_ms)
 
 
-def _adopt(books, key, task, step, now_ms):
-    worker = books.workers.get(task.target_id)
+def _adopt(leader, key, task, step, now_ms):
+    worker = leader.workers.get(task.target_id)
     if worker is None:
         logging.error("run of %s on unknown worker %s", key, task.target_id)
         return
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -18,9 +18,9 @@
 IDLE_LOOK_GAP_MS = 250
 
 
-def place(books, worker, key, run_number, step, ticket, checkpoint):
+def place(leader, worker, key, run_number, step, ticket, checkpoint):
     """Decide a start; the worker hears of it once that is durable."""
-    now_ms = books.now_ms()
+    now_ms = leader.now_ms()
     run = workers.Run(key, run_number, step, now_ms, ticket)
     run.next_send_ms = None
     run.checkpoint = checkpoint
@@ -28,22 +28,22 @@
     worker.add(run)
     record = worker.record
     placed = cell.RunPlaced(*key, run_number, record.target_id, record.born_ms)
-    books.decide(lambda: _start(books, worker, run), placed=[placed])
+    leader.decide(lambda: _start(leader, worker, run), placed=[placed])
 
 
-def close_job(books, job):
+def close_job(leader, job):
     """Stop all that runs of a job."""
     for (occurrence, number), tasks in job.groups.items():
         for index, task in enumerate(tasks):
             if task.state == cell_state.PLACED:
                 key = cell_state.TaskKey(job.record.job_id, occurrence, number, index)
-                worker = books.workers.get(task.target_id)
+                worker = leader.workers.get(task.target_id)
                 run = worker.runs.get(key) if worker else None
                 if run is not None:
-                    close_run(books, worker, run)
+                    close_run(leader, worker, run)
 
 
-def close_run(books, worker, run):
+def close_run(leader, worker, run):
     """Have a run stopped, also one whose start may still be on its way."""
     if run.state in (workers.CLOSING, workers.CLOSED):
         return
@@ -53,73 +53,73 @@
         return
     run.state = workers.CLOSING
     run.next_send_ms = None
-    send_stop(books, worker, run)
+    send_stop(leader, worker, run)
 
 
-def end_run(books, worker, run, how, checkpoint=""):
+def end_run(leader, worker, run, how, checkpoint=""):
     """Record the end of a run and give its room back."""
     worker.remove(run)
-    books.pools.gained_room(worker.target_id)
+    leader.pools.gained_room(worker.target_id)
     key = run.key
-    job = books.state.jobs.get(key.job_id)
+    job = leader.state.jobs.get(key.job_id)
     if job is None:
         return
-    _judge(books, worker, run, how)
+    _judge(leader, worker, run, how)
     step = job.record.steps[key.step]
     is_final = False
     if how == "failed" and not step.long_running:
         failed = cell_state.failures_of(job, *key[1:]) + 1
-        is_final = failed >= books.queue_of(job).max_attempts
+        is_final = failed >= leader.queue_of(job).max_attempts
     ended = cell.RunEnded(*key, run.run, how, checkpoint, is_final)
-    books.decide(ended=[ended])
+    leader.decide(ended=[ended])
     if how == "done":
-        stop_duplicate(books, key, run.run)
-    books.on_run_ended(key.job_id, key.occurrence, key.step)
-    books.environment.record(
+        stop_duplicate(leader, key, run.run)
+    leader.on_run_ended(key.job_id, key.occurrence, key.step)
+    leader.environment.record(
         "run_ended", task=str(key), run=run.run, how=how, target=worker.target_id
     )
     if job.state == cell_state.FAILED:
-        close_job(books, job)
+        close_job(leader, job)
     elif step.gang:
-        _end_gang(books, job, key, run.run, how, checkpoint)
+        _end_gang(leader, job, key, run.run, how, checkpoint)
 
 
-def stop_duplicate(books, key, done_run):
+def stop_duplicate(leader, key, done_run):
     """Stop a newer run of a task of which an older one is done."""
-    task = cell_state.task_of(books.state, key)
-    worker = books.workers.get(task.target_id)
+    task = cell_state.task_of(leader.state, key)
+    worker = leader.workers.get(task.target_id)
     run = worker.runs.get(key) if worker else None
     if run is not None and run.run > done_run:
-        close_run(books, worker, run)
+        close_run(leader, worker, run)
 
 
-def send_start(books, worker, run):
+def send_start(leader, worker, run):
     """Send a start; how often is counted, since each copy may arrive late."""
     run.sends += 1
-    books.links[worker.target_id].order(run.order)
+    leader.links[worker.target_id].order(run.order)
 
 
-def send_stop(books, worker, run):
+def send_stop(leader, worker, run):
     """Send a stop."""
-    order = orders.Stop(str(run.key), run.run, books.epoch)
-    books.links[worker.target_id].order(order)
+    order = orders.Stop(str(run.key), run.run, leader.epoch)
+    leader.links[worker.target_id].order(order)
 
 
-def look_later(books, worker, gap_ms=LOOK_GAP_MS):
+def look_later(leader, worker, gap_ms=LOOK_GAP_MS):
     """Have the next look made after a gap, in which more ends may gather."""
     if not worker.runs:
         gap_ms = IDLE_LOOK_GAP_MS
-    worker.look_due_ms = books.now_ms() + gap_ms
+    worker.look_due_ms = leader.now_ms() + gap_ms
 
 
-def strike(books, worker, job_id):
+def strike(leader, worker, job_id):
     """Count a failure or stall against a worker."""
-    everyone = list(books.workers.values())
-    if health.strike(worker, job_id, everyone, books.now_ms()):
-        books.environment.record(
+    everyone = list(leader.workers.values())
+    if health.strike(worker, job_id, everyone, leader.now_ms()):
+        leader.environment.record(
             "worker_out",
             target=worker.target_id,
-            until_in_ms=worker.health.out_until_ms - books.now_ms(),
+            until_in_ms=worker.health.out_until_ms - leader.now_ms(),
         )
 
 
@@ -137,49 +137,49 @@
         return None
 
 
-def _start(books, worker, run):
+def _start(leader, worker, run):
     """Send a start that is durable now, unless its job ended meanwhile."""
     if worker.runs.get(run.key) is not run:
         return
-    job = books.state.jobs[run.key.job_id]
+    job = leader.state.jobs[run.key.job_id]
     is_unwanted = run.state == workers.CLOSING or job.state != cell_state.ACTIVE
     if is_unwanted or worker.offset_ms is None:
         # Without a clock, since a new life began meanwhile, no lease can be named.
-        end_run(books, worker, run, "stopped")
+        end_run(leader, worker, run, "stopped")
         return
-    now_ms = books.now_ms()
+    now_ms = leader.now_ms()
     run.order = orders.Start(
         str(run.key),
         run.run,
         job.record.spec,
-        worker.lease_until_ms(books.lease_ms(), now_ms),
-        books.epoch,
+        worker.lease_until_ms(leader.lease_ms(), now_ms),
+        leader.epoch,
         run.checkpoint,
         run.ticket,
     )
-    send_start(books, worker, run)
-    look_later(books, worker)
+    send_start(leader, worker, run)
+    look_later(leader, worker)
 
 
-def _end_gang(books, job, key, run_number, how, checkpoint):
+def _end_gang(leader, job, key, run_number, how, checkpoint):
     """One end of a gang's run stands for all: all are done, or the others stop."""
     tasks = job.groups[(key.occurrence, key.step)]
     if how == "done":
-        _end_lost_members(books, job, key, run_number)
+        _end_lost_members(leader, job, key, run_number)
     for index, task in enumerate(tasks):
         if task.state != cell_state.PLACED or task.run != run_number:
             continue
-        worker = books.workers.get(task.target_id)
+        worker = leader.workers.get(task.target_id)
         run = worker.runs.get(key._replace(index=index)) if worker else None
         if run is None:
             continue
         if how == "done":
-            end_run(books, worker, run, how, checkpoint)
+            end_run(leader, worker, run, how, checkpoint)
         else:
-            close_run(books, worker, run)
+            close_run(leader, worker, run)
 
 
-def _end_lost_members(books, job, key, run_number):
+def _end_lost_members(leader, job, key, run_number):
     """Members of a run that was done count as done, also those given up before.
 
     Failure answered: one worker crashes as the gang is done, and its member waits again
@@ -195,18 +195,18 @@
         if cell_state.is_late_success(task, run_number, "done")
     ]
     if lost:
-        books.decide(
+        leader.decide(
             ended=[cell.RunEnded(*each, run_number, "done", "", False) for each in lost]
         )
-        books.on_run_ended(key.job_id, key.occurrence, key.step)
+        leader.on_run_ended(key.job_id, key.occurrence, key.step)
 
 
-def _judge(books, worker, run, how):
+def _judge(leader, worker, run, how):
     """What an end says of its worker, and of how long such tasks take."""
     if how == "done":
         health.ended_well(worker)
-        whole_ms = health.whole_ms(run, books.now_ms())
+        whole_ms = health.whole_ms(run, leader.now_ms())
         if whole_ms is not None:
-            books.durations.setdefault(run.key[:3], []).append(whole_ms)
+            leader.durations.setdefault(run.key[:3], []).append(whole_ms)
     elif how == "failed":
-        strike(books, worker, run.key.job_id)
+        strike(leader, worker, run.key.job_id)
--- a/alderreach/ops/controller/verdicts.py
+++ b/alderreach/ops/controller/verdicts.py
@@ -1,22 +1,22 @@
 """The permission service's answers, as a leader takes them up."""
 
 
-def take(books, message):
+def take(leader, message):
     """Note a ``cell.PermissionAnswer``; the steps it concerns may be placed now."""
-    question = books.permissions.find(message.query_id)
+    question = leader.permissions.find(message.query_id)
     if question is None:
         return
-    job = books.state.jobs.get(question.group[0])
-    rule = books.queue_of(job).permission if job else None
-    books.permissions.answered(
+    job = leader.state.jobs.get(question.group[0])
+    rule = leader.queue_of(job).permission if job else None
+    leader.permissions.answered(
         message.query_id,
         message.is_decided and rule is not None,
         message.granted,
         rule,
-        books.now_ms(),
+        leader.now_ms(),
     )
-    books.revisit(question.group)
-    books.environment.record(
+    leader.revisit(question.group)
+    leader.environment.record(
         "permission_answered",
         task=".".join(str(part) for part in question.group),
         is_decided=message.is_decided,
--- a/alderreach/ops/controller/waits.py
+++ b/alderreach/ops/controller/waits.py
@@ -21,8 +21,8 @@
 class Waits:
     """What was reported in one term; ``begin`` comes first in each planning pass."""
 
-    def __init__(self, books):
-        self._books = books
+    def __init__(self, leader):
+        self._leader = leader
         self._due_ms = {}
         self._left = 0
 
@@ -42,8 +42,8 @@
         self._due_ms[group] = now_ms + waited_ms
         standing = self._standing(job, group, pool, now_ms)
         cause = waiting.cause(standing)
-        self._books.environment.metrics.count("long_waits", cause)
-        self._books.environment.record(
+        self._leader.environment.metrics.count("long_waits", cause)
+        self._leader.environment.record(
             "step_waits",
             task=".".join(str(part) for part in group),
             cause=cause,
@@ -65,8 +65,8 @@
 
         ``since_ms`` are the moments since when the waiting steps wait.
         """
-        self._books.drop_ended(self._due_ms)
-        metrics = self._books.environment.metrics
+        self._leader.drop_ended(self._due_ms)
+        metrics = self._leader.environment.metrics
         metrics.gauge("steps_waiting", len(since_ms))
         metrics.gauge("longest_wait_ms", now_ms - min(since_ms, default=now_ms))
 
@@ -78,9 +78,9 @@
         counts = collections.Counter()
         for worker in pool:
             for run in worker.runs.values():
-                job = self._books.state.jobs.get(run.key.job_id)
+                job = self._leader.state.jobs.get(run.key.job_id)
                 if job is not None:
-                    queue = self._books.queue_of(job)
+                    queue = self._leader.queue_of(job)
                     counts[(queue.name, queue.priority)] += 1
         return [
             [name, runs, priority]
@@ -88,20 +88,20 @@
         ]
 
     def _standing(self, job, group, pool, now_ms):
-        books = self._books
+        leader = self._leader
         step = job.record.steps[group.step]
         tasks = job.groups[group[1:]]
         usable = [
             worker.target_id
-            for worker in books.workers.values()
+            for worker in leader.workers.values()
             if worker.record.service == job.record.service
             and choice.is_suitable(worker, step)
             and worker.is_usable(now_ms)
         ]
         unasked = denied = 0
         granted = len(usable)
-        if books.queue_of(job).permission is not None:
-            known = books.permissions
+        if leader.queue_of(job).permission is not None:
+            known = leader.permissions
             unasked, denied = len(known.unasked(group, usable)), known.denied(group)
             granted = known.granted(group, usable)
         return waiting.Standing(
@@ -112,7 +112,7 @@
             with_room=len(choice.candidates(pool, step, group, now_ms)),
             denied=denied,
             unasked=unasked,
-            is_asking=books.permissions.is_asking(group),
+            is_asking=leader.permissions.is_asking(group),
             is_gang=step.gang,
             is_partly_placed=any(task.state != cell_state.WAITING for task in tasks),
         )
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -20,8 +20,8 @@
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
 from alderreach.ops.controller import (
-    books,
     director,
+    leader_state,
     looks,
     order_answers,
     requests,
@@ -227,7 +227,7 @@
         settings = virtual_settings.parsed()
         self.leading = director.Leading(
             self._epoch,
-            books.Environment(
+            leader_state.Environment(
                 settings=settings,
                 clock=clocks.Clock(now_ms, now_ms),
                 metrics=metrics.Metrics(),
@@ -271,10 +271,10 @@
         if mail.epoch != self._epoch:
             return
         if isinstance(mail, target_link.OrderAnswered):
-            order_answers.order_answered(self.leading.books, mail)
+            order_answers.order_answered(self.leading.leader, mail)
         else:
             self.looks += 1
-            looks.look_answered(self.leading.books, mail)
+            looks.look_answered(self.leading.leader, mail)
 
     def _lead(self, act):
         """Run some of the leader's code, plan, and have the decisions committed."""
@@ -283,7 +283,7 @@
         began_s = time.process_time()
         act()
         self.leading.planner.plan(int(self.loop.now_ms))
-        batch, effects = self.leading.books.take_batch()
+        batch, effects = self.leading.leader.take_batch()
         took_s = time.process_time() - began_s
         self.cpu_s += took_s
         self.cpu_by_second[int(self.loop.now_ms // 1000)] += took_s
@@ -299,8 +299,8 @@
     def _tick(self):
         def tick():
             now_ms = int(self.loop.now_ms)
-            self.leading.books.permissions.give_up_overdue(now_ms)
-            running.tick(self.leading.books, now_ms)
+            self.leading.leader.permissions.give_up_overdue(now_ms)
+            running.tick(self.leading.leader, now_ms)
 
         self._lead(tick)
         self.loop.after(TICK_MS, self._tick)
@@ -309,12 +309,12 @@
         self.loop.after(1000, self._heartbeats)
         if self.leading is None:
             return
-        self.leading.books.tidy()
+        self.leading.leader.tidy()
         self.leading.planner.tidy()
         for target_id, machine in self._machines.items():
             if machine.is_gone or machine.is_cut_off:
                 continue
-            worker = self.leading.books.workers.get(target_id)
+            worker = self.leading.leader.workers.get(target_id)
             if worker is None or worker.record != machine.record:
                 self._announce(machine.record)
             else:
@@ -352,8 +352,8 @@
         how = self.answers(question)
         if question.helper in self.silent_helpers or how == SILENT:
             return
-        job = self.leading.books.state.jobs[question.group[0]]
-        rule = self.leading.books.queue_of(job).permission
+        job = self.leading.leader.state.jobs[question.group[0]]
+        rule = self.leading.leader.queue_of(job).permission
         took_ms = rule.decision_ms + rule.per_target_ms * len(question.target_ids)
         granted = [
             cell.Ticket(target_id, "t")
@@ -369,7 +369,7 @@
 
         def tell():
             if self.leading is leading:
-                self._lead(lambda: verdicts.take(leading.books, answer))
+                self._lead(lambda: verdicts.take(leading.leader, answer))
 
         self.loop.after(2 * HOP_MS + (0 if is_cut else took_ms), tell)
 
@@ -378,7 +378,7 @@
         return random.Random(f"{group}{target_id}").random() < share
 
     def _note_done(self):
-        jobs = self.leading.books.state.jobs if self.leading else self._log.jobs
+        jobs = self.leading.leader.state.jobs if self.leading else self._log.jobs
         for job_id in self._due:
             is_done = job_id in jobs and jobs[job_id].state == cell_state.COMPLETED
             if is_done and job_id not in self._done_ms:
