--- a/alderreach/ops/client/stories.py
+++ b/alderreach/ops/client/stories.py
@@ -22,12 +22,12 @@
     "drain_started",
 )
 OF_WORKERS = (
-    "lease_lapsed",
+    "lease_expired",
     "worker_changed",
     "worker_clock_behind",
-    "worker_doubtful",
+    "worker_unresponsive",
     "worker_gone",
-    "worker_reborn",
+    "worker_restarted",
 )
 OF_PROCESSES = ("contact_changed", "events_dropped")
 # So long before the first line a cause may lie: an election, a lease's last second.
--- a/alderreach/ops/controller/looks.py
+++ b/alderreach/ops/controller/looks.py
@@ -7,7 +7,7 @@
 from alderreach.core import cell_state, orders
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import health, pacing, workers
-from alderreach.ops.controller import lives, runs
+from alderreach.ops.controller import runs, worker_lifecycle
 
 # How long the answer to a look may wait for an end: a quarter of the time in which
 # serving tasks may be disturbed by others; and three looks fit into a lease.
@@ -51,7 +51,7 @@
     now_ms, result = leader.now_ms(), mail.result
     sent_ms, worker.look = worker.look, None
     if result.outcome == orders.OTHER_LIFE:
-        lives.life_over(leader, worker)
+        worker_lifecycle.life_over(leader, worker)
     elif result.outcome != orders.OK:
         _look_failed(leader, worker, result, now_ms)
     elif result.born_ms and result.born_ms < worker.record.born_ms:
@@ -62,7 +62,7 @@
 
 def _take_lists(leader, worker, result, sent_ms, now_ms):
     if result.born_ms > worker.record.born_ms:
-        lives.new_life(leader, worker, result.born_ms)
+        worker_lifecycle.new_life(leader, worker, result.born_ms)
         worker.record = worker.record._replace(born_ms=result.born_ms)
         leader.decide(targets=[worker.record])
     worker.note_clock(result.clock_ms, now_ms)
@@ -73,7 +73,7 @@
         leader.is_stale = True
     has_ends = _take_ends(leader, worker, result.ended)
     if worker.awaits_list:
-        lives.take_first_list(leader, worker, result, sent_ms)
+        worker_lifecycle.take_first_list(leader, worker, result, sent_ms)
     _take_running(leader, worker, result.running, sent_ms)
     _pace(leader, worker, now_ms)
     _move_on(leader, worker, now_ms)
@@ -108,11 +108,11 @@
     worker.is_refusing = result.outcome == orders.UNREACHABLE
     if worker.failures == 1:
         leader.environment.record(
-            "worker_doubtful", target=worker.target_id, outcome=result.outcome
+            "worker_unresponsive", target=worker.target_id, outcome=result.outcome
         )
     if worker.is_leaving and result.outcome == orders.UNREACHABLE:
         # It said that it ends, and nothing listens there any more.
-        lives.life_over(leader, worker)
+        worker_lifecycle.life_over(leader, worker)
 
 
 def _forget_ends(leader, worker, cursor, life):
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -4,7 +4,7 @@
 
 from alderreach.core import cell_state, orders
 from alderreach.decisions.cell import workers
-from alderreach.ops.controller import lives, looks, runs
+from alderreach.ops.controller import looks, runs, worker_lifecycle
 
 # An order without an answer is sent again after this; the call itself has waited
 # longer than any healthy worker takes.
@@ -26,12 +26,12 @@
     now_ms, result = leader.now_ms(), mail.result
     if result.clock_ms is not None:
         if worker.is_other_clock(result.clock_ms, now_ms):
-            lives.suspect_new_life(leader, worker)
+            worker_lifecycle.suspect_new_life(leader, worker)
         worker.note_clock(result.clock_ms, now_ms)
         worker.heard_ms = now_ms
     worker.note_answer(result.outcome)
     if result.outcome == orders.OTHER_LIFE:
-        lives.life_over(leader, worker)
+        worker_lifecycle.life_over(leader, worker)
         return
     run = runs.run_of(worker, mail.order.task)
     if run is None or run.run != mail.order.run:
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -13,7 +13,7 @@
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import choice
-from alderreach.ops.controller import lives, looks, runs
+from alderreach.ops.controller import looks, runs, worker_lifecycle
 
 # When to come back while the cell can't answer: about an election.
 RETRY_AFTER_MS = 1000
@@ -227,13 +227,13 @@
             worker.is_leaving = False
     if worker is None:
         worker = leader.add_worker(record)
-    is_reborn = worker.record.born_ms != record.born_ms
-    if is_reborn or record.address != worker.record.address:
+    is_restarted = worker.record.born_ms != record.born_ms
+    if is_restarted or record.address != worker.record.address:
         leader.move_link(record)
         worker.look = None
-    if is_reborn:
-        lives.new_life(leader, worker, record.born_ms)
-    lives.announced(leader, worker, request.clock_ms, leader.now_ms())
+    if is_restarted:
+        worker_lifecycle.new_life(leader, worker, record.born_ms)
+    worker_lifecycle.announced(leader, worker, request.clock_ms, leader.now_ms())
     if not is_new and record == worker.record:
         reply(done)
         return
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -4,7 +4,7 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions.cell import workers
-from alderreach.ops.controller import lives, looks, order_answers
+from alderreach.ops.controller import looks, order_answers, worker_lifecycle
 
 
 def take_over(leader):
@@ -27,14 +27,14 @@
 def tick(leader, now_ms):
     """Send again what was not answered, look again, and give up on lapsed leases."""
     for worker in list(leader.workers.values()):
-        lives.watch(leader, worker, now_ms)
+        worker_lifecycle.watch(leader, worker, now_ms)
         for run in list(worker.runs.values()):
             if run.next_send_ms is not None and now_ms >= run.next_send_ms:
                 run.next_send_ms = None
                 order_answers.send_again(leader, worker, run)
         if worker.look is None:
             looks.look_if_due(leader, worker, now_ms)
-        lives.forget_if_silent(leader, worker, now_ms)
+        worker_lifecycle.forget_if_silent(leader, worker, now_ms)
 
 
 def _adopt(leader, key, task, step, now_ms):
--- a/alderreach/ops/controller/lives.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -1,12 +1,8 @@
-"""Lives of workers: heartbeats, silence, lapsed leases, new lives under old ids.
+"""The lifecycle of workers: heartbeats, silence, expired leases, restarts, drains.
 
-Failures answered, and why the guards hold:
-
-- *A worker is cut off one way:* it hears us and we don't hear it. Nothing extends its
-  lease while its answers are missing, so its runs end before they are started anew.
-- *A worker starts again under its id.* Its looks name the life; what the new life does
-  not list is over.
-- *A worker drains and then ends.* What loses nothing by a stop leaves it at once.
+Nothing extends a worker's lease while its answers are missing, so whatever runs on one
+that is cut off ends before it is started anew. A worker that starts again under its id
+begins a new life, and what that life does not list is over.
 """
 
 from alderreach.core import orders
@@ -44,7 +40,9 @@
     one, it would get no work for ever. Heartbeats of the life before do not come
     between, since they name an earlier birth.
     """
-    leader.environment.record("worker_reborn", target=worker.target_id, born_ms=born_ms)
+    leader.environment.record(
+        "worker_restarted", target=worker.target_id, born_ms=born_ms
+    )
     worker.begin_life()
     worker.sequence = -1
     worker.is_leaving = False
@@ -74,7 +72,7 @@
             runs.end_run(leader, worker, run, "lost", run.checkpoint)
 
 
-def lapse(leader, worker):
+def expire_lease(leader, worker):
     """The lease is over without an answer: whatever ran there was killed.
 
     A run whose start waits for its commit is not concerned: its start brings a lease.
@@ -82,7 +80,7 @@
     sent = [run for run in worker.runs.values() if run.sends]
     if not sent:
         return
-    leader.environment.record("lease_lapsed", target=worker.target_id, runs=len(sent))
+    leader.environment.record("lease_expired", target=worker.target_id, runs=len(sent))
     for run in sent:
         runs.end_run(leader, worker, run, "lapsed", run.checkpoint)
 
@@ -120,7 +118,7 @@
 def watch(leader, worker, now_ms):
     """What silence and draining call for as time passes."""
     if now_ms >= worker.lapses_ms:
-        lapse(leader, worker)
+        expire_lease(leader, worker)
     is_silent = worker.failures and now_ms - worker.heard_ms >= ABANDON_AFTER_MS
     if is_silent or worker.is_refusing:
         abandon(leader, worker)
