--- a/alderreach/core/orders.py
+++ b/alderreach/core/orders.py
@@ -52,7 +52,7 @@
     epoch: int
 
 
-class Look(typing.NamedTuple):
+class Poll(typing.NamedTuple):
     """Ask for all that runs and all ends after ``cursor``, which may be forgotten."""
 
     epoch: int
@@ -94,8 +94,8 @@
     detail: str = ""
 
 
-class LookResult(typing.NamedTuple):
-    """How a Look ended; the lists count only if the outcome is OK."""
+class PollResult(typing.NamedTuple):
+    """How a Poll ended; the lists count only if the outcome is OK."""
 
     outcome: str
     clock_ms: int | None = None
--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -16,7 +16,7 @@
   seem bad, it is not the workers. Counted over all services, a small one could lose
   all of its workers to two broken jobs.
 - A run whose progress has not moved for ``STALL_MS`` is stopped and started elsewhere;
-  its worker gets a strike. Progress is whole percents and seen at every look, so a task
+  its worker gets a strike. Progress is whole percents and seen at every poll, so a task
   of three minutes still moves in that time.
 - Runs leave a worker that is slow: one whose runs, by their pace, take ``SLOW_RATIO``
   times as long as their finished siblings at the median, or ``LONE_RATIO`` times if
@@ -24,7 +24,7 @@
   times by themselves, and the same ones are long wherever they go. Moved for their own
   length alone, they would do their work twice. A run is moved only if what is
   left of it there is longer than all of it elsewhere. The pace is taken between two
-  looks, since a start with a restore, or a gang that gathers, makes the first percents
+  polls, since a start with a restore, or a gang that gathers, makes the first percents
   slow on a healthy worker.
 """
 
@@ -47,7 +47,7 @@
 MOVE_COST_MS = 800
 # A task moved this often is left where it is: its progress may just not show.
 MOVES_MOST = 2
-# Less progress between two looks than this is too rough to project from, unless this
+# Less progress between two polls than this is too rough to project from, unless this
 # much time has passed.
 GAINED_LEAST = 10
 WATCHED_LEAST_MS = 1500
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -14,7 +14,7 @@
 - ``ORDERED``: recorded; the worker has not confirmed it yet.
 - ``RUNNING``: the worker said so.
 - ``CLOSING``: a stop is under way, or wanted.
-- ``CLOSED``: the worker confirmed the stop; a look sent after that tells how it ended.
+- ``CLOSED``: the worker confirmed the stop; a poll sent after that tells how it ended.
 
 A run that is *abandoned* was given up by its task, which may run elsewhere beside it;
 here it keeps its room until its end is known like that of any other.
@@ -40,7 +40,7 @@
 OTHER_LIFE_BEHIND_MS = 3000
 # The longest time after which an order without an answer was seen carried out is 12 s.
 LATE_MS = 15_000
-# An order or look without an answer makes a worker doubtful until the next answer.
+# An order or poll without an answer makes a worker doubtful until the next answer.
 DOUBTFUL_FAILURES = 1
 
 
@@ -119,7 +119,7 @@
     ``shown`` says whether it saw the leader's epoch, ``awaits_list`` that a new life
     began and its first list will tell which runs it has, ``life`` counts such lives,
     ``is_refusing`` that nothing listened there at the last call, and ``asked`` is the
-    look that is under way, sent at ``look``.
+    poll that is under way, sent at ``poll``.
     """
 
     def __init__(self, record, now_ms, lapses_ms):
@@ -144,10 +144,10 @@
         self.offset_ms = None
         self.offset_at_ms = now_ms
         self.cursor = 0
-        self.look = None
-        self.asked = None
-        self.looked_ms = now_ms
-        self.look_due_ms = now_ms
+        self.poll_sent_ms = None
+        self.poll = None
+        self.polled_ms = now_ms
+        self.poll_due_ms = now_ms
         self.paced_ms = now_ms
         self.held_back_until_ms = 0
         self.health = health.Record()
@@ -181,10 +181,10 @@
     def begin_life(self):
         """Forget what was known of the life before: its ends, its epoch, its clock.
 
-        A look under way may be answered by either life, so its answer won't count.
+        A poll under way may be answered by either life, so its answer won't count.
         """
         self.life += 1
-        self.look = self.asked = None
+        self.poll_sent_ms = self.poll = None
         self.cursor = 0
         self.shown = False
         self.awaits_list = True
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -12,13 +12,13 @@
 from alderreach.ops.controller import (
     discovery,
     leader_state,
-    looks,
     order_answers,
     placing,
     requests,
     running,
     target_link,
     verdicts,
+    worker_polls,
 )
 
 # A new leader waits this long at the most for others' clocks; processes that have lost
@@ -110,8 +110,8 @@
             return
         if isinstance(mail, target_link.OrderAnswered):
             order_answers.order_answered(leading.leader, mail)
-        elif isinstance(mail, target_link.LookAnswered):
-            looks.look_answered(leading.leader, mail)
+        elif isinstance(mail, target_link.PollAnswered):
+            worker_polls.poll_answered(leading.leader, mail)
 
     def deliver(self, received):
         """Take a message of another process."""
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -4,7 +4,7 @@
 
 from alderreach.core import cell_state, orders
 from alderreach.decisions.cell import workers
-from alderreach.ops.controller import looks, runs, worker_lifecycle
+from alderreach.ops.controller import runs, worker_lifecycle, worker_polls
 
 # An order without an answer is sent again after this; the call itself has waited
 # longer than any healthy worker takes.
@@ -12,7 +12,7 @@
 # Where nothing listens the answer comes at once; without a pause every run there would
 # open a connection twenty times a second.
 UNREACHABLE_PAUSE_MS = 400
-# Refusals for want of health or room say that our view is behind; waiting lets a look
+# Refusals for want of health or room say that our view is behind; waiting lets a poll
 # or a heartbeat come first. Those of a ticket let others be asked about meanwhile: a
 # worker that refuses all tickets was the only one renewed, and its step never ran.
 HOLD_BACK_MS = 500
@@ -40,7 +40,7 @@
         _start_answered(leader, worker, run, mail, now_ms)
     elif isinstance(mail.order, orders.Stop):
         _stop_answered(run, result, now_ms)
-        looks.look(leader, worker)
+        worker_polls.poll(leader, worker)
     elif result.outcome == orders.OK:
         run.pace = mail.order.percent
     elif result.outcome == orders.UNKNOWN:
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -13,7 +13,7 @@
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import choice
-from alderreach.ops.controller import looks, runs, worker_lifecycle
+from alderreach.ops.controller import runs, worker_lifecycle, worker_polls
 
 # When to come back while the cell can't answer: about an election.
 RETRY_AFTER_MS = 1000
@@ -230,7 +230,7 @@
     is_restarted = worker.record.born_ms != record.born_ms
     if is_restarted or record.address != worker.record.address:
         leader.move_link(record)
-        worker.look = None
+        worker.poll_sent_ms = None
     if is_restarted:
         worker_lifecycle.new_life(leader, worker, record.born_ms)
     worker_lifecycle.announced(leader, worker, request.clock_ms, leader.now_ms())
@@ -247,7 +247,7 @@
         address=record.address,
         is_new=is_new,
     )
-    looks.look(leader, worker)
+    worker_polls.poll(leader, worker)
 
 
 def _withdraw(leading, request, reply):
@@ -256,7 +256,7 @@
     if worker is not None:
         worker.is_leaving = True
         leading.record("worker_leaves", target=request.target_id)
-        looks.look(leading.leader, worker)
+        worker_polls.poll(leading.leader, worker)
     reply(answer(ACCEPTED))
 
 
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -4,7 +4,7 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions.cell import workers
-from alderreach.ops.controller import looks, order_answers, worker_lifecycle
+from alderreach.ops.controller import order_answers, worker_lifecycle, worker_polls
 
 
 def take_over(leader):
@@ -21,7 +21,7 @@
                     )
                     _adopt(leader, key, task, job.record.steps[number], now_ms)
     for worker in leader.workers.values():
-        looks.look(leader, worker)
+        worker_polls.poll(leader, worker)
 
 
 def tick(leader, now_ms):
@@ -32,8 +32,8 @@
             if run.next_send_ms is not None and now_ms >= run.next_send_ms:
                 run.next_send_ms = None
                 order_answers.send_again(leader, worker, run)
-        if worker.look is None:
-            looks.look_if_due(leader, worker, now_ms)
+        if worker.poll_sent_ms is None:
+            worker_polls.poll_if_due(leader, worker, now_ms)
         worker_lifecycle.forget_if_silent(leader, worker, now_ms)
 
 
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -2,7 +2,7 @@
 
 Failure answered: *an order gets no answer* (lost, or carried out seconds later). The
 same run is sent again; a worker that has it says so. It is placed elsewhere only after
-a confirmed stop and a look sent later than that, or after the lease has lapsed: the
+a confirmed stop and a poll sent later than that, or after the lease has lapsed: the
 order names the lease's end, so a worker refuses it afterwards.
 """
 
@@ -10,12 +10,12 @@
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import health, workers
 
-# After ends, the next look waits this long, so that ends that come close together are
-# listed by one look. Looks cost the worker and us; a long gap holds up the steps that
+# After ends, the next poll waits this long, so that ends that come close together are
+# listed by one poll. Polls cost the worker and us; a long gap holds up the steps that
 # follow.
-LOOK_GAP_MS = 15
+POLL_GAP_MS = 15
 # A worker on which nothing runs any more has only its ends to forget.
-IDLE_LOOK_GAP_MS = 250
+IDLE_POLL_GAP_MS = 250
 
 
 def place(leader, worker, key, run_number, step, ticket, checkpoint):
@@ -105,11 +105,11 @@
     leader.links[worker.target_id].order(order)
 
 
-def look_later(leader, worker, gap_ms=LOOK_GAP_MS):
-    """Have the next look made after a gap, in which more ends may gather."""
+def poll_later(leader, worker, gap_ms=POLL_GAP_MS):
+    """Have the next poll made after a gap, in which more ends may gather."""
     if not worker.runs:
-        gap_ms = IDLE_LOOK_GAP_MS
-    worker.look_due_ms = leader.now_ms() + gap_ms
+        gap_ms = IDLE_POLL_GAP_MS
+    worker.poll_due_ms = leader.now_ms() + gap_ms
 
 
 def strike(leader, worker, job_id):
@@ -158,7 +158,7 @@
         run.ticket,
     )
     send_start(leader, worker, run)
-    look_later(leader, worker)
+    poll_later(leader, worker)
 
 
 def _end_gang(leader, job, key, run_number, how, checkpoint):
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -16,14 +16,14 @@
     """How a worker is called; given by whoever speaks its protocol.
 
     ``order(session, record, order)`` returns an ``orders.OrderResult`` and
-    ``look(session, record, look)`` an ``orders.LookResult``; both are coroutines and
+    ``poll(session, record, poll)`` an ``orders.PollResult``; both are coroutines and
     raise nothing. ``open_session(address)`` makes the connection that calls of one kind
     share, an object with ``close()``.
     """
 
     open_session: typing.Callable
     order: typing.Callable
-    look: typing.Callable
+    poll: typing.Callable
 
 
 class OrderAnswered(typing.NamedTuple):
@@ -35,12 +35,12 @@
     result: typing.Any
 
 
-class LookAnswered(typing.NamedTuple):
-    """Mail for the leader's task: how a look ended."""
+class PollAnswered(typing.NamedTuple):
+    """Mail for the leader's task: how a poll ended."""
 
     epoch: int
     target_id: str
-    look: typing.Any
+    poll: typing.Any
     result: typing.Any
 
 
@@ -54,20 +54,20 @@
         self._post = post
         lane = lambda call, answered: _Lane(record, epoch, calls, call, answered, put)
         self._orders = lane(calls.order, OrderAnswered)
-        self._looks = lane(calls.look, LookAnswered)
+        self._polls = lane(calls.poll, PollAnswered)
 
     def order(self, order):
         """Queue a Start, Stop or Pace."""
         self._post(lambda: self._orders.add(order))
 
-    def look(self, look):
-        """Queue a Look; one at a time."""
-        self._post(lambda: self._looks.add(look))
+    def poll(self, poll):
+        """Queue a Poll; one at a time."""
+        self._post(lambda: self._polls.add(poll))
 
     def close(self):
         """Drop what is queued, and end after the calls under way."""
         self._post(self._orders.close)
-        self._post(self._looks.close)
+        self._post(self._polls.close)
 
 
 class _Lane:
--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -15,7 +15,7 @@
 # A draining worker serves for 2 s at least, less the time until its leader knows.
 DRAIN_LEAST_MS = 1500
 # Tasks that may run twice are started elsewhere once their worker has been silent for
-# this: two looks that failed; at once if nothing listens there, which mostly means that
+# this: two polls that failed; at once if nothing listens there, which mostly means that
 # it has crashed. That is no proof, so the others have to wait for the lease.
 ABANDON_AFTER_MS = 1500
 
@@ -58,7 +58,7 @@
 def take_first_list(leader, worker, result, sent_ms):
     """What the first list of a life does not name is over.
 
-    Starts that were answered after the look was sent may be missing there, and so may
+    Starts that were answered after the poll was sent may be missing there, and so may
     those still on their way, which are closed.
     """
     worker.awaits_list = False
--- a/alderreach/ops/controller/looks.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -1,4 +1,4 @@
-"""Looks at workers: their lists, the ends among them, and what the lists call for.
+"""Polls of workers: their lists, the ends among them, and what the lists call for.
 
 An end is acknowledged only once it is in the log: a worker may forget what it has been
 acknowledged, and a new leader would start the task again.
@@ -9,22 +9,22 @@
 from alderreach.decisions.cell import health, pacing, workers
 from alderreach.ops.controller import runs, worker_lifecycle
 
-# How long the answer to a look may wait for an end: a quarter of the time in which
-# serving tasks may be disturbed by others; and three looks fit into a lease.
-LOOK_WAIT_MS = 1000
+# How long the answer to a poll may wait for an end: a quarter of the time in which
+# serving tasks may be disturbed by others; and three polls fit into a lease.
+POLL_WAIT_MS = 1000
 LOOKS_PER_LEASE = 3
-# A look that failed is repeated after this, without extending the lease.
-LOOK_AGAIN_MS = 300
+# A poll that failed is repeated after this, without extending the lease.
+POLL_AGAIN_MS = 300
 # Two reports of the tail lie between two changes of a share.
 PACE_INTERVAL_MS = 1100
 
 
-def look(leader, worker, wait_ms=LOOK_WAIT_MS):
-    """Look at a worker now, unless a look is under way.
+def poll(leader, worker, wait_ms=POLL_WAIT_MS):
+    """Poll a worker now, unless a poll is under way.
 
     The lease is extended only while the worker answers and its clock is known.
     """
-    if worker.look is not None or worker.is_settling:
+    if worker.poll_sent_ms is not None or worker.is_settling:
         return
     now_ms = leader.now_ms()
     until_ms = None
@@ -37,25 +37,25 @@
     )
     longest_ms = leader.lease_ms() // LOOKS_PER_LEASE
     wait_ms = 0 if is_urgent else min(wait_ms, longest_ms)
-    worker.look = worker.looked_ms = now_ms
+    worker.poll_sent_ms = worker.polled_ms = now_ms
     worker.has_ends = False
-    worker.asked = orders.Look(leader.epoch, worker.cursor, until_ms, wait_ms)
-    leader.links[worker.target_id].look(worker.asked)
+    worker.poll = orders.Poll(leader.epoch, worker.cursor, until_ms, wait_ms)
+    leader.links[worker.target_id].poll(worker.poll)
 
 
-def look_answered(leader, mail):
-    """Take a worker's lists; an answer to another look than the last is too old."""
+def poll_answered(leader, mail):
+    """Take a worker's lists; an answer to another poll than the last is too old."""
     worker = leader.workers.get(mail.target_id)
-    if worker is None or worker.look is None or mail.look is not worker.asked:
+    if worker is None or worker.poll_sent_ms is None or mail.poll is not worker.poll:
         return
     now_ms, result = leader.now_ms(), mail.result
-    sent_ms, worker.look = worker.look, None
+    sent_ms, worker.poll_sent_ms = worker.poll_sent_ms, None
     if result.outcome == orders.OTHER_LIFE:
         worker_lifecycle.life_over(leader, worker)
     elif result.outcome != orders.OK:
-        _look_failed(leader, worker, result, now_ms)
+        _poll_failed(leader, worker, result, now_ms)
     elif result.born_ms and result.born_ms < worker.record.born_ms:
-        runs.look_later(leader, worker, 0)
+        runs.poll_later(leader, worker, 0)
     else:
         _take_lists(leader, worker, result, sent_ms, now_ms)
 
@@ -83,27 +83,27 @@
         worker.is_settling = True
         leader.after_commit(lambda: _forget_ends(leader, worker, cursor, life))
     else:
-        runs.look_later(leader, worker, 0)
+        runs.poll_later(leader, worker, 0)
 
 
-def look_if_due(leader, worker, now_ms):
-    """Make the next look if the worker needs one and its gap is over.
+def poll_if_due(leader, worker, now_ms):
+    """Make the next poll if the worker needs one and its gap is over.
 
     Failure answered: a worker misses an answer and gets nothing new until the next one.
-    If nothing runs there, only a look brings that answer; heartbeats show that the
+    If nothing runs there, only a poll brings that answer; heartbeats show that the
     worker hears us no better than before. Not looked at, 36 of 44 workers stayed empty
     to the end of a day after a cut of their failure domain had healed.
     """
     is_needed = worker.runs or worker.has_ends
     wanted = is_needed or worker.failures or not worker.shown
-    due_ms = worker.look_due_ms
+    due_ms = worker.poll_due_ms
     if worker.failures:
-        due_ms = worker.looked_ms + LOOK_AGAIN_MS
+        due_ms = worker.polled_ms + POLL_AGAIN_MS
     if wanted and now_ms >= due_ms:
-        look(leader, worker)
+        poll(leader, worker)
 
 
-def _look_failed(leader, worker, result, now_ms):
+def _poll_failed(leader, worker, result, now_ms):
     worker.failures += 1
     worker.is_refusing = result.outcome == orders.UNREACHABLE
     if worker.failures == 1:
@@ -123,7 +123,7 @@
     if worker.life == life:
         worker.cursor = max(worker.cursor, cursor)
         worker.has_ends = True
-    runs.look_later(leader, worker)
+    runs.poll_later(leader, worker)
 
 
 def _take_ends(leader, worker, ended):
@@ -207,7 +207,7 @@
 
 
 def _note_missing(leader, worker, run):
-    """A run that a fresh look does not list; only a confirmed stop makes it final."""
+    """A run that a fresh poll does not list; only a confirmed stop makes it final."""
     if run.state == workers.ORDERED and run.sends == 0:
         return
     if run.state == workers.CLOSED:
--- a/alderreach/platform/targets.py
+++ b/alderreach/platform/targets.py
@@ -14,7 +14,7 @@
 
 START_PATH = "/-/run-start"
 STOP_PATH = "/-/run-stop"
-LOOK_PATH = "/-/hold"
+POLL_PATH = "/-/hold"
 PACE_PATH = "/-/pace"
 ADVISE_PATH = "/-/advise"
 LIFE_HEADER = "Expect-Instance"
@@ -23,8 +23,8 @@
 # asked again, which is harmless.
 ORDER_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
-# On top of the time a look may wait for an end.
-LOOK_SLACK_S = 0.6
+# On top of the time a poll may wait for an end.
+POLL_SLACK_S = 0.6
 # A decision with the longest list takes about a second; calls before it are waited for.
 ADVISE_TIMEOUT_S = 3.0
 MIME = "application/json"
@@ -60,22 +60,22 @@
         return orders.OrderResult(orders.UNKNOWN, detail=str(error))
 
 
-async def send_look(session, record, look):
-    """Look at a worker; returns an ``orders.LookResult``."""
-    timeout_s = look.wait_ms / 1000 + LOOK_SLACK_S
-    body = wire.look_body(look)
+async def send_poll(session, record, poll):
+    """Poll at a worker; returns an ``orders.PollResult``."""
+    timeout_s = poll.wait_ms / 1000 + POLL_SLACK_S
+    body = wire.poll_body(poll)
     try:
-        answer = await _post(session, record, LOOK_PATH, body, timeout_s)
-        return wire.look_result(answer.status, answer.body)
+        answer = await _post(session, record, POLL_PATH, body, timeout_s)
+        return wire.poll_result(answer.status, answer.body)
     except http_client.NotSentError as error:
-        return orders.LookResult(orders.UNREACHABLE, detail=str(error))
+        return orders.PollResult(orders.UNREACHABLE, detail=str(error))
     except (http_client.UnansweredError, wire.Malformed) as error:
-        return orders.LookResult(orders.UNKNOWN, detail=str(error))
+        return orders.PollResult(orders.UNKNOWN, detail=str(error))
 
 
 def calls():
     """The calls to workers that a controller's links make."""
-    return target_link.Calls(open_session, send_order, send_look)
+    return target_link.Calls(open_session, send_order, send_poll)
 
 
 def permission_asker(address):
--- a/alderreach/platform/wire.py
+++ b/alderreach/platform/wire.py
@@ -259,15 +259,15 @@
     )
 
 
-def look_body(look):
-    """The body of a look."""
+def poll_body(poll):
+    """The body of a poll."""
     body = {
-        "fencing_token": look.epoch,
-        "ack_cursor": look.cursor,
-        "wait_ms": look.wait_ms,
+        "fencing_token": poll.epoch,
+        "ack_cursor": poll.cursor,
+        "wait_ms": poll.wait_ms,
     }
-    if look.lease_until_ms is not None:
-        body["until_ms"] = look.lease_until_ms
+    if poll.lease_until_ms is not None:
+        body["until_ms"] = poll.lease_until_ms
     return encode(body)
 
 
@@ -307,11 +307,11 @@
     return orders.OrderResult(outcome, _clock(said), f"{status} {said.reason}")
 
 
-def look_result(status, body):
-    """A worker's answer to a look."""
+def poll_result(status, body):
+    """A worker's answer to a poll."""
     if status != 200:
         result = order_result(status, body)
-        return orders.LookResult(result.outcome, result.clock_ms, detail=result.detail)
+        return orders.PollResult(result.outcome, result.clock_ms, detail=result.detail)
     said = _decoded(_decode_answer, body)
     try:
         running = [_listed_run(row) for row in said.running]
@@ -321,7 +321,7 @@
         ]
     except (IndexError, TypeError, ValueError) as error:
         raise Malformed(f"a row of a worker's lists: {error}") from error
-    return orders.LookResult(orders.OK, _clock(said), said.born, running, ended)
+    return orders.PollResult(orders.OK, _clock(said), said.born, running, ended)
 
 
 def _listed_run(row):
--- a/alderreach/utils/http_client.py
+++ b/alderreach/utils/http_client.py
@@ -87,8 +87,8 @@
 class Client:
     """Requests to one address, one at a time; used on the event loop only.
 
-    >>> async def look(client):
-    ...     return await client.post("/look", b"{}", {"Name": "w1"}, timeout_s=0.5)
+    >>> async def poll(client):
+    ...     return await client.post("/poll", b"{}", {"Name": "w1"}, timeout_s=0.5)
     """
 
     def __init__(self, address, connect_timeout_s):
@@ -124,11 +124,11 @@
     async def _connected(self, loop):
         if self._exchange is not None and self._exchange.is_open:
             return self._exchange
-        connecting = loop.create_connection(_Exchange, self._host, self._port)
         try:
-            _transport, self._exchange = await asyncio.wait_for(
-                connecting, self._connect_timeout_s
-            )
+            async with asyncio.timeout(self._connect_timeout_s):
+                _transport, self._exchange = await loop.create_connection(
+                    _Exchange, self._host, self._port
+                )
         except OSError as error:
             raise NotSentError(str(error)) from error
         return self._exchange
--- a/tools/benches/ablation.py
+++ b/tools/benches/ablation.py
@@ -14,7 +14,7 @@
 import os
 
 from alderreach.decisions.cell import choice, health, permissions, preemption
-from alderreach.ops.controller import asking, evictions
+from alderreach.ops.controller import asking, evictions, worker_lifecycle
 from tools import paired, virtual_cell, virtual_parts
 from tools.benches import _settings, accelerators
 from tools.benches import cell as cell_bench
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -22,12 +22,12 @@
 from alderreach.ops.controller import (
     director,
     leader_state,
-    looks,
     order_answers,
     requests,
     running,
     target_link,
     verdicts,
+    worker_polls,
 )
 from alderreach.utils import clocks, metrics
 from tools import (
@@ -77,7 +77,7 @@
         self.starts = 0
         self.stops = 0
         self.moves = 0
-        self.looks = 0
+        self.polls = 0
         self.questions = 0
         self.waits = []
         self.silent_helpers = set()
@@ -273,8 +273,8 @@
         if isinstance(mail, target_link.OrderAnswered):
             order_answers.order_answered(self.leading.leader, mail)
         else:
-            self.looks += 1
-            looks.look_answered(self.leading.leader, mail)
+            self.polls += 1
+            worker_polls.poll_answered(self.leading.leader, mail)
 
     def _lead(self, act):
         """Run some of the leader's code, plan, and have the decisions committed."""
--- a/tools/virtual_days.py
+++ b/tools/virtual_days.py
@@ -149,7 +149,7 @@
             self._failures[group if self.step_of(key).gang else key] += 1
 
     def _watch(self):
-        self.watch.look()
+        self.watch.poll()
         self.loop.after(virtual_watch.WATCH_INTERVAL_MS, self._watch)
 
     def _worker(self, number):
--- a/tools/virtual_watch.py
+++ b/tools/virtual_watch.py
@@ -39,7 +39,7 @@
 
 
 class Watch:
-    """Looks at all machines now and then, and notes what stands still."""
+    """Polls all machines now and then, and notes what stands still."""
 
     def __init__(self, day):
         self.day = day
@@ -54,8 +54,8 @@
         """The workers changed, or one's tasks are held until this moment."""
         self.calm_from_ms = max(self.calm_from_ms, until_ms + CALM_MS)
 
-    def look(self):
-        """Look at everything once, unless nobody leads."""
+    def poll(self):
+        """Poll everything once, unless nobody leads."""
         if self.day.leading is None:
             return
         now_ms = self.day.loop.now_ms
