--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -11,7 +11,7 @@
 longest, so that an urgent step's 25 ms do not queue behind 600 ms of work that can
 wait.
 
-A verdict never changes, so a worker that was turned down is not asked about again. A
+A answer never changes, so a worker that was turned down is not asked about again. A
 ticket ages: it is used only while ``SAFETY_MS`` of its life are left, and renewed once
 they are not if the step still waits; a step that found too little room names workers
 that nobody asked about in the same question.
@@ -68,7 +68,7 @@
     due_ms: int
 
 
-class _Verdicts:
+class _Answers:
     """What is known of one group: tickets by worker, and who was turned down.
 
     ``is_short`` says that workers with good tickets had too little room for it. After
@@ -111,7 +111,7 @@
 
 
 class Permissions:
-    """All verdicts of a leader, and which helpers are busy."""
+    """All answers of a leader, and which helpers are busy."""
 
     def __init__(self):
         self._groups = {}
@@ -122,39 +122,39 @@
 
     def ticket(self, group, target_id, now_ms):
         """A ticket that is good for a start now, or None."""
-        verdicts = self._groups.get(group)
-        if verdicts is None:
+        answers = self._groups.get(group)
+        if answers is None:
             return None
-        ticket, until_ms = verdicts.tickets.get(target_id, ("", 0))
+        ticket, until_ms = answers.tickets.get(target_id, ("", 0))
         return ticket if until_ms - now_ms >= SAFETY_MS else None
 
     def is_asking(self, group):
         """Whether a question for this group is on its way."""
-        verdicts = self._groups.get(group)
-        return verdicts is not None and verdicts.asking is not None
+        answers = self._groups.get(group)
+        return answers is not None and answers.asking is not None
 
     def permitted(self, group, now_ms):
         """Ids of workers with a ticket that is good for a start now."""
-        verdicts = self._groups.get(group)
-        if verdicts is None:
+        answers = self._groups.get(group)
+        if answers is None:
             return set()
-        return set(verdicts.fresh(SAFETY_MS - 1, now_ms))
+        return set(answers.fresh(SAFETY_MS - 1, now_ms))
 
     def found_short(self, group):
         """Workers with good tickets had too little room for what waits of a group.
 
         A pause that was made while it was not short says nothing of what it needs now.
         """
-        verdicts = self._groups.get(group)
-        if verdicts is not None and not verdicts.is_short:
-            verdicts.is_short = True
-            verdicts.check_at_once()
+        answers = self._groups.get(group)
+        if answers is not None and not answers.is_short:
+            answers.is_short = True
+            answers.check_at_once()
 
     def placed(self, group):
         """Nothing of a group waits any more."""
-        verdicts = self._groups.get(group)
-        if verdicts is not None:
-            verdicts.is_short = False
+        answers = self._groups.get(group)
+        if answers is not None:
+            answers.is_short = False
 
     def renewal_ms(self, rule, tasks, helpers):
         """How long before its tickets run out a step that waits has them renewed.
@@ -177,19 +177,19 @@
         Most waiting steps wait for room with all tickets fresh, and sorting the workers
         for each of them would take most of a busy leader's time.
         """
-        verdicts = self._groups.get(group)
-        if verdicts is None:
+        answers = self._groups.get(group)
+        if answers is None:
             return True
-        return verdicts.asking is None and now_ms >= verdicts.next_check_ms
+        return answers.asking is None and now_ms >= answers.next_check_ms
 
     def next_check_ms(self, group, now_ms):
         """When a step that waits should be looked at for something to ask."""
-        verdicts = self._groups.get(group)
-        if verdicts is None:
+        answers = self._groups.get(group)
+        if answers is None:
             return now_ms + NO_HELPER_MS
-        if verdicts.asking is not None:
-            return verdicts.asking.due_ms + 1
-        return max(verdicts.next_check_ms, now_ms + NO_HELPER_MS)
+        if answers.asking is not None:
+            return answers.asking.due_ms + 1
+        return max(answers.next_check_ms, now_ms + NO_HELPER_MS)
 
     def may_need_ahead(self, group, tasks, ahead_ms, now_ms):
         """As ``may_ask``, for a step that is yet to open: not with tickets enough.
@@ -199,11 +199,11 @@
         """
         if not self.may_ask(group, now_ms):
             return False
-        verdicts = self._groups.get(group)
-        if verdicts is None:
+        answers = self._groups.get(group)
+        if answers is None:
             return True
-        fresh = len(verdicts.fresh(ahead_ms, now_ms))
-        return not fresh or fresh < min(_enough(tasks), len(verdicts.tickets))
+        fresh = len(answers.fresh(ahead_ms, now_ms))
+        return not fresh or fresh < min(_enough(tasks), len(answers.tickets))
 
     def nothing_to_ask(self, group, now_ms, ahead_ms=SAFETY_MS, workers_version=0):
         """There was nobody to ask about; not worth working out again for a while.
@@ -211,11 +211,11 @@
         It is again once a ticket has less than ``ahead_ms`` left, the most by which one
         is renewed early, or workers come.
         """
-        verdicts = self._groups.get(group)
-        if verdicts is not None:
-            verdicts.early_check_ms = now_ms + NOTHING_TO_ASK_MS
-            expiry_ms = verdicts.next_expiry_ms(now_ms + SAFETY_MS)
-            verdicts.next_check_ms = max(verdicts.early_check_ms, expiry_ms - ahead_ms)
+        answers = self._groups.get(group)
+        if answers is not None:
+            answers.early_check_ms = now_ms + NOTHING_TO_ASK_MS
+            expiry_ms = answers.next_expiry_ms(now_ms + SAFETY_MS)
+            answers.next_check_ms = max(answers.early_check_ms, expiry_ms - ahead_ms)
 
     def workers_changed(self, appeared, gone):
         """Workers have become usable or unusable; returns the groups it concerns.
@@ -224,11 +224,11 @@
         workers than it counted on if one that it was let run on is gone.
         """
         concerned = []
-        for group, verdicts in self._groups.items():
-            if not verdicts.denied.issuperset(appeared) or any(
-                target_id in verdicts.tickets for target_id in gone
+        for group, answers in self._groups.items():
+            if not answers.denied.issuperset(appeared) or any(
+                target_id in answers.tickets for target_id in gone
             ):
-                verdicts.next_check_ms = verdicts.early_check_ms
+                answers.next_check_ms = answers.early_check_ms
                 concerned.append(group)
         return concerned
 
@@ -249,36 +249,36 @@
         out one after the other; renewed one batch at a time, one would always be stale.
         So the renewal of a gang that is short names all its permitted workers.
         """
-        verdicts = self._groups.setdefault(group, _Verdicts())
-        if verdicts.asking is not None:
+        answers = self._groups.setdefault(group, _Answers())
+        if answers.asking is not None:
             return []
         new = []
-        if verdicts.is_short or not any(t in verdicts.tickets for t in suitable):
+        if answers.is_short or not any(t in answers.tickets for t in suitable):
             new = self.unasked(group, suitable)[:ASKED_AT_MOST]
-        stale = _to_renew(verdicts, suitable, tasks, ahead_ms, now_ms)
-        if stale and is_gang and verdicts.is_short:
-            stale = [t for t in suitable if t in verdicts.tickets]
+        stale = _to_renew(answers, suitable, tasks, ahead_ms, now_ms)
+        if stale and is_gang and answers.is_short:
+            stale = [t for t in suitable if t in answers.tickets]
         return [*stale[: LONGEST_QUESTION - len(new)], *new]
 
     def unasked(self, group, suitable):
         """Those of some workers that nobody asked about yet."""
-        verdicts = self._groups.setdefault(group, _Verdicts())
+        answers = self._groups.setdefault(group, _Answers())
         return [
             target_id
             for target_id in suitable
-            if target_id not in verdicts.tickets and target_id not in verdicts.denied
+            if target_id not in answers.tickets and target_id not in answers.denied
         ]
 
     def granted(self, group, target_ids):
         """How many of some workers a group was ever let run on."""
-        verdicts = self._groups.get(group)
-        tickets = verdicts.tickets if verdicts is not None else {}
+        answers = self._groups.get(group)
+        tickets = answers.tickets if answers is not None else {}
         return sum(target_id in tickets for target_id in target_ids)
 
     def denied(self, group):
         """How many workers were turned down for a group."""
-        verdicts = self._groups.get(group)
-        return len(verdicts.denied) if verdicts is not None else 0
+        answers = self._groups.get(group)
+        return len(answers.denied) if answers is not None else 0
 
     def idle_helper(self, rule, helpers, quickest_ms=None):
         """The helper that may take a question under a rule now, or None.
@@ -305,7 +305,7 @@
         question = Question(str(self._serial), group, target_ids, helper, due_ms)
         self._questions[question.query_id] = question
         self._busy[helper] = question
-        self._groups.setdefault(group, _Verdicts()).asking = question
+        self._groups.setdefault(group, _Answers()).asking = question
         return question
 
     def find(self, query_id):
@@ -322,22 +322,22 @@
             self._failed_ms.pop(question.helper, None)
         else:
             self._failed_ms[question.helper] = now_ms
-        verdicts = self._groups.get(question.group)
-        if verdicts is None or not is_decided:
+        answers = self._groups.get(question.group)
+        if answers is None or not is_decided:
             return question
         until_ms = now_ms + rule.valid_ms
         for ticket in granted:
-            verdicts.tickets[ticket.target_id] = (ticket.ticket, until_ms)
-        verdicts.denied.update(set(question.target_ids) - verdicts.tickets.keys())
-        verdicts.check_at_once()
+            answers.tickets[ticket.target_id] = (ticket.ticket, until_ms)
+        answers.denied.update(set(question.target_ids) - answers.tickets.keys())
+        answers.check_at_once()
         return question
 
     def refuse(self, group, target_id):
         """A worker did not take a ticket: it is too old, or from another life."""
-        verdicts = self._groups.get(group)
-        if verdicts is not None and target_id in verdicts.tickets:
-            verdicts.tickets[target_id] = ("", 0)
-            verdicts.check_at_once()
+        answers = self._groups.get(group)
+        if answers is not None and target_id in answers.tickets:
+            answers.tickets[target_id] = ("", 0)
+            answers.check_at_once()
 
     def forget(self, group):
         """Nothing of this group will be started any more."""
@@ -359,21 +359,21 @@
     def _end(self, question):
         del self._questions[question.query_id]
         self._busy.pop(question.helper, None)
-        verdicts = self._groups.get(question.group)
-        if verdicts is not None and verdicts.asking is question:
-            verdicts.asking = None
+        answers = self._groups.get(question.group)
+        if answers is not None and answers.asking is question:
+            answers.asking = None
 
 
-def _to_renew(verdicts, suitable, tasks, ahead_ms, now_ms):
+def _to_renew(answers, suitable, tasks, ahead_ms, now_ms):
     """Permitted workers whose tickets run out, if too few others have fresh ones.
 
     Those with fresh tickets are no reason to wait for a step that is short: they were
     tried and are full, and one whose ticket has run out may be free.
     """
-    good = [t for t in suitable if t in verdicts.tickets]
-    stale = [t for t in good if verdicts.tickets[t][1] - now_ms <= ahead_ms]
+    good = [t for t in suitable if t in answers.tickets]
+    stale = [t for t in good if answers.tickets[t][1] - now_ms <= ahead_ms]
     fresh = len(good) - len(stale)
-    if not verdicts.is_short and fresh >= min(_enough(tasks), len(good)):
+    if not answers.is_short and fresh >= min(_enough(tasks), len(good)):
         return []
     return stale[: _enough(tasks)]
 
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -13,11 +13,11 @@
     discovery,
     leader_state,
     order_answers,
+    permission_answers,
     placing,
     requests,
     running,
     target_link,
-    verdicts,
     worker_polls,
 )
 
@@ -265,13 +265,15 @@
 
         Failure answered: an answer comes after its leader has lost its term, or started
         anew, and leads again. Taken for that to another question, it would turn down
-        workers for a step that may run there, and a verdict is never asked for again.
+        workers for a step that may run there, and a answer is never asked for again.
         """
         if self._leading is None:
             return
         epoch, _slash, query_id = message.query_id.partition("/")
         if epoch == str(self._leading.leader.epoch):
-            verdicts.take(self._leading.leader, message._replace(query_id=query_id))
+            permission_answers.take(
+                self._leading.leader, message._replace(query_id=query_id)
+            )
 
     def _greeted(self, message, address):
         now_ms = self._clock.monotonic_ms()
--- a/alderreach/ops/controller/asking.py
+++ b/alderreach/ops/controller/permission_queries.py
@@ -17,7 +17,7 @@
 ASK_AHEAD_LATEST_MS = 100
 
 
-class Asking:
+class PermissionQueries:
     """Questions of one term; ``begin`` comes first in each planning pass."""
 
     def __init__(self, leader):
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -15,7 +15,7 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions.cell import choice, order
-from alderreach.ops.controller import asking, evictions, runs, waits
+from alderreach.ops.controller import evictions, permission_queries, runs, waits
 
 # Both bound a pass, so that the quorum's heartbeats and the workers' leases are never
 # held up by a large job or a long queue; what is left is done by the next pass.
@@ -36,7 +36,7 @@
         self._due_ms = {}
         self._ranks = {}
         self._ranked_config = None
-        self._asking = asking.Asking(leader)
+        self._queries = permission_queries.PermissionQueries(leader)
         self._evictions = evictions.Evictions(leader, self._rank)
         self._waits = waits.Waits(leader)
         # Occurrences that wait for their time, by that time.
@@ -54,7 +54,7 @@
             if cell_state.is_open(job, occurrence, number):
                 self._open(job, group)
             else:
-                self._asking.opens_later(group)
+                self._queries.opens_later(group)
 
     def changed(self, job_id, occurrence, number):
         """A run of a group ended: it may wait again, or open the next steps."""
@@ -78,14 +78,14 @@
         leader.is_stale = False
         self._next_pass_ms = now_ms + PASS_INTERVAL_MS
         self._release_timed()
-        self._asking.begin()
+        self._queries.begin()
         self._waits.begin()
         self._evictions.end_holds(self._waiting.__contains__, now_ms)
         self._refresh_pools(now_ms)
         self._rank_anew_if_configured()
         self._queue.refresh(leader.cell_ms())
         self._go_through(now_ms)
-        self._asking.ahead(now_ms)
+        self._queries.ahead(now_ms)
 
     def _refresh_pools(self, now_ms):
         """Have groups considered whose permitted workers are others than before."""
@@ -95,7 +95,7 @@
             return
         for group in leader.permissions.workers_changed(appeared, gone):
             if group in self._due_ms:
-                due_ms = self._asking.next_ms(group, now_ms)
+                due_ms = self._queries.next_ms(group, now_ms)
                 self._due_ms[group] = min(self._due_ms[group], due_ms)
 
     def _go_through(self, now_ms):
@@ -144,7 +144,7 @@
         """A group may start now, or at its time; one that waits already goes on."""
         if group in self._waiting:
             return
-        self._asking.drop(group)
+        self._queries.drop(group)
         due_ms = _due_ms(job, group)
         if job.record.repeat_count and due_ms > self._latest_due_ms():
             heapq.heappush(self._timed, (due_ms, group))
@@ -209,7 +209,7 @@
 
     def _drop(self, group):
         self._not_waiting(group)
-        self._asking.drop(group)
+        self._queries.drop(group)
         self._leader.permissions.forget(group)
 
     def _not_waiting(self, group):
@@ -235,11 +235,11 @@
             return started
         since_ms = self._waiting[group]
         if rule is not None:
-            self._asking.for_waiting(job, group, rule, left, bool(pool), now_ms)
+            self._queries.for_waiting(job, group, rule, left, bool(pool), now_ms)
         self._evictions.consider(job, group, pool, left, since_ms, now_ms)
         self._waits.consider(job, group, pool, since_ms, now_ms)
         self._due_ms[group] = min(
-            self._asking.next_ms(group, now_ms) if rule is not None else math.inf,
+            self._queries.next_ms(group, now_ms) if rule is not None else math.inf,
             self._evictions.next_ms(job, group, since_ms),
             self._waits.next_ms(group, since_ms),
         )
--- a/alderreach/ops/frontend/service.py
+++ b/alderreach/ops/frontend/service.py
@@ -55,10 +55,10 @@
             context.clock,
             context.timeline.record,
         )
-        self._asking = permission_calls.PermissionCalls(
+        self._permission_calls = permission_calls.PermissionCalls(
             outside.ask_permission, context.transport.send
         ).start()
-        context.stack.callback(self._asking.close)
+        context.stack.callback(self._permission_calls.close)
         self._in_flight = callers.InFlight(context.clock)
         self._contact = ""
         self._watch = settings_watch.SettingsWatch(context.settings_path, "frontend")
@@ -74,7 +74,7 @@
         if isinstance(message, cell.CellReply):
             self._calls.deliver(message)
         elif isinstance(message, cell.PermissionQuery):
-            self._asking.put(message, received.reply_address)
+            self._permission_calls.put(message, received.reply_address)
         else:
             self._task.put(received)
 
--- a/alderreach/platform/targets.py
+++ b/alderreach/platform/targets.py
@@ -61,7 +61,7 @@
 
 
 async def send_poll(session, record, poll):
-    """Poll at a worker; returns an ``orders.PollResult``."""
+    """Poll a worker; returns an ``orders.PollResult``."""
     timeout_s = poll.wait_ms / 1000 + POLL_SLACK_S
     body = wire.poll_body(poll)
     try:
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -23,10 +23,10 @@
     director,
     leader_state,
     order_answers,
+    permission_answers,
     requests,
     running,
     target_link,
-    verdicts,
     worker_polls,
 )
 from alderreach.utils import clocks, metrics
@@ -369,7 +369,7 @@
 
         def tell():
             if self.leading is leading:
-                self._lead(lambda: verdicts.take(leading.leader, answer))
+                self._lead(lambda: permission_answers.take(leading.leader, answer))
 
         self.loop.after(2 * HOP_MS + (0 if is_cut else took_ms), tell)
 
