--- a/alderreach/decisions/cell/preemption.py
+++ b/alderreach/decisions/cell/preemption.py
@@ -35,7 +35,7 @@
 NOTHING = common.Resources(0, 0, 0)
 
 
-class Eviction(typing.NamedTuple):
+class Victims(typing.NamedTuple):
     """Runs to stop on a worker, and how many tasks of the step then fit there."""
 
     worker: typing.Any
@@ -44,7 +44,7 @@
 
 
 def choose(workers, step, wanted, may_yield, group=None):
-    """Evictions that make room for ``wanted`` tasks of a step, the cheapest first.
+    """Victims whose stop makes room for ``wanted`` tasks of a step, the cheapest first.
 
     ``workers`` are those on which the step may start but for want of room, and
     ``may_yield(run)`` says which runs may be stopped for it. Fewer tasks may find room
@@ -59,25 +59,25 @@
         allowed = wanted
         if step.max_per_target:
             allowed = min(wanted, step.max_per_target - worker.count_of(group))
-        eviction = _cheapest(worker, step, may_yield) if allowed > 0 else None
-        if eviction is not None:
-            fitting = min(eviction.fitting, allowed)
-            cost = _share_stopped(eviction) / fitting
-            options.append((cost, worker.target_id, eviction._replace(fitting=fitting)))
+        victims = _cheapest(worker, step, may_yield) if allowed > 0 else None
+        if victims is not None:
+            fitting = min(victims.fitting, allowed)
+            cost = _share_stopped(victims) / fitting
+            options.append((cost, worker.target_id, victims._replace(fitting=fitting)))
     chosen = []
-    for _cost, _name, eviction in sorted(options, key=lambda option: option[:2]):
+    for _cost, _name, victims in sorted(options, key=lambda option: option[:2]):
         if wanted <= 0:
             break
-        wanted -= eviction.fitting
-        if eviction.runs:
-            chosen.append(eviction)
+        wanted -= victims.fitting
+        if victims.runs:
+            chosen.append(victims)
     return [] if step.gang and wanted > 0 else chosen
 
 
-def _share_stopped(eviction):
-    """The share of a worker's scarcest resource that an eviction stops work on."""
-    capacity = eviction.worker.record.capacity
-    stopped = _sum((NOTHING, *(run.demand for run in eviction.runs)))
+def _share_stopped(victims):
+    """The share of a worker's scarcest resource that the victims take up."""
+    capacity = victims.worker.record.capacity
+    stopped = _sum((NOTHING, *(run.demand for run in victims.runs)))
     return max(
         part / max(1, whole) for part, whole in zip(stopped, capacity, strict=True)
     )
@@ -100,7 +100,7 @@
         chosen.append(run)
         free = _sum((free, run.demand))
     chosen, free = _spare(chosen, free, demand)
-    return Eviction(worker, chosen, _copies(free, demand))
+    return Victims(worker, chosen, _copies(free, demand))
 
 
 def _spare(chosen, free, demand):
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -15,7 +15,7 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions.cell import choice, order
-from alderreach.ops.controller import evictions, permission_queries, runs, waits
+from alderreach.ops.controller import permission_queries, preempting, runs, wait_reports
 
 # Both bound a pass, so that the quorum's heartbeats and the workers' leases are never
 # held up by a large job or a long queue; what is left is done by the next pass.
@@ -37,8 +37,8 @@
         self._ranks = {}
         self._ranked_config = None
         self._queries = permission_queries.PermissionQueries(leader)
-        self._evictions = evictions.Evictions(leader, self._rank)
-        self._waits = waits.Waits(leader)
+        self._preempting = preempting.Preempting(leader, self._rank)
+        self._wait_reports = wait_reports.WaitReports(leader)
         # Occurrences that wait for their time, by that time.
         self._timed = []
         self._next_pass_ms = 0
@@ -79,8 +79,8 @@
         self._next_pass_ms = now_ms + PASS_INTERVAL_MS
         self._release_timed()
         self._queries.begin()
-        self._waits.begin()
-        self._evictions.end_holds(self._waiting.__contains__, now_ms)
+        self._wait_reports.begin()
+        self._preempting.end_holds(self._waiting.__contains__, now_ms)
         self._refresh_pools(now_ms)
         self._rank_anew_if_configured()
         self._queue.refresh(leader.cell_ms())
@@ -127,8 +127,8 @@
     def tidy(self):
         """Forget what is kept of jobs that have ended."""
         self._leader.drop_ended(self._ranks)
-        self._evictions.tidy()
-        self._waits.tidy(self._waiting.values(), self._leader.now_ms())
+        self._preempting.tidy()
+        self._wait_reports.tidy(self._waiting.values(), self._leader.now_ms())
 
     def pending(self, queue_name):
         """How many accepted jobs of a queue have started nothing, times left out."""
@@ -218,7 +218,7 @@
         self._queue.remove(group)
         self._due_ms.pop(group, None)
         self._ranks.pop(group, None)
-        self._waits.started(group)
+        self._wait_reports.started(group)
         self._leader.permissions.placed(group)
 
     def _consider_whole(self, group, now_ms):
@@ -236,12 +236,12 @@
         since_ms = self._waiting[group]
         if rule is not None:
             self._queries.for_waiting(job, group, rule, left, bool(pool), now_ms)
-        self._evictions.consider(job, group, pool, left, since_ms, now_ms)
-        self._waits.consider(job, group, pool, since_ms, now_ms)
+        self._preempting.consider(job, group, pool, left, since_ms, now_ms)
+        self._wait_reports.consider(job, group, pool, since_ms, now_ms)
         self._due_ms[group] = min(
             self._queries.next_ms(group, now_ms) if rule is not None else math.inf,
-            self._evictions.next_ms(job, group, since_ms),
-            self._waits.next_ms(group, since_ms),
+            self._preempting.next_ms(job, group, since_ms),
+            self._wait_reports.next_ms(group, since_ms),
         )
         return started
 
@@ -281,7 +281,7 @@
 
     def _may_use(self, group, worker):
         """Whether a worker is not held for a group that goes before this one."""
-        holder = self._evictions.hold_of(worker.target_id)
+        holder = self._preempting.hold_of(worker.target_id)
         return (
             holder is None
             or holder == group
--- a/alderreach/ops/controller/evictions.py
+++ b/alderreach/ops/controller/preempting.py
@@ -22,7 +22,7 @@
     until_ms: int
 
 
-class Evictions:
+class Preempting:
     """What was stopped in one term, and for whom.
 
     ``rank_of(job, group)`` returns the ``order.Rank`` of a group.
@@ -71,11 +71,11 @@
         chosen = preemption.choose(pool, step, wanted, may_yield, group)
         pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
         self._next_ms[group] = now_ms + pause_ms
-        for eviction in chosen:
+        for victims in chosen:
             hold = Hold(group, now_ms + pause_ms)
-            self._holds[eviction.worker.target_id] = hold
-            for run in eviction.runs:
-                self._stop(eviction.worker, run, group)
+            self._holds[victims.worker.target_id] = hold
+            for run in victims.runs:
+                self._stop(victims.worker, run, group)
 
     def tidy(self):
         """Forget what is kept of jobs that have ended."""
--- a/alderreach/ops/controller/waits.py
+++ b/alderreach/ops/controller/wait_reports.py
@@ -18,7 +18,7 @@
 HOLDERS_NAMED = 3
 
 
-class Waits:
+class WaitReports:
     """What was reported in one term; ``begin`` comes first in each planning pass."""
 
     def __init__(self, leader):
--- a/alderreach/ops/entry/once.py
+++ b/alderreach/ops/entry/once.py
@@ -60,7 +60,7 @@
         self._pause = pause
         self._lock = threading.Lock()
         self._unrecorded = 0
-        self._waits = threading.BoundedSemaphore(key_waits)
+        self._wait_reports = threading.BoundedSemaphore(key_waits)
 
     @property
     def unrecorded(self):
@@ -72,12 +72,12 @@
         found = self._intend(keyed)
         if isinstance(found, Err) or not self._must_wait(found.ok_value, keyed):
             return self._follow(keyed, found)
-        if not self._waits.acquire(blocking=False):
+        if not self._wait_reports.acquire(blocking=False):
             return Err(answers.Failure(errors.Kind.IN_PROGRESS))
         try:
             return self._follow(keyed, found)
         finally:
-            self._waits.release()
+            self._wait_reports.release()
 
     def _must_wait(self, record, keyed):
         verdict = idempotency.judge(
