--- a/alderreach/decisions/endings.py
+++ b/alderreach/decisions/endings.py
@@ -23,7 +23,7 @@
 YOUNG_MS = 60_000
 
 
-def end(state, judge, killers, run, outcome):
+def end(state, judge, poison_jobs, run, outcome):
     """Take in how a run ended."""
     job = run.job
     state.release(run)
@@ -35,9 +35,9 @@
     else:
         judge.ended_otherwise(run)
     if outcome == "lost":
-        killers.lost(run)
+        poison_jobs.lost(run)
     elif outcome in ("finished", "failed"):
-        killers.survived(job)
+        poison_jobs.survived(job)
     if job.is_service():
         # Also of a task that is no longer wanted: the service may grow again, and a
         # worker takes a repeated attempt for one that it has started already.
--- a/alderreach/decisions/killers.py
+++ b/alderreach/decisions/poison_jobs.py
@@ -10,8 +10,8 @@
 judged: if other workers were lost as well, or the job has a task that lived through the
 window, nothing follows. Otherwise it is an *incident*, and the job is put on probation:
 one task at a time, on a worker where no other suspect runs. So the second loss tells
-the killer from the jobs that were near it. After ``INCIDENTS`` losses of that kind the
-job is condemned, which ends the probation of those whose losses it explains.
+the poison job from the jobs that were near it. After ``INCIDENTS`` losses of that kind
+the job is condemned, which ends the probation of those whose losses it explains.
 """
 
 import collections
@@ -29,7 +29,7 @@
 LOSSES_KEPT = 64
 
 
-class Killers:
+class PoisonJobs:
     """Judges jobs by the workers that are lost under them."""
 
     def __init__(self, state, condemn):
--- a/alderreach/decisions/rounds.py
+++ b/alderreach/decisions/rounds.py
@@ -12,7 +12,7 @@
 import heapq
 import itertools
 
-from alderreach.decisions import gangs, killers, placement
+from alderreach.decisions import gangs, placement, poison_jobs
 
 # A gang at the head that doesn't fit lets this many behind it try.
 GANGS_LOOKED_AT = 4
@@ -116,7 +116,7 @@
 def _place_suspect(state, job, line):
     """Place a job on probation where no other suspect runs, else let it pause."""
     for worker in state.cell.index.search(line.shape, roomy=True):
-        if not killers.is_beside_suspect(worker):
+        if not poison_jobs.is_beside_suspect(worker):
             state.start(job, worker)
             return 1
     job.not_before_ms = state.now_ms + SUSPECT_RETRY_MS
--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -27,7 +27,7 @@
     endings,
     impossible,
     jobs,
-    killers,
+    poison_jobs,
     preemption,
     quarantine,
     reservations,
@@ -53,7 +53,7 @@
         self._state = state.State(random)
         self._judge = quarantine.Judge(self._state)
         self._parking = impossible.Parking(self._state)
-        self._killers = killers.Killers(self._state, self._parking.condemn)
+        self._poison_jobs = poison_jobs.PoisonJobs(self._state, self._parking.condemn)
         self._observer = usage.Observer(self._state)
         self._done = collections.OrderedDict()
 
@@ -79,7 +79,7 @@
         """Forget a worker; its tasks are reported as lost one by one."""
         self._state.remove_worker(worker_id)
         self._judge.worker_removed(worker_id)
-        self._killers.worker_removed(worker_id)
+        self._poison_jobs.worker_removed(worker_id)
         self._observer.forget(worker_id)
 
     def set_open(self, worker_id, is_open):
@@ -153,7 +153,7 @@
         if run is None:
             endings.end_unseen(self._state, job, number, attempt, outcome)
         elif run.attempt == attempt:
-            endings.end(self._state, self._judge, self._killers, run, outcome)
+            endings.end(self._state, self._judge, self._poison_jobs, run, outcome)
         self._close_if_done(job)
 
     def observe_usage(self, worker_id, used):
@@ -244,7 +244,7 @@
     def _review(self):
         for job in self._state.due_reviews(REVIEWS_PER_TICK):
             if self._state.jobs.get(job.spec.job_id) is job:
-                self._killers.review(job)
+                self._poison_jobs.review(job)
                 endings.review(self._state, job)
 
     def _resize(self, job, tasks):
@@ -274,7 +274,7 @@
             word = "cancelled"
         self._state.backlog.remove(job)
         self._parking.forget(job)
-        self._killers.forget(job)
+        self._poison_jobs.forget(job)
         del self._state.jobs[job.spec.job_id]
         self._done[job.spec.job_id] = state.status(job, word, "")
         if len(self._done) > STATUSES_KEPT:
--- a/alderreach/ops/client/stories.py
+++ b/alderreach/ops/client/timelines.py
@@ -1,20 +1,20 @@
-"""The story of one request, job, task or worker, from the logs of several processes.
+"""The timeline of one request, job, task or worker, from the logs of several processes.
 
 Log lines may come with anything before their JSON object and in any order of processes.
 Lines of one process keep their order by its steady clock; processes are merged by wall
 time, where a wall clock that stepped back is held at its last value, as on the time
-line. ``story`` takes lines and returns text; it reads no file.
+line. ``timeline_of`` takes lines and returns text; it reads no file.
 
 Between the lines of the id itself stands, marked by a dot, what happened around it at
 that time: changes of leadership, starts and stops of processes, and what befell the
-workers and frontends that the story names. That is mostly where the cause is.
+workers and frontends that the timeline names. That is mostly where the cause is.
 """
 
 import json
 import typing
 
 ID_FIELDS = ("job", "task", "path", "target", "request_id")
-# What may explain a story though it bears no id of it; see ``_context_of``.
+# What may explain a timeline though it bears no id of it; see ``_context_of``.
 EVERYWHERE = (
     "leadership_gained",
     "leadership_lost",
@@ -46,7 +46,7 @@
     is_context: bool = False
 
 
-def story(lines, wanted):
+def timeline_of(lines, wanted):
     """The lines that concern ``wanted``, as text, oldest first; empty if none does."""
     placed = sorted(_placed(lines), key=lambda entry: entry[:3])
     own = [entry for entry in placed if concerns(entry.fields, wanted)]
@@ -62,7 +62,7 @@
 
 
 def _context_of(own):
-    """A function that says whether an entry is part of what happened around a story."""
+    """A function that says whether an entry happened around a timeline's own ones."""
     first_ms, last_ms = own[0].placed_ms - BEFORE_MS, own[-1].placed_ms + AFTER_MS
     targets = {entry.fields.get("target", "") for entry in own}
     processes = {entry.process for entry in own}
--- a/alderreach/ops/placer/tenure.py
+++ b/alderreach/ops/placer/ownership_term.py
@@ -38,7 +38,7 @@
     outcome: typing.Any
 
 
-class Tenure:
+class OwnershipTerm:
     """The owner's state in one epoch; acts once all items are read.
 
     ``context`` is the daemon's, ``gateway`` the keepers', ``put`` the task's mailbox,
--- a/alderreach/ops/placer/service.py
+++ b/alderreach/ops/placer/service.py
@@ -10,7 +10,7 @@
 from alderreach.core import codec, ownership, records
 from alderreach.core.generated import common, keeper, placer
 from alderreach.ops import daemon, gateway, target_wire
-from alderreach.ops.placer import announcing, items, sender, status, tenure
+from alderreach.ops.placer import announcing, items, ownership_term, sender, status
 from alderreach.utils import tasks
 
 GRANT_TIMEOUT_MS = 1000
@@ -80,7 +80,7 @@
         now_ms = self._clock.monotonic_ms()
         self._ownership = ownership.Ownership(me, self._standbys, self._timing, now_ms)
         self._copy = records.RecordCopy()
-        self._tenure = None
+        self._term = None
         self._draining = None
         self._leader = ""
         self._leader_heard_ms = 0
@@ -153,26 +153,26 @@
             self._take_items(mail.items, now_ms)
         elif isinstance(mail, _GrantEnded):
             self._grant_ended(mail.outcome)
-        elif isinstance(mail, tenure.ItemsRead):
-            if self._is_current(mail.epoch) and not self._tenure.begun:
-                self._tenure.read(mail, now_ms)
-        elif isinstance(mail, tenure.ItemsWritten):
+        elif isinstance(mail, ownership_term.ItemsRead):
+            if self._is_current(mail.epoch) and not self._term.begun:
+                self._term.read(mail, now_ms)
+        elif isinstance(mail, ownership_term.ItemsWritten):
             self._items_written(mail, now_ms)
         elif isinstance(mail, HandOver):
             self._hand_over(mail, now_ms)
 
     def _is_current(self, epoch):
-        return self._tenure and self._tenure.epoch == epoch
+        return self._term and self._term.epoch == epoch
 
     def _announced(self, told, now_ms):
         """Answer an announcement, or name the owner."""
         state = self._ownership
-        if not state.may_act(now_ms) or self._tenure is None or not self._tenure.begun:
+        if not state.may_act(now_ms) or self._term is None or not self._term.begun:
             owner = state.owner
             mine = owner is None or owner.placer == state.me.placer
             address = "" if mine else owner.target_address
             return announcing.Answer(421, target_wire.elsewhere_answer(address))
-        acknowledged = self._tenure.announce(told, now_ms)
+        acknowledged = self._term.announce(told, now_ms)
         heartbeat_ms = self._timing.target_heartbeat_ms
         if told.kind == "worker" and told.owner_epoch_seen < state.epoch:
             heartbeat_ms = min(HURRIED_HEARTBEAT_MS, heartbeat_ms)
@@ -187,7 +187,7 @@
         if result.status == "epoch":
             self._ownership.observe_epoch(result.highest_epoch)
         if self._is_current(result.batch.epoch):
-            self._tenure.placing.answered(result, now_ms)
+            self._term.placing.answered(result, now_ms)
 
     def _received(self, received, now_ms):
         message, sender_name = received.message, received.sender
@@ -198,29 +198,29 @@
             self._beat_received(message, received.reply_address, now_ms)
         elif isinstance(message, placer.StandbyPromise):
             state.promised(sender_name, message, now_ms)
-            if self._tenure is not None:
-                self._tenure.promised(sender_name, message)
-                self._tenure_tick(now_ms)
+            if self._term is not None:
+                self._term.promised(sender_name, message)
+                self._term_tick(now_ms)
         elif isinstance(message, placer.WatchTargets):
             if self._acts(now_ms):
-                watchers = self._tenure.watchers
+                watchers = self._term.watchers
                 watchers.asked(received.reply_address, message, now_ms)
         elif isinstance(message, placer.JobQuery | placer.TargetQuery):
             self._query(message, received.reply_address, now_ms)
 
     def _acts(self, now_ms):
-        begun = self._tenure is not None and self._tenure.begun
+        begun = self._term is not None and self._term.begun
         return begun and self._ownership.may_act(now_ms)
 
     def _query(self, query, address, now_ms):
         if isinstance(query, placer.JobQuery):
             reply = placer.JobReply(query.request_id, False, [], [])
             if self._acts(now_ms):
-                reply = self._tenure.job_reply(query)
+                reply = self._term.job_reply(query)
         else:
             reply = placer.TargetReply(query.request_id, False, [])
             if self._acts(now_ms):
-                reply = self._tenure.target_reply(query)
+                reply = self._term.target_reply(query)
         self._context.transport.send(address, reply)
 
     def _renewed(self, reply, sender_name, now_ms):
@@ -244,11 +244,11 @@
         for item in changed:
             if item.key == key and item.value is not None:
                 self._ownership.observe(codec.decode(item.value, common.Owner))
-        if self._tenure is not None:
-            self._tenure.items_changed(changed, now_ms)
+        if self._term is not None:
+            self._term.items_changed(changed, now_ms)
 
     def _items_written(self, mail, now_ms):
-        if self._is_current(mail.epoch) and self._tenure.written(mail, now_ms):
+        if self._is_current(mail.epoch) and self._term.written(mail, now_ms):
             self._ownership.observe_epoch(mail.epoch + 1)
 
     def _grant_ended(self, outcome):
@@ -260,15 +260,15 @@
     # ---- ownership
 
     def _follow_ownership(self, now_ms):
-        """Begin or end the tenure as the ownership says; publish the status."""
+        """Begin or end the term as the ownership says; publish the status."""
         state = self._ownership
-        if self._tenure is not None and (
-            not state.is_owner or state.epoch != self._tenure.epoch
+        if self._term is not None and (
+            not state.is_owner or state.epoch != self._term.epoch
         ):
             self._step_down()
-        if state.is_owner and self._tenure is None:
+        if state.is_owner and self._term is None:
             self._context.timeline.record("ownership_gained", epoch=state.epoch)
-            self._tenure = tenure.Tenure(
+            self._term = ownership_term.OwnershipTerm(
                 self._context, self._gateway, state.epoch, self._copy, self._task.put
             )
             self._copy = records.RecordCopy()
@@ -276,18 +276,18 @@
             self._beat(now_ms)
 
     def _step_down(self):
-        epoch = self._tenure.epoch
-        self._copy = self._tenure.records()
-        self._tenure = None
+        epoch = self._term.epoch
+        self._copy = self._term.records()
+        self._term = None
         self._context.timeline.record("ownership_lost", epoch=epoch)
 
     def _tick(self):
         now_ms = self._clock.monotonic_ms()
         self._seek(now_ms)
         self._follow_ownership(now_ms)
-        if self._tenure is not None:
-            self._tenure_tick(now_ms)
-            if now_ms >= self._next_beat_ms or self._tenure.has_news:
+        if self._term is not None:
+            self._term_tick(now_ms)
+            if now_ms >= self._next_beat_ms or self._term.has_news:
                 self._beat(now_ms)
         self._publish(now_ms)
         return self._pause_ms(now_ms)
@@ -297,17 +297,17 @@
         quiet_ms = now_ms + QUIET_TICK_MS
         if self._draining is not None:
             return None
-        if self._tenure is not None:
-            if self._tenure.has_work(quiet_ms):
+        if self._term is not None:
+            if self._term.has_work(quiet_ms):
                 return None
             return min(QUIET_TICK_MS, self._next_beat_ms - now_ms)
         return self._ownership.seek_pause_ms(now_ms, QUIET_TICK_MS)
 
-    def _tenure_tick(self, now_ms):
+    def _term_tick(self, now_ms):
         if not self._acts(now_ms):
             return
         standbys = self._ownership.standbys_alive(now_ms)
-        for batch in self._tenure.tick(now_ms, standbys):
+        for batch in self._term.tick(now_ms, standbys):
             self._sender.put(batch)
 
     def _seek(self, now_ms):
@@ -332,7 +332,7 @@
             self._next_beat_ms = now_ms + self._timing.owner_beat_ms
             self._renew(now_ms)
         for name, address in self._standbys.items():
-            beat = self._tenure.beat(name, now_ms)
+            beat = self._term.beat(name, now_ms)
             self._context.transport.send(address, beat)
 
     def _renew(self, now_ms):
@@ -358,7 +358,7 @@
             mail.ticket.answer(True)
             return
         beats = [
-            (address, self._tenure.beat(name, now_ms, handover=True))
+            (address, self._term.beat(name, now_ms, handover=True))
             for name, address in self._standbys.items()
         ]
         self._draining = mail.ticket
@@ -388,7 +388,7 @@
         heard = heard_ms is not None and now_ms - heard_ms < recent_ms
         detail = {"epoch": self._ownership.epoch}
         if acts:
-            detail |= status.counts(self._tenure.placing)
+            detail |= status.counts(self._term.placing)
         else:
             detail["records"] = len(self._copy.placements)
         self._status = daemon.RoleStatus(
--- a/alderreach/scripts/commands/explain.py
+++ b/alderreach/scripts/commands/explain.py
@@ -6,11 +6,11 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument
 
-from alderreach.ops.client import api, stories
+from alderreach.ops.client import api, timelines
 
 
 class Explain(Command):
-    """The story of an id from log files, or from standard input."""
+    """The timeline of an id from log files, or from standard input."""
 
     name = "explain"
     description = "Tell from log files what happened to a job, task or worker."
@@ -25,7 +25,7 @@
     ]
 
     def handle(self):
-        """Read the logs, print the story; exits 1 if they don't know the id."""
+        """Read the logs, print the timeline; exits 1 if they don't know the id."""
         lines = []
         for name in self.argument("files") or []:
             try:
@@ -36,7 +36,7 @@
             lines += text.splitlines()
         if not self.argument("files"):
             lines = sys.stdin.read().splitlines()
-        told = stories.story(lines, self.argument("id"))
+        told = timelines.timeline_of(lines, self.argument("id"))
         if not told:
             self.line_error(f"no line is about {self.argument('id')}")
             return 1
