--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -124,6 +124,7 @@
 
     def __init__(self, record, now_ms, lapses_ms):
         self.record = record
+        self.target_id = record.target_id
         self.rack = rack_of(record.labels)
         self.runs = {}
         self.used = [0, 0, 0]
@@ -173,11 +174,6 @@
         self.unsettled = late
         return list(late)
 
-    @property
-    def target_id(self):
-        """Its id."""
-        return self.record.target_id
-
     def begin_life(self):
         """Forget what was known of the life before: its ends, its epoch, its clock.
 
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -105,6 +105,8 @@
             self._due_ms[group] = now_ms
         leader.revisited = set()
         gained = leader.pools.take_gained()
+        if not gained and now_ms < min(self._due_ms.values(), default=math.inf):
+            return
         started = visits = 0
         for group in self._queue.groups():
             if started >= STARTS_PER_PASS or leader.now_ms() - now_ms >= PASS_MS:
