--- a/alderreach/core/membership.py
+++ b/alderreach/core/membership.py
@@ -87,10 +87,8 @@
 def next_replacement(members, wanted, is_silent, is_caught_up):
     """The next change towards ``wanted`` voters that answer, or None.
 
-    Failure answered: a controller is gone for good and its successor comes at another
-    address. Its vote stays counted, so that the next loss leaves no quorum. A learner
-    that has caught up is promoted first and the silent voter removed afterwards; the
-    other way round the two changes would leave fewer voters in between.
+    A learner that has caught up is promoted first and the silent voter removed
+    afterwards; the other way round there would be fewer voters in between.
     """
     silent = [m for m in members if m.voter and is_silent(m.identity)]
     surplus = len(voters(members)) - wanted
--- a/alderreach/decisions/admission.py
+++ b/alderreach/decisions/admission.py
@@ -1,17 +1,12 @@
 """What is let in to wait, and what is turned away at once.
 
-Load answered: bursts, saturation for a while, and a few callers with most of the load.
-
-Without it: the queue grows until every request in it is past its deadline when its turn
-comes; goodput falls to nothing at twice the capacity and stays there after the load has
-gone, and one caller's burst fills the queue for everybody.
+Queueing bursts without a limit makes every request late once the load exceeds the
+capacity, and lets one caller's burst delay everybody.
 
 - A newcomer is let in if it can be answered by its deadline: the slot time that waits
   ahead of it over the slots, plus its own run time. Fair sharing bounds what is ahead
   of a team that waits for little: its own backlog, times the weights it shares with.
-- ``RUN_MARGIN`` times the expected run time must remain after waiting. With deadlines
-  of six run times, factors from 0 to 3 made no difference that could be measured at
-  twice the load (0.99 of what was let in was in time), so it is the plain one.
+- ``RUN_MARGIN`` times the expected run time must remain after waiting.
 - The queue is bounded. When it is full, a newcomer of a team with less waiting for its
   weight takes the place of the newest request of the team with most.
 - Who is turned away hears at once, and is told to come back when what waits now will
--- a/alderreach/decisions/cell/choice.py
+++ b/alderreach/decisions/cell/choice.py
@@ -1,22 +1,15 @@
 """On which worker a task starts.
 
-Load answered: wide steps, gangs and single large tasks on a few dozen workers of
-unequal size, some of which are slow to answer, leaving, or far from the data.
-
-Without it: spread evenly, small tasks leave no hole large enough for a task of half a
-worker; put anywhere, best-effort tasks land beside serving tasks and slow them.
-
 A task goes where the least is left over afterwards (best fit by the scarcer resource),
-but first to the rack of its data, and gangs that want one rack into the rack that holds
-all of them with least to spare. Best-effort tasks go where the most processor time is
-idle and, if there is a choice, not beside tasks that serve.
+since small tasks that are spread evenly leave no hole for a large one. The rack of its
+data goes first, and gangs that want one rack go into the rack that holds all of them
+with least to spare. Best-effort tasks go where the most processor time is idle and, if
+there is a choice, not beside tasks that serve.
 
 Before the fit goes the failure domain: the tasks of a step that are under way stay in
-one if it has room for them. Failure answered: a domain is cut off and what runs there
-stands still for a lease. A job is done when its last task is, so of jobs that are
-spread over three domains nearly every one stands still, and of jobs that are each in
-one domain a third. A new step goes to the domain with most room for it, so that steps
-are spread over the domains though none of them is.
+one if it has room for them. A job is done when its last task is, so a job that is
+spread over several domains is delayed by a partition of any of them. A new step goes to
+the domain with most room for it, so that the steps as a whole are spread evenly.
 """
 
 import collections
--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -1,20 +1,15 @@
 """Workers that do worse than their peers, and runs that get nowhere.
 
-Load answered: one worker of twelve fails all it starts, lets tasks stand still, or is
-several times slower, while its heartbeats and answers are good.
-
-Without it: a worker that fails at once is always empty, so best fit or not it is given
-task after task, and a job whose tasks may fail twice is lost to it; a task that stands
-still holds its job up for ever.
+A worker may fail all it starts, let tasks stand still or be several times slower while
+its heartbeats are good. One that fails at once is always empty, and would be given task
+after task.
 
 - Failed ends count against a worker only once for each job, and a success clears them.
   A job that has failed on two workers counts against neither, since a broken job fails
-  everywhere: two such jobs at a time took the only worker that may run a third one out
-  for as long as they were tried. One strike makes a worker the last choice;
+  everywhere. One strike makes a worker the last choice;
   ``STRIKES_OUT`` take it out for ``FIRST_OUT_MS``, doubled each time, and then it is
   tried again. At most ``OUT_SHARE`` of a service's workers are out at once: if more
-  seem bad, it is not the workers. Counted over all services, a small one could lose
-  all of its workers to two broken jobs.
+  seem bad, it is not the workers.
 - A run whose progress has not moved for ``STALL_MS`` is stopped and started elsewhere;
   its worker gets a strike. Progress is whole percents and seen at every poll, so a task
   of three minutes still moves in that time.
@@ -122,10 +117,8 @@
 def whole_ms(run, now_ms):
     """How long all the work of a run that is done now takes, or None if unknown.
 
-    Failure answered: a run is found by a new leader, or resumes from a checkpoint, and
-    is done soon after. Taken for the length of its step, that moment makes each of its
-    siblings look slow; they are stopped, and their healthy workers are out. So what was
-    seen of such a run stands for the rest by its pace.
+    Of a run that a new leader found, or that resumed from a checkpoint, only a part was
+    seen; it stands for the rest by its pace, or its siblings would look slow beside it.
     """
     if run.is_whole:
         return now_ms - run.placed_ms
--- a/alderreach/decisions/cell/order.py
+++ b/alderreach/decisions/cell/order.py
@@ -1,10 +1,5 @@
 """Whose tasks go first.
 
-Load answered: a burst doubles the urgent queue while wide plans fill the workers.
-
-Without it: in order of arrival a plan of sixty tasks takes every hole as it opens, and
-an urgent job with an objective of two seconds waits for all of it.
-
 Steps are ordered by their queue's priority, then by the latest moment at which they can
 start and still meet the job's objective: what is left of the chain of steps, by the
 submitter's estimates, is taken off the deadline. A job past three times its objective
--- a/alderreach/decisions/cell/pacing.py
+++ b/alderreach/decisions/cell/pacing.py
@@ -1,10 +1,7 @@
 """Best-effort tasks step back before they make serving tasks miss their target.
 
-Load answered: best-effort tasks disturb serving tasks on the same worker, by amounts
-that differ by image and change within seconds.
-
-Without it: a serving task beside them stays over its tail target for as long as they
-run, and its own users wait.
+They disturb serving tasks on the same worker by amounts that differ by image and change
+within seconds.
 
 The tail that a worker reports for half a second is rough, so the share of the
 best-effort tasks is halved as soon as a serving task is over ``HIGH`` of its target and
--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -1,17 +1,14 @@
 """Which workers an outside service lets a step run on, asked for ahead of need.
 
-Load answered: a dozen steps a second, each of which needs a decision that takes up to
-a second, from a service that serves each calling VM one question at a time.
-
-Without it: asked by the leader alone and only when a step is ready, the questions queue
-up behind each other for longer than the tasks run.
+A decision takes up to a second, and the service serves each calling VM one question at
+a time, so a leader that asked alone, once steps are ready, would be the bottleneck.
 
 Questions are spread over all processes of the cell, one at a time each. A third of
 the processes is kept for questions that are decided several times faster than the
 longest, so that an urgent step's 25 ms do not queue behind 600 ms of work that can
 wait.
 
-A answer never changes, so a worker that was turned down is not asked about again. A
+An answer never changes, so a worker that was turned down is not asked about again. A
 ticket ages: it is used only while ``SAFETY_MS`` of its life are left, and renewed once
 they are not if the step still waits; a step that found too little room names workers
 that nobody asked about in the same question.
@@ -31,7 +28,7 @@
 import math
 import typing
 
-# A start needs a synced log entry and a call: about 15 ms calm, some 100 ms when busy.
+# A start needs a synced log entry and a call before its ticket runs out.
 SAFETY_MS = 200
 # The longest list of workers in one question. Longer ones take longer to decide, and
 # a third or more of the workers are usually let run a step.
@@ -159,12 +156,9 @@
     def renewal_ms(self, rule, tasks, helpers):
         """How long before its tickets run out a step that waits has them renewed.
 
-        Failure answered: the only worker that may run a step gets room while the step's
-        ticket has just run out; a later step, whose ticket is new, takes it. With a
-        decision of 0.6 s and tickets of 2 s that is a third of the time, and a step
-        with few workers waits for many turns. So the answer comes before the ticket
-        runs out; but only while half of the helpers are idle, since steps without any
-        ticket need them more.
+        The answer comes before the ticket runs out, or another step with a newer ticket
+        would take the room that comes meanwhile; but only while half of the helpers are
+        idle, since steps without any ticket need them more.
         """
         idle = sum(helper not in self._busy for helper in helpers)
         if idle < IDLE_SHARE * len(helpers):
@@ -239,15 +233,12 @@
         ``tasks`` is how many still wait. Tickets that last longer than ``ahead_ms``
         need no renewal.
 
-        Failure answered: a step holds tickets for workers that can't hold it, and
-        stands still beside idle ones. Renewals and new workers are two wants; as two
-        questions, the one kept the other out for good: a pause made for the one
-        silenced the other, or its turn always came first. So each question of a step
-        that is short names somebody new, until nobody is left.
+        Renewals and new workers share one question, so that neither keeps the other
+        out: each question of a step that is short names somebody new, until nobody is
+        left.
 
-        And a gang needs all its tickets at one time. Got by several questions they run
-        out one after the other; renewed one batch at a time, one would always be stale.
-        So the renewal of a gang that is short names all its permitted workers.
+        A gang needs all its tickets at one time, so the renewal of a gang that is short
+        names all its permitted workers.
         """
         answers = self._groups.setdefault(group, _Answers())
         if answers.asking is not None:
@@ -285,10 +276,8 @@
 
         ``quickest_ms`` is the decision time of the quickest rule in force.
 
-        Failure answered: a process is in touch with its leader and not with the
-        permission service. Idle again after each question that it could not put, and
-        first in the list, it got the same step's question each time. So whoever failed
-        lately comes last.
+        Whoever failed lately comes last, since a helper may be in touch with its leader
+        and not with the permission service.
         """
         idle = [helper for helper in helpers if helper not in self._busy]
         if len(idle) <= _kept_idle(rule, helpers, quickest_ms):
--- a/alderreach/decisions/cell/preemption.py
+++ b/alderreach/decisions/cell/preemption.py
@@ -1,13 +1,8 @@
 """Urgent tasks take the room of less urgent ones that save their progress.
 
-Load answered: a burst doubles the urgent queue while plans, whose tasks take several
-seconds each, fill the workers; or tasks of one accelerator each lie scattered over the
-few machines that have any.
-
-Without it: an urgent step whose objective leaves it half a second waits until enough
-plan tasks end by themselves on the workers that it is permitted to use. One that needs
-all accelerators of a machine, or a gang that needs several machines, waits until they
-happen to be empty.
+Urgent steps would otherwise wait until enough plan tasks end by themselves on the
+workers that they may use; one that needs a whole machine, or a gang that needs several,
+until those happen to be empty.
 
 Only runs that save their progress when they are stopped give way, so what is lost is
 the time until they start again and their restore, not their work. A run gives way to a
--- a/alderreach/decisions/cell/waiting.py
+++ b/alderreach/decisions/cell/waiting.py
@@ -1,8 +1,6 @@
 """What a step that could run waits for, in a word that a log can hold.
 
-Failure answered: a step stands still beside idle workers, and nothing tells whether its
-leader believes that it may not start yet, that nobody permits it, or that there is no
-room. The word is the first of these that holds:
+The word is the first of these that holds:
 
 - ``WORKERS``: no worker in good health could ever hold one of its tasks.
 - ``ITSELF``: a gang of which some tasks still run or are done.
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -1,12 +1,5 @@
 """What each worker has, what it runs, and until when it may go on without its leader.
 
-Load answered: several hundred starts and ends a second on workers that answer late, are
-cut off, or start again under the same id.
-
-Without it: a start whose answer is lost is counted nowhere, and the next one brings the
-worker over its capacity; or a run on a silent worker is started again while the first
-one still works.
-
 Room is taken when a start is decided and given back only when the run's end is known:
 listed by the worker, or proved by a lease that has lapsed. A run is in one of these
 states:
--- a/alderreach/decisions/concurrency.py
+++ b/alderreach/decisions/concurrency.py
@@ -1,16 +1,12 @@
 """How many requests of a service an entry has under way at once.
 
-Load answered: runners that get slower the more they are given, because their slots
-share processors, a store or a lock that nobody declared.
-
-Without it: the entry fills every declared slot, each request takes as many times longer
-as there are too many, and all of them miss their deadlines together, while the same
-runners would have answered most of them in time.
+Runners whose slots share processors, a store or a lock get slower the more requests
+they are given, so filling every declared slot may make all requests late.
 
 The limit follows the run time: while the run times of late are near the best lately
 seen, it grows by its square root each round, which finds new room within seconds; once
 they are longer than ``TOLERANCE`` times that, it shrinks in proportion. Twice the best
-leaves room for medians of mixed work; the factor was not swept yet. ``BASE_WINDOWS``
+leaves room for medians of mixed work. ``BASE_WINDOWS``
 forgets a best time after about a minute, so that a service which became slower for good
 is not throttled for ever.
 """
--- a/alderreach/decisions/ordering.py
+++ b/alderreach/decisions/ordering.py
@@ -1,11 +1,7 @@
 """Who goes next of the requests that wait.
 
-Load answered: urgent questions among routine ones, a few callers with most of the load,
-and long requests among short ones, all wanting the same slots.
-
-Without it: first in, first out lets one caller's burst make everybody wait for all of
-it; strict priority lets a flood of urgent requests stop all others for as long as it
-lasts; fairness by number of requests gives a team of long requests most of the slots.
+Orders urgent and routine requests, teams with much and little load, and long and short
+requests that compete for the same slots.
 
 - Teams share by slot time, not by requests: each start costs a team the run time
   learned for it, corrected once the true one is known (start-time fair queueing).
@@ -19,9 +15,7 @@
 - Within a team the oldest goes first, which is fairest while deadlines are met. Once
   the oldest has spent ``FLIP_SHARE`` of its time waiting, the newest goes first: under
   overload the oldest would be answered just too late, one after the other, and all
-  slots would work for answers nobody takes. Half leaves the newest
-  its whole time. Without the flip a sixteenth of the goodput was lost at twice the load
-  with deadlines of six run times; a quarter did as well as half.
+  slots would work for answers nobody takes.
 """
 
 import collections
--- a/alderreach/decisions/outliers.py
+++ b/alderreach/decisions/outliers.py
@@ -1,18 +1,13 @@
 """Targets that are slower or fail more than their peers, and how load leaves them.
 
-Load answered: one of many runners is slow, or answers errors at once, or is gone.
-
-Without it: a slow runner holds its slots ten times as long, and every request that is
-sent to it is late. A runner that fails at once is never busy, so that a rule which
-prefers idle runners sends it everything: one bad runner of 24 then fails most requests.
+A runner that fails at once is never busy, so a rule that prefers idle runners would
+send it most requests.
 
 - Slow is relative: compared with the median of the peers, since a service that is slow
   everywhere has no better place to send to. Above ``SLOW_RATIO`` the share a runner
   gets sinks to ``SLOW_RATIO`` over its ratio, by at most ``DOWN_STEP`` each
   ``ADJUST_MS``, and comes back by ``UP_STEP``. A quarter as fast up as down keeps a
-  runner that is slow only under load from swinging between all and nothing. Beside one
-  slow runner of six, steps of 0.2 each 500 ms left urgent work a p99 of 63 ms in the
-  first two seconds, 0.4 each 200 ms one of 33 ms.
+  runner that is slow only under load from swinging between all and nothing.
 - A runner that fails more than ``ERROR_SHARE`` of its requests, while the median peer
   fails less than half of that, is ejected for a time that doubles up to
   ``EJECT_MOST_MS``, then probed with ``PROBE_WEIGHT``. No more than
--- a/alderreach/decisions/retries.py
+++ b/alderreach/decisions/retries.py
@@ -1,10 +1,6 @@
 """How often a request may be sent again, as a share of the requests that come in.
 
-Load answered: targets fail or refuse, and each failed request wants another try.
-
-Without it: when half of the targets go, every request is tried several times, the load
-on the rest is multiplied just when it is already double, and they go as well: a retry
-storm.
+Unlimited retries multiply the load on the targets that are left when some of them fail.
 
 A first attempt earns ``FAILED_SHARE`` of a retry after a failure and ``REFUSED_SHARE``
 of one after a refusal. A tenth more load is what runners at nine tenths of capacity can
--- a/alderreach/decisions/routing.py
+++ b/alderreach/decisions/routing.py
@@ -1,29 +1,17 @@
 """Which runner a request goes to, by what this entry alone knows.
 
-Load answered: eight or nine entries share runners of a few slots each, with no central
-counter; each runner takes a bounded number of connections from all of them together.
-
-Without it: entries that fill what looks idle to them meet on the same runners. With
-random choice and no bound, 31% of attempts met a full runner at nine tenths of
-capacity; with the rules below 2% (all figures: docs/measurements/entry.md).
+Several entries share runners of a few slots each without a central counter, and would
+otherwise meet on the runners that look idle to all of them.
 
 - Each entry has an allowance on each runner. On its own domain's it starts at the slots
   divided by the entries of the domain: entries that keep to it never meet.
 - An allowance that is used in full without a refusal grows by ``GROWTH`` of a slot for
-  each round of answers, so that slots of idle entries are used. Whole slots met a full
-  runner in 11% of attempts, a tenth in 3%, and the wait differed by a millisecond.
+  each round of answers, so that slots of idle entries are used.
 - A refusal leaves ``REFUSED_KEEPS`` of an allowance, but not less than it started with.
-  Below its share an entry only leaves slots idle: goodput at twice the load fell from
-  0.99 to 0.94. From 0.5 to 0.9 the factor hardly mattered.
-- Among runners with room the least used by allowance is taken, ties at random. Power of
-  two choices met a full runner a little more often (2.9% against 2.6%) and did not wait
-  less; slots handed out by the placer were not built, since a message for each change
-  of load would tell an entry what a refusal tells it for a third of a millisecond.
+  Below its share an entry only leaves slots idle.
+- Among runners with room the least used by allowance is taken, ties at random.
 - Other domains' runners get work once the own ones have no room and the request would
-  wait longer than ``SPILL_WAIT_MS``, one round trip between domains. At ten times that
-  a quarter of one domain's callers was turned away beside idle domains. A convex
-  queueing cost was weighed and left out: it needs the load of the other domain, which
-  nobody here knows.
+  wait longer than ``SPILL_WAIT_MS``, one round trip between domains.
 - A runner of another domain that refuses is left alone for ``REMOTE_PAUSE_MS``: when
   all domains are saturated, each would else spend its time on asking the others.
 - A runner that is slow or fails (``outliers``) is considered only as often as its
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -227,9 +227,9 @@
     def _time_judge(self):
         """A function that says whether the cell's time can be relied on in a new term.
 
-        Failure answered: a controller whose clock is wrong takes over, and before the
-        first greetings reach it starts what is due by its own clock. A cell of so few
-        processes that no more will come goes by the clocks that there are.
+        A new leader whose own clock is wrong would otherwise start what is not due yet.
+        A cell of so few processes that no more will come goes by the clocks that there
+        are.
         """
         began_ms = self._clock.monotonic_ms()
 
@@ -263,9 +263,8 @@
     def _permission_answered(self, message):
         """Take an answer to a question of this term; each numbers its own from 1.
 
-        Failure answered: an answer comes after its leader has lost its term, or started
-        anew, and leads again. Taken for that to another question, it would turn down
-        workers for a step that may run there, and a answer is never asked for again.
+        An answer to a question of an earlier term must not be taken for the answer to
+        another one.
         """
         if self._leading is None:
             return
--- a/alderreach/ops/controller/discovery.py
+++ b/alderreach/ops/controller/discovery.py
@@ -6,8 +6,7 @@
 pairs. A controller remembers who greeted it; these are the processes that the leader
 may ask to put questions to the permission service, and whose clocks it compares.
 
-Failure answered: all seeds are replaced, and then the process loses its leader. It goes
-on with the controllers that earlier replies named.
+If all seeds are replaced, it goes on with the controllers that earlier replies named.
 """
 
 import statistics
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -5,9 +5,6 @@
 change for the next batch; the ``effect`` that goes with it (an answer, an order to a
 worker) happens only once the batch is committed. Nothing outside ever sees a decision
 that a new leader could not know.
-
-Failure answered: the leader dies between telling a worker to start a task and writing
-that down. The next leader would start the task a second time beside the first.
 """
 
 import math
--- a/alderreach/ops/controller/preempting.py
+++ b/alderreach/ops/controller/preempting.py
@@ -1,10 +1,7 @@
 """Stops that make room for urgent steps; see ``decisions/cell/preemption.py``.
 
-Failure answered: several runs are stopped for one large task and end one after the
-other. The first room is too small for it yet, and the run that gave it, which waits
-again, takes it back; it is stopped once more, and the urgent task goes on waiting. So a
-worker on which runs were stopped is held for the step that asked until the stops are
-over.
+A worker on which runs were stopped is held for the step that asked until the stops are
+over, since the runs that gave way would otherwise take the first room back.
 """
 
 import math
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -1,8 +1,8 @@
 """Runs of tasks: decided, started, stopped and ended.
 
-Failure answered: *an order gets no answer* (lost, or carried out seconds later). The
-same run is sent again; a worker that has it says so. It is placed elsewhere only after
-a confirmed stop and a poll sent later than that, or after the lease has lapsed: the
+An order that gets no answer may be lost, or be carried out seconds later. The same run
+is sent again; a worker that has it says so. It is placed elsewhere only after a
+confirmed stop and a poll sent later than that, or after the lease has expired: the
 order names the lease's end, so a worker refuses it afterwards.
 """
 
@@ -182,9 +182,8 @@
 def _end_lost_members(leader, job, key, run_number):
     """Members of a run that was done count as done, also those given up before.
 
-    Failure answered: one worker crashes as the gang is done, and its member waits again
-    before the other members' ends are heard. A gang that is partly done is never
-    started, so the job would never end.
+    A gang that is partly done is never started again, so a member whose worker crashed
+    as the gang was done has to count as done too.
     """
     if job.record.steps[key.step].long_running:
         return
--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -30,14 +30,9 @@
 def new_life(leader, worker, born_ms):
     """A newer life bears a known id; which runs it has, only its list can tell.
 
-    Failures answered. The new life took a start before its first heartbeat came here:
-    taken for over, the task would be started beside itself. Its clock starts anew: on
-    the old one its lease would seem to end far ahead, and it would keep its runs longer
-    than the leader counts. Its ends are numbered anew: acknowledged by the old count,
-    they would be forgotten unseen, and the tasks run again. Its heartbeats are numbered
-    anew: by the old count they seem held up on their way and would not be read, so that
-    it seems silent. And only the life before said that it leaves: held against this
-    one, it would get no work for ever. Heartbeats of the life before do not come
+    Its clock, its ends and its heartbeats are numbered anew, and only the former life
+    said that it leaves. The new life may have taken a start before its first heartbeat
+    came here, so its runs are not over yet. Heartbeats of the former life do not come
     between, since they name an earlier birth.
     """
     leader.environment.record(
@@ -95,11 +90,7 @@
 
 
 def abandon(leader, worker):
-    """Start tasks that may run twice elsewhere; what may still run here keeps its room.
-
-    Failure answered: a worker falls silent, and a task that could have been repeated at
-    once waits for the whole lease.
-    """
+    """Start tasks that may run twice elsewhere; what may still run keeps its room."""
     for run in worker.runs.values():
         if not run.allow_duplicates or run.abandoned or not run.sends or run.is_long:
             continue
@@ -131,9 +122,9 @@
 def evacuate(leader, worker, now_ms):
     """A worker drains: what saves its progress, or starts anew anyway, leaves at once.
 
-    Failure answered: the worker ends some seconds later without a word, and whatever
-    ran there waits for its lease. Tasks that save nothing stay: most of them are done
-    before the worker is gone. So do those that will be done before it may end.
+    The worker may end some seconds later without a word, and whatever ran there would
+    wait for its lease. Tasks that save nothing stay, since most of them are done before
+    that; so do those that will be.
     """
     for run in list(worker.runs.values()):
         job = leader.state.jobs.get(run.key.job_id)
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -89,10 +89,9 @@
 def poll_if_due(leader, worker, now_ms):
     """Make the next poll if the worker needs one and its gap is over.
 
-    Failure answered: a worker misses an answer and gets nothing new until the next one.
-    If nothing runs there, only a poll brings that answer; heartbeats show that the
-    worker hears us no better than before. Not looked at, 36 of 44 workers stayed empty
-    to the end of a day after a cut of their failure domain had healed.
+    A worker that missed an answer gets nothing new until the next one. If nothing runs
+    there, only a poll brings that answer: heartbeats show that the worker is alive, not
+    that it hears the leader.
     """
     is_needed = worker.runs or worker.has_ends
     wanted = is_needed or worker.failures or not worker.shown
--- a/alderreach/ops/keeper/joining.py
+++ b/alderreach/ops/keeper/joining.py
@@ -59,10 +59,8 @@
 
         Only a leader may call a keeper removed: others may lack the newest membership.
 
-        Failure answered: a keeper comes back without its disk and knows a few seeds,
-        none of which leads by now. Heard by them alone it never joined, its old vote
-        stayed counted, and after the next loss there was no quorum. So a follower
-        passes the hello on to its leader; once, since a leader keeps it.
+        A blank keeper may know only seeds that do not lead by now, so a follower passes
+        the hello on to its leader; once, since a leader keeps it.
         """
         node = self._node
         leads = node.is_ready_leader
@@ -122,11 +120,7 @@
             self._send(address, hello)
 
     def _note_outside(self, now_ms):
-        """Say that a blank keeper is not taken in: its old vote is missing meanwhile.
-
-        Failure answered: a keeper without its disk stayed outside for the rest of a
-        day, and nothing told so before the next loss cost the quorum.
-        """
+        """Log that a blank keeper is not taken in: its old vote is missing meanwhile."""
         if self._node.members or now_ms < self._outside_line_ms:
             return
         self._outside_line_ms = now_ms + OUTSIDE_LINE_MS
--- a/alderreach/ops/leader_calls.py
+++ b/alderreach/ops/leader_calls.py
@@ -5,13 +5,10 @@
 another, and only the last word depends on what happened: if every attempt was surely
 not taken, the caller may be told so; if one may have been, nothing is claimed.
 
-Failures answered: a leader is deposed, frozen and woken, and answers late from an older
-state. Answers carry the epoch of the leadership, and one that is older than another
-already heard here is thrown away. A leader is lost with a request: no answer comes, and
-after ``ATTEMPT_MS`` the next controller is asked, which knows the new one or says that
-there is none. This process is cut off from the controllers: the call ends at once, so
-that its sender can go to another process while it still has time; held until its
-deadline, every request of a cut zone would be lost.
+Answers carry the epoch of the leadership, and one that is older than another already
+heard here comes from a deposed leader and is thrown away. Without an answer the next
+controller is asked after ``ATTEMPT_MS``. Where no controller can be reached the call
+ends at once, so that its sender can go to another process while it still has time.
 """
 
 import itertools
--- a/alderreach/ops/settings_watch.py
+++ b/alderreach/ops/settings_watch.py
@@ -1,7 +1,7 @@
 """Notices that a daemon's settings file changed, with or without a signal.
 
-Failure answered: the seeds are exchanged in the file and no signal tells of it; a
-process that read it once would look for its cell at addresses that are gone.
+A process that read the file only once would look for its cell at addresses that may be
+gone.
 """
 
 import os
--- a/alderreach/utils/event_log.py
+++ b/alderreach/utils/event_log.py
@@ -14,9 +14,9 @@
 import msgspec
 
 QUEUE_EVENTS = 4000
-# Lines a second of one kind: several times what the heaviest kind needs at the size of
-# today's cells; without a bound, a storm of failures would take the processor.
-KIND_EVENTS_PER_S = 400
+# Lines a second of one kind, above the starts of a busy cell, each of which has a line;
+# without a bound, a storm of failures would take the processor.
+KIND_EVENTS_PER_S = 1200
 LINES_PER_WRITE = 200
 # A reader that takes nothing for so long has stalled.
 STALLED_S = 1
--- a/alderreach/utils/http_connection.py
+++ b/alderreach/utils/http_connection.py
@@ -119,8 +119,8 @@
 class _Headers(dict):
     """Headers of one request as they are read; two lengths that differ are refused.
 
-    Failure answered: with the last of two lengths taken, this server and a proxy before
-    it disagree on where a request ends, and the next caller's bytes become part of it.
+    With the last of two lengths taken, this server and a proxy before it would disagree
+    on where a request ends (request smuggling).
     """
 
     def __setitem__(self, name, value):
