--- a/alderreach/ops/keeper/joining.py
+++ b/alderreach/ops/keeper/joining.py
@@ -120,7 +120,7 @@
             self._send(address, hello)
 
     def _note_outside(self, now_ms):
-        """Log that a blank keeper is not taken in: its old vote is missing meanwhile."""
+        """Log that a blank keeper is not taken in; its old vote is missing."""
         if self._node.members or now_ms < self._outside_line_ms:
             return
         self._outside_line_ms = now_ms + OUTSIDE_LINE_MS
