--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -76,6 +76,7 @@
                 context.settings.discovery.seeds, context.settings.discovery.peer_port
             ),
             "controller",
+            context.settings.process.failure_domain,
             context.clock,
             self._post,
         )
@@ -244,13 +245,14 @@
     def _helpers(self):
         """Who may ask the permission service: everyone heard lately, and this process.
 
-        Frontends come first; controllers have more to do.
+        Frontends come first, since controllers have more to do, and among each those of
+        the own failure domain, which no cut or lossy link keeps from the leader.
         """
         now_ms = self._clock.monotonic_ms()
-        frontends = self._greeters.present(now_ms, "frontend")
+        domain = self._context.settings.process.failure_domain
         return [
-            *frontends,
-            *self._greeters.present(now_ms, "controller"),
+            *self._greeters.present(now_ms, "frontend", domain),
+            *self._greeters.present(now_ms, "controller", domain),
             self._own_address,
         ]
 
--- a/alderreach/ops/controller/discovery.py
+++ b/alderreach/ops/controller/discovery.py
@@ -49,12 +49,13 @@
 class Seeker:
     """A process's view of its controllers; used by one task or under its lock."""
 
-    def __init__(self, own_address, seeds, role, clock, send):
+    def __init__(self, own_address, seeds, role, failure_domain, clock, send):
         self._own = own_address
         self._seeds = list(seeds)
         self._known = {}
         self._heard = {}
         self._role = role
+        self._failure_domain = failure_domain
         self._clock = clock
         self._send = send
         self._next_ms = 0
@@ -70,7 +71,9 @@
         if now_ms < self._next_ms:
             return
         self._next_ms = now_ms + GREETING_INTERVAL_MS
-        greeting = cell.Greeting(self._role, self._clock.wall_ms())
+        greeting = cell.Greeting(
+            self._role, self._clock.wall_ms(), self._failure_domain
+        )
         for address in self._to_greet(now_ms):
             self._send(address, greeting)
 
@@ -130,6 +133,15 @@
         return self.controllers()
 
 
+class _Greeter(typing.NamedTuple):
+    """When a process greeted last, and how far its wall clock is from the steady one."""
+
+    heard_ms: int
+    offset_ms: int
+    role: str
+    failure_domain: str
+
+
 class Greeters:
     """Who greeted a controller lately, and how their clocks differ from its own."""
 
@@ -138,20 +150,23 @@
 
     def note(self, address, greeting, mono_ms):
         """Take a greeting that arrived at ``mono_ms`` of the own steady clock."""
-        self._seen[address] = (mono_ms, greeting.wall_ms - mono_ms, greeting.role)
-
-    def present(self, now_ms, role=None):
-        """Addresses of those heard lately, of one role or of all."""
-        return [
-            address
-            for address, (heard_ms, _offset, its_role) in self._seen.items()
-            if now_ms - heard_ms < SILENT_AFTER_MS and role in (None, its_role)
-        ]
+        offset_ms = greeting.wall_ms - mono_ms
+        domain = greeting.failure_domain
+        self._seen[address] = _Greeter(mono_ms, offset_ms, greeting.role, domain)
+
+    def present(self, now_ms, role, nearest_domain):
+        """Addresses of those of a role heard lately, those of one domain first."""
+        near, far = [], []
+        for address, greeter in self._seen.items():
+            if now_ms - greeter.heard_ms < SILENT_AFTER_MS and greeter.role == role:
+                is_near = greeter.failure_domain == nearest_domain
+                (near if is_near else far).append(address)
+        return near + far
 
     def forget_silent(self, now_ms):
         """Drop whom nobody heard of for long."""
-        for address, (heard_ms, _offset, _role) in list(self._seen.items()):
-            if now_ms - heard_ms > 10 * SILENT_AFTER_MS:
+        for address, greeter in list(self._seen.items()):
+            if now_ms - greeter.heard_ms > 10 * SILENT_AFTER_MS:
                 del self._seen[address]
 
     def cell_offset_ms(self, own_wall_ms, now_ms):
@@ -170,7 +185,7 @@
     def _offsets(self, now_ms):
         """What others' greetings gave lately."""
         return [
-            offset
-            for heard_ms, offset, _role in self._seen.values()
-            if now_ms - heard_ms < SILENT_AFTER_MS
+            greeter.offset_ms
+            for greeter in self._seen.values()
+            if now_ms - greeter.heard_ms < SILENT_AFTER_MS
         ]
--- a/alderreach/ops/frontend/service.py
+++ b/alderreach/ops/frontend/service.py
@@ -44,6 +44,7 @@
                 settings.discovery.seeds, settings.discovery.peer_port
             ),
             "frontend",
+            settings.process.failure_domain,
             context.clock,
             context.transport.send,
         )
