--- a/alderreach/ops/controller/discovery.py
+++ b/alderreach/ops/controller/discovery.py
@@ -134,7 +134,7 @@
 
 
 class _Greeter(typing.NamedTuple):
-    """When a process greeted last, and how far its wall clock is from the steady one."""
+    """When a process greeted last, and its wall clock less the steady one here."""
 
     heard_ms: int
     offset_ms: int
