--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -33,6 +33,7 @@
     is_urgent = (
         not worker.runs
         or not worker.shown
+        or worker.failures
         or any(run.state == workers.CLOSED for run in worker.runs.values())
     )
     longest_ms = leader.lease_ms() // LOOKS_PER_LEASE
--- a/tests/cell_cut_off_worker_test.py
+++ b/tests/cell_cut_off_worker_test.py
@@ -31,3 +31,19 @@
     """
     states = [states_after(*cut) for cut in CUTS_MS]
     assert states == [("completed", "completed")] * len(CUTS_MS)
+
+
+def test_a_partition_of_four_seconds_costs_no_running_work():
+    """Guards against leases so short that a usual partition kills healthy runs.
+
+    Pattern: a failure domain is cut off for four seconds while its workers are full of
+    tasks that take longer and save nothing.
+    """
+    records = [virtual_parts.worker(number, CPU_MILLIS) for number in range(4)]
+    made = virtual_cell.VirtualCell([virtual_parts.queue("q")], records)
+    step = virtual_parts.step(4, WHOLE_MILLIS, estimated_ms=9_000)
+    made.submit_at(0, "q", "met", [virtual_parts.Work(step, [9_000] * 4)])
+    made.cut_off_at(2_000, ["w0", "w1"], 4_000)
+    made.run_until(12_000)
+    assert made.leading.leader.state.jobs["met"].state == "completed"
+    assert made.starts == 4
