--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -134,8 +134,8 @@
         """Ids of workers with a ticket that is good for a start now."""
         answers = self._groups.get(group)
         if answers is None:
-            return set()
-        return set(answers.fresh(SAFETY_MS - 1, now_ms))
+            return []
+        return answers.fresh(SAFETY_MS - 1, now_ms)
 
     def found_short(self, group):
         """Workers with good tickets had too little room for what waits of a group.
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -102,8 +102,9 @@
         """Consider the groups that something changed for, in order of urgency."""
         leader = self._leader
         for group in leader.revisited:
-            self._due_ms[group] = now_ms
-        leader.revisited = set()
+            if group in self._due_ms:
+                self._due_ms[group] = now_ms
+        leader.revisited.clear()
         gained = leader.pools.take_gained()
         if not gained and now_ms < min(self._due_ms.values(), default=math.inf):
             return
@@ -116,7 +117,7 @@
                 break
             if leader.is_over(group):
                 self._drop(group)
-            elif now_ms >= self._due_ms.get(group, 0):
+            elif now_ms >= self._due_ms[group]:
                 started += self._consider_whole(group, now_ms)
                 visits += 1
             elif gained:
--- a/alderreach/utils/http_server.py
+++ b/alderreach/utils/http_server.py
@@ -19,7 +19,7 @@
 # every request of theirs would pay for a new one.
 IDLE_CONNECTIONS_MAX = 1000
 # Threads that a listener keeps while nobody calls.
-THREADS_LEAST = 2
+THREADS_LEAST = 1
 
 
 class HttpLimits(typing.NamedTuple):
