--- a/alderreach/utils/http_client.py
+++ b/alderreach/utils/http_client.py
@@ -26,7 +26,7 @@
     body: bytes
 
 
-class _Exchange(asyncio.Protocol):
+class _Connection(asyncio.Protocol):
     """One connection; httptools calls the ``on_`` methods as it reads an answer."""
 
     def __init__(self):
@@ -96,7 +96,7 @@
         self._port = int(port)
         self._address = address
         self._connect_timeout_s = connect_timeout_s
-        self._exchange = None
+        self._connection = None
 
     async def post(self, path, body, headers, timeout_s):
         """Send a body; returns a Response, raises NotSentError or UnansweredError.
@@ -104,34 +104,34 @@
         ``timeout_s`` is for the answer; connecting has its own time limit.
         """
         loop = asyncio.get_running_loop()
-        exchange = await self._connected(loop)
+        connection = await self._connected(loop)
         answer = loop.create_future()
-        exchange.send(self._request(path, body, headers), answer)
+        connection.send(self._request(path, body, headers), answer)
         timer = loop.call_later(timeout_s, _time_out, answer)
         try:
             return await answer
         except BaseException:
-            exchange.abort()
+            connection.abort()
             raise
         finally:
             timer.cancel()
 
     def close(self):
         """Close the connection; a request under way fails."""
-        if self._exchange is not None:
-            self._exchange.abort()
+        if self._connection is not None:
+            self._connection.abort()
 
     async def _connected(self, loop):
-        if self._exchange is not None and self._exchange.is_open:
-            return self._exchange
+        if self._connection is not None and self._connection.is_open:
+            return self._connection
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                _transport, self._exchange = await loop.create_connection(
-                    _Exchange, self._host, self._port
+                _transport, self._connection = await loop.create_connection(
+                    _Connection, self._host, self._port
                 )
         except OSError as error:
             raise NotSentError(str(error)) from error
-        return self._exchange
+        return self._connection
 
     def _request(self, path, body, headers):
         lines = [f"POST {path} HTTP/1.1", f"Host: {self._address}"]
