--- a/alderreach/ops/controller/service.py
+++ b/alderreach/ops/controller/service.py
@@ -2,7 +2,13 @@
 
 import typing
 
-from alderreach.ops.controller import director, discovery, permission_calls, target_link
+from alderreach.ops.controller import (
+    director,
+    discovery,
+    permission_calls,
+    target_link,
+    worker_connections,
+)
 from alderreach.ops.keeper import service as keeper_service
 from alderreach.utils import event_loop
 
@@ -33,11 +39,14 @@
     context.stack.callback(asking.close)
     worker_calls = event_loop.EventLoop("worker calls")
     context.stack.callback(worker_calls.close)
+    connections = worker_connections.WorkerConnections(
+        context.settings.limits.worker_connections
+    )
     made = []
 
     def open_link(record, epoch, put):
         return target_link.TargetLink(
-            record, epoch, outside.calls, put, worker_calls.post
+            record, epoch, outside.calls, put, worker_calls.post, connections
         )
 
     def extend(port):
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import functools
 import typing
 
 from absl import logging
@@ -47,14 +48,32 @@
 class TargetLink:
     """Calls of one leader to one worker; ``put`` takes their mail.
 
-    ``post(act)`` has something run on the event loop.
+    ``post(act)`` has something run on the event loop, and ``connections`` are the
+    ``WorkerConnections`` that all links share.
     """
 
-    def __init__(self, record, epoch, calls, put, post):
+    def __init__(self, record, epoch, calls, put, post, connections):
         self._post = post
-        lane = lambda call, answered: _Lane(record, epoch, calls, call, answered, put)
-        self._orders = lane(calls.order, OrderAnswered)
-        self._polls = lane(calls.poll, PollAnswered)
+        report = lambda answered, item, result: put(
+            answered(epoch, record.target_id, item, result)
+        )
+        open_session = lambda: calls.open_session(record.address)
+        order = lambda session, item: calls.order(session, record, item)
+        poll = lambda session, item: calls.poll(session, record, item)
+        self._orders = _Lane(
+            open_session,
+            connections,
+            order,
+            False,
+            functools.partial(report, OrderAnswered),
+        )
+        self._polls = _Lane(
+            open_session,
+            connections,
+            poll,
+            True,
+            functools.partial(report, PollAnswered),
+        )
 
     def order(self, order):
         """Queue a Start, Stop or Pace."""
@@ -71,15 +90,17 @@
 
 
 class _Lane:
-    """Calls of one kind, one after the other; used on the event loop only."""
+    """Calls of one kind, one after the other; used on the event loop only.
 
-    def __init__(self, record, epoch, calls, call, answered, put):
-        self._record = record
-        self._epoch = epoch
-        self._open_session = calls.open_session
+    ``may_wait`` says that a call waits until there is a connection for it.
+    """
+
+    def __init__(self, open_session, connections, call, may_wait, report):
+        self._open_session = open_session
+        self._connections = connections
         self._call = call
-        self._answered = answered
-        self._put = put
+        self._may_wait = may_wait
+        self._report = report
         self._queue = collections.deque()
         self._session = None
         self._task = None
@@ -99,20 +120,25 @@
     async def _serve(self):
         try:
             if self._session is None:
-                self._session = self._open_session(self._record.address)
+                self._session = self._open_session()
             while self._queue:
                 item = self._queue.popleft()
-                result = await self._call(self._session, self._record, item)
-                self._put(
-                    self._answered(self._epoch, self._record.target_id, item, result)
-                )
+                self._report(item, await self._call_once(item))
         except Exception:
-            logging.exception("fault while calling %s", self._record.target_id)
+            logging.exception("fault while calling a worker")
         finally:
             self._task = None
             if self._is_closed:
                 self._close_session()
 
+    async def _call_once(self, item):
+        await self._connections.acquire(self._session, self._may_wait)
+        try:
+            return await self._call(self._session, item)
+        finally:
+            self._connections.release(self._session)
+
     def _close_session(self):
         if self._session is not None:
+            self._connections.forget(self._session)
             self._session.close()
--- a/alderreach/ops/controller/target_link_test.py
+++ b/alderreach/ops/controller/target_link_test.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from alderreach.ops.controller import target_link
+from alderreach.ops.controller import target_link, worker_connections
 from alderreach.utils import event_loop
 
 PATIENCE_S = 10
@@ -32,12 +32,14 @@
         calls = target_link.Calls(
             lambda _address: Session(self.closed), self._call, self._call
         )
+        connections = worker_connections.WorkerConnections(10)
         self.link = lambda name: target_link.TargetLink(
             types.SimpleNamespace(target_id=name, address="127.0.0.1:1"),
             7,
             calls,
             self.mail.put,
             self.loop.post,
+            connections,
         )
 
     async def _call(self, _session, record, item):
