--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -260,6 +260,11 @@
             if target_id not in answers.tickets and target_id not in answers.denied
         ]
 
+    def ever_permitted(self, group):
+        """Ids of workers that a group was let run on, with tickets good or not."""
+        answers = self._groups.get(group)
+        return list(answers.tickets) if answers is not None else []
+
     def granted(self, group, target_ids):
         """How many of some workers a group was ever let run on."""
         answers = self._groups.get(group)
--- a/alderreach/decisions/cell/pools.py
+++ b/alderreach/decisions/cell/pools.py
@@ -8,7 +8,9 @@
 import collections
 
 # Workers also become usable by the mere passing of time, and silent in the same way.
+# Going through thousands of them takes longer, so it is done less often.
 REFRESH_MS = 20
+REFRESH_MS_PER_WORKER = 0.05
 
 
 class Pools:
@@ -37,7 +39,8 @@
         """
         if now_ms < self._due_ms:
             return set(), set()
-        self._due_ms = now_ms + REFRESH_MS
+        pause_ms = max(REFRESH_MS, REFRESH_MS_PER_WORKER * len(self._workers))
+        self._due_ms = now_ms + pause_ms
         by_service = collections.defaultdict(list)
         ids = set()
         for target_id, worker in self._workers.items():
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -7,6 +7,7 @@
 that a new leader could not know.
 """
 
+import collections
 import math
 import typing
 
@@ -67,6 +68,7 @@
         self.moves = {}
         self.on_run_ended = lambda job_id, occurrence, step: None
         self._queues = _Queues(None, {}, math.inf)
+        self._to_tend = collections.deque()
         self._changes = []
         self._effects = []
         # The effects of batches that are not committed yet, oldest batch first.
@@ -135,6 +137,15 @@
         self.revisited.add(group)
         self.is_stale = True
 
+    def next_to_tend(self, most):
+        """At most so many workers, those that were given longest ago."""
+        if len(self.workers) <= most:
+            return list(self.workers.values())
+        while len(self._to_tend) < most:
+            self._to_tend.extend(self.workers)
+        names = [self._to_tend.popleft() for _ in range(most)]
+        return [self.workers[name] for name in names if name in self.workers]
+
     def is_over(self, key):
         """Whether the job of a task or group, which its key begins with, has ended."""
         job = self.state.jobs.get(key[0])
--- a/alderreach/ops/controller/leader_state_test.py
+++ b/alderreach/ops/controller/leader_state_test.py
@@ -41,3 +41,16 @@
     for effect in effects:
         effect()
     assert told == ["first", "second"]
+
+
+def test_a_large_cells_workers_are_tended_in_turn():
+    """Guards against workers of a large cell whose leases nobody watches."""
+    records = [virtual_parts.worker(number, 1_000) for number in range(5)]
+    made = virtual_cell.VirtualCell([virtual_parts.queue("q")], records)
+    leader = made.leading.leader
+    assert len(leader.next_to_tend(5)) == 5
+    tended = [w.target_id for _tick in range(5) for w in leader.next_to_tend(2)]
+    assert sorted(tended) == sorted(2 * list(leader.workers))
+    leader.drop_worker("w3")
+    tended = [w.target_id for _tick in range(4) for w in leader.next_to_tend(2)]
+    assert set(tended) == set(leader.workers)
--- a/alderreach/ops/controller/permission_queries.py
+++ b/alderreach/ops/controller/permission_queries.py
@@ -15,6 +15,8 @@
 # half of the time until its question is due, since earlier steps may end early.
 ASK_AHEAD_INTERVAL_MS = 20
 ASK_AHEAD_LATEST_MS = 100
+# Of larger pools only so many workers are considered for a question.
+CONSIDERED_MOST = 500
 
 
 class PermissionQueries:
@@ -139,14 +141,25 @@
 
     def _suitable(self, job, group, now_ms):
         """Ids of workers that could run the step, those with most room first."""
-        step = job.record.steps[group.step]
+        leader, step = self._leader, job.record.steps[group.step]
+        service = job.record.service
+        pool = leader.pools.usable(service)
+        if len(pool) > CONSIDERED_MOST:
+            pool = self._narrowed(pool, service, group)
         roomy, full = [], []
-        for worker in self._leader.pools.usable(job.record.service):
+        for worker in pool:
             if choice.is_suitable(worker, step):
                 ids = roomy if worker.has_room(step) else full
                 ids.append(worker.target_id)
         return roomy + full
 
+    def _narrowed(self, pool, service, group):
+        """Of a large pool the permitted workers, and the freest to be asked about."""
+        known = self._leader.permissions
+        names = known.unasked(group, [worker.target_id for worker in pool])
+        wanted = [*known.ever_permitted(group), *names[:CONSIDERED_MOST]]
+        return self._leader.pools.usable_among(service, wanted)
+
     def _left_ms(self, job, group, now_ms):
         """About how long the earlier steps of a group take; None if some wait."""
         left_ms = 0
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -6,6 +6,10 @@
 from alderreach.decisions.cell import workers
 from alderreach.ops.controller import order_answers, worker_lifecycle, worker_polls
 
+# Workers seen to in one tick; larger cells are gone through in several, so that ticks
+# leave the leader time for decisions.
+TENDED_PER_TICK = 600
+
 
 def take_over(leader):
     """Take up all workers and every run that the state has placed on them."""
@@ -25,8 +29,8 @@
 
 
 def tick(leader, now_ms):
-    """Send again what was not answered, look again, and give up on lapsed leases."""
-    for worker in list(leader.workers.values()):
+    """Send again what was not answered, poll again, and give up on expired leases."""
+    for worker in leader.next_to_tend(TENDED_PER_TICK):
         worker_lifecycle.watch(leader, worker, now_ms)
         for run in list(worker.runs.values()):
             if run.next_send_ms is not None and now_ms >= run.next_send_ms:
--- a/tests/cell_permission_test.py
+++ b/tests/cell_permission_test.py
@@ -4,6 +4,7 @@
 
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import waiting
+from alderreach.ops.controller import permission_queries
 from tools import virtual_cell, virtual_parts
 
 RULE = cell.PermissionRule(600, 5, 1_500)
@@ -85,3 +86,21 @@
     waited_ms = [report["waited_ms"] for report in made.waits]
     assert all(2 * a <= b for a, b in itertools.pairwise(waited_ms))
     assert made.waits[0]["with_room"] == 0
+
+
+def test_in_a_large_cell_a_step_is_asked_about_until_somebody_may_run_it(monkeypatch):
+    """Guards against a step for which only the workers denied already are considered.
+
+    Pattern: more workers than one question considers, few of which may run the step.
+    """
+    monkeypatch.setattr(permission_queries, "CONSIDERED_MOST", 20)
+    records = [virtual_parts.worker(n, 8_000) for n in range(300)]
+    made = virtual_cell.VirtualCell(
+        [virtual_parts.queue("q", permission=cell.PermissionRule(20, 0.1, 2_000))],
+        records,
+        good_shares={"q": 0.02},
+    )
+    step = virtual_parts.step(6, 4_000, max_per_target=1)
+    made.submit_at(0, "q", "j1", [virtual_parts.Work(step, [3_000] * 6)])
+    made.run_until(20_000)
+    assert made.leading.leader.state.jobs["j1"].state == "completed"
