--- a/alderreach/parser/configuration.py
+++ b/alderreach/parser/configuration.py
@@ -22,7 +22,7 @@
 TASK_CPU_MILLIS_MAX = 1_024_000
 TASK_MEMORY_MB_MAX = 24 * 1024 * 1024
 TASK_ACCELERATORS_MAX = 64
-# The largest quota: ten times the target cell of 10,000 workers.
+# The largest quota that a team may have.
 QUOTA_CPU_MILLIS_MAX = 100_000 * 128_000
 QUOTA_MEMORY_MB_MAX = 100_000 * 1024 * 1024
 QUOTA_ACCELERATORS_MAX = 240_000
