--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -68,6 +68,7 @@
         self.moves = {}
         self.on_run_ended = lambda job_id, occurrence, step: None
         self._queues = _Queues(None, {}, math.inf)
+        # Ids of workers in the order in which they are tended; see ``next_to_tend``.
         self._to_tend = collections.deque()
         self._changes = []
         self._effects = []
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -12,7 +12,7 @@
 # How long the answer to a poll may wait for an end: a quarter of the time in which
 # serving tasks may be disturbed by others; and three polls fit into a lease.
 POLL_WAIT_MS = 1000
-LOOKS_PER_LEASE = 3
+POLLS_PER_LEASE = 3
 # A poll that failed is repeated after this, without extending the lease.
 POLL_AGAIN_MS = 300
 # Two reports of the tail lie between two changes of a share.
@@ -36,7 +36,7 @@
         or worker.failures
         or any(run.state == workers.CLOSED for run in worker.runs.values())
     )
-    longest_ms = leader.lease_ms() // LOOKS_PER_LEASE
+    longest_ms = leader.lease_ms() // POLLS_PER_LEASE
     wait_ms = 0 if is_urgent else min(wait_ms, longest_ms)
     worker.poll_sent_ms = worker.polled_ms = now_ms
     worker.has_ends = False
