--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -1,4 +1,4 @@
-"""Calls to one worker: its orders in turn, and beside them one look at a time.
+"""Calls to one worker: its orders in turn, and beside them one poll at a time.
 
 All workers' calls share one event loop, so a worker that hangs holds up nobody else and
 an idle one costs no thread. This module only calls and reports; what is sent and when
--- a/tests/cell_cut_off_worker_test.py
+++ b/tests/cell_cut_off_worker_test.py
@@ -5,7 +5,7 @@
 CPU_MILLIS = 4_000
 # A task that fills a worker.
 WHOLE_MILLIS = 3_000
-# Over a lease, and over one look at a worker on which nothing runs any more.
+# Over a lease, and over one poll of a worker on which nothing runs any more.
 CUTS_MS = [(1_000, 8_000), (1_551, 600)]
 
 
