--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -59,14 +59,17 @@
     """End the runs that the first list of an incarnation does not name.
 
     The list may lack runs whose starts were answered after the poll was sent. It may
-    also lack those whose starts are still on their way; these are stopped.
+    also lack those of which a start is still on its way, perhaps a repeated one of a
+    run that the previous incarnation had; these end once a stop is confirmed.
     """
     worker.awaits_list = False
     listed = {(entry.task, entry.run) for entry in result.running}
+    late = set(worker.late_starts(leader.now_ms()))
     for run in list(worker.runs.values()):
-        if (str(run.key), run.run) in listed:
+        name = (str(run.key), run.run)
+        if name in listed:
             continue
-        if run.state == workers.ORDERED:
+        if run.state == workers.ORDERED or name in late:
             runs.close_run(leader, worker, run)
         elif run.answered_ms <= sent_ms:
             end_kind = worker.previous_ends.get((run.key, run.run), "lost")
--- a/tests/cell_return_test.py
+++ b/tests/cell_return_test.py
@@ -137,6 +137,40 @@
         sim.run_until_state("j2", "completed", duration_ms=5000)
 
 
+def test_a_repeated_start_that_reaches_the_next_incarnation_runs_no_task_twice(
+    tmp_path,
+):
+    """Guards against a task that starts again after its end was acknowledged. The first
+    start of a run is held up in the network, and a repeated one is answered. The worker
+    restarts, and the task was started elsewhere at once, as the first list of the new
+    incarnation did not name it. That incarnation then gets the first start before the
+    stop that would have had it refused.
+    """
+    with cell_sim.running_cell(tmp_path, workers=2) as sim:
+        starts = []
+
+        def delay_ms(call):
+            if isinstance(call.order, orders.Stop):
+                return 3000
+            if isinstance(call.order, orders.Start):
+                starts.append(call)
+            return 2500 if starts == [call] else 0
+
+        sim.call_delay_ms = delay_ms
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=800)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(1000, lambda: len(starts) == 2)
+        sim.run(100)
+        sim.keeps_calls_over_restarts = True
+        restarted = sim.workers[starts[0].target_id]
+        restarted.restart()
+        restarted.state = "draining"
+        sim.wait_for_answer(sim.announce(restarted))
+        sim.run_until_state("j1", "completed", duration_ms=15_000)
+        sim.run(5000)
+
+
 def _count_waiting_tasks(sim, job_id):
     """Return the number of waiting tasks of a job in the committed state."""
     groups = sim.committed_state().jobs[job_id].groups
