--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -14,9 +14,7 @@
 
 import contextlib
 import logging as std_logging
-import os
 import pathlib
-import signal
 import sys
 import threading
 import traceback
@@ -33,6 +31,7 @@
     event_log,
     http_server,
     metrics,
+    stop_signals,
     timeline,
     transport,
 )
@@ -144,9 +143,8 @@
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
-    stopping = threading.Event()
-    _install_signals(stopping)
     with contextlib.ExitStack() as stack:
+        stop = stop_signals.StopSignals(stack)
         dispatcher = _Dispatcher()
         context = _open_context(role, settings, stack, dispatcher, path)
         dispatcher.context = context
@@ -155,7 +153,7 @@
             _serve_platform(context, dispatcher.role)
         context.timeline.record("process_started", detail=role)
         logging.info("%s started, boot %s", settings.process.name, context.boot_id)
-        stopping.wait()
+        stop.wait()
         context.timeline.record("drain_started")
         context.draining.set()
         dispatcher.role.drain()
@@ -221,19 +219,6 @@
     return context
 
 
-def _install_signals(stopping):
-    def stop(_number, _frame):
-        if stopping.is_set():
-            os._exit(1)
-        stopping.set()
-
-    # SIGHUP announces a change of the settings file, which the settings watch detects
-    # by itself; the default action would terminate the process.
-    signal.signal(signal.SIGHUP, lambda _number, _frame: None)
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-
-
 def platform_answer(context, role, path):
     """Answer /livez, /readyz or /metrics with (status line, body), others with None."""
     if path == "/livez":
