--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from alderreach.core import crashes
+from alderreach.core import codec, crashes
 from alderreach.core.generated import cell
 
 ACTIVE = "active"
@@ -332,10 +332,13 @@
 
 def dump(state):
     """Yield (kind, encoded value) for each part of the state."""
-    image = StateImage(state.config, list(state.targets.values()), list(state.ended))
+    config = codec.shortened(state.config)
+    image = StateImage(config, list(state.targets.values()), list(state.ended))
     yield "cell", msgspec.msgpack.encode(image)
     for job in state.jobs.values():
-        yield "cell_job", msgspec.msgpack.encode(_job_image(job))
+        image = _job_image(job)
+        image = image._replace(record=codec.shortened(job.record))
+        yield "cell_job", msgspec.msgpack.encode(image)
 
 
 def load_part(state, kind, data):
--- a/alderreach/core/cell_state_test.py
+++ b/alderreach/core/cell_state_test.py
@@ -1,5 +1,7 @@
 """Tests for the replicated cell state: run ends, gangs, late successes, snapshots."""
 
+import msgspec
+
 from alderreach.core import cell_state, crashes
 from alderreach.core.generated import cell, common
 
@@ -193,3 +195,30 @@
     for copied in (restored, cell_state.copy(state)):
         assert find_task(copied).blame == find_task(state).blame == 6
         assert find_task(copied).in_doubt == (crashes.InDoubtRun(2, "w2", 1),)
+
+
+def test_a_snapshot_keeps_customers_and_reads_those_without():
+    """Guards against snapshots of an earlier version that can't be loaded."""
+    customers = [cell.CustomerConfig("a", [b"d"], 0, 2.0, common.Resources(1, 2, 0))]
+    queue = QUEUE._replace(allows_anonymous=True)
+    for configured, owner in ((None, ""), (customers, "a")):
+        state = cell_state.CellState()
+        config = cell.CellConfig(3, [queue], [], b"{}", configured)
+        job = cell.CellJob("j", QUEUE, "pool", "run", [step(1)], 0, 0, 100, owner)
+        change(state, configs=[config], accepted=[cell.JobAccepted(job, 1000)])
+        loaded = cell_state.CellState()
+        for kind, data in cell_state.dump(state):
+            cell_state.load_part(loaded, kind, data)
+        assert loaded.config == config
+        assert loaded.jobs["j"].record == job
+
+
+def test_a_snapshot_without_customers_has_the_form_of_earlier_versions():
+    state = state_with(step(1))
+    change(state, configs=[cell.CellConfig(3, [QUEUE], [], b"{}")])
+    parts = {
+        kind: msgspec.msgpack.decode(data) for kind, data in cell_state.dump(state)
+    }
+    assert len(parts["cell"][0]) == 4
+    assert len(parts["cell"][0][1][0]) == 10
+    assert len(parts["cell_job"][0]) == 8
--- a/alderreach/core/codec.py
+++ b/alderreach/core/codec.py
@@ -4,6 +4,10 @@
 about the sender. Decoding is strict: bytes that are not a message of this protocol
 version and cell are returned as an error text, never raised as an exception, so that a
 receiver can count them and continue.
+
+A message is written without its trailing fields that have their default values. So a
+process of an earlier version, whose types lack these fields, can decode all messages
+that don't use them. A longer message than it knows is an error there.
 """
 
 import functools
@@ -56,9 +60,42 @@
     return msgspec.msgpack.Decoder(REGISTRY[name])
 
 
+@functools.cache
+def _has_defaults(kind):
+    """Whether a type, or one that its fields may contain, has fields with defaults."""
+    if typing.get_args(kind):
+        return any(_has_defaults(part) for part in typing.get_args(kind))
+    if not hasattr(kind, "_field_defaults"):
+        return False
+    hints = typing.get_type_hints(kind).values()
+    return bool(kind._field_defaults) or any(_has_defaults(part) for part in hints)
+
+
+def shortened(value):
+    """The value without trailing fields that have their defaults, as plain tuples.
+
+    >>> shortened(cell.ReadJob("a.example", "/q/5c0e"))
+    ('a.example', '/q/5c0e')
+    >>> shortened(cell.ReadJob("a.example", "/q/5c0e", b"digest"))
+    ('a.example', '/q/5c0e', b'digest')
+    """
+    if isinstance(value, list):
+        return [shortened(part) for part in value]
+    if not _has_defaults(type(value)):
+        return value
+    parts = list(value)
+    for name in reversed(value._fields):
+        if name not in value._field_defaults:
+            break
+        if parts[-1] != value._field_defaults[name]:
+            break
+        parts.pop()
+    return tuple(shortened(part) for part in parts)
+
+
 def encode(value):
     """Encode a value whose type the reader knows, such as an item's value."""
-    return _encoder.encode(value)
+    return _encoder.encode(shortened(value))
 
 
 def decode(data, kind):
@@ -71,7 +108,7 @@
 
 def pack(message):
     """Encode a message with its name, for a field that holds any command."""
-    return _encoder.encode((type(message).__name__, message))
+    return _encoder.encode((type(message).__name__, shortened(message)))
 
 
 def unpack(data) -> Result:
@@ -85,7 +122,7 @@
 
 def encode_envelope(cell, sender, boot_id, reply_address, message):
     """Encode a message with its sender for the wire."""
-    payload = msgspec.Raw(_encoder.encode(message))
+    payload = msgspec.Raw(encode(message))
     name = type(message).__name__
     return _encoder.encode(
         Envelope(PROTOCOL_VERSION, cell, sender, boot_id, reply_address, name, payload)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -39,9 +39,11 @@
 
 
 def field_lines(fields):
+    """The lines of a message's fields; the third of four values is a default."""
     for field in fields:
         name, kind, doc = field[0], field[1], field[-1]
-        yield f"    {name}: {kind}\n"
+        default = f" = {field[2]}" if len(field) == 4 else ""
+        yield f"    {name}: {kind}{default}\n"
         yield doc_comment(doc)
 
 
