--- /dev/null
+++ b/alderreach/decisions/cell/customers.py
@@ -0,0 +1,139 @@
+"""The customers of a cell: whom a key belongs to, and what each may have running.
+
+A customer's *use* is the total demand of its runs, from the decision to start each of
+them until its end is known. So a run counts while its order is on the way, while its
+worker is silent and its lease may last, and while it is being stopped. Nothing starts
+that takes the use above the customer's cap, except one task that is larger than the
+whole cap while nothing else runs. A cap lowered below the use stops nothing.
+
+A customer that a configuration no longer contains keeps its last cap, since its
+accepted jobs still have to run. Work without a customer has no limit.
+
+Keys are known by their SHA-256 digests and are looked up by them. How long a lookup
+takes tells nothing about a key, as digests of similar keys have nothing in common.
+"""
+
+import sys
+
+from alderreach.core.generated import common
+from alderreach.decisions import quotas, resources
+
+# A step that waits this long for its customer's cap has room saved for it. Most tasks
+# end within a few seconds, so the room is there soon after.
+SAVE_AFTER_MS = 2000
+# A step that has room under the cap, but no worker for this time, loses what is saved.
+UNUSED_SAVING_MS = 2000
+
+
+class Claim:
+    """A waiting step's claim to a part of its customer's cap."""
+
+    __slots__ = (
+        "demand",
+        "has_room_since_ms",
+        "is_gang",
+        "is_urgent",
+        "quota_since_ms",
+        "tasks",
+        "team",
+        "unused_savings",
+    )
+
+    def __init__(self, customer, step, is_urgent):
+        self.team = customer
+        self.demand = step.demand
+        self.is_gang = step.gang
+        self.tasks = step.tasks
+        self.is_urgent = is_urgent
+        self.quota_since_ms = None
+        self.unused_savings = 0
+        self.has_room_since_ms = None
+
+    def smallest_start(self):
+        """The demand of the smallest part of the step that can start."""
+        return resources.times(self.demand, self.tasks if self.is_gang else 1)
+
+
+class Customers:
+    """The keys and the use of all customers, as one leader knows them."""
+
+    def __init__(self):
+        self._ledger = quotas.Ledger(SAVE_AFTER_MS)
+        self._names = {}
+        self._eased = set()
+        self.needs_keys = False
+
+    def configure(self, config):
+        """Apply the customers of a configuration."""
+        customers = config.customers
+        self.needs_keys = customers is not None
+        self._names = {}
+        for customer in customers or ():
+            self._names |= dict.fromkeys(customer.key_digests, customer.name)
+            quota = common.Resources(
+                *(amount or sys.maxsize for amount in customer.cap)
+            )
+            self._ledger.set_team(
+                common.Team(customer.name, quota, customer.weight, "waiting")
+            )
+        self._eased |= set(self._ledger.accounts)
+
+    def identify(self, key_digest):
+        """The customer that has the key with this digest, or None."""
+        return self._names.get(key_digest)
+
+    def charge(self, customer, demand):
+        """Add a run to a customer's use."""
+        account = self._ledger.account(customer)
+        account.used = resources.plus(account.used, demand)
+
+    def refund(self, customer, demand):
+        """Remove a run from a customer's use."""
+        account = self._ledger.account(customer)
+        account.used = resources.minus(account.used, demand)
+        self._eased.add(customer)
+
+    def pop_eased(self):
+        """The customers whose use has fallen or whose caps may have risen."""
+        eased, self._eased = self._eased, set()
+        return eased
+
+    def use_and_cap(self, customer):
+        """A customer's use, and its cap; None without a limit."""
+        account = self._ledger.account(customer)
+        return account.used, account.quota if account.known else None
+
+    def room(self, claim):
+        """How many tasks of a claim's step may start now; for a gang all or none."""
+        account = self._ledger.account(claim.team)
+        if not account.known:
+            return claim.tasks
+        fitting = self._ledger.copies(account, claim.demand, claim)
+        if not fitting and account.used == resources.NOTHING and not claim.is_gang:
+            return 1
+        if claim.is_gang and fitting < claim.tasks:
+            return 0
+        return min(fitting, claim.tasks)
+
+    def wait(self, claim, now_ms):
+        """Record that a claim waits for room, and save room for it if that is due."""
+        claim.has_room_since_ms = None
+        account = self._ledger.account(claim.team)
+        self._ledger.on_quota_used_up(account, claim, claim.smallest_start(), now_ms)
+
+    def on_not_started(self, claim, now_ms):
+        """End the saving for a claim that has room but found no worker for too long."""
+        if self._ledger.account(claim.team).saved_for is not claim:
+            return
+        if claim.has_room_since_ms is None:
+            claim.has_room_since_ms = now_ms
+        elif now_ms - claim.has_room_since_ms >= UNUSED_SAVING_MS:
+            claim.has_room_since_ms = None
+            self._ledger.abandon_saving(claim)
+            self._eased.add(claim.team)
+
+    def close(self, claim):
+        """End a claim whose step waits no longer."""
+        if self._ledger.account(claim.team).saved_for is claim:
+            self._eased.add(claim.team)
+        self._ledger.stop_saving(claim)
--- a/alderreach/decisions/quotas.py
+++ b/alderreach/decisions/quotas.py
@@ -53,10 +53,14 @@
 
 
 class Ledger:
-    """The accounts of all teams."""
+    """The accounts of all teams, or of all customers of a cell.
 
-    def __init__(self):
+    ``save_after_ms`` is how long a line waits for quota before some is saved for it.
+    """
+
+    def __init__(self, save_after_ms=SAVE_AFTER_MS):
         self.accounts = {}
+        self._save_after_ms = save_after_ms
 
     def account(self, team):
         """Return a team's account; an unknown team gets one without quota."""
@@ -92,11 +96,21 @@
             wanted = resources.plus(wanted, account.saved)
         return account.known and resources.fits(wanted, account.quota)
 
+    def copies(self, account, demand, line):
+        """How many tasks of a line fit the quota beside what is saved for others."""
+        free = resources.minus(account.quota, account.used)
+        others = account.saved_for is not None and account.saved_for is not line
+        if others and not line.is_urgent:
+            free = resources.minus(free, account.saved)
+        if not account.known or min(free) < 0:
+            return 0
+        return resources.copies(demand, free)
+
     def on_quota_used_up(self, account, line, demand, now_ms):
         """Record that a line waits for quota; save quota for it if that is due."""
         if line.quota_since_ms is None:
             line.quota_since_ms = now_ms
-        after_ms = SAVE_AFTER_MS << min(line.unused_savings, MAX_DOUBLINGS)
+        after_ms = self._save_after_ms << min(line.unused_savings, MAX_DOUBLINGS)
         is_due = line.quota_since_ms + after_ms <= now_ms
         if (
             account.saved_for is None
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -15,7 +15,13 @@
 
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
-from alderreach.decisions.cell import crash_blame, permissions, pools, workers
+from alderreach.decisions.cell import (
+    crash_blame,
+    customers,
+    permissions,
+    pools,
+    workers,
+)
 
 
 class Environment(typing.NamedTuple):
@@ -57,6 +63,9 @@
         self.epoch = epoch
         self.environment = environment
         self.state = cell_state.copy(environment.committed())
+        self.customers = customers.Customers()
+        if self.state.config is not None:
+            self.customers.configure(self.state.config)
         self.workers = {}
         self.pools = pools.Pools(self.workers)
         self.links = {}
@@ -95,6 +104,8 @@
         """
         change = cell_state.empty_change()._replace(**parts)
         cell_state.apply(self.state, change, self.cell_ms())
+        if change.configs:
+            self.customers.configure(self.state.config)
         self._changes.append(change)
         if effect is not None:
             self._effects.append(effect)
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -7,6 +7,7 @@
 """
 
 import functools
+import typing
 
 from absl import logging
 
@@ -27,7 +28,11 @@
 NO_QUEUE = "no_queue"
 NO_JOB = "no_job"
 INVALID = "invalid"
+UNKNOWN_KEY = "unknown_key"
+OTHER_CUSTOMER = "other_customer"
 NOT_READY = "not_ready"
+# Refusals that another version of the configuration might not give.
+REFUSALS_BY_CONFIG = (NO_QUEUE, UNKNOWN_KEY, OTHER_CUSTOMER)
 
 
 def answer(kind, text="", number=0, retry_after_ms=0, body=b""):
@@ -66,10 +71,22 @@
     return queue, path[len(queue.path_prefix) :]
 
 
+class _Target(typing.NamedTuple):
+    """What a request is about: a queue, a job of it, and the customer who asks.
+
+    ``customer`` is empty if the request has no key or the cell has no customers.
+    """
+
+    queue: cell.QueueConfig
+    job_id: str
+    customer: str
+
+
 def _requires_queue(handler):
-    """Decorate a handler that needs the queue of a request.
+    """Decorate a handler that needs the queue of a request and a caller with a key.
 
-    Requests are answered here if there is no configuration or no matching queue.
+    Requests are answered here if there is no configuration or no matching queue, if
+    their key is unknown, and if their job belongs to another customer.
     """
 
     @functools.wraps(handler)
@@ -78,18 +95,43 @@
         if config is None:
             reply(not_ready())
             return
-        queue, rest = find_queue(config, request.host, request.path)
-        if queue is None:
-            term.confirm(lambda: reply(answer(NO_QUEUE)))
+        queue, job_id = find_queue(config, request.host, request.path)
+        refusal, customer = _authorize(term.leader, queue, job_id, request.key_digest)
+        if refusal:
+            term.record("request_refused", path=request.path, reason=refusal)
+            term.confirm(lambda: reply(answer(refusal)))
             return
-        handler(term, request, reply, queue, rest)
+        handler(term, request, reply, _Target(queue, job_id, customer))
 
     return with_queue
 
 
+def _authorize(leader, queue, job_id, key_digest):
+    """The refusal of a request, empty if there is none, and its customer.
+
+    A key that nobody has is refused on every queue, since its sender believes to act
+    for a customer. A job without a customer may be read and cancelled by anyone who
+    knows its id, and so may any job through a queue that needs no key.
+    """
+    if queue is None:
+        return NO_QUEUE, ""
+    if not leader.customers.needs_keys:
+        return "", ""
+    if not key_digest:
+        return ("", "") if queue.allows_anonymous else (UNKNOWN_KEY, "")
+    customer = leader.customers.identify(key_digest)
+    if customer is None:
+        return UNKNOWN_KEY, ""
+    job = leader.state.jobs.get(job_id)
+    owner = job.record.customer if job else ""
+    if owner and owner != customer:
+        return OTHER_CUSTOMER, customer
+    return "", customer
+
+
 @_requires_queue
-def _submit(term, request, reply, queue, job_id):
-    leader = term.leader
+def _submit(term, request, reply, target):
+    leader, queue, job_id = term.leader, target.queue, target.job_id
     if job_id in leader.state.jobs:
         leader.after_commit(lambda: reply(answer(ACCEPTED)))
         return
@@ -107,6 +149,7 @@
         request.repeat_count,
         request.first_due_ms,
         request.interval_ms,
+        target.customer,
     )
     accepted = cell.JobAccepted(record, leader.cell_ms())
     leader.decide(lambda: reply(answer(ACCEPTED)), accepted=[accepted])
@@ -115,6 +158,7 @@
         "job_accepted",
         job=job_id,
         queue=queue.name,
+        customer=target.customer,
         tasks=sum(step.tasks for step in request.steps),
         config_version=leader.state.config.version,
         is_placeable=_is_placeable(leader, record),
@@ -147,13 +191,14 @@
 
 
 @_requires_queue
-def _read(term, request, reply, queue, job_id):
-    if not job_id:
+def _read(term, request, reply, target):
+    if not target.job_id:
+        queue_name = target.queue.name
         term.confirm(
-            lambda: reply(answer(PENDING, number=term.planner.pending(queue.name)))
+            lambda: reply(answer(PENDING, number=term.planner.pending(queue_name)))
         )
         return
-    term.confirm(lambda: reply(_job_state_answer(term, job_id)))
+    term.confirm(lambda: reply(_job_state_answer(term, target.job_id)))
 
 
 def _job_state_answer(term, job_id):
@@ -167,8 +212,8 @@
 
 
 @_requires_queue
-def _cancel(term, request, reply, _queue, job_id):
-    leader = term.leader
+def _cancel(term, request, reply, target):
+    leader, job_id = term.leader, target.job_id
     job = leader.state.jobs.get(job_id)
     if job is None:
         term.confirm(lambda: reply(answer(NO_JOB)))
--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -14,6 +14,7 @@
 
 import contextlib
 import logging as std_logging
+import os
 import pathlib
 import sys
 import threading
@@ -36,6 +37,8 @@
     transport,
 )
 
+# Files of a daemon, which may hold customers' keys, are for their owner only.
+FILE_MODE_MASK = 0o077
 USAGE = "usage: alderreach-{role} SETTINGS.toml"
 EXIT_BAD_SETTINGS = 2
 PLATFORM_THREADS = 2
@@ -140,6 +143,7 @@
 
 def run(role, build, settings, path=""):
     """Run a daemon with checked settings until SIGTERM; returns the exit code."""
+    os.umask(FILE_MODE_MASK)
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
--- a/alderreach/ops/leader_calls.py
+++ b/alderreach/ops/leader_calls.py
@@ -34,10 +34,15 @@
 
 
 class Outcome(typing.NamedTuple):
-    """The leader's ``cell.CellAnswer`` or None, and whether it may have acted."""
+    """The leader's ``cell.CellAnswer`` or None, and whether it may have acted.
+
+    ``had_unclear_attempt`` is set if an earlier attempt got no answer, so that it may
+    have been accepted although the answer is a refusal.
+    """
 
     answer: typing.Any
     may_have_acted: bool
+    had_unclear_attempt: bool = False
 
 
 class LeaderCalls:
@@ -113,7 +118,8 @@
                 may_have_acted = True
                 self._leader_hint = ""
             elif reply.status == "answered" and self._accept_epoch(reply.epoch):
-                return Outcome(codec.unpack(reply.payload).unwrap(), True), attempts
+                answer = codec.unpack(reply.payload).unwrap()
+                return Outcome(answer, True, may_have_acted), attempts
             elif reply.status == "answered":
                 may_have_acted = True
             else:
--- a/alderreach/platform/answers.py
+++ b/alderreach/platform/answers.py
@@ -7,9 +7,12 @@
 from alderreach.platform import wire
 
 JSON_HEADER = ("Content-Type", "application/json")
+CHALLENGE_HEADER = ("WWW-Authenticate", "Token")
 STATUS_LINES = {
     200: "200 OK",
     400: "400 Bad Request",
+    401: "401 Unauthorized",
+    403: "403 Forbidden",
     404: "404 Not Found",
     405: "405 Method Not Allowed",
     408: "408 Request Timeout",
@@ -28,6 +31,8 @@
     requests.NO_QUEUE: 404,
     requests.NO_JOB: 410,
     requests.INVALID: 400,
+    requests.UNKNOWN_KEY: 401,
+    requests.OTHER_CUSTOMER: 403,
     requests.NOT_READY: 503,
 }
 
@@ -58,18 +63,30 @@
     """Return the reply for a ``leader_calls.Outcome``.
 
     Without an answer, a change that may have been made is a 504, and its sender retries
-    with the same id. Anything else had no effect and is a 503.
+    with the same id. So is a refusal if an earlier attempt got no reply: that one may
+    have been accepted under a configuration that has changed since. Anything else had
+    no effect and is a 503.
     """
-    if outcome.answer is not None:
-        return reply_for_answer(outcome.answer)
-    if is_change and outcome.may_have_acted:
+    answer = outcome.answer
+    if is_change and _is_unclear(outcome):
         return Reply(504)
+    if answer is not None:
+        return reply_for_answer(answer)
     return Reply(503, retry_after_ms=requests.RETRY_AFTER_MS)
 
 
+def _is_unclear(outcome):
+    if outcome.answer is None:
+        return outcome.may_have_acted
+    is_refusal = outcome.answer.kind in requests.REFUSALS_BY_CONFIG
+    return is_refusal and outcome.had_unclear_attempt
+
+
 def respond(reply, start_response, close_connection=False):
     """Send a reply through WSGI."""
     headers = [JSON_HEADER, ("Content-Length", str(len(reply.body)))]
+    if reply.status == 401:
+        headers.append(CHALLENGE_HEADER)
     if reply.retry_after_ms:
         seconds = math.ceil(reply.retry_after_ms / 1000)
         headers.append(("Retry-After", str(seconds)))
--- a/alderreach/platform/callers.py
+++ b/alderreach/platform/callers.py
@@ -8,6 +8,11 @@
 
 READY_PATH = "/-/readiness"
 DEADLINE_HEADER = "HTTP_DEADLINE_MS"
+KEY_HEADER = "HTTP_AUTHORIZATION"
+KEY_SCHEME = "token"
+MAX_KEY_LENGTH = 512
+# Stands for a header that can't be read; no key has this digest.
+UNREADABLE_KEY_DIGEST = b"unreadable"
 # The approximate time that callers wait if they send no deadline.
 DEFAULT_DEADLINE_MS = 2800
 MAX_DEADLINE_MS = 30_000
@@ -78,13 +83,14 @@
     method = environ["REQUEST_METHOD"]
     host = environ.get("HTTP_HOST", "").partition(":")[0]
     path = environ.get("PATH_INFO", "")
+    digest = key_digest(environ)
     try:
         if method == "POST":
-            request = wire.submission(host, path, read_body(environ))
+            request = wire.submission(host, path, read_body(environ), digest)
         elif method == "GET":
-            request = cell.ReadJob(host, path)
+            request = cell.ReadJob(host, path, digest)
         elif method == "DELETE":
-            request = cell.CancelJob(host, path)
+            request = cell.CancelJob(host, path, digest)
         else:
             return answers.Reply(405)
     except wire.MalformedError as error:
@@ -97,6 +103,22 @@
     return answers.reply_for_outcome(outcome, is_change=method != "GET")
 
 
+def key_digest(environ):
+    """The digest of the key in a request's ``Authorization`` header; empty if none.
+
+    The header's form is ``Token KEY``; any other form is as good as an unknown key.
+    """
+    header = environ.get(KEY_HEADER)
+    if header is None:
+        return b""
+    scheme, _space, key = header.partition(" ")
+    key = key.strip()
+    if scheme.lower() != KEY_SCHEME or not 0 < len(key) <= MAX_KEY_LENGTH:
+        return UNREADABLE_KEY_DIGEST
+    # WSGI passes the header's bytes as Latin-1 characters.
+    return wire.key_digest(key.encode("latin-1"))
+
+
 def read_body(environ):
     """Return the complete body of a request."""
     return environ["wsgi.input"].read()
--- a/alderreach/platform/wire.py
+++ b/alderreach/platform/wire.py
@@ -6,6 +6,9 @@
 ignored.
 """
 
+import collections
+import hashlib
+
 import msgspec
 
 from alderreach.core import orders
@@ -77,6 +80,15 @@
     max_attempts: int = 1
     stretch: float = 1.0
     advice: _Advice | None = None
+    allow_anonymous: bool = False
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int = 0
+    weight: float = 1
+    cap: _Capacity = msgspec.field(default_factory=_Capacity)
 
 
 class _Service(msgspec.Struct):
@@ -89,6 +101,7 @@
     version: int
     routes: list[_Route]
     services: list[_Service]
+    tenants: list[_Tenant] | None = None
 
 
 class _WorkerAnswer(msgspec.Struct):
@@ -123,8 +136,11 @@
         raise MalformedError(str(error)) from error
 
 
-def submission(host, path, body):
-    """Convert a job's body to a ``cell.SubmitJob``; raises ``MalformedError``."""
+def submission(host, path, body, digest=b""):
+    """Convert a job's body to a ``cell.SubmitJob``; raises ``MalformedError``.
+
+    ``digest`` is that of the key that the caller sent.
+    """
     job = _decode(_decode_job, body)
     steps = [
         cell.Step(
@@ -155,6 +171,7 @@
         job.repeat_count,
         int(job.start_at_ms),
         int(job.interval_ms),
+        digest,
     )
 
 
@@ -169,11 +186,7 @@
         decoded.service,
         decoded.address,
         decoded.zone,
-        common.Resources(
-            int(decoded.capacity.cpu),
-            int(decoded.capacity.mem_mb),
-            int(decoded.capacity.gpu),
-        ),
+        _resources(decoded.capacity),
         decoded.labels,
         decoded.state,
         decoded.machine,
@@ -184,29 +197,78 @@
 def configuration(body):
     """Convert a configuration's body to a ``cell.CellConfig``.
 
-    Raises ``MalformedError``, also for a route to an unknown service, for two routes
-    with the same host and path prefix and for a timeout that is not positive.
+    Raises ``MalformedError`` naming all mistakes: a route to an unknown service, two
+    routes with the same host and path prefix, a timeout that is not positive, two
+    customers with the same name or a common key, an empty key, and a negative weight or
+    cap. The message never contains a key.
     """
     decoded = _decode(_decode_config, body)
+    mistakes = [*_route_mistakes(decoded), *_tenant_mistakes(decoded.tenants or [])]
+    if mistakes:
+        raise MalformedError("; ".join(mistakes))
+    queues = [_queue_config(route) for route in decoded.routes]
+    services = [
+        cell.ServiceConfig(service.name, service.enforces_capacity, service.standby)
+        for service in decoded.services
+    ]
+    customers = None
+    if decoded.tenants is not None:
+        customers = [_customer_config(tenant) for tenant in decoded.tenants]
+    return cell.CellConfig(decoded.version, queues, services, body, customers)
+
+
+def _route_mistakes(decoded):
     names = {service.name for service in decoded.services}
     locations = set()
     for route in decoded.routes:
         if route.service not in names:
-            raise MalformedError(
-                f"route {route.name} names unknown service {route.service}"
-            )
+            yield f"route {route.name} names unknown service {route.service}"
         if route.timeout_ms <= 0:
-            raise MalformedError(f"route {route.name} has no timeout")
+            yield f"route {route.name} has no timeout"
         location = (route.host, route.path_prefix)
         if location in locations:
-            raise MalformedError(f"two routes at {route.host}{route.path_prefix}")
+            yield f"two routes at {route.host}{route.path_prefix}"
         locations.add(location)
-    queues = [_queue_config(route) for route in decoded.routes]
-    services = [
-        cell.ServiceConfig(service.name, service.enforces_capacity, service.standby)
-        for service in decoded.services
-    ]
-    return cell.CellConfig(decoded.version, queues, services, body)
+
+
+def _tenant_mistakes(tenants):
+    owners = collections.defaultdict(set)
+    names = set()
+    for tenant in tenants:
+        if tenant.name in names:
+            yield f"two customers are named {tenant.name}"
+        names.add(tenant.name)
+        if tenant.weight < 0 or min(msgspec.structs.astuple(tenant.cap)) < 0:
+            yield f"customer {tenant.name} has a negative weight or cap"
+        if not all(tenant.api_keys):
+            yield f"customer {tenant.name} has an empty key"
+        for key in tenant.api_keys:
+            owners[key].add(tenant.name)
+    shared = {tuple(sorted(group)) for group in owners.values() if len(group) > 1}
+    for group in sorted(shared):
+        yield f"customers {', '.join(group)} share a key"
+
+
+def _customer_config(tenant):
+    return cell.CustomerConfig(
+        tenant.name,
+        [key_digest(key.encode()) for key in tenant.api_keys],
+        tenant.priority,
+        tenant.weight,
+        _resources(tenant.cap),
+    )
+
+
+def key_digest(key):
+    """The digest by which a key, given as bytes, is known after it was received.
+
+    Only the configuration as the operator sent it contains the keys themselves.
+    """
+    return hashlib.sha256(key).digest()
+
+
+def _resources(capacity):
+    return common.Resources(int(capacity.cpu), int(capacity.mem_mb), int(capacity.gpu))
 
 
 def _queue_config(route):
@@ -228,6 +290,7 @@
         int(route.target_latency_ms),
         int(route.timeout_ms),
         rule,
+        route.allow_anonymous,
     )
 
 
--- a/alderreach/platform/wire_test.py
+++ b/alderreach/platform/wire_test.py
@@ -1,5 +1,7 @@
 """Tests the conversion of complete bodies of the platform's protocol."""
 
+import json
+
 import pytest
 
 from alderreach.core import orders
@@ -20,6 +22,71 @@
  "running":[["j.0.1.17",2,"c1",41,12.5],["j.0.0.1",1,"",0]],
  "ended":[[58,"j.0.1.9",1,"done",""],[59,"j.0.1.8",3,"stopped","c2"]]}"""
 
+ROUTE = {
+    "name": "r",
+    "host": "h",
+    "path_prefix": "/q/",
+    "service": "pool",
+    "timeout_ms": 3000,
+}
+CUSTOMER = {"name": "guides", "api_keys": ["first-key", "second-key"], "weight": 8}
+
+
+def config_body(*customers, **changes):
+    fields = {"version": 7, "routes": [ROUTE], "services": [{"name": "pool"}]}
+    return json.dumps(fields | {"tenants": customers} | changes).encode()
+
+
+def test_customers_of_a_configuration(snapshot):
+    customer = CUSTOMER | {"priority": 1, "cap": {"cpu": 4000, "mem_mb": 9000}}
+    body = config_body(customer, routes=[ROUTE | {"allow_anonymous": True}])
+    decoded = wire.configuration(body)
+    assert decoded.body == body
+    assert decoded._replace(body=b"") == snapshot
+
+
+def test_a_configuration_without_customers_needs_no_keys():
+    body = json.dumps({"version": 7, "routes": [], "services": []}).encode()
+    assert wire.configuration(body).customers is None
+    assert wire.configuration(config_body()).customers == []
+
+
+def test_all_mistakes_of_a_configuration_are_named_without_a_key():
+    customers = [
+        CUSTOMER,
+        CUSTOMER | {"name": "desk"},
+        CUSTOMER | {"name": "desk", "api_keys": [""], "weight": -1},
+        CUSTOMER | {"name": "crew", "api_keys": ["third-key"], "cap": {"cpu": -1}},
+    ]
+    routes = [ROUTE | {"service": "none"}, ROUTE | {"timeout_ms": 0}]
+    with pytest.raises(wire.MalformedError) as raised:
+        wire.configuration(config_body(*customers, routes=routes))
+    assert str(raised.value).split("; ") == [
+        "route r names unknown service none",
+        "route r has no timeout",
+        "two routes at h/q/",
+        "two customers are named desk",
+        "customer desk has a negative weight or cap",
+        "customer desk has an empty key",
+        "customer crew has a negative weight or cap",
+        "customers desk, guides share a key",
+    ]
+
+
+@pytest.mark.parametrize(
+    "customer",
+    [
+        CUSTOMER | {"api_keys": "first-key"},
+        CUSTOMER | {"api_keys": [5, "first-key"]},
+        CUSTOMER | {"cap": {"cpu": "first-key"}},
+        {"api_keys": ["first-key"]},
+    ],
+)
+def test_a_malformed_customer_is_rejected_without_showing_its_key(customer):
+    with pytest.raises(wire.MalformedError) as raised:
+        wire.configuration(config_body(customer))
+    assert "first-key" not in str(raised.value)
+
 
 def test_a_job_with_every_field(snapshot):
     assert wire.submission("h", "/q/5c0e", JOB) == snapshot
--- a/alderreach/utils/http_connection.py
+++ b/alderreach/utils/http_connection.py
@@ -123,12 +123,15 @@
     """Headers of one request; two different Content-Length headers are refused.
 
     If the last one were used, this server and a proxy in front of it could disagree on
-    where a request ends (request smuggling).
+    where a request ends (request smuggling). Repeated Authorization headers are joined
+    into a value that is no valid key, so that none of them is chosen over the others.
     """
 
     def __setitem__(self, name, value):
         if name == b"Content-Length" and self.get(name, value) != value:
             raise ValueError("two different Content-Length headers")
+        if name == b"Authorization" and name in self:
+            value = self[name] + b", " + value
         super().__setitem__(name, value)
 
 
