--- a/alderreach/decisions/cell/waiting.py
+++ b/alderreach/decisions/cell/waiting.py
@@ -10,6 +10,9 @@
 - ``PERMISSION``: it was denied all workers.
 - ``ROOM``: its permitted workers lack capacity, and no others are left to query.
 
+``CAP`` stands beside them: its customer has as much running as it may, and nothing else
+matters.
+
 >>> cause(WaitState(31, 120, 12, 12, 9, 16, 92, False, True))
 'question'
 """
@@ -23,6 +26,7 @@
 QUESTION = "question"
 PERMISSION = "permission"
 ROOM = "room"
+CAP = "cap"
 
 
 class WaitState(typing.NamedTuple):
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -51,6 +51,7 @@
         "answered_ms",
         "best_effort",
         "checkpoint",
+        "customer",
         "demand",
         "first_ms",
         "first_percent",
@@ -77,6 +78,7 @@
     def __init__(self, key, run, step, now_ms, ticket=""):
         self.key = key
         self.run = run
+        self.customer = ""
         self.demand = step.demand
         self.best_effort = step.best_effort
         self.tail_target_ms = step.tail_target_ms
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -8,7 +8,7 @@
 considered in full when something other than free capacity has changed for it, or when
 one of its timers has expired (ticket expiry, preemption patience, wait report).
 Otherwise it is considered only for the workers that have freed capacity since the last
-pass.
+pass. A group whose customer is at its cap is not considered at all (``cap_waits``).
 """
 
 import heapq
@@ -16,7 +16,13 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions.cell import choice, crash_blame, order
-from alderreach.ops.controller import permission_queries, preempting, runs, wait_reports
+from alderreach.ops.controller import (
+    cap_waits,
+    permission_queries,
+    preempting,
+    runs,
+    wait_reports,
+)
 
 # Bounds of one pass, so that a large job or a long queue never delays the quorum's
 # heartbeats or the workers' leases. The next pass continues with the remaining groups.
@@ -41,6 +47,7 @@
         self._queries = permission_queries.PermissionQueries(leader)
         self._preemptions = preempting.Preemptions(leader, self._rank)
         self._wait_reports = wait_reports.WaitReports(leader)
+        self._cap_waits = cap_waits.CapWaits(leader)
         # A heap of (due time, group) for occurrences that are due later.
         self._scheduled = []
         self._next_pass_ms = 0
@@ -109,6 +116,8 @@
             if group in self._due_ms:
                 self._due_ms[group] = now_ms
         leader.groups_to_revisit.clear()
+        for group in self._cap_waits.pop_ready(now_ms):
+            self._return_to_queue(group, now_ms)
         freed = leader.pools.pop_freed()
         if not freed and now_ms < min(self._due_ms.values(), default=math.inf):
             return
@@ -124,6 +133,8 @@
                 break
             if leader.is_over(group):
                 self._drop(group)
+            elif self._park_at_cap(group, now_ms):
+                continue
             elif now_ms >= self._due_ms[group]:
                 started += self._consider_in_full(group, now_ms)
                 visits += 1
@@ -136,6 +147,8 @@
 
     def tidy(self):
         """Drop the records of jobs that have ended."""
+        for group in self._cap_waits.ended():
+            self._drop(group)
         self._leader.drop_ended(self._ranks)
         self._preemptions.tidy()
         self._wait_reports.tidy(self._waiting.values(), self._leader.now_ms())
@@ -182,6 +195,25 @@
             self._due_ms[group] = 0
             self._queue.add(group, self._rank(job, group), self._leader.cell_ms())
 
+    def _return_to_queue(self, group, now_ms):
+        """Consider a group again that was parked."""
+        job = self._leader.state.jobs.get(group.job_id)
+        if job is not None:
+            self._queue.add(group, self._rank(job, group), self._leader.cell_ms())
+            self._due_ms[group] = now_ms
+
+    def _park_at_cap(self, group, now_ms):
+        """Park a group of which its customer may start nothing; returns if it did."""
+        job = self._leader.state.jobs[group.job_id]
+        if self._cap_waits.room(job, group):
+            return False
+        self._cap_waits.park(job, group, now_ms)
+        self._queue.remove(group)
+        del self._due_ms[group]
+        self._leader.permissions.clear_shortage(group)
+        self._wait_reports.consider_cap(job, group, self._waiting[group], now_ms)
+        return True
+
     def _latest_due_ms(self):
         """The latest due time of occurrences that may start now.
 
@@ -209,10 +241,8 @@
         self._ranked_config = leader.state.config
         self._ranks.clear()
         for group in self._waiting:
-            job = leader.state.jobs.get(group.job_id)
-            if job is not None:
-                self._queue.add(group, self._rank(job, group), leader.cell_ms())
-                self._due_ms[group] = 0
+            if not self._cap_waits.is_parked(group):
+                self._return_to_queue(group, 0)
 
     def _rank(self, job, group):
         rank = self._ranks.get(group)
@@ -233,6 +263,7 @@
         self._due_ms.pop(group, None)
         self._ranks.pop(group, None)
         self._wait_reports.on_all_started(group)
+        self._cap_waits.remove(group)
         self._leader.permissions.clear_shortage(group)
 
     def _consider_in_full(self, group, now_ms):
@@ -246,7 +277,7 @@
         rule = leader.queue_of(job).permission
         pool = self._pool(job, group, rule, now_ms)
         started, left = self._place(job, group, pool, now_ms)
-        if not left:
+        if not left or self._park_at_cap(group, now_ms):
             return started
         since_ms = self._waiting[group]
         if rule is not None:
@@ -322,13 +353,17 @@
         if not waiting:
             self._remove_waiting(group)
             return 0, 0
+        room = self._cap_waits.room(job, group)
         if step.gang:
             started = self._place_gang(group, step, tasks, pool, now_ms)
         else:
-            started = self._place_tasks(group, step, tasks, waiting, pool, now_ms)
+            allowed = waiting[:room]
+            started = self._place_tasks(group, step, tasks, allowed, pool, now_ms)
         left = len(waiting) - started
         if not left:
             self._remove_waiting(group)
+        elif not started:
+            self._cap_waits.on_not_started(job, group, now_ms)
         return started, left
 
     def _place_tasks(self, group, step, tasks, waiting, pool, now_ms):
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -4,7 +4,12 @@
 
 from alderreach.core import cell_state, crashes
 from alderreach.decisions.cell import workers
-from alderreach.ops.controller import order_answers, worker_lifecycle, worker_polls
+from alderreach.ops.controller import (
+    order_answers,
+    runs,
+    worker_lifecycle,
+    worker_polls,
+)
 
 # The number of workers checked in one tick. In larger cells the checks are spread over
 # several ticks, which leaves the leader time for decisions.
@@ -24,7 +29,7 @@
                 key = cell_state.TaskKey(job.record.job_id, occurrence, number, index)
                 if task.state == cell_state.PLACED:
                     _adopt(leader, key, task, job.record.steps[number], now_ms)
-                _adopt_in_doubt(leader, key, task)
+                _adopt_in_doubt(leader, key, task, job.record.steps[number], now_ms)
     for worker in leader.workers.values():
         worker_polls.poll(leader, worker)
 
@@ -42,12 +47,20 @@
         worker_lifecycle.forget_if_silent(leader, worker, now_ms)
 
 
-def _adopt_in_doubt(leader, key, task):
-    """Take over the runs of a task whose ends are not known yet."""
-    for run, target_id, born_ms in task.in_doubt:
+def _adopt_in_doubt(leader, key, task, step, now_ms):
+    """Take over the runs of a task whose ends are not known yet.
+
+    The previous leader may have abandoned a run while its lease lasted, so it may still
+    hold resources of its worker and count against its customer's cap.
+    """
+    for run_number, target_id, born_ms in task.in_doubt:
         worker = leader.workers.get(target_id)
-        if worker is not None and worker.record.born_ms == born_ms:
-            worker.runs_in_doubt[(key, run)] = crashes.CRASHED_AT_START
+        if worker is None or worker.record.born_ms != born_ms:
+            continue
+        worker.runs_in_doubt[(key, run_number)] = crashes.CRASHED_AT_START
+        if step.allow_duplicates and not step.gang and key not in worker.runs:
+            run = _add_started(leader, worker, key, run_number, step, now_ms)
+            run.abandoned = True
 
 
 def _adopt(leader, key, task, step, now_ms):
@@ -55,10 +68,16 @@
     if worker is None:
         logging.error("run of %s on unknown worker %s", key, task.target_id)
         return
-    run = workers.Run(key, task.run, step, now_ms)
+    _add_started(leader, worker, key, task.run, step, now_ms)
+
+
+def _add_started(leader, worker, key, run_number, step, now_ms):
+    """Add a run that a previous leader may have started; returns it."""
+    run = workers.Run(key, run_number, step, now_ms)
     run.sends = 1
     run.is_fully_observed = False
     run.next_send_ms = None
     if run.best_effort:
         run.pace = None
-    worker.add(run)
+    runs.add(leader, worker, run)
+    return run
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -26,12 +26,19 @@
     run.next_send_ms = None
     run.checkpoint = checkpoint
     run.is_fully_observed = not checkpoint
-    worker.add(run)
+    add(leader, worker, run)
     record = worker.record
     placed = cell.RunPlaced(*key, run_number, record.target_id, record.born_ms)
     leader.decide(lambda: _send_committed_start(leader, worker, run), placed=[placed])
 
 
+def add(leader, worker, run):
+    """Add a run to a worker and to what its customer has running."""
+    run.customer = leader.state.jobs[run.key.job_id].record.customer
+    worker.add(run)
+    leader.customers.charge(run.customer, run.demand)
+
+
 def close_job(leader, job):
     """Stop all runs of a job."""
     for (occurrence, number), tasks in job.groups.items():
@@ -60,6 +67,7 @@
 def end_run(leader, worker, run, end_kind, checkpoint=""):
     """Record the end of a run and release its resources."""
     worker.remove(run)
+    leader.customers.refund(run.customer, run.demand)
     leader.pools.mark_freed(worker.target_id)
     key = run.key
     job = leader.state.jobs.get(key.job_id)
--- a/alderreach/ops/controller/wait_reports.py
+++ b/alderreach/ops/controller/wait_reports.py
@@ -55,6 +55,37 @@
             **wait_state._asdict(),
         )
 
+    def consider_cap(self, job, group, since_ms, now_ms):
+        """Report a step whose customer is at its cap, if its report is due."""
+        if now_ms < self.next_ms(group, since_ms) or not self._reports_left:
+            return
+        self._reports_left -= 1
+        waited_ms = now_ms - since_ms
+        self._due_ms[group] = now_ms + waited_ms
+        customer = job.record.customer
+        use, cap = self._leader.customers.use_and_cap(customer)
+        self._leader.environment.metrics.count("long_waits", waiting.CAP)
+        self._leader.environment.record(
+            "step_waits",
+            task=".".join(str(part) for part in group),
+            cause=waiting.CAP,
+            waited_ms=waited_ms,
+            customer=customer,
+            use=use._asdict(),
+            cap=cap._asdict(),
+            held_by=self._holding_jobs(customer),
+        )
+
+    def _holding_jobs(self, customer):
+        """The jobs of a customer with most runs, as [job, runs]."""
+        counts = collections.Counter(
+            run.key.job_id
+            for worker in self._leader.workers.values()
+            for run in worker.runs.values()
+            if run.customer == customer
+        )
+        return [list(row) for row in counts.most_common(MAX_HOLDERS)]
+
     def next_ms(self, group, since_ms):
         """When the next report on a waiting group is due."""
         return self._due_ms.get(group, since_ms + FIRST_REPORT_MS)
