--- /dev/null
+++ b/tests/relay_test.py
@@ -0,0 +1,48 @@
+"""The relay that injects network faults keeps what it promises to its users."""
+
+import contextlib
+import socket
+import threading
+
+from tools import cell
+from tools import relay as relay_module
+
+WAIT_S = 10
+
+
+def test_what_waited_for_a_cut_link_is_lost_by_a_reset():
+    """Guards against faults that no network has: a worker got a call that was sent to
+    its previous incarnation, on a connection that its sender had given up long before.
+    """
+    received, is_received = [], threading.Event()
+
+    def serve(server):
+        while not is_received.is_set():
+            connection = server.accept()[0]
+            received.append(connection.recv(100))
+            if received[-1] == b"second":
+                is_received.set()
+
+    with contextlib.ExitStack() as stack:
+        server = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        free = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        listen = free.getsockname()
+        free.close()
+        relay = relay_module.Relay()
+        stack.callback(relay.close)
+        relay.add("link", listen, server.getsockname())
+        thread = threading.Thread(target=serve, args=(server,), daemon=True)
+        thread.start()
+        relay.cut(["link"])
+        with socket.create_connection(listen, timeout=WAIT_S) as first:
+            first.sendall(b"first")
+            cell.wait_until(lambda: relay.has_connections("link"), "it is accepted")
+            relay.reset(["link"])
+            with contextlib.suppress(ConnectionResetError):
+                assert first.recv(1) == b""
+        relay.heal(["link"])
+        with socket.create_connection(listen, timeout=WAIT_S) as second:
+            second.sendall(b"second")
+            assert is_received.wait(WAIT_S)
+        thread.join(WAIT_S)
+    assert received == [b"second"]
--- a/tools/relay.py
+++ b/tools/relay.py
@@ -5,7 +5,8 @@
   arrives late once the link heals. New connections over a cut link are accepted by the
   kernel and stay silent as well.
 - *Slow:* all data are delayed.
-- *Reset:* all connections of a link are aborted.
+- *Reset:* all connections of a link are aborted, also those that wait for the link to
+  heal; nothing that was sent on them arrives.
 """
 
 import asyncio
@@ -49,6 +50,10 @@
         """The names of all links."""
         return list(self._links)
 
+    def has_connections(self, name):
+        """Whether a link has open connections, or some that wait for it to heal."""
+        return bool(self._links[name].writers)
+
     def cut(self, names, directions=BOTH):
         """Stop forwarding on the named links until they are healed."""
         self._change(names, lambda link: _set(link, directions, False))
@@ -114,19 +119,28 @@
 
 
 async def _forward(link, reader, writer, target):
-    await link.passing[OUT].wait()
+    link.writers.add(writer)
+    try:
+        await link.passing[OUT].wait()
+        if not writer.is_closing():
+            await _connect(link, reader, writer, target)
+    finally:
+        link.writers.discard(writer)
+
+
+async def _connect(link, reader, writer, target):
     try:
         far_reader, far_writer = await asyncio.open_connection(*target)
     except OSError:
         writer.close()
         return
-    link.writers |= {writer, far_writer}
+    link.writers.add(far_writer)
     try:
         await asyncio.gather(
             _pump(link, OUT, reader, far_writer), _pump(link, IN, far_reader, writer)
         )
     finally:
-        link.writers -= {writer, far_writer}
+        link.writers.discard(far_writer)
 
 
 async def _pump(link, direction, reader, writer):
