--- a/alderreach/decisions/cell/customers.py
+++ b/alderreach/decisions/cell/customers.py
@@ -13,6 +13,7 @@
 takes tells nothing about a key, as digests of similar keys have nothing in common.
 """
 
+import collections
 import sys
 
 from alderreach.core.generated import common
@@ -23,6 +24,9 @@
 SAVE_AFTER_MS = 2000
 # A step that has room under the cap, but no worker for this time, loses what is saved.
 UNUSED_SAVING_MS = 2000
+# So does a step that has not got its room in this time, since the customer's other work
+# waits meanwhile.
+MAX_SAVING_MS = 10_000
 
 
 class Claim:
@@ -34,6 +38,7 @@
         "is_gang",
         "is_urgent",
         "quota_since_ms",
+        "saved_since_ms",
         "tasks",
         "team",
         "unused_savings",
@@ -48,6 +53,7 @@
         self.quota_since_ms = None
         self.unused_savings = 0
         self.has_room_since_ms = None
+        self.saved_since_ms = None
 
     def smallest_start(self):
         """The demand of the smallest part of the step that can start."""
@@ -61,6 +67,8 @@
         self._ledger = quotas.Ledger(SAVE_AFTER_MS)
         self._names = {}
         self._eased = set()
+        # The part of each customer's use that belongs to tasks that last.
+        self._lasting = collections.defaultdict(lambda: resources.NOTHING)
         self.needs_keys = False
 
     def configure(self, config):
@@ -82,16 +90,22 @@
         """The customer that has the key with this digest, or None."""
         return self._names.get(key_digest)
 
-    def charge(self, customer, demand):
-        """Add a run to a customer's use."""
-        account = self._ledger.account(customer)
-        account.used = resources.plus(account.used, demand)
-
-    def refund(self, customer, demand):
-        """Remove a run from a customer's use."""
-        account = self._ledger.account(customer)
-        account.used = resources.minus(account.used, demand)
-        self._eased.add(customer)
+    def charge(self, run):
+        """Add a run to its customer's use."""
+        account = self._ledger.account(run.customer)
+        account.used = resources.plus(account.used, run.demand)
+        if run.is_long:
+            lasting = self._lasting[run.customer]
+            self._lasting[run.customer] = resources.plus(lasting, run.demand)
+
+    def refund(self, run):
+        """Remove a run from its customer's use."""
+        account = self._ledger.account(run.customer)
+        account.used = resources.minus(account.used, run.demand)
+        if run.is_long:
+            lasting = self._lasting[run.customer]
+            self._lasting[run.customer] = resources.minus(lasting, run.demand)
+        self._eased.add(run.customer)
 
     def pop_eased(self):
         """The customers whose use has fallen or whose caps may have risen."""
@@ -116,10 +130,22 @@
         return min(fitting, claim.tasks)
 
     def wait(self, claim, now_ms):
-        """Record that a claim waits for room, and save room for it if that is due."""
+        """Record that a claim waits for room, and save room for it if that is due.
+
+        Nothing is saved for a claim that would not fit even if only the customer's
+        lasting tasks were running: other work would wait for nothing.
+        """
         claim.has_room_since_ms = None
         account = self._ledger.account(claim.team)
-        self._ledger.on_quota_used_up(account, claim, claim.smallest_start(), now_ms)
+        if account.saved_for is claim:
+            if now_ms - claim.saved_since_ms >= MAX_SAVING_MS:
+                self._abandon_saving(claim)
+            return
+        demand = claim.smallest_start()
+        needed = resources.plus(demand, self._lasting[claim.team])
+        if resources.fits(needed, account.quota):
+            self._ledger.on_quota_used_up(account, claim, demand, now_ms)
+            claim.saved_since_ms = now_ms
 
     def on_not_started(self, claim, now_ms):
         """End the saving for a claim that has room but found no worker for too long."""
@@ -129,11 +155,14 @@
             claim.has_room_since_ms = now_ms
         elif now_ms - claim.has_room_since_ms >= UNUSED_SAVING_MS:
             claim.has_room_since_ms = None
-            self._ledger.abandon_saving(claim)
-            self._eased.add(claim.team)
+            self._abandon_saving(claim)
 
     def close(self, claim):
         """End a claim whose step waits no longer."""
         if self._ledger.account(claim.team).saved_for is claim:
             self._eased.add(claim.team)
         self._ledger.stop_saving(claim)
+
+    def _abandon_saving(self, claim):
+        self._ledger.abandon_saving(claim)
+        self._eased.add(claim.team)
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -36,7 +36,7 @@
     """Add a run to a worker and to what its customer has running."""
     run.customer = leader.state.jobs[run.key.job_id].record.customer
     worker.add(run)
-    leader.customers.charge(run.customer, run.demand)
+    leader.customers.charge(run)
 
 
 def close_job(leader, job):
@@ -67,7 +67,7 @@
 def end_run(leader, worker, run, end_kind, checkpoint=""):
     """Record the end of a run and release its resources."""
     worker.remove(run)
-    leader.customers.refund(run.customer, run.demand)
+    leader.customers.refund(run)
     leader.pools.mark_freed(worker.target_id)
     key = run.key
     job = leader.state.jobs.get(key.job_id)
--- a/tests/cell_caps_test.py
+++ b/tests/cell_caps_test.py
@@ -66,6 +66,26 @@
         assert sim.read_job("j29").text == "queued"
 
 
+def test_a_gang_that_lasting_tasks_leave_no_room_for_holds_up_nothing(tmp_path):
+    """Guards against a customer whose work stands still: room was saved for a gang that
+    can't get it, as tasks that last hold a part of the cap.
+    """
+    with cell_sim.running_cell(tmp_path, workers=8, cpu_millis=1000) as sim:
+        for worker in sim.workers.values():
+            worker.script = LONG
+        cell_sim.configure_customers(sim, 2, cell_sim.customer("a", 4000))
+        cell_sim.submit_for(sim, "a", "watch", cell_sim.step(2, long_running=True))
+        sim.run(500)
+        for number, worker in enumerate(sim.workers.values()):
+            worker.script = cell_worker.Script(work_ms=310 + 130 * number)
+        cell_sim.submit_for(sim, "a", "gang", cell_sim.step(3, gang=True))
+        for number in range(8):
+            cell_sim.submit_for(sim, "a", f"j{number}", cell_sim.step(4))
+        sim.run(4000)
+        sim.run_until_state("j7", "completed", duration_ms=12_000)
+        assert sim.read_job("gang").text == "queued"
+
+
 def test_a_new_leader_counts_what_its_predecessor_started(tmp_path):
     """Guards against a customer that exceeds its cap after a change of the leader. The
     former leader gave up a run that may run twice and started it elsewhere, while the
