--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -13,6 +13,7 @@
 import urllib3
 from hdrh.histogram import HdrHistogram
 
+from tools.soak import operators
 from tools.soak import promises as promises_module
 
 HOST = "a.example"
@@ -20,7 +21,9 @@
 TIMEOUT_S = 3.0
 PAUSE_S = 0.15
 ATTEMPTS = 12
-REJECTED = (429, 503)
+REJECTED = (401, 429, 503)
+# Each caller tries a key that must be refused before this share of its jobs.
+REFUSED_KEY_SHARE = 0.2
 MAX_LATENCY_MS = 600_000
 WIDE_CPU_MILLIS = 5000
 # Long-running jobs: even all six on one worker leave enough capacity for a wide task.
@@ -34,6 +37,11 @@
     return PERMITTED if int(job_id, 16) % 2 else FREE
 
 
+def customer_of(job_id):
+    """The customer of a job."""
+    return operators.CUSTOMERS[int(job_id, 16) % len(operators.CUSTOMERS)]
+
+
 def _step_json(step):
     """A step as submitted by callers: empty and false fields are left out."""
     fields = {"count": step.count, "cpu": step.cpu_millis, "mem_mb": 1}
@@ -54,12 +62,14 @@
 class Callers:
     """Threads that submit jobs until ``stop``; ``answers`` has all their answers.
 
-    ``crashing`` are the numbers of the jobs whose task crashes its workers.
+    ``refused_key()`` returns a key that no request may be served with. ``crashing`` are
+    the numbers of the jobs whose task crashes its workers.
     """
 
-    def __init__(self, addresses, promises, rng, crashing=(), threads=3):
+    def __init__(self, addresses, promises, rng, refused_key, crashing=(), threads=3):
         self._addresses = addresses
         self._promises = promises
+        self._refused_key = refused_key
         self._rng = rng
         self._crashing = crashing
         self._lock = threading.Lock()
@@ -102,7 +112,10 @@
         session = self.session()
         while not self._stopping.is_set():
             job_id, steps, cancels = self._draw()
-            self._promises.on_job_submitted(job_id, steps)
+            customer = customer_of(job_id)
+            self._promises.on_job_submitted(job_id, steps, customer)
+            if int(job_id, 16) % round(1 / REFUSED_KEY_SHARE) == 0:
+                self._try_refused_key(session, job_id)
             if self._submit(session, job_id, steps):
                 if cancels:
                     self._cancel(session, job_id)
@@ -129,6 +142,12 @@
                 return job_id, [step(1, 500, crashes=True)], False
             return job_id, steps, cancels
 
+    def _try_refused_key(self, session, job_id):
+        key = self._refused_key()
+        status, _body = self._call(session, "DELETE", job_id, key=key)
+        if status in (200, 410):
+            self._promises.violations.append(f"the key {key} is served")
+
     def _submit(self, session, job_id, steps):
         body = json.dumps(
             {"spec": "run", "steps": [_step_json(s) for s in steps]}
@@ -157,7 +176,10 @@
             time.sleep(PAUSE_S)
         self.unclear.add(job_id)
 
-    def _call(self, session, method, job_id, body=None):
+    def _call(self, session, method, job_id, body=None, key=None):
+        key = key or operators.lasting_key(customer_of(job_id))
+        headers = {"Host": HOST, "Deadline-Ms": str(int(TIMEOUT_S * 1000))}
+        headers["Authorization"] = f"Token {key}"
         with self._lock:
             address = self._rng.choice(self._addresses)
         began_s = time.monotonic()
@@ -166,7 +188,7 @@
                 method,
                 f"http://{address}{prefix_of(job_id)}{job_id}",
                 body=body,
-                headers={"Host": HOST, "Deadline-Ms": str(int(TIMEOUT_S * 1000))},
+                headers=headers,
             )
             status, data = answer.status, answer.data
         except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError):
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -8,7 +8,6 @@
 import contextlib
 import functools
 import itertools
-import json
 import random
 import threading
 import time
@@ -20,6 +19,7 @@
 from tools import cell, relay, seeded_cell
 from tools.soak import callers as callers_module
 from tools.soak import faults as faults_module
+from tools.soak import operators
 from tools.soak import promises as promises_module
 from tools.standins import permissions, platform_worker
 
@@ -43,7 +43,6 @@
     "stretch": 2.0,
 }
 CONFIG = {
-    "version": 1,
     "routes": [
         ROUTE | {"name": "q", "path_prefix": callers_module.FREE},
         ROUTE
@@ -133,7 +132,10 @@
         stack.callback(links.close)
         running.start()
         controls = [plan.control for plan in running.of_role("controller")]
-        cell.wait_until(lambda: _configure(controls), "a configuration is accepted")
+        operator = operators.Operator(
+            controls, lambda version: CONFIG | {"version": version}, promises, seed
+        )
+        cell.wait_until(operator.change, "a configuration is accepted")
         service = permissions.PermissionService(
             running.permission, RULE, functools.partial(may_run, seed)
         )
@@ -144,12 +146,19 @@
         addresses = _link_frontends(running, links)
         _wait_ready(running)
         calling = callers_module.Callers(
-            addresses, promises, random.Random(f"callers {seed}"), crashing
+            addresses,
+            promises,
+            random.Random(f"callers {seed}"),
+            operator.refused_key,
+            crashing,
         ).start()
         stack.callback(calling.stop)
+        operator.start()
+        stack.callback(operator.stop)
         faults = faults_module.Faults(running, links, workers, start_worker, seed)
         faults.play(duration_s)
         calling.stop()
+        operator.stop()
         _check_recovery(calling, promises)
         return Report(
             seed,
@@ -176,16 +185,6 @@
     return int(worker.removeprefix("i-")) % WORKERS in places
 
 
-def _configure(controls):
-    http = urllib3.PoolManager(retries=False, timeout=2)
-    try:
-        body = json.dumps(CONFIG).encode()
-        url = f"http://{controls[0]}/-/config"
-        return http.request("PUT", url, body=body).status == 200
-    except urllib3.exceptions.HTTPError:
-        return False
-
-
 def _worker_starter(running, links, controls, scene, seed, stack):
     """Make a function that starts a worker with a new id in one of the places."""
     rng = random.Random(f"workers {seed}")
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -42,6 +42,8 @@
         self.refused = set()
         self.violations = []
         self.starts = 0
+        self.customers = {}
+        self.caps_millis = collections.defaultdict(list)
         self.crashes = collections.Counter()
         self.crashed_under = collections.Counter()
 
@@ -50,10 +52,23 @@
         """The clock of the stand-in workers."""
         return types.SimpleNamespace(now_ms=clocks.SYSTEM.monotonic_ms())
 
-    def on_job_submitted(self, job_id, steps):
+    def on_job_submitted(self, job_id, steps, customer=""):
         """A caller is about to submit a job with these ``Step`` objects."""
         with self.lock:
             self.steps[job_id] = steps
+            self.customers[job_id] = customer
+
+    def on_caps_sent(self, caps_millis):
+        """A configuration with these caps of customers is about to be sent."""
+        with self.lock:
+            for customer, cap_millis in caps_millis.items():
+                self.caps_millis[customer].append(cap_millis)
+
+    def on_caps_acknowledged(self, caps_millis):
+        """The configuration that was sent last has been acknowledged."""
+        with self.lock:
+            for customer, cap_millis in caps_millis.items():
+                self.caps_millis[customer] = [cap_millis]
 
     def on_job_refused(self, job_id):
         """All attempts to submit a job were rejected, so it must never run."""
@@ -83,6 +98,7 @@
                 )
         self._check_dependencies(task, job_id, int(number))
         self._check_capacity(worker, order)
+        self._check_cap(order.task)
 
     def on_end_acknowledged(self, end):
         """An end has been acknowledged."""
@@ -203,6 +219,22 @@
                 f"{worker.name} is over its capacity by {order.task}"
             )
 
+    def _check_cap(self, task):
+        """Check a customer's use against the highest cap that may be in force."""
+        customer = self.customers[task.partition(".")[0]]
+        caps_millis = self.caps_millis.get(customer)
+        if not caps_millis:
+            return
+        tasks = [
+            other
+            for worker in self.workers
+            if not worker.is_down
+            for other in worker.running
+            if self.customers.get(other.partition(".")[0]) == customer
+        ]
+        if sum(map(self._cpu_demand, [*tasks, task])) > max(caps_millis):
+            self.violations.append(f"{customer} is over its cap by {task}")
+
     def _cpu_demand(self, task):
         return self._step_of(task).cpu_millis
 
