--- a/alderreach/decisions/cell/customers.py
+++ b/alderreach/decisions/cell/customers.py
@@ -14,6 +14,7 @@
 """
 
 import collections
+import heapq
 import sys
 
 from alderreach.core.generated import common
@@ -117,6 +118,15 @@
         account = self._ledger.account(customer)
         return account.used, account.quota if account.known else None
 
+    def cap_shares(self, limit):
+        """The customers nearest to their caps, with the share of it that each uses."""
+        shares = {
+            name: resources.share(account.used, account.quota)
+            for name, account in self._ledger.accounts.items()
+            if account.known
+        }
+        return dict(heapq.nlargest(limit, shares.items(), key=lambda row: row[1]))
+
     def room(self, claim):
         """How many tasks of a claim's step may start now; for a gang all or none."""
         account = self._ledger.account(claim.team)
--- a/alderreach/ops/controller/cap_waits.py
+++ b/alderreach/ops/controller/cap_waits.py
@@ -8,6 +8,9 @@
 
 from alderreach.decisions.cell import customers
 
+# The number of customers in the metrics; each of them is a time series.
+MAX_REPORTED_CUSTOMERS = 30
+
 
 class CapWaits:
     """The claims of the waiting groups of one term, and the parked groups."""
@@ -56,6 +59,14 @@
             self._parked.get(claim.team, {}).pop(group, None)
             self._leader.customers.close(claim)
 
+    def report(self):
+        """Update the gauges of the customers that are nearest to their caps."""
+        metrics = self._leader.environment.metrics
+        shares = self._leader.customers.cap_shares(MAX_REPORTED_CUSTOMERS)
+        waiting = {name: len(self._parked.get(name, ())) for name in shares}
+        metrics.gauges("customer_cap_share", shares)
+        metrics.gauges("customer_steps_at_cap", waiting)
+
     def ended(self):
         """The parked groups of jobs that have ended."""
         return [
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -149,6 +149,7 @@
         """Drop the records of jobs that have ended."""
         for group in self._cap_waits.ended():
             self._drop(group)
+        self._cap_waits.report()
         self._leader.drop_ended(self._ranks)
         self._preemptions.tidy()
         self._wait_reports.tidy(self._waiting.values(), self._leader.now_ms())
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -98,7 +98,14 @@
         queue, job_id = find_queue(config, request.host, request.path)
         refusal, customer = _authorize(term.leader, queue, job_id, request.key_digest)
         if refusal:
-            term.record("request_refused", path=request.path, reason=refusal)
+            term.leader.environment.metrics.count("requests_refused", refusal)
+            term.record(
+                "request_refused",
+                path=request.path,
+                reason=refusal,
+                customer=customer,
+                config_version=config.version,
+            )
             term.confirm(lambda: reply(answer(refusal)))
             return
         handler(term, request, reply, _Target(queue, job_id, customer))
--- a/alderreach/utils/metrics.py
+++ b/alderreach/utils/metrics.py
@@ -23,6 +23,7 @@
         self._lock = threading.Lock()
         self._counts = {}
         self._gauges = {}
+        self._labelled_gauges = {}
         self._histograms = {}
         self.registry = prometheus_client.CollectorRegistry()
         self.registry.register(self)
@@ -38,6 +39,11 @@
         with self._lock:
             self._gauges[name] = value
 
+    def gauges(self, name, values):
+        """Set a gauge for each label; labels that ``values`` lacks are dropped."""
+        with self._lock:
+            self._labelled_gauges[name] = dict(values)
+
     def observe_ms(self, name, duration_ms):
         """Record a duration in the histogram ``name``."""
         value_us = min(max(int(duration_ms * 1000), LOWEST_US), HIGHEST_US)
@@ -81,6 +87,11 @@
         yield from counters.values()
         for name, value in sorted(self._gauges.items()):
             yield core.GaugeMetricFamily(f"alderreach_{name}", name, value=value)
+        for name, values in sorted(self._labelled_gauges.items()):
+            family = core.GaugeMetricFamily(f"alderreach_{name}", name, labels=["kind"])
+            for label, value in sorted(values.items()):
+                family.add_metric([label], value)
+            yield family
         for name, histogram in sorted(self._histograms.items()):
             family = core.GaugeMetricFamily(
                 f"alderreach_{name}_ms", name, labels=["percentile"]
