--- a/alderreach/decisions/cell/customers.py
+++ b/alderreach/decisions/cell/customers.py
@@ -70,6 +70,8 @@
         self._eased = set()
         # The part of each customer's use that belongs to tasks that last.
         self._lasting = collections.defaultdict(lambda: resources.NOTHING)
+        # Each customer's runs that could be preempted, with their workers.
+        self._yielding = collections.defaultdict(dict)
         self.needs_keys = False
 
     def configure(self, config):
@@ -91,13 +93,15 @@
         """The customer that has the key with this digest, or None."""
         return self._names.get(key_digest)
 
-    def charge(self, run):
-        """Add a run to its customer's use."""
+    def charge(self, worker, run):
+        """Add a run on a worker to its customer's use."""
         account = self._ledger.account(run.customer)
         account.used = resources.plus(account.used, run.demand)
         if run.is_long:
             lasting = self._lasting[run.customer]
             self._lasting[run.customer] = resources.plus(lasting, run.demand)
+        if run.may_yield:
+            self._yielding[run.customer][run] = worker
 
     def refund(self, run):
         """Remove a run from its customer's use."""
@@ -106,6 +110,7 @@
         if run.is_long:
             lasting = self._lasting[run.customer]
             self._lasting[run.customer] = resources.minus(lasting, run.demand)
+        self._yielding[run.customer].pop(run, None)
         self._eased.add(run.customer)
 
     def pop_eased(self):
@@ -118,6 +123,10 @@
         account = self._ledger.account(customer)
         return account.used, account.quota if account.known else None
 
+    def yielding_runs(self, customer):
+        """A customer's runs that could be preempted, as (worker, run)."""
+        return [(worker, run) for run, worker in self._yielding[customer].items()]
+
     def cap_shares(self, limit):
         """The customers nearest to their caps, with the share of it that each uses."""
         shares = {
--- a/alderreach/decisions/cell/preemption.py
+++ b/alderreach/decisions/cell/preemption.py
@@ -9,6 +9,10 @@
 queue of higher priority, only while its own job can still meet its objective, at most
 ``MAX_YIELDS`` times, and only once the urgent step has waited for ``PATIENCE_MS``, in
 which enough capacity is usually freed anyway.
+
+An urgent step of a customer at its cap waits for that customer's own runs only; another
+customer's yielding frees nothing for it. So of its own less urgent runs as many yield,
+on any workers, as the step needs.
 """
 
 import typing
@@ -71,6 +75,16 @@
     return [] if step.gang and wanted > 0 else chosen
 
 
+def choose_for_cap(free, demand, runs):
+    """The fewest of a customer's runs whose stop lets ``demand`` fit under its cap.
+
+    ``free`` is what the cap leaves, with the runs that are being stopped already. The
+    result may free less than ``demand`` if ``runs`` are too few.
+    """
+    chosen, left = _cheapest_runs(free, demand, runs, is_partial=True)
+    return _drop_unneeded(chosen, left, demand)[0]
+
+
 def _share_stopped(victims):
     """The largest share of one of a worker's resources that the victims use."""
     capacity = victims.worker.record.capacity
@@ -86,18 +100,29 @@
     closing = [run.demand for run in worker.runs.values() if run.is_closing()]
     free = _total((worker.free(), *closing))
     candidates = [run for run in worker.runs.values() if may_yield(run)]
-    candidates.sort(key=lambda run: (run.demand, str(run.key)))
+    chosen, free = _cheapest_runs(free, demand, candidates)
+    if chosen is None:
+        return None
+    chosen, free = _drop_unneeded(chosen, free, demand)
+    return Victims(worker, chosen, _fit_count(free, demand))
+
+
+def _cheapest_runs(free, demand, candidates, is_partial=False):
+    """The fewest runs whose stop lets ``demand`` fit, and what is free then.
+
+    Without enough candidates the result is None, or all useful ones if ``is_partial``.
+    """
+    candidates = sorted(candidates, key=lambda run: (run.demand, str(run.key)))
     chosen = []
     while any(_missing(free, demand)):
         useful = [run for run in candidates if _frees_missing(run, free, demand)]
         if not useful:
-            return None
+            return (chosen if is_partial else None), free
         run = _pick(useful, _missing(free, demand))
         candidates.remove(run)
         chosen.append(run)
         free = _total((free, run.demand))
-    chosen, free = _drop_unneeded(chosen, free, demand)
-    return Victims(worker, chosen, _fit_count(free, demand))
+    return chosen, free
 
 
 def _drop_unneeded(chosen, free, demand):
--- a/alderreach/decisions/cell/preemption_test.py
+++ b/alderreach/decisions/cell/preemption_test.py
@@ -132,3 +132,17 @@
         run = workers.Run(key, 1, step(1, **options, **{other: True}), 0)
         assert not run.may_yield
     assert not workers.Run(key, 1, step(1), 0).may_yield
+
+
+def test_the_fewest_runs_of_a_customer_yield_for_its_cap():
+    """One large run frees as much as needed, so two smaller ones go on."""
+    small, other, large = [
+        workers.Run(
+            cell_state.TaskKey("p", 0, 0, n), 1, step(cpu, checkpointing=True), 0
+        )
+        for n, cpu in enumerate((3000, 4000, 9000))
+    ]
+    free, demand = common.Resources(1000, 10_000, 0), common.Resources(8000, 1000, 0)
+    assert preemption.choose_for_cap(free, demand, [small, other, large]) == [large]
+    assert preemption.choose_for_cap(free, demand, [small, other]) == [other, small]
+    assert preemption.choose_for_cap(demand, demand, [small, other, large]) == []
--- a/alderreach/ops/controller/cap_waits.py
+++ b/alderreach/ops/controller/cap_waits.py
@@ -35,6 +35,15 @@
         claim = self._claims.get(group)
         return claim is not None and group in self._parked.get(claim.team, ())
 
+    def urgent(self):
+        """The parked groups that may preempt less urgent work of their customers."""
+        return [
+            group
+            for parked in self._parked.values()
+            for group, claim in parked.items()
+            if claim.is_urgent
+        ]
+
     def on_not_started(self, job, group, now_ms):
         """Record that a group has room under the cap, but found no worker."""
         self._leader.customers.on_not_started(self._claim(job, group), now_ms)
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -118,6 +118,7 @@
         leader.groups_to_revisit.clear()
         for group in self._cap_waits.pop_ready(now_ms):
             self._return_to_queue(group, now_ms)
+        self._preempt_under_caps(now_ms)
         freed = leader.pools.pop_freed()
         if not freed and now_ms < min(self._due_ms.values(), default=math.inf):
             return
@@ -215,6 +216,17 @@
         self._wait_reports.consider_cap(job, group, self._waiting[group], now_ms)
         return True
 
+    def _preempt_under_caps(self, now_ms):
+        """Let urgent parked groups preempt less urgent work of their customers."""
+        for group in self._cap_waits.urgent():
+            job = self._leader.state.jobs.get(group.job_id)
+            if job is None or self._leader.is_over(group):
+                continue
+            tasks = job.groups[group[1:]]
+            waiting = sum(task.state == cell_state.WAITING for task in tasks)
+            since_ms = self._waiting[group]
+            self._preemptions.consider_cap(job, group, waiting, since_ms, now_ms)
+
     def _latest_due_ms(self):
         """The latest due time of occurrences that may start now.
 
--- a/alderreach/ops/controller/preempting.py
+++ b/alderreach/ops/controller/preempting.py
@@ -8,6 +8,7 @@
 import typing
 
 from alderreach.core import cell_state
+from alderreach.decisions import resources
 from alderreach.decisions.cell import preemption, workers
 from alderreach.ops.controller import runs
 
@@ -74,6 +75,30 @@
             for run in victims.runs:
                 self._stop(victims.worker, run, group)
 
+    def consider_cap(self, job, group, wanted, since_ms, now_ms):
+        """Preempt a customer's own runs for ``wanted`` tasks of a group at its cap."""
+        if now_ms < self.next_ms(job, group, since_ms):
+            return
+        leader = self._leader
+        priority = leader.queue_of(job).priority
+        runs_by_worker = leader.customers.yielding_runs(job.record.customer)
+        closing = [run.demand for _worker, run in runs_by_worker if run.is_closing()]
+        used, cap = leader.customers.use_and_cap(job.record.customer)
+        free = resources.minus(cap, used)
+        for demand in closing:
+            free = resources.plus(free, demand)
+        workers_of = {
+            run: worker
+            for worker, run in runs_by_worker
+            if self._may_yield(run, priority)
+        }
+        demand = resources.times(job.record.steps[group.step].demand, wanted)
+        chosen = preemption.choose_for_cap(free, demand, list(workers_of))
+        pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
+        self._next_ms[group] = now_ms + pause_ms
+        for run in chosen:
+            self._stop(workers_of[run], run, group)
+
     def tidy(self):
         """Drop the records of jobs that have ended."""
         self._leader.drop_ended(self._preemption_counts)
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -36,7 +36,7 @@
     """Add a run to a worker and to what its customer has running."""
     run.customer = leader.state.jobs[run.key.job_id].record.customer
     worker.add(run)
-    leader.customers.charge(run)
+    leader.customers.charge(worker, run)
 
 
 def close_job(leader, job):
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -61,6 +61,7 @@
 
     ``helpers`` is the number of processes that query the permission service, which lets
     the steps of a queue run on the share of the workers in ``permitted_shares``.
+    ``customers`` are ``cell.CustomerConfig``, or None if jobs have no customers.
     ``cpu_s`` is the processor time used by the leader's own code, ``cpu_by_second`` the
     same per second of virtual time, and ``waits`` holds the fields of each report on a
     step that has waited for a long time. ``silent_helpers`` accept queries and never
@@ -75,6 +76,7 @@
         permitted_shares=None,
         seed=1,
         restore_ms=600.0,
+        customers=None,
     ):
         self.loop = virtual_load.Loop()
         self.rng = random.Random(seed)
@@ -101,7 +103,7 @@
         self._log = cell_state.CellState()
         services = sorted({queue.service for queue in queues})
         pools = [cell.ServiceConfig(name, False, False) for name in services]
-        self._log.config = cell.CellConfig(1, list(queues), pools, b"{}")
+        self._log.config = cell.CellConfig(1, list(queues), pools, b"{}", customers)
         self._log.targets = {record.target_id: record for record in records}
         self._epoch = 0
         self.term = None
@@ -109,8 +111,8 @@
         self.loop.after(0, self._tick)
         self._send_heartbeats()
 
-    def submit(self, queue_name, job_id, works):
-        """Submit a job now."""
+    def submit(self, queue_name, job_id, works, customer=""):
+        """Submit a job now; the digest of a customer's key is its name."""
         self._tasks.add(job_id, works)
         request = cell.SubmitJob(
             virtual_parts.HOST,
@@ -120,14 +122,15 @@
             0,
             0,
             0,
+            customer.encode(),
         )
         objective_ms = virtual_parts.objective_ms(self._queues[queue_name], works)
         self._submissions[job_id] = (queue_name, self.loop.now_ms, objective_ms)
         self._submit_until_accepted(request)
 
-    def submit_at(self, time_ms, queue_name, job_id, works):
+    def submit_at(self, time_ms, queue_name, job_id, works, customer=""):
         """Submit a job at a later time."""
-        self.loop.at(time_ms, lambda: self.submit(queue_name, job_id, works))
+        self.loop.at(time_ms, lambda: self.submit(queue_name, job_id, works, customer))
 
     def _submit_until_accepted(self, request):
         accepted = []
@@ -165,6 +168,10 @@
             return ON_TIME
         return LATE if took_ms <= LATE_AFTER_OBJECTIVES * objective_ms else NEVER
 
+    def completed_ms(self, job_id):
+        """When a job was completed, or None."""
+        return self._completed_ms.get(job_id)
+
     def leave_at(self, time_ms, target_ids):
         """Make workers leave at a given time, with all their runs, for good."""
         for target_id in target_ids:
--- a/tools/virtual_parts.py
+++ b/tools/virtual_parts.py
@@ -46,6 +46,12 @@
     return plain._replace(**options)
 
 
+def customer(name, cpu_millis, memory_mb=0, weight=1):
+    """A customer with a cap; the digest of its only key is its name."""
+    cap = common.Resources(cpu_millis, memory_mb, 0)
+    return cell.CustomerConfig(name, [name.encode()], 0, weight, cap)
+
+
 def worker(
     number,
     cpu_millis,
