--- a/alderreach/decisions/cell/customers.py
+++ b/alderreach/decisions/cell/customers.py
@@ -4,7 +4,9 @@
 them until its end is known. So a run counts while its order is on the way, while its
 worker is silent and its lease may last, and while it is being stopped. Nothing starts
 that takes the use above the customer's cap, except one task that is larger than the
-whole cap while nothing else runs. A cap lowered below the use stops nothing.
+whole cap while nothing else runs. A cap lowered below the use stops nothing. Room that
+is saved for a step that waits long is kept from other steps only while the customer
+uses half of its cap or more: nobody's work stands still beside a cap that is half free.
 
 A customer that a configuration no longer contains keeps its last cap, since its
 accepted jobs still have to run. Work without a customer has no limit.
@@ -25,8 +27,10 @@
 SAVE_AFTER_MS = 2000
 # A step that has room under the cap, but no worker for this time, loses what is saved.
 UNUSED_SAVING_MS = 2000
-# So does a step that has not got its room in this time, since the customer's other work
-# waits meanwhile.
+# After this time other steps may use half of the cap. Work that stands still beside a
+# free cap for 3 s counts as lost.
+EXCLUSIVE_SAVING_MS = 2000
+# A step that has not got its room in this time loses what is saved as well.
 MAX_SAVING_MS = 10_000
 
 
@@ -37,6 +41,7 @@
         "demand",
         "has_room_since_ms",
         "is_gang",
+        "is_saving_exclusive",
         "is_urgent",
         "quota_since_ms",
         "saved_since_ms",
@@ -55,6 +60,7 @@
         self.unused_savings = 0
         self.has_room_since_ms = None
         self.saved_since_ms = None
+        self.is_saving_exclusive = False
 
     def smallest_start(self):
         """The demand of the smallest part of the step that can start."""
@@ -70,6 +76,8 @@
         self._eased = set()
         # The part of each customer's use that belongs to tasks that last.
         self._lasting = collections.defaultdict(lambda: resources.NOTHING)
+        # The claims for which room is saved, by customer.
+        self._saving = {}
         # Each customer's runs that could be preempted, with their workers.
         self._yielding = collections.defaultdict(dict)
         self.needs_keys = False
@@ -142,6 +150,9 @@
         if not account.known:
             return claim.tasks
         fitting = self._ledger.copies(account, claim.demand, claim)
+        saved_for = account.saved_for
+        if saved_for is not None and not saved_for.is_saving_exclusive:
+            fitting = max(fitting, _copies_below_half(account, claim.demand))
         if not fitting and account.used == resources.NOTHING and not claim.is_gang:
             return 1
         if claim.is_gang and fitting < claim.tasks:
@@ -156,15 +167,27 @@
         """
         claim.has_room_since_ms = None
         account = self._ledger.account(claim.team)
-        if account.saved_for is claim:
-            if now_ms - claim.saved_since_ms >= MAX_SAVING_MS:
-                self._abandon_saving(claim)
-            return
         demand = claim.smallest_start()
         needed = resources.plus(demand, self._lasting[claim.team])
-        if resources.fits(needed, account.quota):
-            self._ledger.on_quota_used_up(account, claim, demand, now_ms)
-            claim.saved_since_ms = now_ms
+        if account.saved_for is claim or not resources.fits(needed, account.quota):
+            return
+        self._ledger.on_quota_used_up(account, claim, demand, now_ms)
+        if account.saved_for is claim:
+            claim.saved_since_ms, claim.is_saving_exclusive = now_ms, True
+            self._saving[claim.team] = claim
+
+    def expire_savings(self, now_ms):
+        """Relax or end the savings that have lasted too long."""
+        for customer, claim in list(self._saving.items()):
+            if self._ledger.account(customer).saved_for is not claim:
+                del self._saving[customer]
+                continue
+            age_ms = now_ms - claim.saved_since_ms
+            if claim.is_saving_exclusive and age_ms >= EXCLUSIVE_SAVING_MS:
+                claim.is_saving_exclusive = False
+                self._eased.add(customer)
+            if age_ms >= MAX_SAVING_MS:
+                self._abandon_saving(claim)
 
     def on_not_started(self, claim, now_ms):
         """End the saving for a claim that has room but found no worker for too long."""
@@ -185,3 +208,10 @@
     def _abandon_saving(self, claim):
         self._ledger.abandon_saving(claim)
         self._eased.add(claim.team)
+
+
+def _copies_below_half(account, demand):
+    """How many tasks fit while the customer uses at most half of its cap."""
+    half = common.Resources(*(amount // 2 for amount in account.quota))
+    free = resources.minus(half, account.used)
+    return 0 if min(free) < 0 else resources.copies(demand, free)
--- a/alderreach/ops/controller/cap_waits.py
+++ b/alderreach/ops/controller/cap_waits.py
@@ -51,6 +51,7 @@
     def pop_ready(self, now_ms):
         """Remove and return the parked groups of which a part may start now."""
         ready = []
+        self._leader.customers.expire_savings(now_ms)
         for customer in self._leader.customers.pop_eased():
             parked = self._parked.get(customer, {})
             for group, claim in list(parked.items()):
