--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -14,6 +14,9 @@
 # The number of workers checked in one tick. In larger cells the checks are spread over
 # several ticks, which leaves the leader time for decisions.
 MAX_CHECKS_PER_TICK = 600
+# A new leader opens connections to idle workers bit by bit. If it called thousands of
+# them at once, it could not answer the other controllers in time and would be deposed.
+MAX_FIRST_POLLS_PER_TICK = 40
 
 
 def take_over(leader):
@@ -31,19 +34,24 @@
                     _adopt(leader, key, task, job.record.steps[number], now_ms)
                 _adopt_in_doubt(leader, key, task, job.record.steps[number], now_ms)
     for worker in leader.workers.values():
-        worker_polls.poll(leader, worker)
+        if worker.runs:
+            worker_polls.poll(leader, worker)
 
 
 def tick(leader, now_ms):
     """Resend unanswered orders, poll, and act on expired leases and silent workers."""
+    first_polls = 0
     for worker in leader.next_to_check(MAX_CHECKS_PER_TICK):
         worker_lifecycle.check(leader, worker, now_ms)
         for run in list(worker.runs.values()):
             if run.next_send_ms is not None and now_ms >= run.next_send_ms:
                 run.next_send_ms = None
                 order_answers.resend(leader, worker, run)
-        if worker.poll_sent_ms is None:
+        is_first = not worker.has_seen_epoch and not worker.runs
+        may_poll = not is_first or first_polls < MAX_FIRST_POLLS_PER_TICK
+        if worker.poll_sent_ms is None and may_poll:
             worker_polls.poll_if_due(leader, worker, now_ms)
+            first_polls += is_first and worker.poll_sent_ms is not None
         worker_lifecycle.forget_if_silent(leader, worker, now_ms)
 
 
