--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -11,6 +11,7 @@
 from alderreach.ops import leader_calls, settings_watch
 from alderreach.ops.controller import (
     discovery,
+    heartbeats,
     leader_state,
     order_answers,
     permission_answers,
@@ -18,6 +19,7 @@
     requests,
     running,
     target_link,
+    worker_lifecycle,
     worker_polls,
 )
 
@@ -43,10 +45,6 @@
         """Call ``act`` once the leadership is confirmed, or never if it was lost."""
         self._environment.confirm(act, lambda: None)
 
-    def contact(self):
-        """The address at which workers reach this leader."""
-        return self._environment.contact
-
 
 class Director:
     """The cell's manager on one controller.
@@ -67,7 +65,6 @@
         self._record = record
         self._peers = discovery.RecentPeers()
         self._term = None
-        self._contact = context.settings.cell.control
         self._own_address = context.settings.listen.peers
         self._next_housekeeping_ms = 0
         self._watch = settings_watch.SettingsWatch(context.settings_path, "controller")
@@ -91,6 +88,13 @@
             record,
         )
 
+        self.heartbeats = heartbeats.HeartbeatRelay(
+            context.clock,
+            lambda target_id: port.get_state().cell.targets.get(target_id),
+            self.leader_calls.call,
+            self._send_heartbeats,
+        )
+
     def _addresses(self):
         """Addresses to try for a request of this process; callable from any thread."""
         return [
@@ -124,6 +128,10 @@
             self._handle_greeting(message, address)
         elif isinstance(message, cell.GreetingReply):
             self.finder.handle_reply(message, address, self._clock.monotonic_ms())
+        elif isinstance(message, cell.HeartbeatBatch):
+            self._handle_heartbeats(message, address)
+        elif isinstance(message, cell.HeartbeatBatchReply):
+            self.heartbeats.handle_reply(message)
         elif isinstance(message, cell.PermissionAnswer):
             self._handle_permission_answer(message)
         elif isinstance(message, cell.PermissionQuery):
@@ -134,6 +142,7 @@
     def tick(self, now_ms):
         """Do the work that is due at ``now_ms``."""
         self.finder.tick(now_ms)
+        self.heartbeats.tick(now_ms)
         if now_ms >= self._next_housekeeping_ms:
             self._next_housekeeping_ms = now_ms + discovery.GREETING_INTERVAL_MS
             self._peers.forget_silent(now_ms)
@@ -216,7 +225,6 @@
             helpers=self._helpers,
             send_query=self._send_query,
             open_link=self._open_link,
-            contact=self._contact,
         )
 
     def _open_link(self, record, epoch):
@@ -278,6 +286,24 @@
                 self._term.leader, message._replace(query_id=query_id)
             )
 
+    def _send_heartbeats(self, batch):
+        """Send heartbeats to the leader, which may be this process."""
+        leader = self._port.leader_address()
+        if leader == self._own_address:
+            self._handle_heartbeats(batch, self._own_address)
+        elif leader:
+            self._send(leader, batch)
+
+    def _handle_heartbeats(self, batch, address):
+        """Apply a batch; without a quorum there is no reply, and the sender notices."""
+        if self._term is None or not self._may_act(self._clock.monotonic_ms()):
+            return
+        reply = worker_lifecycle.apply_heartbeats(self._term.leader, batch)
+        if address == self._own_address:
+            self.heartbeats.handle_reply(reply)
+        else:
+            self._send(address, reply)
+
     def _handle_greeting(self, message, address):
         now_ms = self._clock.monotonic_ms()
         if address != self._own_address:
--- /dev/null
+++ b/alderreach/ops/controller/heartbeats.py
@@ -0,0 +1,91 @@
+"""Workers' heartbeats that a controller acknowledges for the leader.
+
+With thousands of workers, the leader can't answer each heartbeat itself. Nearly all of
+them repeat what the log has, and the leader only needs to know that their workers are
+alive. Every controller has a copy of the log's state, so each acknowledges such
+heartbeats and passes them on in batches. A heartbeat with news (a new worker, another
+state, address or capacity) goes to the leader at once and is acknowledged once the news
+is committed.
+
+A controller that has had no reply to its batches for ``CONFIRMED_FOR_MS`` refuses
+heartbeats without news, so that their workers turn to another controller. Passed on
+while there is no leader, thousands of them would delay its election.
+"""
+
+import threading
+
+from alderreach.core.generated import cell
+from alderreach.ops import leader_calls
+from alderreach.ops.controller import requests
+
+# Short beside the time after which a silent worker gets no new runs.
+BATCH_INTERVAL_MS = 300
+# An election takes a second, and a partition lasts longer.
+CONFIRMED_FOR_MS = 2500
+# Batches end when no worker has used this controller for this time.
+IDLE_AFTER_MS = 15_000
+
+
+class HeartbeatRelay:
+    """The heartbeats at one controller; ``announce`` may be called on any thread.
+
+    ``committed_record(target_id)`` returns the worker's ``cell.TargetRecord`` in the
+    log, or None. ``forward(request, deadline_ms)`` passes a ``cell.AnnounceTarget`` on
+    and returns a ``leader_calls.Outcome``. ``send_batch(batch)`` sends a
+    ``cell.HeartbeatBatch`` to the leader, if one is known.
+    """
+
+    def __init__(self, clock, committed_record, forward, send_batch):
+        self._clock = clock
+        self._committed_record = committed_record
+        self._forward = forward
+        self._send_batch = send_batch
+        self._lock = threading.Lock()
+        # The latest heartbeat of each worker since the last batch, and its arrival.
+        self._pending = {}
+        self._number = 0
+        self._sent_ms = self._heard_ms = self._confirmed_ms = clock.monotonic_ms()
+
+    def announce(self, request, deadline_ms):
+        """Acknowledge a heartbeat, refuse it, or pass it on; returns the Outcome."""
+        now_ms = self._clock.monotonic_ms()
+        if self._committed_record(request.record.target_id) != request.record:
+            return self._forward(request, deadline_ms)
+        with self._lock:
+            self._heard_ms = now_ms
+            if now_ms - self._confirmed_ms >= CONFIRMED_FOR_MS:
+                return leader_calls.Outcome(None, False)
+            self._add(request, now_ms)
+        return leader_calls.Outcome(requests.answer(requests.ACCEPTED), True)
+
+    def tick(self, now_ms):
+        """Send the next batch if it is due."""
+        if now_ms - self._sent_ms < BATCH_INTERVAL_MS:
+            return
+        with self._lock:
+            if now_ms - self._heard_ms >= IDLE_AFTER_MS:
+                self._confirmed_ms = now_ms
+                return
+            pending, self._pending = self._pending, {}
+            self._sent_ms = now_ms
+            self._number += 1
+        rows = [
+            row._replace(age_ms=now_ms - arrived_ms)
+            for row, arrived_ms in pending.values()
+        ]
+        self._send_batch(cell.HeartbeatBatch(self._number, rows))
+
+    def handle_reply(self, reply):
+        """Handle the leader's reply to a batch; only the latest one counts."""
+        with self._lock:
+            if reply.number == self._number:
+                self._confirmed_ms = self._sent_ms
+
+    def _add(self, request, now_ms):
+        record = request.record
+        pending, _arrived_ms = self._pending.get(record.target_id, (None, 0))
+        if pending is None or pending.sequence < request.sequence:
+            row = cell.Heartbeat(
+                record.target_id, record.born_ms, request.sequence, request.clock_ms, 0
+            )
+            self._pending[record.target_id] = (row, now_ms)
--- /dev/null
+++ b/alderreach/ops/controller/heartbeats_test.py
@@ -0,0 +1,125 @@
+"""Heartbeats without news are acknowledged without the leader; all others are not."""
+
+import pytest
+
+from alderreach.core.generated import cell, common
+from alderreach.ops import leader_calls
+from alderreach.ops.controller import heartbeats, requests, worker_lifecycle
+from alderreach.utils import clocks
+from tools import virtual_cell, virtual_parts
+
+RECORD = cell.TargetRecord(
+    "w1", 7, "pool", "10.0.0.9:80", "d", common.Resources(4000, 64, 0), [], "ready", "m"
+)
+DEADLINE_MS = 900
+
+
+class Relay:
+    """A relay on a fake clock, whose log has one worker."""
+
+    def __init__(self):
+        self.clock = clocks.FakeClock()
+        self.forwarded = []
+        self.batches = []
+        self.relay = heartbeats.HeartbeatRelay(
+            self.clock.clock,
+            {RECORD.target_id: RECORD}.get,
+            self._forward,
+            self.batches.append,
+        )
+
+    def announce(self, record, sequence, clock_ms=0):
+        request = cell.AnnounceTarget(record, sequence, clock_ms)
+        return self.relay.announce(request, DEADLINE_MS)
+
+    def advance(self, duration_ms, is_answered=True):
+        """Advance in steps of a batch; the leader may answer each of them."""
+        for _batch in range(duration_ms // heartbeats.BATCH_INTERVAL_MS):
+            self.clock.advance(heartbeats.BATCH_INTERVAL_MS)
+            count = len(self.batches)
+            self.relay.tick(self.clock.now_ms)
+            for batch in self.batches[count:]:
+                if is_answered:
+                    reply = cell.HeartbeatBatchReply(batch.number)
+                    self.relay.handle_reply(reply)
+
+    def _forward(self, request, _deadline_ms):
+        self.forwarded.append(request)
+        return leader_calls.Outcome(requests.answer(requests.ACCEPTED), True)
+
+
+def test_a_heartbeat_that_repeats_the_log_goes_to_the_leader_in_a_batch():
+    relay = Relay()
+    for sequence in (2, 3, 1):
+        outcome = relay.announce(RECORD, sequence, 100 * sequence)
+        assert outcome.answer.kind == requests.ACCEPTED
+    relay.advance(heartbeats.BATCH_INTERVAL_MS)
+    assert not relay.forwarded
+    age_ms = heartbeats.BATCH_INTERVAL_MS
+    assert relay.batches[-1].heartbeats == [cell.Heartbeat("w1", 7, 3, 300, age_ms)]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "draining"},
+        {"born_ms": 8},
+        {"address": "10.0.0.8:80"},
+        {"capacity": common.Resources(8000, 64, 0)},
+        {"target_id": "w2"},
+    ],
+)
+def test_a_heartbeat_with_news_is_passed_on(change):
+    """Guards against a worker that drains, is told so, and still gets new runs."""
+    relay = Relay()
+    relay.announce(RECORD._replace(**change), 2)
+    assert relay.forwarded.pop().record == RECORD._replace(**change)
+
+
+def test_without_replies_from_the_leader_heartbeats_are_refused_at_once():
+    """Guards against workers that stay with a controller that is cut off, and against
+    thousands of heartbeats that are passed on while there is no leader.
+    """
+    relay = Relay()
+    relay.announce(RECORD, 1)
+    relay.advance(heartbeats.CONFIRMED_FOR_MS + 500, is_answered=False)
+    assert relay.announce(RECORD, 2) == leader_calls.Outcome(None, False)
+    assert not relay.forwarded
+    relay.advance(heartbeats.BATCH_INTERVAL_MS)
+    assert relay.announce(RECORD, 3).answer.kind == requests.ACCEPTED
+
+
+def test_a_controller_that_no_worker_uses_sends_no_batches_and_is_not_stale():
+    relay = Relay()
+    relay.announce(RECORD, 1)
+    relay.advance(heartbeats.IDLE_AFTER_MS + 3000)
+    count = len(relay.batches)
+    relay.advance(heartbeats.IDLE_AFTER_MS)
+    assert len(relay.batches) == count
+    assert relay.announce(RECORD, 2).answer.kind == requests.ACCEPTED
+
+
+def test_the_leader_takes_the_signs_of_life_of_a_batch():
+    """Guards against workers that count as silent since a controller answers for the
+    leader, and against late heartbeats that hide a drain.
+    """
+    records = [virtual_parts.worker(number, 1_000) for number in range(2)]
+    virtual = virtual_cell.VirtualCell([virtual_parts.queue("q")], records)
+    virtual.run_until(500)
+    leader = virtual.term.leader
+    worker = leader.workers["w0"]
+    worker.sequence, worker.is_leaving = 5, True
+    born_ms, heard_ms = worker.record.born_ms, worker.announced_ms
+    rows = [
+        cell.Heartbeat("w0", born_ms, 6, 100, 40),
+        cell.Heartbeat("w1", leader.workers["w1"].record.born_ms + 1, 9, 100, 40),
+        cell.Heartbeat("gone", 1, 1, 100, 40),
+    ]
+    reply = worker_lifecycle.apply_heartbeats(leader, cell.HeartbeatBatch(3, rows))
+    assert reply == cell.HeartbeatBatchReply(3)
+    assert leader.workers["w1"].sequence == -1
+    assert (worker.sequence, worker.is_leaving) == (6, False)
+    assert heard_ms < worker.announced_ms == leader.now_ms() - 40
+    late = cell.HeartbeatBatch(4, [rows[0]._replace(sequence=4, age_ms=0)])
+    worker_lifecycle.apply_heartbeats(leader, late)
+    assert worker.announced_ms == leader.now_ms() - 40
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -45,7 +45,6 @@
     helpers: typing.Callable
     send_query: typing.Callable
     open_link: typing.Callable
-    contact: str
 
 
 class _Queues(typing.NamedTuple):
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -266,7 +266,7 @@
     """
     leader, record = term.leader, request.record
     worker = leader.workers.get(record.target_id)
-    done = answer(ACCEPTED, term.contact())
+    done = answer(ACCEPTED)
     if worker is not None and record.born_ms < worker.record.born_ms:
         reply(done)
         return
@@ -275,12 +275,7 @@
         if request.sequence < worker.sequence:
             reply(done)
             return
-        worker.sequence = request.sequence
-        if record.state == "ready":
-            # A worker drains before it ends and is not ready again. So the withdrawal
-            # came from the previous incarnation and was delayed on its way. Kept, it
-            # would bar this incarnation from new runs forever.
-            worker.is_leaving = False
+        worker_lifecycle.record_sequence(worker, request.sequence, record.state)
     if worker is None:
         worker = leader.add_worker(record)
     is_restarted = worker.record.born_ms != record.born_ms
--- a/alderreach/ops/controller/service.py
+++ b/alderreach/ops/controller/service.py
@@ -18,8 +18,8 @@
 
     ``calls`` is a ``target_link.Calls``. ``ask_permission(step, targets)`` returns a
     list of ``cell.Ticket``, or None if the service gave no answer.
-    ``serve_control(context, leader_calls)`` opens the listener for workers and
-    operators.
+    ``serve_control(context, leader_calls, announce)`` opens the listener for workers
+    and operators; ``announce`` is that of a ``heartbeats.HeartbeatRelay``.
     """
 
     calls: typing.Any
@@ -69,5 +69,7 @@
         seed_addresses=others,
         may_found_cell=found.found == "yes" and own in seeds,
     ).start()
-    outside.serve_control(context, directors[0].leader_calls)
+    outside.serve_control(
+        context, directors[0].leader_calls, directors[0].heartbeats.announce
+    )
     return controller
--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -33,6 +33,34 @@
         worker.update_clock_offset(clock_ms, now_ms)
 
 
+def record_sequence(worker, sequence, state):
+    """Record the number of the latest heartbeat of a known incarnation."""
+    worker.sequence = sequence
+    if state == "ready":
+        # A worker drains before it ends and is not ready again. So the withdrawal came
+        # from the previous incarnation and was delayed on its way. Kept, it would bar
+        # this incarnation from new runs forever.
+        worker.is_leaving = False
+
+
+def apply_heartbeats(leader, batch):
+    """Apply the heartbeats that another controller acknowledged; returns its reply.
+
+    None of them has news, so only the time of the last sign of life and the worker's
+    clock are updated. One that another heartbeat has overtaken, or of an incarnation
+    that is over, is ignored.
+    """
+    now_ms = leader.now_ms()
+    for row in batch.heartbeats:
+        worker = leader.workers.get(row.target_id)
+        if worker is None or worker.record.born_ms != row.born_ms:
+            continue
+        if row.sequence > worker.sequence:
+            record_sequence(worker, row.sequence, worker.record.state)
+            on_heartbeat(leader, worker, row.clock_ms, now_ms - row.age_ms)
+    return cell.HeartbeatBatchReply(batch.number)
+
+
 def begin_new_incarnation(leader, worker):
     """Begin a new incarnation of a known worker.
 
--- a/alderreach/platform/control.py
+++ b/alderreach/platform/control.py
@@ -1,7 +1,8 @@
 """The listener for workers and operators, in the platform's protocol.
 
-Every controller accepts these calls and forwards them to the leader. A worker's answer
-holds the leader's own address, for its next heartbeats.
+Every controller accepts these calls and forwards them to the leader, but for heartbeats
+without news. A worker's answer holds this controller's own address, so that its next
+heartbeats come here, where the last one is known.
 """
 
 from alderreach.core.generated import cell
@@ -16,12 +17,13 @@
 OPERATOR_WAIT_MS = 950
 
 
-def serve(context, leader_calls):
+def serve(context, leader_calls, announce):
     """Open the listener; the context's stack closes it."""
     limits = context.settings.limits
+    address = context.settings.cell.control
     server = http_server.HttpServer(
-        context.settings.cell.control,
-        _application(context.clock, leader_calls),
+        address,
+        _application(context.clock, leader_calls, announce, address),
         http_server.HttpLimits(
             CONTROL_THREADS,
             limits.header_bytes,
@@ -33,10 +35,14 @@
     context.stack.callback(server.close)
 
 
-def _application(clock, leader_calls):
+def _application(clock, leader_calls, announce, own_address):
     def application(environ, start_response):
+        method, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
         try:
-            reply = _answer(environ, clock, leader_calls)
+            if method == "PUT" and path.startswith(TARGET_PREFIX):
+                reply = _answer_heartbeat(environ, clock, announce, own_address)
+            else:
+                reply = _answer(environ, clock, leader_calls)
         except wire.MalformedError as error:
             reply = answers.Reply(400, wire.encode({"error": str(error)}))
         return answers.respond(reply, start_response)
@@ -44,32 +50,29 @@
     return application
 
 
+def _answer_heartbeat(environ, clock, announce, own_address):
+    target_id = environ["PATH_INFO"][len(TARGET_PREFIX) :]
+    request = wire.announcement(target_id, callers.read_body(environ))
+    outcome = announce(request, clock.monotonic_ms() + WORKER_WAIT_MS)
+    reply = answers.reply_for_outcome(outcome, is_change=True)
+    if reply.status != 200:
+        return reply
+    # The platform's field is named a URL, but holds an address, host:port.
+    return reply._replace(body=wire.encode({"heartbeat_url": own_address}))
+
+
 def _answer(environ, clock, leader_calls):
     method, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
 
     def call(request, wait_ms, is_change=True):
         outcome = leader_calls.call(request, clock.monotonic_ms() + wait_ms)
-        return outcome, answers.reply_for_outcome(outcome, is_change)
+        return answers.reply_for_outcome(outcome, is_change)
 
-    if path.startswith(TARGET_PREFIX):
-        target_id = path[len(TARGET_PREFIX) :]
-        if method == "PUT":
-            request = wire.announcement(target_id, callers.read_body(environ))
-            outcome, reply = call(request, WORKER_WAIT_MS)
-            return _with_leader_address(outcome, reply)
-        if method == "DELETE":
-            return call(cell.WithdrawTarget(target_id), WORKER_WAIT_MS)[1]
-    elif path == CONFIG_PATH and method == "PUT":
+    if path.startswith(TARGET_PREFIX) and method == "DELETE":
+        return call(cell.WithdrawTarget(path[len(TARGET_PREFIX) :]), WORKER_WAIT_MS)
+    if path == CONFIG_PATH and method == "PUT":
         config = wire.configuration(callers.read_body(environ))
-        return call(cell.PutConfig(config), OPERATOR_WAIT_MS)[1]
-    elif path == CONFIG_PATH and method == "GET":
-        return call(cell.ReadConfig(), OPERATOR_WAIT_MS, is_change=False)[1]
+        return call(cell.PutConfig(config), OPERATOR_WAIT_MS)
+    if path == CONFIG_PATH and method == "GET":
+        return call(cell.ReadConfig(), OPERATOR_WAIT_MS, is_change=False)
     return answers.Reply(404)
-
-
-def _with_leader_address(outcome, reply):
-    """Add the leader's address to the reply to a worker, if the leader answered."""
-    if reply.status != 200 or not outcome.answer.text:
-        return reply
-    # The platform's field is named a URL, but holds an address, host:port.
-    return reply._replace(body=wire.encode({"heartbeat_url": outcome.answer.text}))
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -253,7 +253,6 @@
                 helpers=lambda: self._helpers,
                 send_query=self._send_query,
                 open_link=self._open_link,
-                contact="",
             ),
         )
 
