--- a/alderreach/decisions/cell/customers.py
+++ b/alderreach/decisions/cell/customers.py
@@ -4,12 +4,15 @@
 them until its end is known. So a run counts while its order is on the way, while its
 worker is silent and its lease may last, and while it is being stopped. Nothing starts
 that takes the use above the customer's cap, except one task that is larger than the
-whole cap while nothing else runs. A cap lowered below the use stops nothing. Room that
-is saved for a step that waits long is kept from other steps only while the customer
-uses half of its cap or more: nobody's work stands still beside a cap that is half free.
+whole cap while nothing else runs. A cap lowered below the use stops nothing.
 
-A customer that a configuration no longer contains keeps its last cap, since its
-accepted jobs still have to run. Work without a customer has no limit.
+Narrow steps could use up a cap for ever, so room is saved for a gang or a large task
+that waits long. It is kept from the customer's other steps, after a while only from
+those that would take the use above half of the cap: no work stands still for long
+beside a cap that is half free.
+
+A customer that a configuration no longer contains keeps the last cap that this leader
+knows, since its accepted jobs still have to run. Work without a customer has no limit.
 
 Keys are known by their SHA-256 digests and are looked up by them. How long a lookup
 takes tells nothing about a key, as digests of similar keys have nothing in common.
@@ -35,7 +38,10 @@
 
 
 class Claim:
-    """A waiting step's claim to a part of its customer's cap."""
+    """A waiting step's claim to a part of its customer's cap.
+
+    To the ledger it is what a line is in ``backlog.py``, and ``team`` is the customer.
+    """
 
     __slots__ = (
         "demand",
--- a/alderreach/ops/controller/cap_waits.py
+++ b/alderreach/ops/controller/cap_waits.py
@@ -19,6 +19,8 @@
         self._leader = leader
         self._claims = {}
         self._parked = {}
+        # The parked groups that may preempt less urgent work of their customers.
+        self._urgent = {}
 
     def room(self, job, group):
         """How many tasks of a group its customer may start now."""
@@ -29,6 +31,8 @@
         claim = self._claim(job, group)
         self._leader.customers.wait(claim, now_ms)
         self._parked.setdefault(claim.team, {})[group] = claim
+        if claim.is_urgent:
+            self._urgent[group] = None
 
     def is_parked(self, group):
         """Whether a group waits for its customer's cap."""
@@ -37,12 +41,7 @@
 
     def urgent(self):
         """The parked groups that may preempt less urgent work of their customers."""
-        return [
-            group
-            for parked in self._parked.values()
-            for group, claim in parked.items()
-            if claim.is_urgent
-        ]
+        return list(self._urgent)
 
     def on_not_started(self, job, group, now_ms):
         """Record that a group has room under the cap, but found no worker."""
@@ -56,7 +55,7 @@
             parked = self._parked.get(customer, {})
             for group, claim in list(parked.items()):
                 if self._leader.customers.room(claim):
-                    del parked[group]
+                    self._unpark(group, claim)
                     ready.append(group)
                 else:
                     self._leader.customers.wait(claim, now_ms)
@@ -66,7 +65,7 @@
         """Forget a group that waits no longer."""
         claim = self._claims.pop(group, None)
         if claim is not None:
-            self._parked.get(claim.team, {}).pop(group, None)
+            self._unpark(group, claim)
             self._leader.customers.close(claim)
 
     def report(self):
@@ -86,6 +85,10 @@
             if self._leader.is_over(group)
         ]
 
+    def _unpark(self, group, claim):
+        self._parked.get(claim.team, {}).pop(group, None)
+        self._urgent.pop(group, None)
+
     def _claim(self, job, group):
         claim = self._claims.get(group)
         if claim is None:
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -15,7 +15,7 @@
 import math
 
 from alderreach.core import cell_state
-from alderreach.decisions.cell import choice, crash_blame, order
+from alderreach.decisions.cell import choice, crash_blame, order, preemption
 from alderreach.ops.controller import (
     cap_waits,
     permission_queries,
@@ -51,6 +51,7 @@
         # A heap of (due time, group) for occurrences that are due later.
         self._scheduled = []
         self._next_pass_ms = 0
+        self._next_cap_preemption_ms = 0
         for job in leader.state.jobs.values():
             self.job_added(job)
 
@@ -218,6 +219,9 @@
 
     def _preempt_under_caps(self, now_ms):
         """Let urgent parked groups preempt less urgent work of their customers."""
+        if now_ms < self._next_cap_preemption_ms:
+            return
+        self._next_cap_preemption_ms = now_ms + preemption.RETRY_MS
         for group in self._cap_waits.urgent():
             job = self._leader.state.jobs.get(group.job_id)
             if job is None or self._leader.is_over(group):
