--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -190,9 +190,13 @@
 
 def _is_placeable(leader, record):
     """Whether the known workers suit a task of each step; only for the log."""
-    pool = [w for w in leader.workers.values() if w.record.service == record.service]
+
+    def suits(worker, step):
+        is_of_pool = worker.record.service == record.service
+        return is_of_pool and choice.is_suitable(worker, step)
+
     return all(
-        any(choice.is_suitable(worker, step) for worker in pool)
+        any(suits(worker, step) for worker in leader.workers.values())
         for step in record.steps
     )
 
