--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -91,6 +91,7 @@
         self.heartbeats = heartbeats.HeartbeatRelay(
             context.clock,
             lambda target_id: port.get_state().cell.targets.get(target_id),
+            lambda: bool(port.leader_address()),
             self.leader_calls.call,
             self._send_heartbeats,
         )
--- a/alderreach/ops/controller/heartbeats.py
+++ b/alderreach/ops/controller/heartbeats.py
@@ -8,8 +8,10 @@
 is committed.
 
 A controller that has had no reply to its batches for ``CONFIRMED_FOR_MS`` refuses
-heartbeats without news, so that their workers turn to another controller. Passed on
-while there is no leader, thousands of them would delay its election.
+heartbeats without news, so that their workers turn to another controller. While it
+knows no leader it refuses all that it can't acknowledge: passed on, thousands of them
+would delay the election. A controller that has just restarted does not know what the
+log has until there is a leader, so all heartbeats look like news to it.
 """
 
 import threading
@@ -24,20 +26,23 @@
 CONFIRMED_FOR_MS = 2500
 # Batches end when no worker has used this controller for this time.
 IDLE_AFTER_MS = 15_000
+REFUSED = leader_calls.Outcome(None, False)
 
 
 class HeartbeatRelay:
     """The heartbeats at one controller; ``announce`` may be called on any thread.
 
     ``committed_record(target_id)`` returns the worker's ``cell.TargetRecord`` in the
-    log, or None. ``forward(request, deadline_ms)`` passes a ``cell.AnnounceTarget`` on
-    and returns a ``leader_calls.Outcome``. ``send_batch(batch)`` sends a
-    ``cell.HeartbeatBatch`` to the leader, if one is known.
+    log, or None, and ``has_leader()`` whether a leader is known.
+    ``forward(request, deadline_ms)`` passes a ``cell.AnnounceTarget`` on and returns a
+    ``leader_calls.Outcome``. ``send_batch(batch)`` sends a ``cell.HeartbeatBatch`` to
+    the leader, if one is known.
     """
 
-    def __init__(self, clock, committed_record, forward, send_batch):
+    def __init__(self, clock, committed_record, has_leader, forward, send_batch):
         self._clock = clock
         self._committed_record = committed_record
+        self._has_leader = has_leader
         self._forward = forward
         self._send_batch = send_batch
         self._lock = threading.Lock()
@@ -50,11 +55,13 @@
         """Acknowledge a heartbeat, refuse it, or pass it on; returns the Outcome."""
         now_ms = self._clock.monotonic_ms()
         if self._committed_record(request.record.target_id) != request.record:
+            if not self._has_leader():
+                return REFUSED
             return self._forward(request, deadline_ms)
         with self._lock:
             self._heard_ms = now_ms
             if now_ms - self._confirmed_ms >= CONFIRMED_FOR_MS:
-                return leader_calls.Outcome(None, False)
+                return REFUSED
             self._add(request, now_ms)
         return leader_calls.Outcome(requests.answer(requests.ACCEPTED), True)
 
