--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -71,7 +71,7 @@
     return queue, path[len(queue.path_prefix) :]
 
 
-class _Target(typing.NamedTuple):
+class _Subject(typing.NamedTuple):
     """What a request is about: a queue, a job of it, and the customer who asks.
 
     ``customer`` is empty if the request has no key or the cell has no customers.
@@ -108,7 +108,7 @@
             )
             term.confirm(lambda: reply(answer(refusal)))
             return
-        handler(term, request, reply, _Target(queue, job_id, customer))
+        handler(term, request, reply, _Subject(queue, job_id, customer))
 
     return with_queue
 
@@ -137,8 +137,8 @@
 
 
 @_requires_queue
-def _submit(term, request, reply, target):
-    leader, queue, job_id = term.leader, target.queue, target.job_id
+def _submit(term, request, reply, subject):
+    leader, queue, job_id = term.leader, subject.queue, subject.job_id
     if job_id in leader.state.jobs:
         leader.after_commit(lambda: reply(answer(ACCEPTED)))
         return
@@ -156,7 +156,7 @@
         request.repeat_count,
         request.first_due_ms,
         request.interval_ms,
-        target.customer,
+        subject.customer,
     )
     accepted = cell.JobAccepted(record, leader.cell_ms())
     leader.decide(lambda: reply(answer(ACCEPTED)), accepted=[accepted])
@@ -165,7 +165,7 @@
         "job_accepted",
         job=job_id,
         queue=queue.name,
-        customer=target.customer,
+        customer=subject.customer,
         tasks=sum(step.tasks for step in request.steps),
         config_version=leader.state.config.version,
         is_placeable=_is_placeable(leader, record),
@@ -202,14 +202,14 @@
 
 
 @_requires_queue
-def _read(term, request, reply, target):
-    if not target.job_id:
-        queue_name = target.queue.name
+def _read(term, request, reply, subject):
+    if not subject.job_id:
+        queue_name = subject.queue.name
         term.confirm(
             lambda: reply(answer(PENDING, number=term.planner.pending(queue_name)))
         )
         return
-    term.confirm(lambda: reply(_job_state_answer(term, target.job_id)))
+    term.confirm(lambda: reply(_job_state_answer(term, subject.job_id)))
 
 
 def _job_state_answer(term, job_id):
@@ -223,8 +223,8 @@
 
 
 @_requires_queue
-def _cancel(term, request, reply, target):
-    leader, job_id = term.leader, target.job_id
+def _cancel(term, request, reply, subject):
+    leader, job_id = term.leader, subject.job_id
     job = leader.state.jobs.get(job_id)
     if job is None:
         term.confirm(lambda: reply(answer(NO_JOB)))
