--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -65,6 +65,7 @@
     answers: list
     latency: typing.Any
     faults: list
+    timeline: list
 
 
 class Worker(platform_worker.PlatformWorker):
@@ -100,6 +101,9 @@
         with self._lock:
             self._permission.revoke_tickets(self.name)
             self.worker.restart()
+            self._promises.record(
+                f"{self.name} restarts as incarnation {self.worker.incarnation}"
+            )
 
     def on_started(self, order):
         """Crash if the task crashes its workers, and restart soon after."""
@@ -170,6 +174,7 @@
             calling.answers,
             calling.latency,
             faults.happened,
+            promises.timeline,
         )
 
 
--- a/tools/soak/main.py
+++ b/tools/soak/main.py
@@ -12,6 +12,7 @@
 from tools.soak import callers, day, report
 
 SEEDS, SECONDS = 5, 12
+TIMELINE = "workers.log"
 
 
 def main(arguments):
@@ -28,6 +29,7 @@
         print("\n".join(report.lines(played)), flush=True)
         if played.violations:
             failed.append(seed)
+            (folder / TIMELINE).write_text("\n".join(report.timeline(played)))
             print(f"  logs in {folder}", flush=True)
         else:
             shutil.rmtree(folder)
--- a/tools/soak/operators.py
+++ b/tools/soak/operators.py
@@ -11,14 +11,14 @@
 
 import urllib3
 
+from tools.soak import promises as promises_module
+
 CUSTOMERS = ("desk", "guides")
 # Even the smallest cap fits the widest gang beside a customer's long-running tasks.
 CAPS_MILLIS = (12_000, 16_000, 30_000)
 PAUSE_S = 1.5
 TIMEOUT_S = 2.0
 UNKNOWN_KEY = "key-of-nobody"
-# A replaced key may work for this time after the new version was acknowledged.
-APPLY_S = 2.5
 
 
 def lasting_key(customer):
@@ -78,7 +78,7 @@
 
     def refused_key(self):
         """A key that no request may be served with, of nobody or replaced long ago."""
-        until_s = time.monotonic() - APPLY_S
+        until_s = time.monotonic() - promises_module.CONFIG_APPLY_MS / 1000
         with self._lock:
             keys = [key for key, replaced_s in self._replaced if replaced_s < until_s]
         return self._rng.choice([UNKNOWN_KEY, *keys])
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import math
 import threading
 import types
 import typing
@@ -14,6 +15,9 @@
 DONE = "done"
 # A task is given up after its third crash; two more starts may be in flight until then.
 MAX_CRASHES = 5
+# A replaced version of the configuration may be in force for this time after the
+# acknowledgement of its successor: starts of its time are still on their way.
+CONFIG_APPLY_MS = 2500
 # A task may be given up once this many workers have crashed while running it.
 MIN_CRASHES_TO_GIVE_UP = 2
 
@@ -30,11 +34,19 @@
     """Whether each of its tasks crashes every worker that starts it."""
 
 
+class Cap(typing.NamedTuple):
+    """A customer's cap, and until when on the monotonic clock it may be in force."""
+
+    cpu_millis: int
+    until_ms: float = math.inf
+
+
 class Promises:
     """The environment that the stand-in workers share; ``lock`` guards all of it."""
 
-    def __init__(self):
+    def __init__(self, clock=clocks.SYSTEM):
         self.lock = threading.RLock()
+        self._clock = clock
         self.workers = []
         self.steps = {}
         self.done = set()
@@ -46,11 +58,18 @@
         self.caps_millis = collections.defaultdict(list)
         self.crashes = collections.Counter()
         self.crashed_under = collections.Counter()
+        self.timeline = []
+        """What happened on the workers: (wall-clock time in ms, text)."""
+
+    def record(self, text):
+        """Add an event to the time line."""
+        with self.lock:
+            self.timeline.append((self._clock.wall_ms(), text))
 
     @property
     def time(self):
         """The clock of the stand-in workers."""
-        return types.SimpleNamespace(now_ms=clocks.SYSTEM.monotonic_ms())
+        return types.SimpleNamespace(now_ms=self._clock.monotonic_ms())
 
     def on_job_submitted(self, job_id, steps, customer=""):
         """A caller is about to submit a job with these ``Step`` objects."""
@@ -62,13 +81,18 @@
         """A configuration with these caps of customers is about to be sent."""
         with self.lock:
             for customer, cap_millis in caps_millis.items():
-                self.caps_millis[customer].append(cap_millis)
+                self.caps_millis[customer].append(Cap(cap_millis))
 
     def on_caps_acknowledged(self, caps_millis):
         """The configuration that was sent last has been acknowledged."""
+        until_ms = self.time.now_ms + CONFIG_APPLY_MS
         with self.lock:
             for customer, cap_millis in caps_millis.items():
-                self.caps_millis[customer] = [cap_millis]
+                replaced = [
+                    cap._replace(until_ms=min(cap.until_ms, until_ms))
+                    for cap in self._caps_in_force(customer)
+                ]
+                self.caps_millis[customer] = [*replaced, Cap(cap_millis)]
 
     def on_job_refused(self, job_id):
         """All attempts to submit a job were rejected, so it must never run."""
@@ -81,6 +105,7 @@
         """Check the guarantees that concern a start on a worker."""
         self.starts += 1
         task = order.task
+        self.record(f"{_incarnation(worker)} starts {task} run {order.run}")
         job_id, _occurrence, number, _index = task.split(".")
         if job_id in self.refused:
             self.violations.append(f"{task} starts, though its job was refused")
@@ -102,11 +127,13 @@
 
     def on_end_acknowledged(self, end):
         """An end has been acknowledged."""
+        self.record(f"the end of {end.task} run {end.run} is acknowledged: {end.how}")
         if end.how == DONE:
             self.acknowledged.update(self._tasks_ending_with(end.task))
 
     def on_run_ended(self, task, how):
         """A run has ended on a worker."""
+        self.record(f"{task} ends: {how}")
         if how != DONE:
             return
         self.done.add(task)
@@ -151,6 +178,7 @@
 
     def on_crash(self, worker):
         """A worker is about to crash; this counts for all tasks that run there."""
+        self.record(f"{_incarnation(worker)} crashes")
         with self.lock:
             self.crashed_under.update(worker.running.keys())
 
@@ -222,18 +250,26 @@
     def _check_cap(self, task):
         """Check a customer's use against the highest cap that may be in force."""
         customer = self.customers[task.partition(".")[0]]
-        caps_millis = self.caps_millis.get(customer)
+        caps_millis = [cap.cpu_millis for cap in self._caps_in_force(customer)]
         if not caps_millis:
             return
-        tasks = [
-            other
+        runs = [
+            (worker, other)
             for worker in self.workers
             if not worker.is_down
             for other in worker.running
             if self.customers.get(other.partition(".")[0]) == customer
         ]
+        tasks = [other for _worker, other in runs]
         if sum(map(self._cpu_demand, [*tasks, task])) > max(caps_millis):
             self.violations.append(f"{customer} is over its cap by {task}")
+            places = [f"{other} on {_incarnation(worker)}" for worker, other in runs]
+            self.record(f"{customer} over {caps_millis} by {task}, beside {places}")
+
+    def _caps_in_force(self, customer):
+        """A customer's caps that a start may have been placed under."""
+        now_ms = self.time.now_ms
+        return [cap for cap in self.caps_millis[customer] if now_ms <= cap.until_ms]
 
     def _cpu_demand(self, task):
         return self._step_of(task).cpu_millis
@@ -241,3 +277,7 @@
     def _step_of(self, task):
         job_id, _occurrence, number, _index = task.split(".")
         return self.steps[job_id][int(number)]
+
+
+def _incarnation(worker):
+    return f"{worker.name} incarnation {worker.incarnation}"
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -60,5 +60,22 @@
     yield "faults " + "".join(marks)
 
 
+def timeline(report):
+    """What happened on the workers, a line per event; times are those of the logs."""
+    for wall_ms, text in report.timeline:
+        yield f"{wall_ms} {text}"
+
+
+def evidence(report):
+    """The lines of the time line that concern what is broken."""
+    broken = " ".join(report.violations).split()
+    named = {word for word in broken if any(c.isdigit() for c in word)}
+    return [
+        line
+        for line in timeline(report)
+        if any(name in line for name in named) or " over " in line
+    ]
+
+
 def _counts(counter):
     return ", ".join(f"{name} {number}" for name, number in sorted(counter.items()))
