--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -7,15 +7,18 @@
 import contextlib
 import json
 import os
+import threading
 import types
 
 import pytest
 import urllib3
 
+from alderreach.core.generated import common
 from alderreach.utils import clocks
+from tests import entry_fakes
 from tools import cell
 from tools.soak import callers, day, faults, promises, report
-from tools.standins import cell_worker, permissions
+from tools.standins import cell_worker, permissions, platform_worker
 
 # Seeds that failed before. The causes:
 # 102: a worker that restarted under its id accepted starts before its first heartbeat.
@@ -251,3 +254,32 @@
     )  # fmt: skip
     assert list(report.lines(played)) == snapshot
     assert list(report.timeline(played)) == ["1 w1 starts j.0.0.0"]
+
+
+def test_a_received_call_ends_with_the_incarnation_that_received_it():
+    """A worker crashes between receiving a start and beginning its run.
+
+    If the next incarnation carried it out, a task could start again long after its run
+    elsewhere was acknowledged, which a restarted process can't do.
+    """
+    checker = promises.Promises()
+    checker.on_job_submitted("j", [promises.Step(1, 1000)])
+    address = entry_fakes.free_address()
+    worker = platform_worker.PlatformWorker("w1", address, [], world=checker)
+    worker.worker.capacity = common.Resources(2000, 1024, 0)
+    answers = []
+    body = {"task": "j.0.0.0", "run": 1, "spec": "", "until_ms": 6000}
+
+    def send():
+        url = f"http://{worker.address}/-/run-start"
+        answers.append(urllib3.request("POST", url, body=json.dumps(body)).status)
+
+    with contextlib.closing(worker.start()):
+        sender = threading.Thread(target=send)
+        with checker.lock:
+            sender.start()
+            worker.worker.crash()
+            worker.worker.restart()
+        sender.join()
+        assert answers == [503]
+        assert not worker.worker.running
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -96,14 +96,12 @@
                 self._promises.on_crash(self.worker)
         super().vanish()
 
-    def restart(self):
-        """Begin a new incarnation under the same id."""
-        with self._lock:
-            self._permission.revoke_tickets(self.name)
-            self.worker.restart()
-            self._promises.record(
-                f"{self.name} restarts as incarnation {self.worker.incarnation}"
-            )
+    def on_restarted(self):
+        """Revoke the tickets of the previous incarnation."""
+        self._permission.revoke_tickets(self.name)
+        self._promises.record(
+            f"{self.name} restarts as incarnation {self.worker.incarnation}"
+        )
 
     def on_started(self, order):
         """Crash if the task crashes its workers, and restart soon after."""
