--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -15,12 +15,12 @@
 import math
 
 from alderreach.core import cell_state
-from alderreach.decisions.cell import choice, crash_blame, order, preemption
+from alderreach.decisions.cell import order, preemption
 from alderreach.ops.controller import (
     cap_waits,
     permission_queries,
     preempting,
-    runs,
+    starting,
     wait_reports,
 )
 
@@ -359,23 +359,25 @@
 
         Returns the numbers of started and of remaining tasks.
         """
+        leader = self._leader
         step = job.record.steps[group.step]
-        tasks = job.groups[group[1:]]
         waiting = [
             n
-            for n, task in enumerate(tasks)
+            for n, task in enumerate(job.groups[group[1:]])
             if task.state == cell_state.WAITING
-            and not self._leader.has_too_many_in_doubt(task)
+            and not leader.has_too_many_in_doubt(task)
         ]
         if not waiting:
             self._remove_waiting(group)
             return 0, 0
         room = self._cap_waits.room(job, group)
+        waited_ms = now_ms - self._waiting[group]
         if step.gang:
-            started = self._place_gang(group, step, tasks, pool, now_ms)
+            started = starting.start_gang(leader, group, pool, waited_ms, now_ms)
         else:
-            allowed = waiting[:room]
-            started = self._place_tasks(group, step, tasks, allowed, pool, now_ms)
+            started = starting.start_tasks(
+                leader, group, waiting[:room], pool, waited_ms, now_ms
+            )
         left = len(waiting) - started
         if not left:
             self._remove_waiting(group)
@@ -383,78 +385,6 @@
             self._cap_waits.on_not_started(job, group, now_ms)
         return started, left
 
-    def _place_tasks(self, group, step, tasks, waiting, pool, now_ms):
-        """Start waiting tasks until one finds no worker; returns their number."""
-        usable = choice.candidates(pool, step, group, now_ms)
-        if not usable:
-            return 0
-        used = self._domains_of(tasks)
-        domains = choice.preferred_domains(usable, step, group, len(waiting), used)
-        ranking = choice.Ranking(usable, step, group, domains)
-        for started, index in enumerate(waiting):
-            key, task = cell_state.TaskKey(*group, index), tasks[index]
-            must_start_alone = self._leader.must_start_alone(task)
-            worker = _choose(ranking, key, task, must_start_alone, now_ms)
-            if worker is None:
-                return started
-            self._start(worker, group, step, index, task.run + 1, now_ms)
-            if must_start_alone:
-                worker.hold_back(now_ms + crash_blame.SUSPECT_ISOLATION_MS)
-            ranking.requeue(worker, now_ms)
-        return len(waiting)
-
-    def _domains_of(self, tasks):
-        """The failure domains in which some of the tasks are placed."""
-        known = self._leader.workers
-        placed = [
-            known.get(task.target_id)
-            for task in tasks
-            if task.state == cell_state.PLACED
-        ]
-        return {worker.record.failure_domain for worker in placed if worker}
-
-    def _place_gang(self, group, step, tasks, pool, now_ms):
-        """Start all tasks of a gang in one run, or none; returns their number."""
-        if any(task.state != cell_state.WAITING for task in tasks):
-            return 0
-        chosen = choice.plan_gang(pool, step, group, len(tasks), now_ms)
-        if chosen is None:
-            return 0
-        run = max(task.run for task in tasks) + 1
-        checkpoint = next((task.checkpoint for task in tasks if task.checkpoint), "")
-        for index, worker in enumerate(chosen):
-            self._start(worker, group, step, index, run, now_ms, checkpoint)
-        return len(tasks)
-
-    def _start(self, worker, group, step, index, run, now_ms, checkpoint=None):
-        leader = self._leader
-        key = cell_state.TaskKey(*group, index)
-        if checkpoint is None:
-            checkpoint = cell_state.find_task(leader.state, key).checkpoint
-        ticket = leader.permissions.ticket(group, worker.target_id, now_ms) or ""
-        runs.place(leader, worker, key, run, step, ticket, checkpoint)
-        leader.environment.record(
-            "run_placed",
-            task=str(key),
-            run=run,
-            target=worker.target_id,
-            free_millis=worker.free().cpu_millis,
-            waited_ms=now_ms - self._waiting[group],
-        )
-
-
-def _choose(ranking, key, task, must_start_alone, now_ms):
-    """The best worker for a task, or None.
-
-    A task that must start alone avoids workers with recently started runs.
-    """
-    failed_on = task.target_id if task.failed_run else ""
-    if not must_start_alone:
-        return ranking.pop_best(key, failed_on)
-    return ranking.pop_best(
-        key, failed_on, lambda w: crash_blame.has_fresh_run(w, now_ms)
-    )
-
 
 def _due_ms(job, group):
     """When a group's occurrence is due: on acceptance unless the job repeats."""
