--- a/alderreach/decisions/cell/customers.py
+++ b/alderreach/decisions/cell/customers.py
@@ -141,6 +141,18 @@
         """A customer's runs that could be preempted, as (worker, run)."""
         return [(worker, run) for run, worker in self._yielding[customer].items()]
 
+    def free_after_stops(self, customer):
+        """What the cap leaves once the runs that are being stopped have ended.
+
+        Amounts are negative where the use is above the cap.
+        """
+        account = self._ledger.account(customer)
+        free = resources.minus(account.quota, account.used)
+        for run in self._yielding[customer]:
+            if run.is_closing():
+                free = resources.plus(free, run.demand)
+        return free
+
     def cap_shares(self, limit):
         """The customers nearest to their caps, with the share of it that each uses."""
         shares = {
--- a/alderreach/decisions/cell/preemption.py
+++ b/alderreach/decisions/cell/preemption.py
@@ -81,7 +81,7 @@
     ``free`` is what the cap leaves, with the runs that are being stopped already. The
     result may free less than ``demand`` if ``runs`` are too few.
     """
-    chosen, left = _cheapest_runs(free, demand, runs, is_partial=True)
+    chosen, left = _cheapest_runs(free, demand, runs)
     return _drop_unneeded(chosen, left, demand)[0]
 
 
@@ -101,23 +101,23 @@
     free = _total((worker.free(), *closing))
     candidates = [run for run in worker.runs.values() if may_yield(run)]
     chosen, free = _cheapest_runs(free, demand, candidates)
-    if chosen is None:
+    if any(_missing(free, demand)):
         return None
     chosen, free = _drop_unneeded(chosen, free, demand)
     return Victims(worker, chosen, _fit_count(free, demand))
 
 
-def _cheapest_runs(free, demand, candidates, is_partial=False):
+def _cheapest_runs(free, demand, candidates):
     """The fewest runs whose stop lets ``demand`` fit, and what is free then.
 
-    Without enough candidates the result is None, or all useful ones if ``is_partial``.
+    If the candidates are too few, these are all that free some of what is missing.
     """
     candidates = sorted(candidates, key=lambda run: (run.demand, str(run.key)))
     chosen = []
     while any(_missing(free, demand)):
         useful = [run for run in candidates if _frees_missing(run, free, demand)]
         if not useful:
-            return (chosen if is_partial else None), free
+            break
         run = _pick(useful, _missing(free, demand))
         candidates.remove(run)
         chosen.append(run)
--- a/alderreach/ops/controller/preempting.py
+++ b/alderreach/ops/controller/preempting.py
@@ -79,19 +79,14 @@
         """Preempt a customer's own runs for ``wanted`` tasks of a group at its cap."""
         if now_ms < self.next_ms(job, group, since_ms):
             return
-        leader = self._leader
+        leader, customer = self._leader, job.record.customer
         priority = leader.queue_of(job).priority
-        runs_by_worker = leader.customers.yielding_runs(job.record.customer)
-        closing = [run.demand for _worker, run in runs_by_worker if run.is_closing()]
-        used, cap = leader.customers.use_and_cap(job.record.customer)
-        free = resources.minus(cap, used)
-        for demand in closing:
-            free = resources.plus(free, demand)
         workers_of = {
             run: worker
-            for worker, run in runs_by_worker
+            for worker, run in leader.customers.yielding_runs(customer)
             if self._may_yield(run, priority)
         }
+        free = leader.customers.free_after_stops(customer)
         demand = resources.times(job.record.steps[group.step].demand, wanted)
         chosen = preemption.choose_for_cap(free, demand, list(workers_of))
         pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
