--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -67,14 +67,10 @@
 
 
 def evidence(report):
-    """The lines of the time line that concern what is broken."""
-    broken = " ".join(report.violations).split()
-    named = {word for word in broken if any(c.isdigit() for c in word)}
-    return [
-        line
-        for line in timeline(report)
-        if any(name in line for name in named) or " over " in line
-    ]
+    """The lines of the time line about the tasks, jobs and workers of violations."""
+    words = " ".join(report.violations).split()
+    named = {word for word in words if any(char.isdigit() for char in word)}
+    return [line for line in timeline(report) if any(name in line for name in named)]
 
 
 def _counts(counter):
