--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -288,3 +288,15 @@
         sender.join()
         assert answers == [503]
         assert not worker.worker.running
+
+
+def test_a_closed_worker_does_not_restart():
+    """A worker that a task has crashed would restart after its day has ended.
+
+    Its listener would stay open, and the next day could not use the address.
+    """
+    address = entry_fakes.free_address()
+    worker = platform_worker.PlatformWorker("w1", address, []).start()
+    worker.close()
+    worker.restart()
+    platform_worker.PlatformWorker("w2", address, []).start().close()
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -107,11 +107,7 @@
         """Crash if the task crashes its workers, and restart soon after."""
         if self._promises.check_crash(order.task):
             self.crash()
-            threading.Timer(RESTART_AFTER_S, self._restart_unless_stopping).start()
-
-    def _restart_unless_stopping(self):
-        if not self._stopping.is_set():
-            self.restart()
+            threading.Timer(RESTART_AFTER_S, self.restart).start()
 
     def _permits(self, start):
         job_id = start.task.partition(".")[0]
--- a/tools/standins/platform_worker.py
+++ b/tools/standins/platform_worker.py
@@ -72,12 +72,14 @@
         self._http = urllib3.PoolManager(retries=False, timeout=1)
         self._stopping = threading.Event()
         self._stack = contextlib.ExitStack()
+        # Guards the listener, which a restart replaces while ``close`` may end it.
+        self._listener_lock = threading.Lock()
         self._listener = None
 
     def start(self):
         """Serve and send heartbeats until ``close``."""
         self._listen()
-        self._stack.callback(lambda: self._listener.close())
+        self._stack.callback(self._end_listener)
         for work in (self._send_heartbeats, self._run_steps):
             thread = threading.Thread(target=work, daemon=True)
             thread.start()
@@ -113,13 +115,16 @@
         """Begin a new incarnation under the same id.
 
         Its listener is a new one: calls that the previous incarnation has received, or
-        that wait in its connections, end with it.
+        that wait in its connections, end with it. After ``close`` nothing restarts.
         """
-        self._listener.close()
-        with self._lock:
-            self.worker.restart()
-            self.on_restarted()
-        self._listen()
+        with self._listener_lock:
+            if self._stopping.is_set():
+                return
+            self._listener.close()
+            with self._lock:
+                self.worker.restart()
+                self.on_restarted()
+            self._listen()
 
     def on_restarted(self):
         """Hook for subclasses: a new incarnation begins, and has received no call."""
@@ -132,6 +137,10 @@
         with self._lock:
             return self.worker.next_end - 1
 
+    def _end_listener(self):
+        with self._listener_lock:
+            self._listener.close()
+
     def _listen(self):
         """Open the listener of the current incarnation."""
         application = functools.partial(self._application, self.worker.incarnation)
