--- a/tests/cell_duplicates_test.py
+++ b/tests/cell_duplicates_test.py
@@ -1,5 +1,6 @@
 """Tasks that may run twice and start elsewhere while their worker is unreachable."""
 
+from alderreach.core import orders
 from tests import cell_sim
 from tools.standins import cell_worker
 
@@ -28,3 +29,27 @@
         sim.run_until_state("j1", "completed", duration_ms=3_000)
         sim.run(3_000)
         assert not first.running and not second.running
+
+
+def test_a_start_without_an_answer_is_not_repeated_once_its_task_ran_elsewhere(
+    tmp_path,
+):
+    """Guards against a task that starts again after its end was acknowledged. A start
+    is lost, the task, which may run twice, is started elsewhere and is done there. The
+    leader went on to send the lost start until the worker could be reached again.
+    """
+    with cell_sim.running_cell(tmp_path, workers=2) as sim:
+
+        def cut_off_on_first_start(call):
+            if isinstance(call.order, orders.Start) and not sim.cut:
+                for name in sim.names:
+                    sim.cut |= {(name, call.target_id), (call.target_id, name)}
+            return 0
+
+        sim.call_delay_ms = cut_off_on_first_start
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1, allow_duplicates=True))
+        assert sim.run(4_000, lambda: "j1.0.0.0" in sim.acknowledged)
+        sim.call_delay_ms = lambda call: 0
+        sim.cut = set()
+        sim.run(2_000)
+        assert sim.read_job("j1").text == "completed"
