--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -138,9 +138,11 @@
 def abandon(leader, worker):
     """Give up runs of tasks that allow duplicates, so that these start elsewhere.
 
-    The runs may still be active and keep their resources. A task that is suspected to
-    have crashed a worker waits until the end of its run is known. Otherwise it would
-    crash one worker after the other in the meantime.
+    The runs may still be active and keep their resources. Those whose start has no
+    answer yet are stopped, or the start would be repeated although the task may be done
+    elsewhere by then. A task that is suspected to have crashed a worker waits until the
+    end of its run is known. Otherwise it would crash one worker after the other in the
+    meantime.
     """
     for run in worker.runs.values():
         if not run.allow_duplicates or run.abandoned or not run.sends or run.is_long:
@@ -159,6 +161,8 @@
         leader.environment.record(
             "run_abandoned", task=str(run.key), run=run.run, target=worker.target_id
         )
+        if run.state == workers.ORDERED:
+            runs.close_run(leader, worker, run)
 
 
 def check(leader, worker, now_ms):
