--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -12,6 +12,8 @@
 
 from absl import logging
 
+from alderreach.core import orders
+
 
 class Calls(typing.NamedTuple):
     """The functions that call a worker; provided by the protocol's implementation.
@@ -76,7 +78,13 @@
         )
 
     def order(self, order):
-        """Queue a Start, Stop or Pace."""
+        """Queue a Start, Stop or Pace; a Stop replaces waiting starts of its run.
+
+        The orders before them may hang, so a start could otherwise be sent seconds
+        after its run was given up.
+        """
+        if isinstance(order, orders.Stop):
+            self._post(lambda: self._orders.discard(lambda o: _is_start_of(order, o)))
         self._post(lambda: self._orders.add(order))
 
     def poll(self, poll):
@@ -111,6 +119,12 @@
         if self._task is None and not self._is_closed:
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
+    def discard(self, is_discarded):
+        """Drop the waiting calls that a predicate names; they get no result."""
+        self._queue = collections.deque(
+            item for item in self._queue if not is_discarded(item)
+        )
+
     def close(self):
         self._is_closed = True
         self._queue.clear()
@@ -142,3 +156,9 @@
         if self._session is not None:
             self._connections.forget(self._session)
             self._session.close()
+
+
+def _is_start_of(stop, order):
+    """Whether an order starts the run that a Stop ends."""
+    is_start = isinstance(order, orders.Start)
+    return is_start and (order.task, order.run) == (stop.task, stop.run)
--- a/alderreach/ops/controller/target_link_test.py
+++ b/alderreach/ops/controller/target_link_test.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from alderreach.core import orders
 from alderreach.ops.controller import target_link, worker_connections
 from alderreach.utils import event_loop
 
@@ -28,6 +29,7 @@
         self.messages = queue.Queue()
         self.closed = queue.Queue()
         self.begun = queue.Queue()
+        self.posted = queue.Queue()
         self.hanging = set()
         calls = target_link.Calls(
             lambda _address: Session(self.closed), self._call, self._call
@@ -80,6 +82,25 @@
     assert answered[0] == target_link.OrderAnswered(7, "w1", 0, "0 done")
 
 
+def test_a_stop_replaces_a_start_of_its_run_that_waits(links):
+    """Guards against a start that is sent seconds after its run was given up, as its
+    worker leaves the orders before it without an answer.
+    """
+    links.hanging.add("w1")
+    link = links.link("w1")
+    other = orders.Stop("j1.0.0.0", 1, 7)
+    start = orders.Start("j1.0.0.1", 2, "run", 1000, 7, "", "")
+    stop = orders.Stop("j1.0.0.1", 2, 7)
+    newer = start._replace(run=3)
+    for order in (other, start, newer, stop):
+        link.order(order)
+    links.loop.post(lambda: links.posted.put(True))
+    links.posted.get(timeout=PATIENCE_S)
+    links.hanging.clear()
+    answered = [links.next_message().order for _ in range(3)]
+    assert answered == [other, newer, stop]
+
+
 def test_a_closed_link_drops_queued_calls_and_closes_connections(links):
     links.hanging.add("w1")
     link = links.link("w1")
