--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -74,6 +74,8 @@
         self.groups_to_revisit = set()
         self.durations = {}
         self.moves = {}
+        # Ids of active jobs of which a worker has confirmed a run to this leader.
+        self.jobs_at_work = set()
         self.on_run_ended = lambda job_id, occurrence, step: None
         self._queues = _Queues(None, {}, math.inf)
         # Ids of workers in the order of their checks; see ``next_to_check``.
@@ -190,6 +192,26 @@
         workers_in_doubt = [self._worker_of(each) for each in task.in_doubt]
         return any(worker and worker.is_refusing for worker in workers_in_doubt)
 
+    def confirm_run(self, run):
+        """Record that a worker has confirmed a run."""
+        run.is_confirmed = True
+        self.jobs_at_work.add(run.key.job_id)
+
+    def has_begun(self, job):
+        """Whether a task of a job has run, which a start that was sent doesn't prove.
+
+        A new leader learns it of runs in progress from the first lists of the workers.
+        """
+        if not job.has_started:
+            return False
+        if job.record.job_id in self.jobs_at_work:
+            return True
+        return any(
+            task.state == cell_state.DONE or task.failed_run
+            for tasks in job.groups.values()
+            for task in tasks
+        )
+
     def drop_ended(self, kept):
         """Drop the entries of a dictionary whose keys belong to ended jobs."""
         for key in [key for key in kept if self.is_over(key)]:
@@ -199,6 +221,8 @@
         """Drop the records of jobs that have ended."""
         self.drop_ended(self.durations)
         self.drop_ended(self.moves)
+        over = {job_id for job_id in self.jobs_at_work if self.is_over((job_id,))}
+        self.jobs_at_work -= over
         self.permissions.forget_matching(self.is_over)
 
     def add_worker(self, record):
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -67,7 +67,7 @@
         return
     if result.outcome == orders.OK:
         run.state = workers.RUNNING
-        run.is_confirmed = True
+        leader.confirm_run(run)
         run.answered_ms = run.last_progress_ms = now_ms
         return
     leader.environment.record(
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -157,15 +157,15 @@
         self._wait_reports.tidy(self._waiting.values(), self._leader.now_ms())
 
     def pending(self, queue_name):
-        """The number of accepted jobs of a queue of which nothing has started.
+        """The number of accepted jobs of a queue of which nothing has run.
 
         Jobs with repeated occurrences don't count.
         """
         return sum(
             job.state == cell_state.ACTIVE
-            and not job.has_started
             and not job.record.repeat_count
             and job.record.queue.name == queue_name
+            and not self._leader.has_begun(job)
             for job in self._leader.state.jobs.values()
         )
 
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -194,7 +194,7 @@
 
 
 def _update_progress(leader, worker, run, entry, now_ms):
-    run.is_confirmed = True
+    leader.confirm_run(run)
     worker.previous_ends.pop((run.key, run.run), None)
     if run.state == workers.ORDERED:
         run.state = workers.RUNNING
