--- a/tools/standins/cell_worker.py
+++ b/tools/standins/cell_worker.py
@@ -10,6 +10,7 @@
 from alderreach.core import orders
 
 MAX_LEASE_MS = 6000
+MAX_LISTED_ENDS = 500
 
 
 class Running:
@@ -162,7 +163,11 @@
             for task, run in self.running.items()
         ]
         return orders.PollResult(
-            orders.OK, self.clock_ms(), self.born_ms, running, list(self.ends)
+            orders.OK,
+            self.clock_ms(),
+            self.born_ms,
+            running,
+            self.ends[:MAX_LISTED_ENDS],
         )
 
     def _extend(self, until_ms):
