--- a/alderreach/core/raft_leader.py
+++ b/alderreach/core/raft_leader.py
@@ -8,6 +8,10 @@
 from alderreach.core import membership, raft_snapshot, raft_state
 from alderreach.core.generated import keeper
 
+# The leader knows when this many rounds began; replies to earlier ones are too old to
+# extend any lease.
+MAX_ROUNDS = 1000
+
 
 def become_leader(node, now_ms):
     """Lead the current term; the driver proposes the term's first entry at once."""
@@ -20,6 +24,7 @@
     node.first_index_of_term = node.log.last_index + 1
     node.next_beat_ms = now_ms
     follow_members(node, now_ms)
+    _begin_round(node, now_ms)
 
 
 def follow_members(node, now_ms):
@@ -43,6 +48,20 @@
     return now_ms - last_contact_ms < node.rules.election_timeout_ms
 
 
+def confirmed_ms(node, now_ms):
+    """Return a time until when it is certain that no newer leader had been elected.
+
+    ``has_quorum`` counts a reply from its arrival. That can be long after the follower
+    sent it and has elected another leader, such as after this process was frozen.
+    """
+    return membership.quorum_value(
+        node.members,
+        lambda identity: (
+            now_ms if identity == node.identity else _confirmed_ms(node, identity)
+        ),
+    )
+
+
 def request_round(node):
     """Request a round; returns its number, to be compared with ``confirmed_round``.
 
@@ -68,6 +87,7 @@
     """Send heartbeats if they are due, and resend snapshot chunks without an answer."""
     if now_ms >= node.next_beat_ms:
         node.next_beat_ms = now_ms + node.rules.beat_ms
+        _begin_round(node, now_ms)
         for identity, progress in node.progress.items():
             progress.probe_sent = False
             if progress.snapshot is not None:
@@ -91,7 +111,7 @@
     even_empty = node.round_requested
     if node.round_requested:
         node.round_requested = False
-        node.round += 1
+        _begin_round(node, now_ms)
     for identity, progress in node.progress.items():
         _replicate(node, identity, progress, now_ms, even_empty)
 
@@ -103,6 +123,8 @@
         return
     progress.last_contact_ms = now_ms
     progress.round = max(progress.round, message.round)
+    began_ms = node.round_began_ms.get(message.round, 0)
+    progress.confirmed_ms = max(progress.confirmed_ms, began_ms)
     if message.accepted:
         _on_accepted(node, progress, message)
     elif message.previous_index == progress.next_index - 1 or not progress.probing:
@@ -185,6 +207,12 @@
     )
 
 
+def _begin_round(node, now_ms):
+    node.round += 1
+    node.round_began_ms[node.round] = now_ms
+    node.round_began_ms.pop(node.round - MAX_ROUNDS, None)
+
+
 def _on_accepted(node, progress, message):
     if message.match_index > progress.match_index:
         progress.match_index = message.match_index
@@ -260,6 +288,11 @@
     return progress.last_contact_ms if progress else node.elected_ms
 
 
+def _confirmed_ms(node, identity):
+    progress = node.progress.get(identity)
+    return progress.confirmed_ms if progress else 0
+
+
 def _answered_round(node, identity):
     progress = node.progress.get(identity)
     return progress.round if progress else 0
--- a/alderreach/core/raft_state.py
+++ b/alderreach/core/raft_state.py
@@ -50,7 +50,11 @@
 
 
 class Progress:
-    """The leader's replication state of one follower."""
+    """The leader's replication state of one follower.
+
+    ``last_contact_ms`` is when its last reply arrived, and ``confirmed_ms`` when the
+    newest round that it answered began.
+    """
 
     def __init__(self, next_index, now_ms):
         self.match_index = 0
@@ -59,6 +63,7 @@
         self.probe_sent = False
         self.round = 0
         self.last_contact_ms = now_ms
+        self.confirmed_ms = 0
         self.sent_ms = now_ms
         self.snapshot = None
         self.offset = 0
@@ -120,6 +125,8 @@
         self.next_beat_ms = 0
         self.round = 0
         self.round_requested = False
+        # When the latest rounds began, by number.
+        self.round_began_ms = {}
         self.incoming = None
         self.installed_snapshot = None
         self.presync_outbox = []
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -224,11 +224,11 @@
             sample = max(sample, int(aged))
         self.clock_offset_ms, self.clock_offset_at_ms = sample, now_ms
 
-    def grant_lease(self, lease_ms, now_ms):
-        """Grant a lease that starts now; returns its end by the worker's clock."""
-        lease_end_ms = now_ms + int(lease_ms * CLOCK_DRIFT_FACTOR) + LEASE_MARGIN_MS
+    def grant_lease(self, lease_ms, begin_ms):
+        """Grant a lease from ``begin_ms``; returns its end by the worker's clock."""
+        lease_end_ms = begin_ms + int(lease_ms * CLOCK_DRIFT_FACTOR) + LEASE_MARGIN_MS
         self.lease_end_ms = max(self.lease_end_ms, lease_end_ms)
-        return now_ms + self.clock_offset_ms + lease_ms
+        return begin_ms + self.clock_offset_ms + lease_ms
 
     def is_planned_to_end(self):
         """Whether the worker has announced that it drains or ends."""
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -220,6 +220,9 @@
             metrics=self._context.metrics,
             record=self._record,
             confirm=self._port.confirm,
+            confirmed_ms=lambda: raft_leader.confirmed_ms(
+                self._port.node, self._clock.monotonic_ms()
+            ),
             committed=lambda: self._port.get_state().cell,
             cell_offset_ms=self._cell_offset_ms,
             is_time_known=self._make_time_check(),
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -27,11 +27,12 @@
 class Environment(typing.NamedTuple):
     """The services that a process provides to its leader.
 
-    ``committed()`` returns the committed state of the cell, ``cell_offset_ms()`` the
-    offset of the cell's time from the monotonic clock, ``is_time_known()`` whether that
-    offset can be relied on, and ``helpers()`` the addresses of the processes that may
-    query the permission service. ``send_query(query)`` sends a ``permissions.Query``
-    to its helper.
+    ``confirmed_ms()`` returns a time of the monotonic clock until when it is certain
+    that there was no newer leader. ``committed()`` returns the committed state of the
+    cell, ``cell_offset_ms()`` the offset of the cell's time from the monotonic clock,
+    ``is_time_known()`` whether that offset can be relied on, and ``helpers()`` the
+    addresses of the processes that may query the permission service.
+    ``send_query(query)`` sends a ``permissions.Query`` to its helper.
     """
 
     settings: typing.Any
@@ -39,6 +40,7 @@
     metrics: typing.Any
     record: typing.Callable
     confirm: typing.Callable
+    confirmed_ms: typing.Callable
     committed: typing.Callable
     cell_offset_ms: typing.Callable
     is_time_known: typing.Callable
@@ -88,6 +90,17 @@
         settings = self.environment.settings.cell
         return min(settings.worker_lease_ms, settings.worker_lease_max_ms)
 
+    def grant_lease(self, worker):
+        """Grant a worker a lease; returns its end by the worker's clock.
+
+        A successor waits for leases that began an election timeout after its election
+        at most. This leader may have been frozen and replaced a moment ago, so a lease
+        begins no later than that after the leadership was confirmed.
+        """
+        timeout_ms = self.environment.settings.timing.election_timeout_ms
+        latest_ms = self.environment.confirmed_ms() + timeout_ms
+        return worker.grant_lease(self.lease_ms(), min(self.now_ms(), latest_ms))
+
     def now_ms(self):
         """The time of the monotonic clock."""
         return self.environment.clock.monotonic_ms()
@@ -205,8 +218,8 @@
         """Add a worker and open a link to it.
 
         Until the worker has answered, a lease granted by a previous leader may still
-        be valid there. It was granted before this leader was elected, by a leader whose
-        last contact with a quorum was at most an election timeout earlier.
+        be valid there. It began an election timeout after the election of this
+        leader at most; see ``grant_lease``.
         """
         settings = self.environment.settings
         now_ms = self.now_ms()
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -190,12 +190,11 @@
         # lease can be granted.
         end_run(leader, worker, run, "stopped")
         return
-    now_ms = leader.now_ms()
     run.order = orders.Start(
         str(run.key),
         run.run,
         job.record.spec,
-        worker.grant_lease(leader.lease_ms(), now_ms),
+        leader.grant_lease(worker),
         leader.epoch,
         run.checkpoint,
         run.ticket,
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -34,7 +34,7 @@
         and worker.failures == 0
         and worker.clock_offset_ms is not None
     ):
-        until_ms = worker.grant_lease(leader.lease_ms(), now_ms)
+        until_ms = leader.grant_lease(worker)
     is_urgent = (
         not worker.runs
         or not worker.has_seen_epoch
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -247,6 +247,7 @@
                 metrics=metrics.Metrics(),
                 record=self._record,
                 confirm=lambda callback, _refuse: self._after_commit(callback),
+                confirmed_ms=now_ms,
                 committed=lambda: self._log,
                 cell_offset_ms=lambda: 0,
                 is_time_known=lambda: True,
