--- a/alderreach/core/membership.py
+++ b/alderreach/core/membership.py
@@ -36,12 +36,20 @@
 
 
 def change(members, command) -> Result:
-    """Apply a ``ChangeMembers``; returns ``Ok(members)`` or ``Err(reason)``."""
+    """Apply a ``ChangeMembers``; returns ``Ok(members)`` or ``Err(reason)``.
+
+    A change that has been made already is accepted and changes nothing, since requests
+    are sent again when their answer was lost.
+    """
     present = find(members, command.identity)
     if command.action == "add_learner":
-        if present is not None:
-            return Err("this identity is a member already")
-        return Ok(add_learner(members, command))
+        if present is None:
+            return Ok(add_learner(members, command))
+        if (present.name, present.address) == (command.name, command.address):
+            return Ok(members)
+        return Err("this identity is a member already")
+    if command.action == "remove" and present is None:
+        return Ok(members)
     if present is None:
         return Err("no member has this identity")
     if command.action == "promote":
--- a/alderreach/core/membership_test.py
+++ b/alderreach/core/membership_test.py
@@ -40,3 +40,27 @@
 
 def test_missing_voters_are_replaced():
     assert replacement(team("a", "b", "c?")) == ("promote", "c")
+
+
+def test_a_repeated_change_is_accepted_and_changes_nothing():
+    """Guards against a resent change that is refused since its first copy was made."""
+    command = keeper.ChangeMembers("remove", "b", "", "")
+    removed = membership.change(team("a", "b"), command).ok_value
+    assert membership.change(removed, command).ok_value == removed == team("a")
+    command = keeper.ChangeMembers("add_learner", "b", "b", "")
+    added = membership.change(removed, command).ok_value
+    assert membership.change(added, command).ok_value == added == team("a", "b?")
+    promoted = membership.change(added, command._replace(action="promote")).ok_value
+    assert membership.change(promoted, command).ok_value == promoted == team("a", "b")
+
+
+def test_changes_that_contradict_the_membership_are_refused():
+    members = team("a", "b")
+    for command in (
+        keeper.ChangeMembers("add_learner", "b", "b", "elsewhere:1"),
+        keeper.ChangeMembers("add_learner", "b", "c", ""),
+        keeper.ChangeMembers("promote", "c", "", ""),
+    ):
+        assert membership.change(members, command).is_err()
+    last = keeper.ChangeMembers("remove", "a", "", "")
+    assert membership.change(team("a", "b?"), last).is_err()
