--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -9,6 +9,7 @@
 import os
 import threading
 import types
+from concurrent import futures
 
 import pytest
 import urllib3
@@ -296,6 +297,31 @@
         assert not worker.worker.running
 
 
+def test_a_delayed_start_is_carried_out_late_or_ends_with_its_incarnation():
+    """A worker leaves a start unanswered, and carries it out if it is still there."""
+    worker = make_worker()
+    worker.start_delay_s = lambda: 0.5
+
+    def send(task):
+        url = f"http://{worker.address}/-/run-start"
+        body = json.dumps({"task": task, "run": 1, "spec": "", "until_ms": 60_000})
+        return urllib3.request("POST", url, body=body, timeout=5).status
+
+    with contextlib.closing(worker.start()), futures.ThreadPoolExecutor() as pool:
+        late = pool.submit(send, "j.0.0.0")
+        assert not worker.worker.running
+        assert late.result() == 200
+        assert list(worker.worker.running) == ["j.0.0.0"]
+        received = threading.Event()
+        worker.start_delay_s = lambda: received.set() or 60.0
+        dropped = pool.submit(send, "j.0.0.1")
+        assert received.wait(5)
+        worker.worker.crash()
+        worker.worker.restart()
+        assert dropped.result() == 503
+        assert not worker.worker.running
+
+
 def test_a_closed_worker_does_not_restart():
     """A worker that a task has crashed would restart after its day has ended.
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -2,11 +2,12 @@
 
 Each fault lasts for a random time; several overlap. Processes are killed, stopped,
 paused and restarted; connections to workers and from callers go through a relay that
-cuts, slows and resets them; data folders are deleted while their process is down. The
-faults stay within what the cell tolerates: one controller out of three voters is down
-or without its disk at a time, but all of them may lose power together. Workers leave
-for good and are replaced, one at a time: each step may run in at least two of the four
-places, and has to be able to run in the end.
+cuts, slows and resets them; data folders are deleted while their process is down;
+workers leave starts unanswered and carry them out seconds later. The faults stay within
+what the cell tolerates: one controller out of three voters is down or without its disk
+at a time, but all of them may lose power together. Workers leave for good and are
+replaced, one at a time: each step may run in at least two of the four places, and has
+to be able to run in the end.
 """
 
 import random
@@ -21,6 +22,8 @@
 ROLES = ("controller", "frontend")
 # A draining worker serves for at least two seconds before it leaves.
 DRAIN_S = 2.2
+# A worker that carries out starts late delays each of them by one of these times.
+START_DELAYS_S = (0.0, 2.0, 4.0, 7.0, 12.0)
 
 
 class Fault(typing.NamedTuple):
@@ -42,6 +45,7 @@
         self._start_worker = start_worker
         self._rng = random.Random(f"faults {seed}")
         self._turnover_rng = random.Random(f"turnover {seed}")
+        self._delay_rng = random.Random(f"delays {seed}")
         self._lock = threading.Lock()
         self._busy = set()
         self._began_s = time.monotonic()
@@ -62,8 +66,10 @@
     def play(self, duration_s):
         """Inject faults for ``duration_s``; returns once the last one is repaired."""
         deadline_s = time.monotonic() + duration_s
-        threads = [threading.Thread(target=self._replace_workers, args=[deadline_s])]
-        threads[0].start()
+        series = (self._replace_workers, self._delay_starts)
+        threads = [threading.Thread(target=each, args=[deadline_s]) for each in series]
+        for thread in threads:
+            thread.start()
         while time.monotonic() < deadline_s:
             kind = self._rng.choice(list(self._kinds))
             hold_s = self._rng.choice([0.05, 0.4, 1.5, 4.0])
@@ -186,6 +192,23 @@
         with self._lock:
             self._workers[place] = replacement
 
+    def _delay_starts(self, deadline_s):
+        """Have workers, one at a time, carry out starts late.
+
+        The schedule of the other faults does not depend on these draws, so that a seed
+        keeps its schedule.
+        """
+        rng = self._delay_rng
+        while time.monotonic() < deadline_s:
+            hold_s = rng.choice([0.4, 1.5, 3.0])
+            with self._lock:
+                worker = self._workers[rng.randrange(len(self._workers))]
+            self._record("late_starts", hold_s, worker.name)
+            worker.start_delay_s = lambda: rng.choice(START_DELAYS_S)
+            time.sleep(hold_s)
+            worker.start_delay_s = lambda: 0.0
+            time.sleep(rng.choice([0.1, 0.5, 1.2]))
+
     def _process_fault(self, kind, hold_s, draw, roles, act):
         """Inject a fault into one process; only one controller at a time has one."""
         plans = [plan for plan in self._running.plans if plan.role in roles]
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -16,6 +16,7 @@
     "worker_crash": "x",
     "drain": "d",
     "vanish": "v",
+    "late_starts": "l",
 }
 
 
