--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -18,7 +18,7 @@
 from alderreach.utils import clocks
 from tests import entry_fakes
 from tools import cell
-from tools.soak import callers, day, faults, promises, report
+from tools.soak import callers, day, faults, linked_cell, promises, report
 from tools.standins import cell_worker, permissions, platform_worker
 
 # Seeds that failed before. The causes:
@@ -322,6 +322,40 @@
         assert not worker.worker.running
 
 
+def test_a_controller_is_cut_off_from_the_others_in_each_direction(tmp_path):
+    """A cut of one direction keeps the other, and an isolated leader is replaced."""
+    with linked_cell.LinkedCell(tmp_path) as running:
+        running.start()
+        first = cell.wait_until(running.leader, "a leader is elected")
+        links = running.links_of(first)
+        running.controller_links.cut(links)
+        cell.wait_until(lambda: running.leader() != first, "another one is elected")
+        assert sorted(links) == sorted(
+            link for link in running.controller_links.names() if first in link
+        )
+        assert len(links) == 4
+        running.controller_links.heal(links)
+
+
+@pytest.mark.parametrize(
+    "kind, expected",
+    [
+        ("deafen", [("b", "a"), ("c", "a")]),
+        ("mute", [("a", "b"), ("a", "c")]),
+        ("isolate", [("a", "b"), ("b", "a"), ("a", "c"), ("c", "a")]),
+    ],
+)
+def test_a_cut_names_the_links_of_its_direction(kind, expected):
+    """Links have the names of the sender and the receiver."""
+    cuts, heals = [], []
+    running = types.SimpleNamespace(
+        links_of=lambda _name: [("a", "b"), ("b", "a"), ("a", "c"), ("c", "a")],
+        controller_links=types.SimpleNamespace(cut=cuts.append, heal=heals.append),
+    )
+    faults.Faults(running, None, [], None, 1)._cut_off(kind, 0, "a")
+    assert cuts == heals == [expected]
+
+
 def test_a_closed_worker_does_not_restart():
     """A worker that a task has crashed would restart after its day has ended.
 
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -16,10 +16,10 @@
 import urllib3
 
 from alderreach.core.generated import common
-from tools import cell, relay, seeded_cell
+from tools import cell, relay
 from tools.soak import callers as callers_module
 from tools.soak import faults as faults_module
-from tools.soak import operators
+from tools.soak import linked_cell, operators
 from tools.soak import promises as promises_module
 from tools.standins import permissions, platform_worker
 
@@ -124,7 +124,7 @@
     promises = promises_module.Promises()
     with contextlib.ExitStack() as stack:
         running = stack.enter_context(
-            seeded_cell.SeededCell(folder, CONTROLLERS, FRONTENDS)
+            linked_cell.LinkedCell(folder, CONTROLLERS, FRONTENDS)
         )
         links = relay.Relay()
         stack.callback(links.close)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -3,9 +3,11 @@
 Each fault lasts for a random time; several overlap. Processes are killed, stopped,
 paused and restarted; connections to workers and from callers go through a relay that
 cuts, slows and resets them; data folders are deleted while their process is down;
-workers leave starts unanswered and carry them out seconds later. The faults stay within
-what the cell tolerates: one controller out of three voters is down or without its disk
-at a time, but all of them may lose power together. Workers leave for good and are
+workers leave starts unanswered and carry them out seconds later; a controller, mostly
+the leader, is frozen or cut off from the others, in one direction or both, while it
+reaches its workers. The faults stay within what the cell tolerates: one controller out
+of three voters is down or without its disk at a time, but all of them may lose power
+together, and cuts between them come in addition. Workers leave for good and are
 replaced, one at a time: each step may run in at least two of the four places, and has
 to be able to run in the end.
 """
@@ -24,6 +26,8 @@
 DRAIN_S = 2.2
 # A worker that carries out starts late delays each of them by one of these times.
 START_DELAYS_S = (0.0, 2.0, 4.0, 7.0, 12.0)
+# The share of freezes and cuts of controllers that concern the leader.
+LEADER_SHARE = 0.7
 
 
 class Fault(typing.NamedTuple):
@@ -46,6 +50,7 @@
         self._rng = random.Random(f"faults {seed}")
         self._turnover_rng = random.Random(f"turnover {seed}")
         self._delay_rng = random.Random(f"delays {seed}")
+        self._split_rng = random.Random(f"splits {seed}")
         self._lock = threading.Lock()
         self._busy = set()
         self._began_s = time.monotonic()
@@ -66,7 +71,7 @@
     def play(self, duration_s):
         """Inject faults for ``duration_s``; returns once the last one is repaired."""
         deadline_s = time.monotonic() + duration_s
-        series = (self._replace_workers, self._delay_starts)
+        series = (self._replace_workers, self._delay_starts, self._split_controllers)
         threads = [threading.Thread(target=each, args=[deadline_s]) for each in series]
         for thread in threads:
             thread.start()
@@ -95,12 +100,7 @@
         self._process_fault(kind, hold_s, draw, ROLES, stop)
 
     def _pause(self, kind, hold_s, draw):
-        def pause(plan, hold_s):
-            self._running.pause(plan.name)
-            time.sleep(hold_s)
-            self._running.resume(plan.name)
-
-        self._process_fault(kind, hold_s, draw, ROLES, pause)
+        self._process_fault(kind, hold_s, draw, ROLES, self._freeze)
 
     def _wipe(self, kind, hold_s, draw):
         def wipe(plan, hold_s):
@@ -112,6 +112,11 @@
 
         self._process_fault(kind, hold_s, draw, ("controller",), wipe)
 
+    def _freeze(self, plan, hold_s):
+        self._running.pause(plan.name)
+        time.sleep(hold_s)
+        self._running.resume(plan.name)
+
     def _kill_process(self, plan, hold_s):
         self._running.kill(plan.name)
         time.sleep(hold_s)
@@ -209,10 +214,38 @@
             worker.start_delay_s = lambda: 0.0
             time.sleep(rng.choice([0.1, 0.5, 1.2]))
 
+    def _split_controllers(self, deadline_s):
+        """Freeze controllers or cut them off from the others, one after another."""
+        rng = self._split_rng
+        names = [plan.name for plan in self._running.of_role("controller")]
+        while time.monotonic() < deadline_s:
+            kind = rng.choice(["isolate", "deafen", "mute", "freeze"])
+            hold_s = rng.choice([0.4, 1.5, 4.0])
+            name = rng.choice(names)
+            if rng.random() < LEADER_SHARE:
+                name = self._running.leader() or name
+            if kind == "freeze":
+                self._inject(kind, hold_s, self._running.plan(name), self._freeze)
+            else:
+                self._cut_off(kind, hold_s, name)
+            time.sleep(rng.choice([0.1, 0.5, 1.2]))
+
+    def _cut_off(self, kind, hold_s, name):
+        """Cut a controller's links with the others: to it, from it, or both."""
+        links = self._running.links_of(name)
+        if kind != "isolate":
+            links = [link for link in links if link[kind == "deafen"] == name]
+        self._record(kind, hold_s, name)
+        self._running.controller_links.cut(links)
+        time.sleep(hold_s)
+        self._running.controller_links.heal(links)
+
     def _process_fault(self, kind, hold_s, draw, roles, act):
         """Inject a fault into one process; only one controller at a time has one."""
         plans = [plan for plan in self._running.plans if plan.role in roles]
-        plan = plans[int(draw * len(plans))]
+        self._inject(kind, hold_s, plans[int(draw * len(plans))], act)
+
+    def _inject(self, kind, hold_s, plan, act):
         with self._lock:
             taken = {plan.name}
             if plan.role == "controller":
--- /dev/null
+++ b/tools/soak/linked_cell.py
@@ -0,0 +1,76 @@
+"""A seeded cell whose controllers can be cut off from each other.
+
+>>> with LinkedCell(folder, 4, 2) as running:  # doctest: +SKIP
+...     running.start()
+...     running.controller_links.cut(running.links_of("controller-1"))
+"""
+
+import itertools
+import json
+import sys
+
+from tools import relay, seeded_cell
+
+FIRST_PORT = 7500
+
+
+class LinkedCell(seeded_cell.SeededCell):
+    """Messages between controllers go through ``controller_links``.
+
+    Each link has the names of the sending and the receiving controller.
+    """
+
+    def __init__(self, folder, controllers=3, frontends=1):
+        super().__init__(folder, controllers, frontends)
+        self.controller_links = relay.Relay()
+        self._stack.callback(self.controller_links.close)
+        ports = itertools.count(FIRST_PORT)
+        for sender in self.of_role("controller"):
+            dials = {}
+            for receiver in self.of_role("controller"):
+                if receiver.name == sender.name:
+                    continue
+                listen = (sender.host, next(ports))
+                host, _, port = receiver.peers.rpartition(":")
+                self.controller_links.add(
+                    (sender.name, receiver.name), listen, (host, int(port))
+                )
+                dials[receiver.peers] = f"{listen[0]}:{listen[1]}"
+            self._dials_file(sender).write_text(json.dumps(dials))
+
+    def start(self, names=None):
+        """Start all processes, or the named ones."""
+        controllers = self.of_role("controller")
+        others = {plan.name for plan in self.plans} - {p.name for p in controllers}
+        super().start(others if names is None else others.intersection(names))
+        for plan in controllers:
+            if names is None or plan.name in names:
+                module = "tools.soak.linked_controller"
+                files = [str(self._dials_file(plan)), str(plan.settings)]
+                self.run(plan.name, [sys.executable, "-m", module, *files])
+
+    def links_of(self, name):
+        """The links from and to a controller."""
+        return [link for link in self.controller_links.names() if name in link]
+
+    def leader(self):
+        """The name of the controller that was elected last, or None.
+
+        It may have lost its leadership since.
+        """
+        elections = [
+            (event["wall_ms"], plan.name)
+            for plan in self.of_role("controller")
+            for event in _elections(self.log(plan.name))
+        ]
+        return max(elections, default=(0, None))[1]
+
+    def _dials_file(self, plan):
+        return self.folder / f"{plan.name}.dials.json"
+
+
+def _elections(log):
+    """The elections in a log, whose last line may be incomplete after a kill."""
+    lines = [line for line in log.splitlines() if '"leadership_gained"' in line]
+    complete = [line for line in lines if line.endswith("}")]
+    return [json.loads(line[line.index("{") :]) for line in complete]
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -17,6 +17,10 @@
     "drain": "d",
     "vanish": "v",
     "late_starts": "l",
+    "isolate": "i",
+    "deafen": "f",
+    "mute": "m",
+    "freeze": "z",
 }
 
 
