--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -16,6 +16,11 @@
     "worker_crash": "x",
     "drain": "d",
     "vanish": "v",
+    "late_starts": "l",
+    "isolate": "i",
+    "deafen": "f",
+    "mute": "m",
+    "freeze": "z",
 }
 
 
