--- a/alderreach/core/raft_election.py
+++ b/alderreach/core/raft_election.py
@@ -49,9 +49,9 @@
     node.leader = node.leader_name = ""
     node.votes = {node.identity}
     if not trial:
-        adopt_term(node, node.term + 1)
+        adopt_term(node, _next_term(node))
         node.voted_for = node.identity
-    term = node.term + 1 if trial else node.term
+    term = _next_term(node) if trial else node.term
     last_index, last_term = node.log.last_index, node.log.last_term
     for voter in membership.voters(node.members):
         if voter != node.identity:
@@ -68,6 +68,10 @@
     _count_votes(node, now_ms)
 
 
+def _next_term(node):
+    return node.term + node.rules.term_step
+
+
 def _count_votes(node, now_ms):
     votes = node.votes.intersection(membership.voters(node.members))
     if len(votes) < membership.quorum(node.members):
@@ -133,7 +137,7 @@
         adopt_term(node, message.term)
         become_follower(node, now_ms)
         return
-    term = node.term + 1 if node.trial else node.term
+    term = _next_term(node) if node.trial else node.term
     wanted = node.role == raft_state.CANDIDATE and message.trial == node.trial
     if wanted and message.granted and message.term == term:
         node.votes.add(message.voter)
--- a/alderreach/core/raft_state.py
+++ b/alderreach/core/raft_state.py
@@ -16,7 +16,7 @@
 
 class Rules(typing.NamedTuple):
     """Intervals and limits; ``election_timeout_ms`` is the setting of that name and
-    ``beat_ms`` the setting ``leader_beat_ms``.
+    ``beat_ms`` the setting ``leader_beat_ms``. Terms are ``term_step`` apart.
     """
 
     election_timeout_ms: int
@@ -25,6 +25,7 @@
     batch_bytes: int = 1 << 20
     window_entries: int = 4096
     chunk_bytes: int = 1 << 18
+    term_step: int = 1
 
 
 class Snapshot(typing.NamedTuple):
--- a/alderreach/ops/keeper/extension.py
+++ b/alderreach/ops/keeper/extension.py
@@ -13,6 +13,10 @@
 
 import typing
 
+# The terms of keepers with an extension are this far apart, so a leader has numbers of
+# its own between its term and the next: see ``LeaderState.next_fence``.
+TERM_STEP = 1024
+
 
 class Port(typing.NamedTuple):
     """What the keeper offers to the extension; only ``put`` is thread-safe.
--- a/alderreach/ops/keeper/service.py
+++ b/alderreach/ops/keeper/service.py
@@ -108,7 +108,8 @@
         self._task = tasks.Task("keeper", self._handle, self._tick, self._clock)
         self._disk = disk.Disk(context, opened.identity, hooks, self._task.put)
         self._state = opened.state
-        self._node = self._make_node(opened, hooks.random)
+        term_step = extension.TERM_STEP if make_extension else 1
+        self._node = self._make_node(opened, hooks.random, term_step)
         self._joining = joining.Joining(
             context,
             self._node,
@@ -189,12 +190,14 @@
             return self._context.settings.listen.peers
         return self._address_of(node.leader) or "" if node.leader else ""
 
-    def _make_node(self, opened, random_source):
+    def _make_node(self, opened, random_source, term_step):
         timing = self._context.settings.timing
         node = raft_state.Node(
             opened.identity,
             self._context.settings.process.name,
-            raft_state.Rules(timing.election_timeout_ms, timing.leader_beat_ms),
+            raft_state.Rules(
+                timing.election_timeout_ms, timing.leader_beat_ms, term_step=term_step
+            ),
             random_source,
             self._disk.sink,
             self._clock.monotonic_ms(),
