--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -47,6 +47,30 @@
     result: typing.Any
 
 
+def enqueue(waiting, order):
+    """Add an order to those that wait to be sent; a Stop replaces starts of its run.
+
+    The orders before it may hang, so a start would otherwise be sent seconds after its
+    run was given up. A dropped start gets no result.
+
+    >>> start = orders.Start("j1.0.0.0", 2, "true", 1000, 7, "", "")
+    >>> waiting = collections.deque([start])
+    >>> enqueue(waiting, orders.Stop("j1.0.0.0", 2, 7))
+    >>> [type(order).__name__ for order in waiting]
+    ['Stop']
+    """
+    if isinstance(order, orders.Stop):
+        kept = [other for other in waiting if not _is_start_of(other, order)]
+        waiting.clear()
+        waiting.extend(kept)
+    waiting.append(order)
+
+
+def _is_start_of(order, stop):
+    is_start = isinstance(order, orders.Start)
+    return is_start and (order.task, order.run) == (stop.task, stop.run)
+
+
 class TargetLink:
     """Calls of one leader to one worker; ``put`` receives their results as messages.
 
@@ -78,13 +102,7 @@
         )
 
     def order(self, order):
-        """Queue a Start, Stop or Pace; a Stop replaces waiting starts of its run.
-
-        The orders before them may hang, so a start could otherwise be sent seconds
-        after its run was given up.
-        """
-        if isinstance(order, orders.Stop):
-            self._post(lambda: self._orders.discard(lambda o: _is_start_of(order, o)))
+        """Queue a Start, Stop or Pace; a Stop replaces waiting starts of its run."""
         self._post(lambda: self._orders.add(order))
 
     def poll(self, poll):
@@ -115,16 +133,10 @@
         self._is_closed = False
 
     def add(self, item):
-        self._queue.append(item)
+        enqueue(self._queue, item)
         if self._task is None and not self._is_closed:
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
-    def discard(self, is_discarded):
-        """Drop the waiting calls that a predicate names; they get no result."""
-        self._queue = collections.deque(
-            item for item in self._queue if not is_discarded(item)
-        )
-
     def close(self):
         self._is_closed = True
         self._queue.clear()
@@ -156,9 +168,3 @@
         if self._session is not None:
             self._connections.forget(self._session)
             self._session.close()
-
-
-def _is_start_of(stop, order):
-    """Whether an order starts the run that a Stop ends."""
-    is_start = isinstance(order, orders.Start)
-    return is_start and (order.task, order.run) == (stop.task, stop.run)
--- a/tests/cell_duplicates_test.py
+++ b/tests/cell_duplicates_test.py
@@ -53,3 +53,38 @@
         sim.cut = set()
         sim.run(2_000)
         assert sim.read_job("j1").text == "completed"
+
+
+def test_a_start_that_waits_behind_others_is_not_sent_once_its_task_is_done(tmp_path):
+    """Guards against a task that starts again after its end was acknowledged. Its first
+    worker was silent, and the task, which may run twice, was to start elsewhere. There
+    its start waited behind orders without an answer until long after the first run was
+    listed as done; the stop that followed waited behind it.
+    """
+    with cell_sim.running_cell(tmp_path, workers=2, cpu_millis=16_000) as sim:
+        sim.order_timeout_ms = 500
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1, allow_duplicates=True))
+        assert sim.run(1_000, lambda: _running_on(sim, "j1.0.0.0"))
+        first = _running_on(sim, "j1.0.0.0")
+        sim.loses_answer = lambda call: call.target_id == first
+        sim.run(1_300)
+        is_held_up = lambda order: (
+            isinstance(order, orders.Start) and "j2" in order.task
+        )
+        sim.call_delay_ms = lambda call: 20_000 if is_held_up(call.order) else 0
+        cell_sim.submit_job(sim, "j2", cell_sim.step(6))
+        assert sim.run(1_000, lambda: _latest_run(sim, "j1") == 2)
+        sim.loses_answer = lambda call: False
+        assert sim.run(1_500, lambda: "j1.0.0.0" in sim.acknowledged)
+        sim.run(6_000)
+
+
+def _running_on(sim, task):
+    """Return the name of the worker that runs a task, or None."""
+    names = [each.name for each in sim.workers.values() if task in each.running]
+    return names[0] if names else None
+
+
+def _latest_run(sim, job_id):
+    """Return the number of the newest committed run of a job's first task."""
+    return sim.committed_state().jobs[job_id].groups[(0, 0)][0].run
