--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -241,6 +241,10 @@
             _end_job(state, job, FAILED, wall_ms)
         return
     if not is_newest and not is_late_success(task, ended.run, ended.how, step):
+        if _is_late_failure(task, ended, step):
+            task.failures += 1
+            if ended.is_final and job.state == ACTIVE:
+                _end_job(state, job, FAILED, wall_ms)
         return
     task.checkpoint = ended.checkpoint or task.checkpoint
     if ended.how == "done" and not step.long_running:
@@ -257,6 +261,15 @@
         _end_job(state, job, FAILED, wall_ms)
 
 
+def _is_late_failure(task, ended, step):
+    """Whether a run failed that had been given up for another run of its task.
+
+    The worker may discard this end, so it has to count as an attempt like any other.
+    """
+    may_count = step.allow_duplicates and not step.gang and not step.long_running
+    return may_count and ended.how == "failed" and task.state != DONE
+
+
 def _count_failure(job, ended, task):
     """Count a failed run once, even if several members of a gang report it."""
     tasks = job.groups[(ended.occurrence, ended.step)]
--- a/tests/cell_duplicates_test.py
+++ b/tests/cell_duplicates_test.py
@@ -79,6 +79,27 @@
         sim.run(6_000)
 
 
+def test_failures_of_runs_that_were_given_up_count_as_attempts(tmp_path):
+    """Guards against a task that starts again after as many failed runs as its queue
+    allows. One of them was on a worker that was unreachable for a while, so the task,
+    which may run twice, had started elsewhere. Only failures of the newest run counted.
+    """
+    with cell_sim.running_cell(tmp_path, workers=3) as sim:
+        assert sim.configure(2, max_attempts=2).kind == "accepted"
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=2_000, how="failed")
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1, allow_duplicates=True))
+        assert sim.run(1_000, lambda: _running_on(sim, "j1.0.0.0"))
+        first = _running_on(sim, "j1.0.0.0")
+        for name in sim.names:
+            sim.cut |= {(name, first), (first, name)}
+        assert sim.run(4_000, lambda: _latest_run(sim, "j1") == 2)
+        assert sim.run(1_000, lambda: not sim.workers[first].running)
+        sim.cut = set()
+        sim.run_until_state("j1", "failed", duration_ms=6_000)
+        assert _latest_run(sim, "j1") == 2
+
+
 def _running_on(sim, task):
     """Return the name of the worker that runs a task, or None."""
     names = [each.name for each in sim.workers.values() if task in each.running]
