--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -50,9 +50,14 @@
 
 
 def resend(leader, worker, run):
-    """Send a start or stop again that was not answered."""
+    """Send a start or stop again that was not answered.
+
+    The task of an abandoned run may be done elsewhere, so that run is stopped instead.
+    """
     if run.state == workers.CLOSING:
         runs.send_stop(leader, worker, run)
+    elif run.abandoned:
+        runs.close_run(leader, worker, run)
     elif run.state == workers.ORDERED and run.order is not None:
         runs.send_start(leader, worker, run)
 
