--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -106,6 +106,7 @@
             context,
             opened.ok_value,
             self._hooks(),
+            self._make_extension(name, context),
             seed_addresses={seed: seed for seed in self.seeds if seed != name} or None,
             may_found_cell=name in self._may_found,
         )
@@ -115,6 +116,9 @@
         self.keepers[name], self.stacks[name] = instance, stack
         return None
 
+    def _make_extension(self, name, context):
+        """Return a function that makes a keeper's extension, or None."""
+
     def _hooks(self):
         wait = lambda seconds: self.wait(seconds)
         return service.Hooks(self.rng, lambda work: work(), _crash, wait)
