--- a/alderreach/core/orders.py
+++ b/alderreach/core/orders.py
@@ -121,3 +121,5 @@
     running: list[ListedRun] = []
     ended: list[ListedEnd] = []
     detail: str = ""
+    has_more_ends: bool = False
+    """The list of ends may have been cut, so a run in neither list may have ended."""
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -79,9 +79,9 @@
         worker.has_seen_epoch = True
         leader.needs_planning = True
     has_ends = _apply_ends(leader, worker, result.ended)
-    if worker.awaits_list:
+    if worker.awaits_list and not result.has_more_ends:
         worker_lifecycle.apply_first_list(leader, worker, result, sent_ms)
-    _apply_running(leader, worker, result.running, sent_ms)
+    _apply_running(leader, worker, result, sent_ms)
     _adjust_pace(leader, worker, now_ms)
     _move_from_bad_worker(leader, worker, now_ms)
     if has_ends:
@@ -170,17 +170,17 @@
     )
 
 
-def _apply_running(leader, worker, running, sent_ms):
+def _apply_running(leader, worker, result, sent_ms):
     """Compare the runs that a worker lists with those that it should have."""
     now_ms = leader.now_ms()
-    listed = {entry.task: entry for entry in running}
+    listed = {entry.task: entry for entry in result.running}
     for run in list(worker.runs.values()):
         entry = listed.pop(str(run.key), None)
         if entry is not None and entry.run == run.run:
             _update_progress(leader, worker, run, entry, now_ms)
         elif entry is not None:
             listed[entry.task] = entry
-        elif sent_ms > run.answered_ms:
+        elif sent_ms > run.answered_ms and not result.has_more_ends:
             _handle_missing(leader, worker, run)
     for entry in listed.values():
         order = orders.Stop(entry.task, entry.run, leader.epoch)
--- a/alderreach/platform/wire.py
+++ b/alderreach/platform/wire.py
@@ -349,6 +349,8 @@
     return [cell.Ticket(*row) for row in _decode(_decode_advise_answer, body).good]
 
 
+# A worker lists this many ends at most.
+MAX_LISTED_ENDS = 500
 # Outcomes of an order by the reason of a worker's 409 answer.
 OUTCOME_BY_REASON = {
     "fence": orders.FENCED,
@@ -393,7 +395,12 @@
             f"malformed row in a worker's list of runs: {error}"
         ) from error
     return orders.PollResult(
-        orders.OK, _clock_ms(decoded), decoded.born, running, ended
+        orders.OK,
+        _clock_ms(decoded),
+        decoded.born,
+        running,
+        ended,
+        has_more_ends=len(ended) >= MAX_LISTED_ENDS,
     )
 
 
--- a/alderreach/platform/wire_test.py
+++ b/alderreach/platform/wire_test.py
@@ -154,3 +154,11 @@
         wire.advise_body("j.0.1", ["i-1", "i-2"]),
     ]
     assert [body.decode() for body in bodies] == snapshot
+
+
+@pytest.mark.parametrize(("count", "has_more"), [(499, False), (500, True)])
+def test_a_list_of_ends_may_be_cut(count, has_more):
+    """Guards against a run that is taken as stopped although its end is not listed."""
+    ended = [[number, "j1.0.0.0", number, "done", ""] for number in range(count)]
+    body = wire.encode({"clock_ms": 1, "running": [], "ended": ended})
+    assert wire.poll_result(200, body).has_more_ends == has_more
--- a/tools/standins/cell_worker.py
+++ b/tools/standins/cell_worker.py
@@ -168,6 +168,7 @@
             self.born_ms,
             running,
             self.ends[:MAX_LISTED_ENDS],
+            has_more_ends=len(self.ends) > MAX_LISTED_ENDS,
         )
 
     def _extend(self, until_ms):
