--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -50,11 +50,18 @@
 
 
 def resend(leader, worker, run):
-    """Send a start or stop again that was not answered."""
+    """Send a start or stop again that was not answered.
+
+    A start waits until the worker has answered another call. It may have crashed the
+    worker, whose next incarnation would take the same run as a new one.
+    """
     if run.state == workers.CLOSING:
         runs.send_stop(leader, worker, run)
     elif run.state == workers.ORDERED and run.order is not None:
-        runs.send_start(leader, worker, run)
+        if worker.failures:
+            run.next_send_ms = leader.now_ms() + RESEND_AFTER_MS
+        else:
+            runs.send_start(leader, worker, run)
 
 
 def _handle_start_answer(leader, worker, run, message, now_ms):
--- a/tests/cell_crashing_task_test.py
+++ b/tests/cell_crashing_task_test.py
@@ -2,9 +2,11 @@
 
 import collections
 import contextlib
+import random
 
 import pytest
 
+from alderreach.core import orders
 from tests import cell_sim
 from tools.standins import cell_worker
 
@@ -131,3 +133,50 @@
         assert all(starts[task] <= MAX_STARTS for task in crashing_tasks)
         for name in set(names) - failed:
             assert sim.read_job(name).text == "completed"
+
+
+def test_a_start_that_crashed_its_worker_is_not_sent_to_the_next_incarnation(tmp_path):
+    """Guards against one counted run that crashes a worker again and again.
+
+    The worker is back before its leader has noticed, and takes the run as a new one.
+    """
+    with crashing_cell(tmp_path, workers=1) as (sim, starts):
+        sim.restart_after_ms = 200
+        sim.refuses_when_down = False
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        sim.run(90_000)
+        assert starts[CULPRIT] <= MAX_STARTS
+        assert sim.read_job("j1").text == "failed"
+
+
+@pytest.mark.parametrize("seed", [13, 17])
+def test_tasks_that_crash_workers_and_meet_are_started_few_times(tmp_path, seed):
+    """Guards against a culprit whose crashes count against another one, or not at all.
+
+    Starts are held up, so that several culprits reach the same worker together.
+    """
+    rng = random.Random(seed)
+    culprits = tuple(f"j{n}.0.0.0" for n in range(1, rng.choice([3, 3, 4])))
+    options = {"workers": rng.choice([2, 3, 4]), "cpu_millis": 8000}
+    with crashing_cell(tmp_path, culprits, **options) as (sim, starts):
+        sim.restart_after_ms = rng.choice([1000, 1500, 3000])
+        sim.refuses_when_down = rng.random() < 0.7
+        sim.call_timeout_ms = 500
+        share = rng.choice([0.3, 0.6, 1.0])
+
+        def delay_ms(call):
+            if not isinstance(call.order, orders.Start) or rng.random() >= share:
+                return 0
+            return rng.choice([rng.randrange(100, 1000), rng.randrange(1000, 5000)])
+
+        sim.call_delay_ms = delay_ms
+        work_ms = rng.choice([2000, 5000])
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms)
+        for number in range(1, 6):
+            sim.steps[f"j{number}"] = [cell_sim.step(2)]
+            sim.submit(f"j{number}", cell_sim.step(2))
+        sim.run(60_000)
+        assert all(starts[task] <= MAX_STARTS for task in culprits)
+        for task in culprits:
+            assert sim.read_job(task.partition(".")[0]).text == "failed"
