--- a/alderreach/decisions/cell/crash_blame.py
+++ b/alderreach/decisions/cell/crash_blame.py
@@ -14,7 +14,9 @@
 Tasks that start together with a poison task would move to the next worker with it and
 be blamed with it. So a suspect starts alone: if possible on a worker where nothing has
 just started, and nothing else starts there for ``SUSPECT_ISOLATION_MS``. A crash under
-a fresh suspect does not count against the other runs on that worker.
+a fresh suspect does not count against the other runs that the worker had confirmed. It
+counts least against one that it had not: two poison tasks may meet on a worker if the
+start of one is held up, and each crash has to count against its cause.
 """
 
 from alderreach.core import crashes
@@ -55,7 +57,7 @@
 
     Runs that were never sent to the worker are left out, since they were not there. If
     the task of a fresh run is a suspect, by ``is_known_suspect(key)``, it explains the
-    crash, and all other runs are left out as well.
+    crash, and other runs that the worker has confirmed are left out as well.
     """
     present = [
         run
@@ -67,11 +69,12 @@
     fresh = [run for run in present if _was_fresh(run, worker, is_polled, lost_ms)]
     suspects = [run for run in fresh if is_known_suspect(run.key)]
     ends = {}
-    for run in suspects or present:
-        if lost_ms - run.placed_ms > YOUNG_MS:
+    for run in present:
+        is_explained = suspects and run not in suspects
+        if lost_ms - run.placed_ms > YOUNG_MS or (is_explained and run.is_confirmed):
             continue
         end_kind = crashes.WORKER_CRASHED
-        if run in fresh:
+        if run in fresh and not is_explained:
             is_certain = len(fresh) == 1 and (
                 run.is_confirmed or run.lost_connection_at_start
             )
--- a/alderreach/decisions/cell/crash_blame_test.py
+++ b/alderreach/decisions/cell/crash_blame_test.py
@@ -80,6 +80,17 @@
     assert set(found.values()) == {crashes.CRASHED_AT_START}
 
 
+def test_a_crash_under_a_fresh_suspect_counts_least_against_an_unconfirmed_run():
+    """Guards against two tasks that crash workers, and one of them is never blamed."""
+    worker = worker_with(run(0, 20), run(1, 2_000), run(2, 1_000, is_confirmed=False))
+    worker.last_contact_ms = CRASH_MS - 1_600
+    found = crash_blame.ends_after_crash(worker, CRASH_MS, lambda key: key.index != 1)
+    assert {key.index: end for (key, _run), end in found.items()} == {
+        0: crashes.CRASHED_AT_LONE_START,
+        2: crashes.WORKER_CRASHED,
+    }
+
+
 def test_a_run_started_by_a_previous_leader_is_not_fresh():
     """Guards against a running task that is blamed as if it had just started."""
     found = run(0, 20, is_confirmed=False)
