--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -231,9 +231,18 @@
 
 
 def _begin_incarnation(leader, worker):
-    """Keep the ends of the previous incarnation's runs until the next list."""
+    """Keep the ends of the previous incarnations' runs until these end.
+
+    A run that was closed after one crash may not have ended before the next one.
+    """
     if not worker.awaits_list:
-        worker.previous_ends = _ends_of_runs(leader, worker)
+        present = {(run.key, run.run) for run in worker.runs.values()}
+        earlier_ends = {
+            run: end_kind
+            for run, end_kind in worker.previous_ends.items()
+            if run in present
+        }
+        worker.previous_ends = _ends_of_runs(leader, worker) | earlier_ends
     _resolve_runs_in_doubt(leader, worker)
     worker.begin_incarnation()
 
--- a/tests/cell_crashing_task_test.py
+++ b/tests/cell_crashing_task_test.py
@@ -149,6 +149,32 @@
         assert sim.read_job("j1").text == "failed"
 
 
+def test_a_crash_counts_if_the_next_one_comes_before_its_run_has_ended(tmp_path):
+    """Guards against a crash that is forgotten with the next incarnation's crash.
+
+    The run that caused the first is closed, and the poll that would end it is lost.
+    """
+    culprits = (CULPRIT, "j2.0.0.0")
+    with crashing_cell(tmp_path, culprits, workers=1) as (sim, _starts):
+        (worker,) = sim.workers.values()
+        polls = []
+
+        def loses_answer(call):
+            if isinstance(call.order, orders.Poll) and worker.incarnation == 2:
+                polls.append(call)
+            return len(polls) > 1
+
+        sim.loses_answer = loses_answer
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(2000, lambda: worker.is_down)
+        cell_sim.submit_job(sim, "j2", cell_sim.step(1))
+        assert sim.run(10_000, lambda: worker.incarnation == 3)
+        sim.loses_answer = lambda call: False
+        find_task = lambda: sim.committed_state().jobs["j1"].groups[(0, 0)][0]
+        assert sim.run(10_000, lambda: find_task().run > 1)
+        assert find_task().blame > 0
+
+
 @pytest.mark.parametrize("seed", [13, 17, 62, 69])
 def test_tasks_that_crash_workers_and_meet_are_started_few_times(tmp_path, seed):
     """Guards against a culprit whose crashes count against another one, or not at all.
