--- a/alderreach/core/orders.py
+++ b/alderreach/core/orders.py
@@ -1,8 +1,10 @@
 """The orders that a leader sends to a worker, and their results.
 
-A worker rejects orders of an epoch below the highest one it has seen, and starts of a
+A worker rejects orders with a fence below the highest one it has seen, and starts of a
 run whose number is not above the last run that was stopped or ended there. Orders are
-therefore idempotent, and a delayed order of a previous leader has no effect.
+therefore idempotent. A fence rises with the epoch and, within it, with each incarnation
+of a worker that the leader notices, so a delayed order of a previous leader or for a
+previous incarnation has no effect.
 """
 
 import typing
@@ -42,7 +44,7 @@
     spec: str
     lease_until_ms: int
     """On the worker's own clock; extends the lease of all runs on the worker."""
-    epoch: int
+    fence: int
     checkpoint: str
     ticket: str
 
@@ -52,7 +54,7 @@
 
     task: str
     run: int
-    epoch: int
+    fence: int
 
 
 class Pace(typing.NamedTuple):
@@ -61,7 +63,7 @@
     task: str
     run: int
     percent: int
-    epoch: int
+    fence: int
 
 
 class Poll(typing.NamedTuple):
@@ -70,7 +72,7 @@
     The worker may discard the ends up to ``cursor``.
     """
 
-    epoch: int
+    fence: int
     cursor: int
     lease_until_ms: int | None
     """On the worker's own clock; None leaves the lease as it is."""
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -31,8 +31,6 @@
 # The clock in an answer lags behind its arrival by the call's time limit and some
 # queueing at most. A clock further behind than this belongs to another incarnation.
 MAX_CLOCK_LAG_MS = 3000
-# An order without an answer may still be carried out up to 12 s later.
-LATE_START_MS = 15_000
 # After one order or poll without an answer a worker is not used until the next answer.
 DOUBTFUL_FAILURES = 1
 
@@ -117,8 +115,9 @@
 class Worker:
     """A worker as its leader sees it.
 
-    ``incarnation`` counts the incarnations that the leader noticed, and ``awaits_list``
-    is set from the start of one until its first list tells which runs it has.
+    ``incarnation`` counts the incarnations that the leader noticed, ``fence`` is sent
+    with each call to the latest one, and ``awaits_list`` is set from the start of one
+    until its first list tells which runs it has.
     ``has_seen_epoch`` is set once the worker has seen the leader's epoch, and
     ``is_refusing`` if nothing listened there at the last call. ``poll`` is the open
     poll, and ``first_failure_ms`` the time of the first failed call since the last
@@ -127,7 +126,7 @@
     the same for the runs of the previous incarnation.
     """
 
-    def __init__(self, record, now_ms, lease_end_ms):
+    def __init__(self, record, now_ms, lease_end_ms, fence=0):
         self.record = record
         self.target_id = record.target_id
         self.rack = rack_of(record.labels)
@@ -136,9 +135,9 @@
         self.has_seen_epoch = False
         self.awaits_list = False
         self.incarnation = 0
+        self.fence = fence
         self.is_recording_ends = False
         self.has_ends_to_acknowledge = False
-        self.unanswered_starts = {}
         self.is_leaving = False
         self.is_evacuated = False
         self.announced_ms = now_ms
@@ -179,28 +178,27 @@
             self.first_failure_ms = now_ms
         self.failures += 1
 
-    def expect_late_start(self, run, now_ms):
-        """Record that an unanswered start of a run may be carried out seconds later."""
-        self.unanswered_starts[(str(run.key), run.run)] = now_ms + LATE_START_MS
-
-    def late_starts(self, now_ms):
-        """Unanswered starts that may still be carried out, as (task, run)."""
-        late = {key: ms for key, ms in self.unanswered_starts.items() if ms > now_ms}
-        self.unanswered_starts = late
-        return list(late)
-
-    def begin_incarnation(self):
+    def begin_incarnation(self, fence):
         """Reset what was known of the previous incarnation: its ends, epoch and clock.
 
         An open poll may be answered by either incarnation, so its answer is ignored.
+        Calls from now on have a higher fence. Once one of them is carried out, the
+        incarnation refuses all calls for the previous one that are still on their way.
         """
         self.incarnation += 1
+        self.fence = fence
         self.poll_sent_ms = self.poll = None
         self.cursor = 0
         self.has_seen_epoch = False
         self.awaits_list = True
         self.clock_offset_ms = None
 
+    def is_of_previous_incarnation(self, run):
+        """Whether all starts of a run were sent for previous incarnations, if any."""
+        if run.order is None:
+            return run.sends > 0
+        return run.order.fence < self.fence
+
     def is_clock_of_other_incarnation(self, clock_ms, now_ms):
         """Whether a clock is too far behind to be that of the current incarnation."""
         if self.clock_offset_ms is None:
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -23,6 +23,9 @@
     workers,
 )
 
+# The fences of one epoch for each worker; each of its incarnations takes one.
+FENCES_PER_EPOCH = 1 << 16
+
 
 class Environment(typing.NamedTuple):
     """The services that a process provides to its leader.
@@ -76,6 +79,8 @@
         self.moves = {}
         self.on_run_ended = lambda job_id, occurrence, step: None
         self._queues = _Queues(None, {}, math.inf)
+        # The latest fence of each worker, also of those that are dropped meanwhile.
+        self._fences = collections.defaultdict(lambda: epoch * FENCES_PER_EPOCH)
         # Ids of workers in the order of their checks; see ``next_to_check``.
         self._check_order = collections.deque()
         self._changes = []
@@ -213,11 +218,17 @@
         max_lease_ms = int(self.lease_ms() * workers.CLOCK_DRIFT_FACTOR)
         lease_end_ms = now_ms + max_lease_ms + settings.timing.election_timeout_ms
         lease_end_ms += workers.LEASE_MARGIN_MS
-        worker = workers.Worker(record, now_ms, lease_end_ms)
+        fence = self.next_fence(record.target_id)
+        worker = workers.Worker(record, now_ms, lease_end_ms, fence)
         self.workers[record.target_id] = worker
         self.links[record.target_id] = self.environment.open_link(record, self.epoch)
         return worker
 
+    def next_fence(self, target_id):
+        """Return a fence above all previous ones of a worker."""
+        self._fences[target_id] += 1
+        return self._fences[target_id]
+
     def replace_link(self, record):
         """Close the link to a worker and open one to its new address."""
         self.links[record.target_id].close()
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -23,7 +23,8 @@
 def handle_order_answer(leader, message):
     """Handle the answer to a Start, Stop or Pace order."""
     worker = leader.workers.get(message.target_id)
-    if worker is None:
+    if worker is None or message.order.fence != worker.fence:
+        # The previous incarnation answered, or an order for it was answered late.
         return
     now_ms, result = leader.now_ms(), message.result
     if result.clock_ms is not None:
@@ -53,7 +54,7 @@
     """Send a start or stop again that was not answered."""
     if run.state == workers.CLOSING:
         runs.send_stop(leader, worker, run)
-    elif run.state == workers.ORDERED and run.order is not None:
+    elif run.state == workers.ORDERED and not worker.is_of_previous_incarnation(run):
         runs.send_start(leader, worker, run)
 
 
@@ -93,7 +94,6 @@
         run.lost_connection_at_start = run.lost_connection_at_start or (
             result.lost_connection and is_at_start
         )
-        worker.expect_late_start(run, now_ms)
         run.next_send_ms = now_ms + RESEND_AFTER_MS
     elif result.outcome == orders.FENCED:
         logging.warning("worker %s has seen a higher epoch", worker.target_id)
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -128,7 +128,7 @@
 
 def send_stop(leader, worker, run):
     """Send a stop."""
-    order = orders.Stop(str(run.key), run.run, leader.epoch)
+    order = orders.Stop(str(run.key), run.run, worker.fence)
     leader.links[worker.target_id].order(order)
 
 
@@ -196,7 +196,7 @@
         run.run,
         job.record.spec,
         worker.grant_lease(leader.lease_ms(), now_ms),
-        leader.epoch,
+        worker.fence,
         run.checkpoint,
         run.ticket,
     )
--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -6,7 +6,7 @@
 over.
 """
 
-from alderreach.core import cell_state, crashes, orders
+from alderreach.core import cell_state, crashes
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import crash_blame, health, workers
 from alderreach.ops.controller import runs
@@ -74,7 +74,6 @@
     _begin_incarnation(leader, worker)
     worker.sequence = -1
     worker.is_leaving = False
-    _refuse_late_starts(leader, worker)
 
 
 def suspect_new_incarnation(leader, worker):
@@ -83,23 +82,21 @@
     _begin_incarnation(leader, worker)
 
 
-def apply_first_list(leader, worker, result, sent_ms):
+def apply_first_list(leader, worker, result):
     """End the runs that the first list of an incarnation does not name.
 
-    The list may lack runs whose starts were answered after the poll was sent. It may
-    also lack those of which a start is still on its way, perhaps a repeated one of a
-    run that the previous incarnation had; these end once a stop is confirmed.
+    The poll had a new fence, so the incarnation refuses all earlier starts that are
+    still on their way. Runs whose starts have the new fence too may be missing.
     """
     worker.awaits_list = False
     listed = {(entry.task, entry.run) for entry in result.running}
-    late = set(worker.late_starts(leader.now_ms()))
     for run in list(worker.runs.values()):
-        name = (str(run.key), run.run)
-        if name in listed:
-            continue
-        if run.state == workers.ORDERED or name in late:
-            runs.close_run(leader, worker, run)
-        elif run.answered_ms <= sent_ms:
+        if (str(run.key), run.run) in listed:
+            if run.is_closing():
+                # Only the previous incarnation was told to stop it.
+                run.state = workers.RUNNING
+                runs.close_run(leader, worker, run)
+        elif worker.is_of_previous_incarnation(run):
             end_kind = worker.previous_ends.get((run.key, run.run), "lost")
             runs.end_run(leader, worker, run, end_kind, run.checkpoint)
 
@@ -235,7 +232,7 @@
     if not worker.awaits_list:
         worker.previous_ends = _ends_of_runs(leader, worker)
     _resolve_runs_in_doubt(leader, worker)
-    worker.begin_incarnation()
+    worker.begin_incarnation(leader.next_fence(worker.target_id))
 
 
 def _resolve_runs_in_doubt(leader, worker):
@@ -260,14 +257,3 @@
         unheard_ms=leader.now_ms() - worker.last_contact_ms,
     )
     leader.environment.metrics.count("workers_ended", "planned" if is_planned else "")
-
-
-def _refuse_late_starts(leader, worker):
-    """Have a new incarnation refuse starts sent to the previous one that arrive late.
-
-    The clock of the new incarnation starts again, so a lease that has expired by the
-    old clock would seem valid, and it has not seen an epoch yet. A worker refuses the
-    start of a run that it was told to stop.
-    """
-    for task, run in worker.late_starts(leader.now_ms()):
-        leader.links[worker.target_id].order(orders.Stop(task, run, leader.epoch))
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -45,7 +45,7 @@
     wait_ms = 0 if is_urgent else min(wait_ms, longest_ms)
     worker.poll_sent_ms = worker.polled_ms = now_ms
     worker.has_ends_to_acknowledge = False
-    worker.poll = orders.Poll(leader.epoch, worker.cursor, until_ms, wait_ms)
+    worker.poll = orders.Poll(worker.fence, worker.cursor, until_ms, wait_ms)
     leader.links[worker.target_id].poll(worker.poll)
 
 
@@ -62,15 +62,26 @@
         _poll_failed(leader, worker, result, now_ms)
     elif result.born_ms and result.born_ms < worker.record.born_ms:
         runs.schedule_poll(leader, worker, 0)
+    elif result.born_ms > worker.record.born_ms:
+        _begin_listed_incarnation(leader, worker, result, now_ms)
     else:
         _apply_lists(leader, worker, result, sent_ms, now_ms)
 
 
+def _begin_listed_incarnation(leader, worker, result, now_ms):
+    """Begin an incarnation of which an answer to a poll is the first sign.
+
+    Its lists are requested again, with a fence that it has not seen: calls for the
+    previous incarnation may still arrive there.
+    """
+    worker_lifecycle.begin_new_incarnation(leader, worker)
+    worker.record = worker.record._replace(born_ms=result.born_ms)
+    leader.decide(targets=[worker.record])
+    worker.update_clock_offset(result.clock_ms, now_ms)
+    poll(leader, worker)
+
+
 def _apply_lists(leader, worker, result, sent_ms, now_ms):
-    if result.born_ms > worker.record.born_ms:
-        worker_lifecycle.begin_new_incarnation(leader, worker)
-        worker.record = worker.record._replace(born_ms=result.born_ms)
-        leader.decide(targets=[worker.record])
     worker_lifecycle.clear_runs_in_doubt(leader, worker)
     worker.update_clock_offset(result.clock_ms, now_ms)
     worker.last_contact_ms = now_ms
@@ -80,7 +91,7 @@
         leader.needs_planning = True
     has_ends = _apply_ends(leader, worker, result.ended)
     if worker.awaits_list:
-        worker_lifecycle.apply_first_list(leader, worker, result, sent_ms)
+        worker_lifecycle.apply_first_list(leader, worker, result)
     _apply_running(leader, worker, result.running, sent_ms)
     _adjust_pace(leader, worker, now_ms)
     _move_from_bad_worker(leader, worker, now_ms)
@@ -183,7 +194,7 @@
         elif sent_ms > run.answered_ms:
             _handle_missing(leader, worker, run)
     for entry in listed.values():
-        order = orders.Stop(entry.task, entry.run, leader.epoch)
+        order = orders.Stop(entry.task, entry.run, worker.fence)
         leader.links[worker.target_id].order(order)
         leader.environment.record(
             "unknown_run_stopped",
@@ -230,7 +241,7 @@
         return
     for run, share in pacing.share_changes(list(worker.runs.values())):
         worker.paced_ms = now_ms
-        order = orders.Pace(str(run.key), run.run, share, leader.epoch)
+        order = orders.Pace(str(run.key), run.run, share, worker.fence)
         leader.links[worker.target_id].order(order)
 
 
--- a/alderreach/platform/wire.py
+++ b/alderreach/platform/wire.py
@@ -301,7 +301,7 @@
         "run": order.run,
         "spec": order.spec,
         "until_ms": order.lease_until_ms,
-        "fencing_token": order.epoch,
+        "fencing_token": order.fence,
     }
     if order.checkpoint:
         body["checkpoint"] = order.checkpoint
@@ -312,7 +312,7 @@
 
 def stop_body(order):
     """Encode the body of an order to stop a run."""
-    return encode({"task": order.task, "run": order.run, "fencing_token": order.epoch})
+    return encode({"task": order.task, "run": order.run, "fencing_token": order.fence})
 
 
 def pace_body(order):
@@ -322,7 +322,7 @@
             "task": order.task,
             "run": order.run,
             "percent": order.percent,
-            "fencing_token": order.epoch,
+            "fencing_token": order.fence,
         }
     )
 
@@ -330,7 +330,7 @@
 def poll_body(poll):
     """Encode the body of a poll."""
     body = {
-        "fencing_token": poll.epoch,
+        "fencing_token": poll.fence,
         "ack_cursor": poll.cursor,
         "wait_ms": poll.wait_ms,
     }
--- /dev/null
+++ b/tests/cell_late_calls_test.py
@@ -0,0 +1,154 @@
+"""Calls that reach a worker late, after it has restarted under its id.
+
+A new incarnation has seen no epoch, has no record of ended runs, and its clock begins
+again, so a call for the previous incarnation may look valid to it.
+"""
+
+import contextlib
+
+from alderreach.core import orders
+from tests import cell_sim
+from tools.standins import cell_worker
+
+
+def test_a_late_poll_acknowledges_no_ends_of_the_next_incarnation(tmp_path):
+    """Guards against a task that starts again after its end was acknowledged: a poll
+    with the cursor of the previous incarnation arrives late, and acknowledges ends of
+    the next one that the leader has not seen.
+    """
+    with _cell_with_late_calls(tmp_path, workers=1) as sim:
+        worker = sim.workers["w1"]
+        late = _delay_once(sim, 3000, lambda order: _cursor_of(order) >= 3)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(3))
+        assert sim.run(5000, lambda: late)
+        _restart(sim, "w1")
+        _run_to(sim, late[0].due_ms + 2400)
+        cell_sim.submit_job(sim, "j2", cell_sim.step(1))
+        assert sim.run(500, lambda: worker.running)
+        sim.loses_answer = lambda call: isinstance(call.order, orders.Poll)
+        sim.run(1000)
+        sim.loses_answer = lambda call: False
+        sim.run_until_state("j2", "completed", duration_ms=10_000)
+
+
+def test_a_late_poll_extends_no_lease_of_the_next_incarnation(tmp_path):
+    """Guards against a task that runs in two places: a poll by the clock of the
+    previous incarnation arrives late at the next one, and extends the lease there after
+    the leader has stopped doing so.
+    """
+    with _cell_with_late_calls(tmp_path, workers=2) as sim:
+        sim.run(30_000)
+        late = _delay_once(sim, 8000, _grants_lease, each_worker=True)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(2, cpu_millis=4000))
+        assert sim.run(2000, lambda: len(late) == 2)
+        for name in sim.workers:
+            _restart(sim, name)
+        sim.run_until_state("j1", "completed")
+        due_ms = late[0].due_ms + 8000
+        _run_to(sim, due_ms - 3000)
+        _run_job_beside_cut(sim)
+
+
+def test_a_late_answer_of_the_previous_incarnation_does_not_set_the_clock(tmp_path):
+    """Guards against a task that runs in two places: the answer of the previous
+    incarnation, whose clock is far ahead, arrives after the heartbeat of the next one.
+    A poll with a lease by that clock, carried out late, ends later than its leader
+    counts.
+    """
+    with _cell_with_late_calls(tmp_path, workers=2) as sim:
+        _cut_off(sim, "w2")
+        sim.run(30_000)
+        starts = []
+
+        def answer_delay_ms(call):
+            if _is_start(call.order):
+                starts.append(call)
+            return 400 if starts == [call] else 0
+
+        sim.answer_delay_ms = answer_delay_ms
+        _set_work_ms(sim, 15_000)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(1000, lambda: sim.late_answers)
+        _restart(sim, "w1")
+        assert sim.run(300, lambda: len(starts) == 2)
+        sim.cut = set()
+        assert sim.run(1000, lambda: not sim.late_answers)
+        late = _delay_once(sim, 4000, _grants_lease)
+        assert sim.run(3000, lambda: late)
+        _cut_off(sim, "w1")
+        sim.run_until_state("j1", "completed", duration_ms=60_000)
+
+
+@contextlib.contextmanager
+def _cell_with_late_calls(folder, **options):
+    """Yield a cell in which delayed calls survive restarts and cuts of workers."""
+    with cell_sim.running_cell(folder, **options) as sim:
+        sim.keeps_calls_over_restarts = sim.delivers_late_calls_in_cuts = True
+        yield sim
+
+
+def _delay_once(sim, delay_ms, matches, each_worker=False):
+    """Delay the first call that matches, to any worker or to each; returns a list."""
+    delayed = []
+
+    def call_delay_ms(call):
+        if not matches(call.order):
+            return 0
+        if any(not each_worker or c.target_id == call.target_id for c in delayed):
+            return 0
+        delayed.append(call)
+        return delay_ms
+
+    sim.call_delay_ms = call_delay_ms
+    return delayed
+
+
+def _run_job_beside_cut(sim):
+    """Run a job, and cut off its worker until it has ended elsewhere."""
+    _set_work_ms(sim, 15_000)
+    cell_sim.submit_job(sim, "j2", cell_sim.step(1))
+    assert sim.run(1000, lambda: _running_on(sim))
+    sim.run(300)
+    _cut_off(sim, _running_on(sim))
+    sim.run_until_state("j2", "completed", duration_ms=60_000)
+
+
+def _restart(sim, name):
+    sim.workers[name].restart()
+    sim.wait_for_answer(sim.announce(sim.workers[name]))
+
+
+def _cut_off(sim, name):
+    for controller in sim.names:
+        sim.cut |= {(controller, name), (name, controller)}
+
+
+def _run_to(sim, time_ms):
+    sim.run(time_ms - sim.time.now_ms)
+
+
+def _set_work_ms(sim, work_ms):
+    for worker in sim.workers.values():
+        worker.script = cell_worker.Script(work_ms=work_ms)
+
+
+def _jobs_on(sim, name):
+    return [task.split(".")[0] for task in sim.workers[name].running]
+
+
+def _running_on(sim):
+    """Return the name of a worker that runs something, or None."""
+    names = [name for name, worker in sim.workers.items() if worker.running]
+    return names[0] if names else None
+
+
+def _is_start(order):
+    return isinstance(order, orders.Start)
+
+
+def _cursor_of(order):
+    return order.cursor if isinstance(order, orders.Poll) else 0
+
+
+def _grants_lease(order):
+    return isinstance(order, orders.Poll) and order.lease_until_ms is not None
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -47,7 +47,7 @@
         self.has_ended = False
         self.is_cut_off = False
         self.is_refusing = False
-        self.epoch = 0
+        self.fence = 0
         self.lease_until_ms = 0
         self._has_lease_timer = False
 
@@ -92,9 +92,9 @@
         """Carry an order out; returns the ``orders.OrderResult``."""
         if self.has_ended:
             return orders.OrderResult(orders.OTHER_INCARNATION)
-        if order.epoch < self.epoch:
+        if order.fence < self.fence:
             return orders.OrderResult(orders.FENCED, self._clock_ms())
-        self.epoch = order.epoch
+        self.fence = order.fence
         outcome = orders.OK
         if isinstance(order, orders.Start):
             outcome = self._start(order)
@@ -104,10 +104,10 @@
 
     def poll(self, poll, answer):
         """Answer a poll once there is an end to list, or its wait is over."""
-        if poll.epoch < self.epoch:
+        if poll.fence < self.fence:
             answer(orders.PollResult(orders.FENCED, self._clock_ms()))
             return
-        self.epoch = poll.epoch
+        self.fence = poll.fence
         self.ends = [end for end in self.ends if end.number > poll.cursor]
         if poll.lease_until_ms is not None:
             self._extend(poll.lease_until_ms)
