--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -127,8 +127,10 @@
         leader.environment.record(
             "worker_unresponsive", target=worker.target_id, outcome=result.outcome
         )
-    if worker.is_leaving and result.outcome in orders.NOT_CONNECTED:
-        # It has announced its end and accepts no connections.
+    has_left = worker.is_leaving and worker.record.state == "draining"
+    if has_left and result.outcome in orders.NOT_CONNECTED:
+        # It has announced its end and accepts no connections. A withdrawal alone may be
+        # that of the previous incarnation, delayed on its way, as it names none.
         worker_lifecycle.end_incarnation(leader, worker)
 
 
--- a/tests/cell_late_calls_test.py
+++ b/tests/cell_late_calls_test.py
@@ -7,6 +7,7 @@
 import contextlib
 
 from alderreach.core import orders
+from alderreach.core.generated import cell
 from tests import cell_sim
 from tools.standins import cell_worker
 
@@ -79,6 +80,41 @@
         sim.run_until_state("j1", "completed", duration_ms=60_000)
 
 
+def test_a_worker_that_a_delayed_withdrawal_names_keeps_its_lease(tmp_path):
+    """Guards against a task that runs in two places: the withdrawal of the previous
+    incarnation arrives late, and a poll of the next one, which is cut off, makes no
+    connection.
+    """
+    with _cell_with_late_calls(tmp_path, workers=2) as sim:
+        _set_work_ms(sim, 5000)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(1000, lambda: _running_on(sim))
+        name = _running_on(sim)
+        sim.wait_for_answer(sim.request(cell.WithdrawTarget(name)))
+        _cut_off(sim, name)
+        sim.connects_in_cuts = False
+        sim.run_until_state("j1", "completed", duration_ms=30_000)
+
+
+def test_the_tasks_of_a_worker_that_has_drained_and_left_start_elsewhere_at_once(
+    tmp_path,
+):
+    """Guards against tasks that wait for the lease of a worker that is gone: it has
+    drained and withdrawn, and refuses connections.
+    """
+    with cell_sim.running_cell(tmp_path, workers=2) as sim:
+        _set_work_ms(sim, 5000)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(1000, lambda: _running_on(sim))
+        leaving = sim.workers[_running_on(sim)]
+        leaving.state = "draining"
+        sim.wait_for_answer(sim.announce(leaving))
+        sim.wait_for_answer(sim.request(cell.WithdrawTarget(leaving.name)))
+        sim.refuses_when_down = True
+        leaving.crash()
+        assert sim.run(2500, lambda: _running_on(sim))
+
+
 @contextlib.contextmanager
 def _cell_with_late_calls(folder, **options):
     """Yield a cell in which delayed calls survive restarts and cuts of workers."""
