--- a/tests/cell_late_calls_test.py
+++ b/tests/cell_late_calls_test.py
@@ -5,6 +5,9 @@
 """
 
 import contextlib
+import itertools
+
+import pytest
 
 from alderreach.core import orders
 from alderreach.core.generated import cell
@@ -80,6 +83,30 @@
         sim.run_until_state("j1", "completed", duration_ms=60_000)
 
 
+@pytest.mark.parametrize(
+    "events", list(itertools.permutations(["takeover", "restart", "late start"]))
+)
+def test_a_late_start_meets_a_restart_and_a_takeover_in_any_order(tmp_path, events):
+    """Guards against a task that runs in two places: the first start of a run arrives
+    late, its worker restarts and its leader is lost, in any order.
+    """
+    with _cell_with_late_calls(tmp_path, workers=2) as sim:
+        _set_work_ms(sim, 15_000)
+        late = _delay_once(sim, 8000, _is_start)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(1000, lambda: _running_on(sim))
+        for event in events:
+            if event == "takeover":
+                sim.crash(sim.leader())
+                sim.elect()
+            elif event == "restart":
+                _restart(sim, late[0].target_id)
+            else:
+                _run_to(sim, late[0].due_ms + 8000)
+            sim.run(500)
+        sim.run_until_state("j1", "completed", duration_ms=60_000)
+
+
 def test_a_worker_that_a_delayed_withdrawal_names_keeps_its_lease(tmp_path):
     """Guards against a task that runs in two places: the withdrawal of the previous
     incarnation arrives late, and a poll of the next one, which is cut off, makes no
