--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -23,18 +23,23 @@
 def poll(leader, worker, wait_ms=MAX_POLL_WAIT_MS):
     """Poll a worker now, unless a poll is in progress.
 
-    The lease is extended only while the worker answers and its clock is known.
+    The lease is extended only while the worker answers and its clock is known. Ends are
+    acknowledged only while it answers: otherwise it may have restarted, and the cursor
+    would count for the ends of an incarnation that the leader has not heard from.
     """
     if worker.poll_sent_ms is not None or worker.is_recording_ends:
         return
     now_ms = leader.now_ms()
-    until_ms = None
+    until_ms, cursor = None, 0
     if (
         worker.has_seen_epoch
         and worker.failures == 0
         and worker.clock_offset_ms is not None
     ):
         until_ms = worker.grant_lease(leader.lease_ms(), now_ms)
+    if worker.failures == 0:
+        cursor = worker.cursor
+        worker.has_ends_to_acknowledge = False
     is_urgent = (
         not worker.runs
         or not worker.has_seen_epoch
@@ -44,8 +49,7 @@
     longest_ms = leader.lease_ms() // POLLS_PER_LEASE
     wait_ms = 0 if is_urgent else min(wait_ms, longest_ms)
     worker.poll_sent_ms = worker.polled_ms = now_ms
-    worker.has_ends_to_acknowledge = False
-    worker.poll = orders.Poll(worker.fence, worker.cursor, until_ms, wait_ms)
+    worker.poll = orders.Poll(worker.fence, cursor, until_ms, wait_ms)
     leader.links[worker.target_id].poll(worker.poll)
 
 
--- a/tests/cell_late_calls_test.py
+++ b/tests/cell_late_calls_test.py
@@ -35,6 +35,24 @@
         sim.run_until_state("j2", "completed", duration_ms=10_000)
 
 
+def test_a_worker_that_does_not_answer_forgets_no_ends(tmp_path):
+    """Guards against a task that starts again after its end was acknowledged: a worker
+    has restarted and its answers are lost, so that its leader does not learn of it.
+    Polls with the cursor of the previous incarnation acknowledge ends of the next one.
+    """
+    with _cell_with_late_calls(tmp_path, workers=1) as sim:
+        worker = sim.workers["w1"]
+        cell_sim.submit_job(sim, "j1", cell_sim.step(3))
+        assert sim.run(3000, lambda: len(sim.acknowledged) == 3)
+        sim.cut = {("w1", name) for name in sim.names}
+        worker.restart()
+        cell_sim.submit_job(sim, "j2", cell_sim.step(1))
+        assert sim.run(1000, lambda: worker.running)
+        sim.run(1500)
+        sim.cut = set()
+        sim.run_until_state("j2", "completed", duration_ms=10_000)
+
+
 def test_a_late_poll_extends_no_lease_of_the_next_incarnation(tmp_path):
     """Guards against a task that runs in two places: a poll by the clock of the
     previous incarnation arrives late at the next one, and extends the lease there after
