--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -22,9 +22,7 @@
     pools,
     workers,
 )
-
-# The fences of one epoch for each worker; each of its incarnations takes one.
-FENCES_PER_EPOCH = 1 << 16
+from alderreach.ops.keeper import extension
 
 
 class Environment(typing.NamedTuple):
@@ -83,8 +81,8 @@
         self.jobs_at_work = set()
         self.on_run_ended = lambda job_id, occurrence, step: None
         self._queues = _Queues(None, {}, math.inf)
-        # The latest fence of each worker, also of those that are dropped meanwhile.
-        self._fences = collections.defaultdict(lambda: epoch * FENCES_PER_EPOCH)
+        # How many fences each worker took, also those that are dropped meanwhile.
+        self._fence_counts = collections.Counter()
         # Ids of workers in the order of their checks; see ``next_to_check``.
         self._check_order = collections.deque()
         self._changes = []
@@ -262,9 +260,14 @@
         return worker
 
     def next_fence(self, target_id):
-        """Return a fence above all previous ones of a worker."""
-        self._fences[target_id] += 1
-        return self._fences[target_id]
+        """Return a fence above all previous ones of a worker.
+
+        It is below the next epoch, so a worker that restarts more often than an epoch
+        has fences keeps the last one.
+        """
+        number = self._fence_counts[target_id]
+        self._fence_counts[target_id] += 1
+        return self.epoch + min(number, extension.TERM_STEP - 1)
 
     def replace_link(self, record):
         """Close the link to a worker and open one to its new address."""
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -29,6 +29,7 @@
     target_link,
     worker_polls,
 )
+from alderreach.ops.keeper import extension
 from alderreach.utils import clocks, metrics
 from tools import (
     virtual_load,
@@ -236,7 +237,7 @@
 
     def _start_term(self):
         """Start a new term of leadership from the committed state."""
-        self._epoch += 1
+        self._epoch += extension.TERM_STEP
         now_ms = lambda: int(self.loop.now_ms)
         settings = virtual_settings.parsed()
         self.term = director.LeadershipTerm(
