--- a/tests/cell_late_calls_test.py
+++ b/tests/cell_late_calls_test.py
@@ -160,6 +160,37 @@
         assert sim.run(2500, lambda: _running_on(sim))
 
 
+def test_a_start_held_up_for_longer_than_the_lease_runs_no_task_twice(tmp_path):
+    """Guards against a task that starts again after its end was acknowledged: its
+    worker crashes, its lease expires, the task ends elsewhere, and the next incarnation
+    gets the first start before any call of the leader.
+    """
+    with _cell_with_late_calls(tmp_path, workers=2) as sim:
+        late = _delay_once(sim, 11_000, _is_start)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(1000, lambda: late)
+        _crash_until_late_call(sim, late[0].target_id, late[0].due_ms + 11_000)
+        sim.run(5000)
+        sim.cut = set()
+        sim.run_until_state("j1", "completed", duration_ms=10_000)
+
+
+def test_a_repeated_start_that_ended_is_not_carried_out_again(tmp_path):
+    """Guards against a task that starts again after its end was acknowledged: the
+    repeated start was answered, the run ended, and the first start reaches the next
+    incarnation before any call of the leader.
+    """
+    with _cell_with_late_calls(tmp_path, workers=2) as sim:
+        late = _delay_once(sim, 6000, _is_start)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(3000, lambda: sim.acknowledged)
+        name = late[0].target_id
+        _cut_off(sim, name)
+        sim.run(500)
+        sim.workers[name].restart()
+        sim.run(15_000)
+
+
 @contextlib.contextmanager
 def _cell_with_late_calls(folder, **options):
     """Yield a cell in which delayed calls survive restarts and cuts of workers."""
@@ -194,6 +225,15 @@
     sim.run_until_state("j2", "completed", duration_ms=60_000)
 
 
+def _crash_until_late_call(sim, name, due_ms):
+    """Crash a worker, and restart it behind a cut as a late call arrives."""
+    sim.workers[name].crash()
+    _run_to(sim, due_ms - 200)
+    _cut_off(sim, name)
+    sim.workers[name].restart()
+    sim.run(400)
+
+
 def _restart(sim, name):
     sim.workers[name].restart()
     sim.wait_for_answer(sim.announce(sim.workers[name]))
