--- a/tests/cell_queued_orders_test.py
+++ b/tests/cell_queued_orders_test.py
@@ -96,6 +96,59 @@
         assert sim.read_job("j1").text == "completed"
 
 
+def test_a_late_poll_of_an_earlier_incarnation_grants_no_longer_lease(tmp_path):
+    """Guards against a task that runs on two workers at once. A poll was carried out
+    seconds late by the next incarnation. The end of the lease in it lay far ahead of
+    the new clock, so the lease lasted longer than the leader waited.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        (worker,) = sim.workers.values()
+        worker.script = cell_worker.Script(work_ms=30_000)
+        sim.run(20_000)
+        sim.keeps_calls_over_restarts, sim.call_timeout_ms = True, 500
+        sim.delivers_late_calls_in_cuts = True
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(2_000, lambda: worker.running)
+        late = []
+
+        def hold_up_one_grant(call):
+            is_poll = isinstance(call.order, orders.Poll)
+            if is_poll and call.order.lease_until_ms and not late:
+                late.append(call)
+                return 6_000
+            return 0
+
+        sim.call_delay_ms = hold_up_one_grant
+        assert sim.run(2_000, lambda: late)
+        worker.crash()
+        worker.restart()
+        sim.announce(worker)
+        sim.run(4_000)
+        for name in sim.names:
+            sim.cut |= {(name, worker.name), (worker.name, name)}
+        sim.run(12_000)
+
+
+def test_stops_of_a_run_that_its_leader_does_not_know_do_not_pile_up(tmp_path):
+    """Guards against orders that wait for minutes. Each poll that listed an unknown run
+    added a stop to the queue, though the worker left the first one without an answer.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1, cpu_millis=64_000) as sim:
+        (worker,) = sim.workers.values()
+        worker.script = cell_worker.Script(work_ms=30_000)
+        sim.sends_in_sequence, sim.call_timeout_ms = True, 500
+        cell_sim.submit_job(sim, "j1", cell_sim.step(6))
+        sim.run(2_000)
+        leader = sim.keepers[sim.elect()]._extension._term.leader
+        known = leader.workers[worker.name]
+        for run in list(known.runs.values())[:4]:
+            known.remove(run)
+        is_poll = lambda call: isinstance(call.order, orders.Poll)
+        sim.call_delay_ms = lambda call: 0 if is_poll(call) else 60_000
+        sim.run(8_000)
+        assert len(leader.links[worker.name]._waiting) <= 4
+
+
 def test_a_late_withdrawal_of_an_earlier_incarnation_ends_no_runs(tmp_path):
     """Guards against a task that runs on two workers at once. The withdrawal of an
     earlier incarnation arrived late. One poll of the next one that found no connection
