--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -51,7 +51,7 @@
     """Add an order to those that wait to be sent; a Stop replaces starts of its run.
 
     The orders before it may hang, so a start would otherwise be sent seconds after its
-    run was given up. A dropped start gets no result.
+    run was given up. A dropped start gets no result, nor does a second copy of a stop.
 
     >>> start = orders.Start("j1.0.0.0", 2, "true", 1000, 7, "", "")
     >>> waiting = collections.deque([start])
@@ -60,6 +60,8 @@
     ['Stop']
     """
     if isinstance(order, orders.Stop):
+        if order in waiting:
+            return
         kept = [other for other in waiting if not _is_start_of(other, order)]
         waiting.clear()
         waiting.extend(kept)
