--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -176,11 +176,12 @@
 
 
 def evacuate(leader, worker, now_ms):
-    """Move checkpointing and long-running tasks away from a draining worker.
+    """Move checkpointing, long-running and unconfirmed tasks off a draining worker.
 
     The worker may end some seconds later without notice, and the tasks on it would have
     to wait until the lease expires. Tasks without checkpoints stay, since most of them
-    are done before that, and so do those that are predicted to be done soon.
+    are done before that, and so do those that are predicted to be done soon. A start
+    without an answer is not to be sent any more.
     """
     for run in list(worker.runs.values()):
         job = leader.state.jobs.get(run.key.job_id)
@@ -189,7 +190,8 @@
         step = job.record.steps[run.key.step]
         remaining_ms = health.remaining_ms(run, now_ms)
         is_done_soon = remaining_ms is not None and remaining_ms < MIN_DRAIN_MS
-        if step.long_running or (step.checkpointing and not is_done_soon):
+        saves_work = step.long_running or (step.checkpointing and not is_done_soon)
+        if saves_work or run.state == workers.ORDERED:
             leader.environment.record(
                 "run_evacuated",
                 task=str(run.key),
