--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -270,9 +270,15 @@
         return self.epoch + min(number, extension.TERM_STEP - 1)
 
     def replace_link(self, record):
-        """Close the link to a worker and open one to its new address."""
+        """Close the link to a worker and open one to its new address.
+
+        Orders that waited on the old link get no result, so they are sent again.
+        """
         self.links[record.target_id].close()
         self.links[record.target_id] = self.environment.open_link(record, self.epoch)
+        for run in self.workers[record.target_id].runs.values():
+            if run.sends and run.state in (workers.ORDERED, workers.CLOSING):
+                run.next_send_ms = self.now_ms()
 
     def drop_worker(self, target_id):
         """Remove a worker that has no runs."""
