--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -151,7 +151,7 @@
                 self._session = self._open_session()
             while self._queue:
                 item = self._queue.popleft()
-                self._report(item, await self._call_once(item))
+                await self._call_once(item)
         except Exception:
             logging.exception("unexpected error while calling a worker")
         finally:
@@ -162,7 +162,8 @@
     async def _call_once(self, item):
         await self._connections.acquire(self._session, self._may_wait)
         try:
-            return await self._call(self._session, item)
+            if not self._is_closed:
+                self._report(item, await self._call(self._session, item))
         finally:
             self._connections.release(self._session)
 
