--- a/alderreach/decisions/cell/crash_blame.py
+++ b/alderreach/decisions/cell/crash_blame.py
@@ -57,7 +57,8 @@
 
     Runs that were never sent to the worker are left out, since they were not there. If
     the task of a fresh run is a suspect, by ``is_known_suspect(key)``, it explains the
-    crash, and other runs that the worker has confirmed are left out as well.
+    crash, and other runs that the worker has confirmed are left out as well, unless
+    they were placed after the suspect's isolation.
     """
     present = [
         run
@@ -70,7 +71,10 @@
     suspects = [run for run in fresh if is_known_suspect(run.key)]
     ends = {}
     for run in present:
-        is_explained = suspects and run not in suspects
+        is_explained = run not in suspects and any(
+            run.placed_ms - suspect.placed_ms < SUSPECT_ISOLATION_MS
+            for suspect in suspects
+        )
         if lost_ms - run.placed_ms > YOUNG_MS or (is_explained and run.is_confirmed):
             continue
         end_kind = crashes.WORKER_CRASHED
--- a/alderreach/decisions/cell/crash_blame_test.py
+++ b/alderreach/decisions/cell/crash_blame_test.py
@@ -91,6 +91,16 @@
     }
 
 
+def test_a_suspect_does_not_explain_a_crash_under_a_run_placed_after_its_isolation():
+    """Guards against a culprit that is never blamed beside another task's retry."""
+    worker = worker_with(run(0, 269), run(1, 5), run(2, 2_000), run(3, 100))
+    found = crash_blame.ends_after_crash(worker, CRASH_MS, lambda key: key.index == 0)
+    assert {key.index: end for (key, _run), end in found.items()} == {
+        0: crashes.CRASHED_AT_START,
+        1: crashes.CRASHED_AT_START,
+    }
+
+
 def test_a_run_started_by_a_previous_leader_is_not_fresh():
     """Guards against a running task that is blamed as if it had just started."""
     found = run(0, 20, is_confirmed=False)
