--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -76,6 +76,9 @@
     if worker is None:
         logging.error("run of %s on unknown worker %s", key, task.target_id)
         return
+    if task.born_ms < worker.record.born_ms:
+        # The previous leader knew of the restart, but has not recorded the run's end.
+        worker.previous_ends[(key, task.run)] = crashes.WORKER_CRASHED
     _add_started(leader, worker, key, task.run, step, now_ms)
 
 
--- a/tests/cell_crashing_task_test.py
+++ b/tests/cell_crashing_task_test.py
@@ -206,3 +206,31 @@
         assert all(starts[task] <= MAX_STARTS for task in culprits)
         for task in culprits:
             assert sim.read_job(task.partition(".")[0]).text == "failed"
+
+
+def test_a_crash_counts_if_the_leader_is_lost_before_its_run_has_ended(tmp_path):
+    """Guards against a crash that only a lost leader knew of: soak seed 9309.
+
+    The leader has logged the worker's next incarnation, but not yet the run's end.
+    """
+    with crashing_cell(tmp_path, workers=1) as (sim, starts):
+        (worker,) = sim.workers.values()
+
+        def has_logged_restart():
+            record = sim.committed_state().targets[worker.name]
+            return not worker.is_down and record.born_ms == worker.born_ms
+
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        for _crash in range(MAX_STARTS + 2):
+            sim.loses_answer = lambda call: False
+            count = starts[CULPRIT]
+            if not sim.run(30_000, lambda n=count: starts[CULPRIT] > n):
+                break
+            sim.loses_answer = lambda call: not worker.is_down
+            old = sim.leader()
+            assert sim.run(20_000, has_logged_restart)
+            sim.crash(old)
+            sim.elect()
+            sim.start(old)
+        assert starts[CULPRIT] <= MAX_STARTS
+        assert sim.read_job("j1").text == "failed"
