--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import os
+import socket
 import threading
 import types
 from concurrent import futures
@@ -356,6 +357,25 @@
     assert cuts == heals == [expected]
 
 
+def test_a_restart_waits_for_its_address():
+    """Guards against a worker that sends heartbeats but can't be called, as its address
+    was still in use for a moment when it restarted.
+    """
+    worker = make_worker()
+    host, _, port = worker.address.rpartition(":")
+
+    def occupy_address():
+        holder = socket.create_server((host, int(port)))
+        threading.Timer(0.3, holder.close).start()
+
+    worker.on_restarted = occupy_address
+    with contextlib.closing(worker.start()):
+        worker.worker.crash()
+        worker.restart()
+        url = f"http://{worker.address}/-/hold"
+        assert urllib3.request("POST", url, body="{}").status == 200
+
+
 def test_a_closed_worker_does_not_restart():
     """A worker that a task has crashed would restart after its day has ended.
 
--- a/tools/standins/platform_worker.py
+++ b/tools/standins/platform_worker.py
@@ -19,6 +19,8 @@
 
 HEARTBEAT_S = 0.3
 STEP_S = 0.01
+# How long a restart waits for the address, which the last connections may still hold.
+ADDRESS_WAIT_S = 10
 # Delayed starts occupy their threads.
 LIMITS = http_server.HttpLimits(64, 16384, 1 << 20, 5000)
 STATUS_LINES = {200: "200 OK", 404: "404 Not Found", 409: "409 Conflict"}
@@ -128,7 +130,7 @@
             with self._lock:
                 self.worker.restart()
                 self.on_restarted()
-            self._listen()
+            self._listen_again()
 
     def on_restarted(self):
         """Hook for subclasses: a new incarnation begins, and has received no call."""
@@ -150,6 +152,16 @@
         application = functools.partial(self._application, self.worker.incarnation)
         self._listener = http_server.HttpServer(self.address, application, LIMITS)
 
+    def _listen_again(self):
+        deadline = time.monotonic() + ADDRESS_WAIT_S
+        while True:
+            try:
+                self._listen()
+                return
+            except OSError:
+                if time.monotonic() >= deadline or self._stopping.wait(STEP_S):
+                    raise
+
     def _send_heartbeats(self):
         turn = 0
         while not self._stopping.wait(HEARTBEAT_S):
