--- a/tests/cell_duplicates_test.py
+++ b/tests/cell_duplicates_test.py
@@ -76,6 +76,7 @@
         assert sim.run(1_000, lambda: _latest_run(sim, "j1") == 2)
         sim.loses_answer = lambda call: False
         assert sim.run(1_500, lambda: "j1.0.0.0" in sim.acknowledged)
+        assert _running_on(sim, "j1.0.0.0") is None
         sim.run(6_000)
 
 
