--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -41,6 +41,7 @@
     ``is_fully_observed`` is set if this leader started it, and not from a checkpoint,
     ``is_confirmed`` if the worker has told this leader that it runs, and
     ``lost_connection_at_start`` if the connection closed before its start was answered.
+    ``stop`` is what is known of its stopping, for the log; None if it is not to stop.
     """
 
     __slots__ = (
@@ -69,6 +70,7 @@
         "run",
         "sends",
         "state",
+        "stop",
         "tail_target_ms",
         "ticket",
     )
@@ -88,6 +90,7 @@
         self.abandoned = False
         self.ticket = ticket
         self.state = ORDERED
+        self.stop = None
         self.sends = 0
         self.next_send_ms = now_ms
         self.answered_ms = now_ms
--- a/alderreach/ops/client/timelines.py
+++ b/alderreach/ops/client/timelines.py
@@ -24,6 +24,7 @@
 )
 WORKER_EVENTS = (
     "lease_expired",
+    "runs_not_listed",
     "worker_changed",
     "worker_clock_behind",
     "worker_unresponsive",
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -4,7 +4,7 @@
 
 from alderreach.core import cell_state, orders
 from alderreach.decisions.cell import crash_blame, workers
-from alderreach.ops.controller import runs, worker_lifecycle, worker_polls
+from alderreach.ops.controller import runs, stopping, worker_lifecycle, worker_polls
 
 # Delay before an unanswered order is sent again. It can be short, since the call itself
 # has already waited for longer than any healthy worker takes to answer.
@@ -43,6 +43,7 @@
         _handle_start_answer(leader, worker, run, message, now_ms)
     elif isinstance(message.order, orders.Stop):
         _handle_stop_answer(run, result, now_ms)
+        stopping.note_answer(leader, run, result.outcome)
         worker_polls.poll(leader, worker)
     elif result.outcome == orders.OK:
         run.pace = message.order.percent
@@ -105,7 +106,7 @@
     elif result.outcome == orders.FENCED:
         logging.warning("worker %s has seen a higher epoch", worker.target_id)
     else:
-        runs.close_run(leader, worker, run)
+        runs.close_run(leader, worker, run, stopping.START_UNCLEAR)
 
 
 def _handle_stop_answer(run, result, now_ms):
--- a/alderreach/ops/controller/preempting.py
+++ b/alderreach/ops/controller/preempting.py
@@ -10,7 +10,7 @@
 from alderreach.core import cell_state
 from alderreach.decisions import resources
 from alderreach.decisions.cell import preemption, workers
-from alderreach.ops.controller import runs
+from alderreach.ops.controller import runs, stopping
 
 
 class Hold(typing.NamedTuple):
@@ -121,4 +121,4 @@
             percent=run.percent,
             urgent=".".join(str(part) for part in group),
         )
-        runs.close_run(self._leader, worker, run)
+        runs.close_run(self._leader, worker, run, stopping.PREEMPTED)
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -14,7 +14,7 @@
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import choice
-from alderreach.ops.controller import runs, worker_lifecycle, worker_polls
+from alderreach.ops.controller import runs, stopping, worker_lifecycle, worker_polls
 
 # Suggested retry delay while the cell can't answer: about the duration of an election.
 RETRY_AFTER_MS = 1000
@@ -225,7 +225,7 @@
 @_requires_queue
 def _cancel(term, request, reply, subject):
     leader, job_id = term.leader, subject.job_id
-    job = leader.state.jobs.get(job_id)
+    job, decided_ms = leader.state.jobs.get(job_id), leader.now_ms()
     if job is None:
         term.confirm(lambda: reply(answer(NO_JOB)))
         return
@@ -235,7 +235,8 @@
 
     def cancelled():
         reply(answer(ACCEPTED))
-        runs.close_job(leader, job)
+        job_runs = runs.close_job(leader, job)
+        stopping.record_cancel(leader, job_id, job_runs, decided_ms)
 
     leader.decide(cancelled, cancelled=[job_id])
     term.record("job_cancelled", job=job_id)
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -7,6 +7,7 @@
 from alderreach.ops.controller import (
     order_answers,
     runs,
+    stopping,
     worker_lifecycle,
     worker_polls,
 )
@@ -47,6 +48,8 @@
             if run.next_send_ms is not None and now_ms >= run.next_send_ms:
                 run.next_send_ms = None
                 order_answers.resend(leader, worker, run)
+            if run.stop is not None:
+                stopping.check(leader, worker, run, now_ms)
         is_first = not worker.has_seen_epoch and not worker.runs
         may_poll = not is_first or first_polls < MAX_FIRST_POLLS_PER_TICK
         if worker.poll_sent_ms is None and may_poll:
@@ -79,7 +82,10 @@
     if task.born_ms < worker.record.born_ms:
         # The previous leader knew of the restart, but has not recorded the run's end.
         worker.previous_ends[(key, task.run)] = crashes.WORKER_CRASHED
-    _add_started(leader, worker, key, task.run, step, now_ms)
+    run = _add_started(leader, worker, key, task.run, step, now_ms)
+    job = leader.state.jobs[key.job_id]
+    if job.state != cell_state.ACTIVE:
+        stopping.begin(leader, run, stopping.reason_of_end(job))
 
 
 def _add_started(leader, worker, key, run_number, step, now_ms):
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -9,6 +9,7 @@
 from alderreach.core import cell_state, crashes, orders
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import crash_blame, health, workers
+from alderreach.ops.controller import stopping
 
 # Delay of the next poll after a run has ended, so that one poll lists several ends
 # that are close together. Polls cost the worker and the leader processor time, but a
@@ -40,19 +41,19 @@
 
 
 def close_job(leader, job):
-    """Stop all runs of a job."""
-    for (occurrence, number), tasks in job.groups.items():
-        for index, task in enumerate(tasks):
-            if task.state == cell_state.PLACED:
-                key = cell_state.TaskKey(job.record.job_id, occurrence, number, index)
-                worker = leader.workers.get(task.target_id)
-                run = worker.runs.get(key) if worker else None
-                if run is not None:
-                    close_run(leader, worker, run)
-
-
-def close_run(leader, worker, run):
-    """Stop a run, even if its start may still be on its way."""
+    """Stop all runs of a job that has ended; returns its runs."""
+    job_runs = stopping.runs_of_job(leader, job)
+    for worker, run in job_runs.known:
+        close_run(leader, worker, run, stopping.reason_of_end(job))
+    return job_runs
+
+
+def close_run(leader, worker, run, reason):
+    """Stop a run, even if its start may still be on its way.
+
+    ``reason`` is one of those in ``stopping``, for the log.
+    """
+    stopping.begin(leader, run, reason)
     if run.state in (workers.CLOSING, workers.CLOSED):
         return
     if run.state == workers.ORDERED and run.sends == 0:
@@ -88,6 +89,7 @@
         how=end_kind,
         target=worker.target_id,
         age_ms=leader.now_ms() - run.placed_ms,
+        **stopping.fields_at_end(leader, run),
     )
     if job.state == cell_state.FAILED:
         close_job(leader, job)
@@ -117,7 +119,7 @@
     worker = leader.workers.get(task.target_id)
     run = worker.runs.get(key) if worker else None
     if run is not None and run.run > done_run:
-        close_run(leader, worker, run)
+        close_run(leader, worker, run, stopping.DUPLICATE)
 
 
 def send_start(leader, worker, run):
@@ -130,6 +132,7 @@
     """Send a stop."""
     order = orders.Stop(str(run.key), run.run, worker.fence)
     leader.links[worker.target_id].order(order)
+    stopping.note_sent(leader, run, order)
 
 
 def schedule_poll(leader, worker, gap_ms=POLL_GAP_MS):
@@ -218,7 +221,7 @@
         if end_kind == "done":
             end_run(leader, worker, run, end_kind, checkpoint)
         else:
-            close_run(leader, worker, run)
+            close_run(leader, worker, run, stopping.GANG)
 
 
 def _end_lost_members(leader, job, key, run_number):
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -107,6 +107,14 @@
         """Queue a Start, Stop or Pace; a Stop replaces waiting starts of its run."""
         self._post(lambda: self._orders.add(order))
 
+    def orders_before(self, order):
+        """How many orders are before one on its way; None if it is not on its way.
+
+        The one in progress has none before it. Callable from any thread; the answer may
+        be outdated when it arrives.
+        """
+        return self._orders.items_before(order)
+
     def poll(self, poll):
         """Queue a Poll; one at a time."""
         self._post(lambda: self._polls.add(poll))
@@ -130,6 +138,7 @@
         self._may_wait = may_wait
         self._report = report
         self._queue = collections.deque()
+        self._in_progress = None
         self._session = None
         self._task = None
         self._is_closed = False
@@ -139,6 +148,12 @@
         if self._task is None and not self._is_closed:
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
+    def items_before(self, item):
+        """How many items are before an item; None if it is not here."""
+        # The copy is made without releasing the interpreter's lock.
+        items = [self._in_progress, *self._queue.copy()]
+        return items.index(item) if item in items else None
+
     def close(self):
         self._is_closed = True
         self._queue.clear()
@@ -150,12 +165,12 @@
             if self._session is None:
                 self._session = self._open_session()
             while self._queue:
-                item = self._queue.popleft()
+                item = self._in_progress = self._queue.popleft()
                 await self._call_once(item)
         except Exception:
             logging.exception("unexpected error while calling a worker")
         finally:
-            self._task = None
+            self._task = self._in_progress = None
             if self._is_closed:
                 self._close_session()
 
--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -9,7 +9,7 @@
 from alderreach.core import cell_state, crashes
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import crash_blame, health, workers
-from alderreach.ops.controller import runs
+from alderreach.ops.controller import runs, stopping
 
 # A worker without runs is forgotten after ten heartbeats without contact.
 FORGET_AFTER_MS = 15_000
@@ -90,15 +90,24 @@
     """
     worker.awaits_list = False
     listed = {(entry.task, entry.run) for entry in result.running}
+    lost = []
     for run in list(worker.runs.values()):
         if (str(run.key), run.run) in listed:
             if run.is_closing():
                 # Only the previous incarnation was told to stop it.
                 run.state = workers.RUNNING
-                runs.close_run(leader, worker, run)
+                runs.close_run(leader, worker, run, stopping.LISTED_AGAIN)
         elif worker.is_of_previous_incarnation(run):
+            lost.append(run)
             end_kind = worker.previous_ends.get((run.key, run.run), "lost")
             runs.end_run(leader, worker, run, end_kind, run.checkpoint)
+    if lost:
+        leader.environment.record(
+            "runs_not_listed",
+            target=worker.target_id,
+            runs=len(lost),
+            tasks=stopping.names(worker, lost),
+        )
 
 
 def expire_lease(leader, worker):
@@ -110,7 +119,12 @@
     sent = [run for run in worker.runs.values() if run.sends]
     if not sent:
         return
-    leader.environment.record("lease_expired", target=worker.target_id, runs=len(sent))
+    leader.environment.record(
+        "lease_expired",
+        target=worker.target_id,
+        runs=len(sent),
+        tasks=stopping.names(worker, sent),
+    )
     ends = _ends_of_runs(leader, worker)
     for run in sent:
         end_kind = ends.get((run.key, run.run), "lapsed")
@@ -159,7 +173,7 @@
             "run_abandoned", task=str(run.key), run=run.run, target=worker.target_id
         )
         if run.state == workers.ORDERED:
-            runs.close_run(leader, worker, run)
+            runs.close_run(leader, worker, run, stopping.ABANDONED)
 
 
 def check(leader, worker, now_ms):
@@ -198,7 +212,7 @@
                 run=run.run,
                 target=worker.target_id,
             )
-            runs.close_run(leader, worker, run)
+            runs.close_run(leader, worker, run, stopping.EVACUATED)
 
 
 def forget_if_silent(leader, worker, now_ms):
@@ -269,6 +283,7 @@
         target=worker.target_id,
         is_planned=is_planned,
         runs=len(worker.runs),
+        tasks=stopping.names(worker, worker.runs.values()),
         unheard_ms=leader.now_ms() - worker.last_contact_ms,
     )
     leader.environment.metrics.count("workers_ended", "planned" if is_planned else "")
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -7,7 +7,7 @@
 from alderreach.core import cell_state, orders
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import health, pacing, workers
-from alderreach.ops.controller import runs, worker_lifecycle
+from alderreach.ops.controller import runs, stopping, worker_lifecycle
 
 # A worker may hold its answer to a poll for this time until a run ends. It is a quarter
 # of the time for which serving tasks may be disturbed by others.
@@ -207,6 +207,7 @@
             task=entry.task,
             run=entry.run,
             target=worker.target_id,
+            **stopping.fields_of_unknown(leader, runs.key_of(entry.task)),
         )
 
 
@@ -223,12 +224,12 @@
         run.first_percent, run.first_ms = entry.percent, now_ms
     run.load = entry.load
     if run.abandoned:
-        runs.close_run(leader, worker, run)
+        runs.close_run(leader, worker, run, stopping.ABANDONED)
         return
     run.checkpoint = entry.checkpoint or run.checkpoint
     job = leader.state.jobs.get(run.key.job_id)
     if job is None or job.state != cell_state.ACTIVE:
-        runs.close_run(leader, worker, run)
+        runs.close_run(leader, worker, run, stopping.reason_of_end(job))
 
 
 def _handle_missing(leader, worker, run):
@@ -239,7 +240,7 @@
         end_kind = worker.previous_ends.get((run.key, run.run), "stopped")
         runs.end_run(leader, worker, run, end_kind, run.checkpoint)
     elif run.state == workers.RUNNING or run.order is None:
-        runs.close_run(leader, worker, run)
+        runs.close_run(leader, worker, run, stopping.NOT_LISTED)
 
 
 def _adjust_pace(leader, worker, now_ms):
@@ -285,4 +286,4 @@
         still_ms=now_ms - run.last_progress_ms,
     )
     runs.strike(leader, worker, run.key.job_id)
-    runs.close_run(leader, worker, run)
+    runs.close_run(leader, worker, run, stopping.MOVED)
--- a/alderreach/ops/frontend/service.py
+++ b/alderreach/ops/frontend/service.py
@@ -12,6 +12,7 @@
 from alderreach.ops import daemon, leader_calls, settings_watch
 from alderreach.ops.controller import discovery, permission_calls
 from alderreach.ops.entry import callers
+from alderreach.ops.frontend import cancel_counts
 from alderreach.utils import tasks
 
 # The balancer checks once a second and removes a process after two failed checks. It
@@ -57,6 +58,7 @@
             context.transport.send,
             context.clock,
             context.timeline.record,
+            cancel_counts.counter(context.metrics),
         )
         self._permission_calls = permission_calls.PermissionCalls(
             external_services.ask_permission, context.transport.send
--- a/alderreach/ops/leader_calls.py
+++ b/alderreach/ops/leader_calls.py
@@ -50,10 +50,19 @@
 
     ``addresses()`` lists the controllers to try, the leader's first, ``is_isolated()``
     tells whether none of them can be reached, and ``record`` records an event for each
-    request.
+    request. ``on_outcome(request, outcome, took_ms)`` is called for each as well.
     """
 
-    def __init__(self, name, addresses, is_isolated, send, clock, record):
+    def __init__(
+        self,
+        name,
+        addresses,
+        is_isolated,
+        send,
+        clock,
+        record,
+        on_outcome=lambda request, outcome, took_ms: None,
+    ):
         self._prefix = f"{name}/{uuid.uuid4().hex[:8]}"
         self._numbers = itertools.count()
         self._addresses = addresses
@@ -61,6 +70,7 @@
         self._send = send
         self._clock = clock
         self._record = record
+        self._on_outcome = on_outcome
         self._lock = threading.Lock()
         self._waiting = {}
         self._highest_epoch = 0
@@ -78,6 +88,7 @@
         started_ms = self._clock.monotonic_ms()
         outcome, attempts = self._call(request, started_ms, deadline_ms)
         took_ms = self._clock.monotonic_ms() - started_ms
+        self._on_outcome(request, outcome, took_ms)
         is_routine = isinstance(request, cell.AnnounceTarget) and took_ms < SLOW_CALL_MS
         if outcome.answer is None or not is_routine:
             self._record(
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -206,10 +206,15 @@
 
     def __init__(self, world, machine, epoch):
         self._world, self._machine, self._epoch = world, machine, epoch
+        self._unanswered = []
 
     def order(self, order):
+        self._unanswered.append(order)
         self._world.call(lambda: self._carry_out(order))
 
+    def orders_before(self, order):
+        return 0 if order in self._unanswered else None
+
     def poll(self, poll):
         self._world.call(lambda: self._poll(poll))
 
@@ -247,5 +252,6 @@
         self._world.loop.after(after_ms, lambda: self._deliver(kind, order, result))
 
     def _deliver(self, kind, order, result):
+        self._unanswered = [each for each in self._unanswered if each is not order]
         name = self._machine.record.target_id
         self._world.deliver(kind(self._epoch, name, order, result))
