--- a/alderreach/ops/controller/target_link_test.py
+++ b/alderreach/ops/controller/target_link_test.py
@@ -102,6 +102,24 @@
     assert answered == [other, newer, stop]
 
 
+def test_a_link_tells_how_many_orders_are_before_one(links):
+    """Guards against a report that takes an order on its way for a lost one."""
+    links.hanging.add("w1")
+    link = links.link("w1")
+    first, second, third = (orders.Stop(f"j1.0.0.{n}", 1, 7) for n in range(3))
+    for order in (first, second):
+        link.order(order)
+    assert links.begun.get(timeout=PATIENCE_S) == first
+    links.loop.post(lambda: links.posted.put(True))
+    links.posted.get(timeout=PATIENCE_S)
+    before = [link.orders_before(order) for order in (first, second, third)]
+    assert before == [0, 1, None]
+    links.hanging.clear()
+    assert [links.next_message().order for _ in range(2)] == [first, second]
+    while link.orders_before(second) is not None:
+        time.sleep(0.001)
+
+
 def test_a_closed_link_drops_queued_calls_and_closes_connections(links):
     links.hanging.add("w1")
     link = links.link("w1")
