--- a/alderreach/ops/controller/stopping.py
+++ b/alderreach/ops/controller/stopping.py
@@ -14,8 +14,9 @@
 # A run that is still there after this time is reported. It is well below the time that
 # any customer is promised for a cancel, and above that of an unanswered call.
 OVERDUE_MS = 2000
-# The answer to a stop may wait for the leader's task, and a stop for the event loop.
-STRANDED_AFTER_MS = 500
+# Interval at which the way of a stop is looked at. A stop counts as stranded at the
+# second look, as it may wait for the event loop, or its answer for the leader's task.
+LOOK_INTERVAL_MS = 500
 # The most runs that one line names.
 MAX_NAMED_RUNS = 20
 
@@ -54,7 +55,8 @@
 
     ``reasons`` maps each reason to the time at which it was first given, oldest first.
     ``order`` is the latest stop, and ``confirmed_ms`` the time at which the worker
-    confirmed one. ``stranded_ms`` is the time since which no stop is on its way.
+    confirmed one. ``sends_when_missing`` is the number of stops sent when the last look
+    found none on its way, or None if it found one.
     """
 
     __slots__ = (
@@ -62,11 +64,12 @@
         "first_sent_ms",
         "is_overdue",
         "is_stranded",
+        "next_look_ms",
         "order",
         "outcome",
         "reasons",
         "sends",
-        "stranded_ms",
+        "sends_when_missing",
     )
 
     def __init__(self, reason, now_ms):
@@ -76,7 +79,8 @@
         self.order = None
         self.outcome = ""
         self.confirmed_ms = None
-        self.stranded_ms = None
+        self.next_look_ms = now_ms + LOOK_INTERVAL_MS
+        self.sends_when_missing = None
         self.is_overdue = False
         self.is_stranded = False
 
@@ -155,7 +159,10 @@
         stop.is_overdue = True
         leader.environment.metrics.count("runs_outlive_stop", next(iter(stop.reasons)))
         _report(leader, "run_outlives_stop", worker, run, now_ms)
-    if not stop.is_stranded and _is_stranded(leader, worker, run, now_ms):
+    if stop.is_stranded or now_ms < stop.next_look_ms:
+        return
+    stop.next_look_ms = now_ms + LOOK_INTERVAL_MS
+    if _is_stranded(leader, worker, run):
         stop.is_stranded = True
         leader.environment.metrics.count("stops_stranded")
         _report(leader, "stop_stranded", worker, run, now_ms)
@@ -215,18 +222,18 @@
     }
 
 
-def _is_stranded(leader, worker, run, now_ms):
+def _is_stranded(leader, worker, run):
+    """Whether two looks in a row found no stop on its way, and none due."""
     stop = run.stop
-    waits_for_answer = run.state == workers.CLOSING and stop.sends > 0
-    if not waits_for_answer or run.next_send_ms is not None:
-        stop.stranded_ms = None
-    elif _orders_before(leader, worker, stop.order) is not None:
-        stop.stranded_ms = None
-    elif stop.stranded_ms is None:
-        stop.stranded_ms = now_ms
-    return (
-        stop.stranded_ms is not None and now_ms - stop.stranded_ms >= STRANDED_AFTER_MS
+    awaits_answer = (
+        run.state == workers.CLOSING and stop.sends > 0 and run.next_send_ms is None
     )
+    if not awaits_answer or _orders_before(leader, worker, stop.order) is not None:
+        stop.sends_when_missing = None
+        return False
+    was_missing = stop.sends_when_missing == stop.sends
+    stop.sends_when_missing = stop.sends
+    return was_missing
 
 
 def _report(leader, event, worker, run, now_ms):
