--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -225,7 +225,7 @@
 @_requires_queue
 def _cancel(term, request, reply, subject):
     leader, job_id = term.leader, subject.job_id
-    job, decided_ms = leader.state.jobs.get(job_id), leader.now_ms()
+    job = leader.state.jobs.get(job_id)
     if job is None:
         term.confirm(lambda: reply(answer(NO_JOB)))
         return
@@ -233,6 +233,8 @@
         leader.after_commit(lambda: reply(answer(ACCEPTED)))
         return
 
+    decided_ms = leader.now_ms()
+
     def cancelled():
         reply(answer(ACCEPTED))
         job_runs = runs.close_job(leader, job)
--- a/alderreach/ops/controller/stopping.py
+++ b/alderreach/ops/controller/stopping.py
@@ -223,12 +223,18 @@
 
 
 def _is_stranded(leader, worker, run):
-    """Whether two looks in a row found no stop on its way, and none due."""
+    """Whether two looks in a row found no stop on its way, and none due.
+
+    The first list of a new incarnation has a stop sent again or ends the run.
+    """
     stop = run.stop
-    awaits_answer = (
-        run.state == workers.CLOSING and stop.sends > 0 and run.next_send_ms is None
-    )
-    if not awaits_answer or _orders_before(leader, worker, stop.order) is not None:
+    awaits_answer = run.state == workers.CLOSING and stop.sends > 0
+    is_due = run.next_send_ms is not None or worker.awaits_list
+    if (
+        not awaits_answer
+        or is_due
+        or _orders_before(leader, worker, stop.order) is not None
+    ):
         stop.sends_when_missing = None
         return False
     was_missing = stop.sends_when_missing == stop.sends
