--- /dev/null
+++ b/alderreach/ops/controller/order_lanes.py
@@ -0,0 +1,103 @@
+"""Decides which order to a worker is sent next, and on which of its connections.
+
+Starts and paces are sent one at a time on the first lane, since the blame for a crash
+depends on which start was the last to reach the worker. A stop must not wait for other
+runs' orders that hang: it goes before them, and on a further lane if every open one is
+slow to be answered. It may overtake the start of its own run, which a worker rejects
+afterwards. A lane is a connection, so none is opened while the worker answers.
+"""
+
+import collections
+
+from alderreach.core import orders
+
+# Stops that may hang at the same time. If all of them hang for their whole time limit
+# of half a second, sixteen are sent each second.
+MAX_LANES = 8
+# An order without an answer for this time holds up no stop. Workers answer within
+# milliseconds.
+SLOW_AFTER_MS = 100
+
+
+class OrderLanes:
+    """The orders to one worker that wait or are in progress.
+
+    The owner sends what ``take`` returns, calls ``mark_slow`` if an order has been in
+    progress for ``SLOW_AFTER_MS``, and ``finish`` after its result.
+
+    >>> lanes = OrderLanes()
+    >>> lanes.add(orders.Pace("j1.0.0.0", 1, 50, 7))
+    >>> lanes.add(orders.Stop("j1.0.0.1", 1, 7))
+    >>> [(lane, order.task) for lane, order in lanes.take()]
+    [(0, 'j1.0.0.1')]
+    """
+
+    def __init__(self):
+        self._stops = collections.deque()
+        self._others = collections.deque()
+        # Orders in progress by lane, and those lanes whose order is slow.
+        self._in_progress = {}
+        self._slow = set()
+        self._open_count = 1
+
+    def add(self, order):
+        """Add an order; a Stop replaces the starts of its run that wait.
+
+        A start would otherwise be sent seconds after its run was given up. A dropped
+        start gets no result, nor does a second copy of a stop.
+        """
+        if not isinstance(order, orders.Stop):
+            self._others.append(order)
+        elif order not in self._stops and order not in self._in_progress.values():
+            kept = [other for other in self._others if not _is_start_of(other, order)]
+            self._others = collections.deque(kept)
+            self._stops.append(order)
+
+    def take(self):
+        """Return the orders to send now, as pairs of a lane's number and an order."""
+        taken = []
+        while self._stops or self._others:
+            lane = self._free_lane()
+            if lane is None:
+                break
+            order = (self._stops or self._others).popleft()
+            self._in_progress[lane] = order
+            taken.append((lane, order))
+        return taken
+
+    def mark_slow(self, lane):
+        """Record that the order in progress on a lane is slow to be answered."""
+        self._slow.add(lane)
+
+    def finish(self, lane):
+        """Record that the order in progress on a lane has its result."""
+        del self._in_progress[lane]
+        self._slow.discard(lane)
+
+    def waiting(self):
+        """Return the orders that wait, in the order in which they are sent."""
+        return [*self._stops, *self._others]
+
+    def clear(self):
+        """Drop the orders that wait."""
+        self._stops.clear()
+        self._others.clear()
+
+    def _free_lane(self):
+        """The lane for the next order, or None; opens one for a stop if needed."""
+        if 0 not in self._in_progress:
+            return 0
+        if not self._stops:
+            return None
+        for lane in range(1, self._open_count):
+            if lane not in self._in_progress:
+                return lane
+        if len(self._slow) < self._open_count or self._open_count == MAX_LANES:
+            return None
+        self._open_count += 1
+        return self._open_count - 1
+
+
+def _is_start_of(order, stop):
+    is_start = isinstance(order, orders.Start)
+    return is_start and (order.task, order.run) == (stop.task, stop.run)
--- /dev/null
+++ b/alderreach/ops/controller/order_lanes_test.py
@@ -0,0 +1,61 @@
+"""The order in which orders to one worker are sent, and on how many lanes."""
+
+from alderreach.core import orders
+from alderreach.ops.controller import order_lanes
+
+
+def start(index):
+    return orders.Start(f"j1.0.0.{index}", 1, "run", 1000, 7, "", "")
+
+
+def stop(index):
+    return orders.Stop(f"j1.0.0.{index}", 1, 7)
+
+
+def lanes_with(*added):
+    lanes = order_lanes.OrderLanes()
+    for order in added:
+        lanes.add(order)
+    return lanes
+
+
+def test_starts_are_sent_one_at_a_time():
+    """Guards against a crash that is blamed on the wrong one of several starts."""
+    lanes = lanes_with(start(1), start(2))
+    assert lanes.take() == [(0, start(1))]
+    lanes.mark_slow(0)
+    lanes.add(stop(3))
+    assert lanes.take() == [(1, stop(3))]
+    lanes.finish(1)
+    assert not lanes.take()
+    lanes.finish(0)
+    assert lanes.take() == [(0, start(2))]
+
+
+def test_a_stop_overtakes_starts_and_replaces_that_of_its_run():
+    """Guards against a start that is sent seconds after its run was given up."""
+    lanes = lanes_with(start(1), start(2), start(3), stop(2))
+    assert lanes.waiting() == [stop(2), start(1), start(3)]
+
+
+def test_a_stop_that_waits_or_is_in_progress_is_not_sent_twice():
+    """Guards against stops of unknown runs that pile up with each list of them."""
+    lanes = lanes_with(stop(1), stop(2), stop(2))
+    assert lanes.take() == [(0, stop(1))]
+    lanes.add(stop(1))
+    assert lanes.waiting() == [stop(2)]
+
+
+def test_a_lane_is_opened_only_while_all_others_are_slow():
+    """Guards against connections to a worker that answers."""
+    lanes = lanes_with(*map(stop, range(20)))
+    assert lanes.take() == [(0, stop(0))]
+    assert not lanes.take()
+    for lane in range(1, order_lanes.MAX_LANES):
+        lanes.mark_slow(lane - 1)
+        assert lanes.take() == [(lane, stop(lane))]
+        assert not lanes.take()
+    lanes.mark_slow(order_lanes.MAX_LANES - 1)
+    assert not lanes.take()
+    lanes.finish(3)
+    assert lanes.take() == [(3, stop(order_lanes.MAX_LANES))]
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -1,4 +1,4 @@
-"""Calls to one worker: orders one after the other and, concurrently, one poll.
+"""Calls to one worker: orders in lanes (``order_lanes``) and, concurrently, one poll.
 
 The calls to all workers share one event loop, so a worker that hangs delays no other
 worker and an idle worker needs no thread. This module only makes calls and reports
@@ -6,13 +6,12 @@
 """
 
 import asyncio
-import collections
 import functools
 import typing
 
 from absl import logging
 
-from alderreach.core import orders
+from alderreach.ops.controller import order_lanes
 
 
 class Calls(typing.NamedTuple):
@@ -47,32 +46,6 @@
     result: typing.Any
 
 
-def enqueue(waiting, order):
-    """Add an order to those that wait to be sent; a Stop replaces starts of its run.
-
-    The orders before it may hang, so a start would otherwise be sent seconds after its
-    run was given up. A dropped start gets no result, nor does a second copy of a stop.
-
-    >>> start = orders.Start("j1.0.0.0", 2, "true", 1000, 7, "", "")
-    >>> waiting = collections.deque([start])
-    >>> enqueue(waiting, orders.Stop("j1.0.0.0", 2, 7))
-    >>> [type(order).__name__ for order in waiting]
-    ['Stop']
-    """
-    if isinstance(order, orders.Stop):
-        if order in waiting:
-            return
-        kept = [other for other in waiting if not _is_start_of(other, order)]
-        waiting.clear()
-        waiting.extend(kept)
-    waiting.append(order)
-
-
-def _is_start_of(order, stop):
-    is_start = isinstance(order, orders.Start)
-    return is_start and (order.task, order.run) == (stop.task, stop.run)
-
-
 class TargetLink:
     """Calls of one leader to one worker; ``put`` receives their results as messages.
 
@@ -104,7 +77,7 @@
         )
 
     def order(self, order):
-        """Queue a Start, Stop or Pace; a Stop replaces waiting starts of its run."""
+        """Queue a Start, Stop or Pace, of which a Stop waits for no other run's."""
         self._post(lambda: self._orders.add(order))
 
     def poll(self, poll):
@@ -118,9 +91,10 @@
 
 
 class _CallQueue:
-    """Calls of one kind, one after the other; used on the event loop only.
+    """Calls of one kind, in lanes; used on the event loop only.
 
-    With ``may_wait``, calls wait until a connection is available.
+    Each lane has a session of its own, which is opened for its first call. With
+    ``may_wait``, calls wait until a connection is available.
     """
 
     def __init__(self, open_session, connections, call, may_wait, report):
@@ -129,45 +103,64 @@
         self._call = call
         self._may_wait = may_wait
         self._report = report
-        self._queue = collections.deque()
-        self._session = None
-        self._task = None
+        self._lanes = order_lanes.OrderLanes()
+        self._sessions = {}
+        # The tasks of the calls in progress, by lane.
+        self._tasks = {}
         self._is_closed = False
 
     def add(self, item):
-        enqueue(self._queue, item)
-        if self._task is None and not self._is_closed:
-            self._task = asyncio.get_running_loop().create_task(self._serve())
+        if not self._is_closed:
+            self._lanes.add(item)
+            self._send_next()
 
     def close(self):
         self._is_closed = True
-        self._queue.clear()
-        if self._task is None:
-            self._close_session()
-
-    async def _serve(self):
+        self._lanes.clear()
+        for lane in self._sessions.keys() - self._tasks.keys():
+            self._close_session(lane)
+
+    def _send_next(self):
+        loop = asyncio.get_running_loop()
+        for lane, item in self._lanes.take():
+            self._tasks[lane] = loop.create_task(self._serve(lane, item))
+
+    async def _serve(self, lane, item):
+        delay_s = order_lanes.SLOW_AFTER_MS / 1000
+        timer = asyncio.get_running_loop().call_later(delay_s, self._on_slow, lane)
         try:
-            if self._session is None:
-                self._session = self._open_session()
-            while self._queue:
-                item = self._queue.popleft()
-                await self._call_once(item)
+            if lane not in self._sessions:
+                self._sessions[lane] = self._open_session()
+            await self._call_once(self._sessions[lane], item)
+        except asyncio.CancelledError:
+            # The event loop ends.
+            self._lanes.clear()
+            raise
         except Exception:
             logging.exception("unexpected error while calling a worker")
         finally:
-            self._task = None
+            timer.cancel()
+            del self._tasks[lane]
+            self._lanes.finish(lane)
             if self._is_closed:
-                self._close_session()
+                self._close_session(lane)
+            else:
+                self._send_next()
 
-    async def _call_once(self, item):
-        await self._connections.acquire(self._session, self._may_wait)
+    async def _call_once(self, session, item):
+        await self._connections.acquire(session, self._may_wait)
         try:
             if not self._is_closed:
-                self._report(item, await self._call(self._session, item))
+                self._report(item, await self._call(session, item))
         finally:
-            self._connections.release(self._session)
+            self._connections.release(session)
+
+    def _on_slow(self, lane):
+        self._lanes.mark_slow(lane)
+        self._send_next()
 
-    def _close_session(self):
-        if self._session is not None:
-            self._connections.forget(self._session)
-            self._session.close()
+    def _close_session(self, lane):
+        session = self._sessions.pop(lane, None)
+        if session is not None:
+            self._connections.forget(session)
+            session.close()
--- /dev/null
+++ b/tests/cell_cancelled_runs_test.py
@@ -0,0 +1,109 @@
+"""Cancelled jobs whose runs have to go soon after the cancellation is acknowledged.
+
+The simulation checks at each step that they do (``cell_cancels``).
+"""
+
+import contextlib
+
+import pytest
+
+from alderreach.core import orders
+from alderreach.core.generated import cell
+from tests import cell_sim
+from tools.standins import cell_worker
+
+HELD_UP_MS = 12_000
+
+
+@pytest.mark.parametrize("answered_share", [0, 0.5])
+def test_stops_do_not_wait_behind_unanswered_stops_of_other_runs(
+    tmp_path, answered_share
+):
+    """Guards against runs that go on after their cancellation. Orders to a worker were
+    sent one after the other, and those to runs of another cancelled job hung.
+    """
+    with _busy_worker(tmp_path, {"j1": 20, "j2": 1}) as (sim, worker):
+        hold_up_orders_of(sim, "j1", answered_share)
+        cancel(sim, "j1")
+        cancel(sim, "j2")
+        sim.run(5_000)
+        assert not running_tasks(worker, "j2")
+
+
+def test_stops_do_not_wait_behind_unanswered_starts_of_other_runs(tmp_path):
+    """Guards against a run that goes on after its cancellation. Its stop was sent only
+    after the starts of other tasks, each of which hung.
+    """
+    with _busy_worker(tmp_path, {"j2": 1}) as (sim, worker):
+        hold_up_orders_of(sim, "j1")
+        cell_sim.submit_job(sim, "j1", cell_sim.step(10))
+        sim.run(100)
+        cancel(sim, "j2")
+        sim.run(5_000)
+        assert not running_tasks(worker, "j2")
+
+
+def test_stops_of_a_wide_job_are_sent_beside_unanswered_ones(tmp_path):
+    """Guards against runs that go on after their cancellation. The first stops of half
+    of a wide job's runs hung, and the others were sent only between them.
+    """
+    with _busy_worker(tmp_path, {"j1": 30}) as (sim, worker):
+        held_up = set()
+
+        def hold_up_first_stops(call):
+            is_held_up = isinstance(call.order, orders.Stop) and (
+                int(call.order.task.rpartition(".")[2]) % 2 == 0
+                and call.order.task not in held_up
+            )
+            if is_held_up:
+                held_up.add(call.order.task)
+            return HELD_UP_MS if is_held_up else 0
+
+        sim.call_delay_ms = hold_up_first_stops
+        cancel(sim, "j1")
+        sim.run(4_000)
+        assert not worker.running
+
+
+@contextlib.contextmanager
+def _busy_worker(folder, tasks):
+    """Yield a cell and its only worker, with ``tasks`` running of each of these jobs.
+    An order without an answer takes half a second.
+    """
+    with cell_sim.running_cell(folder, workers=1, cpu_millis=64_000) as sim:
+        (worker,) = sim.workers.values()
+        worker.script = cell_worker.Script(work_ms=60_000)
+        sim.sends_in_sequence, sim.call_timeout_ms = True, 500
+        for job_id, count in tasks.items():
+            cell_sim.submit_job(sim, job_id, cell_sim.step(count))
+        total = sum(tasks.values())
+        assert sim.run(2_000, lambda: len(worker.running) == total)
+        sim.run(1_000)
+        yield sim, worker
+
+
+def hold_up_orders_of(sim, job_id, answered_share=0):
+    """Have the orders of a job's runs be carried out late, but for a share of them."""
+    count = 0
+
+    def delay_ms(call):
+        nonlocal count
+        task = getattr(call.order, "task", "")
+        if not task.startswith(f"{job_id}."):
+            return 0
+        count += 1
+        is_answered = int(count * answered_share) > int((count - 1) * answered_share)
+        return 0 if is_answered else HELD_UP_MS
+
+    sim.call_delay_ms = delay_ms
+
+
+def cancel(sim, job_id):
+    """Cancel a job and wait for the acknowledgement."""
+    request = cell.CancelJob(cell_sim.HOST, cell_sim.PREFIX + job_id)
+    assert sim.wait_for_answer(sim.request(request)).kind == "accepted"
+
+
+def running_tasks(worker, job_id):
+    """The tasks of a job that run on a worker."""
+    return [task for task in worker.running if task.startswith(f"{job_id}.")]
