--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -11,6 +11,7 @@
 
 from absl import logging
 
+from alderreach.core import orders
 from alderreach.ops.controller import order_lanes
 
 
@@ -18,9 +19,9 @@
     """The functions that call a worker; provided by the protocol's implementation.
 
     ``order(session, record, order)`` returns an ``orders.OrderResult`` and
-    ``poll(session, record, poll)`` an ``orders.PollResult``; both are coroutines and
-    raise no exceptions. ``open_session(address)`` opens the connection shared by calls
-    of one kind, an object with ``close()``.
+    ``poll(session, record, poll)`` an ``orders.PollResult``; both are coroutines. An
+    exception counts as a call without an answer. ``open_session(address)`` opens a
+    connection for one call after the other, an object with ``close()``.
     """
 
     open_session: typing.Callable
@@ -67,6 +68,7 @@
             order,
             False,
             functools.partial(report, OrderAnswered),
+            orders.OrderResult(orders.UNKNOWN),
         )
         self._polls = _CallQueue(
             open_session,
@@ -74,6 +76,7 @@
             poll,
             True,
             functools.partial(report, PollAnswered),
+            orders.PollResult(orders.UNKNOWN),
         )
 
     def order(self, order):
@@ -94,15 +97,17 @@
     """Calls of one kind, in lanes; used on the event loop only.
 
     Each lane has a session of its own, which is opened for its first call. With
-    ``may_wait``, calls wait until a connection is available.
+    ``may_wait``, calls wait until a connection is available. ``unanswered`` is the
+    result of a call that fails unexpectedly, which may have been carried out.
     """
 
-    def __init__(self, open_session, connections, call, may_wait, report):
+    def __init__(self, open_session, connections, call, may_wait, report, unanswered):
         self._open_session = open_session
         self._connections = connections
         self._call = call
         self._may_wait = may_wait
         self._report = report
+        self._unanswered = unanswered
         self._lanes = order_lanes.OrderLanes()
         self._sessions = {}
         # The tasks of the calls in progress, by lane.
@@ -138,6 +143,8 @@
             raise
         except Exception:
             logging.exception("unexpected error while calling a worker")
+            if not self._is_closed:
+                self._report(item, self._unanswered)
         finally:
             timer.cancel()
             del self._tasks[lane]
--- a/alderreach/ops/controller/target_link_test.py
+++ b/alderreach/ops/controller/target_link_test.py
@@ -33,6 +33,7 @@
         self.begun = queue.Queue()
         self.posted = queue.Queue()
         self.hanging = set()
+        self.broken = set()
         calls = target_link.Calls(self._open_session, self._call, self._call)
         self.connections = worker_connections.WorkerConnections(connection_limit)
         self.link = lambda name: target_link.TargetLink(
@@ -50,6 +51,8 @@
 
     async def _call(self, _session, record, item):
         self.begun.put(item)
+        if record.target_id in self.broken:
+            raise RuntimeError("broken call")
         while record.target_id in self.hanging:
             await asyncio.sleep(0.001)
         return f"{item} done"
@@ -140,6 +143,25 @@
     assert links.opened.qsize() == 1
 
 
+def test_a_call_that_fails_unexpectedly_is_reported_as_unanswered(links):
+    """Guards against a run that is never stopped, and a worker that is never polled
+    again, as the leader waits for a result that does not come.
+    """
+    links.broken.add("w1")
+    link = links.link("w1")
+    stop = orders.Stop("j1.0.0.0", 1, 7)
+    poll = orders.Poll(7, 0, None, 0)
+    link.order(stop)
+    link.poll(poll)
+    messages = {
+        type(each): each for each in (links.next_message(), links.next_message())
+    }
+    failed_order = messages[target_link.OrderAnswered]
+    failed_poll = messages[target_link.PollAnswered]
+    assert failed_order[2:] == (stop, orders.OrderResult(orders.UNKNOWN))
+    assert failed_poll[2:] == (poll, orders.PollResult(orders.UNKNOWN))
+
+
 def test_a_closed_link_drops_queued_calls_and_closes_connections(links):
     links.hanging.add("w1")
     link = links.link("w1")
