--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -119,11 +119,12 @@
     with each call to the latest one, and ``awaits_list`` is set from the start of one
     until its first list tells which runs it has.
     ``has_seen_epoch`` is set once the worker has seen the leader's epoch, and
-    ``is_refusing`` if nothing listened there at the last call. ``poll`` is the open
-    poll, and ``first_failure_ms`` the time of the first failed call since the last
-    answer. ``runs_in_doubt`` maps the (key, run) of runs that were given up, but may
-    not be over, to how they ended if this incarnation is over. ``previous_ends`` does
-    the same for the runs of the previous incarnation.
+    ``is_refusing`` if nothing listened there at the last call. ``has_unknown_runs`` is
+    set if its last list had runs that it should not have. ``poll`` is the open poll,
+    and ``first_failure_ms`` the time of the first failed call since the last answer.
+    ``runs_in_doubt`` maps the (key, run) of runs that were given up, but may not be
+    over, to how they ended if this incarnation is over. ``previous_ends`` does the same
+    for the runs of the previous incarnation.
     """
 
     def __init__(self, record, now_ms, lease_end_ms, fence=0):
@@ -138,6 +139,7 @@
         self.fence = fence
         self.is_recording_ends = False
         self.has_ends_to_acknowledge = False
+        self.has_unknown_runs = False
         self.is_leaving = False
         self.is_evacuated = False
         self.announced_ms = now_ms
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -23,9 +23,10 @@
 def poll(leader, worker, wait_ms=MAX_POLL_WAIT_MS):
     """Poll a worker now, unless a poll is in progress.
 
-    The lease is extended only while the worker answers and its clock is known. Ends are
-    acknowledged only while it answers: otherwise it may have restarted, and the cursor
-    would count for the ends of an incarnation that the leader has not heard from.
+    The lease is extended only while the worker answers and its clock is known, and not
+    if all that it has are runs that it should not have. Ends are acknowledged only
+    while it answers: otherwise it may have restarted, and the cursor would count for
+    the ends of an incarnation that the leader has not heard from.
     """
     if worker.poll_sent_ms is not None or worker.is_recording_ends:
         return
@@ -35,6 +36,7 @@
         worker.has_seen_epoch
         and worker.failures == 0
         and worker.clock_offset_ms is not None
+        and (worker.runs or not worker.has_unknown_runs)
     ):
         until_ms = leader.grant_lease(worker)
     if worker.failures == 0:
@@ -113,9 +115,10 @@
 
     A worker that did not answer gets no new runs until its next answer. If it has no
     runs, only a poll can bring that answer: heartbeats show that the worker is running,
-    but not that the leader can reach it.
+    but not that the leader can reach it. A worker that listed unknown runs is polled
+    until it lists none, since their stops may be lost or refused.
     """
-    is_needed = worker.runs or worker.has_ends_to_acknowledge
+    is_needed = worker.runs or worker.has_ends_to_acknowledge or worker.has_unknown_runs
     wanted = is_needed or worker.failures or not worker.has_seen_epoch
     due_ms = worker.poll_due_ms
     if worker.failures:
@@ -199,6 +202,8 @@
             listed[entry.task] = entry
         elif sent_ms > run.answered_ms and not result.has_more_ends:
             _handle_missing(leader, worker, run)
+    # The stops below have no result here. Their runs are listed until they are gone.
+    worker.has_unknown_runs = bool(listed)
     for entry in listed.values():
         order = orders.Stop(entry.task, entry.run, worker.fence)
         leader.links[worker.target_id].order(order)
--- a/tests/cell_cancelled_runs_test.py
+++ b/tests/cell_cancelled_runs_test.py
@@ -9,7 +9,7 @@
 
 from alderreach.core import orders
 from alderreach.core.generated import cell
-from tests import cell_sim
+from tests import cell_cancels, cell_sim
 from tools.standins import cell_worker
 
 HELD_UP_MS = 12_000
@@ -65,6 +65,29 @@
         assert not worker.running
 
 
+@pytest.mark.parametrize("refused_stops", [0, 3])
+def test_a_run_of_a_worker_that_was_taken_as_gone_is_stopped(tmp_path, refused_stops):
+    """Guards against a run that goes on after its cancellation. Its worker drained and
+    could not be connected to for a moment, so its leader no longer had the run, and
+    stopped it only once although the worker refused that.
+    """
+    with _busy_worker(tmp_path, {"j1": 2}) as (sim, worker):
+        worker.state = "draining"
+        sim.wait_for_answer(sim.announce(worker))
+        sim.wait_for_answer(sim.request(cell.WithdrawTarget(worker.name)))
+        sim.connects_in_cuts = False
+        pairs = {(name, worker.name) for name in sim.names}
+        sim.cut = pairs | {(worker.name, name) for name in sim.names}
+        is_gone = lambda: not leader_of(sim).workers
+        assert sim.run(1_000, is_gone)
+        cancel(sim, "j1")
+        sim.cut = set()
+        refuse_stops(worker, refused_stops)
+        sim.announce(worker)
+        sim.run(cell_cancels.CANCEL_MS + cell_cancels.STOP_TIMEOUT_MS)
+        assert not worker.running
+
+
 @contextlib.contextmanager
 def _busy_worker(folder, tasks):
     """Yield a cell and its only worker, with ``tasks`` running of each of these jobs.
@@ -107,3 +130,22 @@
 def running_tasks(worker, job_id):
     """The tasks of a job that run on a worker."""
     return [task for task in worker.running if task.startswith(f"{job_id}.")]
+
+
+def leader_of(sim):
+    """The state of the leader."""
+    return sim.keepers[sim.elect()]._extension._term.leader
+
+
+def refuse_stops(worker, count):
+    """Have a worker refuse this many stops, as an unhealthy one does."""
+    carry_out = worker.carry_out
+
+    def carry_out_or_refuse(order):
+        nonlocal count
+        if isinstance(order, orders.Stop) and count:
+            count -= 1
+            return orders.OrderResult(orders.REFUSED, worker.clock_ms())
+        return carry_out(order)
+
+    worker.carry_out = carry_out_or_refuse
