--- a/alderreach/decisions/cell/crash_blame.py
+++ b/alderreach/decisions/cell/crash_blame.py
@@ -13,7 +13,9 @@
 
 Tasks that start together with a poison task would move to the next worker with it and
 be blamed with it. So a suspect starts alone: if possible on a worker where nothing has
-just started, and nothing else starts there for ``SUSPECT_ISOLATION_MS``. A crash under
+just started and no start is unanswered, and nothing else starts there for
+``SUSPECT_ISOLATION_MS`` and until its own start is answered. A start that is held up
+may arrive seconds later, and suspects that meet are blamed together. A crash under
 a fresh suspect does not count against the other runs that the worker had confirmed. It
 counts least against one that it had not: two poison tasks may meet on a worker if the
 start of one is held up, and each crash has to count against its cause.
@@ -92,8 +94,11 @@
 
 
 def has_fresh_run(worker, now_ms):
-    """Whether a worker has a run that was placed less than ``FRESH_MS`` ago."""
-    return any(now_ms - run.placed_ms < FRESH_MS for run in worker.runs.values())
+    """Whether a worker has a run that was just placed, or whose start may arrive."""
+    return any(
+        now_ms - run.placed_ms < FRESH_MS or run.is_start_unanswered()
+        for run in worker.runs.values()
+    )
 
 
 def _was_fresh(run, worker, is_polled, lost_ms):
--- a/alderreach/decisions/cell/crash_blame_test.py
+++ b/alderreach/decisions/cell/crash_blame_test.py
@@ -113,6 +113,36 @@
     assert ends(worker) == {}
 
 
+def test_a_worker_takes_nothing_beside_a_suspect_whose_start_may_still_arrive():
+    """Guards against suspects that meet, as the start of one is held up."""
+    suspect = run(0, 2_000, is_confirmed=False)
+    worker = worker_with(suspect)
+    worker.has_seen_epoch, worker.failures = True, 0
+    assert worker.is_usable(CRASH_MS)
+    worker.isolated_run = suspect
+    assert not worker.is_usable(CRASH_MS)
+    suspect.is_confirmed = True
+    assert worker.is_usable(CRASH_MS)
+    suspect.is_confirmed, suspect.state = False, workers.CLOSED
+    assert worker.is_usable(CRASH_MS)
+    suspect.state = workers.CLOSING
+    assert not worker.is_usable(CRASH_MS)
+    worker.remove(suspect)
+    assert worker.is_usable(CRASH_MS)
+
+
+def test_a_suspect_avoids_workers_where_a_start_may_still_arrive():
+    """Guards against a suspect that meets a run whose start is held up."""
+    has_fresh_run = lambda *runs: crash_blame.has_fresh_run(
+        worker_with(*runs), CRASH_MS
+    )
+    assert has_fresh_run(run(0, 20))
+    assert has_fresh_run(run(0, 2_000, is_confirmed=False))
+    assert not has_fresh_run(run(0, 2_000))
+    closed = run(0, 2_000, is_confirmed=False, state=workers.CLOSED)
+    assert not has_fresh_run(closed)
+
+
 def test_a_worker_that_announced_its_end_has_not_crashed():
     """Guards against jobs that fail during a rolling replacement of the workers."""
     draining = worker_with(run(0, 20))
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -111,6 +111,10 @@
         """Whether the run is to be stopped or has been."""
         return self.state in (CLOSING, CLOSED)
 
+    def is_start_unanswered(self):
+        """Whether the start may still arrive: neither it nor a stop is confirmed."""
+        return not self.is_confirmed and self.state != CLOSED
+
 
 class Worker:
     """A worker as its leader sees it.
@@ -121,9 +125,11 @@
     ``has_seen_epoch`` is set once the worker has seen the leader's epoch, and
     ``is_refusing`` if nothing listened there at the last call. ``poll`` is the open
     poll, and ``first_failure_ms`` the time of the first failed call since the last
-    answer. ``runs_in_doubt`` maps the (key, run) of runs that were given up, but may
-    not be over, to how they ended if this incarnation is over. ``previous_ends`` does
-    the same for the runs of the previous incarnation.
+    answer. ``isolated_run`` is the last run that has to start alone here; nothing else
+    starts until its start can no longer arrive. ``runs_in_doubt`` maps the (key, run)
+    of runs that were given up, but may not be over, to how they ended if this
+    incarnation is over. ``previous_ends`` does the same for the runs of the previous
+    incarnation.
     """
 
     def __init__(self, record, now_ms, lease_end_ms, fence=0):
@@ -158,6 +164,7 @@
         self.poll_due_ms = now_ms
         self.paced_ms = now_ms
         self.held_back_until_ms = 0
+        self.isolated_run = None
         self.health = health.Record()
 
     def record_call_outcome(self, outcome, now_ms):
@@ -240,6 +247,7 @@
             and self.record.state == "ready"
             and self.failures < DOUBTFUL_FAILURES
             and now_ms >= max(self.held_back_until_ms, self.health.out_until_ms)
+            and not self.awaits_isolated_run()
             and now_ms - max(self.announced_ms, self.last_contact_ms) < SILENT_AFTER_MS
         )
 
@@ -247,6 +255,15 @@
         """Place no new runs on this worker before ``until_ms``."""
         self.held_back_until_ms = max(self.held_back_until_ms, until_ms)
 
+    def awaits_isolated_run(self):
+        """Whether the start of a run that has to start alone may still arrive."""
+        run = self.isolated_run
+        return (
+            run is not None
+            and self.runs.get(run.key) is run
+            and run.is_start_unanswered()
+        )
+
     def has_capacity(self, step):
         """Whether one more task of a step fits on this worker."""
         capacity, used, demand = self.record.capacity, self.used, step.demand
--- a/alderreach/ops/controller/starting.py
+++ b/alderreach/ops/controller/starting.py
@@ -28,6 +28,7 @@
         _start(leader, worker, key, task.run + 1, task.checkpoint, waited_ms, now_ms)
         if must_start_alone:
             worker.hold_back(now_ms + crash_blame.SUSPECT_ISOLATION_MS)
+            worker.isolated_run = worker.runs[key]
         ranking.requeue(worker, now_ms)
     return len(indexes)
 
