--- a/alderreach/core/orders.py
+++ b/alderreach/core/orders.py
@@ -11,7 +11,7 @@
 
 # Outcomes of an order. Only OK says that it was executed. NOT_EXECUTED lists the
 # outcomes after which this copy of the order certainly was not. After UNKNOWN it may
-# or may not have been.
+# or may not have been. NOT_SENT says nothing about the worker.
 OK = "ok"
 FENCED = "fenced"
 STALE_RUN = "stale_run"
@@ -22,6 +22,7 @@
 OTHER_INCARNATION = "other_life"
 UNREACHABLE = "unreachable"
 CONNECTION_REFUSED = "not_listening"
+NOT_SENT = "not_sent"
 UNKNOWN = "unknown"
 NOT_EXECUTED = (
     LEASE_EXPIRED,
@@ -31,9 +32,12 @@
     OTHER_INCARNATION,
     UNREACHABLE,
     CONNECTION_REFUSED,
+    NOT_SENT,
 )
 # No connection was made: it timed out, or the host refused it.
 NOT_CONNECTED = (UNREACHABLE, CONNECTION_REFUSED)
+# The worker has not answered; its next incarnation may answer the next call.
+UNANSWERED = (UNKNOWN, *NOT_CONNECTED)
 
 
 class Start(typing.NamedTuple):
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -173,7 +173,7 @@
         Outcomes that prove nothing about its health leave it unchanged.
         """
         self.is_refusing = outcome == orders.CONNECTION_REFUSED
-        if outcome in (orders.UNKNOWN, *orders.NOT_CONNECTED):
+        if outcome in orders.UNANSWERED:
             self.record_failed_call(now_ms)
         elif outcome == orders.OK:
             self.failures = 0
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -1,5 +1,7 @@
 """Calls to one worker: orders one after the other and, concurrently, one poll.
 
+After an order without an answer, starts that wait behind it are returned, not sent.
+
 The calls to all workers share one event loop, so a worker that hangs delays no other
 worker and an idle worker needs no thread. This module only makes calls and reports
 their results; the leader decides what is sent and when.
@@ -68,6 +70,24 @@
     waiting.append(order)
 
 
+def take_starts(waiting):
+    """Remove the starts that wait behind an order without an answer; returns them.
+
+    The worker may have restarted unnoticed. By the clock of its next incarnation a
+    start that waited would grant a longer lease than its leader counts.
+
+    >>> start = orders.Start("j1.0.0.0", 2, "true", 1000, 7, "", "")
+    >>> waiting = collections.deque([start, orders.Stop("j1.0.0.1", 1, 7)])
+    >>> take_starts(waiting) == [start], len(waiting)
+    (True, 1)
+    """
+    starts = [order for order in waiting if isinstance(order, orders.Start)]
+    kept = [order for order in waiting if not isinstance(order, orders.Start)]
+    waiting.clear()
+    waiting.extend(kept)
+    return starts
+
+
 def _is_start_of(order, stop):
     is_start = isinstance(order, orders.Start)
     return is_start and (order.task, order.run) == (stop.task, stop.run)
@@ -163,10 +183,17 @@
         await self._connections.acquire(self._session, self._may_wait)
         try:
             if not self._is_closed:
-                self._report(item, await self._call(self._session, item))
+                result = await self._call(self._session, item)
+                self._report(item, result)
+                if result.outcome in orders.UNANSWERED:
+                    self._return_starts()
         finally:
             self._connections.release(self._session)
 
+    def _return_starts(self):
+        for start in take_starts(self._queue):
+            self._report(start, orders.OrderResult(orders.NOT_SENT))
+
     def _close_session(self):
         if self._session is not None:
             self._connections.forget(self._session)
