--- a/alderreach/ops/controller/order_lanes.py
+++ b/alderreach/ops/controller/order_lanes.py
@@ -65,6 +65,17 @@
             taken.append((lane, order))
         return taken
 
+    def take_starts(self):
+        """Remove the starts that wait, after an order without an answer; returns them.
+
+        The worker may have restarted unnoticed. By the clock of its next incarnation a
+        start that waited would grant a longer lease than its leader counts.
+        """
+        starts = [order for order in self._others if isinstance(order, orders.Start)]
+        kept = [order for order in self._others if not isinstance(order, orders.Start)]
+        self._others = collections.deque(kept)
+        return starts
+
     def mark_slow(self, lane):
         """Record that the order in progress on a lane is slow to be answered."""
         self._slow.add(lane)
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -1,5 +1,7 @@
 """Calls to one worker: orders in lanes (``order_lanes``) and, concurrently, one poll.
 
+After an order without an answer, starts that wait behind it are returned, not sent.
+
 The calls to all workers share one event loop, so a worker that hangs delays no other
 worker and an idle worker needs no thread. This module only makes calls and reports
 their results; the leader decides what is sent and when.
@@ -170,7 +172,10 @@
         await self._connections.acquire(session, self._may_wait)
         try:
             if not self._is_closed:
-                self._report(item, await self._call(session, item))
+                result = await self._call(session, item)
+                self._report(item, result)
+                if result.outcome in orders.UNANSWERED:
+                    self._return_starts()
         finally:
             self._connections.release(session)
 
@@ -178,6 +183,10 @@
         self._lanes.mark_slow(lane)
         self._send_next()
 
+    def _return_starts(self):
+        for start in self._lanes.take_starts():
+            self._report(start, orders.OrderResult(orders.NOT_SENT))
+
     def _close_session(self, lane):
         session = self._sessions.pop(lane, None)
         if session is not None:
