--- a/alderreach/ops/controller/order_lanes.py
+++ b/alderreach/ops/controller/order_lanes.py
@@ -49,10 +49,14 @@
         if not isinstance(order, orders.Stop):
             self._others.append(order)
         elif order not in self._stops and order not in self._in_progress.values():
-            kept = [other for other in self._others if not _is_start_of(other, order)]
-            self._others = collections.deque(kept)
+            self.withdraw_start(order.task, order.run)
             self._stops.append(order)
 
+    def withdraw_start(self, task, run):
+        """Drop the starts of a run that wait; they get no result."""
+        kept = [each for each in self._others if not _is_start_of(each, task, run)]
+        self._others = collections.deque(kept)
+
     def take(self):
         """Return the orders to send now, as pairs of a lane's number and an order."""
         taken = []
@@ -98,6 +102,5 @@
         return self._open_count - 1
 
 
-def _is_start_of(order, stop):
-    is_start = isinstance(order, orders.Start)
-    return is_start and (order.task, order.run) == (stop.task, stop.run)
+def _is_start_of(order, task, run):
+    return isinstance(order, orders.Start) and (order.task, order.run) == (task, run)
--- a/alderreach/ops/controller/order_lanes_test.py
+++ b/alderreach/ops/controller/order_lanes_test.py
@@ -38,6 +38,15 @@
     assert lanes.waiting() == [stop(2), start(1), start(3)]
 
 
+def test_a_withdrawn_start_is_not_sent():
+    """Guards against a start that is sent seconds after its run has ended."""
+    lanes = lanes_with(start(1), start(2), start(3))
+    lanes.withdraw_start(start(2).task, 2)
+    assert lanes.waiting() == [start(1), start(2), start(3)]
+    lanes.withdraw_start(start(2).task, 1)
+    assert lanes.waiting() == [start(1), start(3)]
+
+
 def test_a_stop_that_waits_or_is_in_progress_is_not_sent_twice():
     """Guards against stops of unknown runs that pile up with each list of them."""
     lanes = lanes_with(stop(1), stop(2), stop(2))
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -65,8 +65,14 @@
 
 
 def end_run(leader, worker, run, end_kind, checkpoint=""):
-    """Record the end of a run and release its resources."""
+    """Record the end of a run and release its resources.
+
+    A start that still waits is not sent any more. It may be a repeated one, or that of
+    a run whose worker's lease has expired.
+    """
     worker.remove(run)
+    if run.sends:
+        leader.links[worker.target_id].withdraw_start(str(run.key), run.run)
     leader.customers.refund(run)
     leader.pools.mark_freed(worker.target_id)
     key = run.key
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -83,6 +83,10 @@
         """Queue a Start, Stop or Pace, of which a Stop waits for no other run's."""
         self._post(lambda: self._orders.add(order))
 
+    def withdraw_start(self, task, run):
+        """Drop the starts of a run that wait to be sent."""
+        self._post(lambda: self._orders.withdraw_start(task, run))
+
     def poll(self, poll):
         """Queue a Poll; one at a time."""
         self._post(lambda: self._polls.add(poll))
@@ -119,6 +123,9 @@
             self._lanes.add(item)
             self._send_next()
 
+    def withdraw_start(self, task, run):
+        self._lanes.withdraw_start(task, run)
+
     def close(self):
         self._is_closed = True
         self._lanes.clear()
--- a/alderreach/ops/controller/target_link_test.py
+++ b/alderreach/ops/controller/target_link_test.py
@@ -113,6 +113,21 @@
     assert links.begun.empty()
 
 
+def test_a_withdrawn_start_is_not_sent(links):
+    """Guards against a start that is sent seconds after its run has ended."""
+    links.hanging.add("w1")
+    link = links.link("w1")
+    first = orders.Start("j1.0.0.0", 1, "run", 1000, 7, "", "")
+    second, third = first._replace(run=2), first._replace(run=3)
+    for order in (first, second, third):
+        link.order(order)
+    link.withdraw_start(second.task, second.run)
+    links.loop.post(lambda: links.posted.put(True))
+    links.posted.get(timeout=PATIENCE_S)
+    links.hanging.clear()
+    assert [links.next_message().order for _ in range(2)] == [first, third]
+
+
 def test_a_stop_is_sent_beside_orders_that_hang(links):
     """Guards against a run that goes on for seconds after its cancellation, as its stop
     waits for other runs' orders to a worker that leaves them without an answer.
--- a/tests/cell_cancelled_runs_test.py
+++ b/tests/cell_cancelled_runs_test.py
@@ -152,6 +152,23 @@
         assert len(running_tasks(worker, "j0")) == 2
 
 
+def test_a_start_that_waits_is_not_sent_once_its_run_has_lapsed(tmp_path):
+    """Guards against a start of a cancelled job. It waited behind others without an
+    answer until the lease of its worker had expired, and the job was cancelled while
+    its task had no run, so nothing replaced the start.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1, cpu_millis=64_000) as sim:
+        sim.sends_in_sequence, sim.call_timeout_ms = True, 500
+        sim.call_delay_ms = lambda call: 60_000
+        cell_sim.submit_job(sim, "j0", cell_sim.step(25))
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        has_lapsed = lambda: not leader_of(sim).workers["w1"].runs
+        assert sim.run(300, lambda: not has_lapsed())
+        assert sim.run(9_000, has_lapsed)
+        cancel(sim, "j1")
+        sim.run(12_000)
+
+
 @contextlib.contextmanager
 def _busy_worker(folder, tasks):
     """Yield a cell and its only worker, with ``tasks`` running of each of these jobs.
--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -59,6 +59,9 @@
         self._lanes.add(order)
         self._send_next()
 
+    def withdraw_start(self, task, run):
+        self._lanes.withdraw_start(task, run)
+
     def poll(self, poll):
         self._send(poll)
 
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -210,6 +210,9 @@
     def order(self, order):
         self._world.call(lambda: self._carry_out(order))
 
+    def withdraw_start(self, task, run):
+        pass
+
     def poll(self, poll):
         self._world.call(lambda: self._poll(poll))
 
