--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -72,6 +72,10 @@
         """Return the orders that wait to be sent."""
         return self._lanes.waiting()
 
+    def unanswered(self):
+        """Return the orders that wait or are in progress."""
+        return [*self.waiting(), *(order for order, _slow_ms in self._sent.values())]
+
     def on_result(self, order):
         """Send the next order after the result of one in progress."""
         for lane, (sent, _slow_ms) in list(self._sent.items()):
