--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -93,6 +93,10 @@
         """
         return self._orders.items_before(order)
 
+    def withdraw_start(self, task, run):
+        """Drop the starts of a run that wait to be sent."""
+        self._post(lambda: self._orders.withdraw_start(task, run))
+
     def poll(self, poll):
         """Queue a Poll; one at a time."""
         self._post(lambda: self._polls.add(poll))
@@ -133,6 +137,9 @@
         """How many items are before an item; None if it is not here."""
         return self._lanes.count_before(item)
 
+    def withdraw_start(self, task, run):
+        self._lanes.withdraw_start(task, run)
+
     def close(self):
         self._is_closed = True
         self._lanes.clear()
--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -65,6 +65,9 @@
             return 0
         return self._lanes.count_before(order)
 
+    def withdraw_start(self, task, run):
+        self._lanes.withdraw_start(task, run)
+
     def poll(self, poll):
         self._send(poll)
 
@@ -75,6 +78,10 @@
         """Return the orders that wait to be sent."""
         return self._lanes.waiting()
 
+    def unanswered(self):
+        """Return the orders that wait or are in progress."""
+        return [*self.waiting(), *(order for order, _slow_ms in self._sent.values())]
+
     def on_result(self, order, result):
         """Send the next order after the result of one in progress."""
         self._unanswered = [each for each in self._unanswered if each is not order]
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -215,6 +215,9 @@
     def orders_before(self, order):
         return 0 if order in self._unanswered else None
 
+    def withdraw_start(self, task, run):
+        pass
+
     def poll(self, poll):
         self._world.call(lambda: self._poll(poll))
 
