--- a/tests/cell_stopping_test.py
+++ b/tests/cell_stopping_test.py
@@ -196,6 +196,14 @@
             return 0
         return self.rng.randrange(1000, 12_000)
 
+    def recover(self):
+        """Let jobs end whose acceptance got lost, then recover as after any day."""
+        self.sim.call_delay_ms = lambda call: 0
+        self.restore_workers()
+        self.restore_controllers()
+        self.sim.run(20_000)
+        super().recover()
+
     def submit_and_cancel(self):
         """Submit two jobs, and cancel one of those that were accepted."""
         for _job in range(2):
