--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -176,6 +176,8 @@
 
         Outcomes that prove nothing about its health leave it unchanged.
         """
+        if outcome == orders.NOT_SENT:
+            return
         self.is_refusing = outcome == orders.CONNECTION_REFUSED
         if outcome in orders.UNANSWERED:
             self.record_failed_call(now_ms)
--- a/alderreach/ops/controller/order_answers_test.py
+++ b/alderreach/ops/controller/order_answers_test.py
@@ -35,3 +35,33 @@
     worker.announced_ms = later_ms
     assert not worker.is_usable(later_ms)
     assert worker.is_usable(now_ms + health.FIRST_OUT_MS)
+
+
+def test_a_start_that_was_not_sent_says_nothing_about_its_worker():
+    """Guards against a worker that refuses connections and is taken for a silent one,
+    since starts that waited behind the refused call were returned after it.
+    """
+    virtual, worker, run = _placed_run()
+    leader = virtual.term.leader
+    for outcome in (orders.CONNECTION_REFUSED, orders.NOT_SENT):
+        order = run.order._replace(run=run.run + 1)
+        message = target_link.OrderAnswered(
+            1, worker.target_id, order, orders.OrderResult(outcome)
+        )
+        order_answers.handle_order_answer(leader, message)
+    assert worker.is_refusing
+
+
+def _placed_run():
+    """A virtual cell, and a worker and its run whose start is on its way."""
+    records = [virtual_parts.worker(number, 8_000) for number in range(2)]
+    virtual = virtual_cell.VirtualCell([virtual_parts.queue("q")], records)
+    virtual.run_until(500)
+    virtual.submit(
+        "q", "j1", [virtual_parts.Work(virtual_parts.step(1, 1_000), [9_000])]
+    )
+    virtual.run_until(500 + virtual_cell.COMMIT_MS)
+    leader = virtual.term.leader
+    (worker,) = [worker for worker in leader.workers.values() if worker.runs]
+    (run,) = worker.runs.values()
+    return virtual, worker, run
