--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -23,10 +23,12 @@
 def handle_order_answer(leader, message):
     """Handle the answer to a Start, Stop or Pace order."""
     worker = leader.workers.get(message.target_id)
-    if worker is None or message.order.fence != worker.fence:
-        # The previous incarnation answered, or an order for it was answered late.
+    if worker is None:
         return
     now_ms, result = leader.now_ms(), message.result
+    if message.order.fence != worker.fence and result.outcome != orders.NOT_SENT:
+        # The previous incarnation answered, or an order for it was answered late.
+        return
     if result.clock_ms is not None:
         if worker.is_clock_of_other_incarnation(result.clock_ms, now_ms):
             worker_lifecycle.suspect_new_incarnation(leader, worker)
--- a/alderreach/ops/controller/order_answers_test.py
+++ b/alderreach/ops/controller/order_answers_test.py
@@ -1,8 +1,8 @@
 """Handling of the answers to orders."""
 
-from alderreach.core import orders
-from alderreach.decisions.cell import health
-from alderreach.ops.controller import order_answers, target_link
+from alderreach.core import cell_state, orders
+from alderreach.decisions.cell import health, workers
+from alderreach.ops.controller import order_answers, target_link, worker_lifecycle
 from tools import virtual_cell, virtual_parts
 
 
@@ -52,6 +52,23 @@
     assert worker.is_refusing
 
 
+def test_a_start_that_was_not_sent_has_no_part_in_its_workers_crash():
+    """Guards against blame for a crash that a task can't have caused: it waited behind
+    the culprit's start, and the worker's restart was noticed before it was returned.
+    """
+    virtual, worker, run = _placed_run()
+    leader = virtual.term.leader
+    assert run.state == workers.ORDERED
+    worker_lifecycle.suspect_new_incarnation(leader, worker)
+    message = target_link.OrderAnswered(
+        1, worker.target_id, run.order, orders.OrderResult(orders.NOT_SENT)
+    )
+    order_answers.handle_order_answer(leader, message)
+    assert not worker.runs
+    task = cell_state.find_task(leader.state, run.key)
+    assert (task.state, task.blame) == (cell_state.WAITING, 0)
+
+
 def _placed_run():
     """A virtual cell, and a worker and its run whose start is on its way."""
     records = [virtual_parts.worker(number, 8_000) for number in range(2)]
