--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -159,6 +159,7 @@
             logging.exception("unexpected error while calling a worker")
             if not self._is_closed:
                 self._report(item, self._unanswered)
+                self._return_starts()
         finally:
             timer.cancel()
             del self._tasks[lane]
--- a/alderreach/ops/controller/target_link_test.py
+++ b/alderreach/ops/controller/target_link_test.py
@@ -208,6 +208,18 @@
     assert list(links.begun.queue) == stops
 
 
+def test_starts_behind_a_call_that_fails_unexpectedly_are_not_sent(links):
+    """Guards against a start that waited and reaches its worker's next incarnation."""
+    links.broken.add("w1")
+    link = links.link("w1")
+    starts = [orders.Start("j1.0.0.0", n, "run", 1000, 7, "", "") for n in (1, 2)]
+    links.loop.post(lambda: [link.order(start) for start in starts])
+    answered = [links.next_message() for _ in range(2)]
+    outcomes = [(message.order, message.result.outcome) for message in answered]
+    assert outcomes == [(starts[0], orders.UNKNOWN), (starts[1], orders.NOT_SENT)]
+    assert list(links.begun.queue) == starts[:1]
+
+
 def test_a_closed_link_drops_queued_calls_and_closes_connections(links):
     links.hanging.add("w1")
     link = links.link("w1")
