--- a/alderreach/ops/controller/order_lanes.py
+++ b/alderreach/ops/controller/order_lanes.py
@@ -41,16 +41,18 @@
         self._open_count = 1
 
     def add(self, order):
-        """Add an order; a Stop replaces the starts of its run that wait.
+        """Add an order; it replaces those that wait and that it makes obsolete.
 
-        A start would otherwise be sent seconds after its run was given up. A dropped
-        start gets no result, nor does a second copy of a stop.
+        A Stop replaces the starts and paces of its run, and a Pace the earlier ones. A
+        start would otherwise be sent seconds after its run was given up, and a pace
+        seconds after a newer one was decided. A dropped order gets no result, nor does
+        a second copy of a stop.
         """
         if not isinstance(order, orders.Stop):
+            self._drop_obsolete(order)
             self._others.append(order)
         elif order not in self._stops and order not in self._in_progress.values():
-            kept = [other for other in self._others if not _is_start_of(other, order)]
-            self._others = collections.deque(kept)
+            self._drop_obsolete(order)
             self._stops.append(order)
 
     def take(self):
@@ -105,6 +107,10 @@
         self._stops.clear()
         self._others.clear()
 
+    def _drop_obsolete(self, order):
+        kept = [each for each in self._others if not _is_obsolete(each, order)]
+        self._others = collections.deque(kept)
+
     def _free_lane(self):
         """The lane for the next order, or None; opens one for a stop if needed."""
         if 0 not in self._in_progress:
@@ -120,6 +126,10 @@
         return self._open_count - 1
 
 
-def _is_start_of(order, stop):
-    is_start = isinstance(order, orders.Start)
-    return is_start and (order.task, order.run) == (stop.task, stop.run)
+def _is_obsolete(waiting, order):
+    """Whether an order that waits is not to be sent any more because of a new one."""
+    if isinstance(order, orders.Start):
+        return False
+    is_pace = isinstance(waiting, orders.Pace)
+    is_replaced = is_pace or isinstance(order, orders.Stop)
+    return is_replaced and (waiting.task, waiting.run) == (order.task, order.run)
--- a/alderreach/ops/controller/order_lanes_test.py
+++ b/alderreach/ops/controller/order_lanes_test.py
@@ -59,3 +59,19 @@
     assert not lanes.take()
     lanes.finish(3)
     assert lanes.take() == [(3, stop(order_lanes.MAX_LANES))]
+
+
+def pace(index, percent):
+    return orders.Pace(f"j1.0.0.{index}", 1, percent, 7)
+
+
+def test_a_pace_replaces_those_of_its_run_that_wait():
+    """Guards against a share that is set seconds late, behind those set before it."""
+    lanes = lanes_with(start(9), pace(1, 100), pace(2, 50), pace(1, 0), pace(1, 25))
+    assert lanes.waiting() == [start(9), pace(2, 50), pace(1, 25)]
+
+
+def test_a_stop_replaces_the_paces_of_its_run_that_wait():
+    """Guards against starts that wait behind orders for runs that are over."""
+    lanes = lanes_with(start(9), pace(1, 50), pace(2, 50), stop(1))
+    assert lanes.waiting() == [stop(1), start(9), pace(2, 50)]
