--- a/alderreach/ops/controller/order_lanes.py
+++ b/alderreach/ops/controller/order_lanes.py
@@ -55,11 +55,15 @@
             self._drop_obsolete(order)
             self._stops.append(order)
 
-    def take(self):
-        """Return the orders to send now, as pairs of a lane's number and an order."""
+    def take(self, reserve=lambda: True):
+        """Return the orders to send now, as pairs of a lane's number and an order.
+
+        ``reserve()`` is called for each order on a further lane; if it returns False,
+        that order waits for the first lane.
+        """
         taken = []
         while self._stops or self._others:
-            lane = self._free_lane()
+            lane = self._free_lane(reserve)
             if lane is None:
                 break
             order = (self._stops or self._others).popleft()
@@ -111,16 +115,18 @@
         kept = [each for each in self._others if not _is_obsolete(each, order)]
         self._others = collections.deque(kept)
 
-    def _free_lane(self):
+    def _free_lane(self, reserve):
         """The lane for the next order, or None; opens one for a stop if needed."""
         if 0 not in self._in_progress:
             return 0
         if not self._stops:
             return None
-        for lane in range(1, self._open_count):
-            if lane not in self._in_progress:
-                return lane
-        if len(self._slow) < self._open_count or self._open_count == MAX_LANES:
+        lanes = range(1, self._open_count)
+        free = next((lane for lane in lanes if lane not in self._in_progress), None)
+        if free is not None:
+            return free if reserve() else None
+        is_slow = len(self._slow) == self._open_count < MAX_LANES
+        if not is_slow or not reserve():
             return None
         self._open_count += 1
         return self._open_count - 1
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -141,7 +141,7 @@
 
     def _send_next(self):
         loop = asyncio.get_running_loop()
-        for lane, item in self._lanes.take():
+        for lane, item in self._lanes.take(self._connections.reserve_further):
             self._tasks[lane] = loop.create_task(self._serve(lane, item))
 
     async def _serve(self, lane, item):
@@ -164,6 +164,8 @@
             timer.cancel()
             del self._tasks[lane]
             self._lanes.finish(lane)
+            if lane:
+                self._connections.release_further()
             if self._is_closed:
                 self._close_session(lane)
             else:
--- a/alderreach/ops/controller/target_link_test.py
+++ b/alderreach/ops/controller/target_link_test.py
@@ -8,7 +8,7 @@
 import pytest
 
 from alderreach.core import orders
-from alderreach.ops.controller import target_link, worker_connections
+from alderreach.ops.controller import order_lanes, target_link, worker_connections
 from alderreach.utils import event_loop
 
 PATIENCE_S = 10
@@ -220,6 +220,33 @@
     assert list(links.begun.queue) == starts[:1]
 
 
+def test_stops_that_hang_leave_connections_for_the_polls_of_other_workers(links):
+    """Guards against leases that lapse on healthy workers, as the stops to a few that
+    hang take all connections and polls wait for one.
+    """
+    links.hanging |= {"w1", "w2"}
+    silent = [links.link(name) for name in sorted(links.hanging)]
+    for link in silent:
+        for index in range(order_lanes.MAX_LANES):
+            link.order(orders.Stop(f"j1.0.0.{index}", 1, 7))
+    while not all(is_each_order_slow(links, link) for link in silent):
+        time.sleep(0.001)
+    assert links.begun.qsize() > len(silent)
+    links.link("w3").poll("poll")
+    assert links.next_message().target_id == "w3"
+
+
+def is_each_order_slow(links, link):
+    """Whether a link opens no further lane for the stops that wait, if there is one."""
+    lanes = link._orders._lanes
+
+    def check():
+        links.posted.put(bool(lanes._slow) and lanes._slow == set(lanes._in_progress))
+
+    links.loop.post(check)
+    return links.posted.get(timeout=PATIENCE_S)
+
+
 def test_a_closed_link_drops_queued_calls_and_closes_connections(links):
     links.hanging.add("w1")
     link = links.link("w1")
--- a/alderreach/ops/controller/worker_connections.py
+++ b/alderreach/ops/controller/worker_connections.py
@@ -19,6 +19,7 @@
     def __init__(self, limit):
         self._limit = limit
         self._in_use = 0
+        self._further = 0
         # Idle sessions with an open connection, the longest idle first.
         self._idle = collections.OrderedDict()
         self._waiters = collections.deque()
@@ -47,6 +48,20 @@
                 waiter.set_result(None)
                 break
 
+    def reserve_further(self):
+        """Reserve a second or later connection to one worker; returns whether it may.
+
+        They take up to half of the bound, or a few workers that hang would leave no
+        connection for polls of the others.
+        """
+        may_reserve = self._further < self._limit // 2
+        self._further += may_reserve
+        return may_reserve
+
+    def release_further(self):
+        """Release a reservation of ``reserve_further``."""
+        self._further -= 1
+
     def forget(self, session):
         """Forget a session that will not be used again."""
         self._idle.pop(session, None)
