--- a/alderreach/ops/controller/permission_calls.py
+++ b/alderreach/ops/controller/permission_calls.py
@@ -25,6 +25,8 @@
         self._ask = ask
         self._send = send
         self._queue = queue.SimpleQueue()
+        # The latest query of each leader that waits, by its address.
+        self._waiting = {}
         self._thread = threading.Thread(
             target=self._run, name="permissions", daemon=True
         )
@@ -35,16 +37,23 @@
         return self
 
     def enqueue(self, query, reply_address):
-        """Queue a ``cell.PermissionQuery`` from the leader at ``reply_address``."""
-        self._queue.put((query, reply_address))
+        """Queue a ``cell.PermissionQuery`` from the leader at ``reply_address``.
+
+        It replaces an earlier one that waits. A leader has one query at a time here, so
+        it has given that one up.
+        """
+        self._waiting[reply_address] = query
+        self._queue.put(reply_address)
 
     def close(self):
         """End the thread after the queries that are already queued."""
         self._queue.put(STOP)
 
     def _run(self):
-        while (item := self._queue.get()) is not STOP:
-            query, address = item
+        while (address := self._queue.get()) is not STOP:
+            query = self._waiting.pop(address, None)
+            if query is None:
+                continue
             granted = self._ask(query.step, query.targets)
             if granted is None:
                 logging.log_every_n_seconds(
