--- a/alderreach/ops/controller/heartbeats.py
+++ b/alderreach/ops/controller/heartbeats.py
@@ -24,6 +24,8 @@
 BATCH_INTERVAL_MS = 300
 # An election takes a second, and a partition lasts longer.
 CONFIRMED_FOR_MS = 2500
+# A reply to an earlier batch confirms nothing any more.
+MAX_OPEN_BATCHES = CONFIRMED_FOR_MS // BATCH_INTERVAL_MS + 1
 # Batches end when no worker has used this controller for this time.
 IDLE_AFTER_MS = 15_000
 REFUSED = leader_calls.Outcome(None, False)
@@ -49,6 +51,8 @@
         # The latest heartbeat of each worker since the last batch, and its arrival.
         self._pending = {}
         self._number = 0
+        # The times of the batches without a reply, by number.
+        self._sent_ms_by_number = {}
         self._sent_ms = self._heard_ms = self._confirmed_ms = clock.monotonic_ms()
 
     def announce(self, request, deadline_ms):
@@ -76,6 +80,8 @@
             pending, self._pending = self._pending, {}
             self._sent_ms = now_ms
             self._number += 1
+            self._sent_ms_by_number[self._number] = now_ms
+            self._sent_ms_by_number.pop(self._number - MAX_OPEN_BATCHES, None)
         rows = [
             row._replace(age_ms=now_ms - arrived_ms)
             for row, arrived_ms in pending.values()
@@ -83,10 +89,10 @@
         self._send_batch(cell.HeartbeatBatch(self._number, rows))
 
     def handle_reply(self, reply):
-        """Handle the leader's reply to a batch; only the latest one counts."""
+        """Handle the leader's reply to a batch, which confirms the time of sending."""
         with self._lock:
-            if reply.number == self._number:
-                self._confirmed_ms = self._sent_ms
+            sent_ms = self._sent_ms_by_number.pop(reply.number, 0)
+            self._confirmed_ms = max(self._confirmed_ms, sent_ms)
 
     def _add(self, request, now_ms):
         record = request.record
--- a/alderreach/ops/controller/heartbeats_test.py
+++ b/alderreach/ops/controller/heartbeats_test.py
@@ -137,3 +137,17 @@
     late = cell.HeartbeatBatch(4, [rows[0]._replace(sequence=4, age_ms=0)])
     worker_lifecycle.apply_heartbeats(leader, late)
     assert worker.announced_ms == leader.now_ms() - 40
+
+
+def test_heartbeats_are_acknowledged_while_replies_take_longer_than_an_interval():
+    """Guards against a controller that refuses all heartbeats, although the leader
+    answers each batch, since the next batch has always left before the reply arrives.
+    """
+    relay = Relay()
+    relay.announce(RECORD, 1)
+    for sequence in range(2, 20):
+        relay.advance(heartbeats.BATCH_INTERVAL_MS, is_answered=False)
+        for batch in relay.batches[-2:-1]:
+            relay.relay.handle_reply(cell.HeartbeatBatchReply(batch.number))
+        outcome = relay.announce(RECORD, sequence)
+        assert outcome.answer is not None, sequence
