--- a/alderreach/ops/controller/order_lanes.py
+++ b/alderreach/ops/controller/order_lanes.py
@@ -90,6 +90,8 @@
         """Record that the order in progress on a lane has its result."""
         del self._in_progress[lane]
         self._slow.discard(lane)
+        if not self._in_progress:
+            self._open_count = 1
 
     def waiting(self):
         """Return the orders that wait, in the order in which they are sent."""
--- a/alderreach/ops/controller/order_lanes_test.py
+++ b/alderreach/ops/controller/order_lanes_test.py
@@ -61,6 +61,19 @@
     assert lanes.take() == [(3, stop(order_lanes.MAX_LANES))]
 
 
+def test_a_worker_that_answers_again_gets_one_order_at_a_time():
+    """Guards against connections that are made to a worker long after it has hung."""
+    lanes = lanes_with(stop(1), stop(2))
+    lanes.take()
+    lanes.mark_slow(0)
+    assert lanes.take() == [(1, stop(2))]
+    lanes.finish(0)
+    lanes.finish(1)
+    for index in (3, 4):
+        lanes.add(stop(index))
+    assert lanes.take() == [(0, stop(3))]
+
+
 def pace(index, percent):
     return orders.Pace(f"j1.0.0.{index}", 1, percent, 7)
 
