--- a/alderreach/ops/controller/order_lanes.py
+++ b/alderreach/ops/controller/order_lanes.py
@@ -41,27 +41,35 @@
         self._open_count = 1
 
     def add(self, order):
-        """Add an order; a Stop replaces the starts of its run that wait.
+        """Add an order; it replaces those that wait and that it makes obsolete.
 
-        A start would otherwise be sent seconds after its run was given up. A dropped
-        start gets no result, nor does a second copy of a stop.
+        A Stop replaces the starts and paces of its run, and a Pace the earlier ones. A
+        start would otherwise be sent seconds after its run was given up, and a pace
+        seconds after a newer one was decided. A dropped order gets no result, nor does
+        a second copy of a stop.
+        """
+        if isinstance(order, orders.Stop):
+            if order not in self._stops and order not in self._in_progress.values():
+                self.withdraw(order.task, order.run)
+                self._stops.append(order)
+            return
+        if isinstance(order, orders.Pace):
+            self._drop(lambda each: _is_pace_of_same_run(each, order))
+        self._others.append(order)
+
+    def withdraw(self, task, run):
+        """Drop the starts and paces of a run that wait; they get no result."""
+        self._drop(lambda each: (each.task, each.run) == (task, run))
+
+    def take(self, reserve=lambda: True):
+        """Return the orders to send now, as pairs of a lane's number and an order.
+
+        ``reserve()`` is called for each order on a further lane; if it returns False,
+        that order waits for the first lane.
         """
-        if not isinstance(order, orders.Stop):
-            self._others.append(order)
-        elif order not in self._stops and order not in self._in_progress.values():
-            self.withdraw_start(order.task, order.run)
-            self._stops.append(order)
-
-    def withdraw_start(self, task, run):
-        """Drop the starts of a run that wait; they get no result."""
-        kept = [each for each in self._others if not _is_start_of(each, task, run)]
-        self._others = collections.deque(kept)
-
-    def take(self):
-        """Return the orders to send now, as pairs of a lane's number and an order."""
         taken = []
         while self._stops or self._others:
-            lane = self._free_lane()
+            lane = self._free_lane(reserve)
             if lane is None:
                 break
             order = (self._stops or self._others).popleft()
@@ -88,6 +96,8 @@
         """Record that the order in progress on a lane has its result."""
         del self._in_progress[lane]
         self._slow.discard(lane)
+        if not self._in_progress:
+            self._open_count = 1
 
     def waiting(self):
         """Return the orders that wait, in the order in which they are sent."""
@@ -109,20 +119,27 @@
         self._stops.clear()
         self._others.clear()
 
-    def _free_lane(self):
+    def _drop(self, is_obsolete):
+        kept = [each for each in self._others if not is_obsolete(each)]
+        self._others = collections.deque(kept)
+
+    def _free_lane(self, reserve):
         """The lane for the next order, or None; opens one for a stop if needed."""
         if 0 not in self._in_progress:
             return 0
         if not self._stops:
             return None
-        for lane in range(1, self._open_count):
-            if lane not in self._in_progress:
-                return lane
-        if len(self._slow) < self._open_count or self._open_count == MAX_LANES:
+        lanes = range(1, self._open_count)
+        free = next((lane for lane in lanes if lane not in self._in_progress), None)
+        if free is not None:
+            return free if reserve() else None
+        is_slow = len(self._slow) == self._open_count < MAX_LANES
+        if not is_slow or not reserve():
             return None
         self._open_count += 1
         return self._open_count - 1
 
 
-def _is_start_of(order, task, run):
-    return isinstance(order, orders.Start) and (order.task, order.run) == (task, run)
+def _is_pace_of_same_run(waiting, pace):
+    is_pace = isinstance(waiting, orders.Pace)
+    return is_pace and (waiting.task, waiting.run) == (pace.task, pace.run)
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -73,7 +73,7 @@
     """
     worker.remove(run)
     if run.sends:
-        leader.links[worker.target_id].withdraw_start(str(run.key), run.run)
+        leader.links[worker.target_id].withdraw(str(run.key), run.run)
     leader.customers.refund(run)
     leader.pools.mark_freed(worker.target_id)
     key = run.key
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -93,9 +93,9 @@
         """
         return self._orders.items_before(order)
 
-    def withdraw_start(self, task, run):
-        """Drop the starts of a run that wait to be sent."""
-        self._post(lambda: self._orders.withdraw_start(task, run))
+    def withdraw(self, task, run):
+        """Drop the starts and paces of a run that wait to be sent."""
+        self._post(lambda: self._orders.withdraw(task, run))
 
     def poll(self, poll):
         """Queue a Poll; one at a time."""
@@ -137,8 +137,8 @@
         """How many items are before an item; None if it is not here."""
         return self._lanes.count_before(item)
 
-    def withdraw_start(self, task, run):
-        self._lanes.withdraw_start(task, run)
+    def withdraw(self, task, run):
+        self._lanes.withdraw(task, run)
 
     def close(self):
         self._is_closed = True
@@ -148,7 +148,7 @@
 
     def _send_next(self):
         loop = asyncio.get_running_loop()
-        for lane, item in self._lanes.take():
+        for lane, item in self._lanes.take(self._connections.reserve_further):
             self._tasks[lane] = loop.create_task(self._serve(lane, item))
 
     async def _serve(self, lane, item):
@@ -166,10 +166,13 @@
             logging.exception("unexpected error while calling a worker")
             if not self._is_closed:
                 self._report(item, self._unanswered)
+                self._return_starts()
         finally:
             timer.cancel()
             del self._tasks[lane]
             self._lanes.finish(lane)
+            if lane:
+                self._connections.release_further()
             if self._is_closed:
                 self._close_session(lane)
             else:
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -215,7 +215,7 @@
     def orders_before(self, order):
         return 0 if order in self._unanswered else None
 
-    def withdraw_start(self, task, run):
+    def withdraw(self, task, run):
         pass
 
     def poll(self, poll):
