--- a/alderreach/decisions/cell/crash_blame.py
+++ b/alderreach/decisions/cell/crash_blame.py
@@ -28,6 +28,9 @@
 FRESH_MS = 500
 # The start of a run that is older than this did not cause its worker's crash.
 YOUNG_MS = 60_000
+# A worker sends a heartbeat every 1.5 s. One that is silent for longer may well have
+# crashed before a start that it leaves unanswered.
+HEARTBEAT_OVERDUE_MS = 2500
 # If the connection closes within this time after a start, the worker has crashed. If it
 # closes later, a broken link was restored, and the start may not have arrived at all.
 CRASH_DISCONNECT_MS = 200
@@ -105,13 +108,14 @@
     """Whether a run had just started at a crash, or may have done so.
 
     A start that was sent long after the last contact may never have reached the worker.
-    A worker that runs nothing else is not polled, though, so its silence proves
-    nothing. A run that this leader did not start itself is never fresh, since its start
-    is not known.
+    A worker that runs nothing else is not polled, though, so only a missing heartbeat
+    shows that it was silent before. A run that this leader did not start itself is
+    never fresh, since its start is not known.
     """
     if run.order is None:
         return False
     if run.is_confirmed:
         return lost_ms - run.placed_ms < FRESH_MS
     had_contact = run.placed_ms - worker.last_contact_ms < FRESH_MS
-    return run.lost_connection_at_start or had_contact or not is_polled
+    is_heard = run.placed_ms - worker.announced_ms < HEARTBEAT_OVERDUE_MS
+    return run.lost_connection_at_start or had_contact or (is_heard and not is_polled)
--- a/alderreach/decisions/cell/crash_blame_test.py
+++ b/alderreach/decisions/cell/crash_blame_test.py
@@ -65,6 +65,16 @@
     assert ends(worker)[0] == crashes.CRASHED_AT_START
 
 
+def test_a_start_on_an_idle_worker_without_heartbeats_gets_the_least_blame():
+    """Guards against tasks that are blamed for a crash that preceded their start."""
+    worker = worker_with(run(0, 20, is_confirmed=False))
+    worker.last_contact_ms = CRASH_MS - 9_000
+    worker.announced_ms = CRASH_MS - 1_500
+    assert ends(worker)[0] == crashes.CRASHED_AT_START
+    worker.announced_ms = CRASH_MS - 3_000
+    assert ends(worker)[0] == crashes.WORKER_CRASHED
+
+
 def test_a_start_after_a_long_silence_gets_the_least_blame():
     """Guards against tasks that are blamed for a crash that preceded their start."""
     worker = worker_with(run(0, 20, is_confirmed=False), run(1, 4_000))
