--- a/alderreach/ops/keeper/reporting.py
+++ b/alderreach/ops/keeper/reporting.py
@@ -5,7 +5,7 @@
 from alderreach.core import membership
 from alderreach.ops import daemon
 
-GAUGES = ("term", "commit_index", "log_entries", "keys", "items")
+GAUGES = ("term", "commit_index", "log_entries", "voters", "keys", "items")
 
 
 def status_of(node, state, versions, ready, is_removed):
@@ -43,6 +43,8 @@
     """Set the gauges of the status's main counts."""
     for name in GAUGES:
         metrics.gauge(f"keeper_{name}", status.detail[name])
+    is_voter = status.state not in ("learner", "removed")
+    metrics.gauge("keeper_is_voter", int(is_voter))
 
 
 def _state_name(node, is_removed):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -28,6 +28,8 @@
 START_DELAYS_S = (0.0, 2.0, 4.0, 7.0, 12.0)
 # The share of freezes and cuts of controllers that concern the leader.
 LEADER_SHARE = 0.7
+# The time after a restart without a disk in which no controller has another fault.
+WIPE_PAUSE_S = 1.0
 
 
 class Fault(typing.NamedTuple):
@@ -53,6 +55,7 @@
         self._split_rng = random.Random(f"splits {seed}")
         self._lock = threading.Lock()
         self._busy = set()
+        self._has_lost_disk = False
         self._began_s = time.monotonic()
         self.happened = []
         self._kinds = {
@@ -103,12 +106,17 @@
         self._process_fault(kind, hold_s, draw, ROLES, self._freeze)
 
     def _wipe(self, kind, hold_s, draw):
+        """Delete a controller's disk; skipped while a voter is lost with its disk."""
+        if self._has_lost_disk and not self._running.has_all_voters():
+            return
+
         def wipe(plan, hold_s):
+            self._has_lost_disk = True
             self._running.kill(plan.name)
             shutil.rmtree(self._running.folder / "data" / plan.name)
             time.sleep(hold_s)
             self._running.start([plan.name])
-            self._await_member(plan)
+            time.sleep(WIPE_PAUSE_S)
 
         self._process_fault(kind, hold_s, draw, ("controller",), wipe)
 
@@ -265,14 +273,6 @@
         time.sleep(hold_s)
         self._relay.heal([name])
 
-    def _await_member(self, plan):
-        """Wait until a controller whose disk was wiped has a vote or a copy again."""
-        log = lambda: self._running.log(plan.name).rpartition("process_started")[2]
-        deadline_s = time.monotonic() + 20
-        while '"members_changed"' not in log() and time.monotonic() < deadline_s:
-            time.sleep(0.1)
-        time.sleep(1.0)
-
     def _record(self, kind, hold_s, place):
         at_s = time.monotonic() - self._began_s
         self.happened.append(Fault(at_s, hold_s, kind, place))
--- a/tools/soak/linked_cell.py
+++ b/tools/soak/linked_cell.py
@@ -9,9 +9,13 @@
 import json
 import sys
 
+import urllib3
+from prometheus_client import parser
+
 from tools import relay, seeded_cell
 
 FIRST_PORT = 7500
+METRICS_TIMEOUT_S = 1.0
 
 
 class LinkedCell(seeded_cell.SeededCell):
@@ -65,6 +69,25 @@
         ]
         return max(elections, default=(0, None))[1]
 
+    def has_all_voters(self):
+        """Whether each voter of the cell has the disk that it was made a voter with.
+
+        A controller that lost its disk is a voter again under a new identity only, so
+        as many controllers as there are voters have to report a vote, in the newest
+        term and with all that was committed when the first one was asked.
+        """
+        newest = max(_progress(gauges) for gauges in self._keeper_gauges())
+        voters = [
+            gauges["voters"]
+            for gauges in self._keeper_gauges()
+            if gauges.get("is_voter") and _progress(gauges) >= newest
+        ]
+        return bool(voters) and set(voters) == {len(voters)}
+
+    def _keeper_gauges(self):
+        """The gauges of each controller's replica; empty without an answer."""
+        return [_keeper_gauges(self.http, plan) for plan in self.of_role("controller")]
+
     def _dials_file(self, plan):
         return self.folder / f"{plan.name}.dials.json"
 
@@ -74,3 +97,19 @@
     lines = [line for line in log.splitlines() if '"leadership_gained"' in line]
     complete = [line for line in lines if line.endswith("}")]
     return [json.loads(line[line.index("{") :]) for line in complete]
+
+
+def _keeper_gauges(http, plan):
+    url = f"http://{plan.platform}/metrics"
+    try:
+        text = http.request("GET", url, timeout=METRICS_TIMEOUT_S).data.decode()
+    except urllib3.exceptions.HTTPError:
+        return {}
+    families = parser.text_string_to_metric_families(text)
+    samples = [sample for family in families for sample in family.samples]
+    prefix = "alderreach_keeper_"
+    return {s.name.removeprefix(prefix): s.value for s in samples if prefix in s.name}
+
+
+def _progress(gauges):
+    return gauges.get("term", 0), gauges.get("commit_index", 0)
