--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers of the soak test: they submit jobs, query them, and sometimes cancel them.
+"""Callers of the soak test: they submit jobs, query them, and have some cancelled.
 
 A caller keeps its connections open until they fail. Without an answer it repeats the
 request at any frontend; a job counts as refused only if every attempt was rejected.
@@ -6,6 +6,7 @@
 
 import http.client
 import json
+import random
 import threading
 import time
 import typing
@@ -13,7 +14,7 @@
 import urllib3
 from hdrh.histogram import HdrHistogram
 
-from tools.soak import operators
+from tools.soak import cancellers, operators
 from tools.soak import promises as promises_module
 
 HOST = "a.example"
@@ -72,13 +73,18 @@
         self._refused_key = refused_key
         self._rng = rng
         self._crashing = crashing
+        self.is_calm = False
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._began_s = time.monotonic()
         self._number = 0
         self.accepted = {}
-        self.cancelled = set()
-        self.unclear = set()
+        self._cancellers = cancellers.Cancellers(
+            self._send_cancellation, promises, random.Random(rng.random())
+        )
+        self._cancelling_session = self.session()
+        self.cancelled = self._cancellers.cancelled
+        self.unclear = self._cancellers.unclear
         self.answers = []
         self.latency = HdrHistogram(1, MAX_LATENCY_MS, 3)
         self._threads = [
@@ -96,6 +102,7 @@
         self._stopping.set()
         for thread in self._threads:
             thread.join()
+        self._cancellers.stop()
 
     def state(self, session, job_id):
         """The state that a frontend shows for a job; None without a clear answer."""
@@ -106,19 +113,21 @@
 
     def session(self):
         """The connection pool of one caller."""
-        return urllib3.PoolManager(retries=False, timeout=TIMEOUT_S, maxsize=2)
+        return urllib3.PoolManager(retries=False, timeout=TIMEOUT_S, maxsize=4)
 
     def _run(self):
         session = self.session()
         while not self._stopping.is_set():
-            job_id, steps, cancels = self._draw()
+            job_id, steps, moment = self._draw()
             customer = customer_of(job_id)
             self._promises.on_job_submitted(job_id, steps, customer)
             if int(job_id, 16) % round(1 / REFUSED_KEY_SHARE) == 0:
                 self._try_refused_key(session, job_id)
-            if self._submit(session, job_id, steps):
-                if cancels:
-                    self._cancel(session, job_id)
+            submission = moment and self._cancellers.begin(job_id, moment)
+            is_accepted = self._submit(session, job_id, steps)
+            if submission:
+                submission.end(is_accepted)
+            if is_accepted:
                 self._stopping.wait(PAUSE_S)
                 self.state(session, job_id)
 
@@ -128,8 +137,15 @@
             self._number += 1
             job_id = f"{self._number:016x}"
             step = promises_module.Step
+            moment, is_long_running = self._cancellers.draw()
+            if self._number in self._crashing and not self.is_calm:
+                return job_id, [step(1, 500, crashes=True)], None
             if self._number in LONG_RUNNING_JOBS:
-                return job_id, [step(1, 500, long_running=True)], rng.random() < 0.15
+                return job_id, [step(1, 500, long_running=True)], moment
+            if is_long_running:
+                count = rng.randrange(1, 4)
+                endless = step(count, 500, long_running=True, endless=True)
+                return job_id, [endless], moment
             steps = [step(rng.randrange(1, 6), rng.choice([500, 1000, 2000]))]
             kind = rng.random()
             if kind < 0.5:
@@ -137,10 +153,7 @@
             elif kind < 0.7:
                 # Each task needs more than half of a worker.
                 steps.append(step(2, WIDE_CPU_MILLIS, [0], gang=kind < 0.6))
-            cancels = rng.random() < 0.15
-            if self._number in self._crashing:
-                return job_id, [step(1, 500, crashes=True)], False
-            return job_id, steps, cancels
+            return job_id, steps, moment
 
     def _try_refused_key(self, session, job_id):
         key = self._refused_key()
@@ -167,21 +180,20 @@
             self._promises.on_job_refused(job_id)
         return False
 
-    def _cancel(self, session, job_id):
-        for _attempt in range(ATTEMPTS):
-            status, _body = self._call(session, "DELETE", job_id)
-            if status in (200, 410):
-                self.cancelled.add(job_id)
-                return
-            time.sleep(PAUSE_S)
-        self.unclear.add(job_id)
+    def _send_cancellation(self, job_id, turn):
+        address = self._addresses[(int(job_id, 16) + turn) % len(self._addresses)]
+        status, _body = self._call(
+            self._cancelling_session, "DELETE", job_id, address=address
+        )
+        return status
 
-    def _call(self, session, method, job_id, body=None, key=None):
+    def _call(self, session, method, job_id, body=None, key=None, address=None):
         key = key or operators.lasting_key(customer_of(job_id))
         headers = {"Host": HOST, "Deadline-Ms": str(int(TIMEOUT_S * 1000))}
         headers["Authorization"] = f"Token {key}"
-        with self._lock:
-            address = self._rng.choice(self._addresses)
+        if address is None:
+            with self._lock:
+                address = self._rng.choice(self._addresses)
         began_s = time.monotonic()
         try:
             answer = session.request(
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -89,6 +89,14 @@
         for thread in threads:
             thread.join()
 
+    def play_calm(self, duration_s):
+        """For ``duration_s`` only delay starts and drain workers."""
+        deadline_s = time.monotonic() + duration_s
+        delaying = threading.Thread(target=self._delay_starts, args=[deadline_s])
+        delaying.start()
+        self._replace_workers(deadline_s, ["drain"])
+        delaying.join()
+
     def _kill(self, kind, hold_s, draw):
         self._process_fault(kind, hold_s, draw, ROLES, self._kill_process)
 
@@ -178,10 +186,10 @@
         self._relay.heal([worker.link])
         self._release([worker.name])
 
-    def _replace_workers(self, deadline_s):
+    def _replace_workers(self, deadline_s, kinds=("drain", "vanish")):
         rng = self._turnover_rng
         while time.monotonic() < deadline_s:
-            kind = rng.choice(["drain", "vanish"])
+            kind = rng.choice(kinds)
             place = rng.randrange(len(self._workers))
             self._replace_worker(kind, rng.choice([0.05, 0.4, 1.5, 3.0]), place)
             time.sleep(rng.choice([0.1, 0.5, 1.2]))
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -11,6 +11,7 @@
 import typing
 
 from alderreach.utils import clocks
+from tools.soak import cancels as cancels_module
 
 DONE = "done"
 # A task is given up after its third crash; two more starts may be in flight until then.
@@ -32,6 +33,8 @@
     long_running: bool = False
     crashes: bool = False
     """Whether each of its tasks crashes every worker that starts it."""
+    endless: bool = False
+    """Whether its long-running tasks run until they are stopped."""
 
 
 class Cap(typing.NamedTuple):
@@ -58,6 +61,9 @@
         self.caps_millis = collections.defaultdict(list)
         self.crashes = collections.Counter()
         self.crashed_under = collections.Counter()
+        self.cancels = cancels_module.Cancels(
+            lambda: self.time.now_ms, self.violations.append
+        )
         self.timeline = []
         """What happened on the workers: (wall-clock time in ms, text)."""
 
@@ -105,7 +111,10 @@
         """Check the guarantees that concern a start on a worker."""
         self.starts += 1
         task = order.task
-        self.record(f"{_incarnation(worker)} starts {task} run {order.run}")
+        late = " late" if worker.is_late else ""
+        self.record(f"{_incarnation(worker)} starts {task} run {order.run}{late}")
+        place = cancels_module.Place(_incarnation(worker), task, order.run)
+        self.cancels.on_start(place, worker.is_late)
         job_id, _occurrence, number, _index = task.split(".")
         if job_id in self.refused:
             self.violations.append(f"{task} starts, though its job was refused")
@@ -125,6 +134,19 @@
         self._check_capacity(worker, order)
         self._check_cap(order.task)
 
+    def check_cancels(self):
+        """Check that cancelled jobs leave nothing, and cancellations have answers."""
+        with self.lock:
+            present = [worker for worker in self.workers if not worker.is_down]
+            for worker in present:
+                # A lease may have lapsed since the worker last processed the time.
+                worker.step()
+            self.cancels.check(
+                cancels_module.Place(_incarnation(worker), task, run.order.run)
+                for worker in present
+                for task, run in worker.running.items()
+            )
+
     def on_end_acknowledged(self, end):
         """An end has been acknowledged."""
         self.record(f"the end of {end.task} run {end.run} is acknowledged: {end.how}")
@@ -146,10 +168,12 @@
     def may_end(self, task):
         """Whether a run may end: for members of a gang, only while all of them run.
 
-        A long-running task ends once by itself, and has to be started again.
+        A long-running task ends once by itself, and has to be started again, unless it
+        is endless.
         """
-        if self._step_of(task).long_running:
-            return task not in self.done
+        step = self._step_of(task)
+        if step.long_running:
+            return not step.endless and task not in self.done
         present = {t for w in self.workers if not w.is_down for t in w.running}
         return present.issuperset(self._tasks_ending_with(task))
 
@@ -161,7 +185,11 @@
         with self.lock:
             over = self.done
             if self.is_long_running(job_id):
-                over = self.done.intersection(self.running(job_id))
+                over = [
+                    task
+                    for task in self.running(job_id)
+                    if task in self.done or self._step_of(task).endless
+                ]
             return [task for task in self._tasks(job_id) if task not in over]
 
     def check_crash(self, task):
--- a/tools/standins/cell_worker.py
+++ b/tools/standins/cell_worker.py
@@ -58,6 +58,8 @@
         self.address = f"{name}:1"
         self.is_down = False
         self.down_since_ms = 0
+        self.is_late = False
+        """Whether it carries out the current order late; for the world's checks."""
         self.restart()
 
     def restart(self):
--- a/tools/standins/platform_worker.py
+++ b/tools/standins/platform_worker.py
@@ -212,11 +212,12 @@
         order = _order(environ["PATH_INFO"], body)
         if order is None:
             return 404, {}
-        if isinstance(order, orders.Start):
-            self._await_delay(incarnation, self.start_delay_s())
+        delay_s = self.start_delay_s() if isinstance(order, orders.Start) else 0.0
+        self._await_delay(incarnation, delay_s)
         with self._lock:
             if not self._is_up(incarnation):
                 return 503, {}
+            self.worker.is_late = delay_s > 0
             result = self.worker.carry_out(order)
         if isinstance(order, orders.Start) and result.outcome == orders.OK:
             self.on_started(order)
