--- a/tools/soak/cancellers.py
+++ b/tools/soak/cancellers.py
@@ -127,6 +127,7 @@
         self.unclear.add(job_id)
         while True:
             status = self._send(job_id, turn)
+            self._promises.record(f"the cancellation of {job_id} is answered: {status}")
             if status in (200, 410):
                 break
             if self._giving_up.wait(PAUSE_S):
