--- /dev/null
+++ b/tests/soak_hosts_test.py
@@ -0,0 +1,57 @@
+"""Tests of the soak test's faulty machines: their effect on real controllers."""
+
+import contextlib
+import json
+import time
+
+import urllib3
+
+from tools import cell
+from tools.soak import faulty_controller, linked_cell
+
+
+def events(running, name, kind):
+    lines = running.log(name).splitlines()
+    found = [line for line in lines if f'"event":"{kind}"' in line]
+    return [json.loads(line[line.index("{") :]) for line in found]
+
+
+def leader_beside_changes(running):
+    """The leader, after a change to the configuration that it may have written."""
+    config = {"version": time.time_ns(), "routes": [], "services": []}
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        url = f"http://{running.plan('controller-1').control}/-/config"
+        running.http.request("PUT", url, json=config, timeout=0.5)
+    return running.leader()
+
+
+def test_a_leader_whose_disk_fails_for_a_while_is_replaced(tmp_path):
+    """Guards against disk faults of the soak test that have no effect."""
+    with linked_cell.LinkedCell(tmp_path) as running:
+        running.start()
+        for disk in (faulty_controller.FULL, faulty_controller.STALLED):
+            first = cell.wait_until(running.leader, "a leader is elected")
+            cell.wait_until(running.has_all_voters, "all controllers vote")
+            plan = running.plan(first)
+            running.set_host(plan, disk=disk)
+            cell.wait_until(
+                lambda f=first: leader_beside_changes(running) != f,
+                f"{disk}: another controller leads",
+            )
+            running.set_host(plan)
+            cell.wait_until(running.has_all_voters, f"{disk}: the controller votes")
+        assert all(process.poll() is None for process in running.processes.values())
+
+
+def test_the_wall_clock_of_a_controller_steps_and_the_monotonic_one_does_not(tmp_path):
+    with linked_cell.LinkedCell(tmp_path) as running:
+        plan = running.plan("controller-1")
+        running.set_host(plan, clock_offset_ms=3_600_000)
+        running.start()
+        cell.wait_until(running.leader, "a leader is elected")
+        offsets_ms = [
+            event["wall_ms"] - time.time_ns() // 10**6
+            for name in ("controller-1", "controller-2")
+            for event in events(running, name, "process_started")
+        ]
+        assert [round(offset_ms / 3_600_000) for offset_ms in offsets_ms] == [1, 0]
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,13 +5,15 @@
 cuts, slows and resets them; data folders are deleted while their process is down;
 workers leave starts unanswered and carry them out seconds later; a controller, mostly
 the leader, is frozen or cut off from the others, in one direction or both, while it
-reaches its workers. The faults stay within what the cell tolerates: one controller out
+reaches its workers; disks of controllers become full or stall, and their wall clocks
+step. The faults stay within what the cell tolerates: one controller out
 of three voters is down or without its disk at a time, but all of them may lose power
 together, and cuts between them come in addition. Workers leave for good and are
 replaced, one at a time: each step may run in at least two of the four places, and has
 to be able to run in the end.
 """
 
+import functools
 import random
 import shutil
 import signal
@@ -20,6 +22,7 @@
 import typing
 
 from tools import relay as relay_module
+from tools.soak import faulty_controller
 
 ROLES = ("controller", "frontend")
 # A draining worker serves for at least two seconds before it leaves.
@@ -28,6 +31,8 @@
 START_DELAYS_S = (0.0, 2.0, 4.0, 7.0, 12.0)
 # The share of freezes and cuts of controllers that concern the leader.
 LEADER_SHARE = 0.7
+DISKS = {"full": faulty_controller.FULL, "stall": faulty_controller.STALLED}
+CLOCK_OFFSETS_MS = (-3_600_000, -5000, 5000, 3_600_000)
 # The time after a restart without a disk in which no controller has another fault.
 WIPE_PAUSE_S = 1.0
 
@@ -53,6 +58,9 @@
         self._turnover_rng = random.Random(f"turnover {seed}")
         self._delay_rng = random.Random(f"delays {seed}")
         self._split_rng = random.Random(f"splits {seed}")
+        self._host_rng = random.Random(f"hosts {seed}")
+        self._clock_rng = random.Random(f"clocks {seed}")
+        self._hosts = {}
         self._lock = threading.Lock()
         self._busy = set()
         self._has_lost_disk = False
@@ -74,7 +82,13 @@
     def play(self, duration_s):
         """Inject faults for ``duration_s``; returns once the last one is repaired."""
         deadline_s = time.monotonic() + duration_s
-        series = (self._replace_workers, self._delay_starts, self._split_controllers)
+        series = (
+            self._replace_workers,
+            self._delay_starts,
+            self._split_controllers,
+            self._disturb_disks,
+            self._step_clocks,
+        )
         threads = [threading.Thread(target=each, args=[deadline_s]) for each in series]
         for thread in threads:
             thread.start()
@@ -246,6 +260,47 @@
                 self._cut_off(kind, hold_s, name)
             time.sleep(rng.choice([0.1, 0.5, 1.2]))
 
+    def _disturb_disks(self, deadline_s):
+        """Let disks of controllers, mostly the leader's, become full or stall."""
+        rng = self._host_rng
+        while time.monotonic() < deadline_s:
+            time.sleep(rng.choice([0.5, 1.2, 2.0]))
+            kind = rng.choice(list(DISKS))
+            hold_s = rng.choice([0.05, 0.4, 1.5, 4.0])
+            plan = self._draw_controller(rng)
+            self._inject(
+                kind, hold_s, plan, functools.partial(self._disturb_disk, DISKS[kind])
+            )
+
+    def _disturb_disk(self, disk, plan, hold_s):
+        self._set_host(plan, disk=disk)
+        time.sleep(hold_s)
+        self._set_host(plan, disk=faulty_controller.SOUND)
+
+    def _step_clocks(self, deadline_s):
+        """Step the wall clocks of controllers, one at a time, and back."""
+        rng = self._clock_rng
+        while time.monotonic() < deadline_s:
+            hold_s = rng.choice([0.4, 1.5, 4.0])
+            plan = self._draw_controller(rng)
+            self._record("clock", hold_s, plan.name)
+            self._set_host(plan, clock_offset_ms=rng.choice(CLOCK_OFFSETS_MS))
+            time.sleep(hold_s)
+            self._set_host(plan, clock_offset_ms=0)
+            time.sleep(rng.choice([0.1, 0.5, 1.2]))
+
+    def _draw_controller(self, rng):
+        """One of the controllers, with a preference for the leader."""
+        plan = rng.choice(self._running.of_role("controller"))
+        leader = self._running.leader() if rng.random() < LEADER_SHARE else None
+        return self._running.plan(leader) if leader else plan
+
+    def _set_host(self, plan, **faults):
+        with self._lock:
+            host = self._hosts.setdefault(plan.name, {})
+            host |= faults
+            self._running.set_host(plan, **host)
+
     def _cut_off(self, kind, hold_s, name):
         """Cut a controller's links with the others: to it, from it, or both."""
         links = self._running.links_of(name)
--- a/tools/soak/linked_cell.py
+++ b/tools/soak/linked_cell.py
@@ -1,4 +1,4 @@
-"""A seeded cell whose controllers can be cut off from each other.
+"""A seeded cell whose controllers can be cut off from each other, on faulty machines.
 
 >>> with LinkedCell(folder, 4, 2) as running:  # doctest: +SKIP
 ...     running.start()
@@ -13,6 +13,7 @@
 from prometheus_client import parser
 
 from tools import relay, seeded_cell
+from tools.soak import faulty_controller
 
 FIRST_PORT = 7500
 METRICS_TIMEOUT_S = 1.0
@@ -49,9 +50,14 @@
         super().start(others if names is None else others.intersection(names))
         for plan in controllers:
             if names is None or plan.name in names:
-                module = "tools.soak.linked_controller"
-                files = [str(self._dials_file(plan)), str(plan.settings)]
-                self.run(plan.name, [sys.executable, "-m", module, *files])
+                module = "tools.soak.faulty_controller"
+                files = [self._dials_file(plan), self._host_file(plan), plan.settings]
+                self.run(plan.name, [sys.executable, "-m", module, *map(str, files)])
+
+    def set_host(self, plan, **faults):
+        """Set the faults of a controller's machine, the fields of a ``Host``."""
+        host = faulty_controller.Host(**faults)
+        faulty_controller.write_host(self._host_file(plan), host)
 
     def links_of(self, name):
         """The links from and to a controller."""
@@ -60,10 +66,10 @@
     def leader(self):
         """The name of the controller that was elected last, or None.
 
-        It may have lost its leadership since.
+        It may have lost its leadership since. The processes share one monotonic clock.
         """
         elections = [
-            (event["wall_ms"], plan.name)
+            (event["mono_ms"], plan.name)
             for plan in self.of_role("controller")
             for event in _elections(self.log(plan.name))
         ]
@@ -88,6 +94,9 @@
         """The gauges of each controller's replica; empty without an answer."""
         return [_keeper_gauges(self.http, plan) for plan in self.of_role("controller")]
 
+    def _host_file(self, plan):
+        return self.folder / f"{plan.name}.host.json"
+
     def _dials_file(self, plan):
         return self.folder / f"{plan.name}.dials.json"
 
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -21,6 +21,9 @@
     "deafen": "f",
     "mute": "m",
     "freeze": "z",
+    "full": "u",
+    "stall": "n",
+    "clock": "h",
 }
 
 
