--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,13 +5,15 @@
 cuts, slows and resets them; data folders are deleted while their process is down;
 workers leave starts unanswered and carry them out seconds later; a controller, mostly
 the leader, is frozen or cut off from the others, in one direction or both, while it
-reaches its workers. The faults stay within what the cell tolerates: one controller out
+reaches its workers; disks of controllers become full or stall, and their wall clocks
+step. The faults stay within what the cell tolerates: one controller out
 of three voters is down or without its disk at a time, but all of them may lose power
 together, and cuts between them come in addition. Workers leave for good and are
 replaced, one at a time: each step may run in at least two of the four places, and has
 to be able to run in the end.
 """
 
+import functools
 import random
 import shutil
 import signal
@@ -20,6 +22,7 @@
 import typing
 
 from tools import relay as relay_module
+from tools.soak import faulty_controller
 
 ROLES = ("controller", "frontend")
 # A draining worker serves for at least two seconds before it leaves.
@@ -28,6 +31,10 @@
 START_DELAYS_S = (0.0, 2.0, 4.0, 7.0, 12.0)
 # The share of freezes and cuts of controllers that concern the leader.
 LEADER_SHARE = 0.7
+DISKS = {"full": faulty_controller.FULL, "stall": faulty_controller.STALLED}
+CLOCK_OFFSETS_MS = (-3_600_000, -5000, 5000, 3_600_000)
+# The time after a restart without a disk in which no controller has another fault.
+WIPE_PAUSE_S = 1.0
 
 
 class Fault(typing.NamedTuple):
@@ -51,8 +58,12 @@
         self._turnover_rng = random.Random(f"turnover {seed}")
         self._delay_rng = random.Random(f"delays {seed}")
         self._split_rng = random.Random(f"splits {seed}")
+        self._host_rng = random.Random(f"hosts {seed}")
+        self._clock_rng = random.Random(f"clocks {seed}")
+        self._hosts = {}
         self._lock = threading.Lock()
         self._busy = set()
+        self._has_lost_disk = False
         self._began_s = time.monotonic()
         self.happened = []
         self._kinds = {
@@ -71,7 +82,13 @@
     def play(self, duration_s):
         """Inject faults for ``duration_s``; returns once the last one is repaired."""
         deadline_s = time.monotonic() + duration_s
-        series = (self._replace_workers, self._delay_starts, self._split_controllers)
+        series = (
+            self._replace_workers,
+            self._delay_starts,
+            self._split_controllers,
+            self._disturb_disks,
+            self._step_clocks,
+        )
         threads = [threading.Thread(target=each, args=[deadline_s]) for each in series]
         for thread in threads:
             thread.start()
@@ -86,6 +103,14 @@
         for thread in threads:
             thread.join()
 
+    def play_calm(self, duration_s):
+        """For ``duration_s`` only delay starts and drain workers."""
+        deadline_s = time.monotonic() + duration_s
+        delaying = threading.Thread(target=self._delay_starts, args=[deadline_s])
+        delaying.start()
+        self._replace_workers(deadline_s, ["drain"])
+        delaying.join()
+
     def _kill(self, kind, hold_s, draw):
         self._process_fault(kind, hold_s, draw, ROLES, self._kill_process)
 
@@ -103,12 +128,17 @@
         self._process_fault(kind, hold_s, draw, ROLES, self._freeze)
 
     def _wipe(self, kind, hold_s, draw):
+        """Delete a controller's disk; skipped while a voter is lost with its disk."""
+        if self._has_lost_disk and not self._running.has_all_voters():
+            return
+
         def wipe(plan, hold_s):
+            self._has_lost_disk = True
             self._running.kill(plan.name)
             shutil.rmtree(self._running.folder / "data" / plan.name)
             time.sleep(hold_s)
             self._running.start([plan.name])
-            self._await_member(plan)
+            time.sleep(WIPE_PAUSE_S)
 
         self._process_fault(kind, hold_s, draw, ("controller",), wipe)
 
@@ -170,10 +200,10 @@
         self._relay.heal([worker.link])
         self._release([worker.name])
 
-    def _replace_workers(self, deadline_s):
+    def _replace_workers(self, deadline_s, kinds=("drain", "vanish")):
         rng = self._turnover_rng
         while time.monotonic() < deadline_s:
-            kind = rng.choice(["drain", "vanish"])
+            kind = rng.choice(kinds)
             place = rng.randrange(len(self._workers))
             self._replace_worker(kind, rng.choice([0.05, 0.4, 1.5, 3.0]), place)
             time.sleep(rng.choice([0.1, 0.5, 1.2]))
@@ -230,6 +260,47 @@
                 self._cut_off(kind, hold_s, name)
             time.sleep(rng.choice([0.1, 0.5, 1.2]))
 
+    def _disturb_disks(self, deadline_s):
+        """Let disks of controllers, mostly the leader's, become full or stall."""
+        rng = self._host_rng
+        while time.monotonic() < deadline_s:
+            time.sleep(rng.choice([0.5, 1.2, 2.0]))
+            kind = rng.choice(list(DISKS))
+            hold_s = rng.choice([0.05, 0.4, 1.5, 4.0])
+            plan = self._draw_controller(rng)
+            self._inject(
+                kind, hold_s, plan, functools.partial(self._disturb_disk, DISKS[kind])
+            )
+
+    def _disturb_disk(self, disk, plan, hold_s):
+        self._set_host(plan, disk=disk)
+        time.sleep(hold_s)
+        self._set_host(plan, disk=faulty_controller.SOUND)
+
+    def _step_clocks(self, deadline_s):
+        """Step the wall clocks of controllers, one at a time, and back."""
+        rng = self._clock_rng
+        while time.monotonic() < deadline_s:
+            hold_s = rng.choice([0.4, 1.5, 4.0])
+            plan = self._draw_controller(rng)
+            self._record("clock", hold_s, plan.name)
+            self._set_host(plan, clock_offset_ms=rng.choice(CLOCK_OFFSETS_MS))
+            time.sleep(hold_s)
+            self._set_host(plan, clock_offset_ms=0)
+            time.sleep(rng.choice([0.1, 0.5, 1.2]))
+
+    def _draw_controller(self, rng):
+        """One of the controllers, with a preference for the leader."""
+        plan = rng.choice(self._running.of_role("controller"))
+        leader = self._running.leader() if rng.random() < LEADER_SHARE else None
+        return self._running.plan(leader) if leader else plan
+
+    def _set_host(self, plan, **faults):
+        with self._lock:
+            host = self._hosts.setdefault(plan.name, {})
+            host |= faults
+            self._running.set_host(plan, **host)
+
     def _cut_off(self, kind, hold_s, name):
         """Cut a controller's links with the others: to it, from it, or both."""
         links = self._running.links_of(name)
@@ -265,14 +336,6 @@
         time.sleep(hold_s)
         self._relay.heal([name])
 
-    def _await_member(self, plan):
-        """Wait until a controller whose disk was wiped has a vote or a copy again."""
-        log = lambda: self._running.log(plan.name).rpartition("process_started")[2]
-        deadline_s = time.monotonic() + 20
-        while '"members_changed"' not in log() and time.monotonic() < deadline_s:
-            time.sleep(0.1)
-        time.sleep(1.0)
-
     def _record(self, kind, hold_s, place):
         at_s = time.monotonic() - self._began_s
         self.happened.append(Fault(at_s, hold_s, kind, place))
--- a/tools/soak/linked_cell.py
+++ b/tools/soak/linked_cell.py
@@ -1,4 +1,4 @@
-"""A seeded cell whose controllers can be cut off from each other.
+"""A seeded cell whose controllers can be cut off from each other, on faulty machines.
 
 >>> with LinkedCell(folder, 4, 2) as running:  # doctest: +SKIP
 ...     running.start()
@@ -9,9 +9,14 @@
 import json
 import sys
 
+import urllib3
+from prometheus_client import parser
+
 from tools import relay, seeded_cell
+from tools.soak import faulty_controller
 
 FIRST_PORT = 7500
+METRICS_TIMEOUT_S = 1.0
 
 
 class LinkedCell(seeded_cell.SeededCell):
@@ -45,9 +50,14 @@
         super().start(others if names is None else others.intersection(names))
         for plan in controllers:
             if names is None or plan.name in names:
-                module = "tools.soak.linked_controller"
-                files = [str(self._dials_file(plan)), str(plan.settings)]
-                self.run(plan.name, [sys.executable, "-m", module, *files])
+                module = "tools.soak.faulty_controller"
+                files = [self._dials_file(plan), self._host_file(plan), plan.settings]
+                self.run(plan.name, [sys.executable, "-m", module, *map(str, files)])
+
+    def set_host(self, plan, **faults):
+        """Set the faults of a controller's machine, the fields of a ``Host``."""
+        host = faulty_controller.Host(**faults)
+        faulty_controller.write_host(self._host_file(plan), host)
 
     def links_of(self, name):
         """The links from and to a controller."""
@@ -56,15 +66,37 @@
     def leader(self):
         """The name of the controller that was elected last, or None.
 
-        It may have lost its leadership since.
+        It may have lost its leadership since. The processes share one monotonic clock.
         """
         elections = [
-            (event["wall_ms"], plan.name)
+            (event["mono_ms"], plan.name)
             for plan in self.of_role("controller")
             for event in _elections(self.log(plan.name))
         ]
         return max(elections, default=(0, None))[1]
 
+    def has_all_voters(self):
+        """Whether each voter of the cell has the disk that it was made a voter with.
+
+        A controller that lost its disk is a voter again under a new identity only, so
+        as many controllers as there are voters have to report a vote, in the newest
+        term and with all that was committed when the first one was asked.
+        """
+        newest = max(_progress(gauges) for gauges in self._keeper_gauges())
+        voters = [
+            gauges["voters"]
+            for gauges in self._keeper_gauges()
+            if gauges.get("is_voter") and _progress(gauges) >= newest
+        ]
+        return bool(voters) and set(voters) == {len(voters)}
+
+    def _keeper_gauges(self):
+        """The gauges of each controller's replica; empty without an answer."""
+        return [_keeper_gauges(self.http, plan) for plan in self.of_role("controller")]
+
+    def _host_file(self, plan):
+        return self.folder / f"{plan.name}.host.json"
+
     def _dials_file(self, plan):
         return self.folder / f"{plan.name}.dials.json"
 
@@ -74,3 +106,19 @@
     lines = [line for line in log.splitlines() if '"leadership_gained"' in line]
     complete = [line for line in lines if line.endswith("}")]
     return [json.loads(line[line.index("{") :]) for line in complete]
+
+
+def _keeper_gauges(http, plan):
+    url = f"http://{plan.platform}/metrics"
+    try:
+        text = http.request("GET", url, timeout=METRICS_TIMEOUT_S).data.decode()
+    except urllib3.exceptions.HTTPError:
+        return {}
+    families = parser.text_string_to_metric_families(text)
+    samples = [sample for family in families for sample in family.samples]
+    prefix = "alderreach_keeper_"
+    return {s.name.removeprefix(prefix): s.value for s in samples if prefix in s.name}
+
+
+def _progress(gauges):
+    return gauges.get("term", 0), gauges.get("commit_index", 0)
