--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -272,8 +272,10 @@
     def replace_link(self, record):
         """Close the link to a worker and open one to its new address.
 
-        Orders that waited on the old link get no result, so they are sent again.
+        Stops that waited on the old link get no result, so they are sent again. Starts
+        are returned, since they had no part in a crash of the worker.
         """
+        self.links[record.target_id].return_starts()
         self.links[record.target_id].close()
         self.links[record.target_id] = self.environment.open_link(record, self.epoch)
         for run in self.workers[record.target_id].runs.values():
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -101,6 +101,10 @@
         """Queue a Poll; one at a time."""
         self._post(lambda: self._polls.add(poll))
 
+    def return_starts(self):
+        """Report the starts that wait to be sent as not sent."""
+        self._post(self._orders.return_starts)
+
     def close(self):
         """Drop the queued calls, and close after the calls in progress."""
         self._post(self._orders.close)
@@ -140,6 +144,10 @@
     def withdraw(self, task, run):
         self._lanes.withdraw(task, run)
 
+    def return_starts(self):
+        for start in self._lanes.take_starts():
+            self._report(start, orders.OrderResult(orders.NOT_SENT))
+
     def close(self):
         self._is_closed = True
         self._lanes.clear()
@@ -166,7 +174,7 @@
             logging.exception("unexpected error while calling a worker")
             if not self._is_closed:
                 self._report(item, self._unanswered)
-                self._return_starts()
+                self.return_starts()
         finally:
             timer.cancel()
             del self._tasks[lane]
@@ -185,7 +193,7 @@
                 result = await self._call(session, item)
                 self._report(item, result)
                 if result.outcome in orders.UNANSWERED:
-                    self._return_starts()
+                    self.return_starts()
         finally:
             self._connections.release(session)
 
@@ -193,10 +201,6 @@
         self._lanes.mark_slow(lane)
         self._send_next()
 
-    def _return_starts(self):
-        for start in self._lanes.take_starts():
-            self._report(start, orders.OrderResult(orders.NOT_SENT))
-
     def _close_session(self, lane):
         session = self._sessions.pop(lane, None)
         if session is not None:
--- a/alderreach/ops/controller/target_link_test.py
+++ b/alderreach/ops/controller/target_link_test.py
@@ -278,6 +278,26 @@
     assert links.messages.empty()
 
 
+def test_a_link_that_is_replaced_returns_the_starts_that_wait(links):
+    """Guards against blame for a crash that a task can't have caused: its start waited
+    behind the culprit's, and was dropped with the link to the former incarnation.
+    """
+    links.hanging.add("w1")
+    link = links.link("w1")
+    starts = [orders.Start("j1.0.0.0", n, "run", 1000, 7, "", "") for n in (1, 2)]
+    for start in starts:
+        link.order(start)
+    assert links.begun.get(timeout=PATIENCE_S) == starts[0]
+    link.return_starts()
+    link.close()
+    returned = links.next_message()
+    assert (returned.order, returned.result.outcome) == (starts[1], orders.NOT_SENT)
+    links.hanging.clear()
+    assert links.next_message().order == starts[0]
+    assert links.closed.get(timeout=PATIENCE_S)
+    assert links.begun.empty()
+
+
 def test_a_closed_link_makes_no_call_that_waits_for_a_connection():
     """Guards against a poll that is sent to a worker's next incarnation: its cursor
     and its lease are those of the earlier one.
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -218,6 +218,9 @@
     def withdraw(self, task, run):
         pass
 
+    def return_starts(self):
+        pass
+
     def poll(self, poll):
         self._world.call(lambda: self._poll(poll))
 
