--- a/tests/soak_cancels_test.py
+++ b/tests/soak_cancels_test.py
@@ -91,6 +91,19 @@
     assert len(violations_after(checker, clock, 1)) == 1
 
 
+def test_a_slow_sync_of_the_machine_disturbs_the_calm(checker, clock):
+    """Guards against violations by other programs that occupy the disk."""
+    start_task(checker)
+    cancel(checker)
+    clock.advance(BOUND_MS)
+    checker.on_disk_synced(promises.SLOW_SYNC_MS)
+    assert checker.cancels.calm_from_ms <= clock.now_ms
+    checker.on_disk_synced(promises.SLOW_SYNC_MS + 1)
+    bound_ms = cancels.STABLE_WINDOW_MS + BOUND_MS
+    assert violations_after(checker, clock, bound_ms) == []
+    assert len(violations_after(checker, clock, 1)) == 1
+
+
 def test_a_cancellation_without_an_answer_is_detected_and_counts(checker, clock):
     start_task(checker)
     checker.cancels.on_sent("j")
--- a/tools/soak/cancels.py
+++ b/tools/soak/cancels.py
@@ -51,18 +51,18 @@
         self._late_starts_ms = {}
         self._reported = set()
         self._disturbances = 1
-        self._calm_from_ms = math.inf
+        self.calm_from_ms = math.inf
 
     def disturb(self):
         """A fault begins that excuses late ends and answers."""
         self._disturbances += 1
-        self._calm_from_ms = math.inf
+        self.calm_from_ms = math.inf
 
     def settle(self):
         """A fault has ended; the time is calm some time after the last one."""
         self._disturbances -= 1
         if not self._disturbances:
-            self._calm_from_ms = self._now_ms() + STABLE_WINDOW_MS
+            self.calm_from_ms = self._now_ms() + STABLE_WINDOW_MS
 
     def on_sent(self, job_id):
         """A caller is about to cancel a job; returns the number of the request."""
@@ -96,7 +96,7 @@
             self._late_starts_ms[place] = now_ms
             return
         late_ms = now_ms - self.due_ms(_job_of(place.task))
-        if late_ms > CANCEL_MS and now_ms >= self._calm_from_ms:
+        if late_ms > CANCEL_MS and now_ms >= self.calm_from_ms:
             self._report(
                 f"{place.task} starts {late_ms} ms after its job was cancelled"
             )
@@ -122,13 +122,13 @@
         late_start_ms = self._late_starts_ms.get(place, -math.inf)
         since_ms = max(
             self.due_ms(_job_of(place.task)),
-            self._calm_from_ms,
+            self.calm_from_ms,
             late_start_ms + STABLE_WINDOW_MS,
         )
         return since_ms + CANCEL_MS + STOP_TIMEOUT_MS
 
     def _answer_due_ms(self, sent_ms):
-        return max(sent_ms, self._calm_from_ms) + ACK_MS
+        return max(sent_ms, self.calm_from_ms) + ACK_MS
 
 
 def _job_of(task):
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -8,6 +8,7 @@
 import contextlib
 import functools
 import itertools
+import os
 import random
 import threading
 import time
@@ -126,10 +127,11 @@
         return self._permission.is_valid(start.ticket, start.task, self.name)
 
 
-def play(seed, folder, duration_s, crashing=()):
+def play(seed, folder, duration_s, crashing=(), calm_s=CALM_S):
     """Inject a seed's faults for ``duration_s``, then check that the cell recovers.
 
-    ``crashing`` are the numbers of the jobs whose task crashes its workers.
+    Callers go on for ``calm_s`` in between. ``crashing`` are the numbers of the jobs
+    whose task crashes its workers.
     """
     promises = promises_module.Promises()
     with contextlib.ExitStack() as stack:
@@ -164,14 +166,14 @@
         operator.start()
         stack.callback(operator.stop)
         faults = faults_module.Faults(running, links, workers, start_worker, seed)
-        stack.enter_context(_watch(promises))
+        stack.enter_context(_watch(promises, running.folder / "probe"))
         faults.play(duration_s)
         calling.is_calm = True
         operator.stop()
         with promises.lock:
             promises.cancels.settle()
         accepted = len(calling.accepted)
-        faults.play_calm(CALM_S)
+        faults.play_calm(calm_s)
         _check_service(calling, promises, accepted)
         calling.stop()
         _check_recovery(calling, promises)
@@ -256,13 +258,22 @@
 
 
 @contextlib.contextmanager
-def _watch(promises):
-    """Check continuously what runs of cancelled jobs."""
+def _watch(promises, path):
+    """Check continuously what runs of cancelled jobs, and that the machine is calm.
+
+    A disk of this machine that syncs slowly, for whatever other program, disturbs the
+    cell as much as an injected fault. The file at ``path`` is synced to tell.
+    """
     stopping = threading.Event()
 
     def watch():
-        while not stopping.wait(WATCH_S):
-            promises.check_cancels()
+        with path.open("wb", buffering=0) as file:
+            while not stopping.wait(WATCH_S):
+                began_s = time.monotonic()
+                file.write(b" ")
+                os.fsync(file.fileno())
+                promises.on_disk_synced(int((time.monotonic() - began_s) * 1000))
+                promises.check_cancels()
 
     thread = threading.Thread(target=watch)
     thread.start()
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -19,6 +19,9 @@
 # A replaced version of the configuration may be in force for this time after the
 # acknowledgement of its successor: starts of its time are still on their way.
 CONFIG_APPLY_MS = 2500
+# Half of the election timeout: a voter that syncs more slowly is not calm.
+SLOW_SYNC_MS = 250
+SLOW_SYNC = "a sync of the machine's disk"
 # A task may be given up once this many workers have crashed while running it.
 MIN_CRASHES_TO_GIVE_UP = 2
 
@@ -134,6 +137,14 @@
         self._check_capacity(worker, order)
         self._check_cap(order.task)
 
+    def on_disk_synced(self, took_ms):
+        """The machine's disk has synced a file; slow ones disturb all processes."""
+        if took_ms > SLOW_SYNC_MS:
+            self.record(f"{SLOW_SYNC} took {took_ms} ms")
+            with self.lock:
+                self.cancels.disturb()
+                self.cancels.settle()
+
     def check_cancels(self):
         """Check that cancelled jobs leave nothing, and cancellations have answers."""
         with self.lock:
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from tools.soak import promises
+
 BARS = " .:-=+*#%@"
 LETTERS = {
     "kill": "k",
@@ -43,6 +45,9 @@
         for percent in (50, 90, 99, 100)
     )
     yield from (f"  {line}" for line in plot(report))
+    slow = [text for _wall_ms, text in report.timeline if promises.SLOW_SYNC in text]
+    if slow:
+        yield f"  {len(slow)} slow syncs of the machine's disk"
     yield from (f"  BROKEN {text}" for text in report.violations)
 
 
