--- a/alderreach/decisions/cell/crash_blame.py
+++ b/alderreach/decisions/cell/crash_blame.py
@@ -13,7 +13,9 @@
 
 Tasks that start together with a poison task would move to the next worker with it and
 be blamed with it. So a suspect starts alone: if possible on a worker where nothing has
-just started, and nothing else starts there for ``SUSPECT_ISOLATION_MS``. A crash under
+just started and no start is unanswered, and nothing else starts there for
+``SUSPECT_ISOLATION_MS`` and until its own start is answered. A start that is held up
+may arrive seconds later, and suspects that meet are blamed together. A crash under
 a fresh suspect does not count against the other runs that the worker had confirmed. It
 counts least against one that it had not: two poison tasks may meet on a worker if the
 start of one is held up, and each crash has to count against its cause.
@@ -26,6 +28,9 @@
 FRESH_MS = 500
 # The start of a run that is older than this did not cause its worker's crash.
 YOUNG_MS = 60_000
+# A worker sends a heartbeat every 1.5 s. One that is silent for longer may well have
+# crashed before a start that it leaves unanswered.
+HEARTBEAT_OVERDUE_MS = 2500
 # If the connection closes within this time after a start, the worker has crashed. If it
 # closes later, a broken link was restored, and the start may not have arrived at all.
 CRASH_DISCONNECT_MS = 200
@@ -92,21 +97,25 @@
 
 
 def has_fresh_run(worker, now_ms):
-    """Whether a worker has a run that was placed less than ``FRESH_MS`` ago."""
-    return any(now_ms - run.placed_ms < FRESH_MS for run in worker.runs.values())
+    """Whether a worker has a run that was just placed, or whose start may arrive."""
+    return any(
+        now_ms - run.placed_ms < FRESH_MS or run.is_start_unanswered()
+        for run in worker.runs.values()
+    )
 
 
 def _was_fresh(run, worker, is_polled, lost_ms):
     """Whether a run had just started at a crash, or may have done so.
 
     A start that was sent long after the last contact may never have reached the worker.
-    A worker that runs nothing else is not polled, though, so its silence proves
-    nothing. A run that this leader did not start itself is never fresh, since its start
-    is not known.
+    A worker that runs nothing else is not polled, though, so only a missing heartbeat
+    shows that it was silent before. A run that this leader did not start itself is
+    never fresh, since its start is not known.
     """
     if run.order is None:
         return False
     if run.is_confirmed:
         return lost_ms - run.placed_ms < FRESH_MS
     had_contact = run.placed_ms - worker.last_contact_ms < FRESH_MS
-    return run.lost_connection_at_start or had_contact or not is_polled
+    is_heard = run.placed_ms - worker.announced_ms < HEARTBEAT_OVERDUE_MS
+    return run.lost_connection_at_start or had_contact or (is_heard and not is_polled)
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -41,6 +41,7 @@
     ``is_fully_observed`` is set if this leader started it, and not from a checkpoint,
     ``is_confirmed`` if the worker has told this leader that it runs, and
     ``lost_connection_at_start`` if the connection closed before its start was answered.
+    ``stop`` is what is known of its stopping, for the log; None if it is not to stop.
     """
 
     __slots__ = (
@@ -69,6 +70,7 @@
         "run",
         "sends",
         "state",
+        "stop",
         "tail_target_ms",
         "ticket",
     )
@@ -88,6 +90,7 @@
         self.abandoned = False
         self.ticket = ticket
         self.state = ORDERED
+        self.stop = None
         self.sends = 0
         self.next_send_ms = now_ms
         self.answered_ms = now_ms
@@ -111,6 +114,10 @@
         """Whether the run is to be stopped or has been."""
         return self.state in (CLOSING, CLOSED)
 
+    def is_start_unanswered(self):
+        """Whether the start may still arrive: neither it nor a stop is confirmed."""
+        return not self.is_confirmed and self.state != CLOSED
+
 
 class Worker:
     """A worker as its leader sees it.
@@ -119,11 +126,13 @@
     with each call to the latest one, and ``awaits_list`` is set from the start of one
     until its first list tells which runs it has.
     ``has_seen_epoch`` is set once the worker has seen the leader's epoch, and
-    ``is_refusing`` if nothing listened there at the last call. ``poll`` is the open
-    poll, and ``first_failure_ms`` the time of the first failed call since the last
-    answer. ``runs_in_doubt`` maps the (key, run) of runs that were given up, but may
-    not be over, to how they ended if this incarnation is over. ``previous_ends`` does
-    the same for the runs of the previous incarnation.
+    ``is_refusing`` if nothing listened there at the last call. ``has_unknown_runs`` is
+    set if its last list had runs that it should not have. ``poll`` is the open poll,
+    and ``first_failure_ms`` the time of the first failed call since the last answer.
+    ``isolated_run`` is the last run that has to start alone here; nothing else starts
+    until its start can no longer arrive. ``runs_in_doubt`` maps the (key, run) of runs
+    that were given up, but may not be over, to how they ended if this incarnation is
+    over. ``previous_ends`` does the same for the runs of the previous incarnation.
     """
 
     def __init__(self, record, now_ms, lease_end_ms, fence=0):
@@ -138,6 +147,7 @@
         self.fence = fence
         self.is_recording_ends = False
         self.has_ends_to_acknowledge = False
+        self.has_unknown_runs = False
         self.is_leaving = False
         self.is_evacuated = False
         self.announced_ms = now_ms
@@ -158,6 +168,7 @@
         self.poll_due_ms = now_ms
         self.paced_ms = now_ms
         self.held_back_until_ms = 0
+        self.isolated_run = None
         self.health = health.Record()
 
     def record_call_outcome(self, outcome, now_ms):
@@ -165,8 +176,10 @@
 
         Outcomes that prove nothing about its health leave it unchanged.
         """
+        if outcome == orders.NOT_SENT:
+            return
         self.is_refusing = outcome == orders.CONNECTION_REFUSED
-        if outcome in (orders.UNKNOWN, *orders.NOT_CONNECTED):
+        if outcome in orders.UNANSWERED:
             self.record_failed_call(now_ms)
         elif outcome == orders.OK:
             self.failures = 0
@@ -240,6 +253,7 @@
             and self.record.state == "ready"
             and self.failures < DOUBTFUL_FAILURES
             and now_ms >= max(self.held_back_until_ms, self.health.out_until_ms)
+            and not self.awaits_isolated_run()
             and now_ms - max(self.announced_ms, self.last_contact_ms) < SILENT_AFTER_MS
         )
 
@@ -247,6 +261,15 @@
         """Place no new runs on this worker before ``until_ms``."""
         self.held_back_until_ms = max(self.held_back_until_ms, until_ms)
 
+    def awaits_isolated_run(self):
+        """Whether the start of a run that has to start alone may still arrive."""
+        run = self.isolated_run
+        return (
+            run is not None
+            and self.runs.get(run.key) is run
+            and run.is_start_unanswered()
+        )
+
     def has_capacity(self, step):
         """Whether one more task of a step fits on this worker."""
         capacity, used, demand = self.record.capacity, self.used, step.demand
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -4,7 +4,7 @@
 
 from alderreach.core import cell_state, orders
 from alderreach.decisions.cell import crash_blame, workers
-from alderreach.ops.controller import runs, worker_lifecycle, worker_polls
+from alderreach.ops.controller import runs, stopping, worker_lifecycle, worker_polls
 
 # Delay before an unanswered order is sent again. It can be short, since the call itself
 # has already waited for longer than any healthy worker takes to answer.
@@ -23,10 +23,12 @@
 def handle_order_answer(leader, message):
     """Handle the answer to a Start, Stop or Pace order."""
     worker = leader.workers.get(message.target_id)
-    if worker is None or message.order.fence != worker.fence:
-        # The previous incarnation answered, or an order for it was answered late.
+    if worker is None:
         return
     now_ms, result = leader.now_ms(), message.result
+    if message.order.fence != worker.fence and result.outcome != orders.NOT_SENT:
+        # The previous incarnation answered, or an order for it was answered late.
+        return
     if result.clock_ms is not None:
         if worker.is_clock_of_other_incarnation(result.clock_ms, now_ms):
             worker_lifecycle.suspect_new_incarnation(leader, worker)
@@ -43,6 +45,7 @@
         _handle_start_answer(leader, worker, run, message, now_ms)
     elif isinstance(message.order, orders.Stop):
         _handle_stop_answer(run, result, now_ms)
+        stopping.note_answer(leader, run, result.outcome)
         worker_polls.poll(leader, worker)
     elif result.outcome == orders.OK:
         run.pace = message.order.percent
@@ -96,7 +99,7 @@
         leader.pools.on_worker_changed(worker.target_id)
     if result.outcome in orders.NOT_EXECUTED and run.sends == 1:
         runs.end_run(leader, worker, run, "refused")
-    elif result.outcome == orders.UNKNOWN:
+    elif result.outcome in (orders.UNKNOWN, orders.NOT_SENT):
         is_at_start = now_ms - run.placed_ms < crash_blame.CRASH_DISCONNECT_MS
         run.lost_connection_at_start = run.lost_connection_at_start or (
             result.lost_connection and is_at_start
@@ -105,7 +108,7 @@
     elif result.outcome == orders.FENCED:
         logging.warning("worker %s has seen a higher epoch", worker.target_id)
     else:
-        runs.close_run(leader, worker, run)
+        runs.close_run(leader, worker, run, stopping.START_UNCLEAR)
 
 
 def _handle_stop_answer(run, result, now_ms):
--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -1,4 +1,6 @@
-"""Calls to one worker: orders one after the other and, concurrently, one poll.
+"""Calls to one worker: orders in lanes (``order_lanes``) and, concurrently, one poll.
+
+After an order without an answer, starts that wait behind it are returned, not sent.
 
 The calls to all workers share one event loop, so a worker that hangs delays no other
 worker and an idle worker needs no thread. This module only makes calls and reports
@@ -6,22 +8,22 @@
 """
 
 import asyncio
-import collections
 import functools
 import typing
 
 from absl import logging
 
 from alderreach.core import orders
+from alderreach.ops.controller import order_lanes
 
 
 class Calls(typing.NamedTuple):
     """The functions that call a worker; provided by the protocol's implementation.
 
     ``order(session, record, order)`` returns an ``orders.OrderResult`` and
-    ``poll(session, record, poll)`` an ``orders.PollResult``; both are coroutines and
-    raise no exceptions. ``open_session(address)`` opens the connection shared by calls
-    of one kind, an object with ``close()``.
+    ``poll(session, record, poll)`` an ``orders.PollResult``; both are coroutines. An
+    exception counts as a call without an answer. ``open_session(address)`` opens a
+    connection for one call after the other, an object with ``close()``.
     """
 
     open_session: typing.Callable
@@ -47,32 +49,6 @@
     result: typing.Any
 
 
-def enqueue(waiting, order):
-    """Add an order to those that wait to be sent; a Stop replaces starts of its run.
-
-    The orders before it may hang, so a start would otherwise be sent seconds after its
-    run was given up. A dropped start gets no result, nor does a second copy of a stop.
-
-    >>> start = orders.Start("j1.0.0.0", 2, "true", 1000, 7, "", "")
-    >>> waiting = collections.deque([start])
-    >>> enqueue(waiting, orders.Stop("j1.0.0.0", 2, 7))
-    >>> [type(order).__name__ for order in waiting]
-    ['Stop']
-    """
-    if isinstance(order, orders.Stop):
-        if order in waiting:
-            return
-        kept = [other for other in waiting if not _is_start_of(other, order)]
-        waiting.clear()
-        waiting.extend(kept)
-    waiting.append(order)
-
-
-def _is_start_of(order, stop):
-    is_start = isinstance(order, orders.Start)
-    return is_start and (order.task, order.run) == (stop.task, stop.run)
-
-
 class TargetLink:
     """Calls of one leader to one worker; ``put`` receives their results as messages.
 
@@ -94,6 +70,7 @@
             order,
             False,
             functools.partial(report, OrderAnswered),
+            orders.OrderResult(orders.UNKNOWN),
         )
         self._polls = _CallQueue(
             open_session,
@@ -101,16 +78,33 @@
             poll,
             True,
             functools.partial(report, PollAnswered),
+            orders.PollResult(orders.UNKNOWN),
         )
 
     def order(self, order):
-        """Queue a Start, Stop or Pace; a Stop replaces waiting starts of its run."""
+        """Queue a Start, Stop or Pace, of which a Stop waits for no other run's."""
         self._post(lambda: self._orders.add(order))
 
+    def orders_before(self, order):
+        """How many orders are before one on its way; None if it is not on its way.
+
+        The one in progress has none before it. Callable from any thread; the answer may
+        be outdated when it arrives.
+        """
+        return self._orders.items_before(order)
+
+    def withdraw(self, task, run):
+        """Drop the starts and paces of a run that wait to be sent."""
+        self._post(lambda: self._orders.withdraw(task, run))
+
     def poll(self, poll):
         """Queue a Poll; one at a time."""
         self._post(lambda: self._polls.add(poll))
 
+    def return_starts(self):
+        """Report the starts that wait to be sent as not sent."""
+        self._post(self._orders.return_starts)
+
     def close(self):
         """Drop the queued calls, and close after the calls in progress."""
         self._post(self._orders.close)
@@ -118,56 +112,97 @@
 
 
 class _CallQueue:
-    """Calls of one kind, one after the other; used on the event loop only.
+    """Calls of one kind, in lanes; used on the event loop only.
 
-    With ``may_wait``, calls wait until a connection is available.
+    Each lane has a session of its own, which is opened for its first call. With
+    ``may_wait``, calls wait until a connection is available. ``unanswered`` is the
+    result of a call that fails unexpectedly, which may have been carried out.
     """
 
-    def __init__(self, open_session, connections, call, may_wait, report):
+    def __init__(self, open_session, connections, call, may_wait, report, unanswered):
         self._open_session = open_session
         self._connections = connections
         self._call = call
         self._may_wait = may_wait
         self._report = report
-        self._queue = collections.deque()
-        self._session = None
-        self._task = None
+        self._unanswered = unanswered
+        self._lanes = order_lanes.OrderLanes()
+        self._sessions = {}
+        # The tasks of the calls in progress, by lane.
+        self._tasks = {}
         self._is_closed = False
 
     def add(self, item):
-        enqueue(self._queue, item)
-        if self._task is None and not self._is_closed:
-            self._task = asyncio.get_running_loop().create_task(self._serve())
+        if not self._is_closed:
+            self._lanes.add(item)
+            self._send_next()
+
+    def items_before(self, item):
+        """How many items are before an item; None if it is not here."""
+        return self._lanes.count_before(item)
+
+    def withdraw(self, task, run):
+        self._lanes.withdraw(task, run)
+
+    def return_starts(self):
+        for start in self._lanes.take_starts():
+            self._report(start, orders.OrderResult(orders.NOT_SENT))
 
     def close(self):
         self._is_closed = True
-        self._queue.clear()
-        if self._task is None:
-            self._close_session()
-
-    async def _serve(self):
+        self._lanes.clear()
+        for lane in self._sessions.keys() - self._tasks.keys():
+            self._close_session(lane)
+
+    def _send_next(self):
+        loop = asyncio.get_running_loop()
+        for lane, item in self._lanes.take(self._connections.reserve_further):
+            self._tasks[lane] = loop.create_task(self._serve(lane, item))
+
+    async def _serve(self, lane, item):
+        delay_s = order_lanes.SLOW_AFTER_MS / 1000
+        timer = asyncio.get_running_loop().call_later(delay_s, self._on_slow, lane)
         try:
-            if self._session is None:
-                self._session = self._open_session()
-            while self._queue:
-                item = self._queue.popleft()
-                await self._call_once(item)
+            if lane not in self._sessions:
+                self._sessions[lane] = self._open_session()
+            await self._call_once(self._sessions[lane], item)
+        except asyncio.CancelledError:
+            # The event loop ends.
+            self._lanes.clear()
+            raise
         except Exception:
             logging.exception("unexpected error while calling a worker")
+            if not self._is_closed:
+                self._report(item, self._unanswered)
+                self.return_starts()
         finally:
-            self._task = None
+            timer.cancel()
+            del self._tasks[lane]
+            self._lanes.finish(lane)
+            if lane:
+                self._connections.release_further()
             if self._is_closed:
-                self._close_session()
+                self._close_session(lane)
+            else:
+                self._send_next()
 
-    async def _call_once(self, item):
-        await self._connections.acquire(self._session, self._may_wait)
+    async def _call_once(self, session, item):
+        await self._connections.acquire(session, self._may_wait)
         try:
             if not self._is_closed:
-                self._report(item, await self._call(self._session, item))
+                result = await self._call(session, item)
+                self._report(item, result)
+                if result.outcome in orders.UNANSWERED:
+                    self.return_starts()
         finally:
-            self._connections.release(self._session)
+            self._connections.release(session)
+
+    def _on_slow(self, lane):
+        self._lanes.mark_slow(lane)
+        self._send_next()
 
-    def _close_session(self):
-        if self._session is not None:
-            self._connections.forget(self._session)
-            self._session.close()
+    def _close_session(self, lane):
+        session = self._sessions.pop(lane, None)
+        if session is not None:
+            self._connections.forget(session)
+            session.close()
