--- a/tests/system_support.py
+++ b/tests/system_support.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import json
+import re
 import threading
 import typing
 import uuid
@@ -21,6 +22,7 @@
 RELAY_PORT = 10_000
 CALL_TIMEOUT_S = 20
 DOMAINS = ("urubici", "bom-jardim", "cambara")
+LONGEST_SYNC = r'^alderreach_log_sync_ms{percentile="100.0"} (\S+)'
 
 
 class CallRecord(typing.NamedTuple):
@@ -247,6 +249,28 @@
         return answer.headers["Alderreach-Outcome"], ""
 
 
+def describe_failures(deployment, failures):
+    """Describe failed requests, with the longest log sync of each keeper in ms.
+
+    A claim waits two seconds for the keepers' log, so disks that stall for longer make
+    the outcome of requests with a key unknown.
+    """
+    keepers = deployment.cell.of_role("keeper")
+    syncs = {plan.name: _longest_sync_ms(deployment, plan) for plan in keepers}
+    return f"{failures[:3]}; longest log syncs in ms: {syncs}"
+
+
+def _longest_sync_ms(deployment, plan):
+    """Return the longest log sync of a keeper since its start, or None."""
+    url = f"http://{plan.platform}/metrics"
+    try:
+        text = deployment.http.request("GET", url).data.decode()
+    except urllib3.exceptions.HTTPError:
+        return None
+    found = re.search(LONGEST_SYNC, text, re.MULTILINE)
+    return float(found[1]) if found else None
+
+
 def check_history(deployment, records):
     """Assert that the callers' records and the targets' histories are consistent."""
     events = deployment.events()
