--- a/alderreach/ops/controller/order_lanes.py
+++ b/alderreach/ops/controller/order_lanes.py
@@ -11,8 +11,7 @@
 
 from alderreach.core import orders
 
-# Stops that may hang at the same time. If all of them hang for their whole time limit
-# of half a second, sixteen are sent each second.
+# Orders to one worker that may hang at the same time.
 MAX_LANES = 8
 # An order without an answer for this time holds up no stop. Workers answer within
 # milliseconds.
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -237,8 +237,8 @@
 
     def cancelled():
         reply(answer(ACCEPTED))
-        job_runs = runs.close_job(leader, job)
-        stopping.record_cancel(leader, job_id, job_runs, decided_ms)
+        found = runs.close_job(leader, job)
+        stopping.record_cancel(leader, job_id, found, decided_ms)
 
     leader.decide(cancelled, cancelled=[job_id])
     term.record("job_cancelled", job=job_id)
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -9,7 +9,7 @@
 from alderreach.core import cell_state, crashes, orders
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import crash_blame, health, workers
-from alderreach.ops.controller import stopping
+from alderreach.ops.controller import job_runs, stopping
 
 # Delay of the next poll after a run has ended, so that one poll lists several ends
 # that are close together. Polls cost the worker and the leader processor time, but a
@@ -41,11 +41,11 @@
 
 
 def close_job(leader, job):
-    """Stop all runs of a job that has ended; returns its runs."""
-    job_runs = stopping.runs_of_job(leader, job)
-    for worker, run in job_runs.known:
+    """Stop all runs of a job that has ended; returns its ``job_runs.JobRuns``."""
+    found = job_runs.find(leader, job)
+    for worker, run in found.known:
         close_run(leader, worker, run, stopping.reason_of_end(job))
-    return job_runs
+    return found
 
 
 def close_run(leader, worker, run, reason):
--- a/alderreach/ops/controller/stopping.py
+++ b/alderreach/ops/controller/stopping.py
@@ -6,10 +6,9 @@
 its way nor due to be sent.
 """
 
-import typing
-
 from alderreach.core import cell_state
 from alderreach.decisions.cell import workers
+from alderreach.ops.controller import job_runs
 
 # A run that is still there after this time is reported. It is well below the time that
 # any customer is promised for a cancel, and above that of an unanswered call.
@@ -37,19 +36,6 @@
 LISTED_AGAIN = "listed_again"
 
 
-class JobRuns(typing.NamedTuple):
-    """The runs of a job that may be at work.
-
-    ``known`` has the (worker, run) of those that the leader knows as the tasks' latest.
-    The others are names: ``missing`` those that the state has as placed, but the leader
-    does not know, and ``in_doubt`` those that were given up but may not be over.
-    """
-
-    known: list
-    missing: list
-    in_doubt: list
-
-
 class Stop:
     """The stopping of one run.
 
@@ -168,25 +154,7 @@
         _report(leader, "stop_stranded", worker, run, now_ms)
 
 
-def runs_of_job(leader, job):
-    """The ``JobRuns`` of a job."""
-    known, missing, in_doubt = found = JobRuns([], [], [])
-    for (occurrence, number), tasks in job.groups.items():
-        for index, task in enumerate(tasks):
-            key = cell_state.TaskKey(job.record.job_id, occurrence, number, index)
-            in_doubt += [_name(key, each.run, each.target_id) for each in task.in_doubt]
-            if task.state != cell_state.PLACED:
-                continue
-            worker = leader.workers.get(task.target_id)
-            run = worker.runs.get(key) if worker else None
-            if run is None:
-                missing.append(_name(key, task.run, task.target_id))
-            else:
-                known.append((worker, run))
-    return found
-
-
-def record_cancel(leader, job_id, job_runs, decided_ms):
+def record_cancel(leader, job_id, found, decided_ms):
     """Log an acknowledged cancel, and what it found of the job's runs."""
     commit_ms = leader.now_ms() - decided_ms
     leader.environment.metrics.observe_ms("cancel_commit", commit_ms)
@@ -194,17 +162,19 @@
         "cancel_acknowledged",
         job=job_id,
         commit_ms=commit_ms,
-        runs_to_stop=len(job_runs.known),
-        runs_missing=len(job_runs.missing),
-        missing=job_runs.missing[:MAX_NAMED_RUNS],
-        runs_in_doubt=len(job_runs.in_doubt),
-        in_doubt=job_runs.in_doubt[:MAX_NAMED_RUNS],
+        runs_to_stop=len(found.known),
+        runs_missing=len(found.missing),
+        missing=found.missing[:MAX_NAMED_RUNS],
+        runs_in_doubt=len(found.in_doubt),
+        in_doubt=found.in_doubt[:MAX_NAMED_RUNS],
     )
 
 
 def names(worker, runs):
     """The names of some runs on a worker, as many as one line may have."""
-    return [_name(run.key, run.run, worker.target_id) for run in runs][:MAX_NAMED_RUNS]
+    return [job_runs.name_of(run.key, run.run, worker.target_id) for run in runs][
+        :MAX_NAMED_RUNS
+    ]
 
 
 def fields_of_unknown(leader, key):
@@ -276,7 +246,3 @@
 
 def _since_begin(stop, time_ms):
     return None if time_ms is None else time_ms - stop.began_ms()
-
-
-def _name(key, run_number, target_id):
-    return f"{key}/{run_number}@{target_id}"
