--- a/alderreach/decisions/cell/pools.py
+++ b/alderreach/decisions/cell/pools.py
@@ -21,6 +21,7 @@
         self._usable = {}
         self._ids = set()
         self._freed = {}
+        self._changed = set()
         self._due_ms = 0
 
     def mark_freed(self, target_id):
@@ -30,12 +31,15 @@
     def on_worker_changed(self, target_id):
         """Handle a worker whose record changed or that was removed."""
         self.mark_freed(target_id)
+        self._changed.add(target_id)
         self._due_ms = 0
 
     def refresh(self, now_ms):
         """Update the usable workers if that is due.
 
         Returns the ids of workers that became usable, and of those that are no longer.
+        A usable worker whose record changed counts as one that became usable: a step
+        may suit it now that did not before.
         """
         if now_ms < self._due_ms:
             return set(), set()
@@ -48,6 +52,8 @@
                 by_service[worker.record.service].append(worker)
                 ids.add(target_id)
         appeared, disappeared = ids - self._ids, self._ids - ids
+        appeared |= self._changed & ids
+        self._changed.clear()
         self._freed.update(dict.fromkeys(sorted(appeared)))
         self._ids = ids
         for pool in by_service.values():
--- a/alderreach/decisions/cell/pools_test.py
+++ b/alderreach/decisions/cell/pools_test.py
@@ -26,6 +26,17 @@
     assert index.usable("other") == ()
 
 
+def test_a_usable_worker_that_changed_counts_as_one_that_became_usable():
+    """Guards against a step that waits for good, as its permission to run on a worker
+    that has grown is never asked for.
+    """
+    index = pools.Pools(make_workers(2))
+    index.refresh(0)
+    index.on_worker_changed("w1")
+    assert index.refresh(1) == ({"w1"}, set())
+    assert index.refresh(1 + pools.REFRESH_MS) == (set(), set())
+
+
 def test_a_worker_that_becomes_usable_counts_as_freed():
     """Guards against workers that stay idle after a partition has healed."""
     all_workers = make_workers(2)
--- a/tests/cell_permission_test.py
+++ b/tests/cell_permission_test.py
@@ -109,3 +109,22 @@
     sim.submit_at(0, "q", "j1", [virtual_parts.Work(step, [3_000] * 6)])
     sim.run_until(20_000)
     assert sim.term.leader.state.jobs["j1"].state == "completed"
+
+
+def test_a_step_that_suits_no_worker_runs_once_one_has_grown():
+    """Guards against a step that waits for good beside an idle worker. It suited none
+    as it came, since that one had little capacity for a while, and nobody asked for the
+    permission to run there when it had more.
+    """
+    small = virtual_parts.worker(0, 1_000, 128_000)
+    sim = virtual_cell.VirtualCell(
+        [virtual_parts.queue("q", permission=RULE)],
+        [small],
+        permitted_shares={"q": 1.0},
+    )
+    step = virtual_parts.step(1, 4_000, estimated_ms=1_000)
+    sim.submit_at(0, "q", "j1", [virtual_parts.Work(step, [1_000])])
+    sim.run_until(5_000)
+    sim.join_at(5_001, [virtual_parts.worker(0, 8_000, 128_000)])
+    sim.run_until(10_000)
+    assert sim.term.leader.state.jobs["j1"].state == "completed"
