--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -99,7 +99,7 @@
         leader.pools.on_worker_changed(worker.target_id)
     if result.outcome in orders.NOT_EXECUTED and run.sends == 1:
         runs.end_run(leader, worker, run, "refused")
-    elif result.outcome in (orders.UNKNOWN, orders.NOT_SENT):
+    elif result.outcome == orders.UNKNOWN:
         is_at_start = now_ms - run.placed_ms < crash_blame.CRASH_DISCONNECT_MS
         run.lost_connection_at_start = run.lost_connection_at_start or (
             result.lost_connection and is_at_start
--- a/alderreach/ops/controller/order_answers_test.py
+++ b/alderreach/ops/controller/order_answers_test.py
@@ -82,3 +82,20 @@
     (worker,) = [worker for worker in leader.workers.values() if worker.runs]
     (run,) = worker.runs.values()
     return virtual, worker, run
+
+
+def test_a_run_whose_repeated_start_was_not_sent_is_stopped():
+    """Guards against a task that waits for tens of seconds on one worker: each time its
+    start was to be repeated, it stood behind an order without an answer.
+    """
+    virtual, worker, run = _placed_run()
+    leader = virtual.term.leader
+    for outcome in (orders.UNKNOWN, orders.NOT_SENT):
+        message = target_link.OrderAnswered(
+            1, worker.target_id, run.order, orders.OrderResult(outcome)
+        )
+        order_answers.handle_order_answer(leader, message)
+        if run.next_send_ms is not None:
+            worker.failures = 0
+            order_answers.resend(leader, worker, run)
+    assert run.is_closing()
