--- a/tests/cell_cancel_test.py
+++ b/tests/cell_cancel_test.py
@@ -91,6 +91,34 @@
         assert not starts
 
 
+def test_a_stop_does_not_wait_behind_starts_of_other_jobs(tmp_path):
+    """Guards against a run of a cancelled job that goes on for seconds. Its stop waited
+    behind starts of other jobs, which its worker left without an answer.
+    """
+    with _cell_with_late_orders(tmp_path) as (sim, worker):
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(1_000, lambda: TASK in worker.running)
+        cell_sim.submit_job(sim, "j0", cell_sim.step(10))
+        sim.run(200)
+        _cancel(sim, "j1")
+        sim.run(CANCEL_MS + STOP_TIMEOUT_MS)
+        assert TASK not in worker.running
+
+
+def test_a_stop_does_not_wait_behind_other_stops_of_its_job(tmp_path):
+    """Guards against a run of a cancelled job that goes on for seconds. Its stop waited
+    behind those of the job's other tasks, which its worker left without an answer.
+    """
+    with _cell_with_late_orders(tmp_path) as (sim, worker):
+        cell_sim.submit_job(sim, "j1", cell_sim.step(9))
+        assert sim.run(1_000, lambda: len(worker.running) == 9)
+        last = "j1.0.0.8"
+        _hold_up_orders(sim, lambda order: order.task != last)
+        _cancel(sim, "j1")
+        sim.run(CANCEL_MS + STOP_TIMEOUT_MS)
+        assert last not in worker.running
+
+
 @contextlib.contextmanager
 def _cell_with_late_orders(folder):
     """Yield a cell and its only worker. It leaves orders of ``j0`` without an answer,
