--- a/tools/relay.py
+++ b/tools/relay.py
@@ -5,6 +5,9 @@
   arrives late once the link heals. New connections over a cut link are accepted by the
   kernel and stay silent as well.
 - *Slow:* all data are delayed.
+- *Silence:* the connections that are open now stay open and forward nothing any more,
+  in one direction or both, also not that they were closed. Healing the link does not
+  change that. New connections work.
 - *Reset:* all connections of a link are aborted, also those that wait for the link to
   heal; nothing that was sent on them arrives.
 """
@@ -18,15 +21,25 @@
 BOTH = (OUT, IN)
 
 
+def _open_directions():
+    """An event for each direction, set while data pass."""
+    events = {OUT: asyncio.Event(), IN: asyncio.Event()}
+    for event in events.values():
+        event.set()
+    return events
+
+
 class _Link:
-    """One listening address: its open directions, its delay and its connections."""
+    """One listening address: its open directions, its delay and its connections.
+
+    ``connections`` holds the open directions of each connection.
+    """
 
     def __init__(self):
-        self.passing = {OUT: asyncio.Event(), IN: asyncio.Event()}
-        for event in self.passing.values():
-            event.set()
+        self.passing = _open_directions()
         self.delay_s = 0.0
         self.writers = set()
+        self.connections = []
 
 
 class Relay:
@@ -56,17 +69,26 @@
 
     def cut(self, names, directions=BOTH):
         """Stop forwarding on the named links until they are healed."""
-        self._change(names, lambda link: _set(link, directions, False))
+        self._change(names, lambda link: _set(link.passing, directions, False))
 
     def heal(self, names):
         """Forward without delay on the named links again, buffered data first."""
 
         def mend(link):
             link.delay_s = 0.0
-            _set(link, BOTH, True)
+            _set(link.passing, BOTH, True)
 
         self._change(names, mend)
 
+    def silence(self, names, directions=BOTH):
+        """Stop forwarding on the connections that are open now, permanently."""
+
+        def silence_open(link):
+            for passing in link.connections:
+                _set(passing, directions, False)
+
+        self._change(names, silence_open)
+
     def slow(self, names, delay_ms):
         """Delay all data on the named links."""
         self._change(names, lambda link: setattr(link, "delay_s", delay_ms / 1000))
@@ -112,9 +134,9 @@
         self._servers.append(await asyncio.start_server(connected, *listen))
 
 
-def _set(link, directions, passing):
+def _set(events, directions, passing):
     for direction in directions:
-        event = link.passing[direction]
+        event = events[direction]
         event.set() if passing else event.clear()
 
 
@@ -134,23 +156,30 @@
     except OSError:
         writer.close()
         return
+    passing = _open_directions()
     link.writers.add(far_writer)
+    link.connections.append(passing)
     try:
         await asyncio.gather(
-            _pump(link, OUT, reader, far_writer), _pump(link, IN, far_reader, writer)
+            _pump(link, passing[OUT], OUT, reader, far_writer),
+            _pump(link, passing[IN], IN, far_reader, writer),
         )
     finally:
+        link.connections.remove(passing)
         link.writers.discard(far_writer)
 
 
-async def _pump(link, direction, reader, writer):
+async def _pump(link, passes, direction, reader, writer):
+    """Forward one direction of a connection while ``passes`` is set."""
     try:
         while data := await reader.read(CHUNK_BYTES):
             if link.delay_s:
                 await asyncio.sleep(link.delay_s)
             await link.passing[direction].wait()
+            await passes.wait()
             writer.write(data)
             await writer.drain()
+        await passes.wait()
     except OSError:
         pass
     finally:
