--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -31,6 +31,7 @@
     clocks,
     event_log,
     http_server,
+    link_health,
     metrics,
     stop_signals,
     timeline,
@@ -201,10 +202,11 @@
         {peer.name: peer.address for peer in settings.peers},
         dispatcher.deliver,
         clocks.SYSTEM,
-        timing.peer_silence_ms,
+        link_health.Rules(timing.peer_confirm_ms, timing.peer_silence_ms),
         on_undecodable=lambda text: time_line.record(
             "message_undecodable", detail=text
         ),
+        on_loss=lambda loss: time_line.record("link_given_up", detail=_describe(loss)),
     )
     stack.callback(peer_transport.close)
     context = Context(
@@ -223,6 +225,14 @@
     return context
 
 
+def _describe(loss):
+    silent = "never" if loss.silent_ms is None else f"{loss.silent_ms} ms ago"
+    return (
+        f"{loss.address}: oldest message unconfirmed for {loss.unconfirmed_ms} ms, "
+        f"peer last heard {silent}"
+    )
+
+
 def platform_answer(context, role, path):
     """Answer /livez, /readyz or /metrics with (status line, body), others with None."""
     if path == "/livez":
@@ -240,6 +250,8 @@
     peer_transport = context.transport
     for name in ("bytes_sent", "bytes_received", "dropped", "undecodable"):
         context.metrics.gauge(f"peer_messages_{name}", getattr(peer_transport, name))
+    for name in ("given_up", "replaced_for_peer", "unconfirmed"):
+        context.metrics.gauge(f"peer_links_{name}", getattr(peer_transport.links, name))
 
 
 def _serve_platform(context, role):
--- a/alderreach/utils/transport.py
+++ b/alderreach/utils/transport.py
@@ -4,23 +4,24 @@
 sends to. Delivery is at most once and unacknowledged, like a datagram: a message may
 be lost or delayed, and every protocol on top has to handle that.
 
-A network partition that drops packets silently closes no connection, and after it ends
-the kernel may wait up to a minute before it retransmits. The transport therefore dials
-a peer again before it sends to it if the peer has been silent for ``silence_ms``. This
-does not affect a healthy link, and shortens the recovery of a broken one.
+Two failures would make all messages to a peer lost or late until one of the processes
+restarts. A network partition that drops packets closes no connection, and after it ends
+the kernel may wait up to a minute before it retransmits. And open connections may go
+silent permanently. Links on which messages don't arrive are therefore replaced; see
+``peer_links``.
 """
 
 import queue
 import threading
 
 import pynng
-from absl import logging
 from pynng import lib as nng
 from result import Err
 
 from alderreach.core import codec
+from alderreach.core.generated import common
+from alderreach.utils import peer_links
 
-SEND_BUFFER_MESSAGES = 512
 RECEIVE_BUFFER_MESSAGES = 1024
 RECEIVE_POLL_MS = 200
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
@@ -41,20 +42,6 @@
     nng.nng_init_set_parameter(_parameter, _threads)
 
 
-class Link:
-    """A push socket to one address, and the time at which it was dialled."""
-
-    def __init__(self, address, now_ms):
-        self.dialled_ms = now_ms
-        self.socket = pynng.Push0(
-            send_timeout=0,
-            send_buffer_size=SEND_BUFFER_MESSAGES,
-            reconnect_time_min=50,
-            reconnect_time_max=500,
-        )
-        self.socket.dial(f"tcp://{address}", block=False)
-
-
 class Transport:
     """Owns the sockets of one process.
 
@@ -62,6 +49,8 @@
     should only put it into a mailbox. ``on_undecodable`` is called with the text of
     each decoding error. ``peers`` maps process names to addresses: a known sender is
     answered at its address in the settings, and not at its own ``reply_address``.
+    ``rules`` says when a link is given up; ``on_loss`` is called with each
+    ``link_health.Loss``.
     """
 
     def __init__(
@@ -71,22 +60,29 @@
         peers,
         deliver,
         clock,
-        silence_ms,
+        rules,
         on_undecodable=None,
+        on_loss=None,
     ):
         self._cell, self.name, self.boot_id = identity
         self.address = address
         self._peers = dict(peers)
         self._deliver = deliver
         self._clock = clock
-        self._silence_ms = silence_ms
         self._on_undecodable = on_undecodable or (lambda text: None)
         self._outbox = queue.SimpleQueue()
-        self._links = {}
-        self._last_contact_ms = {}
-        self.dropped = 0
+        self._contacts = {}
+        # Confirmations that have arrived: address, probe and time.
+        self._confirmations = queue.SimpleQueue()
+        self.links = peer_links.PeerLinks(
+            rules,
+            clock,
+            self._encode,
+            self._contacts.get,
+            on_loss or (lambda loss: None),
+        )
+        self._refused = 0
         self.undecodable = 0
-        self.bytes_sent = 0
         self.bytes_received = 0
         self._pull = pynng.Pull0(
             recv_timeout=RECEIVE_POLL_MS,
@@ -100,6 +96,16 @@
             threading.Thread(target=self._send_all, name="send", daemon=True),
         ]
 
+    @property
+    def dropped(self):
+        """Messages that were not written to a connection."""
+        return self._refused + self.links.dropped
+
+    @property
+    def bytes_sent(self):
+        """Bytes written to connections."""
+        return self.links.bytes_sent
+
     def start(self):
         """Start receiving and sending; return the transport."""
         for thread in self._threads:
@@ -109,9 +115,9 @@
     def send(self, address, message):
         """Queue a message for an address; never blocks, and may drop the message."""
         if self._outbox.qsize() >= MAX_OUTBOX_MESSAGES:
-            self.dropped += 1
+            self._refused += 1
             return
-        self._outbox.put((address, message))
+        self._outbox.put((self.links.send, address, message))
 
     def close(self):
         """Send the queued messages, then close all sockets."""
@@ -141,42 +147,51 @@
             return
         envelope = received.ok_value
         address = self._peers.get(envelope.sender, envelope.reply_address)
-        envelope = envelope._replace(reply_address=address)
-        self._last_contact_ms[envelope.reply_address] = self._clock.monotonic_ms()
-        self._deliver(envelope)
+        contact = self._record_contact(address, envelope.sender_boot_id)
+        message = envelope.message
+        if isinstance(message, common.LinkProbe):
+            self._handle_probe(address, contact, envelope)
+        elif isinstance(message, common.LinkConfirmation):
+            contact.confirms = True
+            if message.boot_id == self.boot_id:
+                self._confirmations.put((address, message.probe, contact.last_ms))
+        else:
+            self._deliver(envelope._replace(reply_address=address))
+
+    def _record_contact(self, address, boot_id):
+        contact = self._contacts.get(address)
+        if contact is None or contact.boot_id != boot_id:
+            contact = self._contacts[address] = peer_links.Contact(boot_id)
+        contact.last_ms = self._clock.monotonic_ms()
+        return contact
+
+    def _handle_probe(self, address, contact, envelope):
+        probe = envelope.message
+        is_new_link = contact.link != probe.link
+        contact.confirms, contact.link = True, probe.link
+        confirmation = common.LinkConfirmation(envelope.sender_boot_id, probe.probe)
+        self._outbox.put((self.links.confirm, address, confirmation, is_new_link))
+
+    def _encode(self, message):
+        return codec.encode_envelope(
+            self._cell, self.name, self.boot_id, self.address, message
+        )
 
     def _send_all(self):
         while True:
-            entry = self._outbox.get()
+            try:
+                entry = self._outbox.get(timeout=self.links.seconds_to_check())
+            except queue.Empty:
+                entry = None
             if entry is STOP:
                 break
-            self._send_one(*entry)
-        for link in self._links.values():
-            link.socket.close()
-
-    def _send_one(self, address, message):
-        data = codec.encode_envelope(
-            self._cell, self.name, self.boot_id, self.address, message
-        )
-        try:
-            self._link(address).socket.send(data)
-            self.bytes_sent += len(data)
-        except pynng.NNGException as error:
-            self.dropped += 1
-            logging.log_every_n_seconds(
-                logging.INFO, "message to %s dropped: %s", 10, address, error
-            )
-
-    def _link(self, address):
-        now_ms = self._clock.monotonic_ms()
-        link = self._links.get(address)
-        if link is not None and self._is_silent(address, link, now_ms):
-            link.socket.close()
-            link = None
-        if link is None:
-            link = self._links[address] = Link(address, now_ms)
-        return link
-
-    def _is_silent(self, address, link, now_ms):
-        last_ms = max(self._last_contact_ms.get(address, 0), link.dialled_ms)
-        return now_ms - last_ms > self._silence_ms
+            if entry is not None:
+                send, *arguments = entry
+                send(*arguments)
+            self._check_links()
+        self.links.close()
+
+    def _check_links(self):
+        while not self._confirmations.empty():
+            self.links.handle_confirmation(*self._confirmations.get())
+        self.links.check()
--- a/tools/soak/faulty_controller.py
+++ b/tools/soak/faulty_controller.py
@@ -15,7 +15,7 @@
 import typing
 
 from alderreach.scripts import controller
-from alderreach.utils import clocks, files, transport
+from alderreach.utils import clocks, files, peer_links
 
 POLL_S = 0.02
 SOUND, FULL, STALLED = "sound", "full", "stalled"
@@ -81,8 +81,8 @@
 
 
 def _replace_dials(dials):
-    link = transport.Link
-    transport.Link = lambda address, now_ms: link(dials.get(address, address), now_ms)
+    dial = peer_links.dial
+    peer_links.dial = lambda address: dial(dials.get(address, address))
 
 
 def main():
