--- a/alderreach/ops/placer/sender.py
+++ b/alderreach/ops/placer/sender.py
@@ -1,18 +1,21 @@
-"""Threads that send batches of commands to workers and report how each batch ended.
+"""Sends batches of commands to workers and reports how each batch ended.
 
-A process that is suspended and resumed does not notice it, so a batch may leave the
-queue long after it was created. Each thread therefore checks the lease right before it
-sends. A batch that passes because the process was suspended between the check and the
-sending has an old epoch, which workers refuse once they know the new owner.
+Each batch under way has a thread, so that workers which hang delay no other worker. A
+worker has one batch under way at most.
+
+A process that is suspended and resumed does not notice it, so a batch may be sent long
+after it was created. Each thread therefore checks the lease right before it sends. A
+batch that passes because the process was suspended between the check and the sending
+has an old epoch, which workers refuse once they know the new owner.
 """
 
-import queue
-import threading
+from concurrent import futures
+
+from absl import logging
 
 from alderreach.ops import target_wire
 
-THREADS = 8
-STOP = object()
+MAX_THREADS = target_wire.MAX_KEPT_CONNECTIONS
 
 
 class Sender:
@@ -21,42 +24,30 @@
     ``on_result(BatchResult)`` is called on a sender's thread.
     """
 
-    def __init__(self, lease, clock, on_result, threads=THREADS):
+    def __init__(self, lease, clock, on_result, threads=MAX_THREADS):
         self._lease = lease
         self._clock = clock
         self._on_result = on_result
-        self._queue = queue.SimpleQueue()
         self._client = target_wire.WorkerClient()
-        self._threads = [
-            threading.Thread(target=self._run, name=f"commands {n}", daemon=True)
-            for n in range(threads)
-        ]
-
-    def start(self):
-        """Start the threads; return the sender."""
-        for thread in self._threads:
-            thread.start()
-        return self
+        # Adds a thread only if none is idle.
+        self._pool = futures.ThreadPoolExecutor(threads, "commands")
 
     def put(self, batch):
-        """Queue a batch; never blocks."""
-        self._queue.put(batch)
+        """Send a batch on a thread; never blocks."""
+        self._pool.submit(self._run, batch)
 
     def close(self):
-        """Stop the threads; batches not yet sent are dropped."""
-        for _ in self._threads:
-            self._queue.put(STOP)
-        for thread in self._threads:
-            if thread.ident:
-                thread.join(timeout=1)
+        """Drop the batches not yet sent; those under way end by their timeout."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
         self._client.close()
 
-    def _run(self):
-        while True:
-            batch = self._queue.get()
-            if batch is STOP:
-                return
-            self._on_result(self._send(batch))
+    def _run(self, batch):
+        try:
+            result = self._send(batch)
+        except Exception:
+            logging.exception("commands to %s may not have been sent", batch.worker_id)
+            result = target_wire.BatchResult(batch, "uncertain", (), 0)
+        self._on_result(result)
 
     def _send(self, batch):
         if not self._lease().covers(batch.epoch, self._clock.monotonic_ms()):
--- a/alderreach/ops/placer/service.py
+++ b/alderreach/ops/placer/service.py
@@ -100,7 +100,6 @@
         """Start all threads and the listener; return the role."""
         stack = self._context.stack
         stack.callback(self._sender.close)
-        self._sender.start()
         stack.callback(self._task.close)
         stack.callback(self._gateway.close)
         self._task.start()
