--- a/alderreach/core/raft.py
+++ b/alderreach/core/raft.py
@@ -52,7 +52,7 @@
 
 
 def tick(node, now_ms):
-    """Handle the passing of time: step down, send heartbeats or start an election."""
+    """Handle the passing of time: send heartbeats or vote requests, or step down."""
     if node.role == LEADER:
         removed = not node.is_voter and node.members_index <= node.commit_index
         if removed or not raft_leader.has_quorum(node, now_ms):
@@ -63,6 +63,8 @@
         raft_election.set_election_due(node, now_ms)
         if node.is_voter:
             raft_election.campaign(node, now_ms, trial=True)
+    elif node.role == CANDIDATE and now_ms >= node.next_beat_ms:
+        raft_election.request_votes(node, now_ms)
 
 
 def propose(node, kind, data, wall_ms, now_ms):
--- a/alderreach/core/raft_election.py
+++ b/alderreach/core/raft_election.py
@@ -51,21 +51,31 @@
     if not trial:
         adopt_term(node, _next_term(node))
         node.voted_for = node.identity
-    term = _next_term(node) if trial else node.term
+    request_votes(node, now_ms)
+    _count_votes(node, now_ms)
+
+
+def request_votes(node, now_ms):
+    """Request the votes that this candidate lacks; ``tick`` repeats it at each beat.
+
+    A request or a vote may be lost, as the first messages between two voters are if a
+    connection that neither of them has used since the last election was broken.
+    """
+    node.next_beat_ms = now_ms + node.rules.beat_ms
+    term = _next_term(node) if node.trial else node.term
     last_index, last_term = node.log.last_index, node.log.last_term
     for voter in membership.voters(node.members):
-        if voter != node.identity:
+        if voter not in node.votes:
             request = keeper.RequestVote(
                 voter,
                 node.identity,
                 term,
                 last_index,
                 last_term,
-                trial,
+                node.trial,
                 node.transfer,
             )
             node.outbox.append((voter, request))
-    _count_votes(node, now_ms)
 
 
 def _next_term(node):
--- a/alderreach/core/raft_test.py
+++ b/alderreach/core/raft_test.py
@@ -117,6 +117,37 @@
     assert ask(node, "b", 2, now_ms=5900, transfer=True).granted
 
 
+def test_lost_vote_requests_are_repeated_at_each_beat():
+    """Guards against an election that waits for the next one, as its first requests
+    were lost on connections that no voter had used since the last election.
+    """
+    node = make(count=3)
+    raft.tick(node, 5000)
+    for trial in (True, False):
+        node.outbox.clear()
+        raft.tick(node, 5100)
+        assert node.outbox == []
+        raft.tick(node, 5200)
+        wanted = node.term + 1 if trial else node.term
+        requests = [request for _voter, request in node.outbox]
+        assert [(r.to, r.term, r.trial) for r in requests] == [
+            ("b", wanted, trial),
+            ("c", wanted, trial),
+        ]
+        vote = keeper.VoteReply("a", "b", wanted, True, trial)
+        raft.step(node, vote, 5000)
+    assert node.role == raft.LEADER
+
+
+def test_a_vote_is_requested_once_more_only_from_voters_that_have_not_given_it():
+    node = make()
+    raft.tick(node, 5000)
+    raft.step(node, keeper.VoteReply("a", "b", node.term + 1, True, True), 5000)
+    node.outbox.clear()
+    raft.tick(node, 5200)
+    assert [voter for voter, _request in node.outbox] == ["c", "d", "e"]
+
+
 def test_an_older_term_s_entry_commits_only_with_one_of_the_leader_s_own():
     """A leader replicates an older leader's entry to a majority and crashes.
 
--- a/tests/keeper_failures_test.py
+++ b/tests/keeper_failures_test.py
@@ -396,3 +396,39 @@
     promotion = keeper.ChangeMembers("promote", learner.identity, "", "")
     assert cell.ask(promotion).members[-1].voter
     cell.run_until_stable()
+
+
+class BrokenConnections:
+    """Each way between two keepers loses what is sent in the first 250 ms of its use.
+
+    The transport needs that time to replace a connection that has gone silent.
+    """
+
+    def __init__(self, cell):
+        self._cell = cell
+        self._first_use_ms = {}
+        self._deliver_one = cell.deliver_one
+        cell.deliver_one = self.deliver_one
+
+    def deliver_one(self, place=0):
+        message, now_ms = self._cell.network[place], self._cell.time.now_ms
+        way = (message.sender, message.receiver)
+        if now_ms - self._first_use_ms.setdefault(way, now_ms) < 250:
+            del self._cell.network[place]
+        else:
+            self._deliver_one(place)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_leader_is_elected_soon_over_connections_that_went_silent(make_cell, seed):
+    """Guards against elections that fail one after the other, as each loses the first
+    messages between two voters: requests of the first one, votes of the second.
+
+    After 3 s calm processes are taken as in touch with a leader.
+    """
+    cell = make_cell(4, seed=seed)
+    leader = cell.elect()
+    cell.run(3000)
+    BrokenConnections(cell)
+    cell.crash(leader)
+    assert cell.run(3000, lambda: cell.leader() is not None), cell.describe()
