--- a/alderreach/core/raft_election.py
+++ b/alderreach/core/raft_election.py
@@ -58,8 +58,8 @@
 def request_votes(node, now_ms):
     """Request the votes that this candidate lacks; ``tick`` repeats it at each beat.
 
-    A request or a vote may be lost, as the first messages between two voters are if a
-    connection that neither of them has used since the last election was broken.
+    A request or a vote may be lost with the connection that it was sent on, and the
+    next election begins only after one to two election timeouts.
     """
     node.next_beat_ms = now_ms + node.rules.beat_ms
     term = _next_term(node) if node.trial else node.term
