--- a/alderreach/ops/controller/target_link.py
+++ b/alderreach/ops/controller/target_link.py
@@ -2,6 +2,14 @@
 
 After an order without an answer, starts that wait behind it are returned, not sent.
 
+Open connections may go silent without being closed, several of them at once. If each
+call had to find that out by itself, an order would wait for one timeout after another.
+After a call that was sent but not answered, the idle connections to that worker that
+were last known to work before the call are therefore closed as well. So is that of a
+poll in progress, which the worker may be holding: the leader polls again at once. An
+order in progress keeps its connection: when it is lost, the order counts as one that
+may have crashed the worker.
+
 The calls to all workers share one event loop, so a worker that hangs delays no other
 worker and an idle worker needs no thread. This module only makes calls and reports
 their results; the leader decides what is sent and when.
@@ -71,6 +79,7 @@
             False,
             functools.partial(report, OrderAnswered),
             orders.OrderResult(orders.UNKNOWN),
+            self._on_unanswered,
         )
         self._polls = _CallQueue(
             open_session,
@@ -79,6 +88,7 @@
             True,
             functools.partial(report, PollAnswered),
             orders.PollResult(orders.UNKNOWN),
+            self._on_unanswered,
         )
 
     def order(self, order):
@@ -110,6 +120,11 @@
         self._post(self._orders.close)
         self._post(self._polls.close)
 
+    def _on_unanswered(self, sent_s):
+        """Close connections after a call sent at ``sent_s`` that got no answer."""
+        self._orders.close_unproven(sent_s)
+        self._polls.close_unproven(sent_s, in_progress=True)
+
 
 class _CallQueue:
     """Calls of one kind, in lanes; used on the event loop only.
@@ -117,17 +132,30 @@
     Each lane has a session of its own, which is opened for its first call. With
     ``may_wait``, calls wait until a connection is available. ``unanswered`` is the
     result of a call that fails unexpectedly, which may have been carried out.
+    ``on_unanswered(sent_s)`` is called after a call that was sent and not answered.
     """
 
-    def __init__(self, open_session, connections, call, may_wait, report, unanswered):
+    def __init__(
+        self,
+        open_session,
+        connections,
+        call,
+        may_wait,
+        report,
+        unanswered,
+        on_unanswered,
+    ):
         self._open_session = open_session
         self._connections = connections
         self._call = call
         self._may_wait = may_wait
         self._report = report
         self._unanswered = unanswered
+        self._on_unanswered = on_unanswered
         self._lanes = order_lanes.OrderLanes()
         self._sessions = {}
+        # When the session of each lane last got an answer on the connection it has.
+        self._answered_s = {}
         # The tasks of the calls in progress, by lane.
         self._tasks = {}
         self._is_closed = False
@@ -148,6 +176,17 @@
         for start in self._lanes.take_starts():
             self._report(start, orders.OrderResult(orders.NOT_SENT))
 
+    def close_unproven(self, sent_s, in_progress=False):
+        """Close kept connections without an answer since ``sent_s``.
+
+        With ``in_progress``, also those of calls in progress, which then fail.
+        """
+        for lane, answered_s in list(self._answered_s.items()):
+            if answered_s < sent_s and (in_progress or lane not in self._tasks):
+                del self._answered_s[lane]
+                self._connections.forget(self._sessions[lane])
+                self._sessions[lane].close()
+
     def close(self):
         self._is_closed = True
         self._lanes.clear()
@@ -165,7 +204,7 @@
         try:
             if lane not in self._sessions:
                 self._sessions[lane] = self._open_session()
-            await self._call_once(self._sessions[lane], item)
+            await self._call_once(lane, item)
         except asyncio.CancelledError:
             # The event loop ends.
             self._lanes.clear()
@@ -186,23 +225,34 @@
             else:
                 self._send_next()
 
-    async def _call_once(self, session, item):
+    async def _call_once(self, lane, item):
+        session = self._sessions[lane]
         await self._connections.acquire(session, self._may_wait)
         try:
             if not self._is_closed:
+                sent_s = asyncio.get_running_loop().time()
                 result = await self._call(session, item)
                 self._report(item, result)
-                if result.outcome in orders.UNANSWERED:
-                    self.return_starts()
+                self._on_result(lane, result, sent_s)
         finally:
             self._connections.release(session)
 
+    def _on_result(self, lane, result, sent_s):
+        if result.outcome not in orders.UNANSWERED:
+            self._answered_s[lane] = asyncio.get_running_loop().time()
+            return
+        self._answered_s.pop(lane, None)
+        self.return_starts()
+        if result.outcome == orders.UNKNOWN:
+            self._on_unanswered(sent_s)
+
     def _on_slow(self, lane):
         self._lanes.mark_slow(lane)
         self._send_next()
 
     def _close_session(self, lane):
         session = self._sessions.pop(lane, None)
+        self._answered_s.pop(lane, None)
         if session is not None:
             self._connections.forget(session)
             session.close()
