--- a/alderreach/utils/peer_links.py
+++ b/alderreach/utils/peer_links.py
@@ -34,7 +34,11 @@
         reconnect_time_min=50,
         reconnect_time_max=500,
     )
-    socket.dial(f"tcp://{address}", block=False)
+    try:
+        socket.dial(f"tcp://{address}", block=False)
+    except pynng.NNGException:
+        socket.close()
+        raise
     return socket
 
 
@@ -91,6 +95,8 @@
         if address in self._links and self._is_stale(address, now_ms):
             self._close(address)
         link = self._open(address, now_ms)
+        if link is None:
+            return
         data = self._encode(message)
         self._write(address, link, data)
         link_health.sent(link.health, len(data), now_ms)
@@ -105,7 +111,9 @@
             if link_health.is_unproven(link.health, now_ms, self._rules):
                 self.replaced_for_peer += 1
                 self._close(address)
-        self._write(address, self._open(address, now_ms), self._encode(confirmation))
+        link = self._open(address, now_ms)
+        if link is not None:
+            self._write(address, link, self._encode(confirmation))
 
     def handle_confirmation(self, address, probe, now_ms):
         """Record that a peer has confirmed a probe at ``now_ms``."""
@@ -173,25 +181,32 @@
         try:
             link.socket.send(data)
         except pynng.NNGException as error:
-            self.dropped += 1
-            logging.log_every_n_seconds(
-                logging.INFO,
-                "message to %s dropped: %s",
-                DROPS_LOG_INTERVAL_S,
-                address,
-                error,
-            )
+            self._drop(address, error)
             return False
         self.bytes_sent += len(data)
         return True
 
+    def _drop(self, address, error):
+        self.dropped += 1
+        logging.log_every_n_seconds(
+            logging.INFO,
+            "message to %s dropped: %s",
+            DROPS_LOG_INTERVAL_S,
+            address,
+            error,
+        )
+
     def _open(self, address, now_ms):
-        link = self._links.get(address)
-        if link is None:
+        """Return the link to an address, dialled if need be; None if that fails."""
+        if address not in self._links:
             patience_ms = self._patience_ms.get(address, self._rules.confirm_ms)
-            link = _PeerLink(address, next(self._numbers), now_ms, patience_ms)
+            try:
+                link = _PeerLink(address, next(self._numbers), now_ms, patience_ms)
+            except pynng.NNGException as error:
+                self._drop(address, error)
+                return None
             self._links[address] = link
-        return link
+        return self._links[address]
 
     def _close(self, address):
         self._links.pop(address).socket.close()
--- a/tests/transport_test.py
+++ b/tests/transport_test.py
@@ -5,6 +5,7 @@
 
 from alderreach.core.generated import common
 from alderreach.utils import clocks, link_health, transport
+from tools import cell
 
 RULES = link_health.Rules(confirm_ms=250, longest_ms=3000)
 
@@ -48,3 +49,36 @@
     finally:
         one.close()
         two.close()
+
+
+def test_messages_to_others_are_sent_after_one_to_an_invalid_address():
+    """Guards against a reply address that cannot be dialled ending the send thread."""
+    inbox = queue.Queue()
+    address = free_address()
+    one, two = make("a", free_address(), queue.Queue()), make("b", address, inbox)
+    try:
+        one.send("no port", common.StatusQuery("lost"))
+        one.send(address, common.StatusQuery("r1"))
+        assert inbox.get(timeout=10).message == common.StatusQuery("r1")
+        assert one.dropped == 1
+    finally:
+        one.close()
+        two.close()
+
+
+def test_a_probe_from_an_invalid_address_leaves_the_process_able_to_answer_others():
+    """Guards against a confirmation that cannot be dialled ending the send thread."""
+    inbox_a, inbox_b = queue.Queue(), queue.Queue()
+    address_a, address_b = free_address(), free_address()
+    one, two = make("a", address_a, inbox_a), make("b", address_b, inbox_b)
+    try:
+        one.address = "no port"
+        one.send(address_b, common.StatusQuery("r1"))
+        inbox_b.get(timeout=10)
+        one.address = address_a
+        cell.wait_until(lambda: two.dropped, "the confirmation is dropped")
+        two.send(address_a, common.StatusQuery("r2"))
+        assert inbox_a.get(timeout=10).message == common.StatusQuery("r2")
+    finally:
+        one.close()
+        two.close()
