--- a/alderreach/utils/link_health.py
+++ b/alderreach/utils/link_health.py
@@ -68,7 +68,9 @@
         self.oldest_ms = None
         self.probe_sent_ms = None
         self.unprobed_since_ms = None
-        self.unconfirmed_bytes = 0
+        # Sent before the probe under way, and since.
+        self.probed_bytes = 0
+        self.unprobed_bytes = 0
         self.waited_ms = 0
         self.last_wait_ms = now_ms
 
@@ -79,8 +81,7 @@
         link.oldest_ms = now_ms
     if link.unprobed_since_ms is None:
         link.unprobed_since_ms = now_ms
-    if link.probe is None:
-        link.unconfirmed_bytes += size_bytes
+    link.unprobed_bytes += size_bytes
 
 
 def is_probe_due(link, now_ms):
@@ -96,6 +97,7 @@
     link.probe = probe
     link.probe_sent_ms = link.last_wait_ms = now_ms
     link.unprobed_since_ms = None
+    link.probed_bytes, link.unprobed_bytes = link.unprobed_bytes, 0
     link.waited_ms = 0
 
 
@@ -108,7 +110,7 @@
     link.proven_ms = now_ms
     link.probe = None
     link.oldest_ms = link.unprobed_since_ms
-    link.unconfirmed_bytes = 0
+    link.probed_bytes = 0
     return True
 
 
@@ -133,7 +135,7 @@
     """
     if link.probe is None:
         return False
-    transfer_ms = link.unconfirmed_bytes // SLOWEST_BYTES_PER_MS
+    transfer_ms = link.probed_bytes // SLOWEST_BYTES_PER_MS
     patience_ms = link.patience_ms if link.is_connected else rules.longest_ms
     return link.waited_ms >= patience_ms + transfer_ms
 
--- a/alderreach/utils/link_health_test.py
+++ b/alderreach/utils/link_health_test.py
@@ -91,6 +91,15 @@
     assert overdue_after_ms(probed_link(size_bytes)) == 750
 
 
+def test_a_large_message_behind_a_probe_has_time_to_be_transferred():
+    """Guards against a snapshot on a busy link that is cut off each time."""
+    link = probed_link()
+    link_health.sent(link, 500 * link_health.SLOWEST_BYTES_PER_MS, 0)
+    link_health.confirm(link, 1, 0, RULES)
+    link_health.probe_sent(link, 2, 0)
+    assert overdue_after_ms(link) == 750
+
+
 def test_a_process_that_was_suspended_does_not_give_up_its_links():
     link = probed_link()
     link_health.wait(link, 10_000)
