--- a/alderreach/utils/link_health.py
+++ b/alderreach/utils/link_health.py
@@ -111,14 +111,19 @@
     link.probe = None
     link.oldest_ms = link.unprobed_since_ms
     link.probed_bytes = 0
+    link.waited_ms = 0
     return True
 
 
 def wait(link, now_ms):
-    """Count the time since the last call as waiting, up to two check intervals."""
+    """Count the time since the last call as waiting, up to two check intervals.
+
+    Waiting is for a confirmation, or for room to write a probe that is due.
+    """
     elapsed_ms = now_ms - link.last_wait_ms
     link.last_wait_ms = now_ms
-    link.waited_ms += min(elapsed_ms, 2 * CHECK_INTERVAL_MS)
+    if link.probe is not None or is_probe_due(link, now_ms):
+        link.waited_ms += min(elapsed_ms, 2 * CHECK_INTERVAL_MS)
 
 
 def connected(link):
@@ -128,13 +133,16 @@
 
 
 def is_overdue(link, rules):
-    """Whether the probe under way has waited for longer than the patience allows.
+    """Whether the probe has waited for longer than the patience allows.
 
     Without a connection that is the longest one: it is tried again and again, and the
-    messages that wait for it are kept.
+    messages that wait for it are kept. So it is for a probe that can't be written since
+    the buffer is full, as it may be on a link that works.
     """
-    if link.probe is None:
+    if is_idle(link):
         return False
+    if link.probe is None:
+        return link.waited_ms >= rules.longest_ms
     transfer_ms = link.probed_bytes // SLOWEST_BYTES_PER_MS
     patience_ms = link.patience_ms if link.is_connected else rules.longest_ms
     return link.waited_ms >= patience_ms + transfer_ms
--- a/alderreach/utils/peer_links.py
+++ b/alderreach/utils/peer_links.py
@@ -98,8 +98,8 @@
         if link is None:
             return
         data = self._encode(message)
-        self._write(address, link, data)
-        link_health.sent(link.health, len(data), now_ms)
+        is_written = self._write(address, link, data)
+        link_health.sent(link.health, len(data) if is_written else 0, now_ms)
         self._unconfirmed[address] = link
         self._probe_if_due(address, link, now_ms)
 
--- a/alderreach/utils/peer_links_test.py
+++ b/alderreach/utils/peer_links_test.py
@@ -1,5 +1,6 @@
 """Which links a process replaces, without sockets and in played time."""
 
+import pynng
 import pytest
 
 from alderreach.core.generated import common
@@ -18,8 +19,11 @@
     def __init__(self):
         self.sent = []
         self.is_open = True
+        self.is_full = False
 
     def send(self, message):
+        if self.is_full:
+            raise pynng.TryAgain("buffer full", 8)
         self.sent.append(message)
 
     def close(self):
@@ -85,6 +89,19 @@
     assert [socket.is_open for socket in process.sockets] == [False, True]
 
 
+def test_a_link_whose_buffer_stays_full_is_given_up(process):
+    """Guards against a silent link being kept since no probe can be written to it."""
+    process.links.send(PEER, MESSAGE)
+    process.run(50, confirms=True)
+    process.links.send(PEER, MESSAGE)
+    process.sockets[0].is_full = True
+    for _message in range(RULES.longest_ms // 50 + 2):
+        process.links.send(PEER, MESSAGE)
+        process.run(50, confirms=False)
+    assert len(process.losses) == 1
+    assert not process.sockets[0].is_open
+
+
 def test_a_link_with_confirmations_is_kept_while_it_is_in_use(process):
     for _message in range(50):
         process.links.send(PEER, MESSAGE)
