--- a/alderreach/utils/link_health.py
+++ b/alderreach/utils/link_health.py
@@ -153,9 +153,9 @@
     return link.oldest_ms is None
 
 
-def is_unproven(link, now_ms, rules):
-    """Whether the link has not been known to work for half of the shortest patience."""
-    return now_ms - link.proven_ms > rules.confirm_ms // 2
+def is_unproven(link, now_ms):
+    """Whether the link has not been known to work for half of the patience."""
+    return now_ms - link.proven_ms > link.patience_ms // 2
 
 
 def next_patience_ms(link, rules):
--- a/alderreach/utils/peer_links.py
+++ b/alderreach/utils/peer_links.py
@@ -3,8 +3,8 @@
 A link is replaced
 
 - once ``link_health`` gives it up; messages that were on it may be lost;
-- when the peer dials again, unless it was confirmed just before: the peer may have done
-  so since its confirmations, which come on this link, don't reach it;
+- when the peer has given up its own or is new, unless it was confirmed just before: the
+  peer's confirmations, which come on this link, may not have reached it;
 - before a message if it was unused for a long time, so that the message does not have
   to find out whether it still works.
 
@@ -59,9 +59,10 @@
 class _PeerLink:
     """A socket and the state of the link."""
 
-    def __init__(self, address, number, now_ms, patience_ms):
+    def __init__(self, address, number, now_ms, patience_ms, after_loss):
         self.socket = dial(address)
         self.health = link_health.Link(number, now_ms, patience_ms)
+        self.after_loss = after_loss
 
 
 class PeerLinks:
@@ -80,6 +81,8 @@
         self._numbers = itertools.count(1)
         self._links = {}
         self._patience_ms = {}
+        # Addresses to which a link was given up and none was confirmed since.
+        self._lost = set()
         # The links on which something is unconfirmed, by address.
         self._unconfirmed = {}
         self._next_check_ms = 0
@@ -103,12 +106,12 @@
         self._unconfirmed[address] = link
         self._probe_if_due(address, link, now_ms)
 
-    def confirm(self, address, confirmation, is_new_link):
-        """Confirm a peer's link; ``is_new_link`` if this is its first probe."""
+    def confirm(self, address, confirmation, may_be_lost):
+        """Confirm a peer's link; ``may_be_lost`` if earlier confirmations may be."""
         now_ms = self._clock.monotonic_ms()
         link = self._links.get(address)
-        if link is not None and is_new_link:
-            if link_health.is_unproven(link.health, now_ms, self._rules):
+        if link is not None and may_be_lost:
+            if link_health.is_unproven(link.health, now_ms):
                 self.replaced_for_peer += 1
                 self._close(address)
         link = self._open(address, now_ms)
@@ -120,6 +123,7 @@
         link = self._unconfirmed.get(address)
         if link and link_health.confirm(link.health, probe, now_ms, self._rules):
             self._patience_ms[address] = link.health.patience_ms
+            self._lost.discard(address)
 
     def seconds_to_check(self):
         """When ``check`` has to be called next; None if nothing is unconfirmed."""
@@ -159,6 +163,7 @@
 
     def _give_up(self, address, link, now_ms):
         self.given_up += 1
+        self._lost.add(address)
         contact = self._contact_of(address)
         silent_ms = now_ms - contact.last_ms if contact else None
         unconfirmed_ms = now_ms - link.health.oldest_ms
@@ -172,7 +177,7 @@
         if not link_health.is_probe_due(link.health, now_ms):
             return
         probe = next(self._numbers)
-        message = common.LinkProbe(link.health.number, probe)
+        message = common.LinkProbe(link.health.number, link.after_loss, probe)
         if self._write(address, link, self._encode(message)):
             link_health.probe_sent(link.health, probe, now_ms)
 
@@ -200,8 +205,9 @@
         """Return the link to an address, dialled if need be; None if that fails."""
         if address not in self._links:
             patience_ms = self._patience_ms.get(address, self._rules.confirm_ms)
+            number, after_loss = next(self._numbers), address in self._lost
             try:
-                link = _PeerLink(address, next(self._numbers), now_ms, patience_ms)
+                link = _PeerLink(address, number, now_ms, patience_ms, after_loss)
             except pynng.NNGException as error:
                 self._drop(address, error)
                 return None
