--- a/alderreach/utils/peer_links.py
+++ b/alderreach/utils/peer_links.py
@@ -3,8 +3,8 @@
 A link is replaced
 
 - once ``link_health`` gives it up; messages that were on it may be lost;
-- when the peer has given up its own or is new, unless it was confirmed just before: the
-  peer's confirmations, which come on this link, may not have reached it;
+- when the peer has given up its own, unless it was confirmed just before: the peer may
+  have done so since its confirmations, which come on this link, don't reach it;
 - before a message if it was unused for a long time, so that the message does not have
   to find out whether it still works.
 
--- a/alderreach/utils/transport.py
+++ b/alderreach/utils/transport.py
@@ -167,12 +167,11 @@
 
     def _handle_probe(self, address, contact, envelope):
         probe = envelope.message
-        is_new_peer = contact.link is None
-        is_new_link = is_new_peer or probe.link > contact.link
+        is_new_link = contact.link is None or probe.link > contact.link
         if is_new_link:
             contact.link = probe.link
         contact.confirms = True
-        may_be_lost = is_new_peer or (is_new_link and probe.after_loss)
+        may_be_lost = is_new_link and probe.after_loss
         confirmation = common.LinkConfirmation(envelope.sender_boot_id, probe.probe)
         self._outbox.put((self.links.confirm, address, confirmation, may_be_lost))
 
