--- a/alderreach/utils/peer_links.py
+++ b/alderreach/utils/peer_links.py
@@ -217,6 +217,9 @@
     def _close(self, address):
         self._links.pop(address).socket.close()
         self._unconfirmed.pop(address, None)
+        if not self._unconfirmed:
+            # No check follows that would count them.
+            self.unconfirmed = 0
 
     def _is_earlier_version(self, address):
         contact = self._contact_of(address)
--- a/alderreach/utils/peer_links_test.py
+++ b/alderreach/utils/peer_links_test.py
@@ -133,6 +133,17 @@
     assert process.sockets[-1].sent[-1] == [confirmation]
 
 
+def test_a_link_replaced_for_its_peer_is_no_longer_counted_as_unconfirmed(process):
+    """Guards against an alarm for a process that has nothing to send any more."""
+    process.links.send(PEER, MESSAGE)
+    process.sockets[0].pipes = ()
+    process.run(RULES.confirm_ms, confirms=False)
+    assert process.links.unconfirmed == 1
+    process.links.confirm(PEER, common.LinkConfirmation("boot", 3), may_be_lost=True)
+    assert process.links.seconds_to_check() is None
+    assert process.links.unconfirmed == 0
+
+
 def test_only_a_link_after_one_that_was_given_up_says_so(process):
     """Guards against two processes replacing links because the other has done so."""
     for is_confirmed, says_so in ((False, False), (True, True), (True, False)):
