--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -68,7 +68,7 @@
     """
 
     def __init__(self, addresses, promises, rng, refused_key, crashing=(), threads=3):
-        self._addresses = addresses
+        self.addresses = addresses
         self._promises = promises
         self._refused_key = refused_key
         self._rng = rng
@@ -104,9 +104,12 @@
             thread.join()
         self._cancellers.stop()
 
-    def state(self, session, job_id):
-        """The state that a frontend shows for a job; None without a clear answer."""
-        status, body = self._call(session, "GET", job_id)
+    def state(self, session, job_id, address=None):
+        """The state that a frontend shows for a job; None without a clear answer.
+
+        Without an address any frontend is asked.
+        """
+        status, body = self._call(session, "GET", job_id, address=address)
         if status == 410:
             self._promises.violations.append(f"{job_id} was accepted and is unknown")
         return json.loads(body).get("state") if status == 200 else None
@@ -181,7 +184,7 @@
         return False
 
     def _send_cancellation(self, job_id, turn):
-        address = self._addresses[(int(job_id, 16) + turn) % len(self._addresses)]
+        address = self.addresses[(int(job_id, 16) + turn) % len(self.addresses)]
         status, _body = self._call(
             self._cancelling_session, "DELETE", job_id, address=address
         )
@@ -193,7 +196,7 @@
         headers["Authorization"] = f"Token {key}"
         if address is None:
             with self._lock:
-                address = self._rng.choice(self._addresses)
+                address = self._rng.choice(self.addresses)
         began_s = time.monotonic()
         try:
             answer = session.request(
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -18,13 +18,12 @@
 
 from alderreach.core.generated import common
 from tools import cell, relay
+from tools.soak import answers, cancels, linked_cell, operators, silences
 from tools.soak import callers as callers_module
-from tools.soak import cancels, linked_cell, operators
 from tools.soak import faults as faults_module
 from tools.soak import promises as promises_module
 from tools.standins import permissions, platform_worker
 
-CONTROLLERS, FRONTENDS, WORKERS = 4, 2, 4
 CPU_MILLIS = 8000
 WORK_MS = (60, 250, 900)
 # Time to recover after the last fault: elections, leases of 4.5 s, connections whose
@@ -36,6 +35,8 @@
 STILL_S = 20
 # After the faults callers go on for this time beside late starts and draining workers.
 CALM_S = 6
+# After the other faults open connections become silent for this time.
+SILENCES_S = 2
 WATCH_S = 0.05
 RULE = permissions.Rule(decision_ms=60, per_worker_ms=2, validity_ms=1000)
 ROUTE = {
@@ -57,6 +58,14 @@
 }
 
 
+class Size(typing.NamedTuple):
+    """The number of processes of each kind."""
+
+    controllers: int = 4
+    frontends: int = 2
+    workers: int = 4
+
+
 class Report(typing.NamedTuple):
     """The outcome of a day; ``violations`` has a line for each broken guarantee."""
 
@@ -127,32 +136,39 @@
         return self._permission.is_valid(start.ticket, start.task, self.name)
 
 
-def play(seed, folder, duration_s, crashing=(), calm_s=CALM_S):
+def play(seed, folder, duration_s, crashing=(), calm_s=CALM_S, size=Size()):
     """Inject a seed's faults for ``duration_s``, then check that the cell recovers.
 
-    Callers go on for ``calm_s`` in between. ``crashing`` are the numbers of the jobs
-    whose task crashes its workers.
+    Then only open connections become silent, for ``SILENCES_S``. Callers go on for
+    ``calm_s`` after that; as they stop, there is one more silence. ``crashing`` are the
+    numbers of the jobs whose task crashes its workers.
     """
     promises = promises_module.Promises()
     with contextlib.ExitStack() as stack:
         running = stack.enter_context(
-            linked_cell.LinkedCell(folder, CONTROLLERS, FRONTENDS)
+            linked_cell.LinkedCell(folder, size.controllers, size.frontends)
         )
-        links = relay.Relay()
-        stack.callback(links.close)
+        # Links that other faults concern as well, and those that only become silent.
+        links, silent_links = relay.Relay(), relay.Relay()
+        for each in (links, silent_links):
+            stack.callback(each.close)
         running.start()
-        controls = [plan.control for plan in running.of_role("controller")]
+        controls = _link_controls(running, silent_links)
         operator = operators.Operator(
             controls, lambda version: CONFIG | {"version": version}, promises, seed
         )
         cell.wait_until(operator.change, "a configuration is accepted")
         service = permissions.PermissionService(
-            running.permission, RULE, functools.partial(may_run, seed)
+            _link_permission(running, silent_links),
+            RULE,
+            functools.partial(may_run, seed, places=size.workers),
         )
         stack.callback(service.close)
         scene = (promises, service)
-        start_worker = _worker_starter(running, links, controls, scene, seed, stack)
-        workers = [start_worker(place) for place in range(WORKERS)]
+        start_worker = _worker_starter(
+            running, links, controls, scene, (seed, size.workers), stack
+        )
+        workers = [start_worker(place) for place in range(size.workers)]
         addresses = _link_frontends(running, links)
         _wait_ready(running)
         calling = callers_module.Callers(
@@ -166,8 +182,10 @@
         operator.start()
         stack.callback(operator.stop)
         faults = faults_module.Faults(running, links, workers, start_worker, seed)
+        silencing = _silences(running, [links, silent_links], seed, faults, promises)
         stack.enter_context(_watch(promises, running.folder / "probe"))
-        faults.play(duration_s)
+        faults.play(duration_s, [silencing.play])
+        silencing.play(time.monotonic() + SILENCES_S)
         calling.is_calm = True
         operator.stop()
         with promises.lock:
@@ -176,6 +194,8 @@
         faults.play_calm(calm_s)
         _check_service(calling, promises, accepted)
         calling.stop()
+        _silence_once(silencing, promises)
+        answers.check(calling, operator, promises, controls)
         _check_recovery(calling, promises)
         _check_cancelled(calling, promises)
         return Report(
@@ -192,7 +212,7 @@
         )
 
 
-def may_run(seed, step, worker):
+def may_run(seed, step, worker, places):
     """Whether the permission service lets a step run on a worker.
 
     Each step may run in two or three of the places. A replacement may run the same
@@ -200,14 +220,15 @@
     filled.
     """
     rng = random.Random(f"permits {seed} {step}")
-    places = rng.sample(range(WORKERS), rng.choice([2, 3]))
-    return int(worker.removeprefix("i-")) % WORKERS in places
+    chosen = rng.sample(range(places), rng.choice([2, 3]))
+    return int(worker.removeprefix("i-")) % places in chosen
 
 
-def _worker_starter(running, links, controls, scene, seed, stack):
+def _worker_starter(running, links, controls, scene, seed_and_places, stack):
     """Make a function that starts a worker with a new id in one of the places."""
+    seed, places = seed_and_places
     rng = random.Random(f"workers {seed}")
-    rounds = [itertools.count(place, WORKERS) for place in range(WORKERS)]
+    rounds = [itertools.count(place, places) for place in range(places)]
 
     def start_worker(place):
         number = next(rounds[place])
@@ -232,6 +253,25 @@
     return start_worker
 
 
+def _link_controls(running, links):
+    """Add links from workers and the operator to controllers; returns addresses."""
+    addresses = []
+    for number, plan in enumerate(running.of_role("controller"), 1):
+        listen = f"127.{running.octet}.5.{number}"
+        host, _, port = plan.control.rpartition(":")
+        links.add(f"controls-{number}", (listen, int(port)), (host, int(port)))
+        addresses.append(f"{listen}:{port}")
+    return addresses
+
+
+def _link_permission(running, links):
+    """Add a link to the permission service; returns the service's own address."""
+    host, _, port = running.permission.rpartition(":")
+    own_host = f"127.{running.octet}.9.2"
+    links.add("permission", (host, int(port)), (own_host, int(port)))
+    return f"{own_host}:{port}"
+
+
 def _link_frontends(running, links):
     """Add relay links from callers to the frontends; returns their addresses."""
     addresses = []
@@ -257,6 +297,24 @@
         cell.wait_until(lambda plan=plan: is_ready(plan), f"{plan.name} is ready")
 
 
+def _silences(running, call_links, seed, faults, promises):
+    """Silences that are recorded as faults and in the time line."""
+
+    def on_silence(kind, text):
+        faults.record("silent", 0, kind)
+        promises.record(text)
+
+    return silences.Silences(running, call_links, seed, on_silence)
+
+
+def _silence_once(silencing, promises):
+    """Silence connections in a calm time, which is disturbed for a moment."""
+    with promises.lock:
+        promises.cancels.disturb()
+        silencing.silence()
+        promises.cancels.settle()
+
+
 @contextlib.contextmanager
 def _watch(promises, path):
     """Check continuously what runs of cancelled jobs, and that the machine is calm.
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -79,10 +79,14 @@
             "worker_crash": self._worker_crash,
         }
 
-    def play(self, duration_s):
-        """Inject faults for ``duration_s``; returns once the last one is repaired."""
+    def play(self, duration_s, more_series=()):
+        """Inject faults for ``duration_s``; returns once the last one is repaired.
+
+        ``more_series`` are played beside them until a time on the monotonic clock.
+        """
         deadline_s = time.monotonic() + duration_s
         series = (
+            *more_series,
             self._replace_workers,
             self._delay_starts,
             self._split_controllers,
@@ -159,7 +163,7 @@
             if any(plan.name in self._busy for plan in plans):
                 return
             self._busy |= {plan.name for plan in plans}
-        self._record(kind, hold_s, "controllers")
+        self.record(kind, hold_s, "controllers")
         for plan in plans:
             self._running.processes[plan.name].send_signal(signal.SIGKILL)
         for plan in plans:
@@ -189,7 +193,7 @@
             if worker.name in self._busy:
                 return
             self._busy.add(worker.name)
-        self._record(kind, hold_s, worker.name)
+        self.record(kind, hold_s, worker.name)
         # The worker is unreachable while it is down; connections to its previous
         # incarnation are reset before it restarts.
         self._relay.cut([worker.link])
@@ -215,7 +219,7 @@
             if worker.name in self._busy:
                 return
             self._busy.add(worker.name)
-        self._record(kind, hold_s, worker.name)
+        self.record(kind, hold_s, worker.name)
         if kind == "drain":
             worker.drain()
             time.sleep(DRAIN_S)
@@ -238,7 +242,7 @@
             hold_s = rng.choice([0.4, 1.5, 3.0])
             with self._lock:
                 worker = self._workers[rng.randrange(len(self._workers))]
-            self._record("late_starts", hold_s, worker.name)
+            self.record("late_starts", hold_s, worker.name)
             worker.start_delay_s = lambda: rng.choice(START_DELAYS_S)
             time.sleep(hold_s)
             worker.start_delay_s = lambda: 0.0
@@ -283,7 +287,7 @@
         while time.monotonic() < deadline_s:
             hold_s = rng.choice([0.4, 1.5, 4.0])
             plan = self._draw_controller(rng)
-            self._record("clock", hold_s, plan.name)
+            self.record("clock", hold_s, plan.name)
             self._set_host(plan, clock_offset_ms=rng.choice(CLOCK_OFFSETS_MS))
             time.sleep(hold_s)
             self._set_host(plan, clock_offset_ms=0)
@@ -306,7 +310,7 @@
         links = self._running.links_of(name)
         if kind != "isolate":
             links = [link for link in links if link[kind == "deafen"] == name]
-        self._record(kind, hold_s, name)
+        self.record(kind, hold_s, name)
         self._running.controller_links.cut(links)
         time.sleep(hold_s)
         self._running.controller_links.heal(links)
@@ -324,19 +328,20 @@
             if taken & self._busy:
                 return
             self._busy |= taken
-        self._record(kind, hold_s, plan.name)
+        self.record(kind, hold_s, plan.name)
         act(plan, hold_s)
         self._release(taken)
 
     def _link_fault(self, kind, hold_s, draw, act):
         names = self._relay.names()
         name = names[int(draw * len(names))]
-        self._record(kind, hold_s, name)
+        self.record(kind, hold_s, name)
         act(name)
         time.sleep(hold_s)
         self._relay.heal([name])
 
-    def _record(self, kind, hold_s, place):
+    def record(self, kind, hold_s, place):
+        """Add a fault that begins now to those that have happened."""
         at_s = time.monotonic() - self._began_s
         self.happened.append(Fault(at_s, hold_s, kind, place))
 
--- a/tools/soak/faulty_controller.py
+++ b/tools/soak/faulty_controller.py
@@ -80,14 +80,15 @@
     files.append_all, os.fsync = append_if_room, sync
 
 
-def _replace_dials(dials):
+def replace_dials(dials):
+    """Make the process dial the addresses of a relay in place of others."""
     dial = peer_links.dial
     peer_links.dial = lambda address: dial(dials.get(address, address))
 
 
 def main():
     """Replace what the controller gets from its machine, and run it."""
-    _replace_dials(json.loads(pathlib.Path(sys.argv.pop(1)).read_text()))
+    replace_dials(json.loads(pathlib.Path(sys.argv.pop(1)).read_text()))
     machine = _Machine(pathlib.Path(sys.argv.pop(1)))
     _replace_clock(machine)
     _replace_disk(machine)
--- a/tools/soak/linked_cell.py
+++ b/tools/soak/linked_cell.py
@@ -1,4 +1,4 @@
-"""A seeded cell whose controllers can be cut off from each other, on faulty machines.
+"""A seeded cell whose processes can be cut off from each other, on faulty machines.
 
 >>> with LinkedCell(folder, 4, 2) as running:  # doctest: +SKIP
 ...     running.start()
@@ -20,38 +20,40 @@
 
 
 class LinkedCell(seeded_cell.SeededCell):
-    """Messages between controllers go through ``controller_links``.
+    """Messages between processes go through relays.
 
-    Each link has the names of the sending and the receiving controller.
+    ``controller_links`` are those between controllers, ``frontend_links`` those between
+    frontends and controllers. Each link has the names of the sender and the receiver.
     """
 
     def __init__(self, folder, controllers=3, frontends=1):
         super().__init__(folder, controllers, frontends)
         self.controller_links = relay.Relay()
         self._stack.callback(self.controller_links.close)
+        self.frontend_links = relay.Relay()
+        self._stack.callback(self.frontend_links.close)
         ports = itertools.count(FIRST_PORT)
-        for sender in self.of_role("controller"):
+        for sender in self.plans:
             dials = {}
-            for receiver in self.of_role("controller"):
-                if receiver.name == sender.name:
+            for receiver in self.plans:
+                links = self._links_between(sender, receiver)
+                if links is None:
                     continue
                 listen = (sender.host, next(ports))
                 host, _, port = receiver.peers.rpartition(":")
-                self.controller_links.add(
-                    (sender.name, receiver.name), listen, (host, int(port))
-                )
+                links.add((sender.name, receiver.name), listen, (host, int(port)))
                 dials[receiver.peers] = f"{listen[0]}:{listen[1]}"
             self._dials_file(sender).write_text(json.dumps(dials))
 
     def start(self, names=None):
         """Start all processes, or the named ones."""
-        controllers = self.of_role("controller")
-        others = {plan.name for plan in self.plans} - {p.name for p in controllers}
-        super().start(others if names is None else others.intersection(names))
-        for plan in controllers:
+        for plan in self.plans:
             if names is None or plan.name in names:
-                module = "tools.soak.faulty_controller"
-                files = [self._dials_file(plan), self._host_file(plan), plan.settings]
+                module = "tools.soak.linked_frontend"
+                files = [self._dials_file(plan), plan.settings]
+                if plan.role == "controller":
+                    module = "tools.soak.faulty_controller"
+                    files.insert(1, self._host_file(plan))
                 self.run(plan.name, [sys.executable, "-m", module, *map(str, files)])
 
     def set_host(self, plan, **faults):
@@ -60,7 +62,7 @@
         faulty_controller.write_host(self._host_file(plan), host)
 
     def links_of(self, name):
-        """The links from and to a controller."""
+        """The links from a controller to others, and from them to it."""
         return [link for link in self.controller_links.names() if name in link]
 
     def leader(self):
@@ -90,6 +92,13 @@
         ]
         return bool(voters) and set(voters) == {len(voters)}
 
+    def _links_between(self, sender, receiver):
+        """The relay of messages between two processes; None if they send none."""
+        roles = {sender.role, receiver.role}
+        if sender.name == receiver.name or roles == {"frontend"}:
+            return None
+        return self.controller_links if len(roles) == 1 else self.frontend_links
+
     def _keeper_gauges(self):
         """The gauges of each controller's replica; empty without an answer."""
         return [_keeper_gauges(self.http, plan) for plan in self.of_role("controller")]
--- a/tools/soak/main.py
+++ b/tools/soak/main.py
@@ -1,6 +1,7 @@
 """Run the soak test: ``python -m tools.soak.main [first seed] [seeds] [seconds]``.
 
-Each seed starts a cell of six processes and stops all of them. Exits 1 if a guarantee
+The numbers of controllers, frontends and workers may follow, 4, 2 and 4 by default.
+Each seed starts a cell of processes and stops all of them. Exits 1 if a guarantee
 was violated; these seeds are printed with the folder of their logs, which is kept.
 """
 
@@ -11,21 +12,19 @@
 
 from tools.soak import callers, day, report
 
-SEEDS, SECONDS = 5, 12
+DEFAULTS = (1, 5, 12, *day.Size())
 TIMELINE = "workers.log"
 
 
 def main(arguments):
-    first, seeds, seconds = [
-        int(given) if given else usual
-        for given, usual in zip(
-            [*arguments, "", "", ""][:3], (1, SEEDS, SECONDS), strict=True
-        )
-    ]
+    given = [int(argument) for argument in arguments]
+    first, seeds, seconds, *size = [*given, *DEFAULTS[len(given) :]]
     failed = []
     for seed in range(first, first + seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"alderreach-soak-{seed}-"))
-        played = day.play(seed, folder, seconds, callers.CRASHING_JOBS)
+        played = day.play(
+            seed, folder, seconds, callers.CRASHING_JOBS, size=day.Size(*size)
+        )
         print("\n".join(report.lines(played)), flush=True)
         if played.violations:
             failed.append(seed)
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -26,6 +26,7 @@
     "full": "u",
     "stall": "n",
     "clock": "h",
+    "silent": "q",
 }
 
 
