--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -9,6 +9,7 @@
 runs on (``cell_cancels``).
 """
 
+import collections
 import contextlib
 import typing
 
@@ -20,6 +21,8 @@
 
 HEARTBEAT_INTERVAL_MS = 1500
 DISCOVERY_INTERVAL_MS = 300
+# The time limit of an order on a connection that has become silent.
+ORDER_TIMEOUT_MS = 500
 HOST, PREFIX = "a.example", "/q/"
 
 
@@ -146,6 +149,10 @@
         self.keeps_calls_over_restarts = False
         self.delivers_late_calls_in_cuts = False
         self.connects_in_cuts = True
+        # Connections that are silent from a sender to a receiver. Each loses one
+        # request or answer, and is closed after that.
+        self.silent_calls = collections.Counter()
+        self.silent_heartbeats = collections.Counter()
         self.answer_delay_ms = lambda call: 0
         self.late_answers = []
         self.replies = {}
@@ -455,6 +462,8 @@
         if worker.is_down or leader is None or (worker.name, leader) in self.cut:
             return
         worker.sequence += 1
+        if _take_silent(self.silent_heartbeats, (worker.name, leader)):
+            return
         record = cell.TargetRecord(
             worker.name,
             worker.born_ms,
@@ -487,6 +496,9 @@
             is_unsent = is_cut_off and not self.connects_in_cuts
             self._fail_call(call, orders.UNREACHABLE if is_unsent else orders.UNKNOWN)
             return
+        if _take_silent(self.silent_calls, (call.controller, worker.name)):
+            self._fail_call(call, after_ms=ORDER_TIMEOUT_MS)
+            return
         self.cancelled_runs.before_carried_out(call)
         result = worker.carry_out(call.order)
         if self._crashes(call.order, result):
@@ -494,6 +506,8 @@
             self._break_connection(call)
         elif not call.is_answered or (worker.name, call.controller) in self.cut:
             self._fail_call(call)
+        elif _take_silent(self.silent_calls, (worker.name, call.controller)):
+            self._fail_call(call, after_ms=ORDER_TIMEOUT_MS)
         elif delay_ms := self.answer_delay_ms(call):
             self.late_answers.append((self.time.now_ms + delay_ms, call, result))
         else:
@@ -541,6 +555,13 @@
         self._deliver(controller, message)
 
 
+def _take_silent(connections, pair):
+    """Whether a connection is silent, which is closed for that."""
+    is_silent = connections[pair] > 0
+    connections[pair] -= is_silent
+    return is_silent
+
+
 def _has_success(keeper, task):
     """Whether a controller's log, as far as it is synced, has a task as done."""
     key = runs.key_of(task)
