--- a/alderreach/platform/targets.py
+++ b/alderreach/platform/targets.py
@@ -91,20 +91,23 @@
 
     ``ask(step, targets)`` returns a list of ``cell.Ticket``, or None if there was no
     answer. Without an address there is never an answer.
+
+    Each query has a connection of its own. A kept one may have gone silent, which only
+    the timeout of a query would show, and that has to be long. Queries are few.
     """
     if not address:
         return lambda _step, _targets: None
     host, _, port = address.rpartition(":")
-    pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=1, retries=False)
     timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=ADVISE_TIMEOUT_S)
 
     def ask(step, targets):
         body = wire.advise_body(step, targets)
-        headers = {"Content-Type": JSON_TYPE}
+        headers = {"Content-Type": JSON_TYPE, "Connection": "close"}
         try:
-            response = pool.urlopen(
-                "POST", ADVISE_PATH, body, headers, retries=False, timeout=timeout
-            )
+            with urllib3.HTTPConnectionPool(host, int(port), timeout) as pool:
+                response = pool.urlopen(
+                    "POST", ADVISE_PATH, body, headers, retries=False
+                )
             return wire.tickets(response.data) if response.status == 200 else None
         except (urllib3.exceptions.HTTPError, OSError, wire.MalformedError):
             return None
