--- a/alderreach/ops/leader_calls.py
+++ b/alderreach/ops/leader_calls.py
@@ -7,11 +7,14 @@
 
 Answers contain the epoch of the leadership. An answer with a lower epoch than one
 received before comes from a deposed leader and is discarded. Without an answer the next
-controller is tried after ``ATTEMPT_MS``. If no controller can be reached, the call ends
-at once, so that its sender can try another process while there is still time.
+controller is tried after ``ATTEMPT_MS``, or after ``HINT_MS`` if the one that was tried
+is not believed to lead: it would only name the leader. Answers to earlier attempts of a
+call still count. If no controller can be reached, the call ends at once, so that its
+sender can try another process while there is still time.
 """
 
 import itertools
+import queue
 import threading
 import time
 import typing
@@ -19,11 +22,14 @@
 
 from alderreach.core import codec
 from alderreach.core.generated import cell
-from alderreach.utils import tasks
 
 # Several times the duration of a commit on a busy quorum, and a tenth of a caller's
 # usual timeout.
 ATTEMPT_MS = 400
+# Several times as long as a controller takes to say that it does not lead. With a full
+# attempt for each, a call whose messages are lost on several links at once would return
+# to the leader only seconds later.
+HINT_MS = 100
 # Pause between two rounds through all controllers while none of them leads.
 ROUND_PAUSE_MS = 60
 # A request that was certainly not executed is rejected after this time without a
@@ -45,6 +51,14 @@
     had_unclear_attempt: bool = False
 
 
+class _Attempts:
+    """The attempts of one call: the address of each by request id, and the replies."""
+
+    def __init__(self):
+        self.address_of = {}
+        self.replies = queue.SimpleQueue()
+
+
 class LeaderCalls:
     """Calls to the leader from HTTP threads; ``deliver`` may be called on any thread.
 
@@ -79,14 +93,20 @@
     def deliver(self, reply):
         """Pass a ``cell.CellReply`` to the call that waits for it."""
         with self._lock:
-            ticket = self._waiting.pop(reply.request_id, None)
-        if ticket is not None:
-            ticket.answer(reply)
+            attempts = self._waiting.pop(reply.request_id, None)
+        if attempts is not None:
+            attempts.replies.put(reply)
 
     def call(self, request, deadline_ms):
         """Repeat the request until there is an answer or ``deadline_ms`` is reached."""
         started_ms = self._clock.monotonic_ms()
-        outcome, attempts = self._call(request, started_ms, deadline_ms)
+        attempts = _Attempts()
+        try:
+            outcome = self._call(request, attempts, started_ms, deadline_ms)
+        finally:
+            with self._lock:
+                for request_id in attempts.address_of:
+                    self._waiting.pop(request_id, None)
         took_ms = self._clock.monotonic_ms() - started_ms
         self._on_outcome(request, outcome, took_ms)
         is_routine = isinstance(request, cell.AnnounceTarget) and took_ms < SLOW_CALL_MS
@@ -98,18 +118,16 @@
                 answer=outcome.answer.kind if outcome.answer else "none",
                 text=outcome.answer.text if outcome.answer else "",
                 may_have_acted=outcome.may_have_acted,
-                attempts=attempts,
+                attempts=len(attempts.address_of),
                 took_ms=took_ms,
                 patience_ms=deadline_ms - started_ms,
                 epoch=self._highest_epoch,
             )
         return outcome
 
-    def _call(self, request, started_ms, deadline_ms):
-        """Return the Outcome and the number of attempts."""
+    def _call(self, request, attempts, started_ms, deadline_ms):
         payload = codec.pack(request)
         may_have_acted = False
-        attempts = 0
         tried = set()
         while (remaining_ms := deadline_ms - self._clock.monotonic_ms()) > 0:
             if self._is_isolated():
@@ -122,20 +140,22 @@
                 tried.clear()
                 time.sleep(min(ROUND_PAUSE_MS, remaining_ms) / 1000)
                 continue
+            is_leader = not tried or address == self._leader_hint
+            wait_ms = ATTEMPT_MS if is_leader else HINT_MS
             tried.add(address)
-            attempts += 1
-            reply = self._attempt(address, payload, min(ATTEMPT_MS, remaining_ms))
+            self._send_attempt(attempts, address, payload)
+            reply = self._wait(attempts, address, min(wait_ms, remaining_ms))
             if reply is None:
                 may_have_acted = True
                 self._leader_hint = ""
             elif reply.status == "answered" and self._accept_epoch(reply.epoch):
                 answer = codec.unpack(reply.payload).unwrap()
-                return Outcome(answer, True, may_have_acted), attempts
+                return Outcome(answer, True, may_have_acted)
             elif reply.status == "answered":
                 may_have_acted = True
             else:
                 self._follow_hint(reply.leader, address, tried)
-        return Outcome(None, may_have_acted), attempts
+        return Outcome(None, may_have_acted)
 
     def _next_address(self, tried):
         for address in (self._leader_hint, *self._addresses()):
@@ -147,16 +167,25 @@
         """Next try the leader that a controller names, unless it was already tried."""
         self._leader_hint = leader if leader != address and leader not in tried else ""
 
-    def _attempt(self, address, payload, wait_ms):
+    def _send_attempt(self, attempts, address, payload):
         request_id = f"{self._prefix}/{next(self._numbers)}"
-        ticket = tasks.Ticket()
+        attempts.address_of[request_id] = address
         with self._lock:
-            self._waiting[request_id] = ticket
+            self._waiting[request_id] = attempts
         self._send(address, cell.CellRequest(request_id, payload))
-        reply = ticket.wait(wait_ms)
-        with self._lock:
-            self._waiting.pop(request_id, None)
-        return reply
+
+    def _wait(self, attempts, address, wait_ms):
+        """Return the reply of ``address``, or an answer to any attempt, or None."""
+        until_ms = self._clock.monotonic_ms() + wait_ms
+        while (remaining_ms := until_ms - self._clock.monotonic_ms()) > 0:
+            try:
+                reply = attempts.replies.get(timeout=remaining_ms / 1000)
+            except queue.Empty:
+                return None
+            sender = attempts.address_of[reply.request_id]
+            if reply.status == "answered" or sender == address:
+                return reply
+        return None
 
     def _accept_epoch(self, epoch):
         with self._lock:
--- a/alderreach/ops/leader_calls_test.py
+++ b/alderreach/ops/leader_calls_test.py
@@ -80,3 +80,34 @@
     controllers = Controllers({"a": None}, is_isolated=lambda: True)
     assert controllers.call() == leader_calls.Outcome(None, may_have_acted=False)
     assert controllers.attempted == []
+
+
+def test_a_late_answer_to_an_earlier_attempt_counts():
+    """Guards against a request that is sent to a slow leader again and again, while
+    each answer comes after the next controller was tried.
+    """
+    controllers = Controllers({"a": None, "b": not_leader()})
+    late, send = [], controllers.calls._send
+
+    def send_late(address, message):
+        send(address, message)
+        if address == "a":
+            late.append(answered("running", 3)._replace(request_id=message.request_id))
+        else:
+            controllers.calls.deliver(late[0])
+
+    controllers.calls._send = send_late
+    outcome = controllers.call()
+    assert (outcome.answer.text, outcome.had_unclear_attempt) == ("running", True)
+    assert controllers.attempted[:2] == ["a", "b"]
+    assert len(late) <= 2
+
+
+def test_controllers_that_are_not_believed_to_lead_are_tried_shortly():
+    """Guards against a call that returns to its leader only seconds later, as messages
+    to or from the other controllers are lost as well.
+    """
+    controllers = Controllers({name: None for name in "abcd"})
+    timeout_ms = 2 * leader_calls.ATTEMPT_MS + 4 * leader_calls.HINT_MS
+    controllers.call(timeout_ms)
+    assert controllers.attempted[:5] == ["a", "b", "c", "d", "a"]
