--- a/alderreach/utils/peer_links.py
+++ b/alderreach/utils/peer_links.py
@@ -3,8 +3,8 @@
 A link is replaced
 
 - once ``link_health`` gives it up; messages that were on it may be lost;
-- when the peer has given up its own or is new, unless it was confirmed just before: the
-  peer's confirmations, which come on this link, may not have reached it;
+- when the peer has given up its own, unless it was confirmed just before: the peer may
+  have done so since its confirmations, which come on this link, don't reach it;
 - before a message if it was unused for a long time, so that the message does not have
   to find out whether it still works.
 
@@ -217,6 +217,9 @@
     def _close(self, address):
         self._links.pop(address).socket.close()
         self._unconfirmed.pop(address, None)
+        if not self._unconfirmed:
+            # No check follows that would count them.
+            self.unconfirmed = 0
 
     def _is_earlier_version(self, address):
         contact = self._contact_of(address)
