--- a/alderreach/core/raft_leader.py
+++ b/alderreach/core/raft_leader.py
@@ -177,19 +177,21 @@
         node.commit_index = index
 
 
-def transfer(node, now_ms):
-    """Ask the most up-to-date voter to take over; False if none has caught up."""
+def choose_successor(node, now_ms):
+    """Return the most up-to-date voter, or None if none has caught up."""
     ready = [
         identity
         for identity in membership.voters(node.members)
         if is_caught_up(node, identity, now_ms)
     ]
-    if not ready:
-        return False
-    best = max(ready, key=lambda identity: node.progress[identity].match_index)
-    request = keeper.TakeOver(best, node.identity, node.term)
-    node.outbox.append((best, request))
-    return True
+    by_match_index = lambda identity: node.progress[identity].match_index
+    return max(ready, key=by_match_index, default=None)
+
+
+def request_take_over(node, successor):
+    """Ask a voter to take over; it drops a repeated request as one of an older term."""
+    request = keeper.TakeOver(successor, node.identity, node.term)
+    node.outbox.append((successor, request))
 
 
 def is_caught_up(node, identity, now_ms):
--- a/alderreach/ops/keeper/service.py
+++ b/alderreach/ops/keeper/service.py
@@ -130,7 +130,9 @@
         )
         self._next_housekeeping_ms = 0
         self._is_flush_queued = False
-        self._has_handed_over = False
+        # The voter that was asked to take over, and when it is asked again.
+        self._successor = None
+        self._next_take_over_ms = 0
         self._recorded_role = ("", 0)
         self._announced_commit_index = 0
         self._status = daemon.RoleStatus(0, raft.FOLLOWER, False, {})
@@ -349,14 +351,18 @@
     def _hand_over_leadership(self, now_ms):
         """Transfer leadership once all accepted requests are committed.
 
-        An earlier transfer would leave requests in progress ``uncertain``. There is
-        only one transfer, since a second one would make the successor start another
-        election.
+        An earlier transfer would leave requests in progress ``uncertain``. One voter
+        only is asked, since a second one would start another election; it is asked at
+        each beat, as a request may be lost.
         """
-        node, is_requested = self._node, self._requests.is_handing_over
-        is_leader = node.role == raft.LEADER and not self._has_handed_over
-        if is_requested and is_leader and node.commit_index == node.log.last_index:
-            self._has_handed_over = raft_leader.transfer(node, now_ms)
+        node = self._node
+        if not self._requests.is_handing_over or node.role != raft.LEADER:
+            return
+        if self._successor is None and node.commit_index == node.log.last_index:
+            self._successor = raft_leader.choose_successor(node, now_ms)
+        if self._successor is not None and now_ms >= self._next_take_over_ms:
+            self._next_take_over_ms = now_ms + node.rules.beat_ms
+            raft_leader.request_take_over(node, self._successor)
 
     def _is_current(self, now_ms):
         """Whether this leads with a quorum, or had recent contact with a leader."""
--- a/tests/keeper_failures_test.py
+++ b/tests/keeper_failures_test.py
@@ -309,6 +309,23 @@
     assert cell.elect() != leader
 
 
+def test_a_leader_whose_first_request_to_take_over_is_lost_hands_over_all_the_same(
+    make_cell,
+):
+    """Guards against a planned stop that leaves the cell without a leader until the
+    next election, as the one request to its successor was lost.
+    """
+    cell = make_cell(3)
+    leader = cell.elect()
+    cell.run_until_stable()
+    cell._deliver(leader, service.TRANSFER)
+    cell.tick(leader)
+    assert any("TakeOver" in str(message.packed) for message in cell.network)
+    cell.network.clear()
+    timeout_ms = cell.keepers[leader]._node.rules.election_timeout_ms
+    assert cell.run(timeout_ms // 2, lambda: cell.leader() not in (leader, None))
+
+
 def test_a_follower_gets_chunks_but_no_answer_from_a_cut_off_keeper(make_cell):
     """An entry follows a keeper that was cut off and has no newer items.
 
