--- a/alderreach/utils/peer_links.py
+++ b/alderreach/utils/peer_links.py
@@ -45,8 +45,9 @@
 class Contact:
     """What is known of a peer from the messages of its present boot.
 
-    ``confirms`` tells whether it takes part in confirming links, and ``link`` is the
-    newest one that it has probed.
+    The transport keeps one for each peer that it receives from. ``confirms`` tells
+    whether the peer takes part in confirming links, and ``link`` is the newest one that
+    it has probed.
     """
 
     def __init__(self, boot_id):
