--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -229,7 +229,7 @@
     silent = "never" if loss.silent_ms is None else f"{loss.silent_ms} ms ago"
     return (
         f"{loss.address}: oldest message unconfirmed for {loss.unconfirmed_ms} ms, "
-        f"peer last heard {silent}"
+        f"last message from it {silent}"
     )
 
 
--- a/alderreach/platform/targets.py
+++ b/alderreach/platform/targets.py
@@ -92,8 +92,8 @@
     ``ask(step, targets)`` returns a list of ``cell.Ticket``, or None if there was no
     answer. Without an address there is never an answer.
 
-    Each query has a connection of its own. A kept one may have gone silent, which only
-    the timeout of a query would show, and that has to be long. Queries are few.
+    Each query has a connection of its own. A kept one may have become silent, which
+    only the timeout of a query would show, and that has to be long. Queries are few.
     """
     if not address:
         return lambda _step, _targets: None
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -42,7 +42,7 @@
 # 10053 to 10056, and 1 and 605 again: cancellations without an answer and no leader for
 #   seconds, inferred to be from slow syncs of the machine's disk.
 # 11000 to 11002: a link whose open connection had become silent was kept, as its peer
-#   was heard on the connection in the other direction.
+#   sent messages on the connection in the other direction.
 REGRESSION_SEEDS = (
     *(102, 103, 105, 204, 207, 601, 605, 609, 611, 612, 613, 703, 818),
     *(9848, 10053, 10054, 10055, 10056, 11000, 11001, 11002),
--- a/tools/played_kinds.py
+++ b/tools/played_kinds.py
@@ -71,7 +71,7 @@
     hows = []
     for is_list, words in re.findall(r"\bhow(:?) ([^;.:]*)", _plain(description)):
         for item in re.split(r"[,|+]", words):
-            # Without a colon, the sentence goes on behind the word.
+            # Without a colon, the sentence continues after the word.
             hows += item.split() if is_list else item.split()[:1]
     return hows
 
--- a/tools/soak/silences.py
+++ b/tools/soak/silences.py
@@ -28,7 +28,7 @@
 
 
 class Silences:
-    """Random silences in a cell; ``on_silence(kind, text)`` is told of each.
+    """Random silences in a cell; ``on_silence(kind, text)`` is called with each.
 
     ``call_links`` are relays of calls; the first part of their links' names, up to a
     hyphen, is the kind.
