--- a/tests/cell_failures_test.py
+++ b/tests/cell_failures_test.py
@@ -366,3 +366,23 @@
         assert not _has_started(sim)
         sim.run_with_discovery(3_000, clocks)
         assert _has_started(sim)
+
+
+def test_a_new_leader_whose_clock_is_wrong_keeps_the_jobs_that_ended(tmp_path):
+    """Guards against ended jobs that become unknown: a leader that had not yet received
+    the clocks of other processes dropped them as past their retention by its own.
+    """
+    with cell_sim.running_cell(tmp_path) as sim:
+        old = sim.leader()
+        for name in sim.names:
+            if name != old:
+                sim.wall_offsets_ms[name] = 3_600_000
+        clocks = {"f1": 0, "f2": 10, "f3": -10}
+        sim.run_with_discovery(1_500, clocks)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        sim.run_until_state("j1", "completed")
+        sim.crash(old)
+        sim.elect()
+        cell_sim.submit_job(sim, "j2", cell_sim.step(1))
+        sim.run_with_discovery(1_500, clocks)
+        assert sim.read_job("j1").text == "completed"
