--- a/tests/relay_test.py
+++ b/tests/relay_test.py
@@ -12,6 +12,18 @@
 WAIT_S = 10
 
 
+def _relayed_server(stack):
+    """A listening socket, a relay to it and the address to connect to."""
+    server = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+    free = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+    listen = free.getsockname()
+    free.close()
+    relay = relay_module.Relay()
+    stack.callback(relay.close)
+    relay.add("link", listen, server.getsockname())
+    return server, relay, listen
+
+
 def test_what_waited_for_a_cut_link_is_lost_by_a_reset():
     """Guards against faults that no network has: a worker got a call that was sent to
     its previous incarnation, on a connection that its sender had given up long before.
@@ -26,13 +38,7 @@
                 is_received.set()
 
     with contextlib.ExitStack() as stack:
-        server = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-        free = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-        listen = free.getsockname()
-        free.close()
-        relay = relay_module.Relay()
-        stack.callback(relay.close)
-        relay.add("link", listen, server.getsockname())
+        server, relay, listen = _relayed_server(stack)
         thread = threading.Thread(target=serve, args=(server,), daemon=True)
         thread.start()
         relay.cut(["link"])
@@ -53,13 +59,7 @@
 def test_connections_that_were_silenced_forward_nothing_while_new_ones_do():
     """Guards against a fault that heals: a process would recover without dialling."""
     with contextlib.ExitStack() as stack:
-        server = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-        free = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-        listen = free.getsockname()
-        free.close()
-        relay = relay_module.Relay()
-        stack.callback(relay.close)
-        relay.add("link", listen, server.getsockname())
+        server, relay, listen = _relayed_server(stack)
         old, old_far = _connected(stack, server, listen)
         relay.silence(["link"], (relay_module.OUT,))
         relay.cut(["link"])
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -255,13 +255,8 @@
 
 def _link_controls(running, links):
     """Add links from workers and the operator to controllers; returns addresses."""
-    addresses = []
-    for number, plan in enumerate(running.of_role("controller"), 1):
-        listen = f"127.{running.octet}.5.{number}"
-        host, _, port = plan.control.rpartition(":")
-        links.add(f"controls-{number}", (listen, int(port)), (host, int(port)))
-        addresses.append(f"{listen}:{port}")
-    return addresses
+    controls = [plan.control for plan in running.of_role("controller")]
+    return _add_links(links, "controls", f"127.{running.octet}.5", controls)
 
 
 def _link_permission(running, links):
@@ -273,13 +268,19 @@
 
 
 def _link_frontends(running, links):
-    """Add relay links from callers to the frontends; returns their addresses."""
+    """Add links from callers to the frontends; returns their addresses."""
+    callers = [plan.callers for plan in running.of_role("frontend")]
+    return _add_links(links, "callers", f"127.{running.octet}.6", callers)
+
+
+def _add_links(links, name, network, targets):
+    """Add a link to each target, which listens on the target's port in a network."""
     addresses = []
-    for number, plan in enumerate(running.of_role("frontend"), 1):
-        listen = f"127.{running.octet}.6.{number}"
-        host, _, port = plan.callers.rpartition(":")
-        links.add(f"callers-{number}", (listen, int(port)), (host, int(port)))
-        addresses.append(f"{listen}:{port}")
+    for number, target in enumerate(targets, 1):
+        host, _, port = target.rpartition(":")
+        listen = (f"{network}.{number}", int(port))
+        links.add(f"{name}-{number}", listen, (host, int(port)))
+        addresses.append(f"{listen[0]}:{port}")
     return addresses
 
 
