--- a/tools/soak/answers.py
+++ b/tools/soak/answers.py
@@ -38,8 +38,10 @@
         )
         for address in controls
     }
-    for requests in (reads | reads_back, changes, reads_back):
-        _check_all(promises, requests)
+    _check_all(promises, reads | reads_back)
+    for name, change in changes.items():
+        _check_all(promises, {name: change})
+    _check_all(promises, reads_back)
 
 
 def _check_all(promises, requests):
