--- a/alderreach/ops/keeper/service.py
+++ b/alderreach/ops/keeper/service.py
@@ -130,8 +130,9 @@
         )
         self._next_housekeeping_ms = 0
         self._is_flush_queued = False
-        # The voter that was asked to take over, and when it is asked again.
+        # The voter that was asked to take over, the term, and when it is asked again.
         self._successor = None
+        self._handed_over_term = 0
         self._next_take_over_ms = 0
         self._recorded_role = ("", 0)
         self._announced_commit_index = 0
@@ -353,14 +354,17 @@
 
         An earlier transfer would leave requests in progress ``uncertain``. One voter
         only is asked, since a second one would start another election; it is asked at
-        each beat, as a request may be lost.
+        each beat of this term, as a request may be lost. A leader that gets leadership
+        back, such as from a voter that also hands over, keeps it.
         """
         node = self._node
         if not self._requests.is_handing_over or node.role != raft.LEADER:
             return
         if self._successor is None and node.commit_index == node.log.last_index:
             self._successor = raft_leader.choose_successor(node, now_ms)
-        if self._successor is not None and now_ms >= self._next_take_over_ms:
+            self._handed_over_term = node.term
+        is_asked = self._successor is not None and self._handed_over_term == node.term
+        if is_asked and now_ms >= self._next_take_over_ms:
             self._next_take_over_ms = now_ms + node.rules.beat_ms
             raft_leader.request_take_over(node, self._successor)
 
--- a/tests/keeper_failures_test.py
+++ b/tests/keeper_failures_test.py
@@ -326,6 +326,19 @@
     assert cell.run(timeout_ms // 2, lambda: cell.leader() not in (leader, None))
 
 
+def test_keepers_that_stop_together_hand_over_once_each(make_cell):
+    """Guards against leadership that passes back and forth between two keepers, as
+    both hand over, until their drain ends.
+    """
+    cell = make_cell(3)
+    term = cell.keepers[cell.elect()]._node.term
+    cell.run_until_stable()
+    for name in cell.names:
+        cell._deliver(name, service.TRANSFER)
+    cell.run(1000)
+    assert cell.keepers[cell.elect()]._node.term <= term + len(cell.names)
+
+
 def test_a_follower_gets_chunks_but_no_answer_from_a_cut_off_keeper(make_cell):
     """An entry follows a keeper that was cut off and has no newer items.
 
