--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -206,7 +206,9 @@
         on_undecodable=lambda text: time_line.record(
             "message_undecodable", detail=text
         ),
-        on_loss=lambda loss: time_line.record("link_given_up", detail=_describe(loss)),
+        on_loss=lambda loss: time_line.record(
+            "link_given_up", detail=_describe_loss(loss)
+        ),
     )
     stack.callback(peer_transport.close)
     context = Context(
@@ -225,7 +227,7 @@
     return context
 
 
-def _describe(loss):
+def _describe_loss(loss):
     silent = "never" if loss.silent_ms is None else f"{loss.silent_ms} ms ago"
     return (
         f"{loss.address}: oldest message unconfirmed for {loss.unconfirmed_ms} ms, "
