--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -304,6 +304,12 @@
         state=record.state,
         address=record.address,
         is_new=is_new,
+        heartbeat=request.sequence,
+        capacity=list(record.capacity),
+        used=list(worker.used),
+        unanswered_starts=sum(
+            run.is_start_unanswered() for run in worker.runs.values()
+        ),
     )
     worker_polls.poll(leader, worker)
 
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -131,6 +131,18 @@
 def send_start(leader, worker, run):
     """Send a start, and count the sends, since each of them may arrive late."""
     run.sends += 1
+    if run.sends > 1:
+        leader.environment.metrics.count("starts_repeated")
+        leader.environment.record(
+            "start_repeated",
+            task=str(run.key),
+            run=run.run,
+            target=worker.target_id,
+            sends=run.sends,
+            used=list(worker.used),
+            capacity=list(worker.record.capacity),
+            heartbeat_age_ms=leader.now_ms() - worker.announced_ms,
+        )
     leader.links[worker.target_id].order(run.order)
 
 
--- a/alderreach/ops/controller/starting.py
+++ b/alderreach/ops/controller/starting.py
@@ -83,6 +83,10 @@
         task=str(key),
         run=run,
         target=worker.target_id,
-        free_millis=worker.free().cpu_millis,
+        demand=list(step.demand),
+        used=list(worker.used),
+        capacity=list(worker.record.capacity),
+        heartbeat=worker.sequence,
+        heartbeat_age_ms=now_ms - worker.announced_ms,
         waited_ms=waited_ms,
     )
