--- a/tools/standins/cell_worker.py
+++ b/tools/standins/cell_worker.py
@@ -1,8 +1,9 @@
 """A worker that keeps its guarantees to the leader, and checks the leader's to it.
 
 It has its own clock, refuses lower fences and older runs, kills all runs when its lease
-lapses, and lists ends until they are acknowledged. A test may delay calls, so that they
-are carried out late, and drop answers.
+lapses, and lists ends until they are acknowledged. Its capacity may change at any time,
+and a stop takes ``stop_ms``. A test may delay calls, so that they are carried out late,
+and drop answers.
 """
 
 import typing
@@ -21,6 +22,7 @@
         self.started_ms = now_ms
         self.script = script
         self.share = 100
+        self.stopped_at_ms = None
 
     def percent(self, now_ms):
         """The progress of the run, in percent."""
@@ -49,7 +51,9 @@
     def __init__(self, world, name, capacity, clock_rate=1.0):
         self.world = world
         self.name = name
-        self.capacity = capacity
+        # The capacities that it has had, each with the time since when.
+        self._capacities = [(world.time.now_ms, capacity)]
+        self.stop_ms = 0
         self.rate = clock_rate
         self.permits = lambda order: True
         self.script = Script()
@@ -62,6 +66,27 @@
         """Whether it carries out the current order late; for the world's checks."""
         self.restart()
 
+    @property
+    def capacity(self):
+        """The capacity that it has now."""
+        return self._capacities[-1][1]
+
+    @capacity.setter
+    def capacity(self, capacity):
+        self._capacities.append((self.world.time.now_ms, capacity))
+
+    def largest_cpu_millis(self, duration_ms):
+        """The most processor capacity that it had at any time of the last while."""
+        since_ms = self.world.time.now_ms - duration_ms
+        ends_ms = [began_ms for began_ms, _capacity in self._capacities[1:]]
+        return max(
+            capacity.cpu_millis
+            for (_began_ms, capacity), end_ms in zip(
+                self._capacities, [*ends_ms, self.world.time.now_ms], strict=True
+            )
+            if end_ms >= since_ms
+        )
+
     def restart(self):
         """Start without state: no runs, no fence, and a clock that begins at zero."""
         self.incarnation += 1
@@ -99,6 +124,10 @@
             for task in list(self.running):
                 self.end(task, "lapsed")
         for task, run in list(self.running.items()):
+            if run.stopped_at_ms is not None:
+                if now_ms >= run.stopped_at_ms:
+                    self.end(task, "stopped")
+                continue
             # The end of one member of a gang may have ended others on this worker.
             is_at_work = run.percent(now_ms) < 100 or not self.world.may_end(task)
             if task in self.running and not is_at_work:
@@ -136,7 +165,10 @@
     def _stop(self, order):
         run = self.running.get(order.task)
         if run is not None and run.order.run <= order.run:
-            self.end(order.task, "stopped")
+            if not self.stop_ms:
+                self.end(order.task, "stopped")
+            elif run.stopped_at_ms is None:
+                run.stopped_at_ms = self.clock_ms() + self.stop_ms
         known = self.highest_closed_run.get(order.task, 0)
         self.highest_closed_run[order.task] = max(known, order.run)
         return self._result(orders.OK)
