--- a/alderreach/decisions/cell/choice_test.py
+++ b/alderreach/decisions/cell/choice_test.py
@@ -16,6 +16,7 @@
     )
     result = workers.Worker(record, 0, 0)
     result.has_seen_epoch = True
+    result.record_heartbeat(clock_ms=-1, received_ms=0)
     result.used[0] = used
     return result
 
--- a/alderreach/decisions/cell/crash_blame_test.py
+++ b/alderreach/decisions/cell/crash_blame_test.py
@@ -128,6 +128,7 @@
     suspect = run(0, 2_000, is_confirmed=False)
     worker = worker_with(suspect)
     worker.has_seen_epoch, worker.failures = True, 0
+    worker.record_heartbeat(clock_ms=-1, received_ms=CRASH_MS)
     assert worker.is_usable(CRASH_MS)
     worker.isolated_run = suspect
     assert not worker.is_usable(CRASH_MS)
--- a/alderreach/decisions/cell/pools_test.py
+++ b/alderreach/decisions/cell/pools_test.py
@@ -10,6 +10,7 @@
     for n in range(number):
         worker = workers.Worker(virtual_parts.worker(n, 1000 * (n + 1)), 0, 0)
         worker.has_seen_epoch = True
+        worker.record_heartbeat(clock_ms=-1, received_ms=0)
         result[worker.target_id] = worker
     return result
 
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -15,7 +15,7 @@
 
 from alderreach.core import orders
 from alderreach.core.generated import common
-from alderreach.decisions.cell import health
+from alderreach.decisions.cell import capacity_reports, health
 
 ORDERED = "ordered"
 RUNNING = "running"
@@ -33,6 +33,7 @@
 MAX_CLOCK_LAG_MS = 3000
 # After one order or poll without an answer a worker is not used until the next answer.
 DOUBTFUL_FAILURES = 1
+DEFAULT_CAPACITY_VALID_MS = capacity_reports.validity_ms(1500, 3000)
 
 
 class Run:
@@ -133,10 +134,22 @@
     until its start can no longer arrive. ``runs_in_doubt`` maps the (key, run) of runs
     that were given up, but may not be over, to how they ended if this incarnation is
     over. ``previous_ends`` does the same for the runs of the previous incarnation.
+    ``capacity_report`` is the ``capacity_reports.Report`` of this incarnation that told
+    the capacity in ``record``, None if there is none yet. It is valid for
+    ``capacity_valid_ms``.
     """
 
-    def __init__(self, record, now_ms, lease_end_ms, fence=0):
+    def __init__(
+        self,
+        record,
+        now_ms,
+        lease_end_ms,
+        fence=0,
+        capacity_valid_ms=DEFAULT_CAPACITY_VALID_MS,
+    ):
         self.record = record
+        self.capacity_valid_ms = capacity_valid_ms
+        self.capacity_report = None
         self.target_id = record.target_id
         self.rack = rack_of(record.labels)
         self.runs = {}
@@ -191,8 +204,26 @@
             self.first_failure_ms = now_ms
         self.failures += 1
 
+    def record_heartbeat(self, clock_ms, received_ms):
+        """Record a heartbeat of this incarnation that told the capacity in ``record``.
+
+        ``clock_ms`` is the worker's clock at sending, -1 if unknown.
+        """
+        self.announced_ms = received_ms
+        self.capacity_report = capacity_reports.Report(received_ms, clock_ms)
+        if clock_ms >= 0:
+            self.update_clock_offset(clock_ms, received_ms)
+
+    def capacity_valid_until_ms(self):
+        """Until when starts may rely on the capacity in ``record``."""
+        return capacity_reports.valid_until_ms(
+            self.capacity_report, self.clock_offset_ms, self.capacity_valid_ms
+        )
+
     def begin_incarnation(self, fence):
-        """Reset what was known of the previous incarnation: its ends, epoch and clock.
+        """Reset what was known of the previous incarnation.
+
+        That is its ends, its epoch, its clock and its capacity.
 
         An open poll may be answered by either incarnation, so its answer is ignored.
         Calls from now on have a higher fence. Once one of them is carried out, the
@@ -205,6 +236,7 @@
         self.has_seen_epoch = False
         self.awaits_list = True
         self.clock_offset_ms = None
+        self.capacity_report = None
 
     def is_of_previous_incarnation(self, run):
         """Whether all starts of a run were sent for previous incarnations, if any."""
@@ -255,6 +287,7 @@
             and now_ms >= max(self.held_back_until_ms, self.health.out_until_ms)
             and not self.awaits_isolated_run()
             and now_ms - max(self.announced_ms, self.last_contact_ms) < SILENT_AFTER_MS
+            and now_ms + capacity_reports.START_MS <= self.capacity_valid_until_ms()
         )
 
     def hold_back(self, until_ms):
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -16,6 +16,7 @@
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import (
+    capacity_reports,
     crash_blame,
     customers,
     permissions,
@@ -254,7 +255,10 @@
         lease_end_ms = now_ms + max_lease_ms + settings.timing.election_timeout_ms
         lease_end_ms += workers.LEASE_MARGIN_MS
         fence = self.next_fence(record.target_id)
-        worker = workers.Worker(record, now_ms, lease_end_ms, fence)
+        valid_ms = capacity_reports.validity_ms(
+            settings.cell.worker_heartbeat_ms, settings.cell.capacity_grace_ms
+        )
+        worker = workers.Worker(record, now_ms, lease_end_ms, fence, valid_ms)
         self.workers[record.target_id] = worker
         self.links[record.target_id] = self.environment.open_link(record, self.epoch)
         return worker
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -291,7 +291,7 @@
         worker.poll_sent_ms = None
     if is_restarted:
         worker_lifecycle.begin_new_incarnation(leader, worker)
-    worker_lifecycle.on_heartbeat(leader, worker, request.clock_ms, leader.now_ms())
+    worker.record_heartbeat(request.clock_ms, leader.now_ms())
     if not is_new and record == worker.record:
         reply(done)
         return
--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -26,13 +26,6 @@
 ABANDON_AFTER_MS = 1500
 
 
-def on_heartbeat(leader, worker, clock_ms, now_ms):
-    """Record a heartbeat of a known incarnation."""
-    worker.announced_ms = now_ms
-    if clock_ms >= 0:
-        worker.update_clock_offset(clock_ms, now_ms)
-
-
 def record_sequence(worker, sequence, state):
     """Record the number of the latest heartbeat of a known incarnation."""
     worker.sequence = sequence
@@ -57,7 +50,7 @@
             continue
         if row.sequence > worker.sequence:
             record_sequence(worker, row.sequence, worker.record.state)
-            on_heartbeat(leader, worker, row.clock_ms, now_ms - row.age_ms)
+            worker.record_heartbeat(row.clock_ms, now_ms - row.age_ms)
     return cell.HeartbeatBatchReply(batch.number)
 
 
--- a/tests/cell_capacity_reports_test.py
+++ b/tests/cell_capacity_reports_test.py
@@ -1,5 +1,7 @@
 """Starts on workers that have shrunk before their leader could know, or did know."""
 
+import pytest
+
 from alderreach.core.generated import common
 from tests import cell_sim
 from tools.standins import cell_worker
@@ -28,6 +30,75 @@
         sim.run_until_state("j1", "completed", duration_ms=90_000)
 
 
+def test_a_worker_that_shrinks_behind_a_cut_gets_no_new_runs_before_it_says_so(
+    tmp_path,
+):
+    """Guards against starts by the capacity from before a cut: as it ends, the worker
+    answers a poll before its next heartbeat arrives.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        sim.capacity_grace_ms = GRACE_MS
+        worker = _worker(sim, work_ms=700)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(30))
+        sim.run(500)
+        _cut_off(sim, worker)
+        worker.capacity = SMALL
+        sim.run(6000)
+        _lose_heartbeats(sim, worker)
+        sim.cut = set()
+        sim.run(1000)
+        sim.silent_heartbeats.clear()
+        sim.run_until_state("j1", "completed", duration_ms=60_000)
+
+
+@pytest.mark.parametrize("delay_ms", [2000, 5000, 7000])
+def test_a_heartbeat_delayed_over_a_takeover_does_not_count_as_new(tmp_path, delay_ms):
+    """Guards against starts by the capacity of a heartbeat that was sent before the
+    worker shrank, and arrives after a takeover.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        sim.capacity_grace_ms = GRACE_MS
+        worker = _worker(sim, work_ms=500)
+        sim.heartbeat_delay_ms = lambda worker: delay_ms
+        sim.announce(worker)
+        sim.heartbeat_delay_ms = lambda worker: 0
+        worker.capacity = SMALL
+        sim.wait_for_answer(sim.announce(worker))
+        sim.crash(sim.leader())
+        sim.elect()
+        _lose_heartbeats(sim, worker)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(60))
+        sim.run(delay_ms + 2000)
+        sim.silent_heartbeats.clear()
+        sim.run_until_state("j1", "completed", duration_ms=90_000)
+
+
+@pytest.mark.parametrize("small", [1000, 2000])
+@pytest.mark.parametrize("down_ms", [300, 900, 2000, 7000])
+@pytest.mark.parametrize("is_heard", [True, False])
+def test_a_worker_restarted_with_less_capacity_is_not_used_before_its_heartbeat(
+    tmp_path, small, down_ms, is_heard
+):
+    """Guards against starts by the capacity that a worker had before it restarted under
+    its id: the leader learns of the restart from a poll.
+    """
+    with cell_sim.running_cell(tmp_path, workers=2) as sim:
+        for each in sim.workers.values():
+            each.script = cell_worker.Script(work_ms=700)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(40))
+        sim.run(1_000)
+        worker = sim.workers["w1"]
+        _cut_off(sim, worker)
+        worker.crash()
+        sim.run(down_ms)
+        worker.capacity = common.Resources(small, 64_000, 0)
+        worker.restart()
+        sim.cut = {("w1", name) for name in sim.names if not is_heard}
+        sim.run(1500)
+        sim.cut = set()
+        sim.run_until_state("j1", "completed")
+
+
 def _worker(sim, work_ms):
     """The only worker of a cell, whose tasks take ``work_ms``."""
     (worker,) = sim.workers.values()
@@ -38,3 +109,8 @@
 def _lose_heartbeats(sim, worker):
     for name in sim.names:
         sim.silent_heartbeats[(worker.name, name)] = FOREVER
+
+
+def _cut_off(sim, worker):
+    for name in sim.names:
+        sim.cut |= {(name, worker.name), (worker.name, name)}
--- a/tests/cell_queued_orders_test.py
+++ b/tests/cell_queued_orders_test.py
@@ -34,6 +34,9 @@
     with _cell_with_a_silent_worker(tmp_path, waiting=4) as (sim, first):
         sim.run(1_500)
         _restart_unannounced(sim, first)
+        sim.run(300)
+        del sim.announce
+        sim.announce(first)
         assert sim.run(1_500, lambda: TASK in first.running)
         for name in sim.names:
             sim.cut |= {(name, first.name), (first.name, name)}
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -257,6 +257,7 @@
                 open_link=self._open_link,
             ),
         )
+        self.loop.after(HOP_MS, self._deliver_heartbeats)
 
     def _lose_leader(self):
         self.term = None
@@ -322,10 +323,18 @@
 
     def _send_heartbeats(self):
         self.loop.after(1000, self._send_heartbeats)
+        self._deliver_heartbeats()
+        if self.term is not None:
+            self.term.leader.tidy()
+            self.term.planner.tidy()
+
+    def _deliver_heartbeats(self):
+        """Deliver a heartbeat of each worker that is in contact.
+
+        A new leader gets the latest ones from the other controllers at once.
+        """
         if self.term is None:
             return
-        self.term.leader.tidy()
-        self.term.planner.tidy()
         for target_id, machine in self._machines.items():
             if machine.has_ended or machine.is_cut_off:
                 continue
@@ -333,7 +342,7 @@
             if worker is None or worker.record != machine.record:
                 self._announce(machine.record)
             else:
-                worker.announced_ms = int(self.loop.now_ms)
+                worker.record_heartbeat(-1, int(self.loop.now_ms))
 
     def _announce(self, record):
         """Send a heartbeat that contains a change."""
