--- a/alderreach/decisions/cell/capacity_reports_test.py
+++ b/alderreach/decisions/cell/capacity_reports_test.py
@@ -1,5 +1,6 @@
 """The age of a capacity report, and what makes a worker unusable."""
 
+from alderreach.core import cell_state
 from alderreach.decisions.cell import capacity_reports, workers
 from tools import virtual_parts
 
@@ -55,3 +56,22 @@
     worker.begin_incarnation(fence=1)
     worker.has_seen_epoch = True
     assert not worker.is_usable(0)
+
+
+def test_unanswered_starts_give_way_to_runs_that_are_there_when_a_worker_shrinks():
+    """Guards against a start that is repeated on a worker that has no room for it."""
+    worker = make_worker()
+    step = virtual_parts.step(1, 1000)
+    runs = {}
+    for number in range(4):
+        key = cell_state.TaskKey("j", 0, 0, number)
+        runs[number] = workers.Run(key, 1, step, 0)
+        worker.add(runs[number])
+    runs[0].state = workers.RUNNING
+    runs[2].state = workers.CLOSING
+    assert worker.starts_beyond_capacity() == []
+    shrunk = worker.record.capacity._replace(cpu_millis=3000)
+    worker.record = worker.record._replace(capacity=shrunk)
+    assert worker.starts_beyond_capacity() == [runs[3]]
+    worker.record = worker.record._replace(capacity=shrunk._replace(cpu_millis=1000))
+    assert worker.starts_beyond_capacity() == [runs[1], runs[3]]
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -315,6 +315,32 @@
             and used[2] + demand.accelerators <= capacity.accelerators
         )
 
+    def starts_beyond_capacity(self):
+        """The runs whose starts may still arrive, but do not fit any more.
+
+        Earlier starts come first: a run fits if there is capacity for it beside the
+        earlier ones and all runs that are there or are being stopped.
+        """
+        pending = [run for run in self.runs.values() if self._may_start_arrive(run)]
+        used = list(self.used)
+        for run in pending:
+            _add_demand(used, run, -1)
+        beyond = []
+        for run in pending:
+            _add_demand(used, run, 1)
+            if any(
+                need > limit
+                for need, limit in zip(used, self.record.capacity, strict=True)
+            ):
+                _add_demand(used, run, -1)
+                beyond.append(run)
+        return beyond
+
+    def _may_start_arrive(self, run):
+        """Whether the start of a run that is not to be stopped may be carried out."""
+        is_unanswered = run.state == ORDERED and not run.is_confirmed
+        return is_unanswered and not self.is_of_previous_incarnation(run)
+
     def free(self):
         """The free resources."""
         capacity, used = self.record.capacity, self.used
@@ -327,22 +353,24 @@
     def add(self, run):
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
-        self._update_used(run, 1)
+        _add_demand(self.used, run, 1)
 
     def remove(self, run):
         """Remove a run and release its resources."""
         del self.runs[run.key]
-        self._update_used(run, -1)
+        _add_demand(self.used, run, -1)
 
     def count_of(self, group):
         """How many tasks of a step's occurrence run on this worker."""
         return sum(key[:3] == group for key in self.runs)
 
-    def _update_used(self, run, sign):
-        if not run.best_effort:
-            self.used[0] += sign * run.demand.cpu_millis
-        self.used[1] += sign * run.demand.memory_mb
-        self.used[2] += sign * run.demand.accelerators
+
+def _add_demand(used, run, sign):
+    """Add a run's demand to the used resources, or subtract it."""
+    if not run.best_effort:
+        used[0] += sign * run.demand.cpu_millis
+    used[1] += sign * run.demand.memory_mb
+    used[2] += sign * run.demand.accelerators
 
 
 def rack_of(labels):
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -96,16 +96,20 @@
         settings = self.environment.settings.cell
         return min(settings.worker_lease_ms, settings.worker_lease_max_ms)
 
-    def grant_lease(self, worker):
+    def grant_lease(self, worker, latest_end_ms=math.inf):
         """Grant a worker a lease; returns its end by the worker's clock.
 
+        It ends at ``latest_end_ms`` at the latest.
+
         A successor waits for leases that began an election timeout after its election
         at most. This leader may have been frozen and replaced a moment ago, so a lease
         begins no later than that after the leadership was confirmed.
         """
         timeout_ms = self.environment.settings.timing.election_timeout_ms
         latest_ms = self.environment.confirmed_ms() + timeout_ms
-        return worker.grant_lease(self.lease_ms(), min(self.now_ms(), latest_ms))
+        begin_ms = min(self.now_ms(), latest_ms)
+        lease_ms = min(self.lease_ms(), latest_end_ms - begin_ms)
+        return worker.grant_lease(lease_ms, begin_ms)
 
     def now_ms(self):
         """The time of the monotonic clock."""
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -296,6 +296,7 @@
         reply(done)
         return
     worker.record = record
+    worker_lifecycle.withdraw_starts(leader, worker)
     leader.pools.on_worker_changed(worker.target_id)
     leader.decide(lambda: reply(done), targets=[record])
     term.record(
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -201,21 +201,28 @@
 
 
 def _send_committed_start(leader, worker, run):
-    """Send a start after its commit, unless the job has ended in the meantime."""
+    """Send a start after its commit, unless that is not wanted or possible any more.
+
+    The lease in it ends with the validity of the capacity that it relies on. A worker
+    refuses a start whose lease is over, so it is not carried out later than that,
+    however long it is on its way. The next poll extends the lease.
+    """
     if worker.runs.get(run.key) is not run:
         return
     job = leader.state.jobs[run.key.job_id]
     is_unwanted = run.state == workers.CLOSING or job.state != cell_state.ACTIVE
-    if is_unwanted or worker.clock_offset_ms is None:
-        # A new incarnation began in the meantime; its clock is not known yet, so no
-        # lease can be granted.
+    valid_until_ms = worker.capacity_valid_until_ms()
+    is_outdated = leader.now_ms() >= valid_until_ms
+    if is_unwanted or is_outdated or worker.clock_offset_ms is None:
+        # If a new incarnation began in the meantime, neither its capacity nor its clock
+        # is known yet.
         end_run(leader, worker, run, "stopped")
         return
     run.order = orders.Start(
         str(run.key),
         run.run,
         job.record.spec,
-        leader.grant_lease(worker),
+        leader.grant_lease(worker, valid_until_ms),
         worker.fence,
         run.checkpoint,
         run.ticket,
--- a/alderreach/ops/controller/stopping.py
+++ b/alderreach/ops/controller/stopping.py
@@ -28,6 +28,8 @@
 ABANDONED = "abandoned"
 DUPLICATE = "duplicate"
 GANG = "gang"
+# The worker has shrunk, and the start, which has no answer, does not fit any more.
+SHRUNK = "shrunk"
 # A start got an answer that does not prove that the run is not there.
 START_UNCLEAR = "start_unclear"
 # The worker does not list the run.
--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -103,6 +103,16 @@
         )
 
 
+def withdraw_starts(leader, worker):
+    """Withdraw the starts without an answer that exceed a worker's new capacity.
+
+    They may still be carried out, or would be sent again.
+    """
+    for run in worker.starts_beyond_capacity():
+        leader.environment.metrics.count("starts_withdrawn")
+        runs.close_run(leader, worker, run, stopping.SHRUNK)
+
+
 def expire_lease(leader, worker):
     """End the runs of a worker whose lease has expired; it has stopped them itself.
 
--- a/tests/cell_capacity_reports_test.py
+++ b/tests/cell_capacity_reports_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from alderreach.core import orders
 from alderreach.core.generated import common
 from tests import cell_sim
 from tools.standins import cell_worker
@@ -51,6 +52,47 @@
         sim.run_until_state("j1", "completed", duration_ms=60_000)
 
 
+@pytest.mark.parametrize("is_lost", [True, False])
+def test_unanswered_starts_that_no_longer_fit_are_withdrawn(tmp_path, is_lost):
+    """Guards against a start that is repeated, or arrives late, although its leader has
+    been told that the worker has shrunk.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        worker = _worker(sim, work_ms=6_000)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(1_000, lambda: len(worker.running) == 1)
+        sim.call_timeout_ms = 500 if is_lost else 0
+        delay_ms = FOREVER if is_lost else 3000
+        sim.call_delay_ms = lambda call: delay_ms if _is_start(call.order) else 0
+        cell_sim.submit_job(sim, "j2", cell_sim.step(3))
+        sim.run(200)
+        worker.capacity = SMALL
+        sim.wait_for_answer(sim.announce(worker))
+        sim.run(2000)
+        if is_lost:
+            sim.call_delay_ms = lambda call: 0
+        sim.run(3500)
+        assert not sim.events_of("worker_restarted")
+        sim.call_delay_ms = lambda call: 0
+        sim.run_until_state("j2", "completed")
+
+
+def test_a_start_that_arrives_late_is_refused_once_its_capacity_is_outdated(tmp_path):
+    """Guards against a start that is carried out seconds after it was sent, on a worker
+    that has shrunk and whose heartbeats since then are lost.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        sim.capacity_grace_ms = GRACE_MS
+        worker = _worker(sim, work_ms=20_000)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(1_000, lambda: len(worker.running) == 1)
+        sim.call_delay_ms = lambda call: 5500 if _is_start(call.order) else 0
+        cell_sim.submit_job(sim, "j2", cell_sim.step(1, cpu_millis=3000))
+        _lose_heartbeats(sim, worker)
+        worker.capacity = SMALL
+        sim.run(9000)
+
+
 @pytest.mark.parametrize("delay_ms", [2000, 5000, 7000])
 def test_a_heartbeat_delayed_over_a_takeover_does_not_count_as_new(tmp_path, delay_ms):
     """Guards against starts by the capacity of a heartbeat that was sent before the
@@ -114,3 +156,7 @@
 def _cut_off(sim, worker):
     for name in sim.names:
         sim.cut |= {(name, worker.name), (worker.name, name)}
+
+
+def _is_start(order):
+    return isinstance(order, orders.Start)
