--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -143,7 +143,8 @@
     def tick(self, now_ms):
         """Do the work that is due at ``now_ms``."""
         self.finder.tick(now_ms)
-        self.heartbeats.tick(now_ms)
+        has_leader = bool(self._port.leader_address())
+        self.heartbeats.tick(now_ms, self._port.node.term if has_leader else None)
         if now_ms >= self._next_housekeeping_ms:
             self._next_housekeeping_ms = now_ms + discovery.GREETING_INTERVAL_MS
             self._peers.forget_silent(now_ms)
--- a/alderreach/ops/controller/heartbeats.py
+++ b/alderreach/ops/controller/heartbeats.py
@@ -7,6 +7,9 @@
 state, address or capacity) goes to the leader at once and is acknowledged once the news
 is committed.
 
+A new leader knows no worker's capacity before a heartbeat tells it. Until it answers a
+batch, each has the latest heartbeats of the time before its election, with their ages.
+
 A controller that has had no reply to its batches for ``CONFIRMED_FOR_MS`` refuses
 heartbeats without news, so that their workers turn to another controller. While it
 knows no leader it refuses all that it can't acknowledge: passed on, thousands of them
@@ -24,8 +27,13 @@
 BATCH_INTERVAL_MS = 300
 # An election takes a second, and a partition lasts longer.
 CONFIRMED_FOR_MS = 2500
+# Interval of the batches to a new leader until it answers one, which it does not before
+# it has applied all that earlier leaders committed.
+HANDOVER_INTERVAL_MS = 100
 # A reply to an earlier batch confirms nothing any more.
-MAX_OPEN_BATCHES = CONFIRMED_FOR_MS // BATCH_INTERVAL_MS + 1
+MAX_OPEN_BATCHES = CONFIRMED_FOR_MS // HANDOVER_INTERVAL_MS + 1
+# A new leader has no use for heartbeats older than this: they tell no valid capacity.
+MAX_AGE_MS = 6000
 # Batches end when no worker has used this controller for this time.
 IDLE_AFTER_MS = 15_000
 REFUSED = leader_calls.Outcome(None, False)
@@ -48,8 +56,14 @@
         self._forward = forward
         self._send_batch = send_batch
         self._lock = threading.Lock()
-        # The latest heartbeat of each worker since the last batch, and its arrival.
-        self._pending = {}
+        # The latest heartbeat of each worker and its arrival, and the ids of those for
+        # the next batch.
+        self._latest = {}
+        self._pending = set()
+        # The leadership, and the number of the first batch to it while it has answered
+        # none, else None.
+        self._term = None
+        self._first_number = None
         self._number = 0
         # The times of the batches without a reply, by number.
         self._sent_ms_by_number = {}
@@ -69,23 +83,34 @@
             self._add(request, now_ms)
         return leader_calls.Outcome(requests.answer(requests.ACCEPTED), True)
 
-    def tick(self, now_ms):
-        """Send the next batch if it is due."""
-        if now_ms - self._sent_ms < BATCH_INTERVAL_MS:
-            return
+    def tick(self, now_ms, term):
+        """Send the next batch if it is due.
+
+        ``term`` tells one leadership from another; it is None while none is known.
+        """
         with self._lock:
+            if term is not None and term != self._term:
+                self._term, self._first_number = term, self._number + 1
+            is_handover = self._first_number is not None
+            interval_ms = HANDOVER_INTERVAL_MS if is_handover else BATCH_INTERVAL_MS
+            if now_ms - self._sent_ms < interval_ms:
+                return
             if now_ms - self._heard_ms >= IDLE_AFTER_MS:
                 self._confirmed_ms = now_ms
                 return
-            pending, self._pending = self._pending, {}
+            self._latest = {
+                target_id: (row, arrived_ms)
+                for target_id, (row, arrived_ms) in self._latest.items()
+                if now_ms - arrived_ms < MAX_AGE_MS
+            }
+            wanted = self._latest if is_handover else self._pending
+            pending = [self._latest[each] for each in wanted if each in self._latest]
+            self._pending = set()
             self._sent_ms = now_ms
             self._number += 1
             self._sent_ms_by_number[self._number] = now_ms
             self._sent_ms_by_number.pop(self._number - MAX_OPEN_BATCHES, None)
-        rows = [
-            row._replace(age_ms=now_ms - arrived_ms)
-            for row, arrived_ms in pending.values()
-        ]
+        rows = [row._replace(age_ms=now_ms - arrived_ms) for row, arrived_ms in pending]
         self._send_batch(cell.HeartbeatBatch(self._number, rows))
 
     def handle_reply(self, reply):
@@ -93,12 +118,19 @@
         with self._lock:
             sent_ms = self._sent_ms_by_number.pop(reply.number, 0)
             self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+            if self._first_number is not None and reply.number >= self._first_number:
+                self._first_number = None
 
     def _add(self, request, now_ms):
         record = request.record
-        pending, _arrived_ms = self._pending.get(record.target_id, (None, 0))
-        if pending is None or pending.sequence < request.sequence:
+        latest, _arrived_ms = self._latest.get(record.target_id, (None, 0))
+        if (
+            latest is None
+            or latest.born_ms != record.born_ms
+            or latest.sequence < request.sequence
+        ):
             row = cell.Heartbeat(
                 record.target_id, record.born_ms, request.sequence, request.clock_ms, 0
             )
-            self._pending[record.target_id] = (row, now_ms)
+            self._latest[record.target_id] = (row, now_ms)
+            self._pending.add(record.target_id)
--- a/tests/cell_capacity_reports_test.py
+++ b/tests/cell_capacity_reports_test.py
@@ -4,6 +4,7 @@
 
 from alderreach.core import orders
 from alderreach.core.generated import common
+from alderreach.ops.controller import requests
 from tests import cell_sim
 from tools.standins import cell_worker
 
@@ -160,3 +161,21 @@
 
 def _is_start(order):
     return isinstance(order, orders.Start)
+
+
+def test_a_new_leader_uses_workers_before_their_next_heartbeat(tmp_path):
+    """Guards against a takeover after which all workers stay empty until their next
+    heartbeat, although other controllers have had one a moment ago.
+    """
+    with cell_sim.running_cell(tmp_path, workers=2) as sim:
+        relays = {n: keeper._extension.heartbeats for n, keeper in sim.keepers.items()}
+        follower = next(name for name in sim.names if name != sim.leader())
+        for worker in sim.workers.values():
+            outcome = relays[follower].announce(sim.heartbeat_of(worker), 900)
+            assert outcome.answer.kind == requests.ACCEPTED
+            _lose_heartbeats(sim, worker)
+        sim.run(600)
+        sim.crash(sim.leader())
+        sim.elect()
+        cell_sim.submit_job(sim, "j1", cell_sim.step(2))
+        assert sim.run(500, lambda: any(w.running for w in sim.workers.values()))
