--- a/alderreach/ops/controller/heartbeats.py
+++ b/alderreach/ops/controller/heartbeats.py
@@ -32,6 +32,9 @@
 HANDOVER_INTERVAL_MS = 100
 # A reply to an earlier batch confirms nothing any more.
 MAX_OPEN_BATCHES = CONFIRMED_FOR_MS // HANDOVER_INTERVAL_MS + 1
+# The copy of the log is at most this old: without replies from the leader, heartbeats
+# are refused sooner.
+COPY_LAG_MS = 2 * CONFIRMED_FOR_MS
 # A new leader has no use for heartbeats older than this: they tell no valid capacity.
 MAX_AGE_MS = 6000
 # Batches end when no worker has used this controller for this time.
@@ -60,6 +63,8 @@
         # the next batch.
         self._latest = {}
         self._pending = set()
+        # When a worker last had news, by its id.
+        self._changed_ms = {}
         # The leadership, and the number of the first batch to it while it has answered
         # none, else None.
         self._term = None
@@ -72,10 +77,10 @@
     def announce(self, request, deadline_ms):
         """Acknowledge a heartbeat, refuse it, or pass it on; returns the Outcome."""
         now_ms = self._clock.monotonic_ms()
-        if self._committed_record(request.record.target_id) != request.record:
+        if self._may_have_news(request.record, now_ms):
             if not self._has_leader():
                 return REFUSED
-            return self._forward(request, deadline_ms)
+            return self._pass_on(request, deadline_ms, now_ms)
         with self._lock:
             self._heard_ms = now_ms
             if now_ms - self._confirmed_ms >= CONFIRMED_FOR_MS:
@@ -98,11 +103,7 @@
             if now_ms - self._heard_ms >= IDLE_AFTER_MS:
                 self._confirmed_ms = now_ms
                 return
-            self._latest = {
-                target_id: (row, arrived_ms)
-                for target_id, (row, arrived_ms) in self._latest.items()
-                if now_ms - arrived_ms < MAX_AGE_MS
-            }
+            self._drop_outdated(now_ms)
             wanted = self._latest if is_handover else self._pending
             pending = [self._latest[each] for each in wanted if each in self._latest]
             self._pending = set()
@@ -121,6 +122,39 @@
             if self._first_number is not None and reply.number >= self._first_number:
                 self._first_number = None
 
+    def _may_have_news(self, record, now_ms):
+        """Whether the leader may know another record of a worker than this one.
+
+        The copy of the log may lag behind. A worker that changes and changes back would
+        then seem to repeat what the log has.
+        """
+        if self._committed_record(record.target_id) != record:
+            return True
+        with self._lock:
+            changed_ms = self._changed_ms.get(record.target_id)
+        return changed_ms is not None and now_ms - changed_ms < COPY_LAG_MS
+
+    def _pass_on(self, request, deadline_ms, now_ms):
+        """Pass a heartbeat on to the leader."""
+        record = request.record
+        if self._committed_record(record.target_id) != record:
+            with self._lock:
+                self._changed_ms[record.target_id] = now_ms
+        return self._forward(request, deadline_ms)
+
+    def _drop_outdated(self, now_ms):
+        """Drop what no batch and no heartbeat needs any more."""
+        self._latest = {
+            target_id: (row, arrived_ms)
+            for target_id, (row, arrived_ms) in self._latest.items()
+            if now_ms - arrived_ms < MAX_AGE_MS
+        }
+        self._changed_ms = {
+            target_id: changed_ms
+            for target_id, changed_ms in self._changed_ms.items()
+            if now_ms - changed_ms < COPY_LAG_MS
+        }
+
     def _add(self, request, now_ms):
         record = request.record
         latest, _arrived_ms = self._latest.get(record.target_id, (None, 0))
