--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -233,10 +233,14 @@
 def clear_runs_in_doubt(leader, worker):
     """Resolve the runs in doubt on a worker as lost, without blame for a crash.
 
-    They did not crash the worker, or it will never be known whether they did.
+    They did not crash the worker, or it will never be known whether they did. One that
+    may still be there stays in doubt until its end is known: a new leader would not
+    know it otherwise.
     """
     for key, run_number in worker.runs_in_doubt:
-        runs.resolve(leader, key, run_number, "lost")
+        run = worker.runs.get(key)
+        if run is None or run.run != run_number:
+            runs.resolve(leader, key, run_number, "lost")
     worker.runs_in_doubt = {}
 
 
--- a/tests/cell_capacity_reports_test.py
+++ b/tests/cell_capacity_reports_test.py
@@ -179,3 +179,35 @@
         sim.elect()
         cell_sim.submit_job(sim, "j1", cell_sim.step(2))
         assert sim.run(500, lambda: any(w.running for w in sim.workers.values()))
+
+
+def test_runs_that_a_leader_does_not_know_take_their_part_of_the_capacity(tmp_path):
+    """Guards against starts beside a run that is still being stopped after the second
+    of two takeovers: the first leader gave the run up behind a cut, the second one
+    learned that the worker had not crashed and stopped it.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        worker = _worker(sim, work_ms=60_000)
+        worker.stop_ms = 2_500
+        step = cell_sim.step(1, cpu_millis=4000, allow_duplicates=True)
+        cell_sim.submit_job(sim, "j1", step)
+        assert sim.run(1_000, lambda: worker.running)
+        _cut_off(sim, worker)
+        assert sim.run(3_000, lambda: sim.events_of("run_abandoned"))
+        _replace_leader(sim)
+        sim.cut = set()
+        (run,) = worker.running.values()
+        assert sim.run(1_000, lambda: run.stopped_at_ms is not None)
+        _replace_leader(sim)
+        sim.announce(worker)
+        assert sim.run(3_000, lambda: run not in worker.running.values())
+        sim.run_until_state("j1", "running")
+        sim.run(2_000)
+        assert worker.running
+
+
+def _replace_leader(sim):
+    old = sim.leader()
+    sim.crash(old)
+    sim.elect()
+    sim.start(old)
