--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -128,12 +128,15 @@
     until its first list tells which runs it has.
     ``has_seen_epoch`` is set once the worker has seen the leader's epoch, and
     ``is_refusing`` if nothing listened there at the last call. ``has_unknown_runs`` is
-    set if its last list had runs that it should not have. ``poll`` is the open poll,
-    and ``first_failure_ms`` the time of the first failed call since the last answer.
+    set if its last list had runs that it should not have, whose resources are not
+    counted as used. ``poll`` is the open poll, and ``first_failure_ms`` the time of the
+    first failed call since the last answer.
     ``isolated_run`` is the last run that has to start alone here; nothing else starts
     until its start can no longer arrive. ``runs_in_doubt`` maps the (key, run) of runs
     that were given up, but may not be over, to how they ended if this incarnation is
     over. ``previous_ends`` does the same for the runs of the previous incarnation.
+    ``gang_ends`` maps the (task, run) of members of gangs of which another worker
+    listed the end to its time; a poll sent before may still list them.
     ``capacity_report`` is the ``capacity_reports.Report`` of this incarnation that told
     the capacity in ``record``, None if there is none yet. It is valid for
     ``capacity_valid_ms``.
@@ -169,6 +172,7 @@
         self.failures = 0
         self.first_failure_ms = None
         self.runs_in_doubt = {}
+        self.gang_ends = {}
         self.previous_ends = {}
         self.is_refusing = False
         self.lease_end_ms = lease_end_ms
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -245,6 +245,7 @@
             continue
         if end_kind == "done":
             end_run(leader, worker, run, end_kind, checkpoint)
+            worker.gang_ends[(str(run.key), run.run)] = leader.now_ms()
         else:
             close_run(leader, worker, run, stopping.GANG)
 
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -202,6 +202,7 @@
             listed[entry.task] = entry
         elif sent_ms > run.answered_ms and not result.has_more_ends:
             _handle_missing(leader, worker, run)
+    _drop_ended_with_gang(worker, listed, sent_ms)
     # The stops below have no result here. Their runs are listed until they are gone.
     worker.has_unknown_runs = bool(listed)
     for entry in listed.values():
@@ -216,6 +217,15 @@
         )
 
 
+def _drop_ended_with_gang(worker, listed, sent_ms):
+    """Drop the listed runs that have ended with their gang since the poll was sent."""
+    for (task, run_number), ended_ms in worker.gang_ends.items():
+        entry = listed.get(task)
+        if entry is not None and entry.run == run_number and sent_ms <= ended_ms:
+            del listed[task]
+    worker.gang_ends = {}
+
+
 def _update_progress(leader, worker, run, entry, now_ms):
     leader.confirm_run(run)
     worker.previous_ends.pop((run.key, run.run), None)
