--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -285,6 +285,7 @@
         """Whether new runs may be placed on this worker."""
         return (
             self.has_seen_epoch
+            and not self.has_unknown_runs
             and not self.is_leaving
             and self.record.state == "ready"
             and self.failures < DOUBTFUL_FAILURES
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -46,6 +46,7 @@
         not worker.runs
         or not worker.has_seen_epoch
         or worker.failures
+        or worker.has_unknown_runs
         or any(run.state == workers.CLOSED for run in worker.runs.values())
     )
     longest_ms = leader.lease_ms() // POLLS_PER_LEASE
--- a/tests/cell_capacity_reports_test.py
+++ b/tests/cell_capacity_reports_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from alderreach.core import orders
-from alderreach.core.generated import common
+from alderreach.core.generated import cell, common
 from alderreach.ops.controller import requests
 from tests import cell_sim
 from tools.standins import cell_worker
@@ -211,3 +211,29 @@
     sim.crash(old)
     sim.elect()
     sim.start(old)
+
+
+def test_a_run_that_nobody_knows_takes_its_part_of_the_capacity(tmp_path):
+    """Guards against starts beside a run that its leader did not expect: a start for a
+    cancelled job was held up, and began on the worker's next incarnation before any
+    call of the leader. Its stop takes a while.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        sim.keeps_calls_over_restarts = sim.delivers_late_calls_in_cuts = True
+        worker = _worker(sim, work_ms=60_000)
+        sim.call_delay_ms = lambda call: 2_500 if _is_start(call.order) else 0
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1, cpu_millis=4000))
+        sim.run(500)
+        sim.wait_for_answer(sim.request(cell.CancelJob("a.example", "/q/j1")))
+        sim.run(500)
+        _cut_off(sim, worker)
+        worker.restart()
+        worker.stop_ms = 400
+        assert sim.run(3_000, lambda: worker.running)
+        sim.cut = set()
+        sim.call_delay_ms = lambda call: 0
+        sim.announce(worker)
+        cell_sim.submit_job(sim, "j2", cell_sim.step(1, cpu_millis=4000))
+        sim.run_until_state("j2", "running")
+        assert sim.run(2_000, lambda: "j2.0.0.0" in worker.running)
+        assert sim.events_of("unknown_run_stopped")
