--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -130,6 +130,8 @@
         self.targets = {}
         self.jobs = {}
         self.ended = {}
+        # The time of the latest batch, 0 if unknown; not part of snapshots.
+        self.wall_ms = 0
 
 
 def empty_change():
@@ -170,6 +172,7 @@
     """Apply all changes of a ``cell.CellBatch`` in order."""
     for change in batch.changes:
         apply(state, change, batch.wall_ms)
+    state.wall_ms = batch.wall_ms
 
 
 def find_task(state, key):
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -10,6 +10,7 @@
 from alderreach.core.generated import cell
 from alderreach.ops import leader_calls, settings_watch
 from alderreach.ops.controller import (
+    cell_time,
     discovery,
     heartbeats,
     leader_state,
@@ -64,6 +65,7 @@
         self._query_service = query_service
         self._record = record
         self._peers = discovery.RecentPeers()
+        self._log_time = cell_time.LogTime()
         self._term = None
         self._own_address = context.settings.listen.peers
         self._next_housekeeping_ms = 0
@@ -142,6 +144,7 @@
 
     def tick(self, now_ms):
         """Do the work that is due at ``now_ms``."""
+        self._log_time.observe(self._port.get_state().cell.wall_ms, now_ms)
         self.finder.tick(now_ms)
         has_leader = bool(self._port.leader_address())
         self.heartbeats.tick(now_ms, self._port.node.term if has_leader else None)
@@ -237,7 +240,10 @@
 
     def _cell_offset_ms(self):
         now_ms = self._clock.monotonic_ms()
-        return self._peers.cell_offset_ms(self._clock.wall_ms(), now_ms)
+        offset_ms = self._peers.cell_offset_ms(self._clock.wall_ms(), now_ms)
+        if self._peers.has_enough_clocks(now_ms):
+            return offset_ms
+        return self._log_time.bounded_ms(offset_ms)
 
     def _make_time_check(self):
         """Return a function that says whether a new term can rely on the cell's time.
