--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -282,6 +282,18 @@
     task.failed_run = ended.run
 
 
+def failure_count_with(job, key, run):
+    """Return how many runs of a task, or of its gang, have failed if this one has.
+
+    Several members of a gang may fail in one run, which counts once.
+    """
+    count = failure_count(job, *key[1:])
+    tasks = job.groups[(key.occurrence, key.step)]
+    is_gang = job.record.steps[key.step].gang
+    is_counted = is_gang and any(task.failed_run == run for task in tasks)
+    return count if is_counted else count + 1
+
+
 def failure_count(job, occurrence, step, index):
     """Return how many runs of a task, or of the gang it belongs to, have failed."""
     tasks = job.groups[(occurrence, step)]
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -82,7 +82,7 @@
         return
     _update_health(leader, worker, run, end_kind)
     step = job.record.steps[key.step]
-    is_final = _is_final(leader, job, key, end_kind)
+    is_final = _is_final(leader, job, key, run.run, end_kind)
     ended = cell.RunEnded(*key, run.run, end_kind, checkpoint, is_final)
     leader.decide(ended=[ended])
     if end_kind == "done":
@@ -108,7 +108,7 @@
     job = leader.state.jobs.get(key.job_id)
     if job is None:
         return
-    is_final = _is_final(leader, job, key, end_kind)
+    is_final = _is_final(leader, job, key, run_number, end_kind)
     ended = cell.RunEnded(*key, run_number, end_kind, "", is_final)
     leader.decide(ended=[ended])
     leader.on_run_ended(key.job_id, key.occurrence, key.step)
@@ -185,10 +185,10 @@
         return None
 
 
-def _is_final(leader, job, key, end_kind):
-    """Whether a task is given up after a run with this kind of end."""
+def _is_final(leader, job, key, run_number, end_kind):
+    """Whether a task is given up after this run, which ended so."""
     if end_kind == "failed" and not job.record.steps[key.step].long_running:
-        failed = cell_state.failure_count(job, *key[1:]) + 1
+        failed = cell_state.failure_count_with(job, key, run_number)
         return failed >= leader.queue_of(job).max_attempts
     if end_kind not in crashes.BLAME:
         return False
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -164,8 +164,9 @@
         if end.how == DONE:
             self.acknowledged.update(self._tasks_ending_with(end.task))
 
-    def on_run_ended(self, task, how):
+    def on_run_ended(self, end):
         """A run has ended on a worker."""
+        task, how = end.task, end.how
         self.record(f"{task} ends: {how}")
         if how != DONE:
             return
--- a/tools/standins/cell_worker.py
+++ b/tools/standins/cell_worker.py
@@ -215,7 +215,7 @@
         self.highest_closed_run[task] = max(self.highest_closed_run.get(task, 0), run)
         self.ends.append(orders.ListedEnd(self.next_end, task, run, how, ""))
         self.next_end += 1
-        self.world.on_run_ended(task, how)
+        self.world.on_run_ended(self.ends[-1])
 
     def _result(self, outcome):
         return orders.OrderResult(outcome, self.clock_ms())
--- a/tools/standins/platform_worker.py
+++ b/tools/standins/platform_worker.py
@@ -46,7 +46,7 @@
     def on_end_acknowledged(self, end):
         """Ignore acknowledged ends."""
 
-    def on_run_ended(self, task, how):
+    def on_run_ended(self, end):
         """Ignore ends."""
 
     def may_end(self, task):
