--- a/alderreach/decisions/cell/capacity_reports.py
+++ b/alderreach/decisions/cell/capacity_reports.py
@@ -1,27 +1,26 @@
 """How long starts may rely on the capacity that a worker reported.
 
-A worker's capacity may become smaller at any time, and only its heartbeats tell it. An
-answer to an order or a poll shows that the worker runs, but says nothing about its
+A worker's capacity may become smaller at any time, and only its heartbeats report it.
+An answer to an order or a poll shows that the worker runs, but says nothing about its
 capacity. So a report is valid for a limited time after it was *sent*, and only for the
 incarnation that sent it. No start that relies on it may be carried out later than that.
 
 A heartbeat may be delayed on its way. Its age is therefore taken from the worker's own
 clock, which it contains. The leader never estimates that clock too high, so a report
-never seems older than it is, and younger by less than the fastest answer took.
+may seem younger than it is by the error of that estimate, but never older.
 """
 
 import math
 import typing
 
-# Covers a worker's clock that is 2 % slow, the rounding of clocks, and the fastest
-# answer from which the offset of the worker's clock is known.
+# Covers a worker's clock that is 2 % slow, and the error in the offset of that clock.
 VALIDITY_MARGIN_MS = 200
 # A start relies on a report for at least this time, in which it is committed and sent.
 START_MS = 500
 
 
 class Report(typing.NamedTuple):
-    """The last heartbeat that told a worker's capacity."""
+    """The last heartbeat that reported a worker's capacity."""
 
     received_ms: int
     clock_ms: int
@@ -31,8 +30,8 @@
 def validity_ms(heartbeat_ms, grace_ms):
     """How long a report is valid after it was sent.
 
-    The next one is due after ``heartbeat_ms``, and starts may exceed what it tells for
-    ``grace_ms``.
+    The next one is due after ``heartbeat_ms``, and starts may exceed the capacity in it
+    for ``grace_ms``.
 
     >>> validity_ms(1500, 3000)
     4300
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -137,8 +137,8 @@
     over. ``previous_ends`` does the same for the runs of the previous incarnation.
     ``gang_ends`` maps the (task, run) of members of gangs of which another worker
     listed the end to its time; a poll sent before may still list them.
-    ``capacity_report`` is the ``capacity_reports.Report`` of this incarnation that told
-    the capacity in ``record``, None if there is none yet. It is valid for
+    ``capacity_report`` is the ``capacity_reports.Report`` of this incarnation that
+    reported the capacity in ``record``, None if there is none yet. It is valid for
     ``capacity_valid_ms``.
     """
 
@@ -209,7 +209,7 @@
         self.failures += 1
 
     def record_heartbeat(self, clock_ms, received_ms):
-        """Record a heartbeat of this incarnation that told the capacity in ``record``.
+        """Record a heartbeat of this incarnation that reports what is in ``record``.
 
         ``clock_ms`` is the worker's clock at sending, -1 if unknown.
         """
--- a/alderreach/ops/controller/heartbeats.py
+++ b/alderreach/ops/controller/heartbeats.py
@@ -7,8 +7,8 @@
 state, address or capacity) goes to the leader at once and is acknowledged once the news
 is committed.
 
-A new leader knows no worker's capacity before a heartbeat tells it. Until it answers a
-batch, each has the latest heartbeats of the time before its election, with their ages.
+A new leader knows no worker's capacity before a heartbeat reports it. Until it answers
+a batch, each has the latest heartbeats of the time before its election and their ages.
 
 A controller that has had no reply to its batches for ``CONFIRMED_FOR_MS`` refuses
 heartbeats without news, so that their workers turn to another controller. While it
@@ -35,7 +35,7 @@
 # The copy of the log is at most this old: without replies from the leader, heartbeats
 # are refused sooner.
 COPY_LAG_MS = 2 * CONFIRMED_FOR_MS
-# A new leader has no use for heartbeats older than this: they tell no valid capacity.
+# A new leader has no use for heartbeats older than this: they report no valid capacity.
 MAX_AGE_MS = 6000
 # Batches end when no worker has used this controller for this time.
 IDLE_AFTER_MS = 15_000
