--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -33,6 +33,7 @@
 MAX_CLOCK_LAG_MS = 3000
 # After one order or poll without an answer a worker is not used until the next answer.
 DOUBTFUL_FAILURES = 1
+# By the default settings of a controller.
 DEFAULT_CAPACITY_VALID_MS = capacity_reports.validity_ms(1500, 3000)
 
 
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -240,10 +240,9 @@
 
     def _cell_offset_ms(self):
         now_ms = self._clock.monotonic_ms()
-        offset_ms = self._peers.cell_offset_ms(self._clock.wall_ms(), now_ms)
-        if self._peers.has_enough_clocks(now_ms):
-            return offset_ms
-        return self._log_time.bounded_ms(offset_ms)
+        return self._peers.cell_offset_ms(
+            self._clock.wall_ms(), now_ms, self._log_time.bounded_ms
+        )
 
     def _make_time_check(self):
         """Return a function that says whether a new term can rely on the cell's time.
--- a/alderreach/ops/controller/discovery.py
+++ b/alderreach/ops/controller/discovery.py
@@ -177,14 +177,18 @@
             if now_ms - peer.last_contact_ms > 10 * CONTACT_TIMEOUT_MS:
                 del self._peers[address]
 
-    def cell_offset_ms(self, own_wall_ms, now_ms):
+    def cell_offset_ms(
+        self, own_wall_ms, now_ms, bounded_ms=lambda offset_ms: offset_ms
+    ):
         """The offset of the cell's time from the monotonic clock: the median of all.
 
         Wall clocks of single VMs jump by seconds and back. The median stays correct
-        while fewer than half of the processes have a wrong clock.
+        while fewer than half of the processes have a wrong clock. With fewer than
+        ``MIN_PEER_CLOCKS`` others it is ``bounded_ms`` of the median.
         """
-        offsets = [own_wall_ms - now_ms, *self._offsets(now_ms)]
-        return int(statistics.median_low(offsets))
+        offsets = self._offsets(now_ms)
+        median_ms = int(statistics.median_low([own_wall_ms - now_ms, *offsets]))
+        return bounded_ms(median_ms) if len(offsets) < MIN_PEER_CLOCKS else median_ms
 
     def has_enough_clocks(self, now_ms):
         """Whether there are enough recent peers that one wrong clock is outvoted."""
