--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -16,15 +16,20 @@
 
 import urllib3
 
-from alderreach.core.generated import common
 from tools import cell, relay
-from tools.soak import answers, cancels, linked_cell, operators, silences
+from tools.soak import (
+    answers,
+    cancels,
+    capacities,
+    linked_cell,
+    operators,
+    silences,
+)
 from tools.soak import callers as callers_module
 from tools.soak import faults as faults_module
 from tools.soak import promises as promises_module
 from tools.standins import permissions, platform_worker
 
-CPU_MILLIS = 8000
 WORK_MS = (60, 250, 900)
 # Time to recover after the last fault: elections, leases of 4.5 s, connections whose
 # data the kernel buffers.
@@ -92,7 +97,6 @@
         super().__init__(name, address, controls, work_ms=work_ms, world=promises)
         self.announced_address = announced_address
         self.link = link
-        self.worker.capacity = common.Resources(CPU_MILLIS, 16384, 0)
         self.worker.permits = self._permits
         promises.workers.append(self.worker)
 
@@ -183,8 +187,9 @@
         stack.callback(operator.stop)
         faults = faults_module.Faults(running, links, workers, start_worker, seed)
         silencing = _silences(running, [links, silent_links], seed, faults, promises)
+        shrinking = _capacity_changes(seed, faults, promises)
         stack.enter_context(_watch(promises, running.folder / "probe"))
-        faults.play(duration_s, [silencing.play])
+        faults.play(duration_s, [silencing.play, shrinking.play])
         silencing.play(time.monotonic() + SILENCES_S)
         calling.is_calm = True
         operator.stop()
@@ -308,6 +313,16 @@
     return silences.Silences(running, call_links, seed, on_silence)
 
 
+def _capacity_changes(seed, faults, promises):
+    """Changes of capacities that are recorded as faults and in the time line."""
+
+    def on_change(text):
+        faults.record("capacity", 0, text)
+        promises.record(text)
+
+    return capacities.Capacities(promises, seed, on_change)
+
+
 def _silence_once(silencing, promises):
     """Silence connections in a calm time, which is disturbed for a moment."""
     with promises.lock:
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -19,6 +19,9 @@
 # A replaced version of the configuration may be in force for this time after the
 # acknowledgement of its successor: starts of its time are still on their way.
 CONFIG_APPLY_MS = 2500
+# How long a start may need what a worker had before: an interval of heartbeats, by the
+# default settings of a controller, and their grace.
+CAPACITY_GRACE_MS = 4500
 # Half of the election timeout: a voter that syncs more slowly is not calm.
 SLOW_SYNC_MS = 250
 SLOW_SYNC = "a sync of the machine's disk"
@@ -282,7 +285,7 @@
 
     def _check_capacity(self, worker, order):
         used = sum(self._cpu_demand(task) for task in [*worker.running, order.task])
-        if used > worker.capacity.cpu_millis:
+        if used > worker.largest_cpu_millis(CAPACITY_GRACE_MS):
             self.violations.append(
                 f"{worker.name} is over its capacity by {order.task}"
             )
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -27,6 +27,7 @@
     "stall": "n",
     "clock": "h",
     "silent": "q",
+    "capacity": "y",
 }
 
 
--- a/tools/standins/platform_worker.py
+++ b/tools/standins/platform_worker.py
@@ -14,6 +14,7 @@
 import urllib3
 
 from alderreach.core import orders
+from alderreach.core.generated import common
 from alderreach.utils import clocks, http_server
 from tools.standins import cell_worker
 
@@ -73,7 +74,8 @@
         self._service = service
         world = world or World()
         self._lock = getattr(world, "lock", None) or threading.Lock()
-        self.worker = cell_worker.Worker(world, name, None)
+        capacity = common.Resources(8000, 16384, 0)
+        self.worker = cell_worker.Worker(world, name, capacity)
         self.worker.script = cell_worker.Script(work_ms)
         self._http = urllib3.PoolManager(retries=False, timeout=1)
         self._stopping = threading.Event()
@@ -185,7 +187,11 @@
             "slots": 8,
             "state": self.worker.state,
             "cold_remaining_ms": 0,
-            "capacity": {"cpu": 8000, "mem_mb": 16384, "gpu": 0},
+            "capacity": {
+                "cpu": self.worker.capacity.cpu_millis,
+                "mem_mb": self.worker.capacity.memory_mb,
+                "gpu": self.worker.capacity.accelerators,
+            },
             "labels": ["a", "r1"],
             "clock_ms": self.worker.clock_ms(),
             "sequence": turn,
