--- a/tests/cell_capacity_reports_test.py
+++ b/tests/cell_capacity_reports_test.py
@@ -10,8 +10,8 @@
 
 FULL = common.Resources(4000, 64_000, 0)
 SMALL = common.Resources(1000, 64_000, 0)
-# A start may still need what a worker had before, as long as no heartbeat was due that
-# reached its leader: for the time in which the leader may rely on the previous one.
+# How long after a worker has shrunk starts may still exceed its capacity: the interval
+# of heartbeats and the grace, by the default settings.
 GRACE_MS = 4500
 FOREVER = 1_000_000
 
