--- a/tests/cell_random_test.py
+++ b/tests/cell_random_test.py
@@ -157,14 +157,18 @@
         """Return the state in which an accepted job that was not cancelled must end."""
         return "completed"
 
-    def recover(self):
-        """Repair all failures; accepted jobs must end, and no task may keep running."""
+    def repair(self):
+        """Repair all failures, and wait until all requests are answered."""
         self.sim.call_delay_ms = lambda call: 0
         self.sim.loses_answer = lambda call: False
         self.restore_workers()
         self.restore_controllers()
         self.sim.run(15_000)
         self.collect_replies()
+
+    def recover(self):
+        """Repair all failures; accepted jobs must end, and no task may keep running."""
+        self.repair()
         for job_id in sorted(self.accepted):
             shown = self.expected_state(job_id)
             if job_id in self.cancelled:
