--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -130,8 +130,11 @@
     )
     ends = _ends_of_runs(leader, worker)
     for run in sent:
-        end_kind = ends.get((run.key, run.run), "lapsed")
-        if end_kind in crashes.BLAME and not worker.is_refusing:
+        # A restart before the first list proves the end of the previous incarnation.
+        proved_kind = worker.previous_ends.get((run.key, run.run))
+        end_kind = proved_kind or ends.get((run.key, run.run), "lapsed")
+        is_proved = proved_kind is not None or worker.is_refusing
+        if end_kind in crashes.BLAME and not is_proved:
             worker.runs_in_doubt[(run.key, run.run)] = end_kind
             end_kind = crashes.EXPIRED
         runs.end_run(leader, worker, run, end_kind, run.checkpoint)
--- a/tests/cell_crashing_task_test.py
+++ b/tests/cell_crashing_task_test.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from alderreach.core import orders
+from alderreach.core import crashes, orders
 from tests import cell_sim
 from tools.standins import cell_worker
 
@@ -251,3 +251,26 @@
             sim.start(old)
         assert starts[CULPRIT] <= MAX_STARTS
         assert sim.read_job("j1").text == "failed"
+
+
+@pytest.mark.parametrize("state", ["ready", "draining"])
+def test_a_crash_that_a_restart_proves_counts_though_the_lease_expires_first(
+    tmp_path, state
+):
+    """Guards against a task that crashes more workers than allowed: its worker has
+    restarted, but gives no answer before the lease of the previous incarnation is over.
+    """
+    with cell_sim.running_cell(tmp_path, workers=1) as sim:
+        (worker,) = sim.workers.values()
+        worker.script = cell_worker.Script(work_ms=60_000)
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        assert sim.run(1_000, lambda: worker.running)
+        sim.run(100)
+        sim.loses_answer = lambda call: True
+        worker.crash()
+        worker.restart()
+        worker.state = state
+        sim.announce(worker)
+        assert sim.run(10_000, lambda: sim.events_of("lease_expired"))
+        (ended,) = sim.events_of("run_ended")
+        assert ended["how"] in crashes.BLAME
