--- a/alderreach/core/orders.py
+++ b/alderreach/core/orders.py
@@ -11,7 +11,8 @@
 
 # Outcomes of an order. Only OK says that it was executed. NOT_EXECUTED lists the
 # outcomes after which this copy of the order certainly was not. After UNKNOWN it may
-# or may not have been. NOT_SENT says nothing about the worker.
+# or may not have been, and after OVERTAKEN too, but then the worker has answered a call
+# that was sent later. NOT_SENT says nothing about the worker.
 OK = "ok"
 FENCED = "fenced"
 STALE_RUN = "stale_run"
@@ -24,6 +25,7 @@
 CONNECTION_REFUSED = "not_listening"
 NOT_SENT = "not_sent"
 UNKNOWN = "unknown"
+OVERTAKEN = "overtaken"
 NOT_EXECUTED = (
     LEASE_EXPIRED,
     NO_CAPACITY,
@@ -115,6 +117,8 @@
     detail: str = ""
     lost_connection: bool = False
     """The connection closed before the response arrived, as when a worker crashes."""
+    copies: int = 1
+    """How many copies were sent at once; the others may still be carried out."""
 
 
 class PollResult(typing.NamedTuple):
@@ -129,3 +133,5 @@
     detail: str = ""
     has_more_ends: bool = False
     """The list of ends may have been cut, so a run in neither list may have ended."""
+    copies: int = 1
+    """How many copies of the poll were sent at once."""
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -6,6 +6,8 @@
 
 - ``ORDERED``: recorded, but not yet confirmed by the worker.
 - ``RUNNING``: confirmed by the worker.
+- ``REFUSED``: no copy of the start will be carried out from now on; a poll sent after
+  that tells whether one was before.
 - ``CLOSING``: to be stopped; the worker has not confirmed the stop yet.
 - ``CLOSED``: the worker confirmed the stop; a poll sent after that tells how it ended.
 
@@ -15,10 +17,11 @@
 
 from alderreach.core import orders
 from alderreach.core.generated import common
-from alderreach.decisions.cell import capacity_reports, health
+from alderreach.decisions.cell import call_losses, capacity_reports, health
 
 ORDERED = "ordered"
 RUNNING = "running"
+REFUSED = "refused"
 CLOSING = "closing"
 CLOSED = "closed"
 
@@ -118,7 +121,11 @@
 
     def is_start_unanswered(self):
         """Whether the start may still arrive: neither it nor a stop is confirmed."""
-        return not self.is_confirmed and self.state != CLOSED
+        return not self.is_confirmed and self.state not in (REFUSED, CLOSED)
+
+    def awaits_list(self):
+        """Whether a list of the worker's runs is needed to tell how the run ended."""
+        return self.state in (REFUSED, CLOSED)
 
 
 class Worker:
@@ -130,8 +137,13 @@
     ``has_seen_epoch`` is set once the worker has seen the leader's epoch, and
     ``is_refusing`` if nothing listened there at the last call. ``has_unknown_runs`` is
     set if its last list had runs that it should not have, whose resources are not
-    counted as used. ``poll`` is the open poll, and ``first_failure_ms`` the time of the
-    first failed call since the last answer.
+    counted as used. ``poll`` is the open poll, ``superseded_polls`` are earlier ones
+    without an answer, with the times when they were sent, ``answered_poll_ms`` is the
+    time when the latest answered poll was sent, and ``slow_orders`` are those that were
+    slow when the open one was sent. ``needs_list`` is set if only the next list can end
+    a run. ``losses`` are the calls that the worker has lost, and ``copies`` in how many
+    copies its link sends each call. ``first_failure_ms`` is the time of the first
+    failed call since the last answer.
     ``isolated_run`` is the last run that has to start alone here; nothing else starts
     until its start can no longer arrive. ``runs_in_doubt`` maps the (key, run) of runs
     that were given up, but may not be over, to how they ended if this incarnation is
@@ -182,6 +194,12 @@
         self.cursor = 0
         self.poll_sent_ms = None
         self.poll = None
+        self.superseded_polls = []
+        self.answered_poll_ms = -1
+        self.slow_orders = ()
+        self.needs_list = False
+        self.losses = call_losses.CallLosses()
+        self.copies = 1
         self.polled_ms = now_ms
         self.poll_due_ms = now_ms
         self.paced_ms = now_ms
@@ -237,6 +255,8 @@
         self.incarnation += 1
         self.fence = fence
         self.poll_sent_ms = self.poll = None
+        self.superseded_polls = []
+        self.slow_orders = ()
         self.cursor = 0
         self.has_seen_epoch = False
         self.awaits_list = True
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -286,7 +286,10 @@
         self.links[record.target_id].return_starts()
         self.links[record.target_id].close()
         self.links[record.target_id] = self.environment.open_link(record, self.epoch)
-        for run in self.workers[record.target_id].runs.values():
+        worker = self.workers[record.target_id]
+        worker.slow_orders = ()
+        self.links[record.target_id].set_copies(worker.copies)
+        for run in worker.runs.values():
             if run.sends and run.state in (workers.ORDERED, workers.CLOSING):
                 run.next_send_ms = self.now_ms()
 
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -35,6 +35,8 @@
         worker.update_clock_offset(result.clock_ms, now_ms)
         worker.last_contact_ms = now_ms
     worker.record_call_outcome(result.outcome, now_ms)
+    if result.outcome == orders.OVERTAKEN:
+        worker.losses.record(now_ms)
     if result.outcome == orders.OTHER_INCARNATION:
         worker_lifecycle.end_incarnation(leader, worker)
         return
@@ -49,7 +51,7 @@
         worker_polls.poll(leader, worker)
     elif result.outcome == orders.OK:
         run.pace = message.order.percent
-    elif result.outcome == orders.UNKNOWN:
+    elif result.outcome in (orders.UNKNOWN, orders.OVERTAKEN):
         run.pace = None
 
 
@@ -65,7 +67,7 @@
         if worker.failures:
             run.next_send_ms = leader.now_ms() + RESEND_AFTER_MS
         else:
-            runs.send_start(leader, worker, run)
+            runs.repeat_start(leader, worker, run)
 
 
 def _handle_start_answer(leader, worker, run, message, now_ms):
@@ -74,12 +76,15 @@
     Only OK, or a proof that nothing ran, is conclusive.
     """
     result = message.result
-    if run.state != workers.ORDERED:
+    run.sends += result.copies - 1
+    if run.state not in (workers.ORDERED, workers.REFUSED):
         return
     if result.outcome == orders.OK:
-        run.state = workers.RUNNING
-        leader.confirm_run(run)
-        run.answered_ms = run.last_progress_ms = now_ms
+        runs.confirm(leader, worker, run, now_ms)
+        run.answered_ms = now_ms
+        return
+    if run.state == workers.REFUSED or message.order is not run.order:
+        # The answer to an earlier copy says nothing about the last one.
         return
     leader.environment.record(
         "start_not_taken",
@@ -99,7 +104,12 @@
         leader.pools.on_worker_changed(worker.target_id)
     if result.outcome in orders.NOT_EXECUTED and run.sends == 1:
         runs.end_run(leader, worker, run, "refused")
-    elif result.outcome == orders.UNKNOWN:
+    elif result.outcome in (orders.NO_TICKET, orders.LEASE_EXPIRED):
+        # The earlier copies expire no later than this one.
+        run.state, run.answered_ms = workers.REFUSED, now_ms
+        run.next_send_ms = None
+        worker.needs_list = True
+    elif result.outcome in (orders.UNKNOWN, orders.OVERTAKEN):
         is_at_start = now_ms - run.placed_ms < crash_blame.CRASH_DISCONNECT_MS
         run.lost_connection_at_start = run.lost_connection_at_start or (
             result.lost_connection and is_at_start
--- a/alderreach/ops/controller/order_lanes.py
+++ b/alderreach/ops/controller/order_lanes.py
@@ -1,10 +1,14 @@
 """Decides which order to a worker is sent next, and on which of its connections.
 
-Starts and paces are sent one at a time on the first lane, since the blame for a crash
-depends on which start was the last to reach the worker. A stop must not wait for other
-runs' orders that hang: it goes before them, and on a further lane if every open one is
-slow to be answered. It may overtake the start of its own run, which a worker rejects
-afterwards. A lane is a connection, so none is opened while the worker answers.
+Starts and paces are sent one at a time, since the blame for a crash depends on which
+start was the last to reach the worker. An order that is slow to be answered holds up
+those behind it until it is *overtaken*: the worker has answered a call that was sent
+later, so it runs, and has not restarted since. Then they go on a further lane.
+
+A stop must not wait for other runs' orders that hang: it goes before them, and on a
+further lane if every open one is slow to be answered. It may overtake the start of its
+own run, which a worker rejects afterwards. A lane is a connection, so none is opened
+while the worker answers.
 """
 
 import collections
@@ -37,6 +41,9 @@
         # Orders in progress by lane, and those lanes whose order is slow.
         self._in_progress = {}
         self._slow = set()
+        # Lanes whose order is slow and was overtaken, or superseded by another one.
+        self._overtaken = set()
+        self._superseded = set()
         self._open_count = 1
 
     def add(self, order):
@@ -45,16 +52,20 @@
         A Stop replaces the starts and paces of its run, and a Pace the earlier ones. A
         start would otherwise be sent seconds after its run was given up, and a pace
         seconds after a newer one was decided. A dropped order gets no result, nor does
-        a second copy of a stop.
+        a second copy of a stop, unless the first one was overtaken. A repeated start
+        goes before those that were not sent yet.
         """
         if isinstance(order, orders.Stop):
-            if order not in self._stops and order not in self._in_progress.values():
+            if order not in self._stops and order not in self._orders_not_overtaken():
                 self.withdraw(order.task, order.run)
                 self._stops.append(order)
             return
         if isinstance(order, orders.Pace):
             self._drop(lambda each: _is_pace_of_same_run(each, order))
-        self._others.append(order)
+        if isinstance(order, orders.Start) and self._is_repeated(order):
+            self._others.appendleft(order)
+        else:
+            self._others.append(order)
 
     def withdraw(self, task, run):
         """Drop the starts and paces of a run that wait; they get no result."""
@@ -91,10 +102,35 @@
         """Record that the order in progress on a lane is slow to be answered."""
         self._slow.add(lane)
 
+    def slow_orders(self):
+        """Return the orders that are slow to be answered and were not overtaken.
+
+        Callable from any thread, as ``count_before``.
+        """
+        lanes = self._slow - self._overtaken
+        found = [self._in_progress.get(lane) for lane in lanes] if lanes else ()
+        return [order for order in found if order is not None]
+
+    def overtake(self, order):
+        """Record that the worker has answered a call sent after this slow order."""
+        for lane in self._slow:
+            if self._in_progress[lane] is order:
+                self._overtaken.add(lane)
+
+    def supersede(self):
+        """Let the next order go beside all that are in progress."""
+        self._superseded = set(self._in_progress)
+
+    def is_overtaken(self, lane):
+        """Whether the order in progress on a lane was overtaken."""
+        return lane in self._overtaken
+
     def finish(self, lane):
         """Record that the order in progress on a lane has its result."""
         del self._in_progress[lane]
         self._slow.discard(lane)
+        self._overtaken.discard(lane)
+        self._superseded.discard(lane)
         if not self._in_progress:
             self._open_count = 1
 
@@ -122,18 +158,34 @@
         kept = [each for each in self._others if not is_obsolete(each)]
         self._others = collections.deque(kept)
 
+    def _orders_not_overtaken(self):
+        return [
+            order
+            for lane, order in self._in_progress.items()
+            if lane not in self._overtaken
+        ]
+
+    def _is_repeated(self, start):
+        """Whether another copy of a start is in progress."""
+        return any(
+            isinstance(order, orders.Start)
+            and (order.task, order.run) == (start.task, start.run)
+            for order in self._in_progress.values()
+        )
+
     def _free_lane(self, reserve):
-        """The lane for the next order, or None; opens one for a stop if needed."""
+        """The lane for the next order, or None; opens one if needed."""
         if 0 not in self._in_progress:
             return 0
-        if not self._stops:
+        passed = self._overtaken | self._superseded
+        if not self._stops and len(passed) < len(self._in_progress):
             return None
         lanes = range(1, self._open_count)
         free = next((lane for lane in lanes if lane not in self._in_progress), None)
         if free is not None:
             return free if reserve() else None
-        is_slow = len(self._slow) == self._open_count < MAX_LANES
-        if not is_slow or not reserve():
+        is_slow = len(self._slow | passed) == self._open_count
+        if not is_slow or self._open_count == MAX_LANES or not reserve():
             return None
         self._open_count += 1
         return self._open_count - 1
--- a/alderreach/ops/controller/order_lanes_test.py
+++ b/alderreach/ops/controller/order_lanes_test.py
@@ -70,6 +70,45 @@
     assert lanes.take() == [(3, stop(order_lanes.MAX_LANES))]
 
 
+def test_starts_go_beside_a_slow_order_that_was_overtaken():
+    """Guards against starts that wait for the timeout of an order that was lost."""
+    lanes = lanes_with(start(1), start(2), start(3))
+    (first,) = lanes.take()
+    assert not lanes.slow_orders()
+    lanes.overtake(first[1])
+    assert not lanes.take()
+    lanes.mark_slow(0)
+    assert lanes.slow_orders() == [start(1)]
+    lanes.overtake(first[1])
+    assert not lanes.slow_orders()
+    assert lanes.take() == [(1, start(2))]
+    lanes.mark_slow(1)
+    assert not lanes.take()
+
+
+def test_a_repeated_start_goes_before_those_that_were_not_sent():
+    """Guards against a lost start that is repeated behind all that came after it."""
+    lanes = lanes_with(start(1), start(2))
+    (first,) = lanes.take()
+    lanes.mark_slow(0)
+    lanes.overtake(first[1])
+    lanes.add(start(1))
+    assert lanes.waiting() == [start(1), start(2)]
+
+
+def test_an_order_that_supersedes_others_goes_beside_them():
+    """Guards against a poll that waits for the timeout of one that was lost."""
+    lanes = lanes_with("first")
+    lanes.take()
+    for lane in range(1, order_lanes.MAX_LANES):
+        lanes.supersede()
+        lanes.add(lane)
+        assert lanes.take() == [(lane, lane)]
+    lanes.supersede()
+    lanes.add("one too many")
+    assert not lanes.take()
+
+
 def test_a_worker_that_answers_again_gets_one_order_at_a_time():
     """Guards against connections that are made to a worker long after it has hung."""
     lanes = lanes_with(stop(1), stop(2))
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -5,6 +5,7 @@
 from alderreach.core import cell_state, crashes
 from alderreach.decisions.cell import workers
 from alderreach.ops.controller import (
+    lost_calls,
     order_answers,
     runs,
     stopping,
@@ -50,6 +51,7 @@
                 order_answers.resend(leader, worker, run)
             if run.stop is not None:
                 stopping.check(leader, worker, run, now_ms)
+        lost_calls.check(leader, worker, now_ms)
         is_first = not worker.has_seen_epoch and not worker.runs
         may_poll = not is_first or first_polls < MAX_FIRST_POLLS_PER_TICK
         if worker.poll_sent_ms is None and may_poll:
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -128,6 +128,23 @@
         close_run(leader, worker, run, stopping.DUPLICATE)
 
 
+def repeat_start(leader, worker, run):
+    """Send another copy of a start, with the newest lease and ticket there are.
+
+    Without a valid report of the worker's capacity, the lease stays as it is.
+    """
+    now_ms, valid_until_ms = leader.now_ms(), worker.capacity_valid_until_ms()
+    group = cell_state.GroupKey(*run.key[:3])
+    ticket = leader.permissions.ticket(group, worker.target_id, now_ms)
+    run.order = run.order._replace(ticket=ticket or run.order.ticket)
+    if now_ms < valid_until_ms and worker.clock_offset_ms is not None:
+        lease_until_ms = leader.grant_lease(worker, valid_until_ms)
+        run.order = run.order._replace(
+            lease_until_ms=max(lease_until_ms, run.order.lease_until_ms)
+        )
+    send_start(leader, worker, run)
+
+
 def send_start(leader, worker, run):
     """Send a start, and count the sends, since each of them may arrive late."""
     run.sends += 1
@@ -153,6 +170,25 @@
     stopping.note_sent(leader, run, order)
 
 
+def confirm(leader, worker, run, now_ms):
+    """Record that a worker has listed a run, or answered its start."""
+    leader.confirm_run(run)
+    worker.previous_ends.pop((run.key, run.run), None)
+    if run.state in (workers.ORDERED, workers.REFUSED):
+        run.state = workers.RUNNING
+        run.next_send_ms = None
+        run.last_progress_ms = now_ms
+
+
+def end_unlisted(leader, worker, run):
+    """End a run that a list sent after its last confirmation does not contain."""
+    if run.state == workers.REFUSED:
+        end_run(leader, worker, run, "refused")
+        return
+    end_kind = worker.previous_ends.get((run.key, run.run), "stopped")
+    end_run(leader, worker, run, end_kind, run.checkpoint)
+
+
 def schedule_poll(leader, worker, gap_ms=POLL_GAP_MS):
     """Schedule the next poll after a gap in which more runs may end."""
     if not worker.runs:
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -7,7 +7,7 @@
 from alderreach.core import cell_state, orders
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import health, pacing, workers
-from alderreach.ops.controller import runs, stopping, worker_lifecycle
+from alderreach.ops.controller import lost_calls, runs, stopping, worker_lifecycle
 
 # A worker may hold its answer to a poll for this time until a run ends. It is a quarter
 # of the time for which serving tasks may be disturbed by others.
@@ -47,21 +47,28 @@
         or not worker.has_seen_epoch
         or worker.failures
         or worker.has_unknown_runs
-        or any(run.state == workers.CLOSED for run in worker.runs.values())
+        or worker.losses.is_losing(now_ms)
+        or leader.links[worker.target_id].slow_orders()
+        or any(run.awaits_list() for run in worker.runs.values())
     )
     longest_ms = leader.lease_ms() // POLLS_PER_LEASE
     wait_ms = 0 if is_urgent else min(wait_ms, longest_ms)
-    worker.poll_sent_ms = worker.polled_ms = now_ms
-    worker.poll = orders.Poll(worker.fence, cursor, until_ms, wait_ms)
-    leader.links[worker.target_id].poll(worker.poll)
+    wanted = orders.Poll(worker.fence, cursor, until_ms, wait_ms)
+    lost_calls.send_poll(leader, worker, wanted, now_ms)
 
 
 def handle_poll_answer(leader, message):
     """Handle the answer to a worker's latest poll; ignore answers to older polls."""
     worker = leader.workers.get(message.target_id)
-    if worker is None or worker.poll_sent_ms is None or message.poll is not worker.poll:
+    if worker is None:
         return
     now_ms, result = leader.now_ms(), message.result
+    if lost_calls.is_superseded(worker, message.poll):
+        if lost_calls.on_superseded_answer(worker, message.poll, result, now_ms):
+            _poll_failed(leader, worker, result, now_ms)
+        return
+    if worker.poll_sent_ms is None or message.poll is not worker.poll:
+        return
     sent_ms, worker.poll_sent_ms = worker.poll_sent_ms, None
     if result.outcome == orders.OTHER_INCARNATION:
         worker_lifecycle.end_incarnation(leader, worker)
@@ -100,6 +107,7 @@
     if worker.awaits_list and not result.has_more_ends:
         worker_lifecycle.apply_first_list(leader, worker, result)
     _apply_running(leader, worker, result, sent_ms)
+    lost_calls.on_list(leader, worker, sent_ms, result)
     _adjust_pace(leader, worker, now_ms)
     _move_from_bad_worker(leader, worker, now_ms)
     if has_ends:
@@ -108,7 +116,8 @@
         worker.is_recording_ends = True
         leader.after_commit(lambda: _forget_ends(leader, worker, cursor, incarnation))
     else:
-        runs.schedule_poll(leader, worker, 0)
+        gap_ms = lost_calls.poll_gap_ms(leader, worker, now_ms)
+        runs.schedule_poll(leader, worker, gap_ms)
 
 
 def poll_if_due(leader, worker, now_ms):
@@ -228,12 +237,7 @@
 
 
 def _update_progress(leader, worker, run, entry, now_ms):
-    leader.confirm_run(run)
-    worker.previous_ends.pop((run.key, run.run), None)
-    if run.state == workers.ORDERED:
-        run.state = workers.RUNNING
-        run.next_send_ms = None
-        run.last_progress_ms = now_ms
+    runs.confirm(leader, worker, run, now_ms)
     if entry.percent != run.percent:
         run.percent, run.last_progress_ms = entry.percent, now_ms
     if run.first_ms is None and entry.percent > 0:
@@ -252,9 +256,8 @@
     """Handle a run that is missing in the list; it ends only after a confirmed stop."""
     if run.state == workers.ORDERED and run.sends == 0:
         return
-    if run.state == workers.CLOSED:
-        end_kind = worker.previous_ends.get((run.key, run.run), "stopped")
-        runs.end_run(leader, worker, run, end_kind, run.checkpoint)
+    if run.awaits_list():
+        runs.end_unlisted(leader, worker, run)
     elif run.state == workers.RUNNING or run.order is None:
         runs.close_run(leader, worker, run, stopping.NOT_LISTED)
 
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -221,6 +221,15 @@
     def return_starts(self):
         pass
 
+    def slow_orders(self):
+        return ()
+
+    def overtake(self, order):
+        pass
+
+    def set_copies(self, copies):
+        pass
+
     def poll(self, poll):
         self._world.call(lambda: self._poll(poll))
 
