--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -36,6 +36,9 @@
 # How long the state of an ended job can be read. A submission that is repeated later
 # than this would run again, so it is far longer than any caller keeps retrying.
 ENDED_JOB_RETENTION_MS = 600_000
+# The time between two log entries counts up to this towards a retention. A leader's
+# clock may be ahead by hours, and ended jobs must not become unknown for that.
+MAX_COUNTED_GAP_MS = 10_000
 
 # Default values of the Step fields that follow ``after``, for examples and tests.
 NO_STEP_OPTIONS = (False, False, False, "", "", 0, False, False, "", 0, False, 0)
@@ -96,6 +99,7 @@
 
     __slots__ = (
         "accepted_ms",
+        "ended_elapsed_ms",
         "ended_ms",
         "groups",
         "has_started",
@@ -110,6 +114,7 @@
         self.accepted_ms = accepted_ms
         self.state = ACTIVE
         self.ended_ms = 0
+        self.ended_elapsed_ms = 0
         self.has_started = False
         self.groups = {
             (occurrence, number): [Task() for _ in range(step.tasks)]
@@ -123,15 +128,20 @@
 
 
 class CellState:
-    """The replicated state; modified only by ``apply`` and ``load_part``."""
+    """The replicated state; modified only by ``apply`` and ``load_part``.
+
+    ``wall_ms`` is the time of the latest change, 0 if unknown. ``elapsed_ms`` is the
+    time that has passed between changes, without the jumps of wrong clocks, and
+    ``ended`` has its value at the end of each ended job, oldest first.
+    """
 
     def __init__(self):
         self.config = None
         self.targets = {}
         self.jobs = {}
         self.ended = {}
-        # The time of the latest batch, 0 if unknown; not part of snapshots.
         self.wall_ms = 0
+        self.elapsed_ms = 0
 
 
 def empty_change():
@@ -146,7 +156,8 @@
 
 def apply(state, change, wall_ms):
     """Apply one change; ``wall_ms`` is the time of its log entry."""
-    _drop_expired_jobs(state, wall_ms)
+    _advance_time(state, wall_ms)
+    _drop_expired_jobs(state)
     for config in change.configs:
         if state.config is None or config.version > state.config.version:
             state.config = config
@@ -172,7 +183,6 @@
     """Apply all changes of a ``cell.CellBatch`` in order."""
     for change in batch.changes:
         apply(state, change, batch.wall_ms)
-    state.wall_ms = batch.wall_ms
 
 
 def find_task(state, key):
@@ -305,16 +315,24 @@
 def _end_job(state, job, end_state, wall_ms):
     job.state = end_state
     job.ended_ms = wall_ms
-    state.ended[job.record.job_id] = wall_ms
+    job.ended_elapsed_ms = state.ended[job.record.job_id] = state.elapsed_ms
+
+
+def _advance_time(state, wall_ms):
+    """Count the time since the latest change, but no jump of a clock."""
+    if state.wall_ms:
+        gap_ms = max(0, wall_ms - state.wall_ms)
+        state.elapsed_ms += min(gap_ms, MAX_COUNTED_GAP_MS)
+    state.wall_ms = wall_ms
 
 
-def _drop_expired_jobs(state, wall_ms):
+def _drop_expired_jobs(state):
     """Drop jobs past their retention, except those with a task that may still run."""
-    oldest_ms = next(iter(state.ended.values()), wall_ms)
-    if wall_ms - oldest_ms < ENDED_JOB_RETENTION_MS:
+    latest_ms = state.elapsed_ms - ENDED_JOB_RETENTION_MS
+    if next(iter(state.ended.values()), latest_ms + 1) > latest_ms:
         return
     for job_id, ended_ms in list(state.ended.items()):
-        if wall_ms - ended_ms < ENDED_JOB_RETENTION_MS:
+        if ended_ms > latest_ms:
             return
         job = state.jobs[job_id]
         placed = any(
@@ -348,6 +366,7 @@
     ended_ms: int
     has_started: bool
     groups: list[list[TaskImage]]
+    ended_elapsed_ms: int = 0
 
 
 class StateImage(typing.NamedTuple):
@@ -356,12 +375,15 @@
     config: cell.CellConfig | None
     targets: list[cell.TargetRecord]
     ended: list[str]
+    wall_ms: int = 0
+    elapsed_ms: int = 0
 
 
 def dump(state):
     """Yield (kind, encoded value) for each part of the state."""
     config = codec.shortened(state.config)
-    image = StateImage(config, list(state.targets.values()), list(state.ended))
+    targets, ended = list(state.targets.values()), list(state.ended)
+    image = StateImage(config, targets, ended, state.wall_ms, state.elapsed_ms)
     yield "cell", msgspec.msgpack.encode(image)
     for job in state.jobs.values():
         image = _job_image(job)
@@ -379,11 +401,12 @@
         state.config = image.config
         state.targets = {record.target_id: record for record in image.targets}
         state.ended = dict.fromkeys(image.ended, 0)
+        state.wall_ms, state.elapsed_ms = image.wall_ms, image.elapsed_ms
     else:
         job = _restore_job(msgspec.msgpack.decode(data, type=JobImage))
         state.jobs[job.record.job_id] = job
         if job.record.job_id in state.ended:
-            state.ended[job.record.job_id] = job.ended_ms
+            state.ended[job.record.job_id] = job.ended_elapsed_ms
 
 
 def copy(state):
@@ -392,6 +415,7 @@
     other.config = state.config
     other.targets = dict(state.targets)
     other.ended = dict(state.ended)
+    other.wall_ms, other.elapsed_ms = state.wall_ms, state.elapsed_ms
     other.jobs = {
         job_id: _restore_job(_job_image(job)) for job_id, job in state.jobs.items()
     }
@@ -417,7 +441,13 @@
         for tasks in job.groups.values()
     ]
     return JobImage(
-        job.record, job.accepted_ms, job.state, job.ended_ms, job.has_started, groups
+        job.record,
+        job.accepted_ms,
+        job.state,
+        job.ended_ms,
+        job.has_started,
+        groups,
+        job.ended_elapsed_ms,
     )
 
 
@@ -425,6 +455,7 @@
     job = Job(image.record, image.accepted_ms)
     job.state, job.ended_ms = image.state, image.ended_ms
     job.has_started = image.has_started
+    job.ended_elapsed_ms = image.ended_elapsed_ms
     for (key, tasks), stored in zip(job.groups.items(), image.groups, strict=True):
         for task, part in zip(tasks, stored, strict=True):
             for name, value in zip(TaskImage._fields, part, strict=True):
