--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -386,6 +386,10 @@
         del self.runs[run.key]
         _add_demand(self.used, run, -1)
 
+    def count_unconfirmed(self):
+        """How many starts the worker has not confirmed yet."""
+        return sum(run.is_start_unanswered() for run in self.runs.values())
+
     def count_of(self, group):
         """How many tasks of a step's occurrence run on this worker."""
         return sum(key[:3] == group for key in self.runs)
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -245,6 +245,8 @@
         over = {job_id for job_id in self.jobs_at_work if self.is_over((job_id,))}
         self.jobs_at_work -= over
         self.permissions.forget_matching(self.is_over)
+        losing = sum(worker.copies > 1 for worker in self.workers.values())
+        self.environment.metrics.gauge("workers_losing_calls", losing)
 
     def add_worker(self, record):
         """Add a worker and open a link to it.
--- a/alderreach/ops/controller/order_lanes.py
+++ b/alderreach/ops/controller/order_lanes.py
@@ -107,8 +107,9 @@
 
         Callable from any thread, as ``count_before``.
         """
-        lanes = self._slow - self._overtaken
-        found = [self._in_progress.get(lane) for lane in lanes] if lanes else ()
+        if not self._slow:
+            return []
+        found = map(self._in_progress.get, self._slow - self._overtaken)
         return [order for order in found if order is not None]
 
     def overtake(self, order):
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -175,6 +175,7 @@
     leader.confirm_run(run)
     worker.previous_ends.pop((run.key, run.run), None)
     if run.state in (workers.ORDERED, workers.REFUSED):
+        leader.environment.metrics.observe_ms("start_confirm", now_ms - run.placed_ms)
         run.state = workers.RUNNING
         run.next_send_ms = None
         run.last_progress_ms = now_ms
@@ -263,6 +264,9 @@
         run.checkpoint,
         run.ticket,
     )
+    leader.environment.metrics.observe_ms(
+        "start_commit", leader.now_ms() - run.placed_ms
+    )
     send_start(leader, worker, run)
     schedule_poll(leader, worker)
 
--- a/alderreach/ops/controller/starting.py
+++ b/alderreach/ops/controller/starting.py
@@ -77,6 +77,7 @@
     group = cell_state.GroupKey(*key[:3])
     step = leader.state.jobs[key.job_id].record.steps[key.step]
     ticket = leader.permissions.ticket(group, worker.target_id, now_ms) or ""
+    unconfirmed = worker.count_unconfirmed()
     runs.place(leader, worker, key, run, step, ticket, checkpoint)
     leader.environment.record(
         "run_placed",
@@ -89,4 +90,5 @@
         heartbeat=worker.sequence,
         heartbeat_age_ms=now_ms - worker.announced_ms,
         waited_ms=waited_ms,
+        unconfirmed=unconfirmed,
     )
