--- a/alderreach/decisions/cell/call_losses.py
+++ b/alderreach/decisions/cell/call_losses.py
@@ -9,8 +9,7 @@
 # A worker loses calls if this many were lost within MEMORY_MS, and for that long after.
 MIN_LOSSES = 2
 MEMORY_MS = 3000
-# Of three copies at least one is answered nine times out of ten if half of all calls
-# are lost.
+# If half of all calls are lost, three copies have an answer seven times out of eight.
 COPIES = 3
 
 
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -81,6 +81,8 @@
         # Ids of active jobs of which a worker has confirmed a run to this leader.
         self.jobs_at_work = set()
         self.on_run_ended = lambda job_id, occurrence, step: None
+        # How many workers lose calls, as of the last tidying.
+        self.losing_workers = 0
         self._queues = _Queues(None, {}, math.inf)
         # How many fences each worker took, also those that are dropped meanwhile.
         self._fence_counts = collections.Counter()
@@ -245,8 +247,10 @@
         over = {job_id for job_id in self.jobs_at_work if self.is_over((job_id,))}
         self.jobs_at_work -= over
         self.permissions.forget_matching(self.is_over)
-        losing = sum(worker.copies > 1 for worker in self.workers.values())
-        self.environment.metrics.gauge("workers_losing_calls", losing)
+        copies = [worker.copies for worker in self.workers.values()]
+        self.losing_workers = sum(count > 1 for count in copies)
+        metrics = self.environment.metrics
+        metrics.gauge("workers_losing_calls", self.losing_workers)
 
     def add_worker(self, record):
         """Add a worker and open a link to it.
--- a/alderreach/ops/controller/lost_calls.py
+++ b/alderreach/ops/controller/lost_calls.py
@@ -67,8 +67,8 @@
     """The gap before the next poll of a worker that has answered one."""
     if not worker.losses.is_losing(now_ms):
         return 0
-    count = sum(each.copies > 1 for each in leader.workers.values())
-    return max(SHORT_POLL_GAP_MS, 1000 * count // MAX_SHORT_POLLS_PER_S)
+    least_ms = 1000 * leader.losing_workers // MAX_SHORT_POLLS_PER_S
+    return max(SHORT_POLL_GAP_MS, least_ms)
 
 
 def is_superseded(worker, poll):
