--- a/alderreach/ops/controller/lost_calls.py
+++ b/alderreach/ops/controller/lost_calls.py
@@ -18,10 +18,11 @@
 SLOW_POLL_MS = 100
 # Polls in progress at the same time, which bounds the connections to a silent worker.
 MAX_OPEN_POLLS = 6
-# The interval between polls of a worker that loses calls. All workers together are
-# polled at most MAX_SHORT_POLLS_PER_S times a second for this, as answers cost the
-# leader processor time.
+# The interval between polls of a worker that loses calls. Answers cost the leader time,
+# so many such workers are polled MAX_SHORT_POLLS_PER_S times a second together, each as
+# often as one that holds its polls, though: its lease would lapse otherwise.
 SHORT_POLL_GAP_MS = 100
+MAX_SHORT_POLL_GAP_MS = 1000
 MAX_SHORT_POLLS_PER_S = 500
 
 
@@ -67,8 +68,8 @@
     """The gap before the next poll of a worker that has answered one."""
     if not worker.losses.is_losing(now_ms):
         return 0
-    least_ms = 1000 * leader.losing_workers // MAX_SHORT_POLLS_PER_S
-    return max(SHORT_POLL_GAP_MS, least_ms)
+    gap_ms = 1000 * leader.losing_workers // MAX_SHORT_POLLS_PER_S
+    return min(max(gap_ms, SHORT_POLL_GAP_MS), MAX_SHORT_POLL_GAP_MS)
 
 
 def is_superseded(worker, poll):
