--- a/alderreach/decisions/cell/crash_blame.py
+++ b/alderreach/decisions/cell/crash_blame.py
@@ -57,6 +57,20 @@
     return blame >= BLAME_LIMIT
 
 
+def has_to_wait(blame, runs_in_doubt):
+    """Whether a task is not started before the end of one of its runs is known.
+
+    Each run in doubt may prove to be a crash, and adds the least blame of one then. A
+    task that this would fail is not started: it would crash one worker more.
+
+    >>> has_to_wait(blame=0, runs_in_doubt=2), has_to_wait(blame=8, runs_in_doubt=1)
+    (False, True)
+    """
+    least_blame = min(crashes.BLAME.values())
+    may_fail = reaches_blame_limit(blame + least_blame * runs_in_doubt)
+    return runs_in_doubt >= MAX_RUNS_IN_DOUBT or (runs_in_doubt > 0 and may_fail)
+
+
 def ends_after_crash(worker, now_ms, is_known_suspect=lambda key: False):
     """How each run on a lost worker ended if it crashed, by (key, number of the run).
 
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -193,7 +193,7 @@
 
     def has_too_many_in_doubt(self, task):
         """Whether a task has to wait until the end of one of its runs is known."""
-        return self._count_in_doubt(task) >= crash_blame.MAX_RUNS_IN_DOUBT
+        return crash_blame.has_to_wait(task.blame, self._count_in_doubt(task))
 
     def _count_in_doubt(self, task):
         return sum(self._worker_of(each) is not None for each in task.in_doubt)
--- a/tests/cell_crashing_task_test.py
+++ b/tests/cell_crashing_task_test.py
@@ -53,6 +53,24 @@
         assert sim.read_job("j1").text == "failed"
 
 
+def test_a_task_is_not_started_again_while_a_crash_that_fails_it_is_in_doubt(tmp_path):
+    """Guards against a task that crashes a sixth worker: leaders that had not started
+    its runs blamed it little for four crashes, and the fifth is not proved yet.
+    """
+    with crashing_cell(tmp_path) as (sim, starts):
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1))
+        for crashed in range(1, MAX_STARTS):
+            assert sim.run(30_000, lambda count=crashed: starts[CULPRIT] == count)
+            old = sim.leader()
+            sim.crash(old)
+            sim.elect()
+            sim.start(old)
+        assert sim.run(30_000, lambda: starts[CULPRIT] == MAX_STARTS)
+        sim.restart_after_ms, sim.refuses_when_down = None, False
+        sim.run(30_000)
+        assert starts[CULPRIT] == MAX_STARTS
+
+
 def test_a_task_that_crashes_workers_fails_despite_leader_changes(tmp_path):
     """Guards against a new leader that restarts the crash count of a task at zero."""
     with crashing_cell(tmp_path) as (sim, starts):
