--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -63,6 +63,7 @@
     ``helpers`` is the number of processes that query the permission service, which lets
     the steps of a queue run on the share of the workers in ``permitted_shares``.
     ``customers`` are ``cell.CustomerConfig``, or None if jobs have no customers.
+    ``slowness`` has the factor by which tasks take longer, by worker id; 1 by default.
     ``cpu_s`` is the processor time used by the leader's own code, ``cpu_by_second`` the
     same per second of virtual time, and ``waits`` holds the fields of each report on a
     step that has waited for a long time. ``silent_helpers`` accept queries and never
@@ -78,6 +79,7 @@
         seed=1,
         restore_ms=600.0,
         customers=None,
+        slowness=None,
     ):
         self.loop = virtual_load.Loop()
         self.rng = random.Random(seed)
@@ -97,8 +99,12 @@
         self._helpers = [f"helper-{number}" for number in range(helpers)]
         self._completed_ms = {}
         self._submissions = {}
+        self._customers = {}
+        slowness = slowness or {}
         self._machines = {
-            record.target_id: virtual_workers.Machine(self, record)
+            record.target_id: virtual_workers.Machine(
+                self, record, slowness.get(record.target_id, 1.0)
+            )
             for record in records
         }
         self._log = cell_state.CellState()
@@ -127,6 +133,7 @@
         )
         objective_ms = virtual_parts.objective_ms(self._queues[queue_name], works)
         self._submissions[job_id] = (queue_name, self.loop.now_ms, objective_ms)
+        self._customers[job_id] = customer
         self._submit_until_accepted(request)
 
     def submit_at(self, time_ms, queue_name, job_id, works, customer=""):
@@ -169,10 +176,32 @@
             return ON_TIME
         return LATE if took_ms <= LATE_AFTER_OBJECTIVES * objective_ms else NEVER
 
+    def timed_jobs(self):
+        """The (job id, queue name) of all jobs that end by themselves."""
+        return [
+            (job_id, queue_name)
+            for job_id, (queue_name, _ms, _objective_ms) in self._submissions.items()
+            if not any(step.long_running for step in self._tasks.steps_of(job_id))
+        ]
+
+    def customer_of(self, job_id):
+        """The customer that submitted a job; empty for none."""
+        return self._customers[job_id]
+
     def completed_ms(self, job_id):
         """When a job was completed, or None."""
         return self._completed_ms.get(job_id)
 
+    def slow_down_at(self, time_ms, target_ids, slowness):
+        """Make tasks that start on workers from a given time on take longer."""
+
+        def slow_down(machine):
+            machine.slowness = slowness
+
+        for target_id in target_ids:
+            machine = self._machines[target_id]
+            self.loop.at(time_ms, lambda machine=machine: slow_down(machine))
+
     def leave_at(self, time_ms, target_ids):
         """Make workers leave at a given time, with all their runs, for good."""
         for target_id in target_ids:
--- a/tools/virtual_tasks.py
+++ b/tools/virtual_tasks.py
@@ -47,6 +47,10 @@
             work_ms = self._rng.uniform(*LONG_RUNNING_FAILURE_MS)
         return work_ms, how
 
+    def steps_of(self, job_id):
+        """The steps of a job."""
+        return [work.step for work in self._works[job_id]]
+
     def step_of(self, key):
         """The step of a task."""
         return self._works[key.job_id][key.step].step
--- a/tools/virtual_workers.py
+++ b/tools/virtual_workers.py
@@ -35,10 +35,13 @@
 
 
 class Machine:
-    """A worker that carries out orders at once, until it ends."""
+    """A worker that carries out orders at once, until it ends.
 
-    def __init__(self, world, record):
-        self.world, self.record = world, record
+    Its tasks take ``slowness`` times as long as their work.
+    """
+
+    def __init__(self, world, record, slowness=1.0):
+        self.world, self.record, self.slowness = world, record, slowness
         self.runs = {}
         self.ends = []
         self.next_end = 1
@@ -144,6 +147,7 @@
             return orders.LEASE_EXPIRED
         self._extend(order.lease_until_ms)
         left_ms, how = self.world.work_of(order)
+        left_ms *= self.slowness
         run = self.runs[key] = _Running(order, left_ms, how, self.world.loop.now_ms)
         self.world.on_run_started(self, run)
         return orders.OK
