--- a/tools/virtual_days.py
+++ b/tools/virtual_days.py
@@ -54,7 +54,7 @@
     def __init__(self, seed):
         self.choices = random.Random(seed)
         rng = self.choices
-        self.queues = _queues(rng)
+        self.queues = self._make_queues()
         self.workers = rng.choice([rng.randrange(10, 25), rng.randrange(40, 91)])
         records = [self._worker(number) for number in range(self.workers)]
         self.capacity_millis = sum(record.capacity.cpu_millis for record in records)
@@ -66,7 +66,8 @@
         self.events = []
         self._shares = {queue.name: rng.uniform(0.2, 0.8) for queue in self.queues}
         self._shares["open"] = 1.0
-        super().__init__(self.queues, records, HELPERS, self._shares, seed)
+        options = self._options(records)
+        super().__init__(self.queues, records, HELPERS, self._shares, seed, **options)
         self.watch = virtual_watch.Watch(self)
         self._submit_all()
         self._schedule_events({record.target_id: record for record in records})
@@ -158,6 +159,17 @@
         elif how == "failed":
             self._failures[group if self.step_of(key).gang else key] += 1
 
+    def _make_queues(self):
+        return _queues(self.choices)
+
+    def _options(self, records):
+        """Further options of the simulated cell."""
+        return {}
+
+    def _customer_at(self, time_ms):
+        """The customer that submits a job at this time; empty for none."""
+        return ""
+
     def _watch(self):
         self.watch.poll()
         self.loop.after(virtual_watch.WATCH_INTERVAL_MS, self._watch)
@@ -188,7 +200,8 @@
 
     def _submit(self, time_ms, queue, works):
         self._number += 1
-        self.submit_at(time_ms, queue.name, f"j{self._number}", works)
+        customer = self._customer_at(time_ms)
+        self.submit_at(time_ms, queue.name, f"j{self._number}", works, customer)
 
     def _long_running_work(self):
         rng = self.choices
