--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from alderreach.core import codec, crashes
+from alderreach.core import codec, crashes, learned_values
 from alderreach.core.generated import cell
 
 ACTIVE = "active"
@@ -132,7 +132,8 @@
 
     ``wall_ms`` is the time of the latest change, 0 if unknown. ``elapsed_ms`` is the
     time that has passed between changes, without the jumps of wrong clocks, and
-    ``ended`` has its value at the end of each ended job, oldest first.
+    ``ended`` has its value at the end of each ended job, oldest first. ``learned`` are
+    the ``learned_values.Values`` of the last leader.
     """
 
     def __init__(self):
@@ -142,6 +143,7 @@
         self.ended = {}
         self.wall_ms = 0
         self.elapsed_ms = 0
+        self.learned = learned_values.Values()
 
 
 def empty_change():
@@ -161,10 +163,12 @@
     for config in change.configs:
         if state.config is None or config.version > state.config.version:
             state.config = config
+            learned_values.drop_unknown_queues(state.learned, config)
     for record in change.targets:
         state.targets[record.target_id] = record
     for target_id in change.gone:
         state.targets.pop(target_id, None)
+        state.learned.speeds.pop(target_id, None)
     for accepted in change.accepted:
         if accepted.job.job_id not in state.jobs:
             job = Job(accepted.job, accepted.accepted_ms)
@@ -177,6 +181,8 @@
         job = state.jobs.get(job_id)
         if job is not None and job.state == ACTIVE:
             _end_job(state, job, CANCELLED, wall_ms)
+    for values in change.learned:
+        learned_values.apply(state.learned, values, state.targets)
 
 
 def apply_batch(state, batch):
@@ -370,21 +376,26 @@
 
 
 class StateImage(typing.NamedTuple):
-    """Everything except the jobs, as stored in a snapshot."""
+    """Everything except the jobs, as stored in a snapshot.
+
+    A snapshot without learned values has the form of earlier versions, which lack them.
+    """
 
     config: cell.CellConfig | None
     targets: list[cell.TargetRecord]
     ended: list[str]
     wall_ms: int = 0
     elapsed_ms: int = 0
+    learned: list[cell.LearnedValues] = []
 
 
 def dump(state):
     """Yield (kind, encoded value) for each part of the state."""
     config = codec.shortened(state.config)
     targets, ended = list(state.targets.values()), list(state.ended)
-    image = StateImage(config, targets, ended, state.wall_ms, state.elapsed_ms)
-    yield "cell", msgspec.msgpack.encode(image)
+    learned = learned_values.image(state.learned)
+    image = StateImage(config, targets, ended, state.wall_ms, state.elapsed_ms, learned)
+    yield "cell", msgspec.msgpack.encode(image if learned else image[:-1])
     for job in state.jobs.values():
         image = _job_image(job)
         image = image._replace(record=codec.shortened(job.record))
@@ -402,6 +413,8 @@
         state.targets = {record.target_id: record for record in image.targets}
         state.ended = dict.fromkeys(image.ended, 0)
         state.wall_ms, state.elapsed_ms = image.wall_ms, image.elapsed_ms
+        for values in image.learned:
+            learned_values.apply(state.learned, values, state.targets)
     else:
         job = _restore_job(msgspec.msgpack.decode(data, type=JobImage))
         state.jobs[job.record.job_id] = job
@@ -416,6 +429,7 @@
     other.targets = dict(state.targets)
     other.ended = dict(state.ended)
     other.wall_ms, other.elapsed_ms = state.wall_ms, state.elapsed_ms
+    other.learned = learned_values.copy(state.learned)
     other.jobs = {
         job_id: _restore_job(_job_image(job)) for job_id, job in state.jobs.items()
     }
--- a/alderreach/core/cell_state_test.py
+++ b/alderreach/core/cell_state_test.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from alderreach.core import cell_state, crashes
+from alderreach.core import cell_state, codec, crashes
 from alderreach.core.generated import cell, common
 
 QUEUE = cell.QueueConfig("q", "h", "/q/", "pool", 0, 2, 1.5, 250, 3000, None)
@@ -259,3 +259,41 @@
     assert len(parts["cell"][0]) == 4
     assert len(parts["cell"][0][1][0]) == 10
     assert len(parts["cell_job"][0]) == 8
+
+
+def learned(name, permille=2400):
+    speed = cell.LearnedSpeed(name, permille, 7)
+    return cell.LearnedValues([speed], [cell.LearnedDuration("q", 700, 400, 50)])
+
+
+def test_learned_values_are_part_of_a_snapshot_and_end_with_their_worker_or_queue():
+    """Guards against a log that grows with each worker that there ever was."""
+    state = cell_state.CellState()
+    record = cell.TargetRecord(
+        "w1", 1, "pool", "a:1", "d", common.Resources(8, 8, 0), ["a"], "ready", ""
+    )
+    change(state, targets=[record], learned=[learned("w1"), learned("unknown")])
+    restored = cell_state.CellState()
+    for kind, data in cell_state.dump(state):
+        cell_state.load_part(restored, kind, data)
+    for each in (state, restored, cell_state.copy(state)):
+        assert list(each.learned.speeds) == ["w1"]
+        assert each.learned.durations["q"].factor_permille == 700
+    change(state, gone=["w1"], configs=[cell.CellConfig(3, [], [], b"{}")])
+    assert (state.learned.speeds, state.learned.durations) == ({}, {})
+
+
+def test_entries_and_snapshots_without_learned_values_have_the_earlier_form():
+    """Guards against log entries of an earlier version that can't be read, and against
+    those that a process of that version can't read.
+    """
+    batch = cell.CellBatch(7, [cell_state.empty_change()])
+    written = msgspec.msgpack.decode(codec.pack(batch))
+    assert len(written[1][1][0]) == 7
+    assert codec.unpack(msgspec.msgpack.encode(written)).ok_value == batch
+    [(_kind, data)] = cell_state.dump(cell_state.CellState())
+    assert len(msgspec.msgpack.decode(data)) == 5
+    cell_state.load_part(cell_state.CellState(), "cell", data)
+    filled = cell_state.empty_change()._replace(learned=[learned("w1")])
+    batch = cell.CellBatch(7, [filled])
+    assert codec.unpack(codec.pack(batch)).ok_value == batch
