--- a/alderreach/decisions/cell/choice.py
+++ b/alderreach/decisions/cell/choice.py
@@ -2,28 +2,63 @@
 
 A task starts on the worker with the smallest remaining share of its scarcer resource
 (best fit), since spreading small tasks evenly leaves no worker free enough for a large
-one. The rack that holds the task's data takes precedence over the fit, and a gang that
-wants one rack gets the fullest rack that fits all of it. Best-effort tasks start on the
-worker with the most idle processor time, if possible on one without serving tasks.
-
-The failure domain takes precedence over the fit, too: the tasks of a step run in one
-domain if it has capacity for all of them. A job is done only when its last task is, so
-a partition of any domain delays every job that is spread over it. A new step goes to
-the domain with the most free capacity for it, which spreads the steps evenly.
+one. What decides before the fit is one cost in milliseconds of the time at which the
+task is expected to end:
+
+- The rack that holds the task's data: elsewhere the task takes longer.
+- The failure domain: the tasks of a step run in one domain if it has capacity for all
+  of them. A job is done only when its last task is, so a partition of any domain delays
+  every job that is spread over it. A new step goes to the domain with the most free
+  capacity for it, which spreads the steps evenly.
+- The worker's speed: a step is done when its last task is, so a step without time to
+  spare takes quick workers. A step that would be in time on a slow worker takes that
+  one, so that quick ones stay free for steps that need them.
+
+A gang that wants one rack gets the fullest rack that fits all of it. Best-effort tasks
+start on the worker with the most idle processor time, if possible on one without
+serving tasks.
 """
 
 import collections
 import heapq
-
-# The cost of a fit is a share of a worker, below 1. These costs are higher, so that the
-# domain, the data's rack and a worker without serving tasks outweigh any better fit.
-OTHER_DOMAIN_COST = 2.0
-REMOTE_DATA_COST = 10.0
+import math
+import typing
+
+# The expected delay by a partition of one more domain. Partitions are rare, but cost
+# seconds; it only matters that this outweighs the fit and not several slow workers.
+OTHER_DOMAIN_MS = 100.0
+# Away from its data a task takes at least twice as long. The constant keeps this above
+# the cost of another domain for short tasks.
+REMOTE_DATA_MS = 200.0
+# What a slow worker is better for a step that has time for it, as a share of the task's
+# duration there: above the cost of another domain for tasks of a quarter of a second.
+SPARED_SHARE = 0.3
+# Speeds are compared in steps of this share of a task's duration on a usual worker, so
+# that the fit decides among workers of about the same speed.
+SPEED_STEP = 0.15
 BESIDE_SERVING_COST = 100.0
 # For each strike; a worker with a recent failure or stall is the last choice.
 STRIKE_COST = 1000.0
 
 
+class Timing(typing.NamedTuple):
+    """How long tasks of a step take, and how slow a worker may be for them.
+
+    ``slowest_in_time`` is the slowness up to which a task that starts now ends in time
+    for its job.
+    """
+
+    task_ms: float
+    slowest_in_time: float
+
+
+# For steps whose tasks have no end to be in time for: any worker is quick enough. Where
+# all speeds are equal, the timing makes no difference.
+UNTIMED = Timing(1000.0, math.inf)
+# For tasks to which the speed of a worker makes no known difference.
+SPEEDLESS = Timing(0.0, math.inf)
+
+
 def candidates(workers, step, group, now_ms):
     """The workers on which one more task of a step can start now."""
     return [worker for worker in workers if can_start(worker, step, group, now_ms)]
@@ -56,13 +91,15 @@
 
     Only the worker that got a task is ranked again, so the cost of placing a wide step
     grows with its tasks, not with its tasks times the workers. ``domains`` are the
-    preferred failure domains; ties are broken by worker id.
+    preferred failure domains, ``timing`` is the step's ``Timing``; ties are broken by
+    worker id.
     """
 
-    def __init__(self, workers, step, group, domains=()):
+    def __init__(self, workers, step, group, domains=(), timing=UNTIMED):
         self._step = step
         self._group = group
         self._domains = domains
+        self._timing = timing
         self._rows = [self._row(worker) for worker in workers]
         heapq.heapify(self._rows)
 
@@ -94,13 +131,17 @@
             heapq.heappush(self._rows, self._row(worker))
 
     def _row(self, worker):
-        cost = _cost(worker, self._step)
         is_outside = self._domains and worker.record.failure_domain not in self._domains
-        if is_outside and not self._step.best_effort:
-            cost += OTHER_DOMAIN_COST
+        cost = _cost(worker, self._step, self._timing, is_outside)
         return cost, worker.target_id, worker
 
 
+def quick_enough(workers, timing):
+    """The workers on which a task ends in time, or all of them if it does on none."""
+    found = [worker for worker in workers if worker.slowness <= timing.slowest_in_time]
+    return found or workers
+
+
 def preferred_domains(workers, step, group, wanted, used):
     """The failure domains in which ``wanted`` tasks of a step start first.
 
@@ -119,29 +160,35 @@
     return ()
 
 
-def plan_gang(workers, step, group, wanted, now_ms):
+def plan_gang(workers, step, group, wanted, now_ms, timing=UNTIMED):
     """One worker for each of ``wanted`` tasks of a gang; None if they don't all fit.
 
     If the gang wants one rack, the plan uses the fullest rack that fits it, and workers
-    of several racks only if no rack does.
+    of several racks only if no rack does. Of racks of unequal speed it uses the one in
+    which the gang ends first, since a gang is as slow as its slowest member.
     """
     usable = candidates(workers, step, group, now_ms)
     if step.same_rack:
         racks = collections.defaultdict(list)
         for worker in usable:
             racks[worker.rack].append(worker)
-        plans = [_pack(members, step, group, wanted) for members in racks.values()]
+        plans = [
+            _pack(members, step, group, wanted, timing) for members in racks.values()
+        ]
         plans = [plan for plan in plans if plan is not None]
         if plans:
-            return min(
-                plans, key=lambda plan: sum(_leftover_share(w, step) for w in plan)
-            )
-    return _pack(usable, step, group, wanted)
+            return min(plans, key=lambda plan: _plan_cost(plan, step, timing))
+    return _pack(usable, step, group, wanted, timing)
+
+
+def _plan_cost(plan, step, timing):
+    slowest_ms = max(_speed_ms(worker, timing) for worker in plan)
+    return slowest_ms, sum(_leftover_share(worker, step) for worker in plan)
 
 
-def _pack(workers, step, group, wanted):
+def _pack(workers, step, group, wanted, timing):
     plan = []
-    ranked = sorted(workers, key=lambda w: (_cost(w, step), w.target_id))
+    ranked = sorted(workers, key=lambda w: (_cost(w, step, timing), w.target_id))
     for worker in ranked:
         fits = min(_fit_count(worker, step, group), wanted - len(plan))
         plan += [worker] * fits
@@ -165,16 +212,27 @@
     return max(0, min(limits, default=1))
 
 
-def _cost(worker, step):
+def _cost(worker, step, timing=UNTIMED, is_outside=False):
+    """What a start on a worker costs: strikes first, then milliseconds, then the fit.
+
+    ``is_outside`` tells whether the worker is outside the preferred failure domains.
+    """
     strike_cost = STRIKE_COST * len(worker.health.strikes)
     if step.best_effort:
-        return strike_cost + _best_effort_cost(worker)
-    is_remote = step.data_rack and worker.rack != step.data_rack
-    return (
-        strike_cost
-        + (REMOTE_DATA_COST if is_remote else 0.0)
-        + _leftover_share(worker, step)
-    )
+        return strike_cost + _best_effort_cost(worker), 0.0, 0.0
+    end_ms = _speed_ms(worker, timing)
+    if step.data_rack and worker.rack != step.data_rack:
+        end_ms += REMOTE_DATA_MS + timing.task_ms * worker.slowness
+    if is_outside:
+        end_ms += OTHER_DOMAIN_MS
+    return strike_cost, end_ms, _leftover_share(worker, step)
+
+
+def _speed_ms(worker, timing):
+    """The duration of a task on a worker, or what is spared if it is in time there."""
+    duration_ms = round(worker.slowness / SPEED_STEP) * SPEED_STEP * timing.task_ms
+    is_in_time = worker.slowness <= timing.slowest_in_time
+    return -SPARED_SHARE * duration_ms if is_in_time else duration_ms
 
 
 def _leftover_share(worker, step):
--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -21,6 +21,9 @@
   So a run is moved only if its remaining work takes longer there than all of its work
   elsewhere. Its speed is computed between two polls, since a restore at its start, or a
   gang that waits for its members, slows down the first percents on a healthy worker.
+- A worker that is known to be slower than others is compared with its own usual speed,
+  up to ``SLOW_RATIO``: its runs count as slow if they are ``SLOW_RATIO`` times slower
+  than that. A worker slower than that loses its runs as before.
 """
 
 import collections
@@ -179,8 +182,21 @@
     )
 
 
+def usual_slowness(worker):
+    """The slowness that is usual for a worker and no reason to move its runs.
+
+    A strike is for a sudden change. Placement already takes account of what is usual,
+    and strikes for it would take a third of an uneven cell's workers out of use.
+    """
+    return worker.slowness if 1.0 < worker.slowness < SLOW_RATIO else 1.0
+
+
 def is_slow(ratios):
-    """Whether a worker is slow, given the known slowness of its runs."""
+    """Whether a worker is slow, given the slowness of its runs compared to its usual.
+
+    >>> is_slow([2.4 / 2.4, 3.1 / 2.4]), is_slow([2.4, 3.1, 3.2])
+    (False, True)
+    """
     if len(ratios) == 1:
         return ratios[0] >= SINGLE_RUN_SLOW_RATIO
     return bool(ratios) and statistics.median(ratios) >= SLOW_RATIO
--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -168,13 +168,13 @@
             return
         term.planner.plan(now_ms)
         batch, effects = term.leader.pop_batch()
-        if batch is None:
-            return
-        index = self._port.propose(codec.pack(batch))
-        if index is None:
-            term.leader.requeue_batch(batch, effects)
-        else:
+        while batch is not None:
+            index = self._port.propose(codec.pack(batch))
+            if index is None:
+                term.leader.requeue_batch(batch, effects)
+                return
             term.pending_effects[index] = effects
+            batch, effects = term.leader.pop_batch()
 
     def on_applied(self, index, term):
         """Run the effects that waited for the entry at ``index`` to be committed."""
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -23,6 +23,7 @@
     pools,
     workers,
 )
+from alderreach.ops.controller import learning
 from alderreach.ops.keeper import extension
 
 
@@ -90,8 +91,11 @@
         self._check_order = collections.deque()
         self._changes = []
         self._effects = []
+        # Learned values that no batch contains yet.
+        self._learned_changes = []
         # Lists of effects, one for each uncommitted batch, oldest batch first.
         self._uncommitted_effects = []
+        self.learned = learning.Learned(self)
 
     def lease_ms(self):
         """The duration of worker leases, at most the longest that workers accept."""
@@ -135,6 +139,16 @@
             self._effects.append(effect)
         self.needs_planning = True
 
+    def note_learned(self, values):
+        """Apply ``cell.LearnedValues``, and add them to the log after the next batch.
+
+        They get a batch of their own. A process of an earlier version can't read it and
+        skips it, which must not lose it any other decision.
+        """
+        change = cell_state.empty_change()._replace(learned=[values])
+        cell_state.apply(self.state, change, self.cell_ms())
+        self._learned_changes.append(change)
+
     def after_commit(self, effect):
         """Call ``effect`` once all decisions made so far are committed.
 
@@ -149,7 +163,12 @@
             self.environment.confirm(effect, lambda: None)
 
     def pop_batch(self):
-        """Remove and return the next batch and its effects; (None, []) if none."""
+        """Remove and return the next batch and its effects; (None, []) if none.
+
+        Learned values come in a batch of their own after all other changes.
+        """
+        if not self._changes:
+            self._changes, self._learned_changes = self._learned_changes, []
         if not self._changes:
             return None, []
         batch = cell.CellBatch(self.cell_ms(), self._changes)
@@ -162,7 +181,10 @@
     def requeue_batch(self, batch, effects):
         """Return a batch that could not be logged to the front of the next batch."""
         self._uncommitted_effects.pop()
-        self._changes = batch.changes + self._changes
+        if batch.changes[0].learned:
+            self._learned_changes = batch.changes + self._learned_changes
+        else:
+            self._changes = batch.changes + self._changes
         self._effects = effects[1:] + self._effects
 
     def _drop_oldest_effects(self):
@@ -244,6 +266,7 @@
         """Drop the records of jobs that have ended."""
         self.drop_ended(self.durations)
         self.drop_ended(self.moves)
+        self.learned.tidy()
         over = {job_id for job_id in self.jobs_at_work if self.is_over((job_id,))}
         self.jobs_at_work -= over
         self.permissions.forget_matching(self.is_over)
@@ -269,6 +292,7 @@
             settings.cell.worker_heartbeat_ms, settings.cell.capacity_grace_ms
         )
         worker = workers.Worker(record, now_ms, lease_end_ms, fence, valid_ms)
+        worker.slowness = self.learned.slowness(worker)
         self.workers[record.target_id] = worker
         self.links[record.target_id] = self.environment.open_link(record, self.epoch)
         return worker
@@ -302,6 +326,7 @@
     def drop_worker(self, target_id):
         """Remove a worker that has no runs."""
         del self.workers[target_id]
+        self.learned.forget(target_id)
         self.pools.on_worker_changed(target_id)
         self.links.pop(target_id).close()
 
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -312,11 +312,9 @@
 
 
 def _update_health(leader, worker, run, end_kind):
-    """Update the worker's health, and the durations of such tasks, after an end."""
+    """Update the worker's health, and what is learned of its speed, after an end."""
     if end_kind == "done":
         health.record_success(worker)
-        full_duration_ms = health.full_duration_ms(run, leader.now_ms())
-        if full_duration_ms is not None:
-            leader.durations.setdefault(run.key[:3], []).append(full_duration_ms)
+        leader.learned.on_run_done(worker, run, leader.state.jobs[run.key.job_id])
     elif end_kind == "failed":
         strike(leader, worker, run.key.job_id)
--- a/alderreach/ops/controller/starting.py
+++ b/alderreach/ops/controller/starting.py
@@ -16,9 +16,11 @@
     usable = choice.candidates(pool, step, group, now_ms)
     if not usable:
         return 0
+    timing = _timing(leader, job, group, usable)
     used = _domains_of(leader, tasks)
-    domains = choice.preferred_domains(usable, step, group, len(indexes), used)
-    ranking = choice.Ranking(usable, step, group, domains)
+    quick = choice.quick_enough(usable, timing)
+    domains = choice.preferred_domains(quick, step, group, len(indexes), used)
+    ranking = choice.Ranking(usable, step, group, domains, timing)
     for started, index in enumerate(indexes):
         key, task = cell_state.TaskKey(*group, index), tasks[index]
         must_start_alone = leader.must_start_alone(task)
@@ -39,7 +41,8 @@
     step, tasks = job.record.steps[group.step], job.groups[group[1:]]
     if any(task.state != cell_state.WAITING for task in tasks):
         return 0
-    chosen = choice.plan_gang(pool, step, group, len(tasks), now_ms)
+    timing = _timing(leader, job, group, pool)
+    chosen = choice.plan_gang(pool, step, group, len(tasks), now_ms, timing)
     if chosen is None:
         return 0
     run = max(task.run for task in tasks) + 1
@@ -50,6 +53,34 @@
     return len(tasks)
 
 
+def _timing(leader, job, group, pool):
+    """The ``choice.Timing`` of a group; computed only if the workers' speeds differ.
+
+    Lasting tasks have no end to be in time for, so slow workers are good enough for
+    them. Whether those that serve requests get slower there is not known.
+    """
+    step = job.record.steps[group.step]
+    if all(worker.slowness == 1.0 for worker in pool):
+        return choice.UNTIMED
+    if step.best_effort or step.tail_target_ms:
+        return choice.SPEEDLESS
+    if step.long_running:
+        return choice.UNTIMED
+    elapsed_ms = leader.cell_ms() - _due_ms(job, group)
+    return choice.Timing(
+        leader.learned.task_ms(job, group.step),
+        leader.learned.slowest_in_time(job, group.step, elapsed_ms),
+    )
+
+
+def _due_ms(job, group):
+    """When a group's occurrence was due: on acceptance unless the job repeats."""
+    record = job.record
+    if not record.repeat_count:
+        return job.accepted_ms
+    return record.first_due_ms + group.occurrence * record.interval_ms
+
+
 def _domains_of(leader, tasks):
     """The failure domains in which some of the tasks are placed."""
     placed = [
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -283,7 +283,8 @@
         ratio = health.slowness(run, leader.durations.get(run.key[:3], ()))
         if ratio is not None:
             ratios[run] = ratio
-    if not health.is_slow(list(ratios.values())):
+    usual = health.usual_slowness(worker)
+    if not health.is_slow([ratio / usual for ratio in ratios.values()]):
         return
     for run, ratio in ratios.items():
         if health.is_worth_moving(run, ratio, leader.durations[run.key[:3]]):
