--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -19,6 +19,7 @@
     capacity_reports,
     crash_blame,
     customers,
+    fair_shares,
     permissions,
     pools,
     workers,
@@ -70,6 +71,7 @@
         self.customers = customers.Customers()
         if self.state.config is not None:
             self.customers.configure(self.state.config)
+        self.shares = fair_shares.rebuild(self.state.jobs.values(), self.state.config)
         self.workers = {}
         self.pools = pools.Pools(self.workers)
         self.links = {}
@@ -134,6 +136,7 @@
         cell_state.apply(self.state, change, self.cell_ms())
         if change.configs:
             self.customers.configure(self.state.config)
+            self.shares.configure(self.state.config)
         self._changes.append(change)
         if effect is not None:
             self._effects.append(effect)
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -20,6 +20,8 @@
     cap_waits,
     permission_queries,
     preempting,
+    ranking,
+    share_reports,
     starting,
     wait_reports,
 )
@@ -42,10 +44,10 @@
         self._waiting = {}
         self._queue = order.UrgencyQueue()
         self._due_ms = {}
-        self._ranks = {}
+        self._ranks = ranking.Ranks(leader)
         self._ranked_config = None
         self._queries = permission_queries.PermissionQueries(leader)
-        self._preemptions = preempting.Preemptions(leader, self._rank)
+        self._preemptions = preempting.Preemptions(leader, self._ranks.get)
         self._wait_reports = wait_reports.WaitReports(leader)
         self._cap_waits = cap_waits.CapWaits(leader)
         # A heap of (due time, group) for occurrences that are due later.
@@ -53,9 +55,14 @@
         self._next_pass_ms = 0
         self._next_cap_preemption_ms = 0
         for job in leader.state.jobs.values():
-            self.job_added(job)
+            self._add_groups(job)
 
     def job_added(self, job):
+        """Charge a new job to its customer's share, and queue its groups."""
+        self._leader.shares.add_job(job.record, job.accepted_ms)
+        self._add_groups(job)
+
+    def _add_groups(self, job):
         """Queue the groups of a job that can start now or at their due times."""
         if job.state != cell_state.ACTIVE:
             return
@@ -152,7 +159,8 @@
         for group in self._cap_waits.ended():
             self._drop(group)
         self._cap_waits.report()
-        self._leader.drop_ended(self._ranks)
+        share_reports.report(self._leader)
+        self._ranks.tidy()
         self._preemptions.tidy()
         self._wait_reports.tidy(self._waiting.values(), self._leader.now_ms())
 
@@ -174,7 +182,7 @@
         if group in self._waiting:
             return
         self._queries.remove_upcoming(group)
-        due_ms = _due_ms(job, group)
+        due_ms = ranking.due_ms(job, group)
         if job.record.repeat_count and due_ms > self._latest_due_ms():
             heapq.heappush(self._scheduled, (due_ms, group))
         else:
@@ -196,13 +204,13 @@
         if group not in self._waiting:
             self._waiting[group] = self._leader.now_ms()
             self._due_ms[group] = 0
-            self._queue.add(group, self._rank(job, group), self._leader.cell_ms())
+            self._queue.add(group, self._ranks.get(job, group), self._leader.cell_ms())
 
     def _return_to_queue(self, group, now_ms):
         """Consider a group again that was parked."""
         job = self._leader.state.jobs.get(group.job_id)
         if job is not None:
-            self._queue.add(group, self._rank(job, group), self._leader.cell_ms())
+            self._queue.add(group, self._ranks.get(job, group), self._leader.cell_ms())
             self._due_ms[group] = now_ms
 
     def _park_at_cap(self, group, now_ms):
@@ -261,13 +269,6 @@
             if not self._cap_waits.is_parked(group):
                 self._return_to_queue(group, 0)
 
-    def _rank(self, job, group):
-        rank = self._ranks.get(group)
-        if rank is None:
-            queue, due_ms = self._leader.queue_of(job), _due_ms(job, group)
-            rank = self._ranks[group] = order.rank(queue, job, group.step, due_ms)
-        return rank
-
     def _drop(self, group):
         self._remove_waiting(group)
         self._queries.remove_upcoming(group)
@@ -278,7 +279,7 @@
             return
         self._queue.remove(group)
         self._due_ms.pop(group, None)
-        self._ranks.pop(group, None)
+        self._ranks.forget(group)
         self._wait_reports.on_all_started(group)
         self._cap_waits.remove(group)
         self._leader.permissions.clear_shortage(group)
@@ -384,11 +385,3 @@
         elif not started:
             self._cap_waits.on_not_started(job, group, now_ms)
         return started, left
-
-
-def _due_ms(job, group):
-    """When a group's occurrence is due: on acceptance unless the job repeats."""
-    record = job.record
-    if not record.repeat_count:
-        return job.accepted_ms
-    return record.first_due_ms + group.occurrence * record.interval_ms
