--- a/alderreach/decisions/cell/preemption.py
+++ b/alderreach/decisions/cell/preemption.py
@@ -6,9 +6,17 @@
 
 Only runs that save their progress when they are stopped are preempted. They lose the
 time until their restart and for their restore, but no work. A run yields only to a
-queue of higher priority, only while its own job can still meet its objective, at most
-``MAX_YIELDS`` times, and only once the urgent step has waited for ``PATIENCE_MS``, in
-which enough capacity is usually freed anyway.
+queue of higher priority, at most ``MAX_YIELDS`` times, and only once the urgent step
+has waited for ``PATIENCE_MS``, in which enough capacity is usually freed anyway. In
+addition (``may_yield``), one of these must hold:
+
+- Its job can still meet its objective in spite of the yielding.
+- Its job is late anyway, and the urgent step would be late if it waited any longer.
+  Otherwise late jobs would hold the workers just when the cell is full. The job must
+  have the time to end before it is worthless, or be worthless already.
+- Its job is beyond its customer's share, and the urgent one within its own.
+
+A run within its customer's share never yields to a step beyond its own.
 
 An urgent step of a customer at its cap waits for that customer's own runs only; another
 customer's yielding frees nothing for it. So of its own less urgent runs as many yield,
@@ -18,7 +26,7 @@
 import typing
 
 from alderreach.core.generated import common
-from alderreach.decisions.cell import choice
+from alderreach.decisions.cell import choice, health, order
 
 # Within this time, enough capacity is usually freed without preemption.
 PATIENCE_MS = 150
@@ -32,6 +40,12 @@
 YIELD_COST_MS = 1500
 # Enough for two bursts during a long task; without a limit, the task might never end.
 MAX_YIELDS = 2
+# A late job needs this much time beside its remaining work, as a multiple of its
+# objective, to be stopped: once late, it may wait for long until it is started again.
+LATE_RESERVE_OBJECTIVES = 1
+# A run that was resumed this long ago has hardly made progress since its restore, and
+# would have to be restored again.
+MIN_RESUMED_MS = 1000
 NO_RESOURCES = common.Resources(0, 0, 0)
 
 
@@ -43,6 +57,80 @@
     fitting: int
 
 
+class Situation(typing.NamedTuple):
+    """What decides whether a run may yield to an urgent step.
+
+    ``rank`` is the ``order.Rank`` of the run's step and ``urgent`` that of the urgent
+    one, and ``expected_ms`` is how long the step's tasks are expected to take.
+    ``now_ms`` is the time of the monotonic clock, ``cell_ms`` that of the cell.
+    """
+
+    run: typing.Any
+    rank: typing.Any
+    urgent: typing.Any
+    expected_ms: float
+    now_ms: int
+    cell_ms: int
+
+
+class Forecast(typing.NamedTuple):
+    """How long a run takes altogether, and how much of that remains."""
+
+    total_ms: float
+    remaining_ms: float
+
+
+def may_yield(situation):
+    """Whether a run that saves its progress may yield to an urgent step."""
+    run, rank, urgent, expected_ms, now_ms, cell_ms = situation
+    is_beyond, is_urgent_beyond = rank.is_beyond(cell_ms), urgent.is_beyond(cell_ms)
+    if rank.priority <= urgent.priority or (is_urgent_beyond and not is_beyond):
+        return False
+    gives_way = is_beyond and not is_urgent_beyond
+    is_in_time = rank.latest_start_ms - cell_ms >= YIELD_COST_MS
+    if not gives_way and not is_in_time:
+        if urgent.latest_start_ms - cell_ms > STOP_MS:
+            return False
+    if run.checkpoint and now_ms - run.placed_ms < MIN_RESUMED_MS:
+        return False
+    expected = forecast(run, expected_ms, now_ms)
+    if expected.remaining_ms <= STOP_MS:
+        return False
+    return gives_way or is_in_time or _is_late(rank, expected, expected_ms, cell_ms)
+
+
+def _is_late(rank, forecast, expected_ms, cell_ms):
+    """Whether a run's job is late, but has time to yield before it is worthless.
+
+    The job's objective is a multiple of its durations. So if the run takes longer than
+    expected, its job is late later than expected.
+    """
+    tolerated_ms = order.DURATION_TOLERANCE * expected_ms
+    excess_ms = rank.stretch * max(0, forecast.total_ms - tolerated_ms)
+    end_ms = cell_ms + forecast.remaining_ms + rank.after_ms
+    if end_ms < rank.late_end_ms + excess_ms:
+        return False
+    worthless_ms = rank.worthless_from_ms + order.WORTHLESS_AFTER_OBJECTIVES * excess_ms
+    reserve_ms = LATE_RESERVE_OBJECTIVES * rank.objective_ms
+    return end_ms >= worthless_ms or end_ms + reserve_ms <= worthless_ms
+
+
+def forecast(run, expected_ms, now_ms):
+    """The Forecast of a run, by its progress or else by its age.
+
+    A run that has taken longer than expected may end at any time, but while nothing is
+    known about its progress it is taken to need as long again.
+    """
+    remaining_ms = health.remaining_ms(run, now_ms)
+    if remaining_ms is not None:
+        observed_ms = run.last_progress_ms - run.first_ms
+        total_ms = 100 * observed_ms / (run.percent - run.first_percent)
+        return Forecast(total_ms, max(0, remaining_ms))
+    age_ms = now_ms - run.placed_ms
+    remaining_ms = expected_ms - age_ms if age_ms < expected_ms else expected_ms
+    return Forecast(age_ms + remaining_ms, remaining_ms)
+
+
 def choose_victims(workers, step, wanted, may_yield, group=None):
     """Victims whose stop frees capacity for ``wanted`` tasks of a step, cheapest first.
 
--- a/alderreach/decisions/cell/preemption_test.py
+++ b/alderreach/decisions/cell/preemption_test.py
@@ -2,7 +2,7 @@
 
 from alderreach.core import cell_state
 from alderreach.core.generated import cell, common
-from alderreach.decisions.cell import preemption, workers
+from alderreach.decisions.cell import order, preemption, workers
 
 
 def step(cpu_millis, **options):
@@ -146,3 +146,72 @@
     assert preemption.choose_for_cap(free, demand, [small, other, large]) == [large]
     assert preemption.choose_for_cap(free, demand, [small, other]) == [other, small]
     assert preemption.choose_for_cap(demand, demand, [small, other, large]) == []
+
+
+OBJECTIVE_MS = 10_000
+
+
+def rank(priority=2, latest_start_ms=4_000, eligible_ms=0):
+    """The rank of a step that was due at 0 and takes 4 s."""
+    return order.Rank(
+        priority,
+        3 * OBJECTIVE_MS,
+        latest_start_ms,
+        "j",
+        eligible_ms,
+        late_end_ms=OBJECTIVE_MS,
+        objective_ms=OBJECTIVE_MS,
+        stretch=2,
+    )
+
+
+def yields(cell_ms, run_rank=None, urgent=None, age_ms=1_000, checkpoint=""):
+    """Whether a run yields; by default to a step that would be late if it waited."""
+    run = workers.Run(cell_state.TaskKey("j", 0, 0, 0), 1, step(1), 0)
+    run.checkpoint = checkpoint
+    urgent = urgent or rank(0, cell_ms)
+    return preemption.may_yield(
+        preemption.Situation(run, run_rank or rank(), urgent, 4_000, age_ms, cell_ms)
+    )
+
+
+def test_late_work_yields_unless_that_makes_it_worthless():
+    """Guards against late work that holds the workers just when the cell is full."""
+    assert yields(1_000)
+    assert not yields(4_000)
+    assert yields(12_000)
+    assert not yields(20_000)
+    assert yields(31_000)
+
+
+def test_late_work_yields_only_if_the_urgent_step_needs_it_now():
+    patient = rank(0, 12_000 + 2 * preemption.STOP_MS)
+    assert not yields(12_000, urgent=patient)
+    assert yields(1_000, urgent=patient)
+
+
+def test_work_beyond_the_share_yields_to_work_within_it_but_not_the_reverse():
+    """Guards against a flood that displaces other customers' work."""
+    beyond = {"eligible_ms": 60_000}
+    assert yields(4_000, rank(**beyond))
+    assert not yields(1_000, rank(), rank(0, 1_000, **beyond))
+    assert yields(1_000, rank(**beyond), rank(0, 1_000, **beyond))
+    assert not yields(4_000, rank(**beyond), rank(0, 4_000, **beyond))
+    assert not yields(1_000, rank(0, **beyond), rank(0, 1_000))
+
+
+def test_a_run_that_was_just_resumed_or_is_about_to_end_does_not_yield():
+    """Guards against restores in vain, and stops that take longer than the rest."""
+    assert not yields(1_000, age_ms=500, checkpoint="c")
+    assert yields(1_000, age_ms=500)
+    assert yields(1_000, age_ms=1_500, checkpoint="c")
+    assert not yields(1_000, age_ms=4_000 - preemption.STOP_MS)
+
+
+def test_a_run_that_takes_longer_than_estimated_is_late_later():
+    """Guards against runs that yield as late since their estimates were too short."""
+    run = workers.Run(cell_state.TaskKey("j", 0, 0, 0), 1, step(1), 0)
+    run.first_ms, run.last_progress_ms, run.percent = 0, 10_000, 50
+    slow = preemption.Situation(run, rank(), rank(0, 0), 4_000, 10_000, 12_000)
+    assert preemption.forecast(run, 4_000, 10_000) == (20_000, 10_000)
+    assert not preemption.may_yield(slow)
--- a/alderreach/ops/controller/preempting.py
+++ b/alderreach/ops/controller/preempting.py
@@ -62,10 +62,9 @@
         """
         if now_ms < self.next_ms(job, group, since_ms):
             return
-        leader = self._leader
-        priority = leader.queue_of(job).priority
+        urgent = self._rank_of(job, group)
         step = job.record.steps[group.step]
-        may_yield = lambda run: self._may_yield(run, priority)
+        may_yield = lambda run: self._may_yield(run, urgent, now_ms)
         chosen = preemption.choose_victims(pool, step, wanted, may_yield, group)
         pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
         self._next_ms[group] = now_ms + pause_ms
@@ -80,11 +79,11 @@
         if now_ms < self.next_ms(job, group, since_ms):
             return
         leader, customer = self._leader, job.record.customer
-        priority = leader.queue_of(job).priority
+        urgent = self._rank_of(job, group)
         workers_of = {
             run: worker
             for worker, run in leader.customers.yielding_runs(customer)
-            if self._may_yield(run, priority)
+            if self._may_yield(run, urgent, now_ms)
         }
         free = leader.customers.free_after_stops(customer)
         demand = resources.times(job.record.steps[group.step].demand, wanted)
@@ -99,17 +98,20 @@
         self._leader.drop_ended(self._preemption_counts)
         self._leader.drop_ended(self._next_ms)
 
-    def _may_yield(self, run, priority):
+    def _may_yield(self, run, urgent, now_ms):
         if not run.may_yield or run.state != workers.RUNNING:
             return False
         if self._preemption_counts.get(run.key, 0) >= preemption.MAX_YIELDS:
             return False
         job = self._leader.state.jobs.get(run.key.job_id)
-        if job is None or self._leader.queue_of(job).priority <= priority:
+        if job is None:
             return False
         rank = self._rank_of(job, cell_state.GroupKey(*run.key[:3]))
-        spare_ms = rank.latest_start_ms - self._leader.cell_ms()
-        return spare_ms >= preemption.YIELD_COST_MS
+        expected_ms = job.record.steps[run.key.step].estimated_ms
+        cell_ms = self._leader.cell_ms()
+        return preemption.may_yield(
+            preemption.Situation(run, rank, urgent, expected_ms, now_ms, cell_ms)
+        )
 
     def _stop(self, worker, run, group):
         self._preemption_counts[run.key] = self._preemption_counts.get(run.key, 0) + 1
