--- a/alderreach/ops/controller/director.py
+++ b/alderreach/ops/controller/director.py
@@ -10,6 +10,7 @@
 from alderreach.core.generated import cell
 from alderreach.ops import leader_calls, settings_watch
 from alderreach.ops.controller import (
+    admitting,
     cell_time,
     discovery,
     heartbeats,
@@ -30,12 +31,13 @@
 
 
 class LeadershipTerm:
-    """One term of leadership: its state, its planner and its access to the quorum."""
+    """One term of leadership: its state, its decisions and its access to the quorum."""
 
     def __init__(self, epoch, environment):
         self.leader = leader_state.LeaderState(epoch, environment)
         self.planner = placing.Planner(self.leader)
         self.leader.on_run_ended = self.planner.on_run_ended
+        self.admission = admitting.Admission(self.leader)
         self.record = environment.record
         self.committed = environment.committed
         self._environment = environment
@@ -155,6 +157,7 @@
             if self._term is not None:
                 self._term.leader.tidy()
                 self._term.planner.tidy()
+                self._term.admission.tidy()
         if self._term is not None and self._may_act(now_ms):
             for helper in self._term.leader.permissions.give_up_overdue(now_ms):
                 self._record("permission_overdue", helper=helper)
--- /dev/null
+++ b/alderreach/ops/controller/pool_loads.py
@@ -0,0 +1,249 @@
+"""The load of one pool as the leader knows it at one time, for the forecast of it.
+
+The forecast is made for each resource that a job needs and, if its customer has a cap,
+for that as well: the longest delay counts.
+"""
+
+import collections
+import math
+import typing
+
+from alderreach.core.generated import common
+from alderreach.decisions.cell import choice, load_forecast
+
+# The kinds of resources: processors, memory, accelerators.
+KINDS = range(3)
+# A forecast is kept for this time although jobs are accepted.
+FORECAST_MS = 150
+# In a larger pool the runs of a part of the workers are taken for all, in turn.
+MAX_WORKERS = 200
+# Workers that are looked at to find out which steps any worker could run; steps beyond
+# that are left out of the forecast.
+MAX_SUITABLE_CHECKS = 20_000
+# Workers that are silent for less are counted: most network cuts are shorter.
+SILENT_MS = 10_000
+
+
+class WaitingStep(typing.NamedTuple):
+    """Tasks of a step that have not started."""
+
+    key: load_forecast.ClassKey
+    customer: str
+    demand: common.Resources
+    task_ms: float
+    is_later: bool
+    is_late: bool
+
+
+class Running(typing.NamedTuple):
+    """A run, for the forecast; ``after_ms`` is infinite if it lasts.
+
+    ``key`` is its class if it has started a moment ago, else None.
+    """
+
+    customer: str
+    demand: common.Resources
+    after_ms: float
+    yields_below: float
+    key: typing.Any = None
+
+
+class PoolLoad:
+    """The workers, runs and waiting steps of one pool at one time.
+
+    ``run_view(run, now_ms)`` returns a Running, and ``use_and_cap(customer)`` what a
+    customer uses and may use; None instead of the latter without a limit. ``turn``
+    chooses the workers of a large pool whose runs are taken for all.
+    """
+
+    def __init__(self, run_view, use_and_cap, turn):
+        self._run_view = run_view
+        self._use_and_cap = use_and_cap
+        self._turn = turn
+        self._workers = []
+        self._capacity = [0, 0, 0]
+        self._used = [0, 0, 0]
+        self._waiting = []
+        self._running = None
+        self._checks_left = MAX_SUITABLE_CHECKS
+        # The limits that new work has to wait for, by (kind of resource, customer); the
+        # customer is empty for the pool's own resources.
+        self._limits = {}
+
+    def add_worker(self, worker):
+        """Count a worker's capacity and what is used of it."""
+        self._workers.append(worker)
+        for kind in KINDS:
+            self._capacity[kind] += worker.record.capacity[kind]
+            self._used[kind] += worker.used[kind]
+
+    def add(self, waiting_steps):
+        """Add steps that wait."""
+        for step in waiting_steps:
+            self._waiting.append(step)
+            for (kind, customer), limit in self._limits.items():
+                if not customer or step.customer == customer:
+                    limit.add(step, kind)
+
+    def can_run(self, step):
+        """Whether a task of a step fits on any worker if it were idle."""
+        for worker in self._workers:
+            if self._checks_left <= 0:
+                return False
+            self._checks_left -= 1
+            if choice.is_suitable(worker, step):
+                return True
+        return False
+
+    def share_ms(self, steps, task_ms):
+        """How long a job's tasks would occupy the whole pool."""
+        return max(
+            sum(
+                step.tasks * step.demand[kind] * ms
+                for step, ms in zip(steps, task_ms, strict=True)
+            )
+            / max(1, self._capacity[kind])
+            for kind in KINDS
+        )
+
+    def longest_delay_ms(self, customer, steps, key, now_ms):
+        """A bound of the delay of a new job, which takes less time than a forecast."""
+        limits = self._limits_of(customer, steps, now_ms)
+        return max((limit.longest_delay_ms(key) for limit in limits), default=0.0)
+
+    def delay(self, customer, steps, key, slack_ms, now_ms):
+        """The ``load_forecast.Delay`` of a new job of a customer with these steps.
+
+        It has to wait for each resource that it needs, and for its customer's cap. It
+        is on time if it starts within ``slack_ms``.
+        """
+        limits = self._limits_of(customer, steps, now_ms)
+        delays = [limit.delay(key, slack_ms, now_ms) for limit in limits]
+        return max(delays, default=load_forecast.NO_DELAY)
+
+    def processor_delay_ms(self, key, now_ms):
+        """The expected delay of new work of a class, by processors only."""
+        return self._limit(0, "", now_ms).delay(key, math.inf, now_ms).expected_ms
+
+    def _limits_of(self, customer, steps, now_ms):
+        kinds = [kind for kind in KINDS if any(step.demand[kind] for step in steps)]
+        limits = [self._limit(kind, "", now_ms) for kind in kinds]
+        if customer and self._use_and_cap(customer)[1] is not None:
+            limits += [self._limit(kind, customer, now_ms) for kind in kinds]
+        return limits
+
+    def _limit(self, kind, customer, now_ms):
+        name = (kind, customer)
+        if name not in self._limits:
+            self._limits[name] = self._make_limit(kind, customer, now_ms)
+        return self._limits[name]
+
+    def _make_limit(self, kind, customer, now_ms):
+        if self._running is None:
+            self._running = self._collect_running(now_ms)
+        running = self._running
+        total, used = self._capacity[kind], self._used[kind]
+        if customer:
+            running = [run for run in running if run.customer == customer]
+            use, cap = self._use_and_cap(customer)
+            total, used = cap[kind], use[kind]
+        # The runs of a part of the workers stand for those of all.
+        scale = used / max(1, sum(run.demand[kind] for run in running))
+        runs = [(run, run.demand[kind] * scale) for run in running if run.demand[kind]]
+        limit = _Limit(total, total - used, runs)
+        for step, part in self._waiting_parts(kind, customer):
+            limit.add(step, kind, part)
+        return limit
+
+    def _waiting_parts(self, kind, customer):
+        """The steps that wait for a resource, each with the part that counts.
+
+        For the pool that is what their customers' caps let start; what a cap holds back
+        takes no room from others. For a customer's cap it is all of its own.
+        """
+        steps = [step for step in self._waiting if step.demand[kind]]
+        if customer:
+            return [(step, 1.0) for step in steps if step.customer == customer]
+        totals = collections.Counter()
+        for step in steps:
+            totals[step.customer] += step.demand[kind]
+        parts = {}
+        for name, total in totals.items():
+            use, cap = self._use_and_cap(name)
+            free = math.inf if cap is None else max(0, cap[kind] - use[kind])
+            parts[name] = min(1.0, free / total)
+        return [(step, parts[step.customer]) for step in steps]
+
+    def _collect_running(self, now_ms):
+        """The runs of all workers, or of a part of them in turn."""
+        stride = max(1, math.ceil(len(self._workers) / MAX_WORKERS))
+        return [
+            self._run_view(run, now_ms)
+            for worker in self._workers[self._turn % stride :: stride]
+            for run in worker.runs.values()
+        ]
+
+
+class _Limit:
+    """One resource of a pool, or of a customer's cap, with the work that needs it."""
+
+    def __init__(self, total, free, runs):
+        ends, started = collections.Counter(), collections.Counter()
+        lasting = running_work = 0.0
+        for run, amount in runs:
+            if math.isinf(run.after_ms):
+                lasting += amount
+                continue
+            if run.key is not None:
+                started[run.key] += amount
+            running_work += run.after_ms * amount
+            # Ends are summed up, since there may be thousands.
+            ends[(load_forecast.bucket(run.after_ms), run.yields_below)] += amount
+        rows = [
+            load_forecast.End(after_ms, amount, yields_below)
+            for (after_ms, yields_below), amount in ends.items()
+        ]
+        self._pool = load_forecast.Pool(total - lasting, free, rows, [], started)
+        self._running_work = running_work
+        self._waiting_work = collections.Counter()
+        # The delays of each class, on time and late, with their time and how many steps
+        # were considered.
+        self._delays = {}
+
+    def add(self, step, kind, part=1.0):
+        """Add a part of a step that waits for this resource, which is of a kind."""
+        amount = step.demand[kind] * part
+        if amount:
+            waiting = load_forecast.Waiting(
+                step.key, amount, step.task_ms, step.is_later, step.is_late
+            )
+            self._pool.waiting.append(waiting)
+            self._waiting_work[step.key] += amount * step.task_ms
+
+    def longest_delay_ms(self, key):
+        """A bound of the delay of new work of a class: all work there, at full use."""
+        work = self._running_work
+        work += sum(ms for other, ms in self._waiting_work.items() if other <= key)
+        if self._pool.capacity <= 0:
+            return math.inf
+        return work / self._pool.capacity
+
+    def delay(self, key, slack_ms, now_ms):
+        """The ``load_forecast.Delay`` of new work of a class."""
+        steps = len(self._pool.waiting)
+        by_time, made_ms, made_steps = self._delays.get(key, (None, 0, 0))
+        is_same = made_steps == steps
+        if by_time is None or (not is_same and now_ms - made_ms >= FORECAST_MS):
+            by_time = (
+                load_forecast.start_delay(self._pool, key),
+                load_forecast.start_delay(self._pool, key, -1),
+            )
+            self._delays[key] = (by_time, now_ms, steps)
+        on_time, late = by_time
+        return on_time if on_time.expected_ms <= slack_ms else late
+
+
+def is_counted(worker, now_ms):
+    """Whether a worker's capacity will be there for new work."""
+    silent_ms = now_ms - max(worker.announced_ms, worker.last_contact_ms)
+    return not worker.is_planned_to_end() and silent_ms < SILENT_MS
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -14,7 +14,13 @@
 from alderreach.core import cell_state
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import choice
-from alderreach.ops.controller import runs, stopping, worker_lifecycle, worker_polls
+from alderreach.ops.controller import (
+    admitting,
+    runs,
+    stopping,
+    worker_lifecycle,
+    worker_polls,
+)
 
 # Suggested retry delay while the cell can't answer: about the duration of an election.
 RETRY_AFTER_MS = 1000
@@ -30,9 +36,11 @@
 INVALID = "invalid"
 UNKNOWN_KEY = "unknown_key"
 OTHER_CUSTOMER = "other_customer"
+OVERLOADED = "overloaded"
 NOT_READY = "not_ready"
-# Refusals that another version of the configuration might not give.
-REFUSALS_BY_CONFIG = (NO_QUEUE, UNKNOWN_KEY, OTHER_CUSTOMER)
+# Refusals that another attempt of the same request might not get, since they depend on
+# the configuration or on the load.
+REFUSALS = (NO_QUEUE, UNKNOWN_KEY, OTHER_CUSTOMER, OVERLOADED)
 
 
 def answer(kind, text="", number=0, retry_after_ms=0, body=b""):
@@ -158,9 +166,14 @@
         request.interval_ms,
         subject.customer,
     )
+    refusal = term.admission.consider(record)
+    if refusal is not None:
+        _refuse_for_load(term, record, refusal, reply)
+        return
     accepted = cell.JobAccepted(record, leader.cell_ms())
     leader.decide(lambda: reply(answer(ACCEPTED)), accepted=[accepted])
     term.planner.job_added(leader.state.jobs[job_id])
+    term.admission.accepted(leader.state.jobs[job_id])
     term.record(
         "job_accepted",
         job=job_id,
@@ -172,6 +185,29 @@
     )
 
 
+def _refuse_for_load(term, record, refusal, reply):
+    """Refuse a job that can't be served in time, and log its first refusal.
+
+    Nothing is decided, so nothing of it will run. The leadership is confirmed first:
+    a deposed leader might refuse a job that its successor has accepted.
+    """
+    metrics = term.leader.environment.metrics
+    metrics.count("requests_refused", OVERLOADED)
+    if refusal.is_first:
+        metrics.count("jobs_refused", admitting.label(refusal.key))
+        term.record(
+            "job_refused",
+            job=record.job_id,
+            queue=record.queue.name,
+            customer=record.customer,
+            is_beyond_share=refusal.key.is_beyond_share,
+            expected_delay_ms=refusal.expected_delay_ms,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+    answered = answer(OVERLOADED, retry_after_ms=refusal.retry_after_ms)
+    term.confirm(lambda: reply(answered))
+
+
 def _invalid_reason(request, job_id):
     if not job_id or "/" in job_id or "." in job_id:
         return "the path names no job"
--- a/alderreach/platform/answers.py
+++ b/alderreach/platform/answers.py
@@ -18,6 +18,7 @@
     408: "408 Request Timeout",
     410: "410 Gone",
     413: "413 Content Too Large",
+    429: "429 Too Many Requests",
     431: "431 Request Header Fields Too Large",
     500: "500 Internal Server Error",
     503: "503 Service Unavailable",
@@ -33,6 +34,7 @@
     requests.INVALID: 400,
     requests.UNKNOWN_KEY: 401,
     requests.OTHER_CUSTOMER: 403,
+    requests.OVERLOADED: 429,
     requests.NOT_READY: 503,
 }
 
@@ -64,8 +66,8 @@
 
     Without an answer, a change that may have been made is a 504, and its sender retries
     with the same id. So is a refusal if an earlier attempt got no reply: that one may
-    have been accepted under a configuration that has changed since. Anything else had
-    no effect and is a 503.
+    have been accepted under another configuration or before the cell was full. Anything
+    else had no effect and is a 503.
     """
     answer = outcome.answer
     if is_change and _is_unclear(outcome):
@@ -78,7 +80,7 @@
 def _is_unclear(outcome):
     if outcome.answer is None:
         return outcome.may_have_acted
-    is_refusal = outcome.answer.kind in requests.REFUSALS_BY_CONFIG
+    is_refusal = outcome.answer.kind in requests.REFUSALS
     return is_refusal and outcome.had_unclear_attempt
 
 
--- a/tools/benches/contended.py
+++ b/tools/benches/contended.py
@@ -212,6 +212,7 @@
     print(
         f"{name}: worth {values}; without the largest customer {others}; "
         f"{made.starts} starts, {made.stops} preempted, {made.queries} queries, "
+        f"{len(made.refusals)} jobs refused, "
         f"{1000 * made.cpu_s / max(1, made.starts):.2f} ms CPU/start, "
         f"{time.process_time():.0f} s"
     )
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -68,6 +68,8 @@
     same per second of virtual time, and ``waits`` holds the fields of each report on a
     step that has waited for a long time. ``silent_helpers`` accept queries and never
     answer; ``cut_helpers`` answer at once that the service can't be reached.
+    ``refusals`` maps the ids of jobs that were refused because of load to the times of
+    refusal, and the time until each may be submitted again.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self.polls = 0
         self.queries = 0
         self.waits = []
+        self.refusals = collections.defaultdict(list)
         self.silent_helpers = set()
         self.cut_helpers = set()
         self._queues = {queue.name: queue for queue in queues}
@@ -141,14 +144,29 @@
         self.loop.at(time_ms, lambda: self.submit(queue_name, job_id, works, customer))
 
     def _submit_until_accepted(self, request):
-        accepted = []
-        self._request(request, accepted.append)
+        answers = []
 
-        def retry():
-            if not accepted:
-                self._submit_until_accepted(request)
+        def on_answer(answer):
+            answers.append(answer)
+            if answer.retry_after_ms:
+                self._note_refusal(request, answer)
+                self.loop.after(answer.retry_after_ms, submit_again)
 
-        self.loop.after(CALLER_RETRY_MS, retry)
+        def submit_again():
+            self._submit_until_accepted(request)
+
+        def retry_if_unanswered():
+            if not answers:
+                submit_again()
+
+        self._request(request, on_answer)
+        self.loop.after(CALLER_RETRY_MS, retry_if_unanswered)
+
+    def _note_refusal(self, request, answer):
+        if answer.kind == requests.OVERLOADED:
+            job_id = request.path.rpartition("/")[2]
+            row = (self.loop.now_ms, answer.retry_after_ms)
+            self.refusals[job_id].append(row)
 
     def run_until(self, end_ms):
         """Advance the virtual time."""
@@ -356,6 +374,7 @@
         if self.term is not None:
             self.term.leader.tidy()
             self.term.planner.tidy()
+            self.term.admission.tidy()
 
     def _deliver_heartbeats(self):
         """Deliver a heartbeat of each worker that is in contact.
