--- a/alderreach/decisions/cell/order.py
+++ b/alderreach/decisions/cell/order.py
@@ -196,6 +196,10 @@
         """All steps in order, as a copy that later changes don't affect."""
         return [group for _urgency, group in self._rows]
 
+    def first_rank(self):
+        """The Rank of the most urgent step, or None if there is no step."""
+        return self._by_group[self._rows[0][1]][1] if self._rows else None
+
     def is_before(self, group, other):
         """Whether a step comes before another; a step that is not queued comes last."""
         row, _ranked = self._by_group.get(group, (None, None))
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -47,6 +47,7 @@
     ``is_confirmed`` if the worker has told this leader that it runs, and
     ``lost_connection_at_start`` if the connection closed before its start was answered.
     ``stop`` is what is known of its stopping, for the log; None if it is not to stop.
+    ``has_duplicate`` is set if it was abandoned for a second run, but is to work on.
     """
 
     __slots__ = (
@@ -59,6 +60,7 @@
         "demand",
         "first_ms",
         "first_percent",
+        "has_duplicate",
         "is_confirmed",
         "is_fully_observed",
         "is_long",
@@ -93,6 +95,7 @@
         self.lost_connection_at_start = False
         self.allow_duplicates = step.allow_duplicates
         self.abandoned = False
+        self.has_duplicate = False
         self.ticket = ticket
         self.state = ORDERED
         self.stop = None
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -18,6 +18,7 @@
 from alderreach.decisions.cell import order, preemption
 from alderreach.ops.controller import (
     cap_waits,
+    duplicating,
     permission_queries,
     preempting,
     ranking,
@@ -50,6 +51,12 @@
         self._preemptions = preempting.Preemptions(leader, self._ranks.get)
         self._wait_reports = wait_reports.WaitReports(leader)
         self._cap_waits = cap_waits.CapWaits(leader)
+        self._duplicates = duplicating.Duplicates(
+            leader,
+            self._usable_pool,
+            self._cap_waits.room,
+            self._rank,
+        )
         # A heap of (due time, group) for occurrences that are due later.
         self._scheduled = []
         self._next_pass_ms = 0
@@ -80,8 +87,10 @@
             return
         if job.unfinished_by_group[(occurrence, number)]:
             group = cell_state.GroupKey(job_id, occurrence, number)
-            self._enqueue(job, group)
-            self._leader.revisit(group)
+            self._duplicates.on_run_ended(job, group)
+            if any(t.state == cell_state.WAITING for t in job.groups[group[1:]]):
+                self._enqueue(job, group)
+                self._leader.revisit(group)
             return
         for later, step in enumerate(job.record.steps):
             if number in step.after and cell_state.are_dependencies_done(
@@ -104,6 +113,7 @@
         self._rerank_if_config_changed()
         self._queue.refresh(leader.cell_ms())
         self._consider_groups(now_ms)
+        self._duplicates.consider(self._queue.first_rank(), now_ms)
         self._queries.prefetch(now_ms)
 
     def _refresh_pools(self, now_ms):
@@ -162,6 +172,7 @@
         share_reports.report(self._leader)
         self._ranks.tidy()
         self._preemptions.tidy()
+        self._duplicates.tidy()
         self._wait_reports.tidy(self._waiting.values(), self._leader.now_ms())
 
     def pending(self, queue_name):
@@ -346,6 +357,10 @@
             pool = pools.usable_among(service, permitted)
         return [worker for worker in pool if self._may_use(group, worker)]
 
+    def _usable_pool(self, job, group):
+        rule = self._leader.queue_of(job).permission
+        return self._pool(job, group, rule, self._leader.now_ms())
+
     def _may_use(self, group, worker):
         """Whether a worker is not held for a more urgent group."""
         holder = self._preemptions.hold_of(worker.target_id)
@@ -379,6 +394,8 @@
             started = starting.start_tasks(
                 leader, group, waiting[:room], pool, waited_ms, now_ms
             )
+        if started:
+            self._duplicates.on_started(job, group, started, now_ms)
         left = len(waiting) - started
         if not left:
             self._remove_waiting(group)
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -87,6 +87,7 @@
     leader.decide(ended=[ended])
     if end_kind == "done":
         stop_duplicate(leader, key, run.run)
+        _stop_duplicated(leader, key, run.run)
     leader.on_run_ended(key.job_id, key.occurrence, key.step)
     leader.environment.record(
         "run_ended",
@@ -128,6 +129,15 @@
         close_run(leader, worker, run, stopping.DUPLICATE)
 
 
+def _stop_duplicated(leader, key, done_run):
+    """Stop the older run of a task if its duplicate is done."""
+    for each in cell_state.find_task(leader.state, key).in_doubt:
+        worker = leader.workers.get(each.target_id)
+        run = worker.runs.get(key) if worker else None
+        if run is not None and run.run == each.run < done_run and run.has_duplicate:
+            close_run(leader, worker, run, stopping.DUPLICATE)
+
+
 def repeat_start(leader, worker, run):
     """Send another copy of a start, with the newest lease and ticket there are.
 
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -243,7 +243,7 @@
     if run.first_ms is None and entry.percent > 0:
         run.first_percent, run.first_ms = entry.percent, now_ms
     run.load = entry.load
-    if run.abandoned:
+    if run.abandoned and not run.has_duplicate:
         runs.close_run(leader, worker, run, stopping.ABANDONED)
         return
     run.checkpoint = entry.checkpoint or run.checkpoint
