--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -45,6 +45,8 @@
         self._waiting = {}
         self._queue = order.UrgencyQueue()
         self._due_ms = {}
+        # The workers whose capacity was freed since the last pass.
+        self._freed = []
         self._ranks = ranking.Ranks(leader)
         self._ranked_config = None
         self._queries = permission_queries.PermissionQueries(leader)
@@ -137,7 +139,7 @@
         for group in self._cap_waits.pop_ready(now_ms):
             self._return_to_queue(group, now_ms)
         self._preempt_under_caps(now_ms)
-        freed = leader.pools.pop_freed()
+        self._freed = freed = leader.pools.pop_freed()
         if not freed and now_ms < min(self._due_ms.values(), default=math.inf):
             return
         started = visits = 0
@@ -294,6 +296,7 @@
         self._wait_reports.on_all_started(group)
         self._cap_waits.remove(group)
         self._leader.permissions.clear_shortage(group)
+        self._freed += self._preemptions.release(group)
 
     def _consider_in_full(self, group, now_ms):
         """Start as many tasks of a group as possible; returns their number.
--- a/alderreach/ops/controller/preempting.py
+++ b/alderreach/ops/controller/preempting.py
@@ -48,6 +48,17 @@
                 del self._holds[target_id]
                 self._leader.pools.mark_freed(target_id)
 
+    def release(self, group):
+        """Release the holds for a group that waits no longer; returns the workers.
+
+        Groups after it may use them in this pass already, and all in the next one.
+        """
+        ended = [name for name, hold in self._holds.items() if hold.group == group]
+        for target_id in ended:
+            del self._holds[target_id]
+            self._leader.pools.mark_freed(target_id)
+        return [self._leader.workers[t] for t in ended if t in self._leader.workers]
+
     def next_ms(self, job, group, since_ms):
         """When runs may next be preempted for a group that waits since ``since_ms``."""
         if self._leader.queue_of(job).priority >= self._leader.least_urgent():
