--- a/alderreach/decisions/cell/permissions.py
+++ b/alderreach/decisions/cell/permissions.py
@@ -5,10 +5,9 @@
 leader sent all queries itself, and only once steps are ready, it would be the
 bottleneck.
 
-Queries are spread over all processes of the cell, the helpers, one at a time for each.
-A third of the helpers is reserved for queries that are decided several times faster
-than the slowest, so that an urgent step's query of 25 ms does not wait behind others of
-600 ms that are not urgent.
+Queries are spread over all processes of the cell, the helpers, one at a time for each
+(``query_helpers``). Slow queries leave some of them to quick ones, so that an urgent
+step's query of 25 ms does not wait behind others of 600 ms that are not urgent.
 
 An answer never changes, so a denied worker is not queried again. A ticket expires: it
 is used only while at least ``TICKET_MARGIN_MS`` of its validity are left, and renewed
@@ -30,6 +29,8 @@
 import math
 import typing
 
+from alderreach.decisions.cell import group_answers, query_helpers, query_planning
+
 # A start takes a synced log entry and a call, both before its ticket expires.
 TICKET_MARGIN_MS = 200
 # The maximum number of new workers in a query. A longer query takes longer to decide,
@@ -44,10 +45,6 @@
 # The minimum number of workers in a renewal, since free capacity changes while the
 # query is decided.
 MIN_RENEWALS = 4
-# The share of the helpers that is reserved for queries which are decided QUICK_RATIO
-# times faster.
-RESERVED_HELPER_SHARE = 0.34
-QUICK_RATIO = 4
 # Tickets are renewed early only while at least this share of the helpers is idle.
 MIN_IDLE_SHARE = 0.5
 # A query without an answer is sent to another helper after this plus twice its expected
@@ -70,56 +67,14 @@
     due_ms: int
 
 
-class _GroupAnswers:
-    """The answers for one group: tickets by worker, and the denied workers.
-
-    ``has_shortage`` is set if workers with valid tickets lacked the capacity for it. If
-    a check found nothing to query, the next check is at ``next_check_ms``, or at
-    ``early_check_ms`` if workers became usable or unusable in the meantime.
-    """
-
-    __slots__ = (
-        "denied",
-        "early_check_ms",
-        "has_shortage",
-        "next_check_ms",
-        "open_query",
-        "tickets",
-    )
-
-    def __init__(self):
-        self.tickets = {}
-        self.denied = set()
-        self.open_query = None
-        self.has_shortage = False
-        self.check_at_once()
-
-    def check_at_once(self):
-        """End the pause after a check that found nothing to query."""
-        self.next_check_ms = self.early_check_ms = 0
-
-    def next_expiry_ms(self, after_ms):
-        """When the first of the tickets expires that are valid beyond ``after_ms``."""
-        later = [until for _ticket, until in self.tickets.values() if until > after_ms]
-        return min(later, default=math.inf)
-
-    def fresh_ids(self, ahead_ms, now_ms):
-        """Ids of workers whose tickets are valid for more than another ``ahead_ms``."""
-        return [
-            target_id
-            for target_id, (_ticket, until_ms) in self.tickets.items()
-            if until_ms - now_ms > ahead_ms
-        ]
-
-
 class Permissions:
     """All answers that a leader received, and which helpers are busy."""
 
     def __init__(self):
         self._groups = {}
         self._queries = {}
-        self._busy = {}
-        self._failed_ms = {}
+        self.helpers = query_helpers.Helpers()
+        self.shares = query_planning.GrantedShares()
         self._serial = 0
 
     def ticket(self, group, target_id, now_ms):
@@ -130,6 +85,13 @@
         ticket, until_ms = answers.tickets.get(target_id, ("", 0))
         return ticket if until_ms - now_ms >= TICKET_MARGIN_MS else None
 
+    def has_ticket(self, group, now_ms):
+        """Whether a group has any ticket that is valid for a start now."""
+        answers = self._groups.get(group)
+        return (
+            answers is not None and answers.latest_until_ms - now_ms >= TICKET_MARGIN_MS
+        )
+
     def has_open_query(self, group):
         """Whether a query for this group waits for its answer."""
         answers = self._groups.get(group)
@@ -167,8 +129,7 @@
         are sent only while half of the helpers are idle, since steps without any ticket
         need the helpers more.
         """
-        idle = sum(helper not in self._busy for helper in helpers)
-        if idle < MIN_IDLE_SHARE * len(helpers):
+        if self.helpers.idle_share(helpers) < MIN_IDLE_SHARE:
             return TICKET_MARGIN_MS
         return max_renewal_lead_ms(rule, tasks)
 
@@ -247,7 +208,7 @@
         A gang needs all its tickets at the same time, so a renewal for a gang with a
         shortage names all its permitted workers.
         """
-        answers = self._groups.setdefault(group, _GroupAnswers())
+        answers = self._groups.setdefault(group, group_answers.GroupAnswers())
         if answers.open_query is not None:
             return []
         new = []
@@ -258,9 +219,22 @@
             stale = [t for t in suitable if t in answers.tickets]
         return [*stale[: MAX_QUERY_WORKERS - len(new)], *new]
 
+    def outlook(self, group, ahead_ms, now_ms):
+        """What is known of a group, as a ``group_answers.Outlook``."""
+        answers = self._groups.get(group)
+        if answers is None:
+            return group_answers.NO_OUTLOOK
+        open_query = answers.open_query
+        return group_answers.Outlook(
+            answers.fresh_ids(ahead_ms, now_ms),
+            answers.tickets,
+            answers.denied,
+            open_query.target_ids if open_query is not None else (),
+        )
+
     def not_yet_queried(self, group, suitable):
         """Those of the given workers that were not queried yet."""
-        answers = self._groups.setdefault(group, _GroupAnswers())
+        answers = self._groups.setdefault(group, group_answers.GroupAnswers())
         return [
             target_id
             for target_id in suitable
@@ -283,32 +257,29 @@
         answers = self._groups.get(group)
         return len(answers.denied) if answers is not None else 0
 
-    def idle_helper(self, rule, helpers, quickest_ms=None):
-        """An idle helper for a query under a rule, or None.
-
-        ``quickest_ms`` is the decision time of the quickest rule in force.
-
-        Helpers that failed recently come last, since a helper may be connected to the
-        leader but not to the permission service.
-        """
-        idle = [helper for helper in helpers if helper not in self._busy]
-        if len(idle) <= _reserved_helpers(rule, helpers, quickest_ms):
-            return None
-        return min(idle, key=lambda helper: self._failed_ms.get(helper, 0))
-
     def ask(self, group, target_ids, rule, helpers, now_ms, quickest_ms=None):
         """Create a query and assign it to an idle helper; None if there is none."""
-        helper = self.idle_helper(rule, helpers, quickest_ms)
+        helper = self.helpers.find_idle(rule, helpers, quickest_ms, now_ms)
         if helper is None:
             return None
         self._serial += 1
-        due_ms = now_ms + 2 * _decision_ms(rule, target_ids) + ANSWER_SLACK_MS
+        service_ms = decision_ms(rule, len(target_ids))
+        due_ms = now_ms + 2 * service_ms + ANSWER_SLACK_MS
         query = Query(str(self._serial), group, target_ids, helper, due_ms)
         self._queries[query.query_id] = query
-        self._busy[helper] = query
-        self._groups.setdefault(group, _GroupAnswers()).open_query = query
+        is_slow = query_planning.is_slow(rule, quickest_ms)
+        self.helpers.assign(helper, query, is_slow, now_ms)
+        answers = self._groups.setdefault(group, group_answers.GroupAnswers())
+        answers.open_query = query
+        answers.queries += 1
+        answers.service_ms += service_ms
         return query
 
+    def effort(self, group):
+        """A group's number of queries so far, and the service's time for them in ms."""
+        answers = self._groups.get(group)
+        return (answers.queries, answers.service_ms) if answers is not None else (0, 0)
+
     def find(self, query_id):
         """The open query with this id, or None."""
         return self._queries.get(query_id)
@@ -318,17 +289,14 @@
         query = self._queries.get(query_id)
         if query is None:
             return None
-        self._close_query(query)
-        if is_decided:
-            self._failed_ms.pop(query.helper, None)
-        else:
-            self._failed_ms[query.helper] = now_ms
+        self._close_query(query, is_decided, now_ms)
         answers = self._groups.get(query.group)
         if answers is None or not is_decided:
             return query
         until_ms = now_ms + rule.valid_ms
         for ticket in granted:
             answers.tickets[ticket.target_id] = (ticket.ticket, until_ms)
+            answers.latest_until_ms = until_ms
         answers.denied.update(set(query.target_ids) - answers.tickets.keys())
         answers.check_at_once()
         return query
@@ -353,13 +321,12 @@
         """Close queries that were not answered in time; returns their helpers."""
         overdue = [q for q in self._queries.values() if now_ms >= q.due_ms]
         for query in overdue:
-            self._failed_ms[query.helper] = now_ms
-            self._close_query(query)
+            self._close_query(query, False, now_ms)
         return [query.helper for query in overdue]
 
-    def _close_query(self, query):
+    def _close_query(self, query, has_answered, now_ms):
         del self._queries[query.query_id]
-        self._busy.pop(query.helper, None)
+        self.helpers.release(query.helper, has_answered, now_ms)
         answers = self._groups.get(query.group)
         if answers is not None and answers.open_query is query:
             answers.open_query = None
@@ -393,18 +360,9 @@
 
 def lead_ms(rule, worker_count):
     """How long before its answer is needed a query for some workers has to be sent."""
-    return (
-        math.ceil(rule.decision_ms + rule.per_target_ms * worker_count)
-        + TICKET_MARGIN_MS
-    )
-
-
-def _reserved_helpers(rule, helpers, quickest_ms):
-    """How many helpers a query under a rule has to leave idle for quicker ones."""
-    if quickest_ms is None or rule.decision_ms < QUICK_RATIO * max(1, quickest_ms):
-        return 0
-    return int(RESERVED_HELPER_SHARE * len(helpers))
+    return decision_ms(rule, worker_count) + TICKET_MARGIN_MS
 
 
-def _decision_ms(rule, target_ids):
-    return math.ceil(rule.decision_ms + rule.per_target_ms * len(target_ids))
+def decision_ms(rule, worker_count):
+    """How long the permission service takes for a query that names some workers."""
+    return math.ceil(rule.decision_ms + rule.per_target_ms * worker_count)
--- a/alderreach/ops/controller/permission_answers.py
+++ b/alderreach/ops/controller/permission_answers.py
@@ -8,6 +8,7 @@
         return
     job = leader.state.jobs.get(query.group[0])
     rule = leader.queue_of(job).permission if job else None
+    new = set(leader.permissions.not_yet_queried(query.group, query.target_ids))
     leader.permissions.on_answer(
         message.query_id,
         message.is_decided and rule is not None,
@@ -15,6 +16,9 @@
         rule,
         leader.now_ms(),
     )
+    if message.is_decided and rule is not None and new:
+        granted = sum(ticket.target_id in new for ticket in message.granted)
+        leader.permissions.shares.observe(job.record.queue.name, len(new), granted)
     leader.revisit(query.group)
     leader.environment.record(
         "permission_answered",
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -49,7 +49,7 @@
         self._freed = []
         self._ranks = ranking.Ranks(leader)
         self._ranked_config = None
-        self._queries = permission_queries.PermissionQueries(leader)
+        self._queries = permission_queries.PermissionQueries(leader, self._ranks.get)
         self._preemptions = preempting.Preemptions(leader, self._ranks.get)
         self._wait_reports = wait_reports.WaitReports(leader)
         self._cap_waits = cap_waits.CapWaits(leader)
@@ -116,6 +116,7 @@
         self._queue.refresh(leader.cell_ms())
         self._consider_groups(now_ms)
         self._duplicates.consider(self._queue.first_rank(), now_ms)
+        self._queries.query_in_rounds(self._queue.groups, now_ms)
         self._queries.prefetch(now_ms)
 
     def _refresh_pools(self, now_ms):
@@ -154,6 +155,10 @@
                 break
             if leader.is_over(group):
                 self._drop(group)
+            elif now_ms < self._due_ms[group] and not (
+                freed and self._queries.may_start(group, now_ms)
+            ):
+                continue
             elif self._park_at_cap(group, now_ms):
                 continue
             elif now_ms >= self._due_ms[group]:
@@ -175,6 +180,7 @@
         self._ranks.tidy()
         self._preemptions.tidy()
         self._duplicates.tidy()
+        self._queries.tidy(self._leader.now_ms())
         self._wait_reports.tidy(self._waiting.values(), self._leader.now_ms())
 
     def pending(self, queue_name):
@@ -295,7 +301,7 @@
         self._ranks.forget(group)
         self._wait_reports.on_all_started(group)
         self._cap_waits.remove(group)
-        self._leader.permissions.clear_shortage(group)
+        self._queries.on_all_started(group)
         self._freed += self._preemptions.release(group)
 
     def _consider_in_full(self, group, now_ms):
@@ -317,7 +323,7 @@
         self._preemptions.consider(job, group, pool, left, since_ms, now_ms)
         self._wait_reports.consider(job, group, pool, since_ms, now_ms)
         self._due_ms[group] = min(
-            self._queries.next_ms(group, now_ms) if rule is not None else math.inf,
+            self._queries.next_ms(group, now_ms, rule) if rule else math.inf,
             self._preemptions.next_ms(job, group, since_ms),
             self._wait_reports.next_ms(group, since_ms),
         )
@@ -337,7 +343,7 @@
             for worker in freed
             if worker.record.service == job.record.service
             and worker.has_capacity(step)
-            and (rule is None or self._has_ticket(group, worker, now_ms))
+            and self._queries.may_start_on(group, rule, worker, now_ms)
             and self._may_use(group, worker)
         ]
         if not pool:
@@ -346,10 +352,6 @@
             pool = self._pool(job, group, rule, now_ms)
         return self._place(job, group, pool, now_ms)[0]
 
-    def _has_ticket(self, group, worker, now_ms):
-        permissions = self._leader.permissions
-        return permissions.ticket(group, worker.target_id, now_ms) is not None
-
     def _pool(self, job, group, rule, now_ms):
         """The usable workers on which a group may start."""
         pools, service = self._leader.pools, job.record.service
