--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -24,6 +24,9 @@
 - A worker that is known to be slower than others is compared with its own usual speed,
   up to ``SLOW_RATIO``: its runs count as slow if they are ``SLOW_RATIO`` times slower
   than that. A worker slower than that loses its runs as before.
+- A run that began before another one ended there in the usual time is slow by itself:
+  its task is long, and would be on any worker. So is a task that was moved for being
+  slow and is slow again.
 """
 
 import collections
@@ -46,6 +49,9 @@
 # A task that was moved this often stays where it is: it may make progress that it does
 # not report.
 MAX_MOVES = 2
+# The same for moves from slow workers. Three in a hundred tasks of some customers take
+# seven times as long as their siblings, and each move repeats all of their work.
+MAX_SLOW_MOVES = 1
 # Less progress between two polls is too coarse to extrapolate from, unless the run was
 # observed for at least MIN_OBSERVED_MS.
 MIN_PROGRESS_PERCENT = 10
@@ -191,6 +197,19 @@
     return worker.slowness if 1.0 < worker.slowness < SLOW_RATIO else 1.0
 
 
+def is_of_usual_duration(worker, duration_ms, durations_ms):
+    """Whether a run took about as long as is usual for its step and its worker."""
+    if len(durations_ms) < MIN_SIBLINGS:
+        return False
+    usual_ms = max(1, statistics.median(durations_ms)) * usual_slowness(worker)
+    return duration_ms < SLOW_RATIO * usual_ms
+
+
+def is_long_by_itself(worker, run):
+    """Whether another run has shown since its start that the worker is not slow."""
+    return run.first_ms is not None and worker.usual_pace_ms > run.first_ms
+
+
 def is_slow(ratios):
     """Whether a worker is slow, given the slowness of its runs compared to its usual.
 
--- a/alderreach/decisions/cell/health_test.py
+++ b/alderreach/decisions/cell/health_test.py
@@ -148,3 +148,29 @@
         for each in pool:
             health.add_strike(each, f"{turn}-on-{each.target_id}", all_workers, 0)
     assert sum(100 < each.health.out_until_ms for each in pool) == 2
+
+
+def test_the_known_pace_of_a_slow_worker_is_no_reason_to_move_its_runs():
+    """Load: a third of the workers is 2.4 times slower. Guards against strikes that put
+    them out of use for that, and against a worker ten times slower that keeps its runs.
+    """
+    slow, broken = worker("w1"), worker("w2")
+    slow.slowness, broken.slowness = 2.4, 10.0
+    for each, ratios in ((slow, [2.6, 3.4, 3.2]), (broken, [9.0, 11.0])):
+        usual = health.usual_slowness(each)
+        assert health.is_slow([r / usual for r in ratios]) == (each is broken)
+
+
+def test_a_long_task_beside_runs_of_usual_duration_is_left_there():
+    """Load: three in a hundred tasks take seven times as long. Guards against moving
+    them twice, which repeats all of their work and strikes two healthy workers.
+    """
+    healthy, long_run = worker("w1"), run(20, 1400)
+    assert not health.is_long_by_itself(healthy, long_run)
+    assert health.is_of_usual_duration(healthy, 1200, SIBLINGS)
+    assert not health.is_of_usual_duration(healthy, 7000, SIBLINGS)
+    assert not health.is_of_usual_duration(healthy, 1200, SIBLINGS[:1])
+    healthy.usual_pace_ms = 1300
+    assert health.is_long_by_itself(healthy, long_run)
+    long_run.first_ms = 1350
+    assert not health.is_long_by_itself(healthy, long_run)
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -147,7 +147,8 @@
     a run. ``losses`` are the calls that the worker has lost, and ``copies`` in how many
     copies its link sends each call. ``first_failure_ms`` is the time of the first
     failed call since the last answer.
-    ``slowness`` is how many times as long as on a usual worker tasks take, as learned.
+    ``slowness`` is how many times as long as on a usual worker tasks take, as learned,
+    and ``usual_pace_ms`` when a run of usual duration ended last, -1 if none did.
     ``isolated_run`` is the last run that has to start alone here; nothing else starts
     until its start can no longer arrive. ``runs_in_doubt`` maps the (key, run) of runs
     that were given up, but may not be over, to how they ended if this incarnation is
@@ -203,6 +204,7 @@
         self.slow_orders = ()
         self.needs_list = False
         self.slowness = 1.0
+        self.usual_pace_ms = -1
         self.losses = call_losses.CallLosses()
         self.copies = 1
         self.polled_ms = now_ms
--- a/alderreach/ops/controller/learning.py
+++ b/alderreach/ops/controller/learning.py
@@ -90,6 +90,8 @@
         if duration_ms is not None:
             known = self._leader.durations.setdefault(run.key[:3], [])
             known.append(duration_ms / worker.slowness)
+            if health.is_of_usual_duration(worker, duration_ms, known):
+                worker.usual_pace_ms = self._leader.now_ms()
             if len(known) >= MIN_DURATIONS:
                 self._latest[(run.key.job_id, run.key.step)] = known
         step = job.record.steps[run.key.step]
--- a/alderreach/ops/controller/learning_test.py
+++ b/alderreach/ops/controller/learning_test.py
@@ -82,6 +82,18 @@
     assert slowness(sim)["w0"] == 1.0
 
 
+def test_a_worker_that_slows_down_suddenly_loses_its_runs():
+    """Guards against a known usual speed that hides a worker that is slow from now on,
+    twelve times as here.
+    """
+    sim = play(slow=())
+    sim.slow_down_at(5_200, ["w0"], 12.0)
+    sim.run_until(12_000)
+    assert sim.moves >= 1
+    took_ms = [sim.completed_ms(f"j{n}") - 500 * n for n in range(10, 18)]
+    assert max(took_ms) < 3_000 and sorted(took_ms)[5] < 600, took_ms
+
+
 def test_nothing_is_logged_or_decided_otherwise_where_all_workers_are_equal():
     """Guards against noise that changes decisions in a cell of equal workers."""
     sim = play(slow=())
--- a/alderreach/ops/controller/starting.py
+++ b/alderreach/ops/controller/starting.py
@@ -17,6 +17,9 @@
     if not usable:
         return 0
     timing = _timing(leader, job, group, usable)
+    if any((*group, index) in leader.moves for index in indexes):
+        # A task that was moved has lost its work and is likely to be a long one.
+        timing = timing._replace(slowest_in_time=0.0)
     used = _domains_of(leader, tasks)
     quick = choice.quick_enough(usable, timing)
     domains = choice.preferred_domains(quick, step, group, len(indexes), used)
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -281,7 +281,7 @@
             _move_run(leader, worker, run, "stalled", now_ms)
             continue
         ratio = health.slowness(run, leader.durations.get(run.key[:3], ()))
-        if ratio is not None:
+        if ratio is not None and not health.is_long_by_itself(worker, run):
             ratios[run] = ratio
     usual = health.usual_slowness(worker)
     if not health.is_slow([ratio / usual for ratio in ratios.values()]):
@@ -293,7 +293,8 @@
 
 def _move_run(leader, worker, run, reason, now_ms):
     moves = leader.moves.get(run.key, 0)
-    if moves >= health.MAX_MOVES:
+    limit = health.MAX_SLOW_MOVES if reason == "slow" else health.MAX_MOVES
+    if moves >= limit:
         return
     leader.moves[run.key] = moves + 1
     leader.environment.record(
