--- a/alderreach/decisions/cell/health.py
+++ b/alderreach/decisions/cell/health.py
@@ -24,6 +24,8 @@
 - A worker that is known to be slower than others is compared with its own usual speed,
   up to ``SLOW_RATIO``: its runs count as slow if they are ``SLOW_RATIO`` times slower
   than that. A worker slower than that loses its runs as before.
+- A long task on a worker that is known to be slow is moved once to a quick one, if all
+  of its work is done sooner there than the rest here. That is no strike.
 - A run that began before another one ended there in the usual time is slow by itself:
   its task is long, and would be on any worker. So is a task that was moved for being
   slow and is slow again.
@@ -44,6 +46,8 @@
 SINGLE_RUN_SLOW_RATIO = 5.0
 # With fewer finished siblings, their durations say little about the step's.
 MIN_SIBLINGS = 2
+# Slowness from which a worker counts as known to be slow.
+KNOWN_SLOW = 1.5
 # What moving a run costs besides repeating its work: a stop, a commit and a start.
 MOVE_COST_MS = 800
 # A task that was moved this often stays where it is: it may make progress that it does
@@ -210,6 +214,20 @@
     return run.first_ms is not None and worker.usual_pace_ms > run.first_ms
 
 
+def ends_sooner_on_quick(worker, run, ratio, durations_ms):
+    """Whether a long task on a known slow worker would end sooner on a usual one.
+
+    ``ratio`` is the run's ``slowness``. Its task is long if that exceeds the worker's
+    usual slowness by ``SLOW_RATIO``; others are not worth their work being repeated.
+    """
+    own_ratio = ratio / worker.slowness
+    if own_ratio < SLOW_RATIO:
+        return False
+    usual_ms = statistics.median(durations_ms)
+    left_ms = ratio * usual_ms * (100 - run.percent) / 100
+    return left_ms > own_ratio * usual_ms + MOVE_COST_MS
+
+
 def is_slow(ratios):
     """Whether a worker is slow, given the slowness of its runs compared to its usual.
 
--- a/alderreach/decisions/cell/health_test.py
+++ b/alderreach/decisions/cell/health_test.py
@@ -174,3 +174,14 @@
     assert health.is_long_by_itself(healthy, long_run)
     long_run.first_ms = 1350
     assert not health.is_long_by_itself(healthy, long_run)
+
+
+def test_only_a_long_task_leaves_a_known_slow_worker_and_only_early():
+    """Guards against a step that ends late for one long task on a slow worker, and
+    against work repeated for tasks that are slow only because their worker is.
+    """
+    slow = worker("w1")
+    slow.slowness = 2.4
+    for percent, ratio, expected in ((10, 17, True), (70, 17, False), (10, 3, False)):
+        each = run(percent, 10)
+        assert health.ends_sooner_on_quick(slow, each, ratio, SIBLINGS) == expected
--- a/alderreach/ops/controller/learning_test.py
+++ b/alderreach/ops/controller/learning_test.py
@@ -94,6 +94,29 @@
     assert max(took_ms) < 3_000 and sorted(took_ms)[5] < 600, took_ms
 
 
+def test_a_long_task_leaves_a_slow_worker_once_if_a_quick_one_has_room():
+    """Load: one task of seven times the usual duration on a slow worker, where it takes
+    6.7 s. It is moved at the first poll after its siblings have ended.
+    """
+    for room, moves, longest_ms in ((4_000, 1, 5_500), (1_000, 0, 7_000)):
+        sim = play()
+        sim.run_until(7_000)
+        for worker in sim.term.leader.workers.values():
+            cpu = 4_000 if worker.slowness > 1 else room
+            capacity = worker.record.capacity._replace(cpu_millis=cpu)
+            worker.record = worker.record._replace(capacity=capacity)
+            sim._machines[worker.target_id].record = worker.record
+        step = virtual_parts.step(6, 1_300, estimated_ms=WORK_MS, max_per_target=3)
+        works = [virtual_parts.Work(step, [WORK_MS] * 5 + [7 * WORK_MS])]
+        if room == 4_000:
+            busy = virtual_parts.step(16, 1_000)
+            sim.submit("q", "busy", [virtual_parts.Work(busy, [300] * 16)])
+        sim.submit("q", "long", works)
+        sim.run_until(20_000)
+        assert sim.moves == moves
+        assert sim.completed_ms("long") - 7_000 < longest_ms
+
+
 def test_nothing_is_logged_or_decided_otherwise_where_all_workers_are_equal():
     """Guards against noise that changes decisions in a cell of equal workers."""
     sim = play(slow=())
--- a/alderreach/ops/controller/starting.py
+++ b/alderreach/ops/controller/starting.py
@@ -56,6 +56,21 @@
     return len(tasks)
 
 
+def has_quick_room(leader, job, group):
+    """Whether a task of a group could start now on a worker of usual speed."""
+    now_ms, service = leader.now_ms(), job.record.service
+    if leader.queue_of(job).permission is None:
+        pool = leader.pools.usable(service)
+    else:
+        permitted = leader.permissions.permitted_ids(group, now_ms)
+        pool = leader.pools.usable_among(service, permitted)
+    step = job.record.steps[group.step]
+    return any(
+        worker.slowness <= 1.0 and choice.can_start(worker, step, group, now_ms)
+        for worker in pool
+    )
+
+
 def _timing(leader, job, group, pool):
     """The ``choice.Timing`` of a group; computed only if the workers' speeds differ.
 
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -7,7 +7,13 @@
 from alderreach.core import cell_state, orders
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import health, pacing, workers
-from alderreach.ops.controller import lost_calls, runs, stopping, worker_lifecycle
+from alderreach.ops.controller import (
+    lost_calls,
+    runs,
+    starting,
+    stopping,
+    worker_lifecycle,
+)
 
 # A worker may hold its answer to a poll for this time until a run ends. It is a quarter
 # of the time for which serving tasks may be disturbed by others.
@@ -281,7 +287,11 @@
             _move_run(leader, worker, run, "stalled", now_ms)
             continue
         ratio = health.slowness(run, leader.durations.get(run.key[:3], ()))
-        if ratio is not None and not health.is_long_by_itself(worker, run):
+        if ratio is None:
+            continue
+        if _is_better_on_quick(leader, worker, run, ratio):
+            _move_run(leader, worker, run, "long", now_ms)
+        elif not health.is_long_by_itself(worker, run):
             ratios[run] = ratio
     usual = health.usual_slowness(worker)
     if not health.is_slow([ratio / usual for ratio in ratios.values()]):
@@ -291,9 +301,22 @@
             _move_run(leader, worker, run, "slow", now_ms)
 
 
+def _is_better_on_quick(leader, worker, run, ratio):
+    """Whether a long task would end sooner on a quick worker that has room for it."""
+    if worker.slowness < health.KNOWN_SLOW or run.key in leader.moves:
+        return False
+    job = leader.state.jobs.get(run.key.job_id)
+    if job is None or job.record.steps[run.key.step].gang:
+        return False
+    durations_ms = leader.durations[run.key[:3]]
+    if not health.ends_sooner_on_quick(worker, run, ratio, durations_ms):
+        return False
+    return starting.has_quick_room(leader, job, cell_state.GroupKey(*run.key[:3]))
+
+
 def _move_run(leader, worker, run, reason, now_ms):
     moves = leader.moves.get(run.key, 0)
-    limit = health.MAX_SLOW_MOVES if reason == "slow" else health.MAX_MOVES
+    limit = health.MAX_MOVES if reason == "stalled" else health.MAX_SLOW_MOVES
     if moves >= limit:
         return
     leader.moves[run.key] = moves + 1
@@ -306,5 +329,6 @@
         percent=run.percent,
         still_ms=now_ms - run.last_progress_ms,
     )
-    runs.strike(leader, worker, run.key.job_id)
+    if reason != "long":
+        runs.strike(leader, worker, run.key.job_id)
     runs.close_run(leader, worker, run, stopping.MOVED)
