--- a/alderreach/decisions/cell/load_forecast.py
+++ b/alderreach/decisions/cell/load_forecast.py
@@ -33,18 +33,14 @@
 # Largest known error of a submitter's estimate, as a share of the duration. The error
 # of a sum over many jobs is smaller by the square root of their number.
 ESTIMATE_ERROR = 0.9
+# A step lasts as long as its longest task, which is this factor longer than expected of
+# one of ten to twenty tasks whose durations spread by a third.
+LONGEST_TASK_FACTOR = 1.5
 # The number of workers in the permission query that a critical path includes.
 QUERIED_WORKERS = 30
 # A job is refused if it is expected to end later than this many objectives.
 OBJECTIVES_BEYOND_SHARE = order.WORTHLESS_AFTER_OBJECTIVES
 OBJECTIVES_WITHIN_SHARE = 2 * order.WORTHLESS_AFTER_OBJECTIVES
-# Bounds of the time after which a refused job may come back. Callers are told whole
-# seconds.
-MIN_RETRY_MS = 1000
-MAX_RETRY_MS = 30_000
-# A job that comes back later than this after its time has lost its place.
-PLACE_GRACE_MS = 10_000
-MAX_PLACES = 1000
 # Weight of the latest job in what is usual for a queue.
 USUAL_WEIGHT = 0.05
 # Amounts below this are rounding errors.
@@ -61,15 +57,15 @@
 class Waiting(typing.NamedTuple):
     """Tasks of a step that have not started; ``amount`` is what they hold together.
 
-    ``is_later`` is set while the step waits for earlier ones of its job, ``is_late`` if
-    its job will miss its objective; work of the class that can be on time comes before.
+    ``is_later`` is set while the step waits for earlier ones of its job. After
+    ``latest_start_ms`` from now, negative if that is over, its job is late.
     """
 
     key: ClassKey
     amount: float
     task_ms: float
     is_later: bool = False
-    is_late: bool = False
+    latest_start_ms: float = math.inf
 
 
 class End(typing.NamedTuple):
@@ -111,6 +107,19 @@
 NO_DELAY = Delay(0.0, 0.0)
 
 
+class Slack(typing.NamedTuple):
+    """How late a new job may start, from now, by its estimate and at most.
+
+    Its estimate decides on its turn, and ``on_time_ms`` on whether it is late then.
+    """
+
+    latest_start_ms: float
+    on_time_ms: float
+
+
+NO_LIMIT = Slack(math.inf, math.inf)
+
+
 class Job(typing.NamedTuple):
     """What a decision needs to know of a submitted job.
 
@@ -135,17 +144,22 @@
         self.task_ms = 0.0
 
 
-def start_delay(pool, key, slack_ms=math.inf):
+def start_delay(pool, key, latest_start_ms=math.inf, includes_late=False):
     """The Delay of new work of a class; infinite if the pool has no end in sight.
 
-    ``slack_ms`` is how late the work may start to be on time. If it starts later, it
-    is behind the late work of its class too.
+    Within its class work goes in the order of its latest start, and before work that is
+    late already, unless the new work will be late as well (``includes_late``).
     """
-    ahead = [each for each in pool.waiting if each.key <= key]
-    on_time = [each for each in ahead if not each.is_late or each.key < key]
-    delay = _delay_behind(pool, key, on_time)
-    if delay.expected_ms <= slack_ms or len(on_time) == len(ahead):
-        return delay
+    ahead = [
+        each
+        for each in pool.waiting
+        if each.key < key
+        or (
+            each.key == key
+            and each.latest_start_ms <= latest_start_ms
+            and (includes_late or each.latest_start_ms >= 0)
+        )
+    ]
     return _delay_behind(pool, key, ahead)
 
 
@@ -162,10 +176,28 @@
             each.amount for each in ahead if each.key == key and not each.is_later
         )
         expected_ms = min(expected_ms, open_amount * STARTED_MS / started)
-    return Delay(expected_ms, expected_ms * _certain_part(len(ahead)))
+    return Delay(expected_ms, expected_ms * certain_part(len(ahead)))
+
+
+def rounded_down(time_ms):
+    """A time that may be shorter by a third, so that many times become a few.
+
+    >>> [rounded_down(ms) for ms in (1000, 1100, 1500)]
+    [985, 985, 1477]
+    """
+    if time_ms <= BUCKET_MS or math.isinf(time_ms):
+        return time_ms if math.isinf(time_ms) else 0
+    power = math.floor(math.log(time_ms, 1.5))
+    return math.floor(1.5**power)
+
+
+def aged(delay, age_ms):
+    """The Delay that is left of one that was forecast ``age_ms`` ago."""
+    expected_ms = max(0.0, delay.expected_ms - age_ms)
+    return Delay(expected_ms, max(0.0, delay.certain_ms - age_ms))
 
 
-def _certain_part(count):
+def certain_part(count):
     """The part of a sum over ``count`` estimates that their errors leave certain."""
     return 1 - ESTIMATE_ERROR / math.sqrt(max(1, count))
 
@@ -236,41 +268,37 @@
 def path_ms(queue, steps, task_ms):
     """A job's critical path with a permission query for each step.
 
-    ``task_ms`` has the expected duration of a task of each step.
+    ``task_ms`` has the expected duration of a task of each step; a step lasts longer.
     """
     query_ms = 0
     if queue.permission is not None:
         rule = queue.permission
         query_ms = rule.decision_ms + QUERIED_WORKERS * rule.per_target_ms
     timed = [
-        step._replace(estimated_ms=ms + query_ms)
+        step._replace(estimated_ms=LONGEST_TASK_FACTOR * ms + query_ms)
         for step, ms in zip(steps, task_ms, strict=True)
     ]
     return max(order.chain_ms(timed), default=0)
 
 
 class UsualPaths:
-    """How long the critical paths of a queue's recent jobs were, by estimate."""
+    """The mean critical path of each queue's recent jobs, by estimate."""
 
     def __init__(self):
         self._by_queue = {}
 
     def observe(self, queue_name, path):
         """Count the path of a new job, in milliseconds."""
-        mean, variance = self._by_queue.get(queue_name, (path, 0.0))
-        gap = path - mean
-        mean += USUAL_WEIGHT * gap
-        variance = (1 - USUAL_WEIGHT) * (variance + USUAL_WEIGHT * gap * gap)
-        self._by_queue[queue_name] = (mean, variance)
+        mean = self._by_queue.get(queue_name, path)
+        self._by_queue[queue_name] = mean + USUAL_WEIGHT * (path - mean)
 
     def longest_ms(self, queue_name, path):
         """A path that the job may have though its own estimate says ``path``.
 
         A job that looks short may be a usual one that was estimated wrongly, so it is
-        judged as one that is longer than usual. A longer path allows a later start.
+        judged as a usual one. A longer path allows a later start.
         """
-        mean, variance = self._by_queue.get(queue_name, (path, 0.0))
-        return max(path, mean + math.sqrt(variance))
+        return max(path, self._by_queue.get(queue_name, path))
 
 
 def objective_ms(queue, path):
@@ -290,94 +318,3 @@
     if job.key.is_beyond_share:
         objectives = OBJECTIVES_BEYOND_SHARE
     return delay_ms + job.path_ms > objectives * job.objective_ms
-
-
-class Place(typing.NamedTuple):
-    """The place of a refused job among those that were refused."""
-
-    number: int
-    return_ms: float
-    job: Job
-
-
-class Places:
-    """The refused jobs that are expected to come back, in the order of refusal."""
-
-    def __init__(self):
-        self._places = {}
-        self._number = 0
-        # How many places were used, and how many were not, with a prior of one each.
-        self._used, self._lapsed = 1, 1
-
-    def __contains__(self, name):
-        return name in self._places
-
-    def delay_with_places(self, job, delay, now_ms):
-        """The Delay of a Job behind the refused jobs that come back before it starts.
-
-        A refused job that comes back is only behind those that were refused before.
-        Work of refused jobs counts as much as they have come back so far.
-        """
-        if not self._places or math.isinf(delay.expected_ms):
-            return delay
-        own = self._places.get(job.name)
-        number = own.number if own else math.inf
-        ahead = sorted(
-            (place.return_ms - now_ms, place.job.share_ms)
-            for place in self._places.values()
-            if place.number < number
-            and place.job.pool == job.pool
-            and place.job.key <= job.key
-        )
-        return_share = self._used / (self._used + self._lapsed)
-        added_ms, count = 0.0, 0
-        for after_ms, share_ms in ahead:
-            if after_ms > delay.expected_ms + added_ms:
-                break
-            added_ms += share_ms * return_share
-            count += 1
-        certain_ms = delay.certain_ms + _certain_part(count) * added_ms
-        return Delay(delay.expected_ms + added_ms, certain_ms)
-
-    def refuse(self, job, delay_ms, now_ms):
-        """Give a refused Job a place, or move its time; returns when it may retry.
-
-        The result is in milliseconds from now, a number of whole seconds, as callers
-        are told no fractions. It is not before ``delay_ms`` (up to the limit), nor does
-        the job return before others of its class that were refused earlier.
-        """
-        own = self._places.get(job.name)
-        number = own.number if own else self._number
-        earlier_ms = max(
-            (
-                place.return_ms
-                for place in self._places.values()
-                if place.number < number
-                and place.job.pool == job.pool
-                and place.job.key == job.key
-            ),
-            default=now_ms,
-        )
-        wait_ms = max(delay_ms, earlier_ms - now_ms)
-        if own is not None:
-            wait_ms = max(wait_ms, own.return_ms - now_ms)
-        wait_ms = math.ceil(wait_ms / 1000) * 1000
-        wait_ms = min(max(wait_ms, MIN_RETRY_MS), MAX_RETRY_MS)
-        if own is None:
-            self._number += 1
-        self._places[job.name] = Place(number, now_ms + wait_ms, job)
-        while len(self._places) > MAX_PLACES:
-            del self._places[next(iter(self._places))]
-        return wait_ms
-
-    def accept(self, name):
-        """Give up the place of a job that was accepted, if it has one."""
-        if self._places.pop(name, None) is not None:
-            self._used += 1
-
-    def expire(self, now_ms):
-        """Drop the places of jobs that have not come back in time."""
-        for name, place in list(self._places.items()):
-            if now_ms > place.return_ms + PLACE_GRACE_MS:
-                del self._places[name]
-                self._lapsed += 1
--- a/alderreach/ops/controller/admitting.py
+++ b/alderreach/ops/controller/admitting.py
@@ -1,10 +1,11 @@
 """The leader's refusal of jobs that can't be served in time, by a forecast of its load.
 
-``decisions/cell/load_forecast.py`` makes the forecast. What it needs is collected from
-the leader's state when a job is submitted, a few times a second at most and from a
-bounded number of jobs and workers. Between two collections the jobs accepted meanwhile
-are added. All of it is in memory only: a new leader has no places of refused jobs, and
-refuses nothing until it has heard from its workers.
+``decisions/cell/load_forecast.py`` makes the forecast, and ``retry_places.py`` tells
+when refused jobs may come back. What they need is collected from the leader's state
+when a job is submitted, a few times a second at most and from a bounded number of jobs
+and workers. Between two collections the jobs accepted meanwhile are added. All of it is
+in memory only: a new leader has no places of refused jobs, and refuses nothing until it
+has heard from its workers.
 """
 
 import collections
@@ -13,22 +14,24 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions import resources
-from alderreach.decisions.cell import health, load_forecast, order
+from alderreach.decisions.cell import health, load_forecast, order, retry_places
 from alderreach.ops.controller import pool_loads
 
 # A new leader lacks the data for a forecast until its workers have listed their runs.
 NEW_LEADER_MS = 3000
-# A collection takes some milliseconds in a large cell, so it is kept for this time.
-REFRESH_MS = 300
-# In larger cells a part of the jobs is taken for the whole, in turn.
-MAX_JOBS = 1000
+# A collection takes some milliseconds, so it is kept for this time.
+REFRESH_MS = 400
+# In larger cells a part of the jobs and workers is taken for the whole, in turn. So a
+# collection does not delay the quorum's heartbeats.
+MAX_JOBS = 500
+MAX_WORKERS = 500
 # A run that has used up its estimate is taken to need this part of it again.
 OVERDUE_SHARE = 0.1
 # Time for a run that is being stopped to end.
 STOP_MS = 300
 # Interval of the forecasts for the metrics, and the time without a submission after
 # which a class is dropped from them.
-METRICS_MS = 1000
+METRICS_MS = 2000
 UNUSED_CLASS_MS = 60_000
 
 
@@ -69,17 +72,19 @@
         self._is_job_beyond_share = is_job_beyond_share
         self._task_ms = task_ms
         self._began_ms = leader.now_ms()
-        self._active = collections.deque(
+        self._active = [
             job_id
             for job_id, job in leader.state.jobs.items()
             if job.state == cell_state.ACTIVE
-        )
+        ]
+        # The classes of jobs, as of the latest collection.
+        self._classes = {}
         # Objectives of active jobs, with the chain from each step to the job's end.
         self._times = {}
         self._pools = {}
         self._collected_ms = -math.inf
         self._usual_paths = load_forecast.UsualPaths()
-        self._places = load_forecast.Places()
+        self._places = retry_places.Places()
         # When a job of each class, as (service, class), was last submitted.
         self._seen_ms = {}
         self._turn = 0
@@ -126,8 +131,12 @@
         bound_ms = self._places.delay_with_places(offered, bound, now_ms).certain_ms
         if not load_forecast.is_beyond_serving(offered, bound_ms):
             return load_forecast.NO_DELAY
-        slack_ms = offered.objective_ms - offered.path_ms
-        delay = load.delay(record.customer, record.steps, offered.key, slack_ms, now_ms)
+        path_ms = max(order.chain_ms(record.steps))
+        by_estimate_ms = load_forecast.objective_ms(record.queue, path_ms) - path_ms
+        slack = load_forecast.Slack(
+            by_estimate_ms, offered.objective_ms - offered.path_ms
+        )
+        delay = load.delay(record.customer, record.steps, offered.key, slack, now_ms)
         return self._places.delay_with_places(offered, delay, now_ms)
 
     def accepted(self, job):
@@ -185,39 +194,40 @@
             return
         self._collected_ms = now_ms
         self._pools = {}
+        self._classes.clear()
         self._turn += 1
-        for worker in self._leader.workers.values():
+        workers = list(self._leader.workers.values())
+        stride = max(1, math.ceil(len(workers) / MAX_WORKERS))
+        for worker in workers[self._turn % stride :: stride]:
             if pool_loads.is_counted(worker, now_ms):
                 service = worker.record.service
                 if service not in self._pools:
-                    self._pools[service] = self._new_load()
+                    self._pools[service] = self._new_load(stride)
                 self._pools[service].add_worker(worker)
         self._collect_waiting()
 
-    def _new_load(self):
+    def _new_load(self, scale):
         use_and_cap = self._leader.customers.use_and_cap
-        return pool_loads.PoolLoad(self._run_view, use_and_cap, self._turn)
+        return pool_loads.PoolLoad(self._run_view, use_and_cap, scale, self._turn)
 
     def _collect_waiting(self):
         """Collect the waiting steps of the active jobs, or of a part of them."""
-        leader, active = self._leader, self._active
-        found = collections.defaultdict(list)
-        kept = 0
-        for _visit in range(min(len(active), MAX_JOBS)):
-            job_id = active.popleft()
-            if leader.is_over((job_id,)):
+        found, ended = collections.defaultdict(list), set()
+        stride = max(1, math.ceil(len(self._active) / MAX_JOBS))
+        for job_id in self._active[self._turn % stride :: stride]:
+            if self._leader.is_over((job_id,)):
+                ended.add(job_id)
                 self._times.pop(job_id, None)
                 continue
-            active.append(job_id)
-            kept += 1
-            job = leader.state.jobs[job_id]
+            job = self._leader.state.jobs[job_id]
             load = self._pools.get(job.record.service)
             if load is not None:
                 found[job.record.service] += self._waiting_steps(job, load)
-        scale = len(active) / max(1, kept)
+        if ended:
+            self._active = [each for each in self._active if each not in ended]
         for service, steps in found.items():
             self._pools[service].add(
-                step._replace(demand=resources.times(step.demand, scale))
+                step._replace(demand=resources.times(step.demand, stride))
                 for step in steps
             )
 
@@ -240,18 +250,18 @@
             step = record.steps[number]
             if step.long_running or step.best_effort:
                 continue
-            if not job.unfinished_by_group[(occurrence, number)]:
-                continue
-            count = sum(task.state == cell_state.WAITING for task in tasks)
+            count = job.unfinished_by_group[(occurrence, number)]
+            is_later = not cell_state.are_dependencies_done(job, occurrence, number)
+            if count and not is_later:
+                count = sum(task.state == cell_state.WAITING for task in tasks)
             if not count or not load.can_run(step):
                 continue
-            is_later = not cell_state.are_dependencies_done(job, occurrence, number)
             demand = resources.times(step.demand, count)
             task_ms = self._task_ms(job, number)
-            is_late = elapsed_ms + chains_ms[number] > objective_ms
+            latest_start_ms = objective_ms - chains_ms[number] - elapsed_ms
             steps.append(
                 pool_loads.WaitingStep(
-                    key, record.customer, demand, task_ms, is_later, is_late
+                    key, record.customer, demand, task_ms, is_later, latest_start_ms
                 )
             )
         return steps
@@ -267,9 +277,13 @@
         return times
 
     def _class_of(self, job):
-        is_beyond = bool(job.record.customer) and self._is_job_beyond_share(job)
-        priority = self._leader.queue_of(job).priority
-        return load_forecast.ClassKey(is_beyond, priority)
+        key = self._classes.get(job.record.job_id)
+        if key is None:
+            is_beyond = bool(job.record.customer) and self._is_job_beyond_share(job)
+            priority = self._leader.queue_of(job).priority
+            key = load_forecast.ClassKey(is_beyond, priority)
+            self._classes[job.record.job_id] = key
+        return key
 
     def _run_view(self, run, now_ms):
         """The ``pool_loads.Running`` of a run."""
--- a/alderreach/ops/controller/admitting_test.py
+++ b/alderreach/ops/controller/admitting_test.py
@@ -170,6 +170,28 @@
     assert sim.completed_ms("late")
 
 
+def test_a_part_of_a_large_cell_stands_for_all_of_it(monkeypatch):
+    """Guards against a flooded cell of thousands of jobs that looks idle, as only a
+    part of the jobs and workers is looked at, and against a full look at them.
+    """
+    full = make_cell(customers("flood"), beyond={"flood"})
+    monkeypatch.setattr(admitting, "MAX_JOBS", 8)
+    monkeypatch.setattr(admitting, "MAX_WORKERS", 2)
+    part = make_cell(customers("flood"), beyond={"flood"})
+    visited = []
+    part.term.admission._waiting_steps = (
+        lambda job, load, inner=part.term.admission._waiting_steps: (
+            visited.append(job.record.job_id) or inner(job, load)
+        )
+    )
+    for sim in (full, part):
+        submit(sim, "flood", 4000, 5700, 30, "flood")
+        sim.run_until(5750)
+    refused, by_part = len(full.refusals), len(part.refusals)
+    assert refused / 2 <= by_part <= 2 * refused
+    assert len(visited) <= 51 + 8 * 6
+
+
 def test_a_refusal_is_logged_once_a_job_and_counted():
     """Guards against a log that a caller without patience fills."""
     events = []
--- a/alderreach/ops/controller/pool_loads.py
+++ b/alderreach/ops/controller/pool_loads.py
@@ -15,8 +15,8 @@
 KINDS = range(3)
 # A forecast is kept for this time although jobs are accepted.
 FORECAST_MS = 150
-# In a larger pool the runs of a part of the workers are taken for all, in turn.
-MAX_WORKERS = 200
+# In a larger pool about so many runs are taken for all, in turn.
+MAX_RUNS = 1000
 # Workers that are looked at to find out which steps any worker could run; steps beyond
 # that are left out of the forecast.
 MAX_SUITABLE_CHECKS = 20_000
@@ -32,7 +32,7 @@
     demand: common.Resources
     task_ms: float
     is_later: bool
-    is_late: bool
+    latest_start_ms: float
 
 
 class Running(typing.NamedTuple):
@@ -52,14 +52,15 @@
     """The workers, runs and waiting steps of one pool at one time.
 
     ``run_view(run, now_ms)`` returns a Running, and ``use_and_cap(customer)`` what a
-    customer uses and may use; None instead of the latter without a limit. ``turn``
-    chooses the workers of a large pool whose runs are taken for all.
+    customer uses and may use; None instead of the latter without a limit. Each worker
+    that is added stands for ``scale`` workers, and ``turn`` chooses those whose runs
+    are taken for all.
     """
 
-    def __init__(self, run_view, use_and_cap, turn):
+    def __init__(self, run_view, use_and_cap, scale, turn):
         self._run_view = run_view
         self._use_and_cap = use_and_cap
-        self._turn = turn
+        self._scale, self._turn = scale, turn
         self._workers = []
         self._capacity = [0, 0, 0]
         self._used = [0, 0, 0]
@@ -74,8 +75,8 @@
         """Count a worker's capacity and what is used of it."""
         self._workers.append(worker)
         for kind in KINDS:
-            self._capacity[kind] += worker.record.capacity[kind]
-            self._used[kind] += worker.used[kind]
+            self._capacity[kind] += worker.record.capacity[kind] * self._scale
+            self._used[kind] += worker.used[kind] * self._scale
 
     def add(self, waiting_steps):
         """Add steps that wait."""
@@ -111,19 +112,23 @@
         limits = self._limits_of(customer, steps, now_ms)
         return max((limit.longest_delay_ms(key) for limit in limits), default=0.0)
 
-    def delay(self, customer, steps, key, slack_ms, now_ms):
+    def delay(self, customer, steps, key, slack, now_ms):
         """The ``load_forecast.Delay`` of a new job of a customer with these steps.
 
-        It has to wait for each resource that it needs, and for its customer's cap. It
-        is on time if it starts within ``slack_ms``.
+        It has to wait for each resource that it needs, and for its customer's cap.
+        ``slack`` is a ``load_forecast.Slack``.
         """
         limits = self._limits_of(customer, steps, now_ms)
-        delays = [limit.delay(key, slack_ms, now_ms) for limit in limits]
+        delays = [limit.delay(key, slack, now_ms) for limit in limits]
         return max(delays, default=load_forecast.NO_DELAY)
 
     def processor_delay_ms(self, key, now_ms):
         """The expected delay of new work of a class, by processors only."""
-        return self._limit(0, "", now_ms).delay(key, math.inf, now_ms).expected_ms
+        return (
+            self._limit(0, "", now_ms)
+            .delay(key, load_forecast.NO_LIMIT, now_ms)
+            .expected_ms
+        )
 
     def _limits_of(self, customer, steps, now_ms):
         kinds = [kind for kind in KINDS if any(step.demand[kind] for step in steps)]
@@ -139,18 +144,20 @@
         return self._limits[name]
 
     def _make_limit(self, kind, customer, now_ms):
-        if self._running is None:
-            self._running = self._collect_running(now_ms)
-        running = self._running
+        def collect_running():
+            if self._running is None:
+                self._running = self._collect_running(now_ms)
+            return [
+                run
+                for run in self._running
+                if run.demand[kind] and (not customer or run.customer == customer)
+            ]
+
         total, used = self._capacity[kind], self._used[kind]
         if customer:
-            running = [run for run in running if run.customer == customer]
             use, cap = self._use_and_cap(customer)
             total, used = cap[kind], use[kind]
-        # The runs of a part of the workers stand for those of all.
-        scale = used / max(1, sum(run.demand[kind] for run in running))
-        runs = [(run, run.demand[kind] * scale) for run in running if run.demand[kind]]
-        limit = _Limit(total, total - used, runs)
+        limit = _Limit(kind, total, used, collect_running, now_ms)
         for step, part in self._waiting_parts(kind, customer):
             limit.add(step, kind, part)
         return limit
@@ -176,7 +183,8 @@
 
     def _collect_running(self, now_ms):
         """The runs of all workers, or of a part of them in turn."""
-        stride = max(1, math.ceil(len(self._workers) / MAX_WORKERS))
+        runs = sum(len(worker.runs) for worker in self._workers)
+        stride = max(1, math.ceil(runs / MAX_RUNS))
         return [
             self._run_view(run, now_ms)
             for worker in self._workers[self._turn % stride :: stride]
@@ -185,62 +193,102 @@
 
 
 class _Limit:
-    """One resource of a pool, or of a customer's cap, with the work that needs it."""
+    """One resource of a pool, or of a customer's cap, with the work that needs it.
+
+    ``collect_running()`` returns the Running that need it; it is called only if work
+    waits that does not fit into what is free.
+    """
 
-    def __init__(self, total, free, runs):
+    def __init__(self, kind, total, used, collect_running, now_ms):
+        self._kind = kind
+        self._total, self._used = total, used
+        self._collect_running = collect_running
+        self._collected_ms = now_ms
+        self._waiting = []
+        # Of the waiting steps by class: what they hold together, and for how long.
+        self._amounts, self._work = collections.Counter(), collections.Counter()
+        self._pool = None
+        self._running_work = 0.0
+        # The delays by class and latest start, on time and late, with their time and
+        # how many steps were considered.
+        self._delays = {}
+
+    def add(self, step, kind, part=1.0):
+        """Add a part of a step that waits for this resource, which is of a kind."""
+        amount = step.demand[kind] * part
+        if amount:
+            waiting = load_forecast.Waiting(
+                step.key, amount, step.task_ms, step.is_later, step.latest_start_ms
+            )
+            self._waiting.append(waiting)
+            self._amounts[step.key] += amount
+            self._work[step.key] += amount * step.task_ms
+
+    def longest_delay_ms(self, key):
+        """A bound of the delay of new work of a class: all work there, at full use."""
+        if self._has_room(key):
+            return 0.0
+        pool = self._forecast_pool()
+        work = self._running_work + _sum_ahead(self._work, key)
+        return work / pool.capacity if pool.capacity > 0 else math.inf
+
+    def delay(self, key, slack, now_ms):
+        """The ``load_forecast.Delay`` of new work of a class with a Slack."""
+        if self._has_room(key):
+            return load_forecast.NO_DELAY
+        steps = len(self._waiting)
+        # One forecast serves all jobs with nearly the same latest start.
+        latest_start_ms = load_forecast.rounded_down(slack.latest_start_ms)
+        name = (key, latest_start_ms)
+        by_time, made_ms, made_steps = self._delays.get(name, (None, 0, 0))
+        is_same = made_steps == steps
+        if by_time is None or (not is_same and now_ms - made_ms >= FORECAST_MS):
+            pool = self._forecast_pool()
+            by_time = [
+                load_forecast.start_delay(pool, key, latest_start_ms, includes_late)
+                for includes_late in (False, True)
+            ]
+            self._delays[name] = (by_time, now_ms, steps)
+        age_ms = now_ms - self._collected_ms
+        on_time, late = (load_forecast.aged(each, age_ms) for each in by_time)
+        return on_time if on_time.expected_ms <= slack.on_time_ms else late
+
+    def _has_room(self, key):
+        return self._total - self._used > _sum_ahead(self._amounts, key)
+
+    def _forecast_pool(self):
+        if self._pool is None:
+            self._pool = self._make_pool(self._collect_running())
+        return self._pool
+
+    def _make_pool(self, running):
+        # The runs of a part of the workers stand for those of all.
+        scale = self._used / max(1, sum(run.demand[self._kind] for run in running))
         ends, started = collections.Counter(), collections.Counter()
-        lasting = running_work = 0.0
-        for run, amount in runs:
+        lasting = 0.0
+        for run in running:
+            amount = run.demand[self._kind] * scale
             if math.isinf(run.after_ms):
                 lasting += amount
                 continue
             if run.key is not None:
                 started[run.key] += amount
-            running_work += run.after_ms * amount
+            self._running_work += run.after_ms * amount
             # Ends are summed up, since there may be thousands.
             ends[(load_forecast.bucket(run.after_ms), run.yields_below)] += amount
         rows = [
             load_forecast.End(after_ms, amount, yields_below)
             for (after_ms, yields_below), amount in ends.items()
         ]
-        self._pool = load_forecast.Pool(total - lasting, free, rows, [], started)
-        self._running_work = running_work
-        self._waiting_work = collections.Counter()
-        # The delays of each class, on time and late, with their time and how many steps
-        # were considered.
-        self._delays = {}
+        free = self._total - self._used
+        return load_forecast.Pool(
+            self._total - lasting, free, rows, self._waiting, started
+        )
 
-    def add(self, step, kind, part=1.0):
-        """Add a part of a step that waits for this resource, which is of a kind."""
-        amount = step.demand[kind] * part
-        if amount:
-            waiting = load_forecast.Waiting(
-                step.key, amount, step.task_ms, step.is_later, step.is_late
-            )
-            self._pool.waiting.append(waiting)
-            self._waiting_work[step.key] += amount * step.task_ms
 
-    def longest_delay_ms(self, key):
-        """A bound of the delay of new work of a class: all work there, at full use."""
-        work = self._running_work
-        work += sum(ms for other, ms in self._waiting_work.items() if other <= key)
-        if self._pool.capacity <= 0:
-            return math.inf
-        return work / self._pool.capacity
-
-    def delay(self, key, slack_ms, now_ms):
-        """The ``load_forecast.Delay`` of new work of a class."""
-        steps = len(self._pool.waiting)
-        by_time, made_ms, made_steps = self._delays.get(key, (None, 0, 0))
-        is_same = made_steps == steps
-        if by_time is None or (not is_same and now_ms - made_ms >= FORECAST_MS):
-            by_time = (
-                load_forecast.start_delay(self._pool, key),
-                load_forecast.start_delay(self._pool, key, -1),
-            )
-            self._delays[key] = (by_time, now_ms, steps)
-        on_time, late = by_time
-        return on_time if on_time.expected_ms <= slack_ms else late
+def _sum_ahead(amounts, key):
+    """The sum of the amounts of the classes that start before or with a class."""
+    return sum(amount for other, amount in amounts.items() if other <= key)
 
 
 def is_counted(worker, now_ms):
