--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -302,7 +302,7 @@
         self._wait_reports.on_all_started(group)
         self._cap_waits.remove(group)
         self._queries.on_all_started(group)
-        self._freed += self._preemptions.release(group)
+        self._add_freed(self._preemptions.release(group))
 
     def _consider_in_full(self, group, now_ms):
         """Start as many tasks of a group as possible; returns their number.
@@ -329,6 +329,15 @@
         )
         return started
 
+    def _add_freed(self, found):
+        """Add workers to those that the current pass still considers.
+
+        None may be there twice: a pool checks the capacity of each of its entries once,
+        so a step would start on the second one beyond the worker's capacity.
+        """
+        known = {worker.target_id for worker in self._freed}
+        self._freed += [worker for worker in found if worker.target_id not in known]
+
     def _consider_freed(self, group, freed, now_ms):
         """Start the tasks of a group that fit on workers with freed capacity.
 
--- a/tests/cell_liveness_test.py
+++ b/tests/cell_liveness_test.py
@@ -34,3 +34,4 @@
     day.play()
     assert day.watch.stalls == []
     assert day.false_states() == []
+    assert day.beyond_limits == []
--- a/tools/virtual_days.py
+++ b/tools/virtual_days.py
@@ -42,6 +42,9 @@
 LONG_RUNNING_SHARE = 0.2
 # A wide step needs at most this share of the capacity of all workers that may run it.
 WIDE_SHARE = 0.45
+# A task is blamed for two crashes at least before its job fails. Runs whose starts were
+# on their way when their worker ended are not seen here.
+MIN_BLAMED_LOSSES = 1
 CORES = 1000
 MB_PER_CPU_MILLI = 2
 SIZES = (4 * CORES, 8 * CORES, 16 * CORES)
@@ -62,8 +65,10 @@
         self._silent_share = rng.choice([0.0, 0.01, 0.03])
         self._done = collections.defaultdict(set)
         self._failures = collections.Counter()
+        self._losses = collections.Counter()
         self._number = 0
         self.events = []
+        self.beyond_limits = []
         self._shares = {queue.name: rng.uniform(0.2, 0.8) for queue in self.queues}
         self._shares["open"] = 1.0
         options = self._options(records)
@@ -109,14 +114,23 @@
         return false
 
     def _may_have_failed(self, job):
-        """Whether a task or a gang of the job has used up its attempts."""
+        """Whether a task or a gang of the job has used up its attempts.
+
+        It may also have been taken for one that crashes its workers, if some of them
+        ended just as they had started its tasks.
+        """
         max_attempts = job.record.queue.max_attempts
         job_id = job.record.job_id
-        return any(
+        has_failed = any(
             failures >= max_attempts
             for key, failures in self._failures.items()
             if key[0] == job_id
         )
+        return has_failed or any(
+            losses >= MIN_BLAMED_LOSSES
+            for key, losses in self._losses.items()
+            if key[0] == job_id
+        )
 
     def open_steps(self):
         """Yield (group, step) of each unfinished step of an active job that may run."""
@@ -148,6 +162,7 @@
         """A run has started, so its step makes progress."""
         key = virtual_workers.task_key(run.order.task)
         self.watch.started_ms[cell_state.GroupKey(*key[:3])] = self.loop.now_ms
+        self._check_limits(machine, key)
         super().on_run_started(machine, run)
 
     def on_run_ended(self, machine, run, how):
@@ -156,6 +171,8 @@
         group = cell_state.GroupKey(*key[:3])
         if how == "done":
             self._done[group].add(key.index)
+        elif how == "gone":
+            self._losses[key] += 1
         elif how == "failed":
             self._failures[group if self.step_of(key).gang else key] += 1
 
@@ -170,6 +187,19 @@
         """The customer that submits a job at this time; empty for none."""
         return ""
 
+    def _check_limits(self, machine, key):
+        """Record a start beyond a worker's capacity or its step's limit per worker."""
+        keys = [virtual_workers.task_key(task) for task, _run in machine.runs]
+        steps = [self.step_of(each) for each in keys]
+        cpu = sum(step.demand.cpu_millis for step in steps if not step.best_effort)
+        memory = sum(step.demand.memory_mb for step in steps)
+        capacity, limit = machine.record.capacity, self.step_of(key).max_per_target
+        siblings = sum(each[:3] == key[:3] for each in keys)
+        if cpu > capacity.cpu_millis or memory > capacity.memory_mb:
+            self.beyond_limits.append(f"{key} on {machine.record.target_id}: capacity")
+        if limit and siblings > limit:
+            self.beyond_limits.append(f"{key} on {machine.record.target_id}: siblings")
+
     def _watch(self):
         self.watch.poll()
         self.loop.after(virtual_watch.WATCH_INTERVAL_MS, self._watch)
