--- a/alderreach/decisions/cell/order.py
+++ b/alderreach/decisions/cell/order.py
@@ -109,25 +109,34 @@
     return _allowed_ms(queue, max(chain_ms(steps, durations_ms), default=0))
 
 
-def rank(queue, job, step, due_ms, eligible_ms=-math.inf, durations_ms=None):
+def rank(
+    queue,
+    job,
+    step,
+    due_ms,
+    eligible_ms=-math.inf,
+    durations_ms=None,
+    tolerance=DURATION_TOLERANCE,
+):
     """The Rank of a step of a job that was due at ``due_ms``.
 
     ``eligible_ms`` is the time at which the customer's share covers the job, and
-    ``durations_ms`` are as in ``chain_ms``.
+    ``durations_ms`` are as in ``chain_ms``; they may be wrong by the factor
+    ``tolerance``.
     """
     steps = job.record.steps
     durations_ms = durations_ms or estimates_ms(steps)
     chains_ms = chain_ms(steps, durations_ms)
     longest_ms, tail_ms = max(chains_ms), chains_ms[step]
     allowed_ms = _allowed_ms(queue, longest_ms)
-    late_end_ms = due_ms + _allowed_ms(queue, DURATION_TOLERANCE * longest_ms)
+    late_end_ms = due_ms + _allowed_ms(queue, tolerance * longest_ms)
     return Rank(
         queue.priority,
         due_ms + WORTHLESS_AFTER_OBJECTIVES * allowed_ms,
         due_ms + allowed_ms - tail_ms,
         job.record.job_id,
         eligible_ms,
-        late_end_ms - DURATION_TOLERANCE * tail_ms,
+        late_end_ms - tolerance * tail_ms,
         late_end_ms,
         _remaining_work(steps, step, durations_ms),
         tail_ms - durations_ms[step],
--- a/alderreach/ops/controller/learning.py
+++ b/alderreach/ops/controller/learning.py
@@ -15,7 +15,7 @@
 import statistics
 
 from alderreach.core.generated import cell
-from alderreach.decisions.cell import durations, health, speeds
+from alderreach.decisions.cell import durations, health, order, speeds
 
 # Tasks with consecutive indexes start at about the same time. A whole step of thousands
 # of tasks may take minutes.
@@ -72,6 +72,13 @@
         estimated_ms = job.record.steps[step_number].estimated_ms
         return max(1.0, estimated_ms * self._queues.factor(job.record.queue.name))
 
+    def tolerance(self, job):
+        """The factor by which the expected durations of a job's tasks may be wrong."""
+        queue = job.record.queue.name
+        if self._queues.runs(queue) < durations.MIN_RUNS:
+            return order.DURATION_TOLERANCE
+        return min(order.DURATION_TOLERANCE, math.exp(self._queues.spread(queue)))
+
     def slowest_in_time(self, job, step_number, elapsed_ms):
         """The slowness up to which tasks that start now end in time for their job.
 
--- a/alderreach/ops/controller/ranking.py
+++ b/alderreach/ops/controller/ranking.py
@@ -22,6 +22,7 @@
                 due_ms(job, group),
                 leader.shares.eligible_ms(group.job_id),
                 [leader.learned.task_ms(job, number) for number in range(len(steps))],
+                leader.learned.tolerance(job),
             )
         return rank
 
