--- a/alderreach/decisions/cell/fair_shares.py
+++ b/alderreach/decisions/cell/fair_shares.py
@@ -169,6 +169,10 @@
         """Whether a job is beyond its customer's share."""
         return self.eligible_ms(job_id) > now_ms
 
+    def has_beyond(self):
+        """Whether a job is beyond its customer's share, as of the last ``tidy``."""
+        return bool(self._eligible_ms)
+
     def use(self, limit, now_ms):
         """The customers that use most of their shares, with the share that each uses.
 
--- a/alderreach/ops/controller/preempting.py
+++ b/alderreach/ops/controller/preempting.py
@@ -73,10 +73,7 @@
         """
         if now_ms < self.next_ms(job, group, since_ms):
             return
-        urgent = self._rank_of(job, group)
-        step = job.record.steps[group.step]
-        may_yield = lambda run: self._may_yield(run, urgent, now_ms)
-        chosen = preemption.choose_victims(pool, step, wanted, may_yield, group)
+        chosen = self._choose(job, group, pool, wanted, now_ms)
         pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
         self._next_ms[group] = now_ms + pause_ms
         for victims in chosen:
@@ -85,6 +82,28 @@
             for run in victims.runs:
                 self._stop(victims.worker, run, group)
 
+    def _choose(self, job, group, pool, wanted, now_ms):
+        """The victims for ``wanted`` tasks of a group, worker by worker.
+
+        Runs beyond their customers' shares come first, and others only where these free
+        too little.
+        """
+        step, urgent = job.record.steps[group.step], self._rank_of(job, group)
+        shares, cell_ms = self._leader.shares, self._leader.cell_ms()
+        may_yield = lambda run: self._may_yield(run, urgent, now_ms)
+        chosen = []
+        if shares.has_beyond():
+            gives_way = lambda run: (
+                shares.is_beyond(run.key.job_id, cell_ms) and may_yield(run)
+            )
+            chosen = preemption.choose_victims(pool, step, wanted, gives_way, group)
+            wanted -= sum(victims.fitting for victims in chosen)
+            taken = {victims.worker.target_id for victims in chosen}
+            pool = [worker for worker in pool if worker.target_id not in taken]
+        if wanted > 0:
+            chosen += preemption.choose_victims(pool, step, wanted, may_yield, group)
+        return chosen
+
     def consider_cap(self, job, group, wanted, since_ms, now_ms):
         """Preempt a customer's own runs for ``wanted`` tasks of a group at its cap."""
         if now_ms < self.next_ms(job, group, since_ms):
--- a/tests/cell_shares_load_test.py
+++ b/tests/cell_shares_load_test.py
@@ -133,6 +133,29 @@
     assert_all_ended(made)
 
 
+def test_urgent_work_stops_runs_beyond_the_share_before_others():
+    """Guards against stops of other customers' runs for a flood, though the runs of
+    the flood itself could make room.
+    """
+    made = virtual_cell.VirtualCell(
+        QUEUES, [virtual_parts.worker(1, WORKER_MILLIS)], customers=customers(0.05)
+    )
+
+    def submit(time_ms, queue, name, customer, cpu_millis, work_ms):
+        step = virtual_parts.step(1, cpu_millis, 1, work_ms, checkpointing=True)
+        works = [virtual_parts.Work(step, [work_ms])]
+        made.submit_at(time_ms, queue, name, works, customer)
+
+    for n in range(4):
+        submit(0, "plan", f"credit{n}", "hot", 100, 10)
+    submit(500, "plan", "flood", "hot", 5_000, 10_000)
+    submit(500, "plan", "other", "calm", 3_000, 10_000)
+    submit(2_000, "urgent", "urgent", "quiet", 2_000, 1_000)
+    made.run_until(60_000)
+    assert made.outcomes()["urgent"].on_time == 1
+    assert made.completed_ms("other") < 11_000 < made.completed_ms("flood")
+
+
 def plans(number, work_ms, began_ms, gap_ms, name):
     """Jobs of one step that fills a worker, as (time, name, works)."""
     step = virtual_parts.step(1, WORKER_MILLIS, 100, work_ms)
