--- a/alderreach/ops/controller/duplicating.py
+++ b/alderreach/ops/controller/duplicating.py
@@ -16,7 +16,7 @@
 class Duplicates:
     """The steps of one term of leadership whose last tasks may get a duplicate.
 
-    ``pool_of(job, group)`` returns the usable workers on which a group may start,
+    ``pool_of(job, group, now_ms)`` returns the usable workers for a group's tasks,
     ``has_room(job, group)`` whether its customer may start a task, and
     ``rank_of(job, group)`` its ``order.Rank``.
     """
@@ -92,7 +92,9 @@
         work = step.demand.cpu_millis * task_ms
         if not self._limit.allows(work, now_ms) or not self._has_room(job, group):
             return
-        pool = [each for each in self._pool_of(job, group) if each is not worker]
+        pool = [
+            each for each in self._pool_of(job, group, now_ms) if each is not worker
+        ]
         if choice.candidates(pool, step, group, now_ms):
             self._limit.record_duplicated(work, now_ms)
             self._duplicated[key] = None
--- a/alderreach/ops/controller/job_runs.py
+++ b/alderreach/ops/controller/job_runs.py
@@ -38,6 +38,20 @@
     return found
 
 
+def count_pending(leader, queue_name):
+    """The number of accepted jobs of a queue of which nothing has run.
+
+    Jobs with repeated occurrences don't count.
+    """
+    return sum(
+        job.state == cell_state.ACTIVE
+        and not job.record.repeat_count
+        and job.record.queue.name == queue_name
+        and not leader.has_begun(job)
+        for job in leader.state.jobs.values()
+    )
+
+
 def name_of(key, run_number, target_id):
     """The name of a run on a worker, as in the log."""
     return f"{key}/{run_number}@{target_id}"
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -54,10 +54,7 @@
         self._wait_reports = wait_reports.WaitReports(leader)
         self._cap_waits = cap_waits.CapWaits(leader)
         self._duplicates = duplicating.Duplicates(
-            leader,
-            self._usable_pool,
-            self._cap_waits.room,
-            self._ranks.get,
+            leader, self._pool, self._cap_waits.room, self._ranks.get
         )
         # A heap of (due time, group) for occurrences that are due later.
         self._scheduled = []
@@ -183,19 +180,6 @@
         self._queries.tidy(self._leader.now_ms())
         self._wait_reports.tidy(self._waiting.values(), self._leader.now_ms())
 
-    def pending(self, queue_name):
-        """The number of accepted jobs of a queue of which nothing has run.
-
-        Jobs with repeated occurrences don't count.
-        """
-        return sum(
-            job.state == cell_state.ACTIVE
-            and not job.record.repeat_count
-            and job.record.queue.name == queue_name
-            and not self._leader.has_begun(job)
-            for job in self._leader.state.jobs.values()
-        )
-
     def _open(self, job, group):
         """Queue a group now or at its due time, unless it is already waiting."""
         if group in self._waiting:
@@ -313,7 +297,7 @@
         leader = self._leader
         job = leader.state.jobs[group.job_id]
         rule = leader.queue_of(job).permission
-        pool = self._pool(job, group, rule, now_ms)
+        pool = self._pool(job, group, now_ms)
         started, left = self._place(job, group, pool, now_ms)
         if not left or self._park_at_cap(group, now_ms):
             return started
@@ -358,23 +342,19 @@
         if not pool:
             return 0
         if step.gang:
-            pool = self._pool(job, group, rule, now_ms)
+            pool = self._pool(job, group, now_ms)
         return self._place(job, group, pool, now_ms)[0]
 
-    def _pool(self, job, group, rule, now_ms):
+    def _pool(self, job, group, now_ms):
         """The usable workers on which a group may start."""
         pools, service = self._leader.pools, job.record.service
-        if rule is None:
+        if self._leader.queue_of(job).permission is None:
             pool = pools.usable(service)
         else:
             permitted = self._leader.permissions.permitted_ids(group, now_ms)
             pool = pools.usable_among(service, permitted)
         return [worker for worker in pool if self._may_use(group, worker)]
 
-    def _usable_pool(self, job, group):
-        rule = self._leader.queue_of(job).permission
-        return self._pool(job, group, rule, self._leader.now_ms())
-
     def _may_use(self, group, worker):
         """Whether a worker is not held for a more urgent group."""
         holder = self._preemptions.hold_of(worker.target_id)
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -16,6 +16,7 @@
 from alderreach.decisions.cell import choice
 from alderreach.ops.controller import (
     admitting,
+    job_runs,
     runs,
     stopping,
     worker_lifecycle,
@@ -242,7 +243,9 @@
     if not subject.job_id:
         queue_name = subject.queue.name
         term.confirm(
-            lambda: reply(answer(PENDING, number=term.planner.pending(queue_name)))
+            lambda: reply(
+                answer(PENDING, number=job_runs.count_pending(term.leader, queue_name))
+            )
         )
         return
     term.confirm(lambda: reply(_job_state_answer(term, subject.job_id)))
