--- a/alderreach/decisions/cell/query_planning.py
+++ b/alderreach/decisions/cell/query_planning.py
@@ -38,6 +38,10 @@
 MAX_COUNTED_WORKERS = 2000
 # The chance that a step gets room which others claim or which is not free yet.
 LATER_CHANCE = 0.4
+# A query has to make the start of this share of a step's tasks likely, and of the
+# second share while other tickets of the step are valid.
+FIRST_START_SHARE = 0.1
+AGAIN_START_SHARE = 0.5
 # A step that is about to be late names at least this many workers. Fewer are often all
 # denied, and the next query takes as long again.
 MIN_NAMED = 10
@@ -193,14 +197,14 @@
     return [*(option.target_id for option in renewed[: limit - len(new)]), *new]
 
 
-def is_worth(likely, tasks, has_tickets):
-    """Whether a query is worth sending that is likely to yield ``likely`` starts.
+def least_starts(tasks, has_tickets):
+    """How many starts a query has to make likely for a step with waiting ``tasks``.
 
-    A step without tickets needs only a chance for one task. One that has some already
-    queries again only for half of its ``tasks``, since it would otherwise do so for
-    each worker that becomes free. It can do so when its tickets expire.
+    A step that has tickets already queries again only for half of its tasks, since it
+    would otherwise do so for each worker that becomes free. It can do so when its
+    tickets expire.
     """
-    return likely >= tasks / 2 if has_tickets else likely > 0
+    return tasks * (AGAIN_START_SHARE if has_tickets else FIRST_START_SHARE)
 
 
 def name_limit(rule, spare_ms, most):
--- a/alderreach/ops/controller/permission_queries.py
+++ b/alderreach/ops/controller/permission_queries.py
@@ -150,20 +150,29 @@
             return
         self._next_ahead_ms = now_ms + MIN_ASK_AHEAD_INTERVAL_MS
         leader = self._leader
+        due = []
         for group, due_ms in list(self._upcoming.items()):
             if now_ms < due_ms:
                 continue
-            job = leader.state.jobs.get(group.job_id)
-            if job is None or job.state != cell_state.ACTIVE:
+            if leader.is_over(group):
                 self.remove_upcoming(group)
                 leader.permissions.forget(group)
                 continue
+            due.append(group)
+        for group in sorted(due, key=self._urgency):
+            job = leader.state.jobs[group.job_id]
             rule = leader.queue_of(job).permission
             pause_ms = MAX_ASK_AHEAD_INTERVAL_MS
             if rule is not None:
                 pause_ms = self._ask_ahead(job, group, rule, now_ms)
             self._upcoming[group] = now_ms + pause_ms
 
+    def _urgency(self, group):
+        """Sorts the steps that open later like those that wait."""
+        job = self._leader.state.jobs[group.job_id]
+        priority = self._leader.queue_of(job).priority
+        return priority, self._rank_of(job, group).latest_start_ms
+
     def _ask_ahead(self, job, group, rule, now_ms):
         """Query for a step that opens later if it is time.
 
--- a/alderreach/ops/controller/query_rounds.py
+++ b/alderreach/ops/controller/query_rounds.py
@@ -32,15 +32,14 @@
 # other steps claim, in case those can't use the room; later also if one task fits. Only
 # a few steps are examined at a time, and one of them queries.
 CLAIMS_WITHHOLD_MS = 1000
-MAX_WITHHELD_MS = 4000
+MAX_WITHHELD_MS = 3000
 OVERRIDE_INTERVAL_MS = 250
 MAX_OVERRIDE_CHECKS = 8
+# Tickets are renewed early only while at least this share of the helpers is idle.
+RENEWAL_IDLE_SHARE = 0.8
 # The size of a query that is sent early so that its answer arrives before tickets
 # expire. A larger one is late, but an earlier one would waste what is left of them.
 RENEWED_WORKERS = 15
-# The maximum number of workers in the query of a step that is not a gang. Of more, the
-# last ones would hardly be used before the tickets expire.
-MAX_NAMED = 60
 # Larger pools are forecast from a sample of this many workers.
 MAX_FORECAST_WORKERS = 300
 # The time until the end of a run that is being stopped.
@@ -71,6 +70,8 @@
         self._horizon_ms = 0
         self._began_ms = -math.inf
         self._due_ms = 0
+        # Whether steps of the last round found no idle helper.
+        self._lacks_helpers = False
         self._next_override_ms = 0
         self._next_report_ms = 0
         self._withheld_count = 0
@@ -101,8 +102,10 @@
         self._began_ms = now_ms
         waiting = groups()
         pause_ms = min(MAX_ROUND_MS, max(ROUND_MS, ROUND_MS_PER_STEP * len(waiting)))
+        self._lacks_helpers = False
         for group in waiting:
             if not self._visit(group, now_ms):
+                self._lacks_helpers = True
                 pause_ms = NO_HELPER_ROUND_MS
                 break
         self._due_ms = now_ms + pause_ms
@@ -110,9 +113,13 @@
         self._report(now_ms)
 
     def ask_ahead(self, job, group, rule, tasks, now_ms):
-        """Query for a step that opens soon, if it can start then."""
-        forecast = self._forecast(job.record.service, now_ms)
-        self._ask(job, group, rule, tasks, forecast, now_ms, is_ahead=True)
+        """Query for a step that opens soon, if it can start then.
+
+        Steps that wait already have precedence if helpers are short.
+        """
+        if not self._lacks_helpers:
+            forecast = self._forecast(job.record.service, now_ms)
+            self._ask(job, group, rule, tasks, forecast, now_ms, is_ahead=True)
 
     def remaining_ms(self, run, job, step_number, now_ms):
         """The expected remaining time of a run."""
@@ -147,7 +154,9 @@
         tasks = _count_waiting(job, group)
         forecast = self._forecast(job.record.service, now_ms)
         if rule is None:
-            forecast.claim_anywhere(step, group, forecast.scaled(tasks))
+            wanted, names = forecast.scaled(tasks), forecast.target_ids()
+            if not step.gang or forecast.sum_fits(names, step, group) >= wanted:
+                forecast.claim_anywhere(step, group, wanted)
             return True
         if query_planning.may_withhold(rule):
             return self._ask(job, group, rule, tasks, forecast, now_ms)
@@ -156,18 +165,27 @@
         forecast.claim(claimed, step, group, forecast.scaled(tasks))
         return True
 
-    def _ask(self, job, group, rule, tasks, forecast, now_ms, is_ahead=False):
+    def _ask(
+        self,
+        job,
+        group,
+        rule,
+        tasks,
+        forecast,
+        now_ms,
+        is_ahead=False,
+        is_overdue=False,
+    ):
         """Query for a step with a slow rule if it needs to and may.
 
+        One that opens later is ``is_ahead``; one that is ``is_overdue`` queries also if
+        few of its tasks fit.
         Returns False if that needs a helper and none is idle.
         """
         leader, step = self._leader, job.record.steps[group.step]
         ahead_ms = permissions.TICKET_MARGIN_MS
-        if (
-            not is_ahead
-            and leader.permissions.helpers.idle_share(leader.environment.helpers())
-            >= permissions.MIN_IDLE_SHARE
-        ):
+        idle_share = leader.permissions.helpers.idle_share(leader.environment.helpers())
+        if not is_ahead and idle_share >= RENEWAL_IDLE_SHARE:
             ahead_ms += permissions.lead_ms(rule, RENEWED_WORKERS)
         known = leader.permissions.outlook(group, ahead_ms, now_ms)
         if known.asked:
@@ -187,7 +205,7 @@
             return True
         if not self._has_helper(rule, now_ms):
             return False
-        named = self._choose(job, group, rule, missing, known, forecast)
+        named = self._choose(job, group, rule, missing, known, forecast, is_overdue)
         if not named and may_preempt and not is_ahead:
             named = self._any_workers(job, group, tasks, ahead_ms, now_ms)
         if not named:
@@ -237,7 +255,7 @@
         claimed = forecast.claim(usable, step, group, forecast.scaled(tasks))
         return claimed * forecast.scale
 
-    def _choose(self, job, group, rule, missing, known, forecast):
+    def _choose(self, job, group, rule, missing, known, forecast, is_overdue):
         """Ids of the workers to name in a query for a step; empty if it can't start."""
         step = job.record.steps[group.step]
         pool = self._candidates(job, group)
@@ -250,16 +268,18 @@
         if not forecast.has_room(step):
             forecast.record_failure(step)
             return []
+        limit = permissions.MAX_QUERY_WORKERS
         if step.gang:
             options = forecast.options(chances, step, group)
             return query_planning.choose_for_gang(
-                options, set(known.tickets), step.tasks, permissions.MAX_QUERY_WORKERS
+                options, set(known.tickets), step.tasks, limit
             )
-        if not query_planning.is_worth(likely, step.tasks, bool(known.fresh)):
+        least = query_planning.least_starts(step.tasks, bool(known.fresh))
+        if not likely or (likely < least and not is_overdue):
             return []
         options = forecast.options(chances, step, group)
         spare_ms = self._rank_of(job, group).latest_start_ms - self._leader.cell_ms()
-        limit = query_planning.name_limit(rule, spare_ms, MAX_NAMED)
+        limit = query_planning.name_limit(rule, spare_ms, limit)
         return query_planning.choose(options, missing, limit)
 
     def _chances(self, pool, step, job, known):
@@ -317,16 +337,17 @@
         step, rule = job.record.steps[group.step], leader.queue_of(job).permission
         tasks = _count_waiting(job, group)
         forecast = self._make_forecast(job.record.service, now_ms, now_ms)
+        is_overdue = waited_ms >= MAX_WITHHELD_MS
         if rule is None:
             return False
-        if waited_ms < MAX_WITHHELD_MS:
+        if not is_overdue:
             known = leader.permissions.outlook(group, 0, now_ms)
             excluded = known.denied.union(known.fresh)
             names = [t for t in forecast.target_ids() if t not in excluded]
             if forecast.sum_fits(names, step, group) < forecast.scaled(tasks):
                 return False
         self._paused_until_ms.pop(group, None)
-        self._ask(job, group, rule, tasks, forecast, now_ms)
+        self._ask(job, group, rule, tasks, forecast, now_ms, is_overdue=is_overdue)
         return group not in self._withheld_ms
 
     def _forecast(self, service, now_ms):
