--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -49,7 +49,9 @@
         self._freed = []
         self._ranks = ranking.Ranks(leader)
         self._ranked_config = None
-        self._queries = permission_queries.PermissionQueries(leader, self._ranks.get)
+        self._queries = permission_queries.PermissionQueries(
+            leader, self._ranks.get, leader.learned.task_ms
+        )
         self._preemptions = preempting.Preemptions(leader, self._ranks.get)
         self._wait_reports = wait_reports.WaitReports(leader)
         self._cap_waits = cap_waits.CapWaits(leader)
