--- a/alderreach/ops/controller/admitting.py
+++ b/alderreach/ops/controller/admitting.py
@@ -14,7 +14,13 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions import resources
-from alderreach.decisions.cell import health, load_forecast, order, retry_places
+from alderreach.decisions.cell import (
+    health,
+    load_forecast,
+    order,
+    pauses,
+    retry_places,
+)
 from alderreach.ops.controller import pool_loads
 
 # A new leader lacks the data for a forecast until its workers have listed their runs.
@@ -89,6 +95,7 @@
         self._seen_ms = {}
         self._turn = 0
         self._next_metrics_ms = 0
+        self._refresh_from_ms = self._forecasts_from_ms = 0
 
     def consider(self, record):
         """Decide on a new ``cell.CellJob``; returns a Refusal, or None to accept it."""
@@ -123,7 +130,8 @@
     def _delay(self, record, offered, load, now_ms):
         """The ``load_forecast.Delay`` of a new job, or none if it is certainly short.
 
-        Most jobs are accepted by a bound of the delay, without a forecast.
+        Most jobs are accepted by a bound of the delay, without a forecast. So are those
+        that arrive while forecasts take too much of the leader's time.
         """
         job = (record.customer, record.steps, offered.key, now_ms)
         bound_ms = load.longest_delay_ms(*job)
@@ -131,12 +139,17 @@
         bound_ms = self._places.delay_with_places(offered, bound, now_ms).certain_ms
         if not load_forecast.is_beyond_serving(offered, bound_ms):
             return load_forecast.NO_DELAY
+        began_ms = self._leader.now_ms()
+        if began_ms < self._forecasts_from_ms:
+            return load_forecast.NO_DELAY
         path_ms = max(order.chain_ms(record.steps))
         by_estimate_ms = load_forecast.objective_ms(record.queue, path_ms) - path_ms
         slack = load_forecast.Slack(
             by_estimate_ms, offered.objective_ms - offered.path_ms
         )
         delay = load.delay(record.customer, record.steps, offered.key, slack, now_ms)
+        ended_ms = self._leader.now_ms()
+        self._forecasts_from_ms = pauses.after_work(began_ms, ended_ms)
         return self._places.delay_with_places(offered, delay, now_ms)
 
     def accepted(self, job):
@@ -190,7 +203,7 @@
 
     def _refresh(self, now_ms):
         """Collect the state of all pools, unless that was done a moment ago."""
-        if now_ms - self._collected_ms < REFRESH_MS:
+        if now_ms < max(self._collected_ms + REFRESH_MS, self._refresh_from_ms):
             return
         self._collected_ms = now_ms
         self._pools = {}
@@ -205,6 +218,7 @@
                     self._pools[service] = self._new_load(stride)
                 self._pools[service].add_worker(worker)
         self._collect_waiting()
+        self._refresh_from_ms = pauses.after_work(now_ms, self._leader.now_ms())
 
     def _new_load(self, scale):
         use_and_cap = self._leader.customers.use_and_cap
--- a/alderreach/ops/controller/preempting.py
+++ b/alderreach/ops/controller/preempting.py
@@ -9,7 +9,7 @@
 
 from alderreach.core import cell_state
 from alderreach.decisions import resources
-from alderreach.decisions.cell import preemption, workers
+from alderreach.decisions.cell import pauses, preemption, workers
 from alderreach.ops.controller import runs, stopping
 
 
@@ -31,6 +31,9 @@
         self._rank_of = rank_of
         self._preemption_counts = {}
         self._next_ms = {}
+        # The pause after each group's last search, and the time of the next search.
+        self._pauses_ms = {}
+        self._searches_from_ms = 0
         self._holds = {}
 
     def hold_of(self, target_id):
@@ -73,8 +76,20 @@
         """
         if now_ms < self.next_ms(job, group, since_ms):
             return
+        began_ms = self._leader.now_ms()
+        if began_ms < self._searches_from_ms:
+            self._next_ms[group] = self._searches_from_ms
+            return
         chosen = self._choose(job, group, pool, wanted, now_ms)
-        pause_ms = preemption.STOP_MS if chosen else preemption.RETRY_MS
+        self._searches_from_ms = pauses.after_work(began_ms, self._leader.now_ms())
+        pause_ms = preemption.STOP_MS
+        if not chosen:
+            # A full cell without victims stays so for a while.
+            pause_ms = min(
+                preemption.STOP_MS,
+                2 * self._pauses_ms.get(group, preemption.RETRY_MS // 2),
+            )
+        self._pauses_ms[group] = preemption.RETRY_MS if chosen else pause_ms
         self._next_ms[group] = now_ms + pause_ms
         for victims in chosen:
             hold = Hold(group, now_ms + pause_ms)
@@ -127,6 +142,7 @@
         """Drop the records of jobs that have ended."""
         self._leader.drop_ended(self._preemption_counts)
         self._leader.drop_ended(self._next_ms)
+        self._leader.drop_ended(self._pauses_ms)
 
     def _may_yield(self, run, urgent, now_ms):
         if not run.may_yield or run.state != workers.RUNNING:
--- a/alderreach/ops/controller/query_rounds.py
+++ b/alderreach/ops/controller/query_rounds.py
@@ -13,6 +13,7 @@
 from alderreach.decisions.cell import (
     choice,
     health,
+    pauses,
     permissions,
     query_planning,
     room_forecast,
@@ -69,7 +70,7 @@
         self._forecasts = {}
         self._horizon_ms = 0
         self._began_ms = -math.inf
-        self._due_ms = 0
+        self._due_ms = self._earliest_ms = 0
         # Whether steps of the last round found no idle helper.
         self._lacks_helpers = False
         self._next_override_ms = 0
@@ -81,9 +82,8 @@
 
     def hasten(self, now_ms):
         """Have the next round begin soon, since a step has opened."""
-        self._due_ms = min(
-            self._due_ms, max(now_ms, self._began_ms + HASTENED_ROUND_MS)
-        )
+        earliest_ms = max(self._began_ms + HASTENED_ROUND_MS, self._earliest_ms)
+        self._due_ms = min(self._due_ms, max(now_ms, earliest_ms))
 
     def run(self, groups, rules, now_ms):
         """Run a round if one is due.
@@ -108,7 +108,8 @@
                 self._lacks_helpers = True
                 pause_ms = NO_HELPER_ROUND_MS
                 break
-        self._due_ms = now_ms + pause_ms
+        self._earliest_ms = pauses.after_work(now_ms, self._leader.now_ms())
+        self._due_ms = max(now_ms + pause_ms, self._earliest_ms)
         self._override(now_ms)
         self._report(now_ms)
 
