--- a/alderreach/decisions/cell/load_forecast.py
+++ b/alderreach/decisions/cell/load_forecast.py
@@ -6,11 +6,11 @@
 arrivals, so it is rather too short than too long: a wrong refusal is worse than a wrong
 acceptance.
 
->>> waiting = [Waiting(ClassKey(False, 2), 4000, 1000.0)]
+>>> waiting = [Waiting(ClassKey(2, False), 4000, 1000.0)]
 >>> pool = Pool(4000, 0, [End(500, 4000)], waiting)
->>> start_delay(pool, ClassKey(False, 2)).expected_ms
+>>> start_delay(pool, ClassKey(2, False)).expected_ms
 1500.0
->>> start_delay(pool, ClassKey(False, 0)).expected_ms
+>>> start_delay(pool, ClassKey(0, False)).expected_ms
 500.0
 """
 
@@ -50,8 +50,8 @@
 class ClassKey(typing.NamedTuple):
     """A class of work; a lower key starts first. ``priority`` is the queue's."""
 
-    is_beyond_share: bool
     priority: int
+    is_beyond_share: bool
 
 
 class Waiting(typing.NamedTuple):
--- a/alderreach/decisions/cell/order.py
+++ b/alderreach/decisions/cell/order.py
@@ -1,7 +1,9 @@
 """The order in which waiting steps start.
 
-Jobs within their customer's share come before those beyond it (``fair_shares.py``).
-Then the queue's priority decides, and then whether the job can still be worth anything:
+The queue's priority decides first. Of one priority, jobs within their customers' shares
+come before those beyond them (``fair_shares.py``). Urgent jobs of a flood are not held
+back behind less urgent work of others: hundreds of them would wait, query, and let
+tickets expire again and again. Then it matters whether a job can be worth anything yet:
 
 - Steps that can still be on time are ordered by the latest time at which they can start
   and still meet the job's objective. That is the deadline minus the longest chain of
@@ -75,8 +77,8 @@
     the same work, the one whose job is worthless first comes first (``until_ms``).
     """
 
-    is_beyond_share: bool
     priority: int
+    is_beyond_share: bool
     lateness: int
     key: float
     until_ms: float
@@ -149,8 +151,8 @@
     """The urgency of a step with this Rank at ``now_ms``."""
     lateness = _lateness(ranked, now_ms)
     return Urgency(
-        ranked.is_beyond(now_ms),
         ranked.priority,
+        ranked.is_beyond(now_ms),
         lateness,
         _magnitude(ranked) if lateness == LATE else ranked.latest_start_ms,
         ranked.worthless_from_ms if lateness == LATE else 0,
--- a/alderreach/decisions/cell/retry_places.py
+++ b/alderreach/decisions/cell/retry_places.py
@@ -5,7 +5,7 @@
 start later than that.
 
 >>> places = Places()
->>> key = load_forecast.ClassKey(True, 0)
+>>> key = load_forecast.ClassKey(0, True)
 >>> job = load_forecast.Job("j1", "pool", key, 2000, 1000, 100)
 >>> places.refuse(job, delay_ms=4200, now_ms=0)
 5000
--- a/alderreach/ops/controller/admitting.py
+++ b/alderreach/ops/controller/admitting.py
@@ -110,7 +110,7 @@
         if load is None:
             return None
         is_beyond = bool(record.customer) and self._is_beyond_share(record)
-        key = load_forecast.ClassKey(is_beyond, record.queue.priority)
+        key = load_forecast.ClassKey(record.queue.priority, is_beyond)
         self._seen_ms[(record.service, key)] = now_ms
         estimates = [step.estimated_ms for step in record.steps]
         offered = self._offered(record, key, estimates, load)
@@ -295,7 +295,7 @@
         if key is None:
             is_beyond = bool(job.record.customer) and self._is_job_beyond_share(job)
             priority = self._leader.queue_of(job).priority
-            key = load_forecast.ClassKey(is_beyond, priority)
+            key = load_forecast.ClassKey(priority, is_beyond)
             self._classes[job.record.job_id] = key
         return key
 
