--- a/alderreach/decisions/cell/fair_shares.py
+++ b/alderreach/decisions/cell/fair_shares.py
@@ -27,7 +27,7 @@
 import math
 import typing
 
-# The time for which a customer's unused share counts for a later burst.
+# The time for which a customer's unused share counts for a later burst, by default.
 CREDIT_MS = 2000
 # The credit is at least this number of jobs. Customers with weights below one a second
 # send their jobs as irregularly as others: with 2 s of credit alone, the second of two
@@ -107,10 +107,12 @@
 class Shares:
     """The shares of all customers, as one leader knows them.
 
-    Times are those of the cell's clock, which also stamps accepted jobs.
+    Times are those of the cell's clock, which also stamps accepted jobs. ``credit_ms``
+    is how much of its unused share a customer may use later.
     """
 
-    def __init__(self):
+    def __init__(self, credit_ms=CREDIT_MS):
+        self._least_credit_ms = credit_ms
         self._weights = {}
         self._accounts = {}
         # When the share covers a job, by job id, and the same as a heap; without those
@@ -123,6 +125,9 @@
         customers = config.customers or ()
         self._weights = {each.name: each.weight for each in customers}
 
+    def _credit_ms(self, weight):
+        return max(self._least_credit_ms, CREDIT_JOBS * 1000 / weight)
+
     def weight_of(self, customer):
         """The weight of a customer in jobs a second; 0 if it has none."""
         return self._weights.get(customer, 0)
@@ -137,7 +142,7 @@
             return WITHIN
         account = self._accounts.get(customer)
         covers_ms = account.covers_ms(priority) if account else -math.inf
-        return max(covers_ms, now_ms - _credit_ms(weight))
+        return max(covers_ms, now_ms - self._credit_ms(weight))
 
     def admit(self, customer, weight, now_ms, priority=math.inf):
         """Charge a job to a customer's share; returns what ``peek`` would have."""
@@ -145,7 +150,7 @@
         if eligible_ms == WITHIN:
             return WITHIN
         account = self._accounts.setdefault(customer, _Account())
-        account.charge(priority, now_ms - _credit_ms(weight), 1000 / weight)
+        account.charge(priority, now_ms - self._credit_ms(weight), 1000 / weight)
         account.jobs = account.use(now_ms) * account.weight * RATE_WINDOW_MS / 1000 + 1
         account.counted_ms, account.weight = now_ms, weight
         if eligible_ms > now_ms:
@@ -203,13 +208,13 @@
         return found
 
 
-def rebuild(jobs, config):
+def rebuild(jobs, config, credit_ms=CREDIT_MS):
     """The shares after the given accepted jobs, under the configuration of now.
 
     ``jobs`` are ``cell_state.Job``, in any order. Ended ones count too: they used their
     customers' shares.
     """
-    shares = Shares()
+    shares = Shares(credit_ms)
     if config is None:
         return shares
     shares.configure(config)
@@ -217,7 +222,3 @@
     for job in sorted(charged, key=lambda job: job.accepted_ms):
         shares.add_job(job.record, job.accepted_ms)
     return shares
-
-
-def _credit_ms(weight):
-    return max(CREDIT_MS, CREDIT_JOBS * 1000 / weight)
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -71,7 +71,11 @@
         self.customers = customers.Customers()
         if self.state.config is not None:
             self.customers.configure(self.state.config)
-        self.shares = fair_shares.rebuild(self.state.jobs.values(), self.state.config)
+        self.shares = fair_shares.rebuild(
+            self.state.jobs.values(),
+            self.state.config,
+            environment.settings.cell.share_credit_ms,
+        )
         self.workers = {}
         self.pools = pools.Pools(self.workers)
         self.links = {}
