--- a/alderreach/ops/controller/query_rounds_test.py
+++ b/alderreach/ops/controller/query_rounds_test.py
@@ -164,3 +164,11 @@
     asked = {q.group[0]: ms for ms, q in reversed(sim.sent)}
     waits = sorted(asked[f"u{n}"] - (4_000 + 50 * n) for n in range(20))
     assert waits[18] <= 100
+
+
+def test_a_gang_gets_all_its_tickets_at_once():
+    """Guards against a gang that never holds all its tickets at the same time."""
+    sim = make_cell(100)
+    submit(sim, 0, "plan", "gang", 25, cpu=3_000, gang=True)
+    sim.run_until(4 * 1_750 + 2_000)
+    assert state_of(sim, "gang") == "completed"
