--- a/alderreach/core/raft_election.py
+++ b/alderreach/core/raft_election.py
@@ -48,6 +48,7 @@
     node.trial = trial
     node.leader = node.leader_name = ""
     node.votes = {node.identity}
+    node.vote_replies = {}
     if not trial:
         adopt_term(node, _next_term(node))
         node.voted_for = node.identity
@@ -143,6 +144,7 @@
 
 def handle_vote_reply(node, message, now_ms):
     """Count a vote, or step back to follower if the voter has a newer term."""
+    node.vote_replies[message.voter] = message
     if not message.granted and message.term > node.term:
         adopt_term(node, message.term)
         become_follower(node, now_ms)
--- a/alderreach/core/raft_state.py
+++ b/alderreach/core/raft_state.py
@@ -120,6 +120,8 @@
         self.trial = False
         self.transfer = False
         self.votes = set()
+        # The latest reply of each voter to the current candidacy, for reports only.
+        self.vote_replies = {}
         self.progress = {}
         self.elected_ms = 0
         self.first_index_of_term = 0
--- a/alderreach/ops/keeper/service.py
+++ b/alderreach/ops/keeper/service.py
@@ -117,6 +117,7 @@
             seed_addresses is not None,
             may_found_cell,
         )
+        self._leaderless = reporting.LeaderlessReports(context.timeline, self._clock)
         timing, limits = context.settings.timing, context.settings.limits
         self._requests = requests.Requests(
             self._node,
@@ -268,6 +269,7 @@
                 raft_leader.announce_commit(self._node, now_ms)
         self._joining.tick(now_ms)
         self._hand_over_leadership(now_ms)
+        self._leaderless.tick(self._node, self._is_current(now_ms), now_ms)
         if self._extension:
             self._extension.tick(now_ms)
         if now_ms >= self._next_housekeeping_ms:
--- a/tests/keeper_joining_test.py
+++ b/tests/keeper_joining_test.py
@@ -90,3 +90,37 @@
         assert kinds.count("not_taken_in") == 2
         cell.cut = set()
         cell.run_until_stable()
+
+
+def test_a_keeper_without_a_leader_reports_each_missing_vote(tmp_path):
+    """Three of five voters are lost, and the others can't elect a leader.
+
+    They wrote nothing then, so nobody saw which votes were missing.
+    """
+    with contextlib.closing(make_five_voters(tmp_path)) as cell:
+        first, second, *lost = cell.names
+        for name in lost:
+            cell.crash(name)
+        cell.run(12_000)
+        reports_of = {
+            name: [
+                detail
+                for kind, detail in cell.timelines[name].events
+                if kind == "no_leader"
+            ]
+            for name in (first, second)
+        }
+        assert [len(reports) for reports in reports_of.values()] == [2, 2]
+        for name, (_first, latest) in reports_of.items():
+            assert "needs 3 votes" in latest and f"{name} itself" in latest
+            assert all(f"{each} silent" in latest for each in lost)
+        granted = (f"{second} granted", f"{first} granted")
+        assert any(
+            text in reports[-1]
+            for text, reports in zip(granted, reports_of.values(), strict=True)
+        )
+        cell.start(lost[0])
+        cell.elect()
+        cell.run(1_000)
+        kinds = [kind for kind, _detail in cell.timelines[first].events]
+        assert kinds.count("leader_back") == 1
