--- a/alderreach/ops/controller/permission_calls.py
+++ b/alderreach/ops/controller/permission_calls.py
@@ -6,11 +6,11 @@
 """
 
 import queue
-import threading
 
 from absl import logging
 
 from alderreach.core.generated import cell
+from alderreach.utils import tasks
 
 STOP = object()
 
@@ -27,9 +27,7 @@
         self._queue = queue.SimpleQueue()
         # The latest query of each leader that waits, by its address.
         self._waiting = {}
-        self._thread = threading.Thread(
-            target=self._run, name="permissions", daemon=True
-        )
+        self._thread = tasks.make_thread("permissions", self._run)
 
     def start(self):
         """Start the thread and return the object."""
--- a/alderreach/ops/keeper/service.py
+++ b/alderreach/ops/keeper/service.py
@@ -8,7 +8,6 @@
 import os
 import random
 import sys
-import threading
 import time
 import typing
 
@@ -58,7 +57,7 @@
 
 
 def _run_on_thread(work):
-    threading.Thread(target=work, name="aside", daemon=True).start()
+    tasks.make_thread("aside", work).start()
 
 
 def build(context):
--- a/alderreach/utils/event_loop.py
+++ b/alderreach/utils/event_loop.py
@@ -10,6 +10,8 @@
 
 from absl import logging
 
+from alderreach.utils import tasks
+
 CLOSE_TIMEOUT_S = 5
 
 
@@ -22,7 +24,7 @@
         self._lock = threading.Lock()
         self._is_wakeup_scheduled = False
         self._is_closed = False
-        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thread = tasks.make_thread(name, self._run)
         self._thread.start()
 
     def post(self, callback):
--- a/alderreach/utils/http_server.py
+++ b/alderreach/utils/http_server.py
@@ -5,13 +5,12 @@
 the limits on headers, bodies and slow callers, which come from the settings.
 """
 
-import threading
 import typing
 
 from absl import logging
 from cheroot import wsgi
 
-from alderreach.utils import clocks, http_connection, http_threads
+from alderreach.utils import clocks, http_connection, http_threads, tasks
 
 CLOSE_TIMEOUT_S = 5
 ACCEPT_BACKLOG = 256
@@ -66,9 +65,7 @@
         self._server.idle_ms = limits.idle_ms
         self._server.error_log = _log_error
         self._server.prepare()
-        self._thread = threading.Thread(
-            target=self._server.serve, name=f"http {address}", daemon=True
-        )
+        self._thread = tasks.make_thread(f"http {address}", self._server.serve)
         self._thread.start()
 
     def close(self):
--- a/alderreach/utils/tasks.py
+++ b/alderreach/utils/tasks.py
@@ -23,6 +23,23 @@
     os._exit(EXIT_FAULT)
 
 
+def make_thread(name, run, on_fault=end_process):
+    """A daemon thread that calls ``run``; ``on_fault`` follows its exception.
+
+    A process that continued without one of its threads would look healthy and never
+    again receive, send or answer.
+    """
+
+    def run_or_fail():
+        try:
+            run()
+        except Exception:
+            logging.exception("thread %s failed", name)
+            on_fault()
+
+    return threading.Thread(target=run_or_fail, name=name, daemon=True)
+
+
 class Ticket:
     """A future for one answer, which the task sets once and the caller waits for."""
 
@@ -63,8 +80,7 @@
         self._tick = tick
         self._clock = clock
         self._tick_ms = tick_ms
-        self._on_fault = on_fault
-        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thread = make_thread(name, self._loop, on_fault)
 
     def start(self):
         """Start the thread and return the task."""
@@ -81,13 +97,6 @@
         if self._thread is not threading.current_thread() and self._thread.ident:
             self._thread.join(timeout=5)
 
-    def _run(self):
-        try:
-            self._loop()
-        except Exception:
-            logging.exception("task %s failed", self._thread.name)
-            self._on_fault()
-
     def _loop(self):
         next_tick_ms = self._clock.monotonic_ms()
         while True:
--- a/alderreach/utils/tasks_test.py
+++ b/alderreach/utils/tasks_test.py
@@ -53,3 +53,14 @@
     ).start()
     task.put("x")
     assert ended.wait(10)
+
+
+def test_a_thread_that_fails_is_followed_by_its_fault_handler():
+    """Guards against a process that continues without one of its threads."""
+    ended = threading.Event()
+
+    def fail():
+        raise LookupError("no such queue")
+
+    tasks.make_thread("test", fail, ended.set).start()
+    assert ended.wait(timeout=10)
--- a/alderreach/utils/transport.py
+++ b/alderreach/utils/transport.py
@@ -20,7 +20,7 @@
 
 from alderreach.core import codec
 from alderreach.core.generated import common
-from alderreach.utils import peer_links
+from alderreach.utils import peer_links, tasks
 
 RECEIVE_BUFFER_MESSAGES = 1024
 RECEIVE_POLL_MS = 200
@@ -50,7 +50,7 @@
     each decoding error. ``peers`` maps process names to addresses: a known sender is
     answered at its address in the settings, and not at its own ``reply_address``.
     ``rules`` says when a link is given up; ``on_loss`` is called with each
-    ``link_health.Loss``.
+    ``link_health.Loss``, and ``on_fault`` after an exception on one of the threads.
     """
 
     def __init__(
@@ -63,6 +63,7 @@
         rules,
         on_undecodable=None,
         on_loss=None,
+        on_fault=tasks.end_process,
     ):
         self._cell, self.name, self.boot_id = identity
         self.address = address
@@ -92,8 +93,8 @@
         self._pull.listen(f"tcp://{address}")
         self._stopping = threading.Event()
         self._threads = [
-            threading.Thread(target=self._receive, name="receive", daemon=True),
-            threading.Thread(target=self._send_all, name="send", daemon=True),
+            tasks.make_thread("receive", self._receive, on_fault),
+            tasks.make_thread("send", self._send_all, on_fault),
         ]
 
     @property
--- a/tests/transport_test.py
+++ b/tests/transport_test.py
@@ -2,6 +2,7 @@
 
 import queue
 import socket
+import threading
 
 from alderreach.core.generated import common
 from alderreach.utils import clocks, link_health, transport
@@ -123,3 +124,29 @@
     finally:
         one.close()
         two.close()
+
+
+def test_a_failed_receiving_thread_ends_the_process():
+    """Guards against a process that looks healthy and receives nothing any more."""
+    ended = threading.Event()
+
+    def fail(received):
+        raise LookupError(received.message)
+
+    address = free_address()
+    one = make("a", free_address(), queue.Queue())
+    two = transport.Transport(
+        ("cell", "b", "boot"),
+        address,
+        {},
+        fail,
+        clocks.SYSTEM,
+        RULES,
+        on_fault=ended.set,
+    ).start()
+    try:
+        one.send(address, common.StatusQuery("r1"))
+        assert ended.wait(timeout=10)
+    finally:
+        one.close()
+        two.close()
