--- a/alderreach/ops/keeper/disk.py
+++ b/alderreach/ops/keeper/disk.py
@@ -88,10 +88,22 @@
         )
 
     def compact(self, node, snapshot):
-        """Remove the entries that a new snapshot covers, except the newest of them."""
+        """Make a new snapshot current, and remove most of the entries that it covers.
+
+        The leader may have sent a newer one in the meantime. That one has to stay: the
+        log starts after it.
+        """
         self._is_writing_snapshot = False
-        if snapshot is None or (node.snapshot and node.snapshot.index > snapshot.index):
+        if snapshot is None:
             return
+        is_outdated = node.snapshot and node.snapshot.index >= snapshot.index
+        try:
+            if is_outdated:
+                snapshot_file.discard(self._folder)
+                return
+            snapshot_file.make_current(self._folder)
+        except OSError as error:
+            self.fail_stop(error)
         node.snapshot = snapshot
         max_tail_entries = self._snapshot_entries // 2
         compact_until = raft_state.compaction_index(
--- a/alderreach/ops/keeper/files_test.py
+++ b/alderreach/ops/keeper/files_test.py
@@ -83,6 +83,7 @@
     state = keeper_state.State()
     state.index = 3
     snapshot_file.write(folder, 3, 3, MEMBERS, state)
+    snapshot_file.make_current(folder)
     path = folder / "snapshot"
     for offset in range(path.stat().st_size):
         damage(path, offset)
@@ -97,6 +98,7 @@
     state = keeper_state.State()
     state.index = 3
     snapshot_file.write(folder, 3, 3, MEMBERS, state)
+    snapshot_file.make_current(folder)
     opened = open_once(folder).unwrap()
     opened.log.compact(2)
     log_file.LogFile(folder, "id").rewrite(opened.log, 3, "")
@@ -113,6 +115,7 @@
     state = keeper_state.State()
     state.index = 9
     snapshot_file.write(folder, 9, 4, MEMBERS, state)
+    snapshot_file.make_current(folder)
     opened = open_once(folder).unwrap()
     assert (opened.log.base_index, opened.log.last_index) == (9, 9)
     assert opened.term == 3
--- a/alderreach/ops/keeper/snapshot_file.py
+++ b/alderreach/ops/keeper/snapshot_file.py
@@ -2,6 +2,7 @@
 
 A snapshot is written to a second file, synced, and renamed over the current one. Other
 keepers are sent the bytes of the file, and check the complete file before they use it.
+Only the keeper's task renames: it alone knows whether a newer snapshot is current.
 """
 
 import os
@@ -40,9 +41,10 @@
 
 
 def write(folder, index, term, members, state):
-    """Write and sync a snapshot and make it the current one; raises OSError.
+    """Write and sync a snapshot that is not current yet; raises OSError.
 
-    Any thread may call it; ``state`` must not change meanwhile.
+    Any thread may call it; ``state`` must not change meanwhile. ``make_current`` or
+    ``discard`` has to follow.
     """
     path = pathlib.Path(folder) / NEW_FILE
     with path.open("wb") as file:
@@ -53,8 +55,17 @@
         file.write(records.frame(END))
         file.flush()
         os.fsync(file.fileno())
-    _make_current(path)
-    return _open_snapshot(pathlib.Path(folder) / FILE, header)
+    return _open_snapshot(path, header)
+
+
+def make_current(folder):
+    """Make the snapshot that ``write`` wrote the current one; raises OSError."""
+    _make_current(pathlib.Path(folder) / NEW_FILE)
+
+
+def discard(folder):
+    """Remove the snapshot that ``write`` wrote; raises OSError."""
+    (pathlib.Path(folder) / NEW_FILE).unlink()
 
 
 def load(folder) -> Result:
