--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -143,7 +143,8 @@
 def play(seed, folder, duration_s, crashing=(), calm_s=CALM_S, size=Size()):
     """Inject a seed's faults for ``duration_s``, then check that the cell recovers.
 
-    Then only open connections become silent, for ``SILENCES_S``. Callers go on for
+    Then only open connections become silent, for ``SILENCES_S``, and at last all
+    processes are killed together and one controller loses its disk. Callers go on for
     ``calm_s`` after that; as they stop, there is one more silence. ``crashing`` are the
     numbers of the jobs whose task crashes its workers.
     """
@@ -191,6 +192,8 @@
         stack.enter_context(_watch(promises, running.folder / "probe"))
         faults.play(duration_s, [silencing.play, shrinking.play])
         silencing.play(time.monotonic() + SILENCES_S)
+        cell.wait_until(running.has_all_voters, "all voters are back")
+        faults.black_out()
         calling.is_calm = True
         operator.stop()
         with promises.lock:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -10,7 +10,8 @@
 of three voters is down or without its disk at a time, but all of them may lose power
 together, and cuts between them come in addition. Workers leave for good and are
 replaced, one at a time: each step may run in at least two of the four places, and has
-to be able to run in the end.
+to be able to run in the end. At last all processes lose power at the same moment, and
+one controller also its disk.
 """
 
 import functools
@@ -35,6 +36,8 @@
 CLOCK_OFFSETS_MS = (-3_600_000, -5000, 5000, 3_600_000)
 # The time after a restart without a disk in which no controller has another fault.
 WIPE_PAUSE_S = 1.0
+# How long all processes are down at last.
+BLACKOUT_S = (0.05, 0.7, 1.5)
 
 
 class Fault(typing.NamedTuple):
@@ -60,6 +63,7 @@
         self._split_rng = random.Random(f"splits {seed}")
         self._host_rng = random.Random(f"hosts {seed}")
         self._clock_rng = random.Random(f"clocks {seed}")
+        self._blackout_rng = random.Random(f"blackout {seed}")
         self._hosts = {}
         self._lock = threading.Lock()
         self._busy = set()
@@ -115,6 +119,20 @@
         self._replace_workers(deadline_s, ["drain"])
         delaying.join()
 
+    def black_out(self):
+        """Kill all processes at the same moment; one controller loses its disk.
+
+        The cell has to have all its voters before, or two votes would be lost.
+        """
+        plans = [plan for plan in self._running.plans if plan.role in ROLES]
+        lost = self._draw_controller(self._blackout_rng)
+        hold_s = self._blackout_rng.choice(BLACKOUT_S)
+        self.record("blackout", hold_s, lost.name)
+        self._kill_together(plans)
+        shutil.rmtree(self._running.folder / "data" / lost.name)
+        time.sleep(hold_s)
+        self._running.start([plan.name for plan in plans])
+
     def _kill(self, kind, hold_s, draw):
         self._process_fault(kind, hold_s, draw, ROLES, self._kill_process)
 
@@ -164,13 +182,16 @@
                 return
             self._busy |= {plan.name for plan in plans}
         self.record(kind, hold_s, "controllers")
+        self._kill_together(plans)
+        time.sleep(hold_s)
+        self._running.start([plan.name for plan in plans])
+        self._release(plan.name for plan in plans)
+
+    def _kill_together(self, plans):
         for plan in plans:
             self._running.processes[plan.name].send_signal(signal.SIGKILL)
         for plan in plans:
             self._running.processes[plan.name].wait()
-        time.sleep(hold_s)
-        self._running.start([plan.name for plan in plans])
-        self._release(plan.name for plan in plans)
 
     def _cut(self, kind, hold_s, draw):
         self._link_fault(kind, hold_s, draw, lambda name: self._relay.cut([name]))
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -11,6 +11,7 @@
     "pause": "p",
     "wipe": "w",
     "dark": "D",
+    "blackout": "B",
     "cut": "c",
     "cut_one_way": "o",
     "slow": "s",
