--- a/alderreach/ops/keeper/files_test.py
+++ b/alderreach/ops/keeper/files_test.py
@@ -125,3 +125,25 @@
     with contextlib.ExitStack() as stack:
         assert storage.open_folder(folder, stack).is_ok()
         assert "another process" in open_once(folder).err_value
+
+
+@pytest.mark.parametrize("count", [1, 12])
+def test_entries_after_a_snapshot_installed_before_a_restart_are_kept(folder, count):
+    """The process ends between the two steps of installing a snapshot, and later again.
+
+    The entries that it acknowledged in between were lost, or got other indexes: the
+    file still had the log from before the snapshot, and they were read as its next.
+    """
+    state = keeper_state.State()
+    state.index = 9
+    snapshot_file.write(folder, 9, 4, MEMBERS, state)
+    snapshot_file.make_current(folder)
+    assert open_once(folder).unwrap().log.last_index == 9
+    entries = [entry(4, b"%d" % index) for index in range(10, 10 + count)]
+    log = log_file.LogFile(folder, "id")
+    log.append(raft_state.Write(4, "", 10, entries))
+    log.close()
+    opened = open_once(folder).unwrap()
+    assert (opened.log.base_index, opened.log.last_index) == (9, 9 + count)
+    assert opened.log.entries == entries
+    assert opened.term == 4
