--- a/alderreach/ops/keeper/log_file.py
+++ b/alderreach/ops/keeper/log_file.py
@@ -76,6 +76,15 @@
     return Ok(_replay(header, writes, size - end))
 
 
+def rewrite(folder, loaded):
+    """Replace the file of a keeper that is not running; raises OSError."""
+    file = LogFile(folder, loaded.identity)
+    try:
+        file.rewrite(loaded.log, loaded.term, loaded.voted_for)
+    finally:
+        file.close()
+
+
 class LogFile:
     """The file, open for writing; any ``OSError`` except DiskFull is final.
 
--- a/alderreach/ops/keeper/storage.py
+++ b/alderreach/ops/keeper/storage.py
@@ -71,7 +71,9 @@
         )
     if snapshot and log.term_at(covered) != snapshot.term:
         # The process ended after it installed a snapshot and before it reset its log.
+        # Records are appended to the file, so it has to be reset too.
         log.reset(covered, snapshot.term)
+        log_file.rewrite(folder, loaded)
     state = loaded_snapshot.state if loaded_snapshot else keeper_state.State()
     return Ok(
         OpenedFolder(
