--- a/tests/soak_cancels_test.py
+++ b/tests/soak_cancels_test.py
@@ -8,9 +8,10 @@
 import urllib3
 
 from alderreach.core.generated import common
-from alderreach.utils import clocks
+from alderreach.utils import clocks, http_server
 from tests import entry_fakes
-from tools.soak import cancellers, cancels, promises
+from tools import relay
+from tools.soak import callers, cancellers, cancels, promises
 from tools.standins import cell_worker, platform_worker
 
 Order = collections.namedtuple("Order", "task run")
@@ -182,3 +183,48 @@
             body = {"task": task, "run": 1, "spec": "", "until_ms": 60_000}
             assert urllib3.request("POST", url, json=body).status == 200
     assert seen == [("j.0.0.0", True), ("j.0.0.1", False)]
+
+
+class Frontends:
+    """Two frontends that accept every cancellation, behind a relay."""
+
+    def __init__(self, stack):
+        self.links = relay.Relay()
+        stack.callback(self.links.close)
+        self.addresses = []
+        limits = http_server.HttpLimits(4, 16384, 1 << 20, 5000)
+        for number in (1, 2):
+            listen, target = entry_fakes.free_address(), entry_fakes.free_address()
+            server = http_server.HttpServer(target, self._accept, limits)
+            stack.callback(server.close)
+            self.links.add(f"callers-{number}", _split(listen), _split(target))
+            self.addresses.append(listen)
+
+    @staticmethod
+    def _accept(_environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"{}"]
+
+
+def _split(address):
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def test_a_repeated_cancellation_uses_no_connection_from_before(checker, monkeypatch):
+    """Guards against a cell that seems to leave cancellations unanswered.
+
+    The callers' idle connections to both frontends had become silent, and a repeat
+    took the next one of them, so that no frontend got a request for twice the timeout.
+    """
+    monkeypatch.setattr(callers, "TIMEOUT_S", 0.5)
+    with contextlib.ExitStack() as stack:
+        frontends = Frontends(stack)
+        calling = callers.Callers(
+            frontends.addresses, checker, random.Random(1), None, threads=0
+        )
+        for turn in range(2):
+            assert calling._send_cancellation("1", turn) == 200
+        frontends.links.silence(frontends.links.names())
+        assert calling._send_cancellation("1", 0) == 0
+        assert calling._send_cancellation("1", 1) == 200
