--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -23,6 +23,8 @@
 PAUSE_S = 0.15
 ATTEMPTS = 12
 REJECTED = (401, 429, 503)
+# The kinds of silences that concern connections to frontends.
+SILENT_KINDS = ("callers", "all")
 # Each caller tries a key that must be refused before this share of its jobs.
 REFUSED_KEY_SHARE = 0.2
 MAX_LATENCY_MS = 600_000
@@ -83,6 +85,7 @@
             self._send_cancellation, promises, random.Random(rng.random())
         )
         self._cancelling_session = self.session()
+        self._may_be_silent = threading.Event()
         self.cancelled = self._cancellers.cancelled
         self.unclear = self._cancellers.unclear
         self.answers = []
@@ -104,6 +107,17 @@
             thread.join()
         self._cancellers.stop()
 
+    def on_silence(self, kind, text):
+        """Record that open connections became silent, those to frontends included.
+
+        The next cancellation without an answer closes the idle ones. Otherwise each
+        repeat could take another silent one and wait for ``TIMEOUT_S``, and no frontend
+        would get the request in time.
+        """
+        self._promises.record(text)
+        if kind in SILENT_KINDS:
+            self._may_be_silent.set()
+
     def state(self, session, job_id, address=None):
         """The state that a frontend shows for a job; None without a clear answer.
 
@@ -188,6 +202,9 @@
         status, _body = self._call(
             self._cancelling_session, "DELETE", job_id, address=address
         )
+        if not status and self._may_be_silent.is_set():
+            self._may_be_silent.clear()
+            self._cancelling_session.clear()
         return status
 
     def _call(self, session, method, job_id, body=None, key=None, address=None):
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -186,7 +186,7 @@
         operator.start()
         stack.callback(operator.stop)
         faults = faults_module.Faults(running, links, workers, start_worker, seed)
-        silencing = _silences(running, [links, silent_links], seed, faults, promises)
+        silencing = _silences(running, [links, silent_links], seed, faults, calling)
         shrinking = _capacity_changes(seed, faults, promises)
         stack.enter_context(_watch(promises, running.folder / "probe"))
         faults.play(duration_s, [silencing.play, shrinking.play])
@@ -303,12 +303,12 @@
         cell.wait_until(lambda plan=plan: is_ready(plan), f"{plan.name} is ready")
 
 
-def _silences(running, call_links, seed, faults, promises):
+def _silences(running, call_links, seed, faults, calling):
     """Silences that are recorded as faults and in the time line."""
 
     def on_silence(kind, text):
         faults.record("silent", 0, kind)
-        promises.record(text)
+        calling.on_silence(kind, text)
 
     return silences.Silences(running, call_links, seed, on_silence)
 
