--- a/tests/placer_failures_test.py
+++ b/tests/placer_failures_test.py
@@ -254,6 +254,32 @@
     assert not any(worker.running() for worker in world.workers.values())
 
 
+def test_cancellations_during_a_takeover_interrupt_no_other_job(world):
+    """Jobs are cancelled while the domain has no owner, beside one that goes on.
+
+    The takeover must be over before the leases of the targets lapse: its tasks must
+    neither stop nor start a second time.
+    """
+    world.submit("kept", tasks=6, run_ms=20_000)
+    for number in range(3):
+        world.submit(f"j{number}", tasks=2, run_ms=60_000)
+    jobs = {"kept": 6, "j0": 2, "j1": 2, "j2": 2}
+    world.run_until(
+        lambda: all(len(worker_states(world, job)) == jobs[job] for job in jobs)
+    )
+    before = sorted(worker_states(world, "kept"))
+    world.owner().kill()
+    for number in range(3):
+        world.cancel(f"j{number}")
+    states = {f"j{n}": "cancelled" for n in range(3)}
+    world.run_until(lambda: {j: world.status(j).state for j in states} == states)
+    world.run(LAPSE_MS)
+    assert sorted(worker_states(world, "kept")) == before
+    running = [task for w in world.workers.values() for task in w.running()]
+    assert len(running) == 6
+    world.run_until(lambda: world.status("kept").state == "finished")
+
+
 def test_handover_leaves_no_gap(world):
     """The owner's VM is stopped for maintenance; entries must see an owner at once.
 
