--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -15,7 +15,7 @@
 import math
 
 from alderreach.core import cell_state
-from alderreach.decisions.cell import order, preemption
+from alderreach.decisions.cell import order, pauses, preemption
 from alderreach.ops.controller import (
     cap_waits,
     duplicating,
@@ -60,7 +60,7 @@
         )
         # A heap of (due time, group) for occurrences that are due later.
         self._scheduled = []
-        self._next_pass_ms = 0
+        self._next_pass_ms = self._passes_from_ms = 0
         self._next_cap_preemption_ms = 0
         for job in leader.state.jobs.values():
             self._add_groups(job)
@@ -102,7 +102,8 @@
     def plan(self, now_ms):
         """Run a planning pass if something has changed or a pass is due."""
         leader = self._leader
-        if not leader.needs_planning and now_ms < self._next_pass_ms:
+        is_due = leader.needs_planning or now_ms >= self._next_pass_ms
+        if not is_due or now_ms < self._passes_from_ms:
             return
         leader.needs_planning = False
         self._next_pass_ms = now_ms + MAX_PASS_INTERVAL_MS
@@ -117,6 +118,7 @@
         self._duplicates.consider(self._queue.first_rank(), now_ms)
         self._queries.query_in_rounds(self._queue.groups, now_ms)
         self._queries.prefetch(now_ms)
+        self._passes_from_ms = pauses.after_pass(now_ms, leader.now_ms())
 
     def _refresh_pools(self, now_ms):
         """Update the pools; check groups whose permitted workers have changed."""
@@ -239,8 +241,7 @@
             job = self._leader.state.jobs.get(group.job_id)
             if job is None or self._leader.is_over(group):
                 continue
-            tasks = job.groups[group[1:]]
-            waiting = sum(task.state == cell_state.WAITING for task in tasks)
+            waiting = sum(t.state == cell_state.WAITING for t in job.groups[group[1:]])
             since_ms = self._waiting[group]
             self._preemptions.consider_cap(job, group, waiting, since_ms, now_ms)
 
@@ -252,9 +253,8 @@
         tolerance for clock differences. Nothing is due while the cell's time is not
         known.
         """
-        if not self._leader.environment.is_time_known():
-            return 0
-        return self._leader.cell_ms()
+        is_known = self._leader.environment.is_time_known()
+        return self._leader.cell_ms() if is_known else 0
 
     def _release_due(self):
         while self._scheduled and self._scheduled[0][0] <= self._latest_due_ms():
