--- a/tests/entry_cell_test.py
+++ b/tests/entry_cell_test.py
@@ -117,12 +117,15 @@
     lost.start()
     cells.wait_until(lambda: callers.runs(body), "the order runs")
     callers.running.kill(first.name)
-    lost.join(30)
-    resent = callers.post(second, body, "k2", Alderreach_Deadline_Ms="500")
-    assert resent.json()["kind"] == "in_progress"
-    assert resent.headers["Alderreach-Outcome"] == "unknown"
-    callers.running.start([first.name])
-    cells.wait_until(lambda: callers.is_routing(first), "the entry routes again")
+    try:
+        lost.join(30)
+        resent = callers.post(second, body, "k2", Alderreach_Deadline_Ms="500")
+        assert resent.json()["kind"] == "in_progress"
+        assert resent.headers["Alderreach-Outcome"] == "unknown"
+    finally:
+        # The tests after this one use the same cell.
+        callers.running.start([first.name])
+        cells.wait_until(lambda: callers.is_routing(first), "the entry routes again")
     assert callers.post(first, body, "k2").json()["kind"] == "outcome_unknown"
     assert len(callers.runs(body)) == 1
 
