--- a/alderreach/ops/entry/keepers_test.py
+++ b/alderreach/ops/entry/keepers_test.py
@@ -31,3 +31,19 @@
     for _ in range(4):
         bounded_keepers.ask(keeper.ReadKey("k"), 2000)
     assert gateway.timeouts_ms == [2000, 250, 250, 2000]
+
+
+def test_a_caller_with_a_short_deadline_does_not_shorten_the_time_of_others():
+    """Keyed requests got an unknown outcome while the keepers changed their leader.
+
+    A request whose caller waits for 50 ms has asked one keeper only, once. That it got
+    no response in this time must not limit the next requests to the short timeout,
+    which ends before they are sent to another keeper.
+    """
+    silent = keeper_client.Outcome("uncertain", b"")
+    answered = keeper_client.Outcome("ok", codec.pack(keeper.ReadKey("k")))
+    gateway = Gateway([silent, answered, silent, silent, answered])
+    bounded_keepers = keepers.Keepers(gateway, 96)
+    for timeout_ms in (50, 2000, 2000, 50, 2000):
+        bounded_keepers.ask(keeper.ReadKey("k"), timeout_ms)
+    assert gateway.timeouts_ms == [50, 2000, 2000, 50, 250]
