--- a/alderreach/ops/entry/keepers.py
+++ b/alderreach/ops/entry/keepers.py
@@ -7,7 +7,8 @@
 A caller in a cut-off domain should not wait two seconds for a failure that the entry
 can predict. After a request without any response, the next ones therefore time out
 after ``UNRESPONSIVE_TIMEOUT_MS`` until one is answered again. This is many times the
-duration of a commit between failure domains, and short enough for a person.
+duration of a commit between failure domains, and short enough for a person. A request
+whose own timeout ends before it is sent to another keeper does not tell that.
 """
 
 import threading
@@ -44,7 +45,10 @@
             outcome = self._gateway.ask_keepers(command, timeout_ms)
         finally:
             self._permits.release()
-        self._is_unresponsive = outcome.status == "uncertain"
+        if outcome.status != "uncertain":
+            self._is_unresponsive = False
+        elif timeout_ms > keeper_client.RESEND_MS:
+            self._is_unresponsive = True
         return _unpack(outcome)
 
     def request(self, command, done, timeout_ms):
