--- a/alderreach/core/membership.py
+++ b/alderreach/core/membership.py
@@ -4,6 +4,8 @@
 any majority of the old membership shares a voter with any majority of the new one.
 """
 
+import math
+
 from result import Err, Ok, Result
 
 from alderreach.core.generated import keeper
@@ -75,11 +77,12 @@
     return [*rest, learner]
 
 
-def next_repair(members, is_caught_up):
+def next_repair(members, is_caught_up, wanted=math.inf):
     """Return the next change that restores a keeper whose disk was lost, or None.
 
     Once the learner has caught up, its old identity is removed, then the learner is
-    promoted. Doing both in one step would change two voters at once: the majorities
+    promoted, unless ``wanted`` others are voters by then: one more would raise the
+    quorum. Doing both in one step would change two voters at once: the majorities
     {1, 2, 3} of {1, 2, 3, 4, 5} and {3', 4, 5} of {1, 2, 3', 4, 5} share no voter.
     """
     for member in members:
@@ -88,7 +91,8 @@
         for other in members:
             if other.voter and other.name == member.name:
                 return _command("remove", other)
-        return _command("promote", member)
+        if len(voters(members)) < wanted:
+            return _command("promote", member)
     return None
 
 
--- a/alderreach/ops/keeper/joining.py
+++ b/alderreach/ops/keeper/joining.py
@@ -4,6 +4,8 @@
 disk can neither found a second cell nor vote under its previous identity.
 """
 
+import math
+
 from alderreach.core import founding, membership, raft, raft_leader
 from alderreach.core.generated import keeper
 
@@ -36,7 +38,8 @@
         self._addresses = addresses
         self._is_open_cell = is_open_cell
         self._may_found_cell = may_found_cell
-        self._tolerated_losses = context.settings.discovery.losses
+        losses = context.settings.discovery.losses
+        self._wanted_voters = 2 * losses + 1 if is_open_cell else math.inf
         self._clock = context.clock
         self._timeline = context.timeline
         self._send = context.transport.send
@@ -181,6 +184,7 @@
         command = membership.next_repair(
             self._node.members,
             lambda identity: raft_leader.is_caught_up(self._node, identity, now_ms),
+            self._wanted_voters,
         )
         if command is None and self._is_open_cell:
             command = self._next_replacement(now_ms)
@@ -195,7 +199,7 @@
         """The next change of an open cell that replaces a silent voter, or None."""
         return membership.next_replacement(
             self._node.members,
-            2 * self._tolerated_losses + 1,
+            self._wanted_voters,
             lambda identity: self._is_silent(identity, now_ms),
             lambda identity: raft_leader.is_caught_up(self._node, identity, now_ms),
         )
--- a/tests/keeper_joining_test.py
+++ b/tests/keeper_joining_test.py
@@ -124,3 +124,44 @@
         cell.run(1_000)
         kinds = [kind for kind, _detail in cell.timelines[first].events]
         assert kinds.count("leader_back") == 1
+
+
+def test_a_voter_that_returns_after_its_replacement_adds_no_vote(tmp_path):
+    """Guards against a cell that keeps a voter too many, and so needs a vote more.
+
+    A controller lost its disk and was back before it was replaced as a voter, but had
+    caught up only afterwards. It was promoted as well, and a cell of four voters for
+    one loss had no leader after the next loss beside a controller that was down.
+    """
+    names = ("k1", "k2", "k3")
+    cell = memory_cell.MemoryCell(tmp_path, 4, seeds=names, losses=1)
+    with contextlib.closing(cell):
+        leader = cell.elect()
+        assert cell.run(15_000, lambda: count_voters(cell) == [3] * 4)
+        voters = [n for n in cell.names if cell.keepers[n]._node.is_voter]
+        lost = next(name for name in voters if name != leader)
+        cell.lose_disk(lost)
+        cell.run(2_000)
+        cell.start(lost)
+        node = cell.keepers[leader]._node
+        admitted = lambda: any(
+            member.name == lost and not member.voter for member in node.members
+        )
+        assert cell.run(400, admitted)
+        # Admitted, but its copy of the log does not arrive before it is replaced.
+        cell.cut = {(leader, lost)}
+        is_replaced = lambda: all(
+            member.name != lost for member in node.members if member.voter
+        )
+        assert cell.run(5_000, is_replaced)
+        cell.cut = set()
+        cell.run(8_000)
+        assert count_voters(cell) == [3] * 4
+
+
+def count_voters(cell):
+    """How many voters each keeper of a cell knows."""
+    return [
+        sum(member.voter for member in keeper._node.members)
+        for keeper in cell.keepers.values()
+    ]
