--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -85,6 +85,10 @@
             text += "\n" + "".join(traceback.format_exception(*log_record.exc_info))
         self._events.record("log", level=log_record.levelname.lower(), text=text)
 
+    def flush(self):
+        """Wait until all recorded events are written."""
+        self._events.flush()
+
 
 class _Dispatcher:
     """Passes peers' messages to the role once it is built; answers queries itself."""
--- a/alderreach/utils/tasks.py
+++ b/alderreach/utils/tasks.py
@@ -5,6 +5,7 @@
 sends a ``Ticket`` with its message and waits for it.
 """
 
+import logging as std_logging
 import os
 import queue
 import threading
@@ -20,6 +21,9 @@
     """Exit at once: a task failed and its state may be inconsistent."""
     logging.error("a task failed; the process exits")
     logging.flush()
+    # Handlers that write on a thread of their own would lose the reason.
+    for handler in std_logging.getLogger().handlers:
+        handler.flush()
     os._exit(EXIT_FAULT)
 
 
