--- a/alderreach/ops/keeper/joining.py
+++ b/alderreach/ops/keeper/joining.py
@@ -27,8 +27,8 @@
     an open cell these are only the seeds: the leader admits every keeper that asks,
     including one that was removed while it was silent, and a keeper's name is its
     address. ``may_found_cell`` is False for a keeper added after the first start.
-    ``is_removed`` is True once a leader has answered that this identity is no longer a
-    member.
+    ``is_removed`` is True from when a leader has answered that this identity is no
+    longer a member until it is one again.
     """
 
     def __init__(
@@ -50,9 +50,12 @@
         self._next_not_admitted_ms = self._started_ms + NOT_ADMITTED_EVENT_MS
         self._silent_voters = set()
         self.is_removed = False
+        self._removed_at_index = 0
 
     def tick(self, now_ms):
         """As leader, repair the membership; without a cell or leader, send hellos."""
+        if self.is_removed and self._is_member_again():
+            self.is_removed = False
         if self._node.is_ready_leader:
             self._record_silent_voters(now_ms)
             self._repair(now_ms)
@@ -101,8 +104,14 @@
         self._hello_answers[message.name] = founding.HelloAnswer(message, now_ms)
         if message.removed and not self.is_removed:
             self.is_removed = True
+            self._removed_at_index = self._node.members_index
             self._timeline.record("identity_removed", detail=message.to)
 
+    def _is_member_again(self):
+        node = self._node
+        is_newer = node.members_index > self._removed_at_index
+        return is_newer and membership.find(node.members, node.identity) is not None
+
     def _needs_discovery(self, now_ms):
         """Whether this keeper has no cell, or had no leader for several elections."""
         node = self._node
--- a/tests/keeper_joining_test.py
+++ b/tests/keeper_joining_test.py
@@ -165,3 +165,23 @@
         sum(member.voter for member in keeper._node.members)
         for keeper in cell.keepers.values()
     ]
+
+
+def test_a_keeper_that_is_admitted_again_is_not_shown_as_removed(tmp_path):
+    """Guards against a voter that operators and metrics take for one without a vote.
+
+    It was cut off, replaced, and admitted again under the same identity.
+    """
+    cell = memory_cell.MemoryCell(tmp_path, 4, seeds=("k1", "k2", "k3"), losses=1)
+    with contextlib.closing(cell):
+        leader = cell.elect()
+        assert cell.run(15_000, lambda: count_voters(cell) == [3] * 4)
+        voters = [n for n in cell.names if cell.keepers[n]._node.is_voter]
+        name = next(each for each in voters if each != leader)
+        isolate(cell, name)
+        cell.run(6_000)
+        cell.cut = set()
+        events = cell.timelines[name].events
+        assert cell.run(5_000, lambda: "identity_removed" in dict(events))
+        cell.run(2_000)
+        assert cell.keepers[name].status().state == "learner"
