--- a/alderreach/ops/keeper/disk.py
+++ b/alderreach/ops/keeper/disk.py
@@ -20,12 +20,10 @@
 from absl import logging
 
 from alderreach.core import keeper_dump, raft, raft_state
-from alderreach.ops.keeper import log_file, snapshot_file
+from alderreach.ops.keeper import log_file, snapshot_file, storage
 from alderreach.utils import files
 
 EXIT_STORAGE = 4
-# Delay between two attempts to write to a full disk.
-DISK_FULL_RETRY_S = 0.1
 # Compaction keeps at most this much of the log that a snapshot covers.
 MAX_LOG_TAIL_BYTES = 8 << 20
 
@@ -156,7 +154,7 @@
                     self._metrics.gauge("disk_full", 1)
                     self._timeline.record("disk_full", detail=str(error))
                     logging.error("disk full; not voting until it has room: %s", error)
-                self._hooks.wait(DISK_FULL_RETRY_S)
+                self._hooks.wait(storage.DISK_FULL_RETRY_S)
         if is_full:
             self._metrics.gauge("disk_full", 0)
             self._timeline.record("disk_has_room")
--- a/alderreach/ops/keeper/files_test.py
+++ b/alderreach/ops/keeper/files_test.py
@@ -8,6 +8,7 @@
 from alderreach.core import codec, keeper_state, raft_state
 from alderreach.core.generated import keeper
 from alderreach.ops.keeper import log_file, snapshot_file, storage
+from alderreach.utils import files
 
 MEMBERS = [keeper.Member("id", "k1", "k1", True, False)]
 
@@ -147,3 +148,23 @@
     assert (opened.log.base_index, opened.log.last_index) == (9, 9 + count)
     assert opened.log.entries == entries
     assert opened.term == 4
+
+
+def test_a_log_that_has_to_be_reset_waits_for_room_on_the_disk(folder, monkeypatch):
+    """Guards against a keeper that exits at each start while its disk is full."""
+    state = keeper_state.State()
+    state.index = 9
+    snapshot_file.write(folder, 9, 4, MEMBERS, state)
+    snapshot_file.make_current(folder)
+    rewrite, waits = log_file.rewrite, []
+
+    def rewrite_after_two_waits(*arguments):
+        if len(waits) < 2:
+            raise files.DiskFull("no room")
+        rewrite(*arguments)
+
+    monkeypatch.setattr(log_file, "rewrite", rewrite_after_two_waits)
+    with contextlib.ExitStack() as stack:
+        opened = storage.open_folder(folder, stack, waits.append).unwrap()
+    assert opened.log.last_index == 9
+    assert waits == [storage.DISK_FULL_RETRY_S] * 2
--- a/alderreach/ops/keeper/storage.py
+++ b/alderreach/ops/keeper/storage.py
@@ -2,15 +2,20 @@
 
 import fcntl
 import pathlib
+import time
 import typing
 import uuid
 
+from absl import logging
 from result import Err, Ok, Result
 
 from alderreach.core import keeper_state, raft_log, raft_state
 from alderreach.ops.keeper import log_file, snapshot_file
+from alderreach.utils import files
 
 LOCK_FILE = "lock"
+# Delay between two attempts to write to a full disk.
+DISK_FULL_RETRY_S = 0.1
 
 
 class OpenedFolder(typing.NamedTuple):
@@ -26,9 +31,11 @@
     is_new: bool
 
 
-def open_folder(folder, stack) -> Result:
+def open_folder(folder, stack, wait=time.sleep) -> Result:
     """Read or create a data folder: ``Ok(OpenedFolder)`` or ``Err(text)``.
 
+    A log that has to be reset waits for room on the disk, by calling ``wait(seconds)``.
+
     A folder that lost only one of its files is refused: without the log the identity is
     lost, and the snapshot belongs to a keeper that may have voted.
     """
@@ -47,7 +54,7 @@
     loaded = log_file.load(folder)
     if isinstance(loaded, Err):
         return loaded
-    return _combine(folder, loaded.ok_value, snapshot.ok_value, is_new)
+    return _combine(folder, loaded.ok_value, snapshot.ok_value, is_new, wait)
 
 
 def _lock(folder, stack):
@@ -60,7 +67,7 @@
     return Ok(None)
 
 
-def _combine(folder, loaded, loaded_snapshot, is_new):
+def _combine(folder, loaded, loaded_snapshot, is_new, wait):
     log = loaded.log
     snapshot = loaded_snapshot.snapshot if loaded_snapshot else None
     covered = snapshot.index if snapshot else 0
@@ -73,7 +80,7 @@
         # The process ended after it installed a snapshot and before it reset its log.
         # Records are appended to the file, so it has to be reset too.
         log.reset(covered, snapshot.term)
-        log_file.rewrite(folder, loaded)
+        _rewrite_log(folder, loaded, wait)
     state = loaded_snapshot.state if loaded_snapshot else keeper_state.State()
     return Ok(
         OpenedFolder(
@@ -87,3 +94,17 @@
             is_new,
         )
     )
+
+
+def _rewrite_log(folder, loaded, wait):
+    """Write the reset log; a process that exited instead would exit at each start."""
+    is_full = False
+    while True:
+        try:
+            log_file.rewrite(folder, loaded)
+            return
+        except files.DiskFull as error:
+            if not is_full:
+                logging.error("disk full; not starting until it has room: %s", error)
+            is_full = True
+            wait(DISK_FULL_RETRY_S)
