--- a/alderreach/ops/keeper/files_test.py
+++ b/alderreach/ops/keeper/files_test.py
@@ -83,6 +83,7 @@
     state = keeper_state.State()
     state.index = 3
     snapshot_file.write(folder, 3, 3, MEMBERS, state)
+    snapshot_file.make_current(folder)
     path = folder / "snapshot"
     for offset in range(path.stat().st_size):
         damage(path, offset)
@@ -97,6 +98,7 @@
     state = keeper_state.State()
     state.index = 3
     snapshot_file.write(folder, 3, 3, MEMBERS, state)
+    snapshot_file.make_current(folder)
     opened = open_once(folder).unwrap()
     opened.log.compact(2)
     log_file.LogFile(folder, "id").rewrite(opened.log, 3, "")
@@ -113,6 +115,7 @@
     state = keeper_state.State()
     state.index = 9
     snapshot_file.write(folder, 9, 4, MEMBERS, state)
+    snapshot_file.make_current(folder)
     opened = open_once(folder).unwrap()
     assert (opened.log.base_index, opened.log.last_index) == (9, 9)
     assert opened.term == 3
@@ -122,3 +125,25 @@
     with contextlib.ExitStack() as stack:
         assert storage.open_folder(folder, stack).is_ok()
         assert "another process" in open_once(folder).err_value
+
+
+@pytest.mark.parametrize("count", [1, 12])
+def test_entries_after_a_snapshot_installed_before_a_restart_are_kept(folder, count):
+    """The process ends between the two steps of installing a snapshot, and later again.
+
+    The entries that it acknowledged in between were lost, or got other indexes: the
+    file still had the log from before the snapshot, and they were read as its next.
+    """
+    state = keeper_state.State()
+    state.index = 9
+    snapshot_file.write(folder, 9, 4, MEMBERS, state)
+    snapshot_file.make_current(folder)
+    assert open_once(folder).unwrap().log.last_index == 9
+    entries = [entry(4, b"%d" % index) for index in range(10, 10 + count)]
+    log = log_file.LogFile(folder, "id")
+    log.append(raft_state.Write(4, "", 10, entries))
+    log.close()
+    opened = open_once(folder).unwrap()
+    assert (opened.log.base_index, opened.log.last_index) == (9, 9 + count)
+    assert opened.log.entries == entries
+    assert opened.term == 4
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -143,7 +143,8 @@
 def play(seed, folder, duration_s, crashing=(), calm_s=CALM_S, size=Size()):
     """Inject a seed's faults for ``duration_s``, then check that the cell recovers.
 
-    Then only open connections become silent, for ``SILENCES_S``. Callers go on for
+    Then only open connections become silent, for ``SILENCES_S``, and at last all
+    processes are killed together and one controller loses its disk. Callers go on for
     ``calm_s`` after that; as they stop, there is one more silence. ``crashing`` are the
     numbers of the jobs whose task crashes its workers.
     """
@@ -186,11 +187,13 @@
         operator.start()
         stack.callback(operator.stop)
         faults = faults_module.Faults(running, links, workers, start_worker, seed)
-        silencing = _silences(running, [links, silent_links], seed, faults, promises)
+        silencing = _silences(running, [links, silent_links], seed, faults, calling)
         shrinking = _capacity_changes(seed, faults, promises)
         stack.enter_context(_watch(promises, running.folder / "probe"))
         faults.play(duration_s, [silencing.play, shrinking.play])
         silencing.play(time.monotonic() + SILENCES_S)
+        cell.wait_until(running.has_all_voters, "all voters are back")
+        faults.black_out()
         calling.is_calm = True
         operator.stop()
         with promises.lock:
@@ -303,12 +306,12 @@
         cell.wait_until(lambda plan=plan: is_ready(plan), f"{plan.name} is ready")
 
 
-def _silences(running, call_links, seed, faults, promises):
+def _silences(running, call_links, seed, faults, calling):
     """Silences that are recorded as faults and in the time line."""
 
     def on_silence(kind, text):
         faults.record("silent", 0, kind)
-        promises.record(text)
+        calling.on_silence(kind, text)
 
     return silences.Silences(running, call_links, seed, on_silence)
 
