--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -22,6 +22,8 @@
 import time
 import tomllib
 
+from standins import proxy
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST = "jobs.example"
 PREFIX = "/jobs/"
@@ -127,8 +129,19 @@
 class Deployment:
     """Three controllers, frontends and runners; leaving the context ends them all."""
 
-    def __init__(self, record, frontends=2, runners=8, delay_ms=0):
+    def __init__(
+        self,
+        record,
+        frontends=2,
+        runners=8,
+        delay_ms=0,
+        first_report_ms=0,
+        proxied=False,
+    ):
         self.record = record
+        self.proxies = []
+        self._runner_options = ["--delay_ms", str(delay_ms)]
+        self._runner_options += ["--first_report_ms", str(first_report_ms)]
         self._stack = contextlib.ExitStack()
         self.folder = pathlib.Path(
             self._stack.enter_context(tempfile.TemporaryDirectory())
@@ -140,7 +153,7 @@
         self.processes = {}
         self._placed = {}
         self.runners = [
-            self._runner(f"i-{n:04x}", f"{network}.3.{n}", n, delay_ms)
+            self._runner(f"i-{n:04x}", f"{network}.3.{n}", n, proxied)
             for n in range(1, runners + 1)
         ]
 
@@ -208,13 +221,18 @@
             self._start_program(*self._placed[name], is_first=False)
         return ended
 
-    def _runner(self, name, host, number, delay_ms):
+    def _runner(self, name, host, number, proxied):
         command = [sys.executable, "-m", "standins.runner", "--name", name]
         command += ["--host", host, "--port", str(RUNNER_PORT)]
         command += ["--controls", ",".join(self.controls)]
         rack = (number - 1) // RUNNERS_PER_RACK
         command += ["--zone", f"zone-{1 + rack % 3}", "--rack", f"r1-{rack}"]
-        command += ["--delay_ms", str(delay_ms)]
+        command += self._runner_options
+        if proxied:
+            address = host.replace(".3.", ".4.")
+            self.proxies.append(proxy.Proxy(address, host, RUNNER_PORT, self.record))
+            self._stack.callback(self.proxies[-1].close)
+            command += ["--announce", f"{address}:{RUNNER_PORT}"]
         return Runner(name, host, command, self.record)
 
     def _start_program(self, role, machine_class, host, is_first=True):
