--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,6 +7,7 @@
 
 import collections
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -14,6 +15,7 @@
 
 from standins import deployment
 
+FOLDER = pathlib.Path(__file__).resolve().parent
 HEARTBEAT_S = 1.5
 RESTART_DELAY_S = 0.5
 REPORTS = 24
@@ -66,6 +68,5 @@
 
 
 if __name__ == "__main__":
-    sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    deployment.main(play, pathlib.Path(__file__).resolve().parent)
+    deployment.main(play, FOLDER / "record.txt", os.environ.get("TROUBLE", "1") != "0")
