--- a/alderreach/ops/daemon.py
+++ b/alderreach/ops/daemon.py
@@ -256,6 +256,7 @@
     peer_transport = context.transport
     for name in ("bytes_sent", "bytes_received", "dropped", "undecodable"):
         context.metrics.gauge(f"peer_messages_{name}", getattr(peer_transport, name))
+    context.metrics.gauge("peer_messages_unencodable", peer_transport.links.unencodable)
     for name in ("given_up", "replaced_for_peer", "unconfirmed"):
         context.metrics.gauge(f"peer_links_{name}", getattr(peer_transport.links, name))
 
--- a/alderreach/platform/callers.py
+++ b/alderreach/platform/callers.py
@@ -1,9 +1,11 @@
 """The listeners for callers and balancer checks, in the platform's protocol."""
 
+import math
+
 from absl import logging
 
 from alderreach.core.generated import cell
-from alderreach.platform import answers, wire
+from alderreach.platform import answers, bodies, wire
 from alderreach.utils import http_connection, http_server
 
 READY_PATH = "/-/readiness"
@@ -16,6 +18,8 @@
 # The approximate time that callers wait if they send no deadline.
 DEFAULT_DEADLINE_MS = 2800
 MAX_DEADLINE_MS = 30_000
+# Above this a header is a mistake and not a long time limit.
+DEADLINE_HEADER_MAX_MS = bodies.DURATION_MS_MAX
 # Time reserved for sending the answer back to the caller.
 DEADLINE_MARGIN_MS = 80
 BALANCER_THREADS = 1
@@ -79,12 +83,13 @@
 
 
 def _answer(environ, leader_calls, clock):
-    give_up_ms = clock.monotonic_ms() + deadline_ms(environ) - DEADLINE_MARGIN_MS
+    started_ms = clock.monotonic_ms()
     method = environ["REQUEST_METHOD"]
     host = environ.get("HTTP_HOST", "").partition(":")[0]
     path = environ.get("PATH_INFO", "")
     digest = key_digest(environ)
     try:
+        give_up_ms = started_ms + deadline_ms(environ) - DEADLINE_MARGIN_MS
         if method == "POST":
             request = wire.submission(host, path, read_body(environ), digest)
         elif method == "GET":
@@ -120,14 +125,27 @@
 
 
 def read_body(environ):
-    """Return the complete body of a request."""
-    return environ["wsgi.input"].read()
+    """Return the complete body of a request; raises ``wire.MalformedError``."""
+    try:
+        return environ["wsgi.input"].read()
+    except ValueError as error:
+        raise wire.MalformedError(f"chunks of the body: {error}") from error
 
 
 def deadline_ms(environ):
-    """Return the caller's time limit, from its header or by default."""
+    """Return the caller's time limit, from its header or by default.
+
+    A header that is no number counts as missing. One out of range raises
+    ``wire.MalformedError``.
+    """
     try:
-        requested_ms = int(float(environ.get(DEADLINE_HEADER, "")))
+        requested_ms = float(environ.get(DEADLINE_HEADER, "nan"))
     except ValueError:
         return DEFAULT_DEADLINE_MS
-    return max(DEADLINE_MARGIN_MS, min(requested_ms, MAX_DEADLINE_MS))
+    if math.isnan(requested_ms):
+        return DEFAULT_DEADLINE_MS
+    if not 0 <= requested_ms <= DEADLINE_HEADER_MAX_MS:
+        raise wire.MalformedError(
+            f"Deadline-Ms: must be from 0 to {DEADLINE_HEADER_MAX_MS}"
+        )
+    return max(DEADLINE_MARGIN_MS, min(int(requested_ms), MAX_DEADLINE_MS))
--- a/alderreach/platform/control.py
+++ b/alderreach/platform/control.py
@@ -5,6 +5,8 @@
 heartbeats come here, where the last one is known.
 """
 
+from absl import logging
+
 from alderreach.core.generated import cell
 from alderreach.platform import answers, callers, wire
 from alderreach.utils import http_server
@@ -45,6 +47,9 @@
                 reply = _answer(environ, clock, leader_calls)
         except wire.MalformedError as error:
             reply = answers.Reply(400, wire.encode({"error": str(error)}))
+        except Exception:
+            logging.exception("unexpected error while answering %s %s", method, path)
+            reply = answers.Reply(500)
         return answers.respond(reply, start_response)
 
     return application
--- a/alderreach/platform/wire.py
+++ b/alderreach/platform/wire.py
@@ -1,9 +1,7 @@
 """Conversion between the platform's message bodies and the types of this project.
 
-The structures below have the platform's field names and are used in this package only.
-Where such a name misleads, a comment says what the field holds. The platform omits
-fields that are 0, false or empty, so absent fields get these values. Unknown fields are
-ignored.
+``bodies`` has the platform's names, types and ranges. What differs from them raises
+``MalformedError``, whose text names the field.
 """
 
 import collections
@@ -13,127 +11,11 @@
 
 from alderreach.core import orders
 from alderreach.core.generated import cell, common
-
-
-class _Step(msgspec.Struct):
-    count: int = 0
-    cpu: float = 0  # thousandths of a core
-    mem_mb: float = 0
-    gpu: float = 0
-    estimated_ms: float = 0
-    after: list[int] = []
-    checkpointing: bool = False
-    gang: bool = False
-    same_rack: bool = False
-    requirements: str = ""  # one label, not several
-    data_rack: str = ""
-    anti_affinity: int = 0  # maximum of the step's tasks on one worker
-    allow_duplicates: bool = False
-    long_running: bool = False
-    image: str = ""
-    target_ms: float = 0  # serving tasks: upper bound of the tail latency
-    fills: bool = False  # best effort: no processor time is reserved for it
-    max_unavailable: int = 0
-
-
-class _Job(msgspec.Struct):
-    spec: str
-    steps: list[_Step]
-    repeat_count: int = 0
-    start_at_ms: float = 0  # Unix time of the first occurrence
-    interval_ms: float = 0
-
-
-class _Capacity(msgspec.Struct):
-    cpu: float = 0
-    mem_mb: float = 0
-    gpu: float = 0
-
-
-class _Announcement(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    state: str
-    capacity: _Capacity
-    labels: list[str]
-    sequence: int
-    clock_ms: float = -1
-    born: int = 0  # Unix time of the start of this incarnation
-    machine: str = ""
-
-
-class _Advice(msgspec.Struct):
-    decision_ms: float = 0
-    per_worker_ms: float = 0
-    validity_ms: float = 0
-
-
-class _Route(msgspec.Struct):
-    name: str
-    host: str
-    path_prefix: str
-    service: str
-    timeout_ms: float
-    target_latency_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    advice: _Advice | None = None
-    allow_anonymous: bool = False
-
-
-class _Tenant(msgspec.Struct):
-    name: str
-    api_keys: list[str] = []
-    priority: int = 0
-    weight: float = 1
-    cap: _Capacity = msgspec.field(default_factory=_Capacity)
-
-
-class _Service(msgspec.Struct):
-    name: str
-    enforces_capacity: bool = False
-    standby: bool = False
-
-
-class _Config(msgspec.Struct):
-    version: int
-    routes: list[_Route]
-    services: list[_Service]
-    tenants: list[_Tenant] | None = None
-
-
-class _WorkerAnswer(msgspec.Struct):
-    clock_ms: float | None = None
-    reason: str = ""
-    born: int = 0
-    running: list[list] = []
-    ended: list[list] = []
-
-
-class _AdviseAnswer(msgspec.Struct):
-    good: list[tuple[str, str]] = []
-
+from alderreach.platform import bodies
 
 STATES = ("ready", "draining")
-_decode_job = msgspec.json.Decoder(_Job).decode
-_decode_announcement = msgspec.json.Decoder(_Announcement).decode
-_decode_config = msgspec.json.Decoder(_Config).decode
-_decode_worker_answer = msgspec.json.Decoder(_WorkerAnswer).decode
-_decode_advise_answer = msgspec.json.Decoder(_AdviseAnswer).decode
 encode = msgspec.json.Encoder().encode
-
-
-class MalformedError(ValueError):
-    """A body that violates the protocol; the message says how."""
-
-
-def _decode(decode, body):
-    try:
-        return decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise MalformedError(str(error)) from error
+MalformedError = bodies.MalformedError
 
 
 def submission(host, path, body, digest=b""):
@@ -141,7 +23,7 @@
 
     ``digest`` is that of the key that the caller sent.
     """
-    job = _decode(_decode_job, body)
+    job = bodies.read_job(body)
     steps = [
         cell.Step(
             step.count,
@@ -177,7 +59,7 @@
 
 def announcement(target_id, body):
     """Convert a heartbeat to a ``cell.AnnounceTarget``; raises ``MalformedError``."""
-    decoded = _decode(_decode_announcement, body)
+    decoded = bodies.read_announcement(body)
     if decoded.state not in STATES:
         raise MalformedError(f"no such state: {decoded.state}")
     record = cell.TargetRecord(
@@ -202,7 +84,7 @@
     customers with the same name or a common key, an empty key, and a negative weight or
     cap. The message never contains a key.
     """
-    decoded = _decode(_decode_config, body)
+    decoded = bodies.read_config(body)
     mistakes = [*_route_mistakes(decoded), *_tenant_mistakes(decoded.tenants or [])]
     if mistakes:
         raise MalformedError("; ".join(mistakes))
@@ -346,7 +228,7 @@
 
 def tickets(body):
     """Convert the permission service's answer to a list of ``cell.Ticket``."""
-    return [cell.Ticket(*row) for row in _decode(_decode_advise_answer, body).good]
+    return [cell.Ticket(*row) for row in bodies.read_advise_answer(body).good]
 
 
 # A worker lists this many ends at most.
@@ -371,7 +253,7 @@
 
 def order_result(status, body):
     """Convert a worker's answer to an order to an ``orders.OrderResult``."""
-    decoded = _decode(_decode_worker_answer, body) if body else _WorkerAnswer()
+    decoded = bodies.read_worker_answer(body) if body else bodies.WorkerAnswer()
     outcome = OUTCOME_BY_STATUS.get(status, orders.UNKNOWN)
     if status == 409:
         outcome = OUTCOME_BY_REASON.get(decoded.reason, orders.UNKNOWN)
@@ -383,17 +265,17 @@
     if status != 200:
         result = order_result(status, body)
         return orders.PollResult(result.outcome, result.clock_ms, detail=result.detail)
-    decoded = _decode(_decode_worker_answer, body)
-    try:
-        running = [_listed_run(row) for row in decoded.running]
-        ended = [
-            orders.ListedEnd(int(row[0]), row[1], int(row[2]), row[3], row[4] or "")
-            for row in decoded.ended
-        ]
-    except (IndexError, TypeError, ValueError) as error:
-        raise MalformedError(
-            f"malformed row in a worker's list of runs: {error}"
-        ) from error
+    decoded = bodies.read_worker_answer(body)
+    running = [
+        orders.ListedRun(
+            row.task, row.run, row.saved or "", int(row.percent), row.load or 0.0
+        )
+        for row in decoded.running
+    ]
+    ended = [
+        orders.ListedEnd(row.number, row.task, row.run, row.how, row.saved or "")
+        for row in decoded.ended
+    ]
     return orders.PollResult(
         orders.OK,
         _clock_ms(decoded),
@@ -404,10 +286,5 @@
     )
 
 
-def _listed_run(row):
-    load = row[4] if len(row) > 4 and row[4] is not None else 0.0
-    return orders.ListedRun(row[0], int(row[1]), row[2] or "", int(row[3]), float(load))
-
-
 def _clock_ms(decoded):
     return None if decoded.clock_ms is None else int(decoded.clock_ms)
--- a/alderreach/utils/peer_links.py
+++ b/alderreach/utils/peer_links.py
@@ -88,20 +88,30 @@
         self._unconfirmed = {}
         self._next_check_ms = 0
         self.dropped = 0
+        self.unencodable = 0
         self.bytes_sent = 0
         self.given_up = 0
         self.replaced_for_peer = 0
         self.unconfirmed = 0
 
     def send(self, address, message):
-        """Send a message that should arrive."""
+        """Send a message that should arrive, unless it can't be encoded.
+
+        Then it is lost, as any message may be. No link has changed by that time, so the
+        process can go on, while one that ended would do so again at the next such
+        message.
+        """
+        try:
+            data = self._encode(message)
+        except Exception as error:
+            self._drop_unencodable(address, message, error)
+            return
         now_ms = self._clock.monotonic_ms()
         if address in self._links and self._is_stale(address, now_ms):
             self._close(address)
         link = self._open(address, now_ms)
         if link is None:
             return
-        data = self._encode(message)
         is_written = self._write(address, link, data)
         link_health.sent(link.health, len(data) if is_written else 0, now_ms)
         self._unconfirmed[address] = link
@@ -192,6 +202,18 @@
         self.bytes_sent += len(data)
         return True
 
+    def _drop_unencodable(self, address, message, error):
+        self.unencodable += 1
+        logging.log_every_n_seconds(
+            logging.ERROR,
+            "a %s to %s can't be encoded: %r; %d so far",
+            DROPS_LOG_INTERVAL_S,
+            type(message).__name__,
+            address,
+            error,
+            self.unencodable,
+        )
+
     def _drop(self, address, error):
         self.dropped += 1
         logging.log_every_n_seconds(
--- a/tests/platform_cell_test.py
+++ b/tests/platform_cell_test.py
@@ -209,6 +209,40 @@
     assert running.processes[frontend.name].wait(20) == 0
 
 
+def _outside_64_bits(session):
+    """Calls with a number that no message can hold, and the field that each names."""
+    control, caller = session.control, session.caller
+    heartbeat = session.workers[0].announcement(1)
+    path = f"/-/instances/{session.workers[0].name}"
+    for number in (2**127, 1e300, -(2**70)):
+        for field in ("sequence", "clock_ms", "born"):
+            for index in range(3):
+                body = heartbeat | {field: number}
+                yield field, control("PUT", path, body, index)
+        yield "version", control("PUT", "/-/config", CONFIG | {"version": number})
+        yield (
+            "count",
+            caller(
+                "POST",
+                "/q/5c0f",
+                {"spec": "", "steps": [JOB["steps"][0] | {"count": number}]},
+            ),
+        )
+    yield "Deadline-Ms", caller("POST", "/q/5c0f", JOB, **{"Deadline-Ms": "inf"})
+
+
+def test_numbers_outside_64_bits_are_rejected_by_name_and_end_no_process(session):
+    """Guards against a heartbeat of another writer that ends each controller which
+    passes it on, and against a closed connection or a 500 for what is never accepted.
+    """
+    for field, (status, body) in _outside_64_bits(session):
+        assert (status, field in body) == (400, True), (field, status, body)
+    assert session.caller("POST", "/q/5c0e", JOB)[0] == 200
+    _wait_for_state(session, "/q/5c0e", "completed")
+    for plan in session.running.of_role("controller"):
+        assert session.running.processes[plan.name].poll() is None, plan.name
+
+
 KEYS = ("key-of-guides-1", "key-of-guides-2", "key-of-desk")
 CUSTOMERS = [
     {"name": "guides", "api_keys": list(KEYS[:2]), "weight": 4, "cap": {"cpu": 2000}},
--- a/tests/transport_test.py
+++ b/tests/transport_test.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 
+from alderreach.core.generated import cell as cell_messages
 from alderreach.core.generated import common
 from alderreach.utils import clocks, link_health, transport
 from tools import cell
@@ -126,6 +127,31 @@
         two.close()
 
 
+def test_a_message_that_can_not_be_encoded_costs_only_itself():
+    """Guards against a number from outside that ends the process which passes it on."""
+    inbox, address, ended = queue.Queue(), free_address(), threading.Event()
+    one = transport.Transport(
+        ("cell", "a", "boot"),
+        free_address(),
+        {},
+        queue.Queue().put,
+        clocks.SYSTEM,
+        RULES,
+        on_fault=ended.set,
+    ).start()
+    two = make("b", address, inbox)
+    try:
+        row = cell_messages.Heartbeat("w1", 7, 2**127, 0, 0)
+        one.send(address, cell_messages.HeartbeatBatch(1, [row]))
+        one.send(address, common.StatusQuery("r1"))
+        assert inbox.get(timeout=10).message == common.StatusQuery("r1")
+        assert one.links.unencodable == 1
+        assert not ended.is_set()
+    finally:
+        one.close()
+        two.close()
+
+
 def test_a_failed_receiving_thread_ends_the_process():
     """Guards against a process that looks healthy and receives nothing any more."""
     ended = threading.Event()
--- a/tools/standins/platform_worker.py
+++ b/tools/standins/platform_worker.py
@@ -175,10 +175,11 @@
                 self._http.request(
                     "PUT",
                     f"http://{control}/-/instances/{self.name}",
-                    body=json.dumps(self._announcement(turn)),
+                    body=json.dumps(self.announcement(turn)),
                 )
 
-    def _announcement(self, turn):
+    def announcement(self, turn):
+        """The body of the heartbeat with this number."""
         return {
             "service": self._service,
             "address": self.announced_address,
