--- a/alderreach/platform/wire.py
+++ b/alderreach/platform/wire.py
@@ -266,6 +266,8 @@
         result = order_result(status, body)
         return orders.PollResult(result.outcome, result.clock_ms, detail=result.detail)
     decoded = bodies.read_worker_answer(body)
+    if decoded.clock_ms is None:
+        raise MalformedError("clock_ms: missing in the answer to a poll")
     running = [
         orders.ListedRun(
             row.task, row.run, row.saved or "", int(row.percent), row.load or 0.0
@@ -278,7 +280,7 @@
     ]
     return orders.PollResult(
         orders.OK,
-        _clock_ms(decoded),
+        int(decoded.clock_ms),
         decoded.born,
         running,
         ended,
--- a/alderreach/platform/wire_test.py
+++ b/alderreach/platform/wire_test.py
@@ -137,6 +137,13 @@
     assert wire.order_result(status, body).outcome == outcome
 
 
+@pytest.mark.parametrize("body", [b"{}", b"", b'{"clock_ms":null,"born":7}'])
+def test_an_answer_to_a_poll_without_a_clock_is_rejected(body):
+    """Guards against an answer that ends the leader's process."""
+    with pytest.raises(wire.MalformedError):
+        wire.poll_result(200, body)
+
+
 def test_a_malformed_row_is_rejected():
     with pytest.raises(wire.MalformedError):
         wire.poll_result(200, b'{"clock_ms":1,"running":[["j.0.0.1"]]}')
