--- a/alderreach/platform/bodies.py
+++ b/alderreach/platform/bodies.py
@@ -196,6 +196,14 @@
 class MalformedError(ValueError):
     """A body that violates the protocol; the message says how."""
 
+    status = 400
+
+
+class TooLargeError(MalformedError):
+    """A body that exceeds the listener's limit."""
+
+    status = 413
+
 
 def _reader(kind):
     """Return a function that decodes a body as ``kind``.
--- a/alderreach/platform/callers.py
+++ b/alderreach/platform/callers.py
@@ -99,7 +99,7 @@
         else:
             return answers.Reply(405)
     except wire.MalformedError as error:
-        return answers.Reply(400, wire.encode({"error": str(error)}))
+        return answers.Reply(error.status, wire.encode({"error": str(error)}))
     try:
         outcome = leader_calls.call(request, give_up_ms)
     except Exception:
@@ -130,6 +130,10 @@
         return environ["wsgi.input"].read()
     except ValueError as error:
         raise wire.MalformedError(f"chunks of the body: {error}") from error
+    except Exception as error:
+        if not http_connection.is_body_too_large(error):
+            raise
+        raise bodies.TooLargeError("the body is larger than the limit") from error
 
 
 def deadline_ms(environ):
--- a/alderreach/platform/control.py
+++ b/alderreach/platform/control.py
@@ -46,7 +46,7 @@
             else:
                 reply = _answer(environ, clock, leader_calls)
         except wire.MalformedError as error:
-            reply = answers.Reply(400, wire.encode({"error": str(error)}))
+            reply = answers.Reply(error.status, wire.encode({"error": str(error)}))
         except Exception:
             logging.exception("unexpected error while answering %s %s", method, path)
             reply = answers.Reply(500)
--- a/alderreach/utils/http_connection.py
+++ b/alderreach/utils/http_connection.py
@@ -15,7 +15,7 @@
 import socket
 import typing
 
-from cheroot import makefile, server
+from cheroot import errors, makefile, server
 
 MAX_BUFFERED_BYTES = 32_768
 LINGER_TIMEOUT_MS = 1000
@@ -31,6 +31,15 @@
     body: bytes
 
 
+def is_body_too_large(error):
+    """Whether an exception while reading a body says that it exceeds the limit.
+
+    The server raises either of two for chunked bodies, one of them a plain OSError.
+    """
+    is_plain = type(error) is OSError and error.errno is None
+    return is_plain or isinstance(error, errors.MaxSizeExceeded)
+
+
 class _TimedSocket(io.RawIOBase):
     """A socket as a raw file with one deadline for a series of reads."""
 
--- a/tests/platform_cell_test.py
+++ b/tests/platform_cell_test.py
@@ -115,6 +115,18 @@
         yield session
 
 
+@pytest.fixture(scope="module")
+def one_frontend(tmp_path_factory):
+    """The callers' address of a frontend whose cell has a leader."""
+    folder = tmp_path_factory.mktemp("cell")
+    with seeded_cell.SeededCell(folder / "cell") as running:
+        running.start()
+        session = Session(running)
+        cell.wait_until(session.is_configured, "a configuration is accepted")
+        cell.wait_until(session.is_ready, "the frontend is ready")
+        yield running.of_role("frontend")[0].callers
+
+
 def _wait_for_state(session, path, state):
     is_shown = lambda: session.caller("GET", path) == (200, f'{{"state":"{state}"}}')
     cell.wait_until(is_shown, f"{path} shown as {state}", STATE_TIMEOUT_S)
@@ -243,6 +255,30 @@
         assert session.running.processes[plan.name].poll() is None, plan.name
 
 
+CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("rest", "status"),
+    [
+        (CHUNKED + "zz\r\nhello\r\n0\r\n\r\n", b"400"),
+        (CHUNKED + "5\r\nhelloXX0\r\n\r\n", b"400"),
+        (CHUNKED + "ffffffffffffffffff\r\nhello\r\n", b"413"),
+        (CHUNKED + 80 * ("10000\r\n" + 65536 * "x" + "\r\n") + "0\r\n\r\n", b"413"),
+        ("Content-Length: -5\r\n\r\nhello", b"400"),
+        ("Content-Length: " + 30 * "9" + "\r\n\r\n", b"413"),
+        ("Deadline-Ms: 1e400\r\nContent-Length: 2\r\n\r\n{}", b"400"),
+    ],
+)
+def test_a_malformed_request_gets_an_answer(one_frontend, rest, status):
+    """Guards against a connection that is closed without an answer."""
+    host, _, port = one_frontend.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=5) as link:
+        with contextlib.suppress(ConnectionError):
+            link.sendall(f"POST /q/5c0e HTTP/1.1\r\nHost: {HOST}\r\n{rest}".encode())
+        assert link.makefile("rb").readline().split()[1] == status
+
+
 KEYS = ("key-of-guides-1", "key-of-guides-2", "key-of-desk")
 CUSTOMERS = [
     {"name": "guides", "api_keys": list(KEYS[:2]), "weight": 4, "cap": {"cpu": 2000}},
