--- a/alderreach/core/plain_objects.py
+++ b/alderreach/core/plain_objects.py
@@ -8,6 +8,8 @@
 import types
 import typing
 
+from alderreach.core import ranges
+
 
 def to_object(value):
     """Convert a record, including nested records and lists, to plain dictionaries.
@@ -53,6 +55,9 @@
         return record
     if not _fits(hint, entry):
         mistakes.append((path, f"must be {_type_label(hint)}"))
+    elif type(entry) is int and abs(entry) > ranges.ORDINAL_MAX:
+        most = ranges.ORDINAL_MAX
+        mistakes.append((path, f"must be from -{most} to {most}"))
     return entry
 
 
--- a/alderreach/core/plain_objects_test.py
+++ b/alderreach/core/plain_objects_test.py
@@ -37,3 +37,11 @@
         None,
         [("", "must be an object")],
     )
+
+
+def test_a_number_outside_64_bits_is_reported():
+    """Guards against an accepted window whose times can't be encoded."""
+    window = common.MaintenanceWindow("w", "d", ["v1"], [], 2**127, 2**127 + 1)
+    value = plain_objects.to_object(window)
+    _, mistakes = plain_objects.from_object(common.MaintenanceWindow, value)
+    assert [path for path, _message in mistakes] == ["start_wall_ms", "end_wall_ms"]
--- a/alderreach/ops/entry/jobs.py
+++ b/alderreach/ops/entry/jobs.py
@@ -226,7 +226,7 @@
         if unknown:
             return Err(f"unknown field {unknown[0]}")
         job_request = msgspec.convert(raw, JobRequest)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return Err(str(error))
     if not 1 <= job_request.get("tasks", 1) <= MAX_TASKS:
         return Err(f"tasks must be from 1 to {MAX_TASKS}")
--- a/alderreach/ops/entry/operator_config.py
+++ b/alderreach/ops/entry/operator_config.py
@@ -10,7 +10,7 @@
 
 from result import Err, Ok
 
-from alderreach.core import codec, plain_objects
+from alderreach.core import codec, plain_objects, ranges
 from alderreach.core.generated import common, errors, keeper
 from alderreach.ops.entry import (
     operator_changes,
@@ -184,7 +184,8 @@
     if kind is None:
         message = f"must begin with one of {', '.join(PREFIXES)}"
         return None, [configuration.Mistake(key, "key", message)]
-    if type(base_version) is not int or base_version < 0:
+    is_whole = type(base_version) is int
+    if not is_whole or not 0 <= base_version <= ranges.ORDINAL_MAX:
         message = "must be the version it was made from; 0 for a new item"
         return None, [configuration.Mistake(key, "base_version", message)]
     if entry.get("value") is None:
--- a/alderreach/ops/entry/operator_http.py
+++ b/alderreach/ops/entry/operator_http.py
@@ -60,7 +60,7 @@
     """Read the body as a JSON object: ``Ok(dict)``, or a refusal that says why not."""
     try:
         value = json.loads(request.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return refuse(errors.Kind.MALFORMED_REQUEST, f"the body is not JSON: {error}")
     if not isinstance(value, dict):
         kind = errors.Kind.MALFORMED_REQUEST
@@ -78,7 +78,8 @@
     text = request.query.get(name, "")
     if not text:
         return Ok(default)
-    if not text.isdecimal() or not 1 <= int(text) <= maximum:
+    is_short = len(text) <= len(str(maximum))
+    if not (is_short and text.isdecimal() and 1 <= int(text) <= maximum):
         detail = f"{name} must be a whole number from 1 to {maximum}"
         return refuse(errors.Kind.MALFORMED_REQUEST, detail)
     return Ok(int(text))
--- a/alderreach/ops/target_wire.py
+++ b/alderreach/ops/target_wire.py
@@ -11,7 +11,7 @@
 import urllib3
 from result import Err, Ok, Result
 
-from alderreach.core import target_membership
+from alderreach.core import ranges, target_membership
 from alderreach.core.generated import common
 
 MAX_TARGET_ID_CHARS = 200
@@ -25,14 +25,14 @@
 
 
 class _Resources(typing.TypedDict):
-    cpu_millis: int
-    memory_mb: int
-    accelerators: int
+    cpu_millis: ranges.Count
+    memory_mb: ranges.Count
+    accelerators: ranges.Count
 
 
 class _Task(typing.TypedDict):
     task_id: str
-    attempt: int
+    attempt: ranges.Count
     state: typing.Literal[TASK_STATES]
     reason: typing.NotRequired[str]
 
@@ -40,26 +40,26 @@
 class _Announcement(typing.TypedDict):
     kind: typing.Literal["worker", "runner"]
     boot_id: str
-    sequence: int
+    sequence: ranges.Ordinal
     state: typing.Literal[TARGET_STATES]
     vm: str
     rack: str
     failure_domain: str
     address: str
-    owner_epoch_seen: typing.NotRequired[int]
+    owner_epoch_seen: typing.NotRequired[ranges.Ordinal]
     capacity: typing.NotRequired[_Resources]
     usage: typing.NotRequired[_Resources]
     tasks: typing.NotRequired[list[_Task]]
     service: typing.NotRequired[str]
     team: typing.NotRequired[str]
-    slots: typing.NotRequired[int]
-    connections: typing.NotRequired[int]
+    slots: typing.NotRequired[ranges.Count]
+    connections: typing.NotRequired[ranges.Count]
     task_id: typing.NotRequired[str]
 
 
 class _Result(typing.TypedDict):
     task_id: str
-    attempt: int
+    attempt: ranges.Count
     accepted: bool
     reason: typing.NotRequired[str]
 
@@ -68,7 +68,7 @@
     boot_id: typing.NotRequired[str]
     results: typing.NotRequired[list[_Result]]
     reason: typing.NotRequired[str]
-    highest_epoch: typing.NotRequired[int]
+    highest_epoch: typing.NotRequired[ranges.Ordinal]
 
 
 _announcement_decoder = msgspec.json.Decoder(_Announcement)
@@ -114,7 +114,7 @@
         return Err("target id is empty or too long")
     try:
         fields = _announcement_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return Err(str(error))
     mistake = _find_mistake(fields)
     if mistake:
@@ -262,7 +262,7 @@
     uncertain = BatchResult(batch, "uncertain", (), 0)
     try:
         fields = _answer_decoder.decode(body[:MAX_ANSWER_BYTES])
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return uncertain
     if status == 409 and fields.get("reason") in ("epoch", "boot", "late"):
         return BatchResult(batch, fields["reason"], (), fields.get("highest_epoch", 0))
--- a/alderreach/ops/target_wire_test.py
+++ b/alderreach/ops/target_wire_test.py
@@ -54,6 +54,15 @@
     assert isinstance(parse(GOOD | wrong), Err)
 
 
+@pytest.mark.parametrize("number", [2**127, 2**64, -(2**70), -1])
+@pytest.mark.parametrize("field", ["sequence", "owner_epoch_seen", "slots", "tasks"])
+def test_a_number_outside_its_range_is_refused_by_name(field, number):
+    """Guards against a number that can't be encoded ending the placer's process."""
+    task = GOOD["tasks"][0] | {"attempt": number}
+    content = GOOD | {field: [task] if field == "tasks" else number}
+    assert field in parse(content).err_value
+
+
 def test_bytes_that_are_not_json_are_refused():
     assert isinstance(target_wire.parse_announcement("w1", b"\xff{"), Err)
     assert isinstance(target_wire.parse_announcement("", b"{}"), Err)
--- a/alderreach/platform/callers.py
+++ b/alderreach/platform/callers.py
@@ -4,6 +4,7 @@
 
 from absl import logging
 
+from alderreach.core import ranges
 from alderreach.core.generated import cell
 from alderreach.platform import answers, bodies, wire
 from alderreach.utils import http_connection, http_server
@@ -19,7 +20,7 @@
 DEFAULT_DEADLINE_MS = 2800
 MAX_DEADLINE_MS = 30_000
 # Above this a header is a mistake and not a long time limit.
-DEADLINE_HEADER_MAX_MS = bodies.DURATION_MS_MAX
+DEADLINE_HEADER_MAX_MS = ranges.DURATION_MS_MAX
 # Time reserved for sending the answer back to the caller.
 DEADLINE_MARGIN_MS = 80
 BALANCER_THREADS = 1
--- a/tests/operators_http_test.py
+++ b/tests/operators_http_test.py
@@ -168,6 +168,14 @@
     assert entry.keepers.commands == []
 
 
+def test_a_base_version_outside_64_bits_is_reported(entry):
+    """Guards against a change that can't be encoded, which is answered with a 500."""
+    writes = [write(fakes.team(), "team/serra-alta", 2**70)]
+    answer = entry.call("PUT", "/v1/config", {"writes": writes}, "key-12345")
+    assert answer[0] == 422
+    assert [one["field"] for one in answer[2]["mistakes"]] == ["base_version"]
+
+
 def test_a_service_name_taken_by_another_team_is_refused(entry):
     entry.keepers.put("team/one", fakes.team("one"))
     entry.keepers.put("workload/one/s", fakes.workload("s", "service", 1, "one"))
@@ -218,6 +226,14 @@
         ("PUT", "/v1/config", b"x" * 100_001, 413, "body_too_large"),
         ("GET", "/v1/config?prefix=job/", None, 400, "malformed_request"),
         ("GET", "/v1/config/history?limit=0", None, 400, "malformed_request"),
+        (
+            "GET",
+            f"/v1/config/history?limit={5000 * '9'}",
+            None,
+            400,
+            "malformed_request",
+        ),
+        ("PUT", "/v1/config", 100_000 * b"[", 400, "malformed_request"),
         ("POST", "/v1/config", {}, 405, "method_not_allowed"),
         ("GET", "/v1/nothing", None, 404, "not_found"),
         ("GET", "/v1/jobs/unknown", None, 404, "not_found"),
