--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from alderreach.core import codec, crashes, learned_values
+from alderreach.core import codec, crashes, learned_values, stored_numbers
 from alderreach.core.generated import cell
 
 ACTIVE = "active"
@@ -110,7 +110,7 @@
     )
 
     def __init__(self, record, accepted_ms):
-        self.record = record
+        self.record = record = stored_numbers.job_in_range(record)
         self.accepted_ms = accepted_ms
         self.state = ACTIVE
         self.ended_ms = 0
@@ -162,10 +162,10 @@
     _drop_expired_jobs(state)
     for config in change.configs:
         if state.config is None or config.version > state.config.version:
-            state.config = config
+            state.config = stored_numbers.config_in_range(config)
             learned_values.drop_unknown_queues(state.learned, config)
     for record in change.targets:
-        state.targets[record.target_id] = record
+        state.targets[record.target_id] = stored_numbers.target_in_range(record)
     for target_id in change.gone:
         state.targets.pop(target_id, None)
         state.learned.speeds.pop(target_id, None)
@@ -409,8 +409,10 @@
     """
     if kind == "cell":
         image = msgspec.msgpack.decode(data, type=StateImage)
-        state.config = image.config
-        state.targets = {record.target_id: record for record in image.targets}
+        if image.config is not None:
+            state.config = stored_numbers.config_in_range(image.config)
+        records = map(stored_numbers.target_in_range, image.targets)
+        state.targets = {record.target_id: record for record in records}
         state.ended = dict.fromkeys(image.ended, 0)
         state.wall_ms, state.elapsed_ms = image.wall_ms, image.elapsed_ms
         for values in image.learned:
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -11,7 +11,7 @@
 
 from absl import logging
 
-from alderreach.core import cell_state
+from alderreach.core import cell_state, stored_numbers
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import choice
 from alderreach.ops.controller import (
@@ -167,6 +167,10 @@
         request.interval_ms,
         subject.customer,
     )
+    if stored_numbers.job_in_range(record) is not record:
+        # A process of an earlier version has passed it on unchecked.
+        reply(answer(INVALID, "a number is out of range"))
+        return
     refusal = term.admission.consider(record)
     if refusal is not None:
         _refuse_for_load(term, record, refusal, reply)
@@ -289,6 +293,9 @@
     if current is not None and request.config.version <= current.version:
         leader.after_commit(lambda: reply(answer(ACCEPTED)))
         return
+    if stored_numbers.config_in_range(request.config) != request.config:
+        reply(answer(INVALID, "a number is out of range"))
+        return
     leader.decide(lambda: reply(answer(ACCEPTED)), configs=[request.config])
     term.record("config_accepted", version=request.config.version)
 
--- a/tools/virtual_cell.py
+++ b/tools/virtual_cell.py
@@ -139,6 +139,14 @@
         self._customers[job_id] = customer
         self._submit_until_accepted(request)
 
+    def restore(self, record, works):
+        """Add a job to the log that an earlier leader has accepted."""
+        self._tasks.add(record.job_id, works)
+        now_ms = int(self.loop.now_ms)
+        accepted = [cell.JobAccepted(record, now_ms)]
+        change = cell_state.empty_change()._replace(accepted=accepted)
+        cell_state.apply(self._log, change, now_ms)
+
     def submit_at(self, time_ms, queue_name, job_id, works, customer=""):
         """Submit a job at a later time."""
         self.loop.at(time_ms, lambda: self.submit(queue_name, job_id, works, customer))
