--- a/alderreach/decisions/cell/query_planning.py
+++ b/alderreach/decisions/cell/query_planning.py
@@ -215,5 +215,6 @@
     """
     if spare_ms <= rule.decision_ms or not rule.per_target_ms:
         return most
-    in_time = int((spare_ms - rule.decision_ms) / rule.per_target_ms)
-    return min(most, max(MIN_NAMED, in_time))
+    # Infinite if a worker takes next to nothing.
+    in_time = (spare_ms - rule.decision_ms) / rule.per_target_ms
+    return int(min(most, max(MIN_NAMED, in_time)))
--- a/alderreach/decisions/cell/query_planning_test.py
+++ b/alderreach/decisions/cell/query_planning_test.py
@@ -123,6 +123,13 @@
     assert limit(SLOW, -4_000, 100) == 100
 
 
+def test_a_worker_that_takes_next_to_nothing_does_not_limit_a_query():
+    """Guards against a configuration at which each new leader's process ends."""
+    rule = cell.PermissionRule(53, 1e-300, 2_500)
+    assert query_planning.name_limit(rule, 10**11, 100) == 100
+    assert query_planning.name_limit(rule, 60, 100) == 100
+
+
 def test_a_gang_renews_all_its_tickets_with_the_query_for_further_ones():
     """Guards against a gang of which some tickets are always expired."""
     options = [option(n, chance=1.0) for n in range(10)]
