--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -157,7 +157,9 @@
     listed the end to its time; a poll sent before may still list them.
     ``capacity_report`` is the ``capacity_reports.Report`` of this incarnation that
     reported the capacity in ``record``, None if there is none yet. It is valid for
-    ``capacity_valid_ms``.
+    ``capacity_valid_ms``. ``sequence`` and ``reported_clock_ms`` are of the latest
+    heartbeat. The worker's clock itself is known from its answers only, since a
+    heartbeat may be of another writer. ``needs_clock`` is set if the two differ.
     """
 
     def __init__(
@@ -186,6 +188,7 @@
         self.is_evacuated = False
         self.announced_ms = now_ms
         self.sequence = -1
+        self.reported_clock_ms = -1
         self.last_contact_ms = now_ms
         self.failures = 0
         self.first_failure_ms = None
@@ -196,6 +199,7 @@
         self.lease_end_ms = lease_end_ms
         self.clock_offset_ms = None
         self.clock_offset_at_ms = now_ms
+        self.needs_clock = False
         self.cursor = 0
         self.poll_sent_ms = None
         self.poll = None
@@ -241,8 +245,23 @@
         """
         self.announced_ms = received_ms
         self.capacity_report = capacity_reports.Report(received_ms, clock_ms)
-        if clock_ms >= 0:
-            self.update_clock_offset(clock_ms, received_ms)
+
+    def is_overtaken(self, sequence, clock_ms):
+        """Whether the latest heartbeat of this incarnation was sent after this one.
+
+        Both numbers rise with each heartbeat. If only one of them does, the heartbeats
+        are of two writers, and the worker's own must not be taken for a late one.
+        """
+        return sequence < self.sequence and clock_ms <= self.reported_clock_ms
+
+    def is_ahead(self, clock_ms, now_ms):
+        """Whether a reported clock is ahead of what the worker answered itself.
+
+        Also true after the leader was suspended, when its own clock stood still.
+        """
+        if self.clock_offset_ms is None:
+            return False
+        return clock_ms - now_ms > self.clock_offset_ms + MAX_CLOCK_LAG_MS
 
     def capacity_valid_until_ms(self):
         """Until when starts may rely on the capacity in ``record``."""
@@ -297,6 +316,7 @@
                 now_ms - self.clock_offset_at_ms
             )
             sample = max(sample, int(aged))
+        self.needs_clock = False
         self.clock_offset_ms, self.clock_offset_at_ms = sample, now_ms
 
     def grant_lease(self, lease_ms, begin_ms):
@@ -305,6 +325,10 @@
         self.lease_end_ms = max(self.lease_end_ms, lease_end_ms)
         return begin_ms + self.clock_offset_ms + lease_ms
 
+    def has_answered(self):
+        """Whether this incarnation has answered at its address, and still does."""
+        return self.has_seen_epoch and self.failures == 0
+
     def is_planned_to_end(self):
         """Whether the worker has announced that it drains or ends."""
         return self.is_leaving or self.record.state == "draining"
--- a/alderreach/ops/controller/heartbeats.py
+++ b/alderreach/ops/controller/heartbeats.py
@@ -136,11 +136,26 @@
 
     def _pass_on(self, request, deadline_ms, now_ms):
         """Pass a heartbeat on to the leader."""
-        record = request.record
-        if self._committed_record(record.target_id) != record:
-            with self._lock:
-                self._changed_ms[record.target_id] = now_ms
-        return self._forward(request, deadline_ms)
+        record, target_id = request.record, request.record.target_id
+        if self._committed_record(target_id) == record:
+            return self._forward(request, deadline_ms)
+        with self._lock:
+            changed_ms = self._changed_ms.get(target_id)
+            self._changed_ms[target_id] = now_ms
+        outcome = self._forward(request, deadline_ms)
+        if outcome.answer is not None and outcome.answer.kind == requests.INVALID:
+            self._forget_change(target_id, now_ms, changed_ms)
+        return outcome
+
+    def _forget_change(self, target_id, refused_ms, earlier_ms):
+        """Forget a change that the leader has refused, unless there is a later one."""
+        with self._lock:
+            if self._changed_ms.get(target_id) != refused_ms:
+                return
+            if earlier_ms is None:
+                del self._changed_ms[target_id]
+            else:
+                self._changed_ms[target_id] = earlier_ms
 
     def _drop_outdated(self, now_ms):
         """Drop what no batch and no heartbeat needs any more."""
@@ -162,6 +177,7 @@
             latest is None
             or latest.born_ms != record.born_ms
             or latest.sequence < request.sequence
+            or latest.clock_ms < request.clock_ms
         ):
             row = cell.Heartbeat(
                 record.target_id, record.born_ms, request.sequence, request.clock_ms, 0
--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -315,9 +315,13 @@
     """Handle a worker's heartbeat; changes are committed before it is acknowledged.
 
     A heartbeat of an older incarnation of a known worker was delayed on its way: it is
-    acknowledged and otherwise ignored.
+    acknowledged and otherwise ignored. One that names no worker to use is refused.
     """
     leader, record = term.leader, request.record
+    refusal = worker_lifecycle.refusal_of_report(leader, record)
+    if refusal:
+        reply(answer(INVALID, refusal))
+        return
     worker = leader.workers.get(record.target_id)
     done = answer(ACCEPTED)
     if worker is not None and record.born_ms < worker.record.born_ms:
@@ -325,10 +329,10 @@
         return
     is_new = worker is None or worker.record.born_ms != record.born_ms
     if worker is not None and not is_new:
-        if request.sequence < worker.sequence:
+        if worker.is_overtaken(request.sequence, request.clock_ms):
             reply(done)
             return
-        worker_lifecycle.record_sequence(worker, request.sequence, record.state)
+        record = worker_lifecycle.without_lasting_changes(leader, worker, record)
     if worker is None:
         worker = leader.add_worker(record)
     is_restarted = worker.record.born_ms != record.born_ms
@@ -337,7 +341,9 @@
         worker.poll_sent_ms = None
     if is_restarted:
         worker_lifecycle.begin_new_incarnation(leader, worker)
-    worker.record_heartbeat(request.clock_ms, leader.now_ms())
+    worker_lifecycle.record_latest(
+        leader, worker, request, record.state, leader.now_ms()
+    )
     if not is_new and record == worker.record:
         reply(done)
         return
--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -6,7 +6,7 @@
 over.
 """
 
-from alderreach.core import cell_state, crashes
+from alderreach.core import cell_state, crashes, stored_numbers
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import crash_blame, health, workers
 from alderreach.ops.controller import runs, stopping
@@ -26,9 +26,19 @@
 ABANDON_AFTER_MS = 1500
 
 
-def record_sequence(worker, sequence, state):
-    """Record the number of the latest heartbeat of a known incarnation."""
-    worker.sequence = sequence
+def record_latest(leader, worker, report, state, received_ms):
+    """Record the latest heartbeat of a known incarnation, and when it was received.
+
+    ``report`` is a ``cell.AnnounceTarget`` or ``cell.Heartbeat``. If its clock is ahead
+    of the worker's own answers, it counts as unknown until the worker was asked.
+    """
+    worker.sequence, clock_ms = report.sequence, report.clock_ms
+    if worker.is_ahead(clock_ms, received_ms):
+        leader.environment.metrics.count("reported_clocks_ahead")
+        worker.needs_clock = True
+        clock_ms = -1
+    worker.reported_clock_ms = clock_ms
+    worker.record_heartbeat(clock_ms, received_ms)
     if state == "ready":
         # A worker drains before it ends and is not ready again. So the withdrawal came
         # from the previous incarnation and was delayed on its way. Kept, it would bar
@@ -36,6 +46,41 @@
         worker.is_leaving = False
 
 
+def refusal_of_report(leader, record):
+    """Why a heartbeat names no worker to use; empty if it does.
+
+    A worker that is known with its service keeps it when a configuration drops that.
+    """
+    config, worker = leader.state.config, leader.workers.get(record.target_id)
+    if stored_numbers.target_in_range(record) != record:
+        return "a number is out of range"
+    if config is None or any(each.name == record.service for each in config.services):
+        return ""
+    if worker is not None and worker.record.service == record.service:
+        return ""
+    return f"service: the configuration has no {record.service}"
+
+
+def without_lasting_changes(leader, worker, record):
+    """A heartbeat's record without changes that no incarnation makes.
+
+    Its service and its failure domain last as long as it does, and so does the address
+    at which it answers. If the configuration doesn't name the known service, that is
+    another writer's.
+    """
+    known = worker.record
+    if not record.born_ms or record.born_ms != known.born_ms:
+        return record
+    if not worker.has_answered():
+        return record
+    record = record._replace(address=known.address, failure_domain=known.failure_domain)
+    config = leader.state.config
+    names = [each.name for each in config.services] if config else []
+    if known.service in names:
+        record = record._replace(service=known.service)
+    return record
+
+
 def apply_heartbeats(leader, batch):
     """Apply the heartbeats that another controller acknowledged; returns its reply.
 
@@ -48,9 +93,10 @@
         worker = leader.workers.get(row.target_id)
         if worker is None or worker.record.born_ms != row.born_ms:
             continue
-        if row.sequence > worker.sequence:
-            record_sequence(worker, row.sequence, worker.record.state)
-            worker.record_heartbeat(row.clock_ms, now_ms - row.age_ms)
+        is_later = row.clock_ms > worker.reported_clock_ms
+        if row.sequence > worker.sequence or is_later:
+            received_ms = now_ms - row.age_ms
+            record_latest(leader, worker, row, worker.record.state, received_ms)
     return cell.HeartbeatBatchReply(batch.number)
 
 
@@ -65,7 +111,7 @@
     """
     _record_incarnation_end(leader, worker, "worker_restarted")
     _begin_incarnation(leader, worker)
-    worker.sequence = -1
+    worker.sequence = worker.reported_clock_ms = -1
     worker.is_leaving = False
 
 
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -132,9 +132,11 @@
     A worker that did not answer gets no new runs until its next answer. If it has no
     runs, only a poll can bring that answer: heartbeats show that the worker is running,
     but not that the leader can reach it. A worker that listed unknown runs is polled
-    until it lists none, since their stops may be lost or refused.
+    until it lists none, since their stops may be lost or refused, and one whose clock
+    seems to be ahead is asked for it.
     """
     is_needed = worker.runs or worker.has_ends_to_acknowledge or worker.has_unknown_runs
+    is_needed = is_needed or worker.needs_clock
     wanted = is_needed or worker.failures or not worker.has_seen_epoch
     due_ms = worker.poll_due_ms
     if worker.failures:
--- a/alderreach/platform/bodies.py
+++ b/alderreach/platform/bodies.py
@@ -2,16 +2,26 @@
 
 These structures are used in this package only. Where a name of the platform misleads, a
 comment says what the field holds. The platform omits fields that are 0, false or empty,
-so absent fields get these values. Unknown fields are ignored.
+so absent fields get these values. A worker's heartbeat has all its fields, so one that
+lacks any comes from another writer. Unknown fields are ignored.
 
 Each number has a range of ``core/ranges.py``, and a body with a number outside is
 malformed.
 """
 
+import ipaddress
+from typing import Annotated, Literal
+
 import msgspec
+from msgspec import Meta
 
 from alderreach.core import ranges
 
+Name = Annotated[str, Meta(min_length=1)]
+# It is sent back in the header of each call.
+TargetId = Annotated[str, Meta(pattern="^[!-~]{1,200}$")]
+Port = Annotated[int, Meta(ge=1, le=65535)]
+
 
 class Step(msgspec.Struct):
     """A step of a job."""
@@ -49,22 +59,25 @@
 class Capacity(msgspec.Struct):
     """A worker's capacity."""
 
-    cpu: ranges.Amount = 0
-    mem_mb: ranges.Amount = 0
+    cpu: ranges.Amount
+    mem_mb: ranges.Amount
     gpu: ranges.Amount = 0
 
 
 class Announcement(msgspec.Struct):
     """A worker's heartbeat."""
 
-    service: str
+    service: Name
     address: str
-    zone: str
-    state: str
+    zone: Name
+    version: str
+    slots: ranges.Count
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: ranges.Duration
     capacity: Capacity
     labels: list[str]
     sequence: ranges.Ordinal
-    clock_ms: ranges.Instant = -1
+    clock_ms: ranges.Instant
     born: ranges.Birth = 0  # Unix time of the start of this incarnation
     machine: str = ""
 
@@ -198,3 +211,21 @@
 read_config = _reader(Config)
 read_worker_answer = _reader(WorkerAnswer)
 read_advise_answer = _reader(AdviseAnswer)
+
+
+def check_target_id(target_id):
+    """Raise ``MalformedError`` unless a worker's id can be sent in a header."""
+    try:
+        msgspec.convert(target_id, TargetId)
+    except msgspec.ValidationError as error:
+        raise MalformedError(f"worker id: {error}") from error
+
+
+def check_address(address):
+    """Raise ``MalformedError`` unless an address is an IP number and a port."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        msgspec.convert(port, Port, strict=False)
+    except ValueError as error:
+        raise MalformedError(f"address: no IP number and port: {error}") from error
--- a/alderreach/platform/control.py
+++ b/alderreach/platform/control.py
@@ -17,6 +17,7 @@
 # Workers and operators wait 1 s for an answer.
 WORKER_WAIT_MS = 900
 OPERATOR_WAIT_MS = 950
+REFUSED_REPORTS_LOG_S = 60
 
 
 def serve(context, leader_calls, announce):
@@ -25,7 +26,7 @@
     address = context.settings.cell.control
     server = http_server.HttpServer(
         address,
-        _application(context.clock, leader_calls, announce, address),
+        _application(context, leader_calls, announce, address),
         http_server.HttpLimits(
             CONTROL_THREADS,
             limits.header_bytes,
@@ -37,11 +38,14 @@
     context.stack.callback(server.close)
 
 
-def _application(clock, leader_calls, announce, own_address):
+def _application(context, leader_calls, announce, own_address):
+    clock = context.clock
+
     def application(environ, start_response):
         method, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
+        is_heartbeat = method == "PUT" and path.startswith(TARGET_PREFIX)
         try:
-            if method == "PUT" and path.startswith(TARGET_PREFIX):
+            if is_heartbeat:
                 reply = _answer_heartbeat(environ, clock, announce, own_address)
             else:
                 reply = _answer(environ, clock, leader_calls)
@@ -50,11 +54,25 @@
         except Exception:
             logging.exception("unexpected error while answering %s %s", method, path)
             reply = answers.Reply(500)
+        if is_heartbeat and reply.status == 400:
+            _note_refused_report(context.metrics, path, reply)
         return answers.respond(reply, start_response)
 
     return application
 
 
+def _note_refused_report(metrics, path, reply):
+    metrics.count("reports_refused")
+    logging.log_every_n_seconds(
+        logging.WARNING,
+        "%d reports refused so far, the last one for %s: %s",
+        REFUSED_REPORTS_LOG_S,
+        metrics.total("reports_refused"),
+        path,
+        reply.body.decode(),
+    )
+
+
 def _answer_heartbeat(environ, clock, announce, own_address):
     target_id = environ["PATH_INFO"][len(TARGET_PREFIX) :]
     request = wire.announcement(target_id, callers.read_body(environ))
--- a/alderreach/platform/wire.py
+++ b/alderreach/platform/wire.py
@@ -13,7 +13,6 @@
 from alderreach.core.generated import cell, common
 from alderreach.platform import bodies
 
-STATES = ("ready", "draining")
 encode = msgspec.json.Encoder().encode
 MalformedError = bodies.MalformedError
 
@@ -59,9 +58,9 @@
 
 def announcement(target_id, body):
     """Convert a heartbeat to a ``cell.AnnounceTarget``; raises ``MalformedError``."""
+    bodies.check_target_id(target_id)
     decoded = bodies.read_announcement(body)
-    if decoded.state not in STATES:
-        raise MalformedError(f"no such state: {decoded.state}")
+    bodies.check_address(decoded.address)
     record = cell.TargetRecord(
         target_id,
         decoded.born,
