--- a/alderreach/decisions/cell/crash_blame.py
+++ b/alderreach/decisions/cell/crash_blame.py
@@ -9,7 +9,8 @@
 reached the worker. It counts less against a run that is younger than a minute, and not
 at all against an older one. A worker that had announced that it drains or ends has not
 crashed. A task whose blame reaches ``BLAME_LIMIT`` fails, and its job with it. That
-takes at least two crashes and at most five.
+takes at least two crashes and at most five. A task that lasts never fails: its starts
+are ``LASTING_RESTART_MS`` apart from then on.
 
 Tasks that start together with a poison task would move to the next worker with it and
 be blamed with it. So a suspect starts alone: if possible on a worker where nothing has
@@ -45,6 +46,9 @@
 # With this blame a task starts alone: after one crash under a fresh run, or two under
 # young ones.
 SUSPECT_BLAME = 3
+# Time between two starts of a lasting task with the blame at which others fail. Such a
+# task has to run again at most 6 s after its last run.
+LASTING_RESTART_MS = 5000
 
 
 def is_suspect(blame):
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -85,6 +85,8 @@
         self.groups_to_revisit = set()
         self.durations = {}
         self.moves = {}
+        # When each lasting task that is paused may be started again.
+        self._pauses = {}
         # Ids of active jobs of which a worker has confirmed a run to this leader.
         self.jobs_at_work = set()
         self.on_run_ended = lambda job_id, occurrence, step: None
@@ -220,10 +222,27 @@
         """Whether a worker has crashed, or may have crashed, while it ran a task."""
         return crash_blame.is_suspect(task.blame) or self._count_in_doubt(task) > 0
 
-    def has_too_many_in_doubt(self, task):
-        """Whether a task has to wait until the end of one of its runs is known."""
+    def has_to_wait(self, key, task, step):
+        """Whether a task is not to be started yet because workers have crashed.
+
+        One that lasts waits for its pause, others until the end of a run is known.
+        """
+        if step.long_running:
+            return key in self._pauses
         return crash_blame.has_to_wait(task.blame, self._count_in_doubt(task))
 
+    def pause(self, key, until_ms):
+        """Do not start a lasting task before ``until_ms``."""
+        self._pauses[key] = until_ms
+
+    def end_pauses(self):
+        """Queue the tasks again whose pauses are over."""
+        now_ms = self.now_ms()
+        over = [key for key, until_ms in self._pauses.items() if now_ms >= until_ms]
+        for key in over:
+            del self._pauses[key]
+            self.on_run_ended(key.job_id, key.occurrence, key.step)
+
     def _count_in_doubt(self, task):
         return sum(self._worker_of(each) is not None for each in task.in_doubt)
 
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -377,7 +377,7 @@
             n
             for n, task in enumerate(job.groups[group[1:]])
             if task.state == cell_state.WAITING
-            and not leader.has_too_many_in_doubt(task)
+            and not leader.has_to_wait(cell_state.TaskKey(*group, n), task, step)
         ]
         if not waiting:
             self._remove_waiting(group)
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -42,6 +42,7 @@
 
 def tick(leader, now_ms):
     """Resend unanswered orders, poll, and act on expired leases and silent workers."""
+    leader.end_pauses()
     first_polls = 0
     for worker in leader.next_to_check(MAX_CHECKS_PER_TICK):
         worker_lifecycle.check(leader, worker, now_ms)
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -85,6 +85,8 @@
     is_final = _is_final(leader, job, key, run.run, end_kind)
     ended = cell.RunEnded(*key, run.run, end_kind, checkpoint, is_final)
     leader.decide(ended=[ended])
+    if step.long_running and end_kind in crashes.BLAME:
+        _pause_if_blamed(leader, run)
     if end_kind == "done":
         stop_duplicate(leader, key, run.run)
         _stop_duplicated(leader, key, run.run)
@@ -233,20 +235,34 @@
 
 
 def _is_final(leader, job, key, run_number, end_kind):
-    """Whether a task is given up after this run, which ended so."""
-    if end_kind == "failed" and not job.record.steps[key.step].long_running:
+    """Whether a task is given up after this run, which ended so.
+
+    A lasting task never is: it is restarted until its job is cancelled.
+    """
+    if end_kind in crashes.BLAME:
+        leader.environment.metrics.count("crashes_under_runs", end_kind)
+    if job.record.steps[key.step].long_running:
+        return False
+    if end_kind == "failed":
         failed = cell_state.failure_count_with(job, key, run_number)
         return failed >= leader.queue_of(job).max_attempts
     if end_kind not in crashes.BLAME:
         return False
     blame = cell_state.find_task(leader.state, key).blame + crashes.BLAME[end_kind]
-    leader.environment.metrics.count("crashes_under_runs", end_kind)
     if not crash_blame.reaches_blame_limit(blame):
         return False
     leader.environment.record("task_given_up", task=str(key), blame=blame)
     return True
 
 
+def _pause_if_blamed(leader, run):
+    """Pause a lasting task that keeps crashing workers, after a run of it has ended."""
+    if crash_blame.reaches_blame_limit(
+        cell_state.find_task(leader.state, run.key).blame
+    ):
+        leader.pause(run.key, run.placed_ms + crash_blame.LASTING_RESTART_MS)
+
+
 def _send_committed_start(leader, worker, run):
     """Send a start after its commit, unless that is not wanted or possible any more.
 
--- a/tests/cell_crashing_task_test.py
+++ b/tests/cell_crashing_task_test.py
@@ -90,6 +90,49 @@
         assert sim.read_job("j1").text == "failed"
 
 
+# A lasting task has to run again at most 6 s after its last run, and 3 s on end without
+# one break the promise.
+LASTING_PAUSE_MS = 9000
+
+
+@pytest.mark.parametrize("returns", [True, False], ids=["workers return", "are gone"])
+def test_a_lasting_task_is_restarted_however_often_its_workers_crash(tmp_path, returns):
+    """Guards against a lasting job that is shown as failed, though none of its runs has
+    ended so, or that waits until the crash of an earlier run is proved.
+    """
+    with crashing_cell(tmp_path) as (sim, starts):
+        sim.crashes_worker = lambda order: _is_one_of_first(order, starts, 6)
+        for worker in sim.workers.values():
+            worker.script = cell_worker.Script(work_ms=600_000)
+        if not returns:
+            sim.restart_after_ms, sim.refuses_when_down = None, False
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1, long_running=True))
+        for count in range(1, 8):
+            is_started = lambda count=count: starts[CULPRIT] >= count
+            assert sim.run(LASTING_PAUSE_MS, is_started), (count, starts[CULPRIT])
+            assert sim.read_job("j1").text == "running"
+        sim.run(20_000)
+        assert starts[CULPRIT] == 7
+        assert sim.read_job("j1").text == "running"
+
+
+def _is_one_of_first(order, starts, count):
+    starts[order.task] += 1
+    return order.task == CULPRIT and starts[order.task] <= count
+
+
+def test_jobs_complete_beside_a_lasting_task_that_crashes_its_workers(tmp_path):
+    """Guards against a lasting task that takes down one worker after the other."""
+    with crashing_cell(tmp_path) as (sim, _starts):
+        cell_sim.submit_job(sim, "j1", cell_sim.step(1, long_running=True))
+        for number in range(2, 12):
+            cell_sim.submit_job(sim, f"j{number}", cell_sim.step(4))
+            sim.run(2000)
+        for number in range(2, 12):
+            sim.run_until_state(f"j{number}", "completed", duration_ms=20_000)
+        assert sim.read_job("j1").text != "failed"
+
+
 def test_a_crash_counts_if_its_worker_returns_long_after_the_lease(tmp_path):
     """Guards against crashes that are forgotten once a worker's lease has lapsed."""
     with crashing_cell(tmp_path) as (sim, starts):
--- a/tools/virtual_crashes.py
+++ b/tools/virtual_crashes.py
@@ -13,6 +13,7 @@
 import collections
 
 from alderreach.core import cell_state
+from alderreach.decisions.cell import crash_blame
 from tools import virtual_days, virtual_watch, virtual_workers
 
 # A task is given up after its third crash; two more starts may be in flight until then.
@@ -30,6 +31,8 @@
         self.crashing_tasks = set()
         self.crashing_starts = collections.Counter()
         self.crashes = 0
+        self.leaders = 0
+        self._first_start_ms = {}
         super().__init__(seed)
 
     def on_run_started(self, machine, run):
@@ -39,17 +42,33 @@
         if key not in self.crashing_tasks or machine.has_ended:
             return
         self.crashing_starts[key] += 1
+        self._first_start_ms.setdefault(key, self.loop.now_ms)
         crash_ms = self.choices.uniform(*CRASH_MS_SQUARED) ** 0.5
         self.loop.after(crash_ms, lambda: self._crash(machine))
 
     def started_too_often(self):
-        """The tasks that were started more than MAX_STARTS times, with their counts."""
+        """The tasks that were started more often than allowed, with their counts.
+
+        That is MAX_STARTS times. A task that lasts has no limit, but pauses from then
+        on; a new leader doesn't know of the pause that is in progress.
+        """
         return [
             (str(key), starts)
             for key, starts in self.crashing_starts.items()
-            if starts > MAX_STARTS
+            if starts > MAX_STARTS + self._further_starts(key)
         ]
 
+    def _further_starts(self, key):
+        if not self.step_of(key).long_running:
+            return 0
+        elapsed_ms = self.loop.now_ms - self._first_start_ms[key]
+        pauses = elapsed_ms / crash_blame.LASTING_RESTART_MS
+        return int(pauses) + self.leaders
+
+    def _start_term(self):
+        self.leaders += 1
+        super()._start_term()
+
     def _crash(self, machine):
         if machine.has_ended:
             return
@@ -73,7 +92,10 @@
         self.crashing_tasks.add(cell_state.TaskKey(f"j{self._number}", 0, step, index))
 
     def _may_have_failed(self, job):
-        """A job may also fail because one of its tasks crashes workers."""
-        if any(key.job_id == job.record.job_id for key in self.crashing_tasks):
+        """A job may also fail because one of its tasks crashes workers, if it ends."""
+        if any(
+            key.job_id == job.record.job_id and not self.step_of(key).long_running
+            for key in self.crashing_tasks
+        ):
             return True
         return super()._may_have_failed(job)
