--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -300,6 +300,8 @@
         """Drop the records of jobs that have ended."""
         self.drop_ended(self.durations)
         self.drop_ended(self.moves)
+        self.drop_ended(self._pauses)
+        self.drop_ended(self._doubt_pauses)
         self.learned.tidy()
         over = {job_id for job_id in self.jobs_at_work if self.is_over((job_id,))}
         self.jobs_at_work -= over
