--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -23,6 +23,7 @@
     capacities,
     linked_cell,
     operators,
+    other_writers,
     silences,
 )
 from tools.soak import callers as callers_module
@@ -145,8 +146,9 @@
 
     Then only open connections become silent, for ``SILENCES_S``, and at last all
     processes are killed together and one controller loses its disk. Callers go on for
-    ``calm_s`` after that; as they stop, there is one more silence. ``crashing`` are the
-    numbers of the jobs whose task crashes its workers.
+    ``calm_s`` after that; as they stop, there is one more silence. Another writer sends
+    malformed input until then. ``crashing`` are the numbers of the jobs whose task
+    crashes its workers.
     """
     promises = promises_module.Promises()
     with contextlib.ExitStack() as stack:
@@ -186,6 +188,10 @@
         stack.callback(calling.stop)
         operator.start()
         stack.callback(operator.stop)
+        writing = other_writers.OtherWriters(
+            workers, controls, addresses, promises, seed
+        ).start()
+        stack.callback(writing.stop)
         faults = faults_module.Faults(running, links, workers, start_worker, seed)
         silencing = _silences(running, [links, silent_links], seed, faults, calling)
         shrinking = _capacity_changes(seed, faults, promises)
@@ -202,10 +208,12 @@
         faults.play_calm(calm_s)
         _check_service(calling, promises, accepted)
         calling.stop()
+        writing.stop()
         _silence_once(silencing, promises)
         answers.check(calling, operator, promises, controls)
         _check_recovery(calling, promises)
         _check_cancelled(calling, promises)
+        other_writers.check(writing, running, promises)
         return Report(
             seed,
             list(promises.violations),
