--- a/alderreach/ops/controller/requests.py
+++ b/alderreach/ops/controller/requests.py
@@ -294,6 +294,7 @@
         leader.after_commit(lambda: reply(answer(ACCEPTED)))
         return
     if stored_numbers.config_in_range(request.config) != request.config:
+        # A process of an earlier version has passed it on unchecked.
         reply(answer(INVALID, "a number is out of range"))
         return
     leader.decide(lambda: reply(answer(ACCEPTED)), configs=[request.config])
@@ -332,7 +333,7 @@
         if worker.is_overtaken(request.sequence, request.clock_ms):
             reply(done)
             return
-        record = worker_lifecycle.without_lasting_changes(leader, worker, record)
+        record = worker_lifecycle.with_lasting_fields(leader, worker, record)
     if worker is None:
         worker = leader.add_worker(record)
     is_restarted = worker.record.born_ms != record.born_ms
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -259,9 +259,8 @@
 
 def _pause_if_blamed(leader, run):
     """Pause a lasting task that keeps crashing workers, after a run of it has ended."""
-    if crash_blame.reaches_blame_limit(
-        cell_state.find_task(leader.state, run.key).blame
-    ):
+    task = cell_state.find_task(leader.state, run.key)
+    if crash_blame.reaches_blame_limit(task.blame):
         leader.pause(run.key, run.placed_ms + crash_blame.LASTING_RESTART_MS)
 
 
--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -51,36 +51,38 @@
 
     A worker that is known with its service keeps it when a configuration drops that.
     """
-    config, worker = leader.state.config, leader.workers.get(record.target_id)
+    worker = leader.workers.get(record.target_id)
     if stored_numbers.target_in_range(record) != record:
         return "a number is out of range"
-    if config is None or any(each.name == record.service for each in config.services):
+    if leader.state.config is None or _has_service(leader, record.service):
         return ""
     if worker is not None and worker.record.service == record.service:
         return ""
     return f"service: the configuration has no {record.service}"
 
 
-def without_lasting_changes(leader, worker, record):
-    """A heartbeat's record without changes that no incarnation makes.
+def with_lasting_fields(leader, worker, record):
+    """A heartbeat's record with the fields of the known one that an incarnation keeps.
 
-    Its service and its failure domain last as long as it does, and so does the address
-    at which it answers. If the configuration doesn't name the known service, that is
-    another writer's.
+    These are its failure domain, its service and the address at which it answers. A
+    known service that the configuration doesn't have came from another writer, so it
+    may change.
     """
     known = worker.record
-    if not record.born_ms or record.born_ms != known.born_ms:
-        return record
-    if not worker.has_answered():
+    is_same = record.born_ms and record.born_ms == known.born_ms
+    if not is_same or not worker.has_answered():
         return record
     record = record._replace(address=known.address, failure_domain=known.failure_domain)
-    config = leader.state.config
-    names = [each.name for each in config.services] if config else []
-    if known.service in names:
+    if _has_service(leader, known.service):
         record = record._replace(service=known.service)
     return record
 
 
+def _has_service(leader, service):
+    config = leader.state.config
+    return config is not None and any(each.name == service for each in config.services)
+
+
 def apply_heartbeats(leader, batch):
     """Apply the heartbeats that another controller acknowledged; returns its reply.
 
