--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -55,7 +55,7 @@
 # 11026: ended jobs became unknown, inferred from a new leader's clock an hour ahead.
 # 49014: a task that crashes its workers was started a sixth time with a run in doubt.
 # 80001, open: a task blamed for crashes by another. 80014 and 62014 to 62029, open: a
-#   task that crashes workers waits for one that vanished, a minute per change of leader.
+#   task that crashes workers waits for one that vanished, a minute for each leader.
 REGRESSION_SEEDS = (
     *(102, 103, 105, 204, 207, 601, 605, 609, 611, 612, 613, 703, 818, 9848),
     *(10053, 10054, 10055, 10056, 11000, 11001, 11002, 11026),
