--- a/alderreach/platform/bodies_test.py
+++ b/alderreach/platform/bodies_test.py
@@ -97,6 +97,23 @@
             assert 0 <= number <= ranges.ORDINAL_MAX, number
 
 
+@pytest.mark.parametrize(("read", "value", "path"), CASES)
+@pytest.mark.parametrize("text", [b"NaN", b"Infinity", b"-Infinity", b"1e400"])
+def test_a_number_that_is_not_finite_is_malformed(read, value, path, text):
+    """Guards against a conversion to an int that fails after a body was accepted."""
+    marker = 123454321
+    body = with_number(value, path, marker).replace(str(marker).encode(), text)
+    with pytest.raises(wire.MalformedError):
+        read(body)
+
+
+@pytest.mark.parametrize("row", [b'["i-1",5]', b'["i-1"]', b'[1e400,"t"]', b"NaN"])
+def test_a_malformed_answer_of_the_permission_service_is_rejected(row):
+    """Guards against an answer that ends the process that asked."""
+    with pytest.raises(wire.MalformedError):
+        wire.tickets(b'{"good":[' + row + b"]}")
+
+
 def test_each_number_has_a_range():
     """Guards against a new field that takes numbers of any size."""
     kinds = [bodies.Job, bodies.Announcement, bodies.Config, bodies.WorkerAnswer]
