--- a/alderreach/decisions/cell/crash_blame.py
+++ b/alderreach/decisions/cell/crash_blame.py
@@ -36,9 +36,9 @@
 # closes later, a broken link was restored, and the start may not have arrived at all.
 CRASH_DISCONNECT_MS = 200
 # With this many runs in doubt a task pauses before each further start, first for
-# ``DOUBT_PAUSE_MS`` and each time twice as long. Workers that were lost for good prove
-# nothing, so an innocent task must not wait for that; one that crashes workers, of
-# which none returns, must not take down one after the other.
+# ``DOUBT_PAUSE_MS`` and each time twice as long. Workers that never return prove
+# nothing, so a task that did not crash them must not wait for that. The pauses limit
+# how many workers a task can crash meanwhile.
 MAX_RUNS_IN_DOUBT = 3
 DOUBT_PAUSE_MS = 2000
 LONGEST_DOUBT_PAUSE_MS = 60_000
