--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -190,6 +190,8 @@
         self.call_timeout_ms = 0
         self.sends_in_sequence = False
         self.crashes_worker = lambda order: False
+        # Whether a worker crashes as a start reaches it, before the task begins.
+        self.crashes_before = lambda order: False
         self.restart_after_ms = None
         self.refuses_when_down = False
         self.keeps_calls_over_restarts = False
@@ -591,6 +593,10 @@
         if _take_silent(self.silent_calls, (call.controller, worker.name)):
             self._fail_call(call, after_ms=ORDER_TIMEOUT_MS)
             return
+        if isinstance(call.order, orders.Start) and self.crashes_before(call.order):
+            worker.crash()
+            self._break_connection(call)
+            return
         self.cancelled_runs.before_carried_out(call)
         result = worker.carry_out(call.order)
         if self._crashes(call.order, result):
