--- a/tools/virtual_days.py
+++ b/tools/virtual_days.py
@@ -54,11 +54,13 @@
 class Day(virtual_cell.VirtualCell):
     """One random day, determined by its seed."""
 
+    step_sizes = (1, 1, 2, 2, 4, 4, 8, 16, 31, 60)
+
     def __init__(self, seed):
         self.choices = random.Random(seed)
         rng = self.choices
         self.queues = self._make_queues()
-        self.workers = rng.choice([rng.randrange(10, 25), rng.randrange(40, 91)])
+        self.workers = self._worker_count()
         records = [self._worker(number) for number in range(self.workers)]
         self.capacity_millis = sum(record.capacity.cpu_millis for record in records)
         self._undecided_share = rng.choice([0.0, 0.02, 0.1])
@@ -179,6 +181,10 @@
     def _make_queues(self):
         return _queues(self.choices)
 
+    def _worker_count(self):
+        rng = self.choices
+        return rng.choice([rng.randrange(10, 25), rng.randrange(40, 91)])
+
     def _options(self, records):
         """Further options of the simulated cell."""
         return {}
@@ -257,7 +263,7 @@
 
     def _work(self, after, share):
         rng = self.choices
-        tasks = rng.choice([1, 1, 2, 2, 4, 4, 8, 16, 31, 60])
+        tasks = rng.choice(self.step_sizes)
         max_per_target = rng.choice([0, 0, 0, 0, 1, 2])
         if max_per_target:
             places = max_per_target * share * self.workers
