--- a/alderreach/core/cell_state.py
+++ b/alderreach/core/cell_state.py
@@ -67,16 +67,19 @@
 class Task:
     """A task: its latest run, and the failures and crash blame of earlier runs.
 
-    ``core/crashes.py`` describes ``blame`` and ``in_doubt``.
+    ``core/crashes.py`` describes ``blame``, ``crash_kinds``, ``in_doubt`` and
+    ``noted``.
     """
 
     __slots__ = (
         "blame",
         "born_ms",
         "checkpoint",
+        "crash_kinds",
         "failed_run",
         "failures",
         "in_doubt",
+        "noted",
         "run",
         "state",
         "target_id",
@@ -92,6 +95,8 @@
         self.checkpoint = ""
         self.blame = 0
         self.in_doubt = ()
+        self.crash_kinds = ()
+        self.noted = None
 
 
 class Job:
@@ -183,6 +188,8 @@
             _end_job(state, job, CANCELLED, wall_ms)
     for values in change.learned:
         learned_values.apply(state.learned, values, state.targets)
+    for noted in change.noted:
+        _apply_note(state, noted)
 
 
 def apply_batch(state, batch):
@@ -245,6 +252,19 @@
     state.jobs[placed.job_id].has_started = True
 
 
+def _apply_note(state, noted):
+    key = TaskKey(noted.job_id, noted.occurrence, noted.step, noted.index)
+    task = find_task(state, key)
+    if task is None:
+        return
+    if task.state == PLACED and task.run == noted.run:
+        task.noted = crashes.NotedRun(noted.run, noted.crash_kind)
+    task.in_doubt = tuple(
+        run._replace(crash_kind=noted.crash_kind) if run.run == noted.run else run
+        for run in task.in_doubt
+    )
+
+
 def _apply_run_end(state, ended, wall_ms):
     key = TaskKey(ended.job_id, ended.occurrence, ended.step, ended.index)
     task = find_task(state, key)
@@ -361,6 +381,8 @@
     checkpoint: str
     blame: int = 0
     in_doubt: tuple[crashes.InDoubtRun, ...] = ()
+    crash_kinds: tuple[str, ...] = ()
+    noted: crashes.NotedRun | None = None
 
 
 class JobImage(typing.NamedTuple):
@@ -397,9 +419,7 @@
     image = StateImage(config, targets, ended, state.wall_ms, state.elapsed_ms, learned)
     yield "cell", msgspec.msgpack.encode(image if learned else image[:-1])
     for job in state.jobs.values():
-        image = _job_image(job)
-        image = image._replace(record=codec.shortened(job.record))
-        yield "cell_job", msgspec.msgpack.encode(image)
+        yield "cell_job", msgspec.msgpack.encode(_shortened_image(_job_image(job)))
 
 
 def load_part(state, kind, data):
@@ -451,6 +471,8 @@
                 task.checkpoint,
                 task.blame,
                 task.in_doubt,
+                task.crash_kinds,
+                task.noted,
             )
             for task in tasks
         ]
@@ -467,6 +489,20 @@
     )
 
 
+def _shortened_image(image):
+    """A ``JobImage`` without fields that earlier versions lack, where possible."""
+    groups = [
+        [
+            codec.shortened(
+                task._replace(in_doubt=[codec.shortened(run) for run in task.in_doubt])
+            )
+            for task in tasks
+        ]
+        for tasks in image.groups
+    ]
+    return image._replace(record=codec.shortened(image.record), groups=groups)
+
+
 def _restore_job(image):
     job = Job(image.record, image.accepted_ms)
     job.state, job.ended_ms = image.state, image.ended_ms
--- a/alderreach/core/orders.py
+++ b/alderreach/core/orders.py
@@ -135,3 +135,5 @@
     """The list of ends may have been cut, so a run in neither list may have ended."""
     copies: int = 1
     """How many copies of the poll were sent at once."""
+    lost_connection: bool = False
+    """The connection closed before the response arrived, as when a worker crashes."""
--- a/alderreach/decisions/cell/workers.py
+++ b/alderreach/decisions/cell/workers.py
@@ -44,7 +44,8 @@
     """One run of a task as its leader sees it; ``pace`` is None while unknown.
 
     ``is_fully_observed`` is set if this leader started it, and not from a checkpoint,
-    ``is_confirmed`` if the worker has told this leader that it runs, and
+    ``is_confirmed`` if the worker has told this leader that it runs, first at
+    ``confirmed_ms``, ``is_watched`` if an earlier run may have crashed its worker, and
     ``lost_connection_at_start`` if the connection closed before its start was answered.
     ``stop`` is what is known of its stopping, for the log; None if it is not to stop.
     ``has_duplicate`` is set if it was abandoned for a second run, but is to work on.
@@ -56,6 +57,7 @@
         "answered_ms",
         "best_effort",
         "checkpoint",
+        "confirmed_ms",
         "customer",
         "demand",
         "first_ms",
@@ -64,6 +66,7 @@
         "is_confirmed",
         "is_fully_observed",
         "is_long",
+        "is_watched",
         "key",
         "last_progress_ms",
         "load",
@@ -76,6 +79,7 @@
         "placed_ms",
         "run",
         "sends",
+        "sent_ms",
         "state",
         "stop",
         "tail_target_ms",
@@ -92,6 +96,8 @@
         self.is_long = step.long_running
         self.is_fully_observed = True
         self.is_confirmed = False
+        self.confirmed_ms = now_ms
+        self.is_watched = False
         self.lost_connection_at_start = False
         self.allow_duplicates = step.allow_duplicates
         self.abandoned = False
@@ -100,6 +106,7 @@
         self.state = ORDERED
         self.stop = None
         self.sends = 0
+        self.sent_ms = now_ms
         self.next_send_ms = now_ms
         self.answered_ms = now_ms
         self.percent = 0
@@ -146,20 +153,27 @@
     slow when the open one was sent. ``needs_list`` is set if only the next list can end
     a run. ``losses`` are the calls that the worker has lost, and ``copies`` in how many
     copies its link sends each call. ``first_failure_ms`` is the time of the first
-    failed call since the last answer.
+    failed call since the last answer. ``closed_ms`` is when the connection of a call
+    closed since that the worker was holding, ``down_by_ms`` when it was certainly down,
+    since it refused a connection or closed one, and ``silent_from_ms`` when the first
+    poll without an answer was due; each is None if that is not known.
     ``slowness`` is how many times as long as on a usual worker tasks take, as learned,
     and ``usual_pace_ms`` when a run of usual duration ended last, -1 if none did.
     ``isolated_run`` is the last run that has to start alone here; nothing else starts
     until its start can no longer arrive. ``runs_in_doubt`` maps the (key, run) of runs
     that were given up, but may not be over, to how they ended if this incarnation is
-    over. ``previous_ends`` does the same for the runs of the previous incarnation.
+    over, and ``adopted_in_doubt`` are those of them that a previous leader gave up.
+    ``noted_ends`` maps runs to how they ended, as a previous leader noted when it lost
+    contact, and ``is_loss_noted`` is set once this leader has done so.
+    ``previous_ends`` does the same for the runs of the previous incarnation.
     ``gang_ends`` maps the (task, run) of members of gangs of which another worker
     listed the end to its time; a poll sent before may still list them.
     ``capacity_report`` is the ``capacity_reports.Report`` of this incarnation that
     reported the capacity in ``record``, None if there is none yet. It is valid for
     ``capacity_valid_ms``. ``sequence`` and ``reported_clock_ms`` are of the latest
     heartbeat. The worker's clock itself is known from its answers only, since a
-    heartbeat may be of another writer. ``needs_clock`` is set if the two differ.
+    heartbeat may be of another writer. ``needs_clock`` is set if the two differ, and
+    ``needs_contact`` if it is to be known now whether the worker is up.
     """
 
     def __init__(
@@ -192,7 +206,11 @@
         self.last_contact_ms = now_ms
         self.failures = 0
         self.first_failure_ms = None
+        self.closed_ms = self.down_by_ms = self.silent_from_ms = None
         self.runs_in_doubt = {}
+        self.adopted_in_doubt = set()
+        self.noted_ends = {}
+        self.is_loss_noted = False
         self.gang_ends = {}
         self.previous_ends = {}
         self.is_refusing = False
@@ -200,6 +218,7 @@
         self.clock_offset_ms = None
         self.clock_offset_at_ms = now_ms
         self.needs_clock = False
+        self.needs_contact = False
         self.cursor = 0
         self.poll_sent_ms = None
         self.poll = None
@@ -230,7 +249,8 @@
             self.record_failed_call(now_ms)
         elif outcome == orders.OK:
             self.failures = 0
-            self.first_failure_ms = None
+            self.first_failure_ms = self.silent_from_ms = None
+            self.closed_ms = self.down_by_ms = None
 
     def record_failed_call(self, now_ms):
         """Count a call without an answer, or without a usable one."""
--- a/alderreach/ops/controller/duplicating.py
+++ b/alderreach/ops/controller/duplicating.py
@@ -103,7 +103,9 @@
     def _duplicate(self, group, key, run, worker, pool, remaining_ms, now_ms):
         leader = self._leader
         run.abandoned = run.has_duplicate = True
-        ended = cell.RunEnded(*key, run.run, crashes.ABANDONED, run.checkpoint, False)
+        crash_kind = crashes.WORKER_CRASHED if run.is_confirmed else ""
+        end_kind = crashes.in_doubt(crashes.ABANDONED, crash_kind)
+        ended = cell.RunEnded(*key, run.run, end_kind, run.checkpoint, False)
         leader.decide(ended=[ended])
         leader.environment.metrics.count("duplicates_started")
         leader.environment.record(
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -24,7 +24,7 @@
     pools,
     workers,
 )
-from alderreach.ops.controller import learning
+from alderreach.ops.controller import learning, verdicts
 from alderreach.ops.keeper import extension
 
 
@@ -77,6 +77,7 @@
             environment.settings.cell.share_credit_ms,
         )
         self.workers = {}
+        self.evidence = verdicts.Evidence(self.now_ms())
         self.pools = pools.Pools(self.workers)
         self.links = {}
         self.permissions = permissions.Permissions()
@@ -101,8 +102,8 @@
         self._check_order = collections.deque()
         self._changes = []
         self._effects = []
-        # Learned values that no batch contains yet.
-        self._learned_changes = []
+        # Changes for a successor that no batch contains yet.
+        self._notes = []
         # Lists of effects, one for each uncommitted batch, oldest batch first.
         self._uncommitted_effects = []
         self.learned = learning.Learned(self)
@@ -150,15 +151,15 @@
             self._effects.append(effect)
         self.needs_planning = True
 
-    def note_learned(self, values):
-        """Apply ``cell.LearnedValues``, and add them to the log after the next batch.
+    def note(self, **parts):
+        """Apply a ``cell.CellChange`` that helps a successor, after the next batch.
 
-        They get a batch of their own. A process of an earlier version can't read it and
-        skips it, which must not lose it any other decision.
+        Such changes get a batch of their own. A process of an earlier version can't
+        read it and skips it, which must not lose it any decision.
         """
-        change = cell_state.empty_change()._replace(learned=[values])
+        change = cell_state.empty_change()._replace(**parts)
         cell_state.apply(self.state, change, self.cell_ms())
-        self._learned_changes.append(change)
+        self._notes.append(change)
 
     def after_commit(self, effect):
         """Call ``effect`` once all decisions made so far are committed.
@@ -176,10 +177,10 @@
     def pop_batch(self):
         """Remove and return the next batch and its effects; (None, []) if none.
 
-        Learned values come in a batch of their own after all other changes.
+        Notes for a successor come in a batch of their own after all other changes.
         """
         if not self._changes:
-            self._changes, self._learned_changes = self._learned_changes, []
+            self._changes, self._notes = self._notes, []
         if not self._changes:
             return None, []
         batch = cell.CellBatch(self.cell_ms(), self._changes)
@@ -192,8 +193,8 @@
     def requeue_batch(self, batch, effects):
         """Return a batch that could not be logged to the front of the next batch."""
         self._uncommitted_effects.pop()
-        if batch.changes[0].learned:
-            self._learned_changes = batch.changes + self._learned_changes
+        if batch.changes[0].learned or batch.changes[0].noted:
+            self._notes = batch.changes + self._notes
         else:
             self._changes = batch.changes + self._changes
         self._effects = effects[1:] + self._effects
@@ -228,12 +229,16 @@
         """Whether a task is not to be started yet because workers have crashed."""
         if key in self._pauses:
             return True
-        in_doubt = self._count_in_doubt(task)
-        return not step.long_running and crash_blame.has_to_wait(task.blame, in_doubt)
+        return not step.long_running and self.waits_for_doubt(task)
+
+    def waits_for_doubt(self, task):
+        """Whether a task waits for the ends of runs in doubt."""
+        count = crash_blame.count(task.crash_kinds)
+        return crash_blame.has_to_wait(count, self._count_in_doubt(task))
 
     def pause(self, key, until_ms):
         """Do not start a task before ``until_ms``."""
-        self._pauses[key] = until_ms
+        self._pauses[key] = max(until_ms, self._pauses.get(key, until_ms))
 
     def pause_in_doubt(self, key):
         """Pause a task of which one more run is in doubt, if there are many."""
@@ -252,7 +257,11 @@
             self.on_run_ended(key.job_id, key.occurrence, key.step)
 
     def _count_in_doubt(self, task):
-        return sum(self._worker_of(each) is not None for each in task.in_doubt)
+        """How many runs of a task count as crashes if their workers have crashed."""
+        return sum(
+            bool(each.crash_kind) and self._worker_of(each) is not None
+            for each in task.in_doubt
+        )
 
     def _worker_of(self, run_in_doubt):
         """The worker of a run in doubt, or None if that incarnation is over."""
@@ -303,6 +312,7 @@
         self.drop_ended(self._pauses)
         self.drop_ended(self._doubt_pauses)
         self.learned.tidy()
+        self.evidence.tidy(self.now_ms(), self.is_over)
         over = {job_id for job_id in self.jobs_at_work if self.is_over((job_id,))}
         self.jobs_at_work -= over
         self.permissions.forget_matching(self.is_over)
--- a/alderreach/ops/controller/learning.py
+++ b/alderreach/ops/controller/learning.py
@@ -200,7 +200,7 @@
             self._logged_ms[speed.target_id] = now_ms
         for duration in changed_durations:
             self._logged_ms[("queue", duration.queue)] = now_ms
-        leader.note_learned(cell.LearnedValues(changed_speeds, changed_durations))
+        leader.note(learned=[cell.LearnedValues(changed_speeds, changed_durations)])
 
     def _changed_speeds(self, workers, now_ms):
         logged = self._leader.state.learned.speeds
--- a/alderreach/ops/controller/lost_calls.py
+++ b/alderreach/ops/controller/lost_calls.py
@@ -77,18 +77,24 @@
     return any(each is poll for each, _sent_ms in worker.superseded_polls)
 
 
+def sent_ms(worker, poll):
+    """When a superseded poll was sent."""
+    (sent_ms,) = [sent for each, sent in worker.superseded_polls if each is poll]
+    return sent_ms
+
+
 def on_superseded_answer(worker, poll, result, now_ms):
     """Handle the result of a superseded poll; returns whether it is a failure.
 
     An answer is ignored, since a later one may have been processed already.
     """
-    (sent_ms,) = [sent for each, sent in worker.superseded_polls if each is poll]
+    was_sent_ms = sent_ms(worker, poll)
     worker.superseded_polls = [
         row for row in worker.superseded_polls if row[0] is not poll
     ]
     if result.outcome not in orders.UNANSWERED:
         return False
-    if sent_ms < worker.answered_poll_ms:
+    if was_sent_ms < worker.answered_poll_ms:
         worker.losses.record(now_ms)
         return False
     return True
--- a/alderreach/ops/controller/order_answers.py
+++ b/alderreach/ops/controller/order_answers.py
@@ -4,7 +4,13 @@
 
 from alderreach.core import cell_state, orders
 from alderreach.decisions.cell import crash_blame, workers
-from alderreach.ops.controller import runs, stopping, worker_lifecycle, worker_polls
+from alderreach.ops.controller import (
+    lost_contact,
+    runs,
+    stopping,
+    worker_lifecycle,
+    worker_polls,
+)
 
 # Delay before an unanswered order is sent again. It can be short, since the call itself
 # has already waited for longer than any healthy worker takes to answer.
@@ -35,6 +41,8 @@
         worker.update_clock_offset(result.clock_ms, now_ms)
         worker.last_contact_ms = now_ms
     worker.record_call_outcome(result.outcome, now_ms)
+    if result.outcome in orders.UNANSWERED:
+        lost_contact.on_failed_call(leader, worker, result.lost_connection)
     if result.outcome == orders.OVERTAKEN:
         worker.losses.record(now_ms)
     if result.outcome == orders.OTHER_INCARNATION:
--- a/alderreach/ops/controller/placing.py
+++ b/alderreach/ops/controller/placing.py
@@ -379,7 +379,7 @@
             if task.state == cell_state.WAITING
             and not leader.has_to_wait(cell_state.TaskKey(*group, n), task, step)
         ]
-        if not waiting:
+        if not waiting or (step.gang and len(waiting) < step.tasks):
             self._remove_waiting(group)
             return 0, 0
         room = self._cap_waits.room(job, group)
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -1,14 +1,18 @@
 """Takeover of workers and runs by a new leader, and their periodic checks."""
 
+import collections
+
 from absl import logging
 
 from alderreach.core import cell_state, crashes
-from alderreach.decisions.cell import workers
+from alderreach.decisions.cell import crash_blame, workers
 from alderreach.ops.controller import (
     lost_calls,
+    lost_contact,
     order_answers,
     runs,
     stopping,
+    verdicts,
     worker_lifecycle,
     worker_polls,
 )
@@ -26,6 +30,7 @@
     for record in leader.state.targets.values():
         leader.add_worker(record)
     now_ms = leader.now_ms()
+    restarted, over = [], []
     for job in leader.state.jobs.values():
         for (occurrence, number), tasks in job.groups.items():
             for index, task in enumerate(tasks):
@@ -33,8 +38,16 @@
                     continue
                 key = cell_state.TaskKey(job.record.job_id, occurrence, number, index)
                 if task.state == cell_state.PLACED:
-                    _adopt(leader, key, task, job.record.steps[number], now_ms)
-                _adopt_in_doubt(leader, key, task, job.record.steps[number], now_ms)
+                    run = _adopt(leader, key, task, job.record.steps[number], now_ms)
+                    if run is not None and _has_restarted(leader, task):
+                        restarted.append((leader.workers[task.target_id], run))
+                step = job.record.steps[number]
+                over += _adopt_in_doubt(leader, key, task, step, now_ms)
+    for key, in_doubt in over:
+        # The previous leader had not judged the crash yet.
+        end_kind = crash_blame.weakened(in_doubt.crash_kind)
+        runs.record_resolved(leader, key, in_doubt.run, end_kind)
+    _judge_restarted(leader, restarted)
     for worker in leader.workers.values():
         if worker.runs:
             worker_polls.poll(leader, worker)
@@ -42,6 +55,10 @@
 
 def tick(leader, now_ms):
     """Resend unanswered orders, poll, and act on expired leases and silent workers."""
+    if verdicts.are_due(leader, now_ms):
+        lost_contact.record_overdue(leader, now_ms)
+        for key, run_number, end_kind in verdicts.pop_due(leader, now_ms):
+            runs.record_resolved(leader, key, run_number, end_kind)
     leader.end_pauses()
     first_polls = 0
     for worker in leader.next_to_check(MAX_CHECKS_PER_TICK):
@@ -65,30 +82,63 @@
     """Take over the runs of a task whose ends are not known yet.
 
     The previous leader may have abandoned a run while its lease lasted, so it may still
-    hold resources of its worker and count against its customer's cap.
+    hold resources of its worker and count against its customer's cap. What it knew of
+    the run tells how much a crash of the worker counts. Returns those whose worker is
+    known to have crashed, with their key.
     """
-    for run_number, target_id, born_ms in task.in_doubt:
+    over = []
+    for in_doubt in task.in_doubt:
+        run_number, target_id, born_ms, crash_kind = in_doubt
         worker = leader.workers.get(target_id)
         if worker is None or worker.record.born_ms != born_ms:
+            over.append((key, in_doubt))
             continue
-        worker.runs_in_doubt[(key, run_number)] = crashes.CRASHED_AT_START
+        worker.runs_in_doubt[(key, run_number)] = crash_kind or "lost"
+        worker.adopted_in_doubt.add((key, run_number))
         if step.allow_duplicates and not step.gang and key not in worker.runs:
             run = _add_started(leader, worker, key, run_number, step, now_ms)
             run.abandoned = True
+    return over
 
 
 def _adopt(leader, key, task, step, now_ms):
+    """Take over the run that a task is placed in; returns it, or None."""
     worker = leader.workers.get(task.target_id)
     if worker is None:
         logging.error("run of %s on unknown worker %s", key, task.target_id)
-        return
-    if task.born_ms < worker.record.born_ms:
-        # The previous leader knew of the restart, but has not recorded the run's end.
-        worker.previous_ends[(key, task.run)] = crashes.WORKER_CRASHED
+        return None
     run = _add_started(leader, worker, key, task.run, step, now_ms)
+    if task.noted is not None and task.noted.run == task.run:
+        worker.noted_ends[(key, task.run)] = task.noted.crash_kind
     job = leader.state.jobs[key.job_id]
     if job.state != cell_state.ACTIVE:
         stopping.begin(leader, run, stopping.reason_of_end(job))
+    return run
+
+
+def _has_restarted(leader, task):
+    """Whether a task's worker has restarted, and the end of its run is not logged."""
+    return task.born_ms < leader.workers[task.target_id].record.born_ms
+
+
+def _judge_restarted(leader, restarted):
+    """Note how the runs on workers that have restarted ended.
+
+    The previous leader knew of the restarts. It is not known whether a run had begun,
+    or when its worker crashed, so several such workers may have crashed together.
+    """
+    by_worker = collections.Counter(worker.target_id for worker, _run in restarted)
+    by_job = collections.Counter(run.key.job_id for _worker, run in restarted)
+    by_both = collections.Counter(
+        (worker.target_id, run.key.job_id) for worker, run in restarted
+    )
+    for worker, run in restarted:
+        target_id, job_id = worker.target_id, run.key.job_id
+        known = by_worker[target_id] + by_job[job_id] - by_both[(target_id, job_id)]
+        is_alone = known == len(restarted)
+        noted_end = worker.noted_ends.get((run.key, run.run))
+        unproved = crashes.UNPROVED if is_alone else crashes.UNPROVED_WITH_OTHERS
+        worker.previous_ends[(run.key, run.run)] = noted_end or unproved
 
 
 def _add_started(leader, worker, key, run_number, step, now_ms):
--- a/alderreach/ops/controller/runs.py
+++ b/alderreach/ops/controller/runs.py
@@ -9,7 +9,7 @@
 from alderreach.core import cell_state, crashes, orders
 from alderreach.core.generated import cell
 from alderreach.decisions.cell import crash_blame, health, workers
-from alderreach.ops.controller import job_runs, stopping
+from alderreach.ops.controller import job_runs, stopping, verdicts
 
 # Delay of the next poll after a run has ended, so that one poll lists several ends
 # that are close together. Polls cost the worker and the leader processor time, but a
@@ -27,6 +27,8 @@
     run.next_send_ms = None
     run.checkpoint = checkpoint
     run.is_fully_observed = not checkpoint
+    task = cell_state.find_task(leader.state, key)
+    run.is_watched = bool(task.crash_kinds or task.in_doubt)
     add(leader, worker, run)
     record = worker.record
     placed = cell.RunPlaced(*key, run_number, record.target_id, record.born_ms)
@@ -82,12 +84,18 @@
         return
     _update_health(leader, worker, run, end_kind)
     step = job.record.steps[key.step]
+    is_noted = bool(worker.noted_ends.get((key, run.run)))
+    if not is_noted and verdicts.fails(leader, key, end_kind):
+        has_restarted = worker.is_of_previous_incarnation(run)
+        born_ms = None if has_restarted else worker.record.born_ms
+        verdicts.defer(leader, key, run.run, end_kind, worker.target_id, born_ms)
+        end_kind = crashes.in_doubt(crashes.EXPIRED, end_kind)
     is_final = _is_final(leader, job, key, run.run, end_kind)
     ended = cell.RunEnded(*key, run.run, end_kind, checkpoint, is_final)
     leader.decide(ended=[ended])
     if step.long_running and end_kind in crashes.BLAME:
         _pause_if_blamed(leader, run)
-    elif end_kind in crashes.IN_DOUBT_END_KINDS and not step.long_running:
+    elif crashes.is_doubtful(end_kind) and not step.long_running:
         leader.pause_in_doubt(key)
     if end_kind == "done":
         stop_duplicate(leader, key, run.run)
@@ -108,8 +116,16 @@
         _end_gang(leader, job, key, run.run, end_kind, checkpoint)
 
 
-def resolve(leader, key, run_number, end_kind):
+def resolve(leader, key, run_number, end_kind, target_id):
     """Record the end of a run that was in doubt."""
+    if verdicts.fails(leader, key, end_kind):
+        verdicts.defer(leader, key, run_number, end_kind, target_id)
+        return
+    record_resolved(leader, key, run_number, end_kind)
+
+
+def record_resolved(leader, key, run_number, end_kind):
+    """Record the end of a run that was in doubt, without waiting for a verdict."""
     job = leader.state.jobs.get(key.job_id)
     if job is None:
         return
@@ -162,6 +178,7 @@
 def send_start(leader, worker, run):
     """Send a start, and count the sends, since each of them may arrive late."""
     run.sends += 1
+    run.sent_ms = leader.now_ms()
     if run.sends > 1:
         leader.environment.metrics.count("starts_repeated")
         leader.environment.record(
@@ -186,6 +203,9 @@
 
 def confirm(leader, worker, run, now_ms):
     """Record that a worker has listed a run, or answered its start."""
+    if not run.is_confirmed:
+        run.confirmed_ms = now_ms
+        worker.needs_list = worker.needs_list or run.is_watched
     leader.confirm_run(run)
     worker.previous_ends.pop((run.key, run.run), None)
     if run.state in (workers.ORDERED, workers.REFUSED):
@@ -248,12 +268,15 @@
     if end_kind == "failed":
         failed = cell_state.failure_count_with(job, key, run_number)
         return failed >= leader.queue_of(job).max_attempts
-    if end_kind not in crashes.BLAME:
-        return False
-    blame = cell_state.find_task(leader.state, key).blame + crashes.BLAME[end_kind]
-    if not crash_blame.reaches_blame_limit(blame):
+    if not verdicts.fails(leader, key, end_kind):
         return False
-    leader.environment.record("task_given_up", task=str(key), blame=blame)
+    task = cell_state.find_task(leader.state, key)
+    leader.environment.record(
+        "task_given_up",
+        task=str(key),
+        blame=task.blame + crashes.BLAME[end_kind],
+        crashes=[*task.crash_kinds, end_kind],
+    )
     return True
 
 
--- a/alderreach/ops/controller/worker_lifecycle.py
+++ b/alderreach/ops/controller/worker_lifecycle.py
@@ -8,8 +8,8 @@
 
 from alderreach.core import cell_state, crashes, stored_numbers
 from alderreach.core.generated import cell
-from alderreach.decisions.cell import crash_blame, health, workers
-from alderreach.ops.controller import runs, stopping
+from alderreach.decisions.cell import contact_losses, crash_blame, health, workers
+from alderreach.ops.controller import lost_contact, runs, stopping, verdicts
 
 # A worker without runs is forgotten after ten heartbeats without contact.
 FORGET_AFTER_MS = 15_000
@@ -19,6 +19,9 @@
 # A draining worker continues for at least 2 s; the rest is the delay until its leader
 # knows of the drain.
 MIN_DRAIN_MS = 1500
+# A task that waits for a run in doubt does so for this time. A worker that has been
+# silent for ten heartbeats is taken as crashed then.
+DECIDE_DOUBT_AFTER_MS = FORGET_AFTER_MS
 # Tasks that allow duplicates are started on another worker after this time without
 # contact, about two failed polls. They are started immediately if nothing listens at
 # the worker's address, which usually means that it has crashed. This is no proof, so
@@ -39,6 +42,8 @@
         clock_ms = -1
     worker.reported_clock_ms = clock_ms
     worker.record_heartbeat(clock_ms, received_ms)
+    if not worker.failures:
+        leader.evidence.losses.forget(worker.target_id)
     if state == "ready":
         # A worker drains before it ends and is not ready again. So the withdrawal came
         # from the previous incarnation and was delayed on its way. Kept, it would bar
@@ -113,6 +118,7 @@
     """
     _record_incarnation_end(leader, worker, "worker_restarted")
     _begin_incarnation(leader, worker)
+    worker.noted_ends, worker.is_loss_noted = {}, False
     worker.sequence = worker.reported_clock_ms = -1
     worker.is_leaving = False
 
@@ -176,22 +182,25 @@
         runs=len(sent),
         tasks=stopping.names(worker, sent),
     )
-    ends = _ends_of_runs(leader, worker)
+    ends = lost_contact.ends_of_runs(leader, worker)
     for run in sent:
         # A restart before the first list proves the end of the previous incarnation.
         proved_kind = worker.previous_ends.get((run.key, run.run))
         end_kind = proved_kind or ends.get((run.key, run.run), "lapsed")
         is_proved = proved_kind is not None or worker.is_refusing
         if end_kind in crashes.BLAME and not is_proved:
-            worker.runs_in_doubt[(run.key, run.run)] = end_kind
-            end_kind = crashes.EXPIRED
+            worker.runs_in_doubt.setdefault((run.key, run.run), end_kind)
+            end_kind = crashes.in_doubt(crashes.EXPIRED, end_kind)
         runs.end_run(leader, worker, run, end_kind, run.checkpoint)
 
 
 def end_incarnation(leader, worker):
     """Drop a worker whose incarnation is known to be over, and end its runs."""
     _record_incarnation_end(leader, worker, "worker_gone")
-    ends = _ends_of_runs(leader, worker)
+    if not worker.failures:
+        lost_contact.record(leader, worker, leader.now_ms())
+    leader.evidence.losses.keep(worker.target_id)
+    ends = lost_contact.ends_of_runs(leader, worker)
     _resolve_runs_in_doubt(leader, worker)
     for run in list(worker.runs.values()):
         end_kind = ends.get((run.key, run.run), "lost")
@@ -209,6 +218,7 @@
     end of its run is known. Otherwise it would crash one worker after the other in the
     meantime.
     """
+    ends = None
     for run in worker.runs.values():
         if not run.allow_duplicates or run.abandoned or not run.sends or run.is_long:
             continue
@@ -218,14 +228,19 @@
         if leader.may_have_crashed_workers(cell_state.find_task(leader.state, run.key)):
             continue
         run.abandoned = True
-        ended = cell.RunEnded(
-            *run.key, run.run, crashes.ABANDONED, run.checkpoint, False
-        )
+        ends = lost_contact.ends_of_runs(leader, worker) if ends is None else ends
+        crash_kind = ends.get((run.key, run.run), "")
+        end_kind = crashes.in_doubt(crashes.ABANDONED, crash_kind)
+        ended = cell.RunEnded(*run.key, run.run, end_kind, run.checkpoint, False)
         leader.decide(ended=[ended])
         leader.pause_in_doubt(run.key)
         leader.on_run_ended(run.key.job_id, run.key.occurrence, run.key.step)
         leader.environment.record(
-            "run_abandoned", task=str(run.key), run=run.run, target=worker.target_id
+            "run_abandoned",
+            task=str(run.key),
+            run=run.run,
+            target=worker.target_id,
+            counts_as=crash_kind,
         )
         if run.state == workers.ORDERED:
             runs.close_run(leader, worker, run, stopping.ABANDONED)
@@ -235,6 +250,8 @@
     """Act on an expired lease, missing answers and the begin of a drain."""
     if now_ms >= worker.lease_end_ms:
         expire_lease(leader, worker)
+    if worker.failures and worker.runs and not worker.is_loss_noted:
+        lost_contact.note(leader, worker, now_ms)
     is_silent = worker.failures and now_ms - worker.last_contact_ms >= ABANDON_AFTER_MS
     if is_silent or worker.is_refusing:
         abandon(leader, worker)
@@ -273,6 +290,8 @@
 def forget_if_silent(leader, worker, now_ms):
     """Drop a worker without runs that has been silent for too long."""
     silent_ms = now_ms - max(worker.announced_ms, worker.last_contact_ms)
+    if worker.runs_in_doubt and silent_ms > DECIDE_DOUBT_AFTER_MS:
+        _decide_doubt(leader, worker)
     timeout_ms = FORGET_IN_DOUBT_AFTER_MS if worker.runs_in_doubt else FORGET_AFTER_MS
     if worker.runs or silent_ms <= timeout_ms:
         return
@@ -292,18 +311,24 @@
     for key, run_number in worker.runs_in_doubt:
         run = worker.runs.get(key)
         if run is None or run.run != run_number:
-            runs.resolve(leader, key, run_number, "lost")
-    worker.runs_in_doubt = {}
+            runs.resolve(leader, key, run_number, "lost", worker.target_id)
+    worker.runs_in_doubt, worker.adopted_in_doubt = {}, set()
 
 
-def _ends_of_runs(leader, worker):
-    """How a worker's runs ended if its incarnation is over, by (key, run number)."""
+def _decide_doubt(leader, worker):
+    """Resolve the runs in doubt that their tasks wait for and that fail them.
 
-    def is_known(key):
+    That this worker fell silent proves nothing, but counts against a task that has
+    crashed others.
+    """
+    for (key, run_number), end_kind in list(worker.runs_in_doubt.items()):
         task = cell_state.find_task(leader.state, key)
-        return task is not None and leader.must_start_alone(task)
-
-    return crash_blame.ends_after_crash(worker, leader.now_ms(), is_known)
+        if task is None or end_kind not in crashes.BLAME or key in worker.runs:
+            continue
+        end_kind = crashes.UNPROVED_WITH_OTHERS
+        if leader.waits_for_doubt(task) and verdicts.fails(leader, key, end_kind):
+            del worker.runs_in_doubt[(key, run_number)]
+            runs.record_resolved(leader, key, run_number, end_kind)
 
 
 def _begin_incarnation(leader, worker):
@@ -311,6 +336,9 @@
 
     A run that was closed after one crash may not have ended before the next one.
     """
+    if not worker.failures and not worker.awaits_list:
+        lost_contact.record(leader, worker, leader.now_ms())
+    leader.evidence.losses.keep(worker.target_id)
     if not worker.awaits_list:
         present = {(run.key, run.run) for run in worker.runs.values()}
         earlier_ends = {
@@ -318,7 +346,7 @@
             for run, end_kind in worker.previous_ends.items()
             if run in present
         }
-        worker.previous_ends = _ends_of_runs(leader, worker) | earlier_ends
+        worker.previous_ends = lost_contact.ends_of_runs(leader, worker) | earlier_ends
     _resolve_runs_in_doubt(leader, worker)
     worker.begin_incarnation(leader.next_fence(worker.target_id))
 
@@ -330,8 +358,19 @@
     """
     is_planned = worker.is_planned_to_end()
     for (key, run_number), end_kind in worker.runs_in_doubt.items():
-        runs.resolve(leader, key, run_number, "lost" if is_planned else end_kind)
-    worker.runs_in_doubt = {}
+        is_adopted = (key, run_number) in worker.adopted_in_doubt
+        if is_planned:
+            end_kind = "lost"
+        elif is_adopted:
+            lost_run = contact_losses.LostRun(key.job_id, was_fresh=False)
+            coincidence = lost_contact.coincidence(leader, worker, lost_run)
+            if coincidence != contact_losses.ALONE:
+                end_kind = crash_blame.weakened(end_kind)
+        if is_adopted:
+            runs.record_resolved(leader, key, run_number, end_kind)
+        else:
+            runs.resolve(leader, key, run_number, end_kind, worker.target_id)
+    worker.runs_in_doubt, worker.adopted_in_doubt = {}, set()
 
 
 def _record_incarnation_end(leader, worker, event):
--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -9,6 +9,7 @@
 from alderreach.decisions.cell import health, pacing, workers
 from alderreach.ops.controller import (
     lost_calls,
+    lost_contact,
     runs,
     starting,
     stopping,
@@ -22,6 +23,12 @@
 POLLS_PER_LEASE = 3
 # Delay before a failed poll is repeated, without extending the lease.
 POLL_RETRY_MS = 300
+# A call in progress for this time has reached the worker, so that a connection that
+# closes then was closed by a crash at that moment.
+HELD_AFTER_MS = 20
+# A worker is polled without a wait for this time after the start of a run whose task
+# may have crashed another one.
+WATCH_MS = 150
 # Between two changes of a share there are two reports of the tail latency.
 MIN_PACE_INTERVAL_MS = 1100
 
@@ -37,6 +44,7 @@
     if worker.poll_sent_ms is not None or worker.is_recording_ends:
         return
     now_ms = leader.now_ms()
+    worker.needs_contact = False
     until_ms, cursor = None, 0
     if (
         worker.has_seen_epoch
@@ -55,7 +63,10 @@
         or worker.has_unknown_runs
         or worker.losses.is_losing(now_ms)
         or leader.links[worker.target_id].slow_orders()
-        or any(run.awaits_list() for run in worker.runs.values())
+        or any(
+            run.awaits_list() or _is_watched(run, now_ms)
+            for run in worker.runs.values()
+        )
     )
     longest_ms = leader.lease_ms() // POLLS_PER_LEASE
     wait_ms = 0 if is_urgent else min(wait_ms, longest_ms)
@@ -70,8 +81,10 @@
         return
     now_ms, result = leader.now_ms(), message.result
     if lost_calls.is_superseded(worker, message.poll):
+        sent_ms = lost_calls.sent_ms(worker, message.poll)
         if lost_calls.on_superseded_answer(worker, message.poll, result, now_ms):
-            _poll_failed(leader, worker, result, now_ms)
+            due_ms = sent_ms + message.poll.wait_ms + HELD_AFTER_MS
+            _poll_failed(leader, worker, result, now_ms, False, due_ms)
         return
     if worker.poll_sent_ms is None or message.poll is not worker.poll:
         return
@@ -79,7 +92,10 @@
     if result.outcome == orders.OTHER_INCARNATION:
         worker_lifecycle.end_incarnation(leader, worker)
     elif result.outcome != orders.OK:
-        _poll_failed(leader, worker, result, now_ms)
+        was_held = now_ms - sent_ms > HELD_AFTER_MS
+        is_closed = was_held and _is_closed(result)
+        due_ms = sent_ms + message.poll.wait_ms + HELD_AFTER_MS
+        _poll_failed(leader, worker, result, now_ms, is_closed, due_ms)
     elif result.born_ms and result.born_ms < worker.record.born_ms:
         runs.schedule_poll(leader, worker, 0)
     elif result.born_ms > worker.record.born_ms:
@@ -103,6 +119,7 @@
 
 def _apply_lists(leader, worker, result, sent_ms, now_ms):
     worker_lifecycle.clear_runs_in_doubt(leader, worker)
+    lost_contact.forget(leader, worker)
     worker.update_clock_offset(result.clock_ms, now_ms)
     worker.last_contact_ms = now_ms
     worker.record_call_outcome(orders.OK, now_ms)
@@ -133,10 +150,10 @@
     runs, only a poll can bring that answer: heartbeats show that the worker is running,
     but not that the leader can reach it. A worker that listed unknown runs is polled
     until it lists none, since their stops may be lost or refused, and one whose clock
-    seems to be ahead is asked for it.
+    seems to be ahead is asked for it, as are some when others were lost.
     """
     is_needed = worker.runs or worker.has_ends_to_acknowledge or worker.has_unknown_runs
-    is_needed = is_needed or worker.needs_clock
+    is_needed = is_needed or worker.needs_clock or worker.needs_contact
     wanted = is_needed or worker.failures or not worker.has_seen_epoch
     due_ms = worker.poll_due_ms
     if worker.failures:
@@ -145,9 +162,19 @@
         poll(leader, worker)
 
 
-def _poll_failed(leader, worker, result, now_ms):
+def _is_watched(run, now_ms):
+    """Whether the next sign of life tells if a run has crashed its worker at once."""
+    return run.is_watched and now_ms - run.placed_ms < WATCH_MS
+
+
+def _is_closed(result):
+    return result.lost_connection or result.outcome == orders.CONNECTION_REFUSED
+
+
+def _poll_failed(leader, worker, result, now_ms, is_closed=False, due_ms=None):
     worker.record_failed_call(now_ms)
     worker.is_refusing = result.outcome == orders.CONNECTION_REFUSED
+    lost_contact.on_failed_call(leader, worker, is_closed, due_ms)
     if worker.failures == 1:
         leader.environment.record(
             "worker_unresponsive", target=worker.target_id, outcome=result.outcome
--- a/alderreach/platform/targets.py
+++ b/alderreach/platform/targets.py
@@ -57,10 +57,7 @@
     except http_client.NotSentError as error:
         return orders.OrderResult(_not_connected(error), detail=str(error))
     except (http_client.UnansweredError, wire.MalformedError) as error:
-        is_connection_lost = isinstance(error, http_client.ConnectionLostError)
-        return orders.OrderResult(
-            orders.UNKNOWN, detail=str(error), lost_connection=is_connection_lost
-        )
+        return _unanswered(orders.OrderResult, error)
 
 
 async def send_poll(session, record, poll):
@@ -73,7 +70,14 @@
     except http_client.NotSentError as error:
         return orders.PollResult(_not_connected(error), detail=str(error))
     except (http_client.UnansweredError, wire.MalformedError) as error:
-        return orders.PollResult(orders.UNKNOWN, detail=str(error))
+        return _unanswered(orders.PollResult, error)
+
+
+def _unanswered(result_type, error):
+    is_connection_lost = isinstance(error, http_client.ConnectionLostError)
+    return result_type(
+        orders.UNKNOWN, detail=str(error), lost_connection=is_connection_lost
+    )
 
 
 def _not_connected(error):
