--- a/alderreach/core/placements.py
+++ b/alderreach/core/placements.py
@@ -18,7 +18,8 @@
 
     A ``held`` placement is known only from the previous owner's records.
     ``scheduler_attempt`` is the number used by the scheduler; the attempt number in the
-    record increases across all owners.
+    record increases across all owners. ``sent`` is True from the creation of a run
+    command on, unless it is known that no copy of it has arrived.
     """
 
     __slots__ = (
@@ -59,6 +60,11 @@
         """The task id and the attempt number."""
         return self.record.task_id, self.record.attempt
 
+    @property
+    def is_known_not_begun(self):
+        """Whether no copy of its run command arrived, or the worker has refused it."""
+        return self.state == "starting" and (not self.sent or self.refused)
+
 
 class Placements:
     """All placements, indexed by task, worker and job."""
--- a/alderreach/ops/placer/commands.py
+++ b/alderreach/ops/placer/commands.py
@@ -149,8 +149,12 @@
                 yield placement, command["command"], answer
 
     def _retry_unanswered(self, placement, command, status, now_ms):
-        if status in ("uncertain", "answered") and command["command"] == "run":
-            placement.may_start_until_ms = now_ms + self._lease_expiry_ms
+        if command["command"] == "run":
+            if status in ("uncertain", "answered"):
+                placement.may_start_until_ms = now_ms + self._lease_expiry_ms
+            elif not placement.may_start_until_ms:
+                # The batch certainly did not arrive or was refused as a whole.
+                placement.sent = False
         is_quick_retry = status in ("unsent", "late")
         self.push_due(
             placement, now_ms + (UNSENT_RETRY_MS if is_quick_retry else RESEND_MS)
--- a/alderreach/ops/placer/placing.py
+++ b/alderreach/ops/placer/placing.py
@@ -148,7 +148,7 @@
             self.workers.on_restarted(worker_id)
             for placement in self.placements.on_worker(worker_id):
                 if placement.boot_id != announcement.boot_id:
-                    self.end_attempt(placement, "lost", now_ms)
+                    self._lose(placement, now_ms)
         if announcement.owner_epoch_seen >= self.epoch:
             self.workers.confirm(worker_id)
         record = target_membership.worker_record(announcement)
@@ -159,7 +159,7 @@
     def declare_dead(self, target_id, now_ms):
         """Remove a silent target whose VM an operator declared lost for good."""
         for placement in self.placements.on_worker(target_id):
-            self.end_attempt(placement, "lost", now_ms)
+            self._lose(placement, now_ms)
         self._remove_target(target_id)
         self.record_event("target_declared_dead", target_id=target_id)
 
@@ -336,9 +336,17 @@
         """
         for placement in self.placements.on_worker(worker_id):
             if placement.record.when_cut_off == "move":
-                self.end_attempt(placement, "lost", now_ms)
+                self._lose(placement, now_ms)
         self._remove_if_dead(worker_id)
 
+    def _lose(self, placement, now_ms):
+        """End an attempt with its worker; one that never began is not lost.
+
+        A loss counts against the task, which can't be the cause before it has started.
+        """
+        outcome = "stopped" if placement.is_known_not_begun else "lost"
+        self.end_attempt(placement, outcome, now_ms)
+
     def _decide(self, now_ms):
         for decision in self.scheduler.tick(now_ms, DECISIONS_PER_TICK):
             if isinstance(decision, actions.Start):
