--- a/alderreach/core/records.py
+++ b/alderreach/core/records.py
@@ -83,7 +83,11 @@
 
 
 class RecordCopy:
-    """The standby's side: the records of the owner of ``epoch`` up to ``sequence``."""
+    """The standby's side: the records of the owner of ``epoch`` up to ``sequence``.
+
+    It also keeps when it first saw each placement, for the age of its task: the records
+    don't contain it. That outlasts changes of the owner.
+    """
 
     def __init__(self):
         self.epoch = 0
@@ -91,8 +95,9 @@
         self.placements = {}
         self.workers = {}
         self.runners = {}
+        self._first_seen = {}
 
-    def apply(self, beat):
+    def apply(self, beat, now_ms):
         """Apply an OwnerBeat; returns the sequence up to which the copy is complete."""
         if beat.epoch < self.epoch:
             return self.sequence
@@ -106,13 +111,27 @@
             self._clear(beat.epoch)
         for record in beat.placements:
             _store(self.placements, record.task_id, record, "placement")
+            self._note_seen(record, now_ms)
         for record in beat.workers:
             _store(self.workers, record.worker_id, record, "worker")
         for view in beat.runners:
             _store(self.runners, view.runner_id, view, "runner")
+        if beat.from_record == 0:
+            self._first_seen = {key: self._first_seen[key] for key in self.placements}
         self.sequence = beat.record_sequence
         return self.sequence
 
+    def first_seen_ms(self, record):
+        """When this attempt's placement was first seen; None if it is not known."""
+        attempt, seen_ms = self._first_seen.get(record.task_id, (None, None))
+        return seen_ms if attempt == record.attempt else None
+
+    def _note_seen(self, record, now_ms):
+        if record.task_id not in self.placements:
+            self._first_seen.pop(record.task_id, None)
+        elif self.first_seen_ms(record) is None:
+            self._first_seen[record.task_id] = (record.attempt, now_ms)
+
     def _clear(self, epoch):
         self.epoch, self.sequence = epoch, 0
         self.placements, self.workers, self.runners = {}, {}, {}
--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -119,18 +119,19 @@
             self._state.stop(run)
         self._close_if_done(job)
 
-    def restore(self, task_id, attempt, job_id, worker_id):
-        """Add a task that is known to run.
+    def restore(self, task_id, attempt, job_id, worker_id, started_ms=None):
+        """Add a task that is known to run, since ``started_ms`` or for longer.
 
-        While its job is unknown, so are the resources that it holds: its worker takes
-        no work until the job is submitted or the task has ended.
+        Without it the task counts as started now, so a loss within the next minute
+        counts against it. While its job is unknown, so are the resources that it holds:
+        its worker takes no work until the job is submitted or the task has ended.
         """
         number = _task_number(task_id)
         job = self._state.jobs.get(job_id)
         if job is None:
             self._state.add_orphan(job_id, number, attempt, worker_id)
         else:
-            self._state.adopt(job, number, attempt, worker_id)
+            self._state.adopt(job, number, attempt, worker_id, started_ms)
 
     def losses_of(self, job_id):
         """Return by task number how often tasks were lost soon after their start."""
--- a/alderreach/decisions/state.py
+++ b/alderreach/decisions/state.py
@@ -95,13 +95,15 @@
         else:
             self.stops.append(run)
 
-    def adopt(self, job, number, attempt, worker_id):
-        """Add a run of a known job that an earlier owner started."""
+    def adopt(self, job, number, attempt, worker_id, started_ms=None):
+        """Add a run of a known job that an earlier owner started, by default now."""
         if number in job.runs:
             return
         if number < job.spec.tasks and not job.cancelled:
             job.claim(number)
-        run = jobs.Run(job, number, attempt, worker_id, self.now_ms)
+        if started_ms is None:
+            started_ms = self.now_ms
+        run = jobs.Run(job, number, attempt, worker_id, started_ms)
         worker = self.cell.workers.get(worker_id)
         self._charge_run(run, worker)
         if worker is None:
--- a/alderreach/ops/placer/placing.py
+++ b/alderreach/ops/placer/placing.py
@@ -187,14 +187,21 @@
 
     # ---- tasks
 
-    def restore(self, placement, state):
-        """Add a placement of a previous owner, whose task runs or may run."""
+    def restore(self, placement, state, started_ms=None):
+        """Add a placement of a previous owner, whose task runs or may run.
+
+        ``started_ms`` is the latest time at which it was placed, None for now.
+        """
         record = placement.record
         number = jobs.number_of(record.task_id)
         state.attempts[number] = max(state.attempts.get(number, 0), record.attempt)
         self.placements.add(placement)
         self.scheduler.restore(
-            record.task_id, record.attempt, record.job_id, record.worker_id
+            record.task_id,
+            record.attempt,
+            record.job_id,
+            record.worker_id,
+            started_ms,
         )
         self.ledger.record_placement(placement)
         self.ledger.mark_job(state)
@@ -220,8 +227,9 @@
             placement.accepted_ms = now_ms
             self.record_task_event("task_started", placement.record)
         if placement.state in ("held", "starting"):
+            if placement.state == "starting":
+                self.scheduler.task_started(placement.record.task_id, now_ms)
             placement.state = "running"
-            self.scheduler.task_started(placement.record.task_id, now_ms)
             self.ledger.mark_job(self.jobs[placement.job_id])
 
     def end_attempt(self, placement, outcome, now_ms):
--- a/alderreach/ops/placer/service.py
+++ b/alderreach/ops/placer/service.py
@@ -237,7 +237,7 @@
     def _handle_beat(self, beat, address, now_ms):
         if beat.failure_domain != self._domain:
             return
-        record_sequence = self._copy.apply(beat)
+        record_sequence = self._copy.apply(beat, now_ms)
         promise = self._ownership.handle_beat(beat, record_sequence, now_ms)
         if promise is not None:
             self._last_beat_received_ms = now_ms
--- a/alderreach/ops/placer/takeover.py
+++ b/alderreach/ops/placer/takeover.py
@@ -7,6 +7,7 @@
 certainly expired.
 """
 
+import math
 import typing
 
 from absl import logging
@@ -18,10 +19,14 @@
 
 
 class PredecessorRecord(typing.NamedTuple):
-    """A record of the previous owner, and the boot id of the worker it was made for."""
+    """A record of the previous owner, and the boot id of the worker it was made for.
+
+    ``seen_ms`` is since when this process has known the record, None if since now.
+    """
 
     record: typing.Any
     boot_id: str
+    seen_ms: int | None
 
 
 def take_over(placing, copy, placed, now_ms):
@@ -58,15 +63,18 @@
 def merge(copy, placed):
     """Return one PredecessorRecord per task, with the highest attempt of both sources.
 
+    Those known for the longest come first.
     A higher attempt exists only if the lower one had certainly ended.
     """
     candidates = [
-        PredecessorRecord(record, copy.workers[record.worker_id].boot_id)
+        PredecessorRecord(
+            record, copy.workers[record.worker_id].boot_id, copy.first_seen_ms(record)
+        )
         for record in copy.placements.values()
         if record.worker_id in copy.workers
     ]
     candidates += [
-        PredecessorRecord(record, item.worker.boot_id)
+        PredecessorRecord(record, item.worker.boot_id, copy.first_seen_ms(record))
         for item in placed
         for record in item.placements
     ]
@@ -75,7 +83,11 @@
         highest = merged.get(candidate.record.task_id)
         if highest is None or candidate.record.attempt > highest.record.attempt:
             merged[candidate.record.task_id] = candidate
-    return list(merged.values())
+    # The scheduler keeps the runs of a job in the order of their starts.
+    return sorted(
+        merged.values(),
+        key=lambda each: math.inf if each.seen_ms is None else each.seen_ms,
+    )
 
 
 def _restore(placing, candidate, now_ms):
@@ -94,4 +106,4 @@
     placement = placements.Placement(
         record, record.attempt, candidate.boot_id, state.job.task, "held"
     )
-    placing.restore(placement, state)
+    placing.restore(placement, state, candidate.seen_ms)
--- a/tests/placer_crashing_task_test.py
+++ b/tests/placer_crashing_task_test.py
@@ -63,6 +63,24 @@
     world.run_until(lambda: world.status("j1").state == "finished")
 
 
+def test_a_loss_after_a_takeover_does_not_count_against_an_old_task():
+    """Guards against a job that fails for crashes long after its task had started: the
+    new owner does not know when that was, and took the takeover for its start.
+    """
+    world = make_world()
+    world.submit("j1", run_ms=600_000)
+    for _loss in range(endings.MAX_LOSSES):
+        world.run_until(lambda: world.workers_of("j1/0"))
+        world.run(endings.EARLY_LOSS_MS + 1000)
+        _replace_owner(world)
+        worker = world.workers[world.workers_of("j1/0")[0]]
+        worker.kill()
+        worker.start()
+        world.run_until(lambda: not world.workers_of("j1/0"))
+        world.run(1000)
+    assert world.status("j1").state == "running"
+
+
 def make_world(workers=6):
     """Return a failure domain with an owner."""
     world = placer_sim.World(workers)
