--- a/alderreach/ops/placer/placing.py
+++ b/alderreach/ops/placer/placing.py
@@ -148,7 +148,7 @@
             self.workers.on_restarted(worker_id)
             for placement in self.placements.on_worker(worker_id):
                 if placement.boot_id != announcement.boot_id:
-                    self._lose(placement, now_ms)
+                    self._lose(placement, before.announced, now_ms)
         if announcement.owner_epoch_seen >= self.epoch:
             self.workers.confirm(worker_id)
         record = target_membership.worker_record(announcement)
@@ -158,8 +158,9 @@
 
     def declare_dead(self, target_id, now_ms):
         """Remove a silent target whose VM an operator declared lost for good."""
+        announced = self.members.targets[target_id].announced
         for placement in self.placements.on_worker(target_id):
-            self._lose(placement, now_ms)
+            self._lose(placement, announced, now_ms)
         self._remove_target(target_id)
         self.record_event("target_declared_dead", target_id=target_id)
 
@@ -342,18 +343,21 @@
         which refers to an announcement older than the lease. The placements of ``stay``
         tasks are kept until the worker returns or is declared dead.
         """
+        announced = self.members.targets[worker_id].announced
         for placement in self.placements.on_worker(worker_id):
             if placement.record.when_cut_off == "move":
-                self._lose(placement, now_ms)
+                self._lose(placement, announced, now_ms)
         self._remove_if_dead(worker_id)
 
-    def _lose(self, placement, now_ms):
-        """End an attempt with its worker; one that never began is not lost.
+    def _lose(self, placement, announced, now_ms):
+        """End an attempt with its worker, of which ``announced`` was the last report.
 
-        A loss counts against the task, which can't be the cause before it has started.
+        A loss counts against the task. It can't be the cause if it never began there,
+        nor if the worker had said that it leaves.
         """
-        outcome = "stopped" if placement.is_known_not_begun else "lost"
-        self.end_attempt(placement, outcome, now_ms)
+        is_planned = announced.state != "ready"
+        is_innocent = is_planned or placement.is_known_not_begun
+        self.end_attempt(placement, "stopped" if is_innocent else "lost", now_ms)
 
     def _decide(self, now_ms):
         for decision in self.scheduler.tick(now_ms, DECISIONS_PER_TICK):
--- a/tests/placer_crashing_task_test.py
+++ b/tests/placer_crashing_task_test.py
@@ -1,5 +1,7 @@
 """A task that crashes each worker that starts it, in a simulated failure domain."""
 
+import pytest
+
 from alderreach.decisions import endings
 from tests import placer_sim
 
@@ -81,6 +83,27 @@
     assert world.status("j1").state == "running"
 
 
+@pytest.mark.parametrize("last_state", ["leaving", "gone"])
+def test_a_worker_that_leaves_does_not_count_against_its_tasks(last_state):
+    """Guards against a job that fails although no worker has crashed: each of them had
+    said that it leaves before it ended.
+    """
+    world = make_world()
+    world.submit("j1", run_ms=60_000)
+    for _loss in range(endings.MAX_LOSSES):
+        world.run_until(lambda: world.workers_of("j1/0"))
+        world.run(1000)
+        worker = world.workers[world.workers_of("j1/0")[0]]
+        worker.state, worker.next_ms = last_state, 0
+        world.step()
+        worker.kill()
+        world.run(500)
+        worker.start()
+        worker.state = "ready"
+        world.run(1000)
+    assert world.status("j1").state == "running"
+
+
 def make_world(workers=6):
     """Return a failure domain with an owner."""
     world = placer_sim.World(workers)
