--- a/alderreach/decisions/crashing_jobs_test.py
+++ b/alderreach/decisions/crashing_jobs_test.py
@@ -74,3 +74,34 @@
     assert not session.tasks_of("gang")
     session.tick(poison_jobs.WINDOW_MS)
     assert len(session.tasks_of("bystander")) == 6
+
+
+def test_a_service_whose_workers_are_cut_off_is_not_condemned():
+    """Guards against a service that is parked permanently though no worker crashed."""
+    session = placement_session.Session().add_workers(12)
+    session.submit("s", 1, kind="service", task=WHOLE)
+    for _cut in range(2 * poison_jobs.INCIDENT_LIMIT):
+        session.tick(endings.MAX_PAUSE_MS)
+        worker_id, _attempt = session.running["s/0"]
+        session.lose(worker_id, outcome="expired")
+        session.tick(poison_jobs.REVIEW_AFTER_MS)
+        session.add_worker(worker_id, "r0", WHOLE)
+        session.scheduler.end_silence(worker_id, False, session.now_ms)
+    assert not session.impossible
+
+
+def test_a_service_that_crashes_workers_is_condemned_once_they_return():
+    """A crash must count although its worker was only silent at first."""
+    session = placement_session.Session().add_workers(12)
+    session.submit("s", 1, kind="service", task=WHOLE)
+    silent = []
+    for _crash in range(poison_jobs.INCIDENT_LIMIT):
+        session.tick(endings.MAX_PAUSE_MS)
+        silent.append(session.running["s/0"][0])
+        session.lose(silent[-1], outcome="expired")
+        session.tick(poison_jobs.REVIEW_AFTER_MS)
+    assert not session.impossible
+    for worker_id in silent:
+        session.scheduler.end_silence(worker_id, True, session.now_ms)
+        session.tick()
+    assert set(session.impossible) == {"s"}
--- a/alderreach/decisions/endings.py
+++ b/alderreach/decisions/endings.py
@@ -9,6 +9,12 @@
 without a success in between. A service is restarted indefinitely, after a pause that
 doubles each time a task ends, or is lost with its worker soon after its start. A gang
 that loses a task is stopped completely and all its tasks start again together.
+
+A task on a worker that fell silent has *expired*: the worker may have crashed or only
+be cut off. Its loss is *in doubt* until the worker reports again, and counts only if
+that is another boot. A task is not given up for losses in doubt. With ``MAX_LOSSES`` of
+them and others its job pauses before each further start, since workers that never
+return prove nothing, and the task may still have crashed them.
 """
 
 # A second attempt survives a faulty worker, a third one two of them in a row.
@@ -23,6 +29,12 @@
 HEALTHY_MS = 60_000
 # A loss this soon after the start counts against the task.
 EARLY_LOSS_MS = 60_000
+# The pause before a start with ``MAX_LOSSES`` losses, some of them in doubt; it doubles
+# with each further one.
+DOUBT_PAUSE_MS = 2000
+MAX_DOUBT_PAUSE_MS = 60_000
+# How a task ends that is gone with its worker; an expired one's worker is only silent.
+LOST, EXPIRED = "lost", "expired"
 
 
 def handle_end(state, quarantine, poison_jobs, run, outcome):
@@ -36,8 +48,8 @@
         quarantine.on_failed(run, outcome)
     else:
         quarantine.on_ended_otherwise(run)
-    if outcome == "lost":
-        poison_jobs.on_run_lost(run)
+    if outcome in (LOST, EXPIRED):
+        poison_jobs.on_run_lost(run, outcome == EXPIRED)
     elif outcome in ("finished", "failed"):
         poison_jobs.clear_suspicion(job)
     if job.is_service():
@@ -64,18 +76,47 @@
             state.backlog.remove(job)
 
 
-def restore_losses(state, job, losses):
+def restore_losses(state, job, losses, in_doubt):
     """Restore the losses of tasks under previous owners; give up those at the limit."""
+    for number, worker_id in in_doubt:
+        _add_doubt(state, job, number, worker_id)
     for number, count in losses.items():
         job.losses[number] = count
-        is_open = (
-            job.waiting and number not in job.final_numbers and number not in job.runs
-        )
-        if count >= MAX_LOSSES and is_open:
-            job.claim(number)
-            _give_up_lost(job, number)
+        _give_up_if_due(state, job, number)
     if not job.waiting:
         state.backlog.remove(job)
+    for number in dict(job.in_doubt):
+        _pause_in_doubt(state, job, number)
+
+
+def end_silence(state, job, worker_id, has_crashed):
+    """Settle a job's losses in doubt with a worker: they count if it has crashed."""
+    numbers = [number for number, where in job.in_doubt if where == worker_id]
+    job.in_doubt = [loss for loss in job.in_doubt if loss[1] != worker_id]
+    if not has_crashed:
+        job.not_before_ms = state.now_ms
+        state.enqueue(job)
+        return
+    for number in numbers:
+        job.losses[number] = job.losses.get(number, 0) + 1
+        _give_up_if_due(state, job, number)
+
+
+def _add_doubt(state, job, number, worker_id):
+    job.in_doubt.append((number, worker_id))
+    state.jobs_in_doubt.setdefault(worker_id, {})[job] = None
+
+
+def _give_up_if_due(state, job, number):
+    """Give up a waiting task at the limit, and with it the rest of a gang."""
+    if job.losses[number] < MAX_LOSSES or not job.is_waiting(number):
+        return
+    job.claim(number)
+    _give_up_lost(job, number)
+    if job.is_gang():
+        _give_up_rest(state, job)
+    elif not job.waiting:
+        state.backlog.remove(job)
 
 
 def review(state, job):
@@ -134,7 +175,7 @@
         state.enqueue(job, first=True)
         return
     if job.given_up or _exhausts_attempts(state, run, outcome):
-        if outcome == "lost":
+        if outcome == LOST:
             _give_up_lost(job, number)
         else:
             job.failed += 1
@@ -146,12 +187,27 @@
     job.requeue(number, failed=outcome == "failed")
     if _is_broken(state, job):
         _give_up_rest(state, job)
-    elif job.is_gang() and job.runs:
+        return
+    if outcome == EXPIRED:
+        _pause_in_doubt(state, job, number)
+    if job.is_gang() and job.runs:
         _restart_gang(state, job)
     else:
         state.enqueue(job, first=True)
 
 
+def _pause_in_doubt(state, job, number):
+    """Pause a job if a task of it has too many losses, some of them in doubt."""
+    doubts = sum(each == number for each, _worker_id in job.in_doubt)
+    excess = doubts + job.losses.get(number, 0) - MAX_LOSSES
+    if excess < 0:
+        return
+    pause_ms = min(DOUBT_PAUSE_MS << min(excess, 16), MAX_DOUBT_PAUSE_MS)
+    job.not_before_ms = state.now_ms + pause_ms
+    state.backlog.remove(job)
+    state.schedule_review(job.not_before_ms, job)
+
+
 def _give_up_lost(job, number):
     """Give up a task that was lost too often; keep its count for the next owner."""
     job.failed += 1
@@ -164,14 +220,18 @@
     if outcome == "failed":
         job.failures[number] = job.failures.get(number, 0) + 1
         return job.failures[number] >= MAX_FAILURES
-    if _is_early_loss(state, run, outcome):
-        job.losses[number] = job.losses.get(number, 0) + 1
-        return job.losses[number] >= MAX_LOSSES
-    return False
+    if not _is_early_loss(state, run, outcome):
+        return False
+    if outcome == EXPIRED:
+        _add_doubt(state, job, number, run.worker_id)
+        return False
+    job.losses[number] = job.losses.get(number, 0) + 1
+    return job.losses[number] >= MAX_LOSSES
 
 
 def _is_early_loss(state, run, outcome):
-    return outcome == "lost" and state.now_ms - run.started_ms <= EARLY_LOSS_MS
+    is_lost = outcome in (LOST, EXPIRED)
+    return is_lost and state.now_ms - run.started_ms <= EARLY_LOSS_MS
 
 
 def _is_broken(state, job):
--- a/alderreach/decisions/jobs.py
+++ b/alderreach/decisions/jobs.py
@@ -48,6 +48,7 @@
     ``limit`` bounds the running tasks of a job that is suspected of crashing workers; 0
     is no bound. ``parked`` is the reason why the job can't run at all. ``declared`` is
     the demand of a task as its team declared it, ``spec.task`` what a task is given.
+    ``in_doubt`` lists the losses with workers that fell silent, by task and worker.
     ``final_numbers`` are the tasks that ended for good before ``next_number`` reached
     them, ``postponed`` those that failed and run last.
     """
@@ -67,7 +68,7 @@
         "final_numbers",
         "finished",
         "given_up",
-        "incidents",
+        "in_doubt",
         "limit",
         "line",
         "losses",
@@ -127,9 +128,9 @@
         self.failed_on = set()
         self.avoided_worker_id = ""
         self.losses = {}
+        self.in_doubt = []
         self.lost_on = []
         self.review_due_ms = None
-        self.incidents = 0
         self.restarts = 0
 
     def is_gang(self):
@@ -186,6 +187,13 @@
         self.postponed.clear()
         self.waiting = sum(1 for number in range(tasks) if number not in self.runs)
 
+    def is_waiting(self, number):
+        """Whether the task of this number waits for a start."""
+        if number in self.requeued or number in self.postponed:
+            return True
+        is_new = self.next_number <= number < self.spec.tasks
+        return is_new and number not in self.final_numbers and number not in self.runs
+
     def mark_final(self, number):
         """Record that a task which no longer waits has ended for good."""
         if number >= self.next_number:
@@ -194,6 +202,7 @@
         self.failures.pop(number, None)
         self.preempted.pop(number, None)
         self.losses.pop(number, None)
+        self.in_doubt = [loss for loss in self.in_doubt if loss[0] != number]
 
     def is_done(self):
         """Whether no task runs and none will start."""
--- a/alderreach/decisions/poison_jobs.py
+++ b/alderreach/decisions/poison_jobs.py
@@ -13,6 +13,10 @@
 runs. The second loss then tells the poison job from jobs that happened to run beside
 it. After ``INCIDENT_LIMIT`` incidents the job is condemned: it is parked permanently,
 and the probation of the jobs whose losses it explains ends.
+
+A worker that fell silent may only have been cut off. It is *in doubt* until it reports
+again: the same boot withdraws the incidents that it caused, another one proves them.
+Only incidents with a proved loss condemn a job.
 """
 
 import collections
@@ -36,30 +40,47 @@
     def __init__(self, state, park_permanently):
         self._state = state
         self._park_permanently = park_permanently
+        # The lost workers of each incident, by job.
         self._suspects = {}
+        # The jobs that were on each worker in doubt.
+        self._in_doubt = {}
         self._lost = collections.deque(maxlen=LOSSES_KEPT)
 
     def on_worker_removed(self, worker_id):
         """Record that a worker was lost or removed."""
         self._lost.append((self._state.now_ms, worker_id))
 
-    def on_run_lost(self, run):
+    def on_run_lost(self, run, is_in_doubt):
         """Record a run that was lost with its worker, and schedule a review."""
         job, now_ms = run.job, self._state.now_ms
         if now_ms - run.started_ms > WINDOW_MS:
             return
+        if is_in_doubt:
+            self._in_doubt.setdefault(run.worker_id, {})[job] = None
         if job.review_due_ms is None:
             job.review_due_ms = now_ms + REVIEW_AFTER_MS
             self._state.schedule_review(job.review_due_ms, job)
         job.lost_on.append(run.worker_id)
 
+    def on_silence_ended(self, worker_id, has_crashed):
+        """Record whether a worker in doubt had crashed."""
+        for job in self._in_doubt.pop(worker_id, ()):
+            if self._state.jobs.get(job.spec.job_id) is not job:
+                continue
+            if has_crashed:
+                self._state.schedule_review(self._state.now_ms, job)
+            else:
+                self._withdraw(job, worker_id)
+        if not has_crashed:
+            kept = [lost for lost in self._lost if lost[1] != worker_id]
+            self._lost = collections.deque(kept, maxlen=LOSSES_KEPT)
+
     def forget(self, job):
         """Forget a job that has ended."""
         self._suspects.pop(job, None)
 
     def clear_suspicion(self, job):
         """End a job's probation, e.g. because a task of it ended without a crash."""
-        job.incidents = 0
         self._suspects.pop(job, None)
         if job.limit:
             job.limit = 0
@@ -73,13 +94,16 @@
         if job.limit and not job.parked:
             if self._has_survivor(job):
                 self.clear_suspicion(job)
-            else:
-                self._state.schedule_review(now_ms + REVIEW_INTERVAL_MS, job)
+                return
+            self._condemn_if_due(job)
+            self._state.schedule_review(now_ms + REVIEW_INTERVAL_MS, job)
 
     def _review_losses(self, job):
         own_lost, job.lost_on, job.review_due_ms = job.lost_on, [], None
+        if not own_lost:
+            return
         oldest_ms = self._state.now_ms - 2 * REVIEW_AFTER_MS
-        known_lost = self._suspects.get(job, set()).union(own_lost)
+        known_lost = self._lost_workers(job).union(own_lost)
         others = {
             worker_id
             for when_ms, worker_id in self._lost
@@ -89,19 +113,45 @@
             MIN_OTHER_LOSSES, len(set(own_lost))
         ) or self._has_survivor(job):
             return
-        job.incidents += 1
         job.limit = 1
-        self._suspects.setdefault(job, set()).update(own_lost)
-        if job.incidents >= INCIDENT_LIMIT and not job.finished:
-            self._park_permanently(
-                job, f"its tasks took down {job.incidents} workers, last {own_lost[-1]}"
-            )
-            self._clear_explained(self._suspects.pop(job))
+        self._suspects.setdefault(job, []).append(own_lost)
+
+    def _condemn_if_due(self, job):
+        proved = [
+            worker_ids
+            for worker_ids in self._suspects.get(job, ())
+            if any(worker_id not in self._in_doubt for worker_id in worker_ids)
+        ]
+        if len(proved) < INCIDENT_LIMIT or job.finished:
+            return
+        self._park_permanently(
+            job, f"its tasks took down {len(proved)} workers, last {proved[-1][-1]}"
+        )
+        explained = self._lost_workers(job)
+        del self._suspects[job]
+        self._clear_explained(explained)
+
+    def _withdraw(self, job, worker_id):
+        """Withdraw the loss of a worker that was only cut off."""
+        job.lost_on = [each for each in job.lost_on if each != worker_id]
+        if job not in self._suspects:
+            return
+        incidents = [
+            [each for each in worker_ids if each != worker_id]
+            for worker_ids in self._suspects[job]
+        ]
+        self._suspects[job] = [worker_ids for worker_ids in incidents if worker_ids]
+        if not self._suspects[job]:
+            self.clear_suspicion(job)
+
+    def _lost_workers(self, job):
+        incidents = self._suspects.get(job, ())
+        return {worker_id for worker_ids in incidents for worker_id in worker_ids}
 
     def _clear_explained(self, explained):
         """End the probation of jobs whose lost workers are all in ``explained``."""
-        for suspect, workers in list(self._suspects.items()):
-            if workers <= explained:
+        for suspect in list(self._suspects):
+            if self._lost_workers(suspect) <= explained:
                 self.clear_suspicion(suspect)
 
     def _has_survivor(self, job):
--- a/alderreach/decisions/scheduler.py
+++ b/alderreach/decisions/scheduler.py
@@ -138,13 +138,33 @@
         job = self._state.jobs.get(job_id)
         return dict(job.losses) if job else {}
 
-    def restore_losses(self, job_id, losses):
-        """Restore what ``losses_of`` returned to an earlier owner, or an empty dict."""
+    def losses_in_doubt(self, job_id):
+        """Return the losses with workers that fell silent: task numbers and workers."""
         job = self._state.jobs.get(job_id)
-        if job is not None and losses:
-            endings.restore_losses(self._state, job, losses)
+        return list(job.in_doubt) if job else []
+
+    def restore_losses(self, job_id, losses, in_doubt=()):
+        """Restore what ``losses_of`` and ``losses_in_doubt`` told an earlier owner."""
+        job = self._state.jobs.get(job_id)
+        if job is not None and (losses or in_doubt):
+            endings.restore_losses(self._state, job, losses, in_doubt)
             self._close_if_done(job)
 
+    def end_silence(self, worker_id, has_crashed, now_ms):
+        """Record whether a silent worker had crashed or was only cut off.
+
+        Returns the ids of the jobs with tasks that had expired there.
+        """
+        self._state.now_ms = now_ms
+        self._poison_jobs.on_silence_ended(worker_id, has_crashed)
+        ended = []
+        for job in self._state.jobs_in_doubt.pop(worker_id, ()):
+            if self._state.jobs.get(job.spec.job_id) is job:
+                endings.end_silence(self._state, job, worker_id, has_crashed)
+                self._close_if_done(job)
+                ended.append(job.spec.job_id)
+        return ended
+
     def task_started(self, task_id, now_ms):
         """Record that a worker has started a task; its run time counts from now."""
         self._state.now_ms = now_ms
@@ -156,7 +176,9 @@
     def task_ended(self, task_id, attempt, outcome, now_ms):
         """Record how an attempt ended; it must no longer run.
 
-        ``outcome`` is finished, failed, lost, refused, stopped or checkpointed.
+        ``outcome`` is finished, failed, lost, expired, refused, stopped or
+        checkpointed. A task has expired if its worker fell silent; ``end_silence`` is
+        called once it is known whether the worker had crashed.
         """
         self._state.now_ms = now_ms
         number = _task_number(task_id)
@@ -196,6 +218,10 @@
         self._emit_stops(budget - len(decisions))
         return decisions
 
+    def is_known(self, job_id):
+        """Whether a job was submitted and has not ended."""
+        return job_id in self._state.jobs
+
     def job_status(self, job_id):
         """Return a job's ``common.JobStatus``, None if it is unknown."""
         job = self._state.jobs.get(job_id)
--- a/alderreach/decisions/state.py
+++ b/alderreach/decisions/state.py
@@ -32,6 +32,8 @@
         self.ledger = quotas.Ledger()
         self.backlog = backlog.Backlog(self.cell, self.ledger.stop_saving)
         self.jobs = {}
+        # By worker that fell silent, the jobs that may have crashed it.
+        self.jobs_in_doubt = {}
         self.now_ms = 0
         self.tick = 0
         self.decisions = []
--- a/alderreach/ops/placer/jobs.py
+++ b/alderreach/ops/placer/jobs.py
@@ -12,7 +12,8 @@
 class JobState:
     """One job or service; ``finished`` and ``failed`` hold numbers of its tasks.
 
-    ``losses`` maps task numbers to how often the task was lost soon after its start.
+    ``losses`` maps task numbers to how often the task was lost soon after its start,
+    ``in_doubt`` lists further losses with workers that may not have crashed.
 
     ``durable_finished`` are the finished numbers stored by the keepers: workers may
     forget only those. ``attempts`` maps task numbers to the last attempt assigned.
@@ -26,6 +27,7 @@
         self.finished = set()
         self.failed = set()
         self.losses = {}
+        self.in_doubt = []
         self.durable_finished = frozenset()
         self.attempts = {}
         self.cancelled = False
@@ -92,13 +94,15 @@
 def lost_item(state):
     """Return the encoded LostTasks of a job."""
     pairs = [part for pair in sorted(state.losses.items()) for part in pair]
-    return codec.encode(placer.LostTasks(state.job.job_id, pairs))
+    return codec.encode(placer.LostTasks(state.job.job_id, pairs, state.in_doubt))
 
 
 def load_lost(state, value):
     """Load a LostTasks item read from the keepers into the state."""
-    pairs = codec.decode(value, placer.LostTasks).losses
+    item = codec.decode(value, placer.LostTasks)
+    pairs = item.losses
     state.losses = dict(zip(pairs[::2], pairs[1::2], strict=True))
+    state.in_doubt = item.in_doubt
 
 
 def service_job(workload, failure_domain, tasks):
--- a/alderreach/ops/placer/ledger.py
+++ b/alderreach/ops/placer/ledger.py
@@ -101,13 +101,16 @@
 
         self._mark_item(f"done/{self._failure_domain}/{state.job.job_id}", make)
 
-    def record_losses(self, state, losses):
+    def record_losses(self, state, losses, in_doubt):
         """Schedule the write of how often a job's tasks were lost, for the next owner.
 
-        The losses of a job that has ended are empty and not written.
+        ``in_doubt`` lists ``placer.LossInDoubt``.
         """
-        if losses and not state.is_service:
-            state.losses = losses
+        if not state.is_service and (losses, in_doubt) != (
+            state.losses,
+            state.in_doubt,
+        ):
+            state.losses, state.in_doubt = losses, in_doubt
             key = f"lost/{self._failure_domain}/{state.job.job_id}"
             self._mark_item(key, lambda: (jobs.lost_item(state), None))
 
--- a/alderreach/ops/placer/placing.py
+++ b/alderreach/ops/placer/placing.py
@@ -17,7 +17,15 @@
 
 from alderreach.core import placements, target_membership
 from alderreach.decisions import actions
-from alderreach.ops.placer import commands, jobs, ledger, reports, status, workers
+from alderreach.ops.placer import (
+    commands,
+    jobs,
+    ledger,
+    losses,
+    reports,
+    status,
+    workers,
+)
 
 DECISIONS_PER_TICK = 500
 MEMBER_TICK_INTERVAL_MS = 100
@@ -56,6 +64,8 @@
         )
         self.knows_all_jobs = True
         self.starts_from_ms = 0
+        # The boots of workers that fell silent under tasks, by the id of the worker.
+        self.silent_boots = {}
         self.wall_ms = wall_ms
         self._record = record
         self._awaiting_durability = collections.deque()
@@ -71,7 +81,7 @@
         if state.is_final:
             return
         self.scheduler.submit(job, now_ms)
-        self.scheduler.restore_losses(job.job_id, state.losses)
+        losses.restore(self, state)
         for number in state.finished:
             self._replay_end(job, number, "finished", now_ms)
         for number in state.failed:
@@ -144,11 +154,14 @@
 
     def _update_worker(self, announcement, before, effect, now_ms):
         worker_id = announcement.target_id
+        if worker_id in self.silent_boots:
+            has_crashed = self.silent_boots[worker_id] != announcement.boot_id
+            losses.end_silence(self, worker_id, has_crashed, now_ms)
         if effect == "restarted":
             self.workers.on_restarted(worker_id)
             for placement in self.placements.on_worker(worker_id):
                 if placement.boot_id != announcement.boot_id:
-                    self._lose(placement, before.announced, now_ms)
+                    losses.lose(self, placement, before.announced, now_ms)
         if announcement.owner_epoch_seen >= self.epoch:
             self.workers.confirm(worker_id)
         record = target_membership.worker_record(announcement)
@@ -160,7 +173,8 @@
         """Remove a silent target whose VM an operator declared lost for good."""
         announced = self.members.targets[target_id].announced
         for placement in self.placements.on_worker(target_id):
-            self._lose(placement, announced, now_ms)
+            losses.lose(self, placement, announced, now_ms)
+        losses.end_silence(self, target_id, True, now_ms)
         self._remove_target(target_id)
         self.record_event("target_declared_dead", target_id=target_id)
 
@@ -252,8 +266,8 @@
         )
         self.ledger.record_end(record)
         self.ledger.mark_job(state)
-        if outcome == "lost":
-            self.ledger.record_losses(state, self.scheduler.losses_of(record.job_id))
+        if outcome in ("lost", "expired"):
+            losses.record(self, state)
         self.record_task_event("task_ended", record, outcome)
         self._remove_if_dead(record.worker_id)
 
@@ -315,6 +329,8 @@
             silent_ms = now_ms - target.last_contact_ms
             is_expired = target.state == "dead" and silent_ms > DEAD_TARGET_RETENTION_MS
             if is_expired and not self.placements.on_worker(target_id):
+                # It will never be known whether its tasks had crashed it.
+                losses.end_silence(self, target_id, False, now_ms)
                 self._remove_target(target_id)
 
     def handle_batch_result(self, result, now_ms):
@@ -346,19 +362,9 @@
         announced = self.members.targets[worker_id].announced
         for placement in self.placements.on_worker(worker_id):
             if placement.record.when_cut_off == "move":
-                self._lose(placement, announced, now_ms)
+                losses.lose(self, placement, announced, now_ms, "expired")
         self._remove_if_dead(worker_id)
 
-    def _lose(self, placement, announced, now_ms):
-        """End an attempt with its worker, of which ``announced`` was the last report.
-
-        A loss counts against the task. It can't be the cause if it never began there,
-        nor if the worker had said that it leaves.
-        """
-        is_planned = announced.state != "ready"
-        is_innocent = is_planned or placement.is_known_not_begun
-        self.end_attempt(placement, "stopped" if is_innocent else "lost", now_ms)
-
     def _decide(self, now_ms):
         for decision in self.scheduler.tick(now_ms, DECISIONS_PER_TICK):
             if isinstance(decision, actions.Start):
--- a/tests/placer_crashing_task_test.py
+++ b/tests/placer_crashing_task_test.py
@@ -104,6 +104,63 @@
     assert world.status("j1").state == "running"
 
 
+@pytest.mark.parametrize("has_takeover", [False, True])
+def test_a_task_whose_workers_are_cut_off_does_not_fail(has_takeover):
+    """Guards against partitions that are counted as crashes, also by a new owner."""
+    world = make_world()
+    world.submit("j1", run_ms=30_000)
+    for _cut in range(2 * endings.MAX_LOSSES):
+        world.run_until(lambda: world.workers_of("j1/0"))
+        worker = world.workers[world.workers_of("j1/0")[0]]
+        _cut_off(world, worker)
+        world.run_until(lambda w=worker: not w.running())
+        world.run(3000)
+        if has_takeover:
+            _replace_owner(world)
+        world.heal()
+        world.run(1000)
+    world.run_until(lambda: world.status("j1").state == "finished")
+
+
+@pytest.mark.parametrize("has_takeover", [False, True])
+def test_a_crash_counts_though_its_worker_returns_after_its_lease(has_takeover):
+    """Guards against crashes that are forgotten once a worker's lease has lapsed."""
+    world = make_world()
+    world.submit("j1", run_ms=30_000)
+    starts = 0
+    while starts <= endings.MAX_LOSSES and _is_running(world):
+        starts += 1
+        worker = world.workers[world.workers_of("j1/0")[0]]
+        owner = world.owner()
+        world.run(500)
+        ended = _count(owner, "task_ended")
+        worker.kill()
+        world.run_until(lambda n=ended, o=owner: _count(o, "task_ended") > n)
+        if has_takeover:
+            _replace_owner(world)
+        worker.start()
+        world.run(1500)
+    assert starts == endings.MAX_LOSSES
+    assert world.status("j1").state == "failed"
+
+
+def test_a_task_whose_workers_never_return_starts_ever_more_rarely():
+    """Guards against a task that takes down all workers of a domain, and against a job
+    that fails although it is not known whether its task was the cause.
+    """
+    world = make_world(workers=20)
+    world.submit("j1", run_ms=600_000)
+    world.submit("j2", tasks=4, run_ms=1000)
+    for _second in range(120):
+        for name in world.workers_of("j1/0"):
+            world.workers[name].kill()
+        world.run(1000)
+    alive = [worker for worker in world.workers.values() if worker.alive]
+    assert len(alive) >= 20 - endings.MAX_LOSSES - 5
+    assert world.status("j1").state in ("waiting", "running")
+    world.run_until(lambda: world.workers_of("j1/0"), endings.MAX_DOUBT_PAUSE_MS)
+
+
 def make_world(workers=6):
     """Return a failure domain with an owner."""
     world = placer_sim.World(workers)
@@ -112,6 +169,11 @@
     return world
 
 
+def _cut_off(world, worker):
+    for name in world.placers:
+        world.link(worker.name, name, "drops")
+
+
 def _count(placer, kind):
     return sum(name == kind for _, name, _details in placer.events)
 
