--- a/alderreach/decisions/serving.py
+++ b/alderreach/decisions/serving.py
@@ -20,6 +20,7 @@
 ANSWERED = "answered"
 REFUSED = "refused"
 UNREACHABLE = "unreachable"
+NOT_SENT = "not_sent"
 NO_TARGET_RETRY_MS = 1000
 SERVER_ERROR = 500
 
@@ -216,7 +217,7 @@
         return waited_ms + self._run_times.overall_ms / self._usable_slots()
 
     def _may_retry(self, request):
-        was_refused = request.previous in (REFUSED, UNREACHABLE)
+        was_refused = request.previous in (REFUSED, UNREACHABLE, NOT_SENT)
         return self._budget.try_spend(
             request.attempt, was_refused, bool(len(self._queue))
         )
@@ -258,7 +259,7 @@
         self._queue.correct(running.team, ended.run_ms - running.cost_ms)
         if ended.result == UNREACHABLE:
             self._outliers.on_unreachable(ended.runner_id, now_ms)
-        if ended.result in (UNREACHABLE, REFUSED, WITHDRAWN):
+        if ended.result in (UNREACHABLE, NOT_SENT, REFUSED, WITHDRAWN):
             return
         is_error = ended.result != ANSWERED or ended.status >= SERVER_ERROR
         self._outliers.observe(ended.runner_id, ended.run_ms, is_error)
--- a/alderreach/ops/entry/requests.py
+++ b/alderreach/ops/entry/requests.py
@@ -21,6 +21,7 @@
 FAILURES = {
     runner_wire.REFUSED: errors.Kind.TARGET_REFUSED,
     runner_wire.UNREACHABLE: errors.Kind.NO_TARGET,
+    runner_wire.NOT_SENT: errors.Kind.DEADLINE_PASSED,
     runner_wire.TIMED_OUT: errors.Kind.TIMEOUT,
     runner_wire.BROKEN: errors.Kind.TARGET_FAILED,
 }
--- a/alderreach/ops/entry/runner_wire.py
+++ b/alderreach/ops/entry/runner_wire.py
@@ -4,10 +4,11 @@
 send fewer or more bytes than it declared. An answer is accepted only if it echoes this
 request, this attempt and this boot of the runner and has exactly the declared length.
 
-``refused`` and ``unreachable`` prove that nothing ran: the runner said so, or no
-connection was established. Once the first byte may have been written, nothing can be
-proved, also on a reused connection that the runner had closed. Such an attempt ends as
-``broken``.
+``refused``, ``unreachable`` and ``not_sent`` prove that nothing ran: the runner said
+so, no connection was established, or the time was over before the runner was called.
+The last says nothing about the runner. Once the first byte may have been written,
+nothing can be proved, also on a reused connection that the runner had closed. Such an
+attempt ends as ``broken``.
 """
 
 import collections
@@ -28,6 +29,7 @@
 ANSWERED = "answered"
 REFUSED = "refused"
 UNREACHABLE = "unreachable"
+NOT_SENT = "not_sent"
 TIMED_OUT = "timed_out"
 BROKEN = "broken"
 CONNECTION_ERRORS = (
@@ -133,7 +135,7 @@
         host, _, port = runner.address.rpartition(":")
         remaining_ms = call.deadline_ms - self._clock.monotonic_ms()
         if remaining_ms <= 0:
-            return Reply(UNREACHABLE, "no time left to connect")
+            return Reply(NOT_SENT, "no time left to connect")
         timeout_s = min(remaining_ms, CONNECT_TIMEOUT_MS) / 1000
         link = connection.HTTPConnection(host, int(port), timeout=timeout_s)
         try:
@@ -146,7 +148,7 @@
     def _exchange(self, link, runner, call):
         remaining_ms = call.deadline_ms - self._clock.monotonic_ms()
         if remaining_ms <= 0:
-            return Reply(UNREACHABLE, "no time left to send"), False
+            return Reply(NOT_SENT, "no time left to send"), False
         link.sock.settimeout(remaining_ms / 1000)
         headers = {
             "Content-Type": call.content_type,
