--- a/alderreach/ops/controller/worker_polls.py
+++ b/alderreach/ops/controller/worker_polls.py
@@ -313,7 +313,8 @@
         if run.state != workers.RUNNING or run.is_long:
             continue
         if health.is_stalled(run, now_ms):
-            _move_run(leader, worker, run, "stalled", now_ms)
+            if not _may_wait_for_gang(leader, run, now_ms):
+                _move_run(leader, worker, run, "stalled", now_ms)
             continue
         ratio = health.slowness(run, leader.durations.get(run.key[:3], ()))
         if ratio is None:
@@ -330,6 +331,24 @@
             _move_run(leader, worker, run, "slow", now_ms)
 
 
+def _may_wait_for_gang(leader, run, now_ms):
+    """Whether a run makes no progress since its gang has not been complete for long."""
+    job = leader.state.jobs.get(run.key.job_id)
+    if job is None or not job.record.steps[run.key.step].gang:
+        return False
+    complete_ms = 0
+    for index, task in enumerate(job.groups[(run.key.occurrence, run.key.step)]):
+        worker = leader.workers.get(task.target_id)
+        member = worker.runs.get(run.key._replace(index=index)) if worker else None
+        if member is None or member.run != run.run or member.state != workers.RUNNING:
+            return True
+        began_ms = (
+            member.last_progress_ms if member.first_ms is None else member.first_ms
+        )
+        complete_ms = max(complete_ms, began_ms)
+    return now_ms - complete_ms < health.STALL_MS
+
+
 def _is_better_on_quick(leader, worker, run, ratio):
     """Whether a long task would end sooner on a quick worker that has room for it."""
     if worker.slowness < health.KNOWN_SLOW or run.key in leader.moves:
