--- a/alderreach/ops/entry/keepers.py
+++ b/alderreach/ops/entry/keepers.py
@@ -9,6 +9,10 @@
 after ``UNRESPONSIVE_TIMEOUT_MS`` until one is answered again. This is many times the
 duration of a commit between failure domains, and short enough for a person. A request
 whose own timeout ends before it is sent to another keeper does not tell that.
+
+Such short requests are sent to one keeper only, and a slow commit outlasts them. Beside
+them a read is therefore sent with the time to reach each keeper, and its answer ends
+the short timeouts too.
 """
 
 import threading
@@ -16,10 +20,12 @@
 from result import Err, Ok, Result
 
 from alderreach.core import codec
+from alderreach.core.generated import keeper
 from alderreach.ops import keeper_client
 from alderreach.ops.entry import thread_shares
 
 UNRESPONSIVE_TIMEOUT_MS = 250
+PROBE_TIMEOUT_MS = 2000
 BUSY = "busy"
 
 
@@ -31,6 +37,7 @@
         self._gateway = gateway
         self._permits = threading.BoundedSemaphore(shares.keeper_requests)
         self._is_unresponsive = False
+        self._probe_permit = threading.BoundedSemaphore(1)
 
     def ask(self, command, timeout_ms) -> Result:
         """Return ``Ok(message)``, or ``Err(status)``: no_quorum, uncertain or busy.
@@ -49,8 +56,22 @@
             self._is_unresponsive = False
         elif timeout_ms > keeper_client.RESEND_MS:
             self._is_unresponsive = True
+        if self._is_unresponsive:
+            self._probe()
         return _unpack(outcome)
 
+    def _probe(self):
+        """Send a read that nobody waits for, unless one is in progress."""
+        if not self._probe_permit.acquire(blocking=False):
+            return
+
+        def done(outcome):
+            if outcome.status != "uncertain":
+                self._is_unresponsive = False
+            self._probe_permit.release()
+
+        self._gateway.request(keeper.ReadMembers(), done, PROBE_TIMEOUT_MS)
+
     def request(self, command, done, timeout_ms):
         """Send without waiting; ``done(Result)`` is called on the gateway's thread."""
         self._gateway.request(
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -116,6 +116,9 @@
         items = [i for k, i in self.items.items() if k.startswith(command.prefix)]
         return keeper.ItemsPage(self.version, items)
 
+    def ReadMembers(self, _command):
+        return keeper.MembersResult("accepted", "", [])
+
     def RecordIntent(self, command):
         claim = self.keys.get(command.key)
         if claim is not None and claim["digest"] != command.digest:
