--- a/alderreach/ops/controller/lost_contact.py
+++ b/alderreach/ops/controller/lost_contact.py
@@ -71,6 +71,7 @@
         return
     from_ms, to_ms = contact_losses.interval(worker, now_ms)
     fresh = crash_blame.possibly_fresh(worker, now_ms)
+    is_down = worker.down_by_ms is not None
     leader.evidence.losses.record(
         contact_losses.Loss(
             worker.target_id,
@@ -78,9 +79,19 @@
             to_ms,
             frozenset(key.job_id for key in fresh),
             any(_is_suspect(leader, key) for key in fresh),
-            worker.down_by_ms is not None,
+            is_down,
         )
     )
+    leader.environment.metrics.count("contact_losses", "down" if is_down else "silent")
+    leader.environment.record(
+        "contact_lost",
+        target=worker.target_id,
+        lost_from_ms=from_ms,
+        lost_to_ms=to_ms,
+        is_down=is_down,
+        runs=len(worker.runs),
+        fresh_runs=len(fresh),
+    )
 
 
 def note(leader, worker, now_ms):
--- a/alderreach/ops/controller/running.py
+++ b/alderreach/ops/controller/running.py
@@ -48,6 +48,15 @@
         end_kind = crash_blame.weakened(in_doubt.crash_kind)
         runs.record_resolved(leader, key, in_doubt.run, end_kind)
     _judge_restarted(leader, restarted)
+    adopted = leader.workers.values()
+    leader.environment.record(
+        "runs_adopted",
+        runs=sum(len(worker.runs) for worker in adopted),
+        in_doubt=sum(len(worker.runs_in_doubt) for worker in adopted),
+        noted=sum(len(worker.noted_ends) for worker in adopted),
+        resolved=len(over),
+        restarted=len(restarted),
+    )
     for worker in leader.workers.values():
         if worker.runs:
             worker_polls.poll(leader, worker)
--- a/alderreach/ops/controller/verdicts.py
+++ b/alderreach/ops/controller/verdicts.py
@@ -140,6 +140,7 @@
         end_kind = crash_blame.crash_kind_beside(
             each.end_kind, coincidence, may_be_fresh, each.was_lost_at_once
         )
+        leader.environment.metrics.count("crashes_judged", coincidence)
         leader.environment.record(
             "crash_judged",
             task=str(each.key),
