--- a/alderreach/decisions/cell/crash_blame.py
+++ b/alderreach/decisions/cell/crash_blame.py
@@ -59,11 +59,12 @@
 # worker at once.
 SUSPECT_ISOLATION_MS = 250
 # Reached by two crashes with a single fresh run, three with several fresh runs, or five
-# with young runs.
+# with young runs. It fails a task if two of the crashes are proved.
 BLAME_LIMIT = 9
-# A task that crashes its workers may start twice after its third crash at most.
-MAX_CRASHES = 5
 MIN_PROVED_CRASHES = 2
+# Without that proof so many crashes fail a task. One that crashes its workers may be
+# started twice after its third crash at most.
+MAX_CRASHES = 5
 # With this blame a task starts alone: after one crash that counts.
 SUSPECT_BLAME = 2
 # Time between two starts of a lasting task with the blame at which others fail. Such a
@@ -137,10 +138,10 @@
     Runs that were never sent to the worker are left out, since they were not there. If
     the task of a fresh run is a suspect, by ``is_known_suspect(key)``, it explains the
     crash, and other runs that the worker has confirmed are left out as well, unless
-    they were placed after the suspect's isolation. ``coincidence(lost_run)``
-    tells whether contact with others was lost at the same time as that of a
-    ``contact_losses.LostRun``. What a previous leader has noted of a run takes
-    precedence, since only that leader knew when it had begun.
+    they were placed after the suspect's isolation. ``coincidence(lost_run)`` tells, for
+    a ``contact_losses.LostRun``, whether others were lost at the same time. What a
+    previous leader has noted of a run takes precedence, since only that leader knew
+    when it had begun.
     """
     present = [
         run
@@ -225,7 +226,8 @@
 def possibly_fresh(worker, now_ms):
     """The keys of tasks that may just have started when contact with a worker was lost.
 
-    Nothing is known of runs that the worker has not confirmed to this leader.
+    These are also the runs that the worker has not confirmed to this leader: a previous
+    one may have started them a moment before.
     """
     lost_ms = _lost_ms(worker, now_ms)
     keys = [key for key, _run in worker.runs_in_doubt]
--- a/alderreach/ops/controller/leader_state.py
+++ b/alderreach/ops/controller/leader_state.py
@@ -84,24 +84,20 @@
         self.needs_planning = True
         # Groups for which something other than free capacity has changed.
         self.groups_to_revisit = set()
-        self.durations = {}
-        self.moves = {}
+        self.durations, self.moves = {}, {}
         # When each task that is paused may be started again, and how often each has
         # paused because of runs in doubt.
         self._pauses = {}
         self._doubt_pauses = collections.Counter()
-        # Ids of active jobs of which a worker has confirmed a run to this leader.
-        self.jobs_at_work = set()
+        self.jobs_at_work = set()  # Active jobs with a run that was confirmed to it.
         self.on_run_ended = lambda job_id, occurrence, step: None
-        # How many workers lose calls, as of the last tidying.
-        self.losing_workers = 0
+        self.losing_workers = 0  # Workers that lose calls, as of the last tidying.
         self._queues = _Queues(None, {}, math.inf)
         # How many fences each worker took, also those that are dropped meanwhile.
         self._fence_counts = collections.Counter()
         # Ids of workers in the order of their checks; see ``next_to_check``.
         self._check_order = collections.deque()
-        self._changes = []
-        self._effects = []
+        self._changes, self._effects = [], []
         # Changes for a successor that no batch contains yet.
         self._notes = []
         # Lists of effects, one for each uncommitted batch, oldest batch first.
@@ -258,10 +254,8 @@
 
     def _count_in_doubt(self, task):
         """How many runs of a task count as crashes if their workers have crashed."""
-        return sum(
-            bool(each.crash_kind) and self._worker_of(each) is not None
-            for each in task.in_doubt
-        )
+        counted = [each for each in task.in_doubt if each.crash_kind]
+        return sum(self._worker_of(each) is not None for each in counted)
 
     def _worker_of(self, run_in_doubt):
         """The worker of a run in doubt, or None if that incarnation is over."""
