--- a/alderreach/decisions/cell/crash_blame.py
+++ b/alderreach/decisions/cell/crash_blame.py
@@ -155,8 +155,7 @@
     ends = {}
     for run in present:
         is_explained = run not in suspects and any(
-            run.placed_ms - suspect.placed_ms < SUSPECT_ISOLATION_MS
-            for suspect in suspects
+            _explains(suspect, run, worker) for suspect in suspects
         )
         if lost_ms - run.placed_ms > YOUNG_MS or (is_explained and run.is_confirmed):
             continue
@@ -261,6 +260,18 @@
     return crashes.CRASHED_AT_START
 
 
+def _explains(suspect, run, worker):
+    """Whether a fresh run of a suspect explains a crash under another run.
+
+    A suspect without an answer may have been sent to a worker that the other run had
+    just crashed.
+    """
+    has_begun = suspect.is_confirmed or suspect.lost_connection_at_start
+    may_be_cause = run.is_confirmed and _may_have_just_started(run, worker)
+    is_isolated = run.placed_ms - suspect.placed_ms >= SUSPECT_ISOLATION_MS
+    return not is_isolated and (has_begun or not may_be_cause)
+
+
 def _may_have_just_started(run, worker):
     """Whether a run gave no sign of life long after its start.
 
--- a/alderreach/decisions/cell/crash_blame_test.py
+++ b/alderreach/decisions/cell/crash_blame_test.py
@@ -114,6 +114,16 @@
     }
 
 
+def test_a_suspect_without_an_answer_does_not_explain_a_crash_under_a_fresh_run():
+    """Guards against a culprit that is excused by starts sent after its crash."""
+    worker = worker_with(run(0, 60), run(1, 20, is_confirmed=False), run(2, 30_000))
+    found = crash_blame.ends_after_crash(worker, CRASH_MS, lambda key: key.index == 1)
+    assert {key.index: end for (key, _run), end in found.items()} == {
+        0: crashes.CRASHED_AT_START,
+        1: crashes.UNPROVED_AT_START,
+    }
+
+
 def test_a_run_started_by_a_previous_leader_is_not_fresh():
     """Guards against a running task that is blamed as if it had just started."""
     found = run(0, 20, is_confirmed=False)
