--- a/alderreach/ops/controller/verdicts.py
+++ b/alderreach/ops/controller/verdicts.py
@@ -57,8 +57,8 @@
 def fails(leader, key, end_kind):
     """Whether this end of a run fails its task for crashes of its workers.
 
-    A lasting task never fails. Of a gang with more crashes at its starts than members,
-    one member has crashed two workers, however they are spread.
+    A lasting task never fails. In a gang with more crashes at its starts than members,
+    the first member with two of them fails.
     """
     job = leader.state.jobs.get(key.job_id)
     if end_kind not in crashes.BLAME or job is None or job.state != cell_state.ACTIVE:
@@ -72,10 +72,17 @@
         return True
     if not step.gang:
         return False
-    members = job.groups[(key.occurrence, key.step)]
-    kinds = [kind for member in members for kind in member.crash_kinds]
+    own = [*task.crash_kinds, end_kind]
+    if sum(kind in GANG_CRASH_KINDS for kind in own) < crash_blame.MIN_PROVED_CRASHES:
+        return False
+    others = [
+        kind
+        for member in job.groups[(key.occurrence, key.step)]
+        if member is not task
+        for kind in member.crash_kinds
+    ]
     limit = max(crash_blame.MAX_CRASHES, step.tasks + 1)
-    return sum(kind in GANG_CRASH_KINDS for kind in [*kinds, end_kind]) >= limit
+    return sum(kind in GANG_CRASH_KINDS for kind in [*own, *others]) >= limit
 
 
 def defer(leader, key, run_number, end_kind, target_id, born_ms=None):
