--- a/alderreach/decisions/endings.py
+++ b/alderreach/decisions/endings.py
@@ -33,7 +33,7 @@
 # with each further one.
 DOUBT_PAUSE_MS = 2000
 MAX_DOUBT_PAUSE_MS = 60_000
-# How a task ends that is gone with its worker; an expired one's worker is only silent.
+# How a task ends whose worker is lost; the worker of an expired one is only silent.
 LOST, EXPIRED = "lost", "expired"
 
 
--- a/alderreach/decisions/poison_jobs.py
+++ b/alderreach/decisions/poison_jobs.py
@@ -40,7 +40,7 @@
     def __init__(self, state, park_permanently):
         self._state = state
         self._park_permanently = park_permanently
-        # The lost workers of each incident, by job.
+        # The workers lost together, for each such loss, by job.
         self._suspects = {}
         # The jobs that were on each worker in doubt.
         self._in_doubt = {}
--- a/tools/virtual_wave_days.py
+++ b/tools/virtual_wave_days.py
@@ -43,7 +43,7 @@
 # A worker ends a gang member that has waited for the others for the first of these
 # times, or the second time after another one has ended.
 GANG_TIMEOUT_MS, GANG_BROKEN_MS = 3_000, 20
-# A culprit is known for sure after this many crashes under it.
+# So many crashes under a task prove that it crashes its workers.
 PROVING_CRASHES = 3
 
 
